--- /dev/null
+++ b/src/railfold/__main__.py
@@ -0,0 +1,6 @@
+"""Run the program with ``python -m railfold``."""
+
+from railfold._internal.cli.main import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/railfold/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private parts of railfold; import the public names from ``railfold``."""
--- /dev/null
+++ b/src/railfold/_internal/agent/engine_backend.py
@@ -0,0 +1,382 @@
+"""A model engine behind the agent: its sequences, steps and status."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from absl import logging
+
+from railfold._internal.agent.backend import BackendReport
+from railfold._internal.agent.peers import PeerLinks
+from railfold._internal.core import AttemptId, Token
+from railfold._internal.decisions.batching import batch_limit
+from railfold._internal.decisions.sequences import (
+    CancelReceived,
+    CloseEngineSequence,
+    ConfirmTombstone,
+    FailSequence,
+    ForwardOutput,
+    FrameReceived,
+    OpenReceived,
+    OwnerLost,
+    PeerLost,
+    RefuseOpen,
+    RunCompleted,
+    RunFailed,
+    SequenceAction,
+    SequenceEvent,
+    SequenceTable,
+    SequenceView,
+    StartRun,
+    StepInput,
+)
+from railfold._internal.decisions.stalls import StepTimes
+from railfold._internal.engines.interface import (
+    ActivationInput,
+    DecodeInput,
+    Engine,
+    EngineStatus,
+    HiddenState,
+    PrefillInput,
+    StepFailure,
+    StepItem,
+    StepResult,
+)
+from railfold._internal.errors import EngineError
+from railfold._internal.links.connection import Link, LinkMessage
+from railfold._internal.links.conversion import (
+    chain_from_wire,
+    lineage_from_wire,
+    lineage_to_wire,
+    token_to_wire,
+)
+from railfold._internal.links.messages import (
+    Activation,
+    CancelSequence,
+    EmittedToken,
+    Feedback,
+    Frame,
+    LoadedRange,
+    OpenSequence,
+    SequenceFailed,
+    SequenceRefused,
+    TombstoneReply,
+)
+from railfold._internal.observability.metrics import Metrics
+
+__all__ = ["EngineBackend"]
+
+
+class EngineBackend:
+    """Drives one engine through its :class:`SequenceTable`.
+
+    :param owner_link: returns the link to an entry by its owner name.
+    :param on_change: called when the report to entries has changed in kind.
+    """
+
+    def __init__(
+        self,
+        engine: Engine,
+        table: SequenceTable,
+        peers: PeerLinks,
+        metrics: Metrics,
+        *,
+        capacity: int,
+        max_batch: int,
+        status_interval_s: float,
+        owner_link: Callable[[str], Link | None],
+        on_change: Callable[[], None],
+    ) -> None:
+        self._engine = engine
+        self._table = table
+        self._peers = peers
+        self._metrics = metrics
+        self._capacity = capacity
+        self._max_batch = max_batch
+        self._status_interval_s = status_interval_s
+        self._owner_link = owner_link
+        self._on_change = on_change
+        self._ready: deque[StartRun] = deque()
+        self._closing: list[str] = []
+        self._wake = asyncio.Event()
+        self._times = StepTimes()
+        self._status: EngineStatus | None = None
+        table.available = False
+
+    # Reports.
+
+    def report(self) -> BackendReport:
+        """Return what to tell entries."""
+        loaded: tuple[LoadedRange, ...] = ()
+        status = self._status
+        if status is not None and status.layers is not None:
+            layers = status.layers
+            loaded = (
+                LoadedRange(status.model, status.version, layers.first, layers.last),
+            )
+        return BackendReport(
+            available=self._table.available and not self.stalled(),
+            running=len(self._table),
+            capacity=self._capacity,
+            step_ms=self._times.mean_s * 1000.0,
+            loaded=loaded,
+        )
+
+    def stalled(self) -> bool:
+        """Return whether the running step is stalled."""
+        return self._times.stalled(asyncio.get_running_loop().time())
+
+    def set_draining(self) -> None:
+        """Refuse new sequences from now on; finish the open ones."""
+        self._table.draining = True
+
+    # Events from links.
+
+    def frame(self, link: Link, frame: Frame) -> None:
+        """Take a frame from an entry or another agent."""
+        for message in frame.messages:
+            match message:
+                case OpenSequence():
+                    self._apply(self._open_event(link, message), link)
+                case CancelSequence(request_id=request_id, attempt=attempt):
+                    attempt_id = AttemptId(request_id, attempt)
+                    self._apply(CancelReceived(attempt_id), link)
+                case _:
+                    pass
+        for activation in frame.activations:
+            self._apply(_activation_event(link, activation))
+        for feedback in frame.feedback:
+            self._apply(_feedback_event(link, feedback))
+
+    def owner_lost(self, owner: str) -> None:
+        """An entry's link ended: cancel its sequences."""
+        self._apply(OwnerLost(owner))
+
+    def peer_lost(self, host: str) -> None:
+        """Another stage's agent can't be reached."""
+        self._apply(PeerLost(host))
+
+    def _open_event(self, link: Link, message: OpenSequence) -> OpenReceived:
+        first_input = None
+        if message.index == 0:
+            payload = PrefillInput(message.prompt, tuple(message.emitted))
+            first_input = StepInput(payload)
+        return OpenReceived(
+            AttemptId(message.request_id, message.attempt),
+            owner_name(link),
+            chain_from_wire(message.stages),
+            message.index,
+            message.base_step,
+            message.max_tokens,
+            first_input,
+        )
+
+    # Actions.
+
+    def _apply(self, event: SequenceEvent, reply_to: Link | None = None) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for action in self._table.apply(event, now_s):
+            self._perform(action, reply_to)
+
+    def _perform(self, action: SequenceAction, reply_to: Link | None) -> None:
+        match action:
+            case StartRun():
+                self._ready.append(action)
+                self._wake.set()
+            case ForwardOutput():
+                self._forward(action)
+            case RefuseOpen(attempt_id=attempt_id, owner=owner, reason=reason):
+                self._metrics.count(f"sequences.refused.{reason.value}")
+                refused = SequenceRefused(
+                    attempt_id.request_id, attempt_id.attempt, reason.value
+                )
+                self._send_to_owner(owner, refused)
+            case FailSequence(attempt_id=attempt_id, owner=owner, host=host):
+                self._metrics.count("sequences.failed")
+                failed = SequenceFailed(
+                    attempt_id.request_id, attempt_id.attempt, host, action.reason
+                )
+                self._send_to_owner(owner, failed)
+            case CloseEngineSequence(attempt_id=attempt_id):
+                self._closing.append(str(attempt_id))
+                self._wake.set()
+            case ConfirmTombstone(attempt_id=attempt_id, started=started):
+                if reply_to is not None:
+                    reply = TombstoneReply(
+                        attempt_id.request_id, attempt_id.attempt, started
+                    )
+                    reply_to.send(reply)
+
+    def _forward(self, action: ForwardOutput) -> None:
+        view = self._table.view(action.attempt_id)
+        if view is None:
+            return
+        attempt_id, output = action.attempt_id, action.output
+        match output.data:
+            case Token() as token:
+                self._emit(attempt_id, view, token, action)
+            case HiddenState(data=data):
+                message = Activation(
+                    attempt_id.request_id,
+                    attempt_id.attempt,
+                    action.step,
+                    data,
+                    lineage_to_wire(output.lineage),
+                )
+                self._peers.send(view.chain.stages[view.index + 1], message)
+
+    def _emit(
+        self,
+        attempt_id: AttemptId,
+        view: SequenceView,
+        token: Token,
+        action: ForwardOutput,
+    ) -> None:
+        self._metrics.count("tokens")
+        emitted = EmittedToken(
+            attempt_id.request_id,
+            attempt_id.attempt,
+            token_to_wire(token),
+            lineage_to_wire(action.output.lineage),
+        )
+        self._send_to_owner(view.owner, emitted)
+        if token.final or token.step + 1 >= view.max_tokens:
+            return
+        first = view.chain.stages[0]
+        next_step = token.step + 1
+        if len(view.chain.stages) > 1:
+            feedback = Feedback(
+                attempt_id.request_id, attempt_id.attempt, next_step, token.token_id
+            )
+            self._peers.send(first, feedback)
+            return
+        step_input = StepInput(DecodeInput(token.token_id))
+        self._apply(
+            FrameReceived(
+                attempt_id, next_step, first.host, first.incarnation, step_input
+            )
+        )
+
+    def _send_to_owner(self, owner: str, message: LinkMessage) -> None:
+        link = self._owner_link(owner)
+        if link is not None:
+            link.send(message)
+
+    # The engine's steps.
+
+    async def run_steps(self, ready: asyncio.Event) -> None:
+        """Child: give ready sequences to the engine, one step at a time."""
+        ready.set()
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._ready:
+                await self._step()
+                await self._free_closed()
+            await self._free_closed()
+
+    async def _step(self) -> None:
+        limit = batch_limit(
+            len(self._table), self._table.longest_chain(), self._max_batch
+        )
+        runs = [self._ready.popleft() for _ in range(min(limit, len(self._ready)))]
+        items = [_step_item(run) for run in runs]
+        loop = asyncio.get_running_loop()
+        self._times.started(loop.time())
+        try:
+            results = await self._engine.step(items)
+        except EngineError as error:
+            # The step may have run, so that these sequences can't go on here.
+            self._metrics.count("engine.step_failures")
+            results = [StepFailure(error.code)] * len(items)
+        self._times.ended(loop.time())
+        self._metrics.count("engine.steps")
+        self._metrics.count("engine.step_sequences", len(items))
+        for run, result in zip(runs, results, strict=True):
+            self._apply(_run_event(run, result))
+
+    async def _free_closed(self) -> None:
+        if not self._closing:
+            return
+        closing, self._closing = self._closing, []
+        try:
+            await self._engine.close(closing)
+        except EngineError:
+            self._metrics.count("engine.close_failures")
+
+    # The engine's status.
+
+    async def run_status(self, ready: asyncio.Event) -> None:
+        """Child: read back what the engine has loaded, at intervals."""
+        ready.set()
+        while True:
+            await self._read_status()
+            await asyncio.sleep(self._status_interval_s)
+
+    async def _read_status(self) -> None:
+        before = self._status
+        try:
+            self._status = await self._engine.status()
+        except EngineError as error:
+            if self._table.available:
+                logging.warning("engine unavailable: %s", error)
+            self._status = None
+        self._table.available = self._status is not None
+        if before is not None and _engine_changed(before, self._status):
+            self._fail_all("engine_state_lost")
+        if before != self._status:
+            logging.info("engine status: %s", self._status)
+            self._on_change()
+
+    def _fail_all(self, reason: str) -> None:
+        self._ready.clear()
+        for attempt_id in self._table.open_attempts():
+            self._apply(RunFailed(attempt_id, 0, reason))
+
+
+def owner_name(link: Link) -> str:
+    """Return the name under which an entry owns sequences."""
+    return f"{link.peer.name}#{link.peer.incarnation}"
+
+
+def _engine_changed(before: EngineStatus, after: EngineStatus | None) -> bool:
+    return after is None or before.engine_id != after.engine_id
+
+
+def _activation_event(link: Link, message: Activation) -> FrameReceived:
+    step_input = StepInput(
+        ActivationInput(message.data), lineage_from_wire(message.lineage)
+    )
+    return FrameReceived(
+        AttemptId(message.request_id, message.attempt),
+        message.step,
+        link.peer.name,
+        link.peer.incarnation,
+        step_input,
+    )
+
+
+def _feedback_event(link: Link, message: Feedback) -> FrameReceived:
+    return FrameReceived(
+        AttemptId(message.request_id, message.attempt),
+        message.step,
+        link.peer.name,
+        link.peer.incarnation,
+        StepInput(DecodeInput(message.token_id)),
+    )
+
+
+def _step_item(run: StartRun) -> StepItem:
+    payload = run.input.data
+    assert isinstance(payload, PrefillInput | DecodeInput | ActivationInput)
+    return StepItem(str(run.attempt_id), run.step, payload)
+
+
+def _run_event(run: StartRun, result: StepResult) -> SequenceEvent:
+    match result:
+        case StepFailure(reason=reason):
+            return RunFailed(run.attempt_id, run.step, reason)
+        case output:
+            return RunCompleted(run.attempt_id, run.step, output)
--- /dev/null
+++ b/src/railfold/_internal/agent/links.py
@@ -0,0 +1,155 @@
+"""The agent's links: entries and other agents come in, heartbeats go out."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from absl import logging
+
+from railfold._internal.agent.backend import Backend
+from railfold._internal.agent.engine_backend import owner_name
+from railfold._internal.configuration.replica import ConfigurationReplica
+from railfold._internal.links.connection import Link
+from railfold._internal.links.messages import Frame, Heartbeat, Probe, ProbeReply
+from railfold._internal.observability.metrics import Metrics
+
+__all__ = ["AgentLinks"]
+
+_TICK_S = 0.25
+_DEFAULT_INTERVAL_S = 1.0
+
+
+@dataclass(slots=True)
+class _EntryLink:
+    link: Link
+    interval_s: float = _DEFAULT_INTERVAL_S
+    lease_s: float = 0.0
+    next_heartbeat_s: float = 0.0
+
+
+class AgentLinks:
+    """Handler of all links that reach this agent."""
+
+    def __init__(self, replica: ConfigurationReplica, metrics: Metrics) -> None:
+        self._replica = replica
+        self._metrics = metrics
+        self._entries: dict[str, _EntryLink] = {}
+        self._backend: Backend | None = None
+        self.draining = False
+
+    def attach(self, backend: Backend) -> None:
+        """Set the backend; it and the links need each other."""
+        self._backend = backend
+
+    @property
+    def backend(self) -> Backend:
+        """The backend server's driver."""
+        assert self._backend is not None
+        return self._backend
+
+    @property
+    def entries(self) -> list[str]:
+        """Names of the linked entries."""
+        return [entry.link.peer.name for entry in self._entries.values()]
+
+    def entry_link(self, owner: str) -> Link | None:
+        """Return the link to an entry by its owner name."""
+        entry = self._entries.get(owner)
+        return entry.link if entry else None
+
+    def link_up(self, link: Link) -> None:
+        """Take a new link."""
+        if link.peer.role != "entry":
+            return
+        logging.info("entry %s linked", link.peer.name)
+        self._entries[owner_name(link)] = _EntryLink(link)
+        self.announce()
+
+    def link_down(self, link: Link) -> None:
+        """A link ended."""
+        self._replica.link_down(link)
+        owner = owner_name(link)
+        entry = self._entries.get(owner)
+        if entry is None or entry.link is not link:
+            return
+        del self._entries[owner]
+        logging.info("entry %s gone", link.peer.name)
+        self.backend.owner_lost(owner)
+
+    def frame_received(self, link: Link, frame: Frame) -> None:
+        """Take a frame."""
+        self._replica.frame(link, frame)
+        for message in frame.messages:
+            match message:
+                case Probe():
+                    self._probe(link, message)
+                case _:
+                    pass
+        self.backend.frame(link, frame)
+
+    def _probe(self, link: Link, probe: Probe) -> None:
+        entry = self._entries.get(owner_name(link))
+        if entry is not None:
+            entry.interval_s = probe.heartbeat_interval_s
+            entry.lease_s = probe.lease_s
+        link.send(ProbeReply(probe.nonce, self.backend.stalled()))
+
+    def announce(self) -> None:
+        """Send a heartbeat to every entry at once: something has changed."""
+        for entry in self._entries.values():
+            entry.next_heartbeat_s = 0.0
+        self._send_heartbeats()
+
+    def set_draining(self) -> None:
+        """Refuse new work from now on and tell the entries."""
+        if self.draining:
+            return
+        self.draining = True
+        self.backend.set_draining()
+        self.announce()
+
+    async def run(self, ready: asyncio.Event) -> None:
+        """Child: send heartbeats and watch the entries' leases."""
+        ready.set()
+        while True:
+            await asyncio.sleep(_TICK_S)
+            self._send_heartbeats()
+            self._drop_lapsed()
+
+    def _send_heartbeats(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        due = [e for e in self._entries.values() if e.next_heartbeat_s <= now_s]
+        if not due:
+            return
+        heartbeat = self._heartbeat()
+        for entry in due:
+            entry.link.send(heartbeat)
+            entry.next_heartbeat_s = now_s + entry.interval_s
+        self._metrics.count("heartbeats", len(due))
+
+    def _heartbeat(self) -> Heartbeat:
+        report = self.backend.report()
+        state = "serving" if report.available else "unavailable"
+        return Heartbeat(
+            "draining" if self.draining else state,  # type: ignore[arg-type]
+            report.running,
+            report.capacity,
+            report.step_ms,
+            list(report.loaded),
+            list(report.services),
+            len(self._entries),
+        )
+
+    def _drop_lapsed(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for entry in list(self._entries.values()):
+            silent_s = now_s - entry.link.last_heard_s
+            if entry.lease_s and silent_s > entry.lease_s:
+                self._metrics.count("entries.lease_lapsed")
+                logging.warning(
+                    "entry %s silent for %.1f s: its lease has lapsed",
+                    entry.link.peer.name,
+                    silent_s,
+                )
+                entry.link.close()
--- /dev/null
+++ b/src/railfold/_internal/agent/peers.py
@@ -0,0 +1,103 @@
+"""Links from this agent to the agents of other stages."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from railfold._internal.core import Stage, parse_address
+from railfold._internal.errors import LinkClosedError, LinkProtocolError
+from railfold._internal.links.connection import Link, LinkLimits, LinkMessage
+from railfold._internal.links.endpoint import dial, serve_link
+from railfold._internal.links.messages import Frame, Hello
+
+__all__ = ["PeerLinks"]
+
+_MAX_WAITING_MESSAGES = 4096
+
+
+@dataclass(slots=True)
+class _Peer:
+    stage: Stage
+    link: Link | None = None
+    waiting: list[LinkMessage] = field(default_factory=list)
+    task: asyncio.Task[None] | None = None
+
+
+class PeerLinks:
+    """Opens a link to a stage's agent when there is something to send.
+
+    :param on_lost: called with the host whose agent can't be reached, or isn't
+        the incarnation that the chain names.
+    """
+
+    def __init__(
+        self,
+        hello: Hello,
+        version: Callable[[], int],
+        limits: LinkLimits,
+        on_lost: Callable[[str], None],
+    ) -> None:
+        self._hello = hello
+        self._version = version
+        self._limits = limits
+        self._on_lost = on_lost
+        self._peers: dict[tuple[str, int], _Peer] = {}
+
+    def send(self, stage: Stage, message: LinkMessage) -> None:
+        """Send a message to a stage's agent, dialling it if need be."""
+        key = (stage.address, stage.incarnation)
+        peer = self._peers.get(key)
+        if peer is None:
+            peer = self._peers[key] = _Peer(stage)
+            peer.task = asyncio.create_task(self._run(key, peer))
+        if peer.link is not None:
+            peer.link.send(message)
+        elif len(peer.waiting) < _MAX_WAITING_MESSAGES:
+            peer.waiting.append(message)
+
+    async def close(self) -> None:
+        """Close all links."""
+        tasks = [peer.task for peer in self._peers.values() if peer.task]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _run(self, key: tuple[str, int], peer: _Peer) -> None:
+        try:
+            link = await dial(
+                parse_address(peer.stage.address),
+                self._hello,
+                self._version,
+                self._limits,
+            )
+            if link.peer.incarnation == peer.stage.incarnation:
+                await self._serve(link, peer)
+            else:
+                link.close()
+        except (LinkClosedError, LinkProtocolError):
+            pass
+        finally:
+            del self._peers[key]
+        self._on_lost(peer.stage.host)
+
+    async def _serve(self, link: Link, peer: _Peer) -> None:
+        peer.link = link
+        for message in peer.waiting:
+            link.send(message)
+        peer.waiting.clear()
+        await serve_link(link, _SendOnly())
+
+
+class _SendOnly:
+    """Handler of links on which the peer has nothing to say."""
+
+    def link_up(self, link: Link) -> None:
+        """Nothing to do: the sender keeps the link."""
+
+    def frame_received(self, link: Link, frame: Frame) -> None:
+        """Nothing to do."""
+
+    def link_down(self, link: Link) -> None:
+        """Nothing to do: the sender reports the loss."""
--- /dev/null
+++ b/src/railfold/_internal/agent/service_backend.py
@@ -0,0 +1,141 @@
+"""A plain service behind the agent."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from absl import logging
+
+from railfold._internal.agent.backend import BackendReport
+from railfold._internal.decisions.calls import CallRegister
+from railfold._internal.decisions.stalls import StepTimes
+from railfold._internal.engines.http_service import HttpService
+from railfold._internal.errors import EngineError, EngineUnavailableError
+from railfold._internal.links.connection import Link
+from railfold._internal.links.messages import (
+    CallRefused,
+    CallResult,
+    CallService,
+    Frame,
+)
+from railfold._internal.observability.metrics import Metrics
+
+__all__ = ["ServiceBackend"]
+
+
+class ServiceBackend:
+    """Passes calls on to one plain service, each request id at most once."""
+
+    def __init__(
+        self,
+        name: str,
+        service: HttpService,
+        metrics: Metrics,
+        *,
+        capacity: int,
+        status_interval_s: float,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._name = name
+        self._service = service
+        self._metrics = metrics
+        self._capacity = capacity
+        self._status_interval_s = status_interval_s
+        self._on_change = on_change
+        self._register = CallRegister()
+        self._healthy = False
+        self._call_times = StepTimes()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def report(self) -> BackendReport:
+        """Return what to tell entries."""
+        return BackendReport(
+            available=self._healthy,
+            running=self._register.running,
+            capacity=self._capacity,
+            step_ms=self._call_times.mean_s * 1000.0,
+            services=(self._name,),
+        )
+
+    def stalled(self) -> bool:
+        """Return False: calls have no common pace to compare with."""
+        return False
+
+    def set_draining(self) -> None:
+        """Refuse new calls from now on; finish the running ones."""
+        self._register.draining = True
+
+    def owner_lost(self, owner: str) -> None:
+        """Nothing to do: a call that was passed on can't be taken back."""
+
+    def frame(self, link: Link, frame: Frame) -> None:
+        """Take a frame from an entry."""
+        for message in frame.messages:
+            match message:
+                case CallService():
+                    self._take(link, message)
+                case _:
+                    pass
+
+    def _take(self, link: Link, call: CallService) -> None:
+        reason = self._refusal(call)
+        if reason:
+            self._metrics.count(f"calls.refused.{reason}")
+            link.send(CallRefused(call.request_id, False, reason))
+            return
+        if not self._register.admit(call.request_id):
+            # The first copy of this message is answered, or will be.
+            self._metrics.count("calls.duplicates")
+            return
+        self._register.running += 1
+        task = asyncio.create_task(self._call(link, call))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _refusal(self, call: CallService) -> str:
+        if call.service != self._name:
+            return "wrong_service"
+        if self._register.draining:
+            return "draining"
+        if not self._healthy:
+            return "backend_unavailable"
+        if self._register.running >= self._capacity:
+            return "full"
+        return ""
+
+    async def _call(self, link: Link, call: CallService) -> None:
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        try:
+            answer = await self._service.call(
+                call.request_id,
+                call.method,
+                call.path,
+                call.content_type,
+                call.body,
+                call.timeout_s,
+            )
+            reply: CallResult | CallRefused = CallResult(
+                call.request_id, answer.status, answer.content_type, answer.body
+            )
+        except EngineUnavailableError as error:
+            reply = CallRefused(call.request_id, True, error.why)
+        except EngineError as error:
+            reply = CallRefused(call.request_id, False, error.why)
+        finally:
+            self._register.running -= 1
+        self._metrics.count("calls.passed_on")
+        self._call_times.record(loop.time() - started_s)
+        link.send(reply)
+
+    async def run_status(self, ready: asyncio.Event) -> None:
+        """Child: ask the service for its health, at intervals."""
+        ready.set()
+        while True:
+            before = self._healthy
+            self._healthy = await self._service.healthy()
+            if before != self._healthy:
+                logging.info("service %s healthy: %s", self._name, self._healthy)
+                self._on_change()
+            await asyncio.sleep(self._status_interval_s)
--- /dev/null
+++ b/src/railfold/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/railfold/_internal/cli/main.py
@@ -0,0 +1,56 @@
+"""Entry point of the ``railfold`` program."""
+
+from __future__ import annotations
+
+import sys
+
+import click
+from absl import logging
+
+from railfold import __version__
+from railfold._internal.commands.agent import agent
+from railfold._internal.commands.check import check
+from railfold._internal.commands.entry import entry
+from railfold._internal.errors import RailfoldError
+
+__all__ = ["cli", "main"]
+
+
+@click.group()
+@click.version_option(__version__, prog_name="railfold")
+def cli() -> None:
+    """Route model pipelines over mixed accelerators."""
+
+
+for command in (agent, check, entry):
+    cli.add_command(command)
+
+
+def main() -> None:
+    """Run the program; turn errors into texts and exit codes."""
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    try:
+        cli(standalone_mode=False)
+    except click.exceptions.Abort:
+        sys.exit(130)
+    except click.ClickException as error:
+        error.show()
+        sys.exit(error.exit_code)
+    except RailfoldError as error:
+        click.echo(f"railfold: {error}", err=True)
+        sys.exit(exit_code(error))
+
+
+def exit_code(error: RailfoldError) -> int:
+    """Return the exit code of an error; part of the interface."""
+    return EXIT_CODES.get(error.code, 1)
+
+
+EXIT_CODES = {
+    "settings_invalid": 3,
+    "configuration_refused": 4,
+    "configuration_conflict": 5,
+    "write_unsettled": 6,
+    "log_unavailable": 7,
+}
--- /dev/null
+++ b/src/railfold/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The program's commands, one module each."""
--- /dev/null
+++ b/src/railfold/_internal/commands/agent.py
@@ -0,0 +1,24 @@
+"""``railfold agent``: run an agent."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import click
+
+from railfold._internal.agent.process import run_agent
+from railfold._internal.errors import SettingsError
+from railfold._internal.settings.models import AgentSettings, load_settings
+
+__all__ = ["agent"]
+
+
+@click.command()
+@click.argument("settings", type=click.Path(path_type=Path))
+def agent(settings: Path) -> None:
+    """Run an agent with the SETTINGS file."""
+    loaded = load_settings(settings)
+    if not isinstance(loaded, AgentSettings):
+        raise SettingsError(str(settings), ["role: must be 'agent' for this command"])
+    asyncio.run(run_agent(loaded))
--- /dev/null
+++ b/src/railfold/_internal/commands/check.py
@@ -0,0 +1,19 @@
+"""``railfold check``: check a settings file."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+
+from railfold._internal.settings.models import load_settings
+
+__all__ = ["check"]
+
+
+@click.command()
+@click.argument("settings", type=click.Path(path_type=Path))
+def check(settings: Path) -> None:
+    """Check the SETTINGS file and list every fault in it."""
+    loaded = load_settings(settings)
+    click.echo(f"{settings}: valid settings of role {loaded.role}")
--- /dev/null
+++ b/src/railfold/_internal/commands/entry.py
@@ -0,0 +1,24 @@
+"""``railfold entry``: run an entry."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import click
+
+from railfold._internal.entry.process import run_entry
+from railfold._internal.errors import SettingsError
+from railfold._internal.settings.models import EntrySettings, load_settings
+
+__all__ = ["entry"]
+
+
+@click.command()
+@click.argument("settings", type=click.Path(path_type=Path))
+def entry(settings: Path) -> None:
+    """Run an entry with the SETTINGS file."""
+    loaded = load_settings(settings)
+    if not isinstance(loaded, EntrySettings):
+        raise SettingsError(str(settings), ["role: must be 'entry' for this command"])
+    asyncio.run(run_entry(loaded))
--- /dev/null
+++ b/src/railfold/_internal/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Schema of the configuration that operators publish."""
--- /dev/null
+++ b/src/railfold/_internal/configuration/replica.py
@@ -0,0 +1,135 @@
+"""A process's copy of the configuration, kept level over links.
+
+Every frame carries its sender's version. A process that hears of a higher one
+asks that peer for its copy; a peer's copy is taken over only if it is newer
+and its digest is right. So no process ever goes back, and one that starts
+while the log is out takes the highest version that its peers offer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+from absl import logging
+
+from railfold._internal.decisions.configuration import (
+    Configuration,
+    ConfigurationRecord,
+    state_digest,
+)
+from railfold._internal.errors import ConfigurationRefusedError
+from railfold._internal.links.connection import Link
+from railfold._internal.links.messages import (
+    ConfigurationChange,
+    ConfigurationRequest,
+    ConfigurationSnapshot,
+    Frame,
+)
+from railfold._internal.observability.metrics import Metrics
+
+__all__ = ["ConfigurationReplica"]
+
+_RECORD = msgspec.json.Decoder(ConfigurationRecord)
+
+
+class ConfigurationReplica:
+    """The configuration in force in this process.
+
+    :param on_change: called after the version has risen.
+    """
+
+    def __init__(self, metrics: Metrics, on_change: Callable[[], None]) -> None:
+        self.configuration = Configuration()
+        self._metrics = metrics
+        self._on_change = on_change
+        self._asked: dict[int, int] = {}
+
+    @property
+    def version(self) -> int:
+        """The version in force; it only ever rises."""
+        return self.configuration.version
+
+    def fold(self, offset: int, appended_s: float, data: bytes) -> None:
+        """Fold one log record, given as JSON."""
+        before = self.version
+        try:
+            record = _RECORD.decode(data)
+        except msgspec.MsgspecError:
+            # Not a record of ours, or of a later release: all processes skip it.
+            self._metrics.count("configuration.unreadable_records")
+            self.configuration.skip(offset)
+            return
+        entry = self.configuration.fold(offset, appended_s, record)
+        if entry is not None:
+            self._metrics.count(f"configuration.{entry.verdict.value}")
+            logging.info(
+                "configuration: %s by %s at offset %d: %s %s",
+                entry.target,
+                entry.operator,
+                entry.offset,
+                entry.verdict.value,
+                "; ".join(entry.reasons),
+            )
+        self._after(before)
+
+    def frame(self, link: Link, frame: Frame) -> None:
+        """Take what a frame says of the configuration."""
+        for message in frame.messages:
+            match message:
+                case ConfigurationChange():
+                    if message.previous == self.configuration.next_offset:
+                        self.fold(message.offset, message.appended_s, message.record)
+                case ConfigurationSnapshot():
+                    self._asked.pop(id(link), None)
+                    self._restore(link, message)
+                case ConfigurationRequest(version=version):
+                    if version < self.version:
+                        link.send(self.snapshot())
+                case _:
+                    pass
+        if frame.configuration_version > self.version:
+            self._ask(link, frame.configuration_version)
+
+    def link_down(self, link: Link) -> None:
+        """Forget what was asked of a peer whose link ended."""
+        self._asked.pop(id(link), None)
+
+    def snapshot(self) -> ConfigurationSnapshot:
+        """Return this process's copy as a message."""
+        state = self.configuration.encoded_state()
+        return ConfigurationSnapshot(
+            self.version,
+            self.configuration.next_offset,
+            state_digest(state),
+            state,
+        )
+
+    def _ask(self, link: Link, version: int) -> None:
+        if self._asked.get(id(link), 0) >= version:
+            return
+        self._asked[id(link)] = version
+        link.send(ConfigurationRequest(self.version))
+
+    def _restore(self, link: Link, message: ConfigurationSnapshot) -> None:
+        if state_digest(message.state) != message.digest:
+            self._metrics.count("configuration.snapshots_refused")
+            logging.error("configuration of peer %s has a wrong digest", link.peer.name)
+            return
+        self.restore_state(msgspec.json.decode(message.state), message.next_offset)
+
+    def restore_state(self, state: dict[str, object], next_offset: int) -> None:
+        """Take over a peer's or checkpoint's state if it is newer."""
+        before = self.version
+        try:
+            self.configuration.restore(state, next_offset)
+        except ConfigurationRefusedError as error:
+            self._metrics.count("configuration.snapshots_refused")
+            logging.error("a configuration snapshot is refused: %s", error)
+            return
+        self._after(before)
+
+    def _after(self, before: int) -> None:
+        if self.version > before:
+            self._metrics.gauge("configuration.version", self.version)
+            self._on_change()
--- /dev/null
+++ b/src/railfold/_internal/core/__init__.py
@@ -0,0 +1,40 @@
+"""Values that every other part shares."""
+
+from railfold._internal.core.addresses import Address, parse_address
+from railfold._internal.core.layers import AttemptId, Chain, LayerRange, Stage, StageRun
+from railfold._internal.core.outcomes import (
+    Answered,
+    Failed,
+    NeverSent,
+    NotRun,
+    NotRunProof,
+    Outcome,
+    RefusedBeforeStart,
+    TombstoneConfirmed,
+    Unknown,
+    outcome_name,
+)
+from railfold._internal.core.requests import GenerateRequest, ServiceRequest, Token
+
+__all__ = [
+    "Address",
+    "Answered",
+    "AttemptId",
+    "Chain",
+    "Failed",
+    "GenerateRequest",
+    "LayerRange",
+    "NeverSent",
+    "NotRun",
+    "NotRunProof",
+    "Outcome",
+    "RefusedBeforeStart",
+    "ServiceRequest",
+    "Stage",
+    "StageRun",
+    "Token",
+    "TombstoneConfirmed",
+    "Unknown",
+    "outcome_name",
+    "parse_address",
+]
--- /dev/null
+++ b/src/railfold/_internal/core/addresses.py
@@ -0,0 +1,37 @@
+"""Socket addresses as they stand in settings and host lists."""
+
+from __future__ import annotations
+
+import ipaddress
+from dataclasses import dataclass
+
+__all__ = ["Address", "parse_address"]
+
+_MAX_PORT = 65535
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IP number and a TCP port."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        if ":" in self.ip:
+            return f"[{self.ip}]:{self.port}"
+        return f"{self.ip}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Return the address in ``text``, which reads ``ip:port``.
+
+    :raises ValueError: the text isn't an IP number and a port.
+    """
+    ip, separator, port_text = text.rpartition(":")
+    if not separator or not port_text.isdigit():
+        raise ValueError(f"{text!r} isn't of the form ip:port")
+    port = int(port_text)
+    if port > _MAX_PORT:
+        raise ValueError(f"port {port} in {text!r} is over {_MAX_PORT}")
+    return Address(str(ipaddress.ip_address(ip.strip("[]"))), port)
--- /dev/null
+++ b/src/railfold/_internal/core/layers.py
@@ -0,0 +1,70 @@
+"""Layer ranges, the stages of a chain, and the lineage of a token."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["AttemptId", "Chain", "LayerRange", "Stage", "StageRun"]
+
+
+@dataclass(frozen=True, slots=True)
+class LayerRange:
+    """A run of model layers, both ends included."""
+
+    first: int
+    last: int
+
+    def __len__(self) -> int:
+        return self.last - self.first + 1
+
+    def __str__(self) -> str:
+        return f"{self.first}-{self.last}"
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptId:
+    """One attempt of one request; attempts of a request count up from 1."""
+
+    request_id: str
+    attempt: int
+
+    def __str__(self) -> str:
+        return f"{self.request_id}/{self.attempt}"
+
+
+@dataclass(frozen=True, slots=True)
+class Stage:
+    """One backend server's part of a chain.
+
+    :param host: name of the backend server's host.
+    :param address: ``ip:port`` of the agent beside it.
+    :param incarnation: the agent's incarnation when the chain was planned.
+    :param layers: the layers this stage runs.
+    """
+
+    host: str
+    address: str
+    incarnation: int
+    layers: LayerRange
+
+
+@dataclass(frozen=True, slots=True)
+class Chain:
+    """Stages that together cover each layer of a model once, in order."""
+
+    stages: tuple[Stage, ...]
+
+    @property
+    def hosts(self) -> tuple[str, ...]:
+        """Names of the hosts, in order."""
+        return tuple(stage.host for stage in self.stages)
+
+
+@dataclass(frozen=True, slots=True)
+class StageRun:
+    """One entry of a token's lineage: which stage ran which layers."""
+
+    host: str
+    incarnation: int
+    attempt: int
+    layers: LayerRange
--- /dev/null
+++ b/src/railfold/_internal/core/requests.py
@@ -0,0 +1,55 @@
+"""Requests as the entry holds them after validation."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["GenerateRequest", "ServiceRequest", "Token"]
+
+
+@dataclass(frozen=True, slots=True)
+class Token:
+    """One generated token.
+
+    :param step: position in the answer, from 0.
+    :param text: the token's text.
+    :param token_id: the token's number in the model's vocabulary.
+    :param final: whether the model ended the answer with this token.
+    """
+
+    step: int
+    token_id: int
+    text: str
+    final: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class GenerateRequest:
+    """A request to a model pipeline; ``deadline_s`` is on the loop's clock."""
+
+    request_id: str
+    workspace: str
+    pipeline: str
+    prompt: str
+    max_tokens: int
+    deadline_s: float
+    priority: int = 0
+    repeatable: bool = True
+    idempotency_key: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceRequest:
+    """A call of a plain service; ``deadline_s`` is on the loop's clock."""
+
+    request_id: str
+    workspace: str
+    service: str
+    method: str
+    path: str
+    body: bytes
+    content_type: str
+    deadline_s: float
+    priority: int = 0
+    repeatable: bool = False
+    idempotency_key: str = ""
--- /dev/null
+++ b/src/railfold/_internal/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as state machines and functions without I/O or clock."""
--- /dev/null
+++ b/src/railfold/_internal/decisions/admission.py
@@ -0,0 +1,241 @@
+"""Admitting requests to one pipeline or service at one entry.
+
+A request starts at once while there is live capacity, else it waits in a fair
+queue. It is refused at once when a bound is reached or when its predicted wait
+passes its deadline. When capacity dies the limit falls with it, and waiting
+requests that can't make their deadline any more are shed.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from railfold._internal.decisions.fair_queue import FairQueue, QueueFull
+from railfold._internal.decisions.planner import Replica
+from railfold._internal.errors import (
+    DeadlineExpiredError,
+    NoCapacityError,
+    OverloadedError,
+    RequestError,
+)
+
+__all__ = [
+    "AdmissionLimits",
+    "AdmissionQueue",
+    "Admitted",
+    "Queued",
+    "Refused",
+    "Ticket",
+    "entry_share",
+    "pipeline_capacity",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionLimits:
+    """Bounds of one admission queue."""
+
+    max_waiting: int = 2000
+    max_waiting_per_workspace: int = 500
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Ticket:
+    """A request's place in admission; compared by identity.
+
+    :param cost: expected work; tokens for a pipeline, 1 for a service call.
+    """
+
+    workspace: str
+    weight: float
+    max_in_flight: int
+    priority: int
+    cost: float
+    deadline_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """The request may start now."""
+
+
+@dataclass(frozen=True, slots=True)
+class Queued:
+    """The request waits its turn."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The request is refused now; ``load`` is demand over capacity."""
+
+    error: RequestError
+    load: float
+
+
+class AdmissionQueue:
+    """Admission to one pipeline or service."""
+
+    def __init__(self, limits: AdmissionLimits) -> None:
+        self._queue: FairQueue[Ticket] = FairQueue(
+            limits.max_waiting_per_workspace, limits.max_waiting
+        )
+        self._running: set[Ticket] = set()
+        self._per_workspace: Counter[str] = Counter()
+        self._waiting: dict[Ticket, None] = {}
+        self._mean_service_s = 0.0
+        self._capacity = 0
+
+    @property
+    def running(self) -> int:
+        """Requests that were admitted and haven't finished."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait."""
+        return len(self._waiting)
+
+    @property
+    def load(self) -> float:
+        """Demand over capacity."""
+        return (self.running + self.waiting) / max(1, self._capacity)
+
+    def offer(self, ticket: Ticket, now_s: float) -> Admitted | Queued | Refused:
+        """Take a new request."""
+        refusal = self._refusal(ticket, now_s)
+        if refusal is not None:
+            return Refused(refusal, self.load)
+        if not self._waiting and self.running < self._capacity:
+            self._start(ticket)
+            return Admitted()
+        try:
+            self._queue.push(
+                ticket.workspace, ticket.weight, ticket.priority, ticket.cost, ticket
+            )
+        except QueueFull:
+            error = OverloadedError(
+                "the queue of waiting requests is full",
+                why=f"{self.waiting} requests wait",
+                hint="come back after Retry-After",
+            )
+            return Refused(error, self.load)
+        self._waiting[ticket] = None
+        self._per_workspace[ticket.workspace] += 1
+        return Queued()
+
+    def _refusal(self, ticket: Ticket, now_s: float) -> RequestError | None:
+        if self._capacity == 0:
+            return NoCapacityError(
+                "no live backend servers cover this pipeline or service",
+                hint="come back after Retry-After; operators: see 'railfold status'",
+            )
+        if self._per_workspace[ticket.workspace] >= ticket.max_in_flight:
+            return OverloadedError(
+                f"workspace {ticket.workspace} has its most requests in flight",
+                why=f"its limit at this entry is {ticket.max_in_flight}",
+                hint="come back after Retry-After, or ask for a higher limit",
+            )
+        if now_s + self.predicted_wait_s(ticket.workspace) > ticket.deadline_s:
+            return DeadlineExpiredError(
+                "the request would wait past its deadline",
+                why=f"{self.waiting} requests wait for {self._capacity} places",
+                hint="come back after Retry-After, or allow a longer deadline",
+            )
+        return None
+
+    def predicted_wait_s(self, workspace: str) -> float:
+        """Return the expected wait of a new request of ``workspace``.
+
+        Fair queueing serves the workspaces that wait in turn, so that a new
+        request waits for its own workspace's queue times their number.
+        """
+        if self.running < self._capacity and not self._waiting:
+            return 0.0
+        flows = len({ticket.workspace for ticket in self._waiting} | {workspace})
+        ahead = min(self.waiting, (self._queue.waiting(workspace) + 1) * flows)
+        return ahead * self._mean_service_s / max(1, self._capacity)
+
+    def finished(self, ticket: Ticket, service_s: float) -> list[Ticket]:
+        """Count a request that ended; return those that may start now."""
+        if ticket in self._running:
+            self._running.discard(ticket)
+            self._forget(ticket)
+            mean_s = self._mean_service_s
+            self._mean_service_s = (
+                service_s if mean_s == 0.0 else 0.9 * mean_s + 0.1 * service_s
+            )
+        return self._admit_waiting()
+
+    def withdraw(self, ticket: Ticket) -> bool:
+        """Take out a waiting request; return whether it waited."""
+        if ticket not in self._waiting:
+            return False
+        self._queue.remove(ticket.workspace, ticket)
+        del self._waiting[ticket]
+        self._forget(ticket)
+        return True
+
+    def set_capacity(self, capacity: int) -> list[Ticket]:
+        """Set the live capacity; return requests that may start now."""
+        self._capacity = capacity
+        return self._admit_waiting()
+
+    def shed(self, now_s: float) -> list[Ticket]:
+        """Take out and return waiting requests that can't make their deadline."""
+        if self._capacity > 0 and self._mean_service_s == 0.0:
+            late = [t for t in self._waiting if t.deadline_s <= now_s]
+        elif self._capacity == 0:
+            late = list(self._waiting)
+        else:
+            soonest_s = now_s + self._mean_service_s / self._capacity
+            late = [t for t in self._waiting if t.deadline_s <= soonest_s]
+        for ticket in late:
+            self.withdraw(ticket)
+        return late
+
+    def _admit_waiting(self) -> list[Ticket]:
+        admitted: list[Ticket] = []
+        while self.running < self._capacity:
+            ticket = self._queue.pop()
+            if ticket is None:
+                break
+            del self._waiting[ticket]
+            self._per_workspace[ticket.workspace] -= 1
+            self._start(ticket)
+            admitted.append(ticket)
+        return admitted
+
+    def _start(self, ticket: Ticket) -> None:
+        self._running.add(ticket)
+        self._per_workspace[ticket.workspace] += 1
+
+    def _forget(self, ticket: Ticket) -> None:
+        self._per_workspace[ticket.workspace] -= 1
+        if self._per_workspace[ticket.workspace] <= 0:
+            del self._per_workspace[ticket.workspace]
+
+
+def pipeline_capacity(replicas: Iterable[Replica], layer_count: int) -> int:
+    """Return how many sequences live replicas can hold on every layer."""
+    # A difference array over the layers: linear in replicas plus layers.
+    steps = [0] * (layer_count + 1)
+    for replica in replicas:
+        layers = replica.stage.layers
+        steps[layers.first] += replica.capacity
+        steps[layers.last + 1] -= replica.capacity
+    lowest, level = None, 0
+    for step in steps[:layer_count]:
+        level += step
+        lowest = level if lowest is None else min(lowest, level)
+    return max(0, lowest or 0)
+
+
+def entry_share(limit: int, entries: int) -> int:
+    """Return one entry's share of a limit that all entries divide evenly.
+
+    Shares are rounded up, so that the sum exceeds the limit by less than one
+    for each entry.
+    """
+    return -(-limit // max(1, entries))
--- /dev/null
+++ b/src/railfold/_internal/decisions/fair_queue.py
@@ -0,0 +1,106 @@
+"""Weighted fair queueing of requests between workspaces.
+
+Start-time fair queueing: each workspace's requests get start tags that advance
+by cost over weight, and the lowest tag goes first. A workspace that floods
+only pushes back its own tags. A higher priority goes before a lower one within
+a workspace, never before another workspace's fair share.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+__all__ = ["FairQueue", "QueueFull"]
+
+T = TypeVar("T")
+
+
+class QueueFull(Exception):  # noqa: N818 - named like asyncio's and queue's.
+    """The workspace's or the whole queue's bound is reached."""
+
+
+@dataclass(slots=True)
+class _Flow(Generic[T]):
+    weight: float
+    last_tag: float = 0.0
+    waiting: list[tuple[int, int, float, T]] = field(default_factory=list)
+
+
+class FairQueue(Generic[T]):
+    """Requests that wait for capacity.
+
+    :param max_per_flow: most requests one workspace may have waiting.
+    :param max_total: most requests that may wait in all.
+    """
+
+    def __init__(self, max_per_flow: int, max_total: int) -> None:
+        self._max_per_flow = max_per_flow
+        self._max_total = max_total
+        self._flows: dict[str, _Flow[T]] = {}
+        self._virtual_time = 0.0
+        self._count = itertools.count()
+        self._length = 0
+
+    def __len__(self) -> int:
+        return self._length
+
+    def waiting(self, workspace: str) -> int:
+        """Return how many requests of ``workspace`` wait."""
+        flow = self._flows.get(workspace)
+        return len(flow.waiting) if flow else 0
+
+    def push(
+        self, workspace: str, weight: float, priority: int, cost: float, item: T
+    ) -> None:
+        """Add a request.
+
+        :param cost: its expected work, in any unit common to all requests.
+        :raises QueueFull: a bound is reached.
+        """
+        flow = self._flows.setdefault(workspace, _Flow(weight))
+        flow.weight = weight
+        if len(flow.waiting) >= self._max_per_flow or self._length >= self._max_total:
+            raise QueueFull
+        if not flow.waiting:
+            flow.last_tag = max(flow.last_tag, self._virtual_time)
+        heapq.heappush(flow.waiting, (-priority, next(self._count), cost, item))
+        self._length += 1
+
+    def pop(self) -> T | None:
+        """Take the request whose turn it is."""
+        ready = [flow for flow in self._flows.values() if flow.waiting]
+        if not ready:
+            return None
+        flow = min(ready, key=lambda f: f.last_tag)
+        _, _, cost, item = heapq.heappop(flow.waiting)
+        self._virtual_time = flow.last_tag
+        flow.last_tag += cost / flow.weight
+        self._length -= 1
+        self._forget_idle()
+        return item
+
+    def remove(self, workspace: str, item: T) -> bool:
+        """Take out a request that no longer wants to wait."""
+        flow = self._flows.get(workspace)
+        if flow is None:
+            return False
+        kept = [entry for entry in flow.waiting if entry[3] is not item]
+        if len(kept) == len(flow.waiting):
+            return False
+        heapq.heapify(kept)
+        flow.waiting = kept
+        self._length -= 1
+        return True
+
+    def _forget_idle(self) -> None:
+        # An idle flow whose tag has been passed carries no information.
+        idle = [
+            name
+            for name, flow in self._flows.items()
+            if not flow.waiting and flow.last_tag <= self._virtual_time
+        ]
+        for name in idle:
+            del self._flows[name]
--- /dev/null
+++ b/src/railfold/_internal/decisions/lifecycle.py
@@ -0,0 +1,423 @@
+"""The life of one generate request at its entry.
+
+A request goes through attempts until it has exactly one final outcome. Tokens
+that were emitted are never emitted again nor changed: a new attempt starts
+after them. The machine has no I/O and no clock; the driver feeds events and
+performs the returned actions in order.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from railfold._internal.core import (
+    Answered,
+    Chain,
+    Failed,
+    GenerateRequest,
+    NeverSent,
+    NotRun,
+    Outcome,
+    RefusedBeforeStart,
+    StageRun,
+    Token,
+    Unknown,
+)
+from railfold._internal.decisions.lineage import check_lineage
+from railfold._internal.errors import (
+    DeadlineExpiredError,
+    EngineError,
+    EngineUnavailableError,
+    LineageError,
+    NoCapacityError,
+    RailfoldError,
+)
+
+__all__ = [
+    "CallerGone",
+    "CancelAttempt",
+    "ChainPlanned",
+    "DeadlinePassed",
+    "EmitToken",
+    "Finish",
+    "HostsLost",
+    "LifecycleAction",
+    "LifecycleEvent",
+    "LifecycleLimits",
+    "OpenAttempt",
+    "PlanChain",
+    "PlanRefused",
+    "ProbeStages",
+    "RequestLifecycle",
+    "StageFailed",
+    "StageRefused",
+    "TokenArrived",
+    "TokenOverdue",
+    "TombstoneReplied",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class LifecycleLimits:
+    """Bounds of one request's attempts."""
+
+    max_attempts: int = 6
+
+
+@dataclass(frozen=True, slots=True)
+class ChainPlanned:
+    """The planner found a chain."""
+
+    chain: Chain
+
+
+@dataclass(frozen=True, slots=True)
+class PlanRefused:
+    """No chain, or no retry is allowed now; says when to come back."""
+
+    error: RailfoldError
+    retry_after_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class TokenArrived:
+    """The last stage of an attempt sent a token."""
+
+    attempt: int
+    token: Token
+    lineage: tuple[StageRun, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StageRefused:
+    """A stage refused an attempt before its engine saw any of it."""
+
+    attempt: int
+    host: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class StageFailed:
+    """A stage can't go on; ``host`` is where the failure lies."""
+
+    attempt: int
+    host: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class HostsLost:
+    """These hosts are dead, replaced or don't answer probes."""
+
+    hosts: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class TombstoneReplied:
+    """A stage confirmed that the attempt never runs there from now on."""
+
+    attempt: int
+    host: str
+    started: bool
+
+
+@dataclass(frozen=True, slots=True)
+class TokenOverdue:
+    """The next token is later than recent step times explain."""
+
+
+@dataclass(frozen=True, slots=True)
+class DeadlinePassed:
+    """The request's deadline has passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGone:
+    """The caller closed its connection."""
+
+
+LifecycleEvent = (
+    ChainPlanned
+    | PlanRefused
+    | TokenArrived
+    | StageRefused
+    | StageFailed
+    | HostsLost
+    | TombstoneReplied
+    | TokenOverdue
+    | DeadlinePassed
+    | CallerGone
+)
+
+
+@dataclass(frozen=True, slots=True)
+class PlanChain:
+    """Plan a chain without ``exclude``, keeping ``prefer`` where possible."""
+
+    exclude: frozenset[str]
+    prefer: tuple[str, ...]
+    is_retry: bool
+
+
+@dataclass(frozen=True, slots=True)
+class OpenAttempt:
+    """Open an attempt at every stage, to go on after ``emitted``."""
+
+    attempt: int
+    chain: Chain
+    emitted: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAttempt:
+    """Cancel an attempt at every stage."""
+
+    attempt: int
+    chain: Chain
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeStages:
+    """Ask each stage whether it is alive."""
+
+    chain: Chain
+
+
+@dataclass(frozen=True, slots=True)
+class EmitToken:
+    """Give a token to the caller."""
+
+    token: Token
+
+
+@dataclass(frozen=True, slots=True)
+class Finish:
+    """The final outcome; nothing follows it."""
+
+    outcome: Outcome
+
+
+LifecycleAction = (
+    PlanChain | OpenAttempt | CancelAttempt | ProbeStages | EmitToken | Finish
+)
+
+
+class _Phase(Enum):
+    PLANNING = auto()
+    RUNNING = auto()
+    SETTLING = auto()  # Waiting for a tombstone before a retry is safe.
+    DONE = auto()
+
+
+class RequestLifecycle:
+    """State machine of one request.
+
+    :param layer_count: layers of the model, checked in every lineage.
+    """
+
+    def __init__(
+        self, request: GenerateRequest, layer_count: int, limits: LifecycleLimits
+    ) -> None:
+        self._request = request
+        self._layer_count = layer_count
+        self._limits = limits
+        self._phase = _Phase.PLANNING
+        self._attempt = 0
+        self._chain = Chain(())
+        self._emitted: list[Token] = []
+        self._excluded: set[str] = set()
+        self._may_have_run = False
+        self._refusing_hosts: list[str] = []
+        self._last_error: RailfoldError | None = None
+
+    @property
+    def done(self) -> bool:
+        """Whether the final outcome was given."""
+        return self._phase is _Phase.DONE
+
+    @property
+    def attempt(self) -> int:
+        """The number of the newest attempt."""
+        return self._attempt
+
+    @property
+    def chain(self) -> Chain:
+        """The chain of the newest attempt."""
+        return self._chain
+
+    @property
+    def emitted(self) -> Sequence[Token]:
+        """Tokens given to the caller so far."""
+        return self._emitted
+
+    def start(self) -> list[LifecycleAction]:
+        """Begin: ask for the first chain."""
+        return [PlanChain(frozenset(), (), is_retry=False)]
+
+    def apply(self, event: LifecycleEvent) -> list[LifecycleAction]:
+        """Take one event; return what to do about it."""
+        if self.done:
+            return []
+        match event:
+            case ChainPlanned(chain=chain):
+                return self._open(chain)
+            case PlanRefused(error=error, retry_after_s=retry_after_s):
+                return self._give_up(error, retry_after_s)
+            case TokenArrived():
+                return self._token(event)
+            case StageRefused(attempt=attempt, host=host, reason=reason):
+                return self._refused(attempt, host, reason)
+            case StageFailed(attempt=attempt, host=host, reason=reason):
+                return self._failed(attempt, host, reason)
+            case HostsLost(hosts=hosts):
+                return self._lost(hosts)
+            case TombstoneReplied():
+                return self._tombstone(event)
+            case TokenOverdue():
+                return self._overdue()
+            case DeadlinePassed():
+                error = DeadlineExpiredError(
+                    "the request's deadline passed before its answer was whole",
+                    hint="allow a longer deadline, or ask for fewer tokens",
+                )
+                return self._abort(error)
+            case CallerGone():
+                return self._abort(EngineError("the caller closed its connection"))
+
+    def _open(self, chain: Chain) -> list[LifecycleAction]:
+        if self._phase is not _Phase.PLANNING:
+            return []
+        self._phase = _Phase.RUNNING
+        self._attempt += 1
+        self._chain = chain
+        emitted = tuple(token.token_id for token in self._emitted)
+        return [OpenAttempt(self._attempt, chain, emitted)]
+
+    def _token(self, event: TokenArrived) -> list[LifecycleAction]:
+        if self._phase is not _Phase.RUNNING or event.attempt != self._attempt:
+            return []
+        if event.token.step != len(self._emitted):
+            return []  # A duplicate, or beyond a token that was lost.
+        try:
+            check_lineage(event.lineage, self._chain, self._attempt, self._layer_count)
+        except LineageError as error:
+            self._may_have_run = True
+            return self._retry(error, ())
+        self._may_have_run = True
+        self._emitted.append(event.token)
+        actions: list[LifecycleAction] = [EmitToken(event.token)]
+        if event.token.final or len(self._emitted) >= self._request.max_tokens:
+            actions.append(CancelAttempt(self._attempt, self._chain))
+            actions += self._finish(Answered())
+        return actions
+
+    def _refused(self, attempt: int, host: str, reason: str) -> list[LifecycleAction]:
+        if self._phase is not _Phase.RUNNING or attempt != self._attempt:
+            return []
+        error = NoCapacityError(f"host {host} refused the request", why=reason)
+        self._refusing_hosts.append(host)
+        if host == self._chain.stages[0].host:
+            # Only the first stage starts an attempt: unstarted there, it
+            # didn't run anywhere.
+            return self._retry(error, (host,))
+        return self._settle_then_retry(error, (host,))
+
+    def _failed(self, attempt: int, host: str, reason: str) -> list[LifecycleAction]:
+        if self._phase is not _Phase.RUNNING or attempt != self._attempt:
+            return []
+        error = EngineUnavailableError(f"stage at host {host} failed", why=reason)
+        return self._settle_then_retry(error, (host,))
+
+    def _lost(self, hosts: frozenset[str]) -> list[LifecycleAction]:
+        affected = hosts.intersection(self._chain.hosts)
+        if not affected or self._phase not in (_Phase.RUNNING, _Phase.SETTLING):
+            return []
+        names = ", ".join(sorted(affected))
+        error = EngineUnavailableError(
+            f"host {names} was lost", why="its link broke or it doesn't answer"
+        )
+        if self._chain.stages[0].host in affected:
+            # The one that could prove the request unstarted is gone.
+            self._may_have_run = True
+            return self._retry(error, tuple(sorted(affected)))
+        if self._phase is _Phase.SETTLING:
+            self._excluded.update(affected)
+            return []
+        return self._settle_then_retry(error, tuple(sorted(affected)))
+
+    def _settle_then_retry(
+        self, error: RailfoldError, exclude: tuple[str, ...]
+    ) -> list[LifecycleAction]:
+        if self._request.repeatable or self._may_have_run:
+            self._may_have_run = True
+            return self._retry(error, exclude)
+        # Not repeatable: a retry needs proof that the first stage didn't run.
+        self._phase = _Phase.SETTLING
+        self._last_error = error
+        self._excluded.update(exclude)
+        return [CancelAttempt(self._attempt, self._chain)]
+
+    def _tombstone(self, event: TombstoneReplied) -> list[LifecycleAction]:
+        if self._phase is not _Phase.SETTLING or event.attempt != self._attempt:
+            return []
+        if event.host != self._chain.stages[0].host:
+            return []
+        self._may_have_run = self._may_have_run or event.started
+        error = self._last_error or EngineError("the attempt failed")
+        if event.started:
+            return self._retry(error, ())
+        self._refusing_hosts.append(event.host)
+        self._phase = _Phase.RUNNING
+        return self._retry(error, ())
+
+    def _retry(
+        self, error: RailfoldError, exclude: tuple[str, ...]
+    ) -> list[LifecycleAction]:
+        self._last_error = error
+        self._excluded.update(exclude)
+        cancel = CancelAttempt(self._attempt, self._chain)
+        if self._may_have_run and not self._request.repeatable:
+            return [cancel, *self._finish(self._ended_early(error))]
+        if self._attempt >= self._limits.max_attempts:
+            return [cancel, *self._give_up(error, 1.0)]
+        self._phase = _Phase.PLANNING
+        prefer = tuple(h for h in self._chain.hosts if h not in self._excluded)
+        return [cancel, PlanChain(frozenset(self._excluded), prefer, is_retry=True)]
+
+    def _overdue(self) -> list[LifecycleAction]:
+        if self._phase is not _Phase.RUNNING:
+            return []
+        return [ProbeStages(self._chain)]
+
+    def _abort(self, error: RailfoldError) -> list[LifecycleAction]:
+        cancel: list[LifecycleAction] = []
+        if self._phase in (_Phase.RUNNING, _Phase.SETTLING):
+            self._may_have_run = True  # Nothing proves otherwise at this point.
+            cancel = [CancelAttempt(self._attempt, self._chain)]
+        return [*cancel, *self._give_up(error, 1.0)]
+
+    def _give_up(
+        self, error: RailfoldError, retry_after_s: float
+    ) -> list[LifecycleAction]:
+        if self._may_have_run:
+            return self._finish(self._ended_early(error, retry_after_s))
+        if self._refusing_hosts:
+            hosts = tuple(dict.fromkeys(self._refusing_hosts))
+            proof = RefusedBeforeStart(hosts)
+            return self._finish(NotRun(proof, error, retry_after_s))
+        return self._finish(NotRun(NeverSent(), error, retry_after_s))
+
+    def _ended_early(
+        self, error: RailfoldError, retry_after_s: float | None = None
+    ) -> Outcome:
+        # With a token in hand the request surely ran and surely isn't whole.
+        if self._emitted:
+            return Failed(error, retry_after_s)
+        return Unknown(error, retry_after_s)
+
+    def _finish(self, outcome: Outcome) -> list[LifecycleAction]:
+        self._phase = _Phase.DONE
+        return [Finish(outcome)]
--- /dev/null
+++ b/src/railfold/_internal/decisions/planner.py
@@ -0,0 +1,185 @@
+"""Choosing a chain of backend servers that covers every layer once.
+
+The chain is the cheapest path from the first layer to the last over the
+replicas' ranges. A replica's cost is its expected step time at its present
+load; a hop's cost is the latency between the two failure domains.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from railfold._internal.core import Chain, LayerRange, Stage
+from railfold._internal.errors import NoCapacityError
+
+__all__ = ["LinkCosts", "PlannerWeights", "Replica", "choose_host", "plan_chain"]
+
+
+@dataclass(frozen=True, slots=True)
+class Replica:
+    """A backend server that can run some layers.
+
+    :param in_flight: sequences it holds, corrected by our own since its report.
+    :param step_ms: recent time of one engine step.
+    """
+
+    stage: Stage
+    failure_domain: str
+    region: str
+    in_flight: int
+    capacity: int
+    step_ms: float
+
+    @property
+    def full(self) -> bool:
+        """Whether it can take no further sequence."""
+        return self.in_flight >= self.capacity
+
+
+@dataclass(frozen=True, slots=True)
+class _Path:
+    cost: float
+    replicas: tuple[Replica, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LinkCosts:
+    """One-way latency between places, in milliseconds."""
+
+    same_domain_ms: float = 0.05
+    same_region_ms: float = 0.25
+    other_region_ms: float = 25.0
+    pairs_ms: Mapping[tuple[str, str], float] = field(default_factory=dict)
+
+    def between(self, one: Replica, other: Replica) -> float:
+        """Return the latency from one replica to another."""
+        key = (one.failure_domain, other.failure_domain)
+        known = self.pairs_ms.get(key)
+        if known is not None:
+            return known
+        if one.region != other.region:
+            return self.other_region_ms
+        if one.failure_domain != other.failure_domain:
+            return self.same_region_ms
+        return self.same_domain_ms
+
+
+@dataclass(frozen=True, slots=True)
+class PlannerWeights:
+    """How the planner weighs load against the time of a step.
+
+    :param load_weight: how many step times a full replica costs more than an
+        idle one.
+    :param preferred_factor: factor on a preferred replica's cost. A retry
+        prefers the surviving stages, which hold warm prefixes.
+    """
+
+    load_weight: float = 4.0
+    preferred_factor: float = 0.5
+    jitter: float = 0.05
+
+
+def plan_chain(
+    replicas: Iterable[Replica],
+    layer_count: int,
+    *,
+    exclude: frozenset[str],
+    prefer: Iterable[str],
+    costs: LinkCosts,
+    weights: PlannerWeights,
+    rng: random.Random,
+) -> Chain:
+    """Return the cheapest chain over ``layer_count`` layers.
+
+    :raises NoCapacityError: no replicas that are live and have room cover
+        all layers.
+    """
+    usable = [r for r in replicas if r.stage.host not in exclude and not r.full]
+    preferred = frozenset(prefer)
+    starts_at: dict[int, list[Replica]] = {}
+    for replica in usable:
+        starts_at.setdefault(replica.stage.layers.first, []).append(replica)
+    paths: dict[int, dict[str, _Path]] = {0: {"": _Path(0.0, ())}}
+    for layer in range(layer_count):
+        arrived = paths.get(layer, {})
+        for replica in starts_at.get(layer, ()) if arrived else ():
+            cost = _replica_cost(replica, preferred, weights, rng)
+            path = _extend(arrived.values(), replica, cost, costs)
+            end = replica.stage.layers.last + 1
+            _keep_cheapest(paths.setdefault(end, {}), replica, path)
+    complete = paths.get(layer_count) if layer_count else None
+    if not complete:
+        raise NoCapacityError(
+            "no live backend servers with room cover all layers",
+            why=_gap(usable, layer_count),
+            hint="come back after Retry-After; operators: see 'railfold status'",
+        )
+    best = min(complete.values(), key=lambda path: path.cost)
+    return Chain(tuple(replica.stage for replica in best.replicas))
+
+
+def choose_host(
+    replicas: Iterable[Replica],
+    *,
+    exclude: frozenset[str],
+    weights: PlannerWeights,
+    rng: random.Random,
+) -> Replica:
+    """Return the cheapest replica for a plain service call.
+
+    :raises NoCapacityError: none is live and has room.
+    """
+    usable = [r for r in replicas if r.stage.host not in exclude and not r.full]
+    if not usable:
+        raise NoCapacityError(
+            "no live backend server of the service has room",
+            hint="come back after Retry-After; operators: see 'railfold status'",
+        )
+    return min(usable, key=lambda r: _replica_cost(r, frozenset(), weights, rng))
+
+
+def _replica_cost(
+    replica: Replica,
+    preferred: frozenset[str],
+    weights: PlannerWeights,
+    rng: random.Random,
+) -> float:
+    load = replica.in_flight / max(1, replica.capacity)
+    cost = replica.step_ms * (1.0 + weights.load_weight * load)
+    if replica.stage.host in preferred:
+        cost *= weights.preferred_factor
+    return cost * (1.0 + weights.jitter * rng.random())
+
+
+def _extend(
+    arrived: Iterable[_Path], replica: Replica, cost: float, costs: LinkCosts
+) -> _Path:
+    def cost_through(path: _Path) -> float:
+        if not path.replicas:
+            return path.cost
+        return path.cost + costs.between(path.replicas[-1], replica)
+
+    best = min(arrived, key=cost_through)
+    return _Path(cost_through(best) + cost, (*best.replicas, replica))
+
+
+def _keep_cheapest(ends: dict[str, _Path], replica: Replica, path: _Path) -> None:
+    # What follows depends only on where the path ends, so that one path for
+    # each failure domain is enough: the search stays linear in the replicas.
+    known = ends.get(replica.failure_domain)
+    if known is None or path.cost < known.cost:
+        ends[replica.failure_domain] = path
+
+
+def _gap(usable: list[Replica], layer_count: int) -> str:
+    covered = [False] * layer_count
+    for replica in usable:
+        layers: LayerRange = replica.stage.layers
+        for layer in range(layers.first, min(layers.last + 1, layer_count)):
+            covered[layer] = True
+    missing = [str(layer) for layer, is_covered in enumerate(covered) if not is_covered]
+    if not missing:
+        return "the live ranges don't join up"
+    return f"layers not covered: {', '.join(missing)}"
--- /dev/null
+++ b/src/railfold/_internal/decisions/policy.py
@@ -0,0 +1,81 @@
+"""Workspace policies: short CEL programs that steer each request.
+
+A policy is one expression over ``request`` and ``workspace`` that gives a map.
+Its keys are all optional: ``admit`` (bool), ``priority`` (int) and
+``max_tokens`` (int). A policy that doesn't compile is refused when it is
+published; one that fails at run time falls back to :data:`DEFAULT_DECISION`,
+and the caller of :meth:`Policy.evaluate` counts it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import cel
+
+from railfold._internal.errors import ConfigurationRefusedError
+
+__all__ = ["DEFAULT_DECISION", "MAX_POLICY_BYTES", "Policy", "PolicyDecision"]
+
+MAX_POLICY_BYTES = 2048
+
+# Each comprehension may loop over its input; nesting them multiplies the cost.
+_MAX_COMPREHENSIONS = 2
+_COMPREHENSIONS = (".map(", ".filter(", ".all(", ".exists(", ".exists_one(")
+
+_KEYS = {"admit": bool, "priority": int, "max_tokens": int}
+
+
+@dataclass(frozen=True, slots=True)
+class PolicyDecision:
+    """What a policy says of one request; None leaves the request's own value."""
+
+    admit: bool = True
+    priority: int | None = None
+    max_tokens: int | None = None
+    failed: bool = False
+
+
+DEFAULT_DECISION = PolicyDecision()
+_FAILED_DECISION = PolicyDecision(failed=True)
+
+
+class Policy:
+    """A compiled policy."""
+
+    def __init__(self, program: Any) -> None:
+        self._program = program
+
+    @classmethod
+    def compile(cls, text: str) -> Policy:
+        """Compile ``text``.
+
+        :raises ConfigurationRefusedError: it is too large, may cost too much,
+            or isn't a valid expression.
+        """
+        faults = []
+        if len(text.encode()) > MAX_POLICY_BYTES:
+            faults.append(f"policy is over {MAX_POLICY_BYTES} bytes")
+        loops = sum(text.count(name) for name in _COMPREHENSIONS)
+        if loops > _MAX_COMPREHENSIONS:
+            faults.append(f"policy has over {_MAX_COMPREHENSIONS} comprehensions")
+        if faults:
+            raise ConfigurationRefusedError("policy", faults)
+        try:
+            return cls(cel.compile(text))
+        except ValueError as error:
+            fault = f"policy doesn't compile: {error}"
+            raise ConfigurationRefusedError("policy", [fault]) from error
+
+    def evaluate(self, workspace: str, request: dict[str, Any]) -> PolicyDecision:
+        """Return the decision; the safe default if the program fails."""
+        try:
+            result = self._program.execute({"workspace": workspace, "request": request})
+        except (ValueError, TypeError, RuntimeError, KeyError):
+            return _FAILED_DECISION
+        if not isinstance(result, dict) or not result.keys() <= _KEYS.keys():
+            return _FAILED_DECISION
+        if any(type(value) is not _KEYS[key] for key, value in result.items()):
+            return _FAILED_DECISION
+        return PolicyDecision(**result)
--- /dev/null
+++ b/src/railfold/_internal/decisions/sequences.py
@@ -0,0 +1,517 @@
+"""The agent's guard over its backend server's sequences.
+
+For each attempt the table holds the next step its engine may run. The next
+step runs; a repeated step is answered from memory; a step that is ahead, or
+that comes before its attempt was opened, is held, bounded; anything from an
+older attempt or another agent incarnation is refused. So no duplicated,
+crossed or late frame can run a layer twice or feed another request.
+
+The table is a state machine without I/O: :meth:`SequenceTable.apply` takes one
+event and returns the actions to perform, in order.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from enum import Enum
+
+from railfold._internal.core import AttemptId, Chain, Stage, StageRun
+
+__all__ = [
+    "CancelReceived",
+    "CloseEngineSequence",
+    "ConfirmTombstone",
+    "FailSequence",
+    "ForwardOutput",
+    "FrameReceived",
+    "OpenReceived",
+    "OwnerLost",
+    "PeerLost",
+    "RefusalReason",
+    "RefuseOpen",
+    "RunCompleted",
+    "RunFailed",
+    "SequenceAction",
+    "SequenceEvent",
+    "SequenceLimits",
+    "SequenceTable",
+    "SequenceView",
+    "StartRun",
+    "StepInput",
+    "StepOutput",
+    "Tick",
+]
+
+
+class RefusalReason(Enum):
+    """Why an open was refused; values are part of the link protocol."""
+
+    DRAINING = "draining"
+    FULL = "full"
+    TOMBSTONED = "tombstoned"
+    SUPERSEDED = "superseded"
+    WRONG_STAGE = "wrong_stage"
+    UNAVAILABLE = "backend_unavailable"
+
+
+@dataclass(frozen=True, slots=True)
+class SequenceLimits:
+    """Bounds of the table."""
+
+    max_sequences: int = 64
+    max_held_frames: int = 4
+    remembered_outputs: int = 4
+    max_orphan_frames: int = 1024
+    orphan_timeout_s: float = 2.0
+    max_tombstones: int = 65536
+
+
+@dataclass(frozen=True, slots=True)
+class StepInput:
+    """What a step needs: data from the previous stage, and its lineage."""
+
+    data: object
+    lineage: tuple[StageRun, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class StepOutput:
+    """What a step gave, and the lineage with this stage's run added."""
+
+    data: object
+    lineage: tuple[StageRun, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class OpenReceived:
+    """An entry opens an attempt at this stage.
+
+    :param base_step: the first step of this attempt.
+    :param max_tokens: steps of the whole answer.
+    :param first_input: the input of ``base_step`` if this is the first stage.
+    """
+
+    attempt_id: AttemptId
+    owner: str
+    chain: Chain
+    index: int
+    base_step: int
+    max_tokens: int
+    first_input: StepInput | None
+
+
+@dataclass(frozen=True, slots=True)
+class FrameReceived:
+    """Input for one step arrived from another stage."""
+
+    attempt_id: AttemptId
+    step: int
+    sender: str
+    sender_incarnation: int
+    input: StepInput
+
+
+@dataclass(frozen=True, slots=True)
+class RunCompleted:
+    """The engine finished a step."""
+
+    attempt_id: AttemptId
+    step: int
+    output: object
+
+
+@dataclass(frozen=True, slots=True)
+class RunFailed:
+    """The engine failed a step, or its answer was lost."""
+
+    attempt_id: AttemptId
+    step: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class CancelReceived:
+    """The owner gives the attempt up and wants a tombstone."""
+
+    attempt_id: AttemptId
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerLost:
+    """The link to an entry is gone: its sequences are orphans."""
+
+    owner: str
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLost:
+    """Another stage can't be reached."""
+
+    host: str
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time passes: held frames of unopened attempts expire."""
+
+
+SequenceEvent = (
+    OpenReceived
+    | FrameReceived
+    | RunCompleted
+    | RunFailed
+    | CancelReceived
+    | OwnerLost
+    | PeerLost
+    | Tick
+)
+
+
+@dataclass(frozen=True, slots=True)
+class StartRun:
+    """Give this step to the engine."""
+
+    attempt_id: AttemptId
+    step: int
+    input: StepInput
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardOutput:
+    """Send this output on: to the next stage, or as a token."""
+
+    attempt_id: AttemptId
+    step: int
+    output: StepOutput
+
+
+@dataclass(frozen=True, slots=True)
+class RefuseOpen:
+    """Tell the owner that nothing of the attempt ran here, and why."""
+
+    attempt_id: AttemptId
+    owner: str
+    reason: RefusalReason
+
+
+@dataclass(frozen=True, slots=True)
+class FailSequence:
+    """Tell the owner that the attempt can't go on, and where it failed."""
+
+    attempt_id: AttemptId
+    owner: str
+    host: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class CloseEngineSequence:
+    """Let the engine free the sequence's KV cache."""
+
+    attempt_id: AttemptId
+
+
+@dataclass(frozen=True, slots=True)
+class ConfirmTombstone:
+    """Tell the owner whether the attempt ever started; it never will now."""
+
+    attempt_id: AttemptId
+    started: bool
+
+
+SequenceAction = (
+    StartRun
+    | ForwardOutput
+    | RefuseOpen
+    | FailSequence
+    | CloseEngineSequence
+    | ConfirmTombstone
+)
+
+
+@dataclass(frozen=True, slots=True)
+class SequenceView:
+    """What is needed to route an open attempt's messages."""
+
+    owner: str
+    chain: Chain
+    index: int
+    max_tokens: int
+
+
+@dataclass(slots=True)
+class _Sequence:
+    owner: str
+    chain: Chain
+    index: int
+    max_tokens: int
+    next_step: int
+    running: int | None = None
+    started: bool = False
+    closing: bool = False
+    held: dict[int, StepInput] = field(default_factory=dict)
+    lineage: tuple[StageRun, ...] = ()
+    outputs: OrderedDict[int, StepOutput] = field(default_factory=OrderedDict)
+
+    @property
+    def stage(self) -> Stage:
+        return self.chain.stages[self.index]
+
+    @property
+    def upstream(self) -> Stage:
+        # The first stage's upstream is the last one: index -1 wraps around.
+        return self.chain.stages[self.index - 1]
+
+
+@dataclass(slots=True)
+class _Orphan:
+    expires_s: float
+    frame: FrameReceived
+
+
+class SequenceTable:
+    """All attempts that one agent holds.
+
+    :param host: this agent's host.
+    :param incarnation: this agent's incarnation.
+    """
+
+    def __init__(self, host: str, incarnation: int, limits: SequenceLimits) -> None:
+        self._host = host
+        self._incarnation = incarnation
+        self._limits = limits
+        self._sequences: dict[AttemptId, _Sequence] = {}
+        self._newest: dict[str, int] = {}
+        self._tombstones: OrderedDict[AttemptId, bool] = OrderedDict()
+        self._orphans: list[_Orphan] = []
+        self.draining = False
+        self.available = True
+
+    def __len__(self) -> int:
+        return len(self._sequences)
+
+    def view(self, attempt_id: AttemptId) -> SequenceView | None:
+        """Return what is needed to route an open attempt's messages."""
+        sequence = self._sequences.get(attempt_id)
+        if sequence is None:
+            return None
+        return SequenceView(
+            sequence.owner, sequence.chain, sequence.index, sequence.max_tokens
+        )
+
+    def open_attempts(self) -> list[AttemptId]:
+        """Return all open attempts."""
+        return list(self._sequences)
+
+    def longest_chain(self) -> int:
+        """Return the number of stages of the longest open chain."""
+        return max((len(s.chain.stages) for s in self._sequences.values()), default=1)
+
+    def apply(self, event: SequenceEvent, now_s: float) -> list[SequenceAction]:
+        """Take one event at loop time ``now_s``; return what to do about it."""
+        match event:
+            case OpenReceived():
+                return self._open(event)
+            case FrameReceived():
+                return self._frame(event, now_s)
+            case RunCompleted():
+                return self._completed(event)
+            case RunFailed(attempt_id=attempt_id, reason=reason):
+                return self._fail(attempt_id, self._host, reason)
+            case CancelReceived(attempt_id=attempt_id):
+                return self._cancel(attempt_id)
+            case OwnerLost(owner=owner):
+                return self._drop_owner(owner)
+            case PeerLost(host=host):
+                return self._drop_peer(host)
+            case Tick():
+                self._expire_orphans(now_s)
+                return []
+
+    def _open(self, event: OpenReceived) -> list[SequenceAction]:
+        attempt_id = event.attempt_id
+        if attempt_id in self._sequences:
+            return []  # A duplicated open: the first one stands.
+        reason = self._refusal(event)
+        if reason is not None:
+            # What was refused must stay refused if the open comes again.
+            self._bury(attempt_id, started=False)
+            return [RefuseOpen(attempt_id, event.owner, reason)]
+        actions = self._supersede(attempt_id)
+        self._newest[attempt_id.request_id] = attempt_id.attempt
+        sequence = _Sequence(
+            event.owner,
+            event.chain,
+            event.index,
+            event.max_tokens,
+            next_step=event.base_step,
+        )
+        self._sequences[attempt_id] = sequence
+        if event.first_input is not None:
+            sequence.held[event.base_step] = event.first_input
+        self._adopt_orphans(attempt_id, sequence)
+        actions += self._run_next(attempt_id, sequence)
+        return actions
+
+    def _refusal(self, event: OpenReceived) -> RefusalReason | None:
+        attempt_id = event.attempt_id
+        stage = event.chain.stages[event.index]
+        if attempt_id in self._tombstones:
+            return RefusalReason.TOMBSTONED
+        if attempt_id.attempt < self._newest.get(attempt_id.request_id, 0):
+            return RefusalReason.SUPERSEDED
+        if stage.host != self._host or stage.incarnation != self._incarnation:
+            return RefusalReason.WRONG_STAGE
+        if self.draining:
+            return RefusalReason.DRAINING
+        if not self.available:
+            return RefusalReason.UNAVAILABLE
+        if len(self._sequences) >= self._limits.max_sequences:
+            return RefusalReason.FULL
+        return None
+
+    def _supersede(self, attempt_id: AttemptId) -> list[SequenceAction]:
+        older = self._newest.get(attempt_id.request_id)
+        if older is None or older == attempt_id.attempt:
+            return []
+        return self._close(AttemptId(attempt_id.request_id, older))
+
+    def _frame(self, event: FrameReceived, now_s: float) -> list[SequenceAction]:
+        sequence = self._sequences.get(event.attempt_id)
+        if sequence is None:
+            self._hold_orphan(event, now_s)
+            return []
+        if not _from_upstream(sequence, event):
+            return []
+        if sequence.closing:
+            return []
+        if event.step < sequence.next_step:
+            return self._repeat(event.attempt_id, sequence, event.step)
+        if len(sequence.held) < self._limits.max_held_frames:
+            sequence.held.setdefault(event.step, event.input)
+        return self._run_next(event.attempt_id, sequence)
+
+    def _repeat(
+        self, attempt_id: AttemptId, sequence: _Sequence, step: int
+    ) -> list[SequenceAction]:
+        output = sequence.outputs.get(step)
+        if output is None:
+            return []  # Still running, or too old to matter.
+        return [ForwardOutput(attempt_id, step, output)]
+
+    def _run_next(
+        self, attempt_id: AttemptId, sequence: _Sequence
+    ) -> list[SequenceAction]:
+        if sequence.running is not None or sequence.closing:
+            return []
+        step_input = sequence.held.pop(sequence.next_step, None)
+        if step_input is None:
+            return []
+        step = sequence.next_step
+        sequence.running = step
+        sequence.started = True
+        sequence.next_step = step + 1
+        sequence.lineage = step_input.lineage
+        return [StartRun(attempt_id, step, step_input)]
+
+    def _completed(self, event: RunCompleted) -> list[SequenceAction]:
+        sequence = self._sequences.get(event.attempt_id)
+        if sequence is None or sequence.running != event.step:
+            return []
+        sequence.running = None
+        if sequence.closing:
+            return self._close(event.attempt_id)
+        own_run = StageRun(
+            self._host,
+            self._incarnation,
+            event.attempt_id.attempt,
+            sequence.stage.layers,
+        )
+        output = StepOutput(event.output, (*sequence.lineage, own_run))
+        sequence.outputs[event.step] = output
+        while len(sequence.outputs) > self._limits.remembered_outputs:
+            sequence.outputs.popitem(last=False)
+        forward = ForwardOutput(event.attempt_id, event.step, output)
+        return [forward, *self._run_next(event.attempt_id, sequence)]
+
+    def _fail(
+        self, attempt_id: AttemptId, host: str, reason: str
+    ) -> list[SequenceAction]:
+        sequence = self._sequences.get(attempt_id)
+        if sequence is None:
+            return []
+        sequence.running = None
+        failed = FailSequence(attempt_id, sequence.owner, host, reason)
+        return [failed, *self._close(attempt_id)]
+
+    def _cancel(self, attempt_id: AttemptId) -> list[SequenceAction]:
+        actions = self._close(attempt_id)
+        started = self._bury(attempt_id, started=False)
+        return [*actions, ConfirmTombstone(attempt_id, started)]
+
+    def _close(self, attempt_id: AttemptId) -> list[SequenceAction]:
+        sequence = self._sequences.get(attempt_id)
+        if sequence is None:
+            return []
+        self._bury(attempt_id, started=sequence.started)
+        if sequence.running is not None:
+            # The engine is at it: its KV cache goes when the step has ended.
+            sequence.closing = True
+            return []
+        del self._sequences[attempt_id]
+        if self._newest.get(attempt_id.request_id) == attempt_id.attempt:
+            del self._newest[attempt_id.request_id]
+        if not sequence.started:
+            return []
+        return [CloseEngineSequence(attempt_id)]
+
+    def _bury(self, attempt_id: AttemptId, *, started: bool) -> bool:
+        started = self._tombstones.setdefault(attempt_id, started)
+        while len(self._tombstones) > self._limits.max_tombstones:
+            self._tombstones.popitem(last=False)
+        return started
+
+    def _drop_owner(self, owner: str) -> list[SequenceAction]:
+        orphaned = [i for i, s in self._sequences.items() if s.owner == owner]
+        return [action for i in orphaned for action in self._close(i)]
+
+    def _drop_peer(self, host: str) -> list[SequenceAction]:
+        affected = [
+            attempt_id
+            for attempt_id, sequence in self._sequences.items()
+            if host in sequence.chain.hosts and not sequence.closing
+        ]
+        return [
+            action
+            for attempt_id in affected
+            for action in self._fail(attempt_id, host, "peer_unreachable")
+        ]
+
+    def _hold_orphan(self, event: FrameReceived, now_s: float) -> None:
+        if event.attempt_id in self._tombstones:
+            return
+        self._expire_orphans(now_s)
+        if len(self._orphans) < self._limits.max_orphan_frames:
+            expires_s = now_s + self._limits.orphan_timeout_s
+            self._orphans.append(_Orphan(expires_s, event))
+
+    def _expire_orphans(self, now_s: float) -> None:
+        self._orphans = [o for o in self._orphans if o.expires_s > now_s]
+
+    def _adopt_orphans(self, attempt_id: AttemptId, sequence: _Sequence) -> None:
+        if not self._orphans:
+            return
+        mine = [o.frame for o in self._orphans if o.frame.attempt_id == attempt_id]
+        self._orphans = [o for o in self._orphans if o.frame.attempt_id != attempt_id]
+        for frame in mine:
+            if _from_upstream(sequence, frame) and frame.step >= sequence.next_step:
+                sequence.held.setdefault(frame.step, frame.input)
+
+
+def _from_upstream(sequence: _Sequence, event: FrameReceived) -> bool:
+    upstream = sequence.upstream
+    return (
+        event.sender == upstream.host
+        and event.sender_incarnation == upstream.incarnation
+    )
--- /dev/null
+++ b/src/railfold/_internal/engines/http_engine.py
@@ -0,0 +1,162 @@
+"""Adapter of engines that speak msgpack over HTTP.
+
+This is the one module that knows the engines' protocol.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPError
+
+from railfold._internal.core import LayerRange, Token
+from railfold._internal.engines.interface import (
+    ActivationInput,
+    DecodeInput,
+    EngineStatus,
+    HiddenState,
+    PrefillInput,
+    StepFailure,
+    StepItem,
+    StepResult,
+)
+from railfold._internal.errors import EngineError, EngineUnavailableError
+from railfold._internal.platform.http import CONNECT_TIMEOUT_S
+
+__all__ = ["HttpEngine"]
+
+_STATUS_TIMEOUT_S = 2.0
+
+
+class _Item(msgspec.Struct, omit_defaults=True):
+    sequence: str
+    step: int
+    prompt: str | None = None
+    emitted: tuple[int, ...] = ()
+    token_id: int | None = None
+    activation: bytes | None = None
+
+
+class _Result(msgspec.Struct):
+    activation: bytes | None = None
+    token_id: int | None = None
+    text: str = ""
+    final: bool = False
+    error: str = ""
+
+
+class _Status(msgspec.Struct):
+    engine_id: str
+    model: str = ""
+    version: str = ""
+    first_layer: int = -1
+    last_layer: int = -1
+    checks_fencing: bool = False
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_RESULTS = msgspec.msgpack.Decoder(list[_Result])
+
+
+@dataclass(frozen=True, slots=True)
+class HttpEngine:
+    """An engine at ``url``."""
+
+    url: str
+    http: AsyncHTTPClient
+    step_timeout_s: float
+
+    async def status(self) -> EngineStatus:
+        """Return what the engine has loaded.
+
+        :raises EngineError: it doesn't answer.
+        """
+        try:
+            response = await self.http.fetch(
+                f"{self.url}/v1/status",
+                connect_timeout=CONNECT_TIMEOUT_S,
+                request_timeout=_STATUS_TIMEOUT_S,
+            )
+            status = msgspec.json.decode(response.body, type=_Status)
+        except (HTTPError, OSError, msgspec.DecodeError) as error:
+            raise EngineUnavailableError(
+                "the engine doesn't give its status", why=str(error)
+            ) from error
+        layers = None
+        if status.first_layer >= 0:
+            layers = LayerRange(status.first_layer, status.last_layer)
+        return EngineStatus(
+            status.engine_id,
+            status.model,
+            status.version,
+            layers,
+            status.checks_fencing,
+        )
+
+    async def step(self, items: Sequence[StepItem]) -> list[StepResult]:
+        """Run one step for several sequences; results are in items' order.
+
+        :raises EngineUnavailableError: no answer; the step may have run.
+        """
+        body = _ENCODER.encode([_wire_item(item) for item in items])
+        try:
+            response = await self.http.fetch(
+                f"{self.url}/v1/step",
+                method="POST",
+                body=body,
+                headers={"Content-Type": "application/msgpack"},
+                connect_timeout=CONNECT_TIMEOUT_S,
+                request_timeout=self.step_timeout_s,
+            )
+            results = _RESULTS.decode(response.body)
+        except (HTTPError, OSError, msgspec.DecodeError) as error:
+            raise EngineUnavailableError(
+                "the engine didn't answer a step", why=str(error)
+            ) from error
+        if len(results) != len(items):
+            raise EngineUnavailableError(
+                "the engine answered another number of sequences than it was given"
+            )
+        pairs = zip(items, results, strict=True)
+        return [_result(item, result) for item, result in pairs]
+
+    async def close(self, sequences: Sequence[str]) -> None:
+        """Free sequences' KV caches.
+
+        :raises EngineError: the engine doesn't answer.
+        """
+        try:
+            await self.http.fetch(
+                f"{self.url}/v1/close",
+                method="POST",
+                body=_ENCODER.encode(list(sequences)),
+                headers={"Content-Type": "application/msgpack"},
+                connect_timeout=CONNECT_TIMEOUT_S,
+                request_timeout=_STATUS_TIMEOUT_S,
+            )
+        except (HTTPError, OSError) as error:
+            raise EngineError(
+                "the engine didn't free sequences", why=str(error)
+            ) from error
+
+
+def _wire_item(item: StepItem) -> _Item:
+    match item.payload:
+        case PrefillInput(prompt=prompt, emitted=emitted):
+            return _Item(item.sequence, item.step, prompt=prompt, emitted=emitted)
+        case DecodeInput(token_id=token_id):
+            return _Item(item.sequence, item.step, token_id=token_id)
+        case ActivationInput(data=data):
+            return _Item(item.sequence, item.step, activation=data)
+
+
+def _result(item: StepItem, result: _Result) -> StepResult:
+    if result.error:
+        return StepFailure(result.error)
+    if result.activation is not None:
+        return HiddenState(result.activation)
+    if result.token_id is not None:
+        return Token(item.step, result.token_id, result.text, result.final)
+    return StepFailure("empty_result")
--- /dev/null
+++ b/src/railfold/_internal/engines/http_service.py
@@ -0,0 +1,93 @@
+"""Adapter of plain services that speak HTTP."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPError
+
+from railfold._internal.errors import EngineError, EngineUnavailableError
+from railfold._internal.platform.http import (
+    CONNECT_TIMEOUT_S,
+    CONNECTION_FAILED,
+    was_never_connected,
+)
+
+__all__ = ["HttpService", "ServiceAnswer"]
+
+_HEALTH_TIMEOUT_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceAnswer:
+    """A plain service's answer to one call."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HttpService:
+    """A plain service at ``url``."""
+
+    url: str
+    health_path: str
+    http: AsyncHTTPClient
+
+    async def healthy(self) -> bool:
+        """Return whether the service says it is healthy."""
+        try:
+            await self.http.fetch(
+                f"{self.url}{self.health_path}",
+                connect_timeout=CONNECT_TIMEOUT_S,
+                request_timeout=_HEALTH_TIMEOUT_S,
+            )
+        except (HTTPError, OSError):
+            return False
+        return True
+
+    async def call(
+        self,
+        request_id: str,
+        method: str,
+        path: str,
+        content_type: str,
+        body: bytes,
+        timeout_s: float,
+    ) -> ServiceAnswer:
+        """Pass one call on; never repeats it.
+
+        :raises EngineError: the service was never reached.
+        :raises EngineUnavailableError: no answer; the call may have run.
+        """
+        headers = {"Railfold-Request-Id": request_id}
+        if content_type:
+            headers["Content-Type"] = content_type
+        has_body = method in ("POST", "PUT", "PATCH")
+        try:
+            response = await self.http.fetch(
+                f"{self.url}/{path}",
+                method=method,
+                headers=headers,
+                body=body if has_body else None,
+                connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
+                request_timeout=timeout_s,
+                follow_redirects=False,
+                raise_error=False,
+            )
+        except (HTTPClientError, OSError, ValueError) as error:
+            raise EngineUnavailableError(
+                "the service didn't answer", why=str(error)
+            ) from error
+        if response.code == CONNECTION_FAILED:
+            raise _no_answer(str(response.error))
+        return ServiceAnswer(
+            response.code, response.headers.get("Content-Type", ""), response.body
+        )
+
+
+def _no_answer(reason: str) -> EngineError:
+    if was_never_connected(reason):
+        return EngineError("the service can't be reached", why=reason)
+    return EngineUnavailableError("the service didn't answer", why=reason)
--- /dev/null
+++ b/src/railfold/_internal/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: ends callers' requests and routes them to agents."""
--- /dev/null
+++ b/src/railfold/_internal/entry/admission.py
@@ -0,0 +1,180 @@
+"""Admission of requests at this entry, per pipeline or service."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from railfold._internal.decisions.admission import (
+    AdmissionLimits,
+    AdmissionQueue,
+    Admitted,
+    Queued,
+    Refused,
+    Ticket,
+    entry_share,
+    pipeline_capacity,
+)
+from railfold._internal.decisions.configuration import Pipeline, Service, Workspace
+from railfold._internal.decisions.membership import MembershipView
+from railfold._internal.decisions.planner import Replica
+from railfold._internal.decisions.retry_budget import jittered_retry_after_s
+from railfold._internal.errors import DeadlineExpiredError, RequestError
+from railfold._internal.observability.metrics import Metrics
+
+__all__ = ["Admission", "AdmissionRefused", "Target"]
+
+Target = Pipeline | Service
+
+
+class AdmissionRefused(Exception):  # noqa: N818 - an answer more than an error.
+    """A request wasn't admitted; says when to come back."""
+
+    def __init__(self, error: RequestError, retry_after_s: float) -> None:
+        self.error = error
+        self.retry_after_s = retry_after_s
+        super().__init__(error.what)
+
+
+@dataclass(slots=True)
+class _Gate:
+    target: Target
+    queue: AdmissionQueue
+
+
+class Admission:
+    """Admits requests as live capacity allows."""
+
+    def __init__(
+        self,
+        limits: AdmissionLimits,
+        view: MembershipView,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._limits = limits
+        self._view = view
+        self._metrics = metrics
+        self._rng = rng
+        self._gates: dict[tuple[str, str], _Gate] = {}
+        self._waiters: dict[Ticket, asyncio.Future[None]] = {}
+
+    @asynccontextmanager
+    async def admitted(
+        self,
+        target: Target,
+        workspace: Workspace,
+        *,
+        priority: int,
+        cost: float,
+        deadline_s: float,
+        entries: int,
+    ) -> AsyncIterator[None]:
+        """Hold a place for a request; waits for one if need be.
+
+        :raises AdmissionRefused: at once if the request can't be served in
+            time, or later if capacity dies while it waits.
+        """
+        ticket = Ticket(
+            workspace.name,
+            workspace.weight,
+            entry_share(workspace.max_in_flight, entries),
+            priority,
+            cost,
+            deadline_s,
+        )
+        gate = self._gate(target, entries)
+        loop = asyncio.get_running_loop()
+        match gate.queue.offer(ticket, loop.time()):
+            case Refused(error=error, load=load):
+                raise self._refused(error, load)
+            case Queued():
+                await self._wait(gate, ticket)
+            case Admitted():
+                pass
+        started_s = loop.time()
+        try:
+            yield
+        finally:
+            service_s = loop.time() - started_s
+            self._wake(gate.queue.finished(ticket, service_s))
+
+    async def _wait(self, gate: _Gate, ticket: Ticket) -> None:
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
+        self._waiters[ticket] = future
+        started_s = loop.time()
+        try:
+            await asyncio.wait_for(future, max(0.0, ticket.deadline_s - started_s))
+        except TimeoutError as error:
+            late = DeadlineExpiredError("the request's deadline passed in the queue")
+            raise self._refused(late, gate.queue.load) from error
+        finally:
+            self._waiters.pop(ticket, None)
+            if not gate.queue.withdraw(ticket) and not _succeeded(future):
+                # It was admitted in the moment its caller gave up.
+                self._wake(gate.queue.finished(ticket, 0.0))
+            self._metrics.timing("admission.wait", loop.time() - started_s)
+
+    def refresh(self, entries: int) -> None:
+        """Take new capacity from the membership view; shed what it can't serve."""
+        now_s = asyncio.get_running_loop().time()
+        for gate in self._gates.values():
+            self._wake(gate.queue.set_capacity(self._capacity(gate.target, entries)))
+            load = gate.queue.load
+            for ticket in gate.queue.shed(now_s):
+                self._metrics.count("admission.shed")
+                error = DeadlineExpiredError(
+                    "the request was shed: live capacity fell while it waited",
+                    hint="come back after Retry-After",
+                )
+                future = self._waiters.get(ticket)
+                if future is not None and not future.done():
+                    future.set_exception(self._refused(error, load))
+
+    def gates(self) -> Iterator[tuple[str, AdmissionQueue]]:
+        """Yield each target's name and queue."""
+        for (kind, name), gate in self._gates.items():
+            yield f"{kind}/{name}", gate.queue
+
+    def _gate(self, target: Target, entries: int) -> _Gate:
+        key = (type(target).__name__.lower(), target.name)
+        gate = self._gates.get(key)
+        if gate is None or gate.target is not target:
+            queue = gate.queue if gate else AdmissionQueue(self._limits)
+            gate = self._gates[key] = _Gate(target, queue)
+            self._wake(queue.set_capacity(self._capacity(target, entries)))
+        return gate
+
+    def _capacity(self, target: Target, entries: int) -> int:
+        match target:
+            case Pipeline():
+                replicas = self._view.stages(
+                    target.model, target.version, target.placements
+                )
+                capacity = pipeline_capacity(replicas, target.layer_count)
+            case Service():
+                replicas = self._view.service_replicas(target.name, target.hosts)
+                capacity = _total(replicas)
+        return entry_share(capacity, entries)
+
+    def _wake(self, tickets: list[Ticket]) -> None:
+        for ticket in tickets:
+            future = self._waiters.get(ticket)
+            if future is not None and not future.done():
+                future.set_result(None)
+
+    def _refused(self, error: RequestError, load: float) -> AdmissionRefused:
+        self._metrics.count(f"admission.refused.{error.code}")
+        return AdmissionRefused(error, jittered_retry_after_s(load, self._rng.random()))
+
+
+def _total(replicas: list[Replica]) -> int:
+    return sum(replica.capacity for replica in replicas)
+
+
+def _succeeded(future: asyncio.Future[None]) -> bool:
+    return future.done() and not future.cancelled() and future.exception() is None
--- /dev/null
+++ b/src/railfold/_internal/entry/agents.py
@@ -0,0 +1,348 @@
+"""The entry's links to agents, and its view of them."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable, Coroutine, Iterable
+from enum import Enum, auto
+from typing import Protocol
+
+from absl import logging
+
+from railfold._internal.configuration.replica import ConfigurationReplica
+from railfold._internal.core import Stage, parse_address
+from railfold._internal.core.layers import LayerRange
+from railfold._internal.decisions.backoff import Backoff
+from railfold._internal.decisions.heartbeats import HeartbeatPace
+from railfold._internal.decisions.membership import (
+    AgentReport,
+    HostListed,
+    LinkDown,
+    LinkUp,
+    ListedHost,
+    Loaded,
+    MembershipChange,
+    MembershipView,
+    ProbeUnanswered,
+)
+from railfold._internal.links.connection import Link, LinkLimits, LinkMessage
+from railfold._internal.links.endpoint import LinkDialer
+from railfold._internal.links.messages import (
+    CallRefused,
+    CallResult,
+    EmittedToken,
+    Frame,
+    Heartbeat,
+    Hello,
+    Probe,
+    ProbeReply,
+    SequenceFailed,
+    SequenceRefused,
+    TombstoneReply,
+)
+from railfold._internal.observability.metrics import Metrics
+
+__all__ = ["AgentPool", "ProbeResult", "RequestDriver", "RequestMessage"]
+
+_LEASE_INTERVALS = 4.0
+_MIN_LEASE_S = 5.0
+
+RequestMessage = (
+    EmittedToken
+    | SequenceRefused
+    | SequenceFailed
+    | TombstoneReply
+    | CallResult
+    | CallRefused
+)
+
+
+class ProbeResult(Enum):
+    """What came of a probe."""
+
+    ALIVE = auto()
+    STALLED = auto()
+    SILENT = auto()
+
+
+class RequestDriver(Protocol):
+    """One request in flight, as the pool feeds it."""
+
+    def message(self, host: str, message: RequestMessage) -> None:
+        """Take an agent's message about this request."""
+
+    def hosts_lost(self, hosts: frozenset[str]) -> None:
+        """These hosts' work in flight is lost."""
+
+
+class AgentPool:
+    """Handler of all links to agents.
+
+    :param on_capacity: called when what is routable may have changed.
+    """
+
+    def __init__(
+        self,
+        hello: Hello,
+        replica: ConfigurationReplica,
+        limits: LinkLimits,
+        pace: HeartbeatPace,
+        probe_timeout_s: float,
+        metrics: Metrics,
+        on_capacity: Callable[[], None],
+    ) -> None:
+        self.view = MembershipView()
+        self._hello = hello
+        self._replica = replica
+        self._limits = limits
+        self._pace = pace
+        self._probe_timeout_s = probe_timeout_s
+        self._metrics = metrics
+        self._on_capacity = on_capacity
+        self._links: dict[str, Link] = {}
+        self._addresses: dict[str, str] = {}
+        self._dialers: dict[str, LinkDialer] = {}
+        self._drivers: dict[str, RequestDriver] = {}
+        self._nonces = itertools.count(1)
+        self._probes: dict[int, asyncio.Future[bool]] = {}
+        self._probing: dict[str, asyncio.Task[ProbeResult]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.entries = 1
+
+    # Requests.
+
+    def register(self, request_id: str, driver: RequestDriver) -> None:
+        """Feed agents' messages about a request to ``driver``."""
+        self._drivers[request_id] = driver
+
+    def unregister(self, request_id: str) -> None:
+        """Stop feeding a request's driver."""
+        self._drivers.pop(request_id, None)
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have a driver."""
+        return len(self._drivers)
+
+    def send(self, stage: Stage, message: LinkMessage) -> bool:
+        """Send to a stage's agent; False if that incarnation isn't linked."""
+        link = self._links.get(stage.host)
+        if link is None or link.peer.incarnation != stage.incarnation:
+            return False
+        link.send(message)
+        return True
+
+    def peer_versions(self) -> dict[str, int]:
+        """Return each linked agent's configuration version."""
+        return {host: link.peer_version for host, link in self._links.items()}
+
+    def broadcast(self, message: LinkMessage) -> None:
+        """Send to every linked agent."""
+        for link in self._links.values():
+            link.send(message)
+
+    def control_bytes(self) -> tuple[int, int]:
+        """Return bytes sent and received on all open links."""
+        links = self._links.values()
+        return sum(x.bytes_sent for x in links), sum(x.bytes_received for x in links)
+
+    # The platform's list.
+
+    def hosts_listed(self, hosts: tuple[ListedHost, ...]) -> None:
+        """Take a new copy of the platform's list."""
+        self._apply_change(self.view.apply(HostListed(hosts)))
+
+    def _dial(self, host: ListedHost) -> None:
+        self._hang_up(host.host)
+        self._addresses[host.host] = host.address
+        backoff = Backoff(max_s=2.0)
+        dialer = LinkDialer(
+            parse_address(host.address),
+            self._hello,
+            lambda: self._replica.version,
+            self._limits,
+            self,
+            backoff.delay_s,
+        )
+        self._dialers[host.host] = dialer
+        dialer.start()
+
+    def _hang_up(self, host: str) -> None:
+        dialer = self._dialers.pop(host, None)
+        if dialer is not None:
+            self._spawn(dialer.stop())
+
+    def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _apply_change(self, change: MembershipChange) -> None:
+        for host in change.dial:
+            self._dial(host)
+        for name in change.hang_up:
+            self._hang_up(name)
+        if change.lost:
+            self._lose(change.lost)
+
+    def _lose(self, hosts: frozenset[str]) -> None:
+        self._metrics.count("hosts.lost", len(hosts))
+        self._on_capacity()
+        for driver in list(self._drivers.values()):
+            driver.hosts_lost(hosts)
+
+    # Links.
+
+    def link_up(self, link: Link) -> None:
+        """A link to an agent was handshaken."""
+        peer = link.peer
+        logging.info("agent %s linked", peer.name)
+        older = self._links.get(peer.name)
+        self._links[peer.name] = link
+        address = self._addresses.get(peer.name, "")
+        event = LinkUp(
+            peer.name, address, peer.incarnation, peer.failure_domain, peer.region
+        )
+        self._apply_change(self.view.apply(event))
+        if older is not None:
+            older.close()
+        link.send(self._probe_message(0))
+
+    def link_down(self, link: Link) -> None:
+        """A link to an agent ended."""
+        self._replica.link_down(link)
+        if self._links.get(link.peer.name) is not link:
+            return
+        del self._links[link.peer.name]
+        logging.info("agent %s gone", link.peer.name)
+        event = LinkDown(link.peer.name, link.peer.incarnation)
+        self._apply_change(self.view.apply(event))
+
+    def frame_received(self, link: Link, frame: Frame) -> None:
+        """Take a frame from an agent."""
+        for token in frame.tokens:
+            driver = self._drivers.get(token.request_id)
+            if driver is not None:
+                driver.message(link.peer.name, token)
+        for message in frame.messages:
+            match message:
+                case Heartbeat():
+                    self._heartbeat(link, message)
+                case ProbeReply(nonce=nonce, stalled=stalled):
+                    future = self._probes.pop(nonce, None)
+                    if future is not None and not future.done():
+                        future.set_result(stalled)
+                case (
+                    SequenceRefused()
+                    | SequenceFailed()
+                    | TombstoneReply()
+                    | CallResult()
+                    | CallRefused()
+                ):
+                    driver = self._drivers.get(message.request_id)
+                    if driver is not None:
+                        driver.message(link.peer.name, message)
+                case _:
+                    pass
+        self._replica.frame(link, frame)
+
+    def _heartbeat(self, link: Link, message: Heartbeat) -> None:
+        self.entries = max(1, message.entries)
+        loaded = tuple(
+            Loaded(x.model, x.version, LayerRange(x.first_layer, x.last_layer))
+            for x in message.loaded
+        )
+        before = self.view.get(link.peer.name)
+        was_routable = before is not None and before.routable
+        report = AgentReport(
+            link.peer.name,
+            link.peer.incarnation,
+            message.state,
+            message.sequences,
+            message.max_sequences,
+            message.step_ms,
+            loaded,
+            tuple(message.services),
+        )
+        self._apply_change(self.view.apply(report))
+        member = self.view.get(link.peer.name)
+        if member is not None and member.routable != was_routable:
+            logging.info("agent %s is %s", member.host, member.state)
+        self._on_capacity()
+
+    # Probes.
+
+    async def probe(self, stages: Iterable[Stage]) -> frozenset[str]:
+        """Probe the stages' agents; return the hosts that are silent or stalled.
+
+        Those are marked, so that no new work goes there until they report
+        again.
+        """
+        stages = tuple(stages)
+        results = await asyncio.gather(*(self._probe_host(s) for s in stages))
+        bad = [
+            (stage, result)
+            for stage, result in zip(stages, results, strict=True)
+            if result is not ProbeResult.ALIVE
+        ]
+        for stage, result in bad:
+            logging.warning("agent %s is %s", stage.host, result.name.lower())
+            event = ProbeUnanswered(stage.host, stage.incarnation)
+            self._apply_change(self.view.apply(event))
+        return frozenset(stage.host for stage, _ in bad)
+
+    async def _probe_host(self, stage: Stage) -> ProbeResult:
+        # Many sequences on one host come overdue together: they share a probe.
+        task = self._probing.get(stage.host)
+        if task is None:
+            task = asyncio.create_task(self._probe_once(stage))
+            self._probing[stage.host] = task
+            task.add_done_callback(lambda _: self._probing.pop(stage.host, None))
+        return await asyncio.shield(task)
+
+    async def _probe_once(self, stage: Stage) -> ProbeResult:
+        link = self._links.get(stage.host)
+        if link is None or link.peer.incarnation != stage.incarnation:
+            return ProbeResult.SILENT
+        nonce = next(self._nonces)
+        future = asyncio.get_running_loop().create_future()
+        self._probes[nonce] = future
+        link.send(self._probe_message(nonce))
+        self._metrics.count("probes")
+        try:
+            stalled = await asyncio.wait_for(future, self._probe_timeout_s)
+        except TimeoutError:
+            return ProbeResult.SILENT
+        finally:
+            self._probes.pop(nonce, None)
+        return ProbeResult.STALLED if stalled else ProbeResult.ALIVE
+
+    def _probe_message(self, nonce: int) -> Probe:
+        interval_s = self._interval_s()
+        lease_s = max(_MIN_LEASE_S, _LEASE_INTERVALS * interval_s)
+        return Probe(nonce, interval_s, lease_s)
+
+    def _interval_s(self) -> float:
+        return self._pace.interval_s(len(self._links))
+
+    async def run(self, ready: asyncio.Event) -> None:
+        """Child: renew this entry's leases; drop agents that fell silent."""
+        ready.set()
+        loop = asyncio.get_running_loop()
+        try:
+            while True:
+                interval_s = self._interval_s()
+                await asyncio.sleep(interval_s)
+                for host, link in list(self._links.items()):
+                    link.send(self._probe_message(0))
+                    if loop.time() - link.last_heard_s > _LEASE_INTERVALS * interval_s:
+                        logging.warning("agent %s fell silent", host)
+                        link.close()
+        finally:
+            await self._close()
+
+    async def _close(self) -> None:
+        dialers = list(self._dialers.values())
+        self._dialers.clear()
+        await asyncio.gather(*(dialer.stop() for dialer in dialers))
--- /dev/null
+++ b/src/railfold/_internal/entry/callers.py
@@ -0,0 +1,310 @@
+"""HTTP interface towards callers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from tornado.iostream import StreamClosedError
+from tornado.web import RequestHandler, stream_request_body
+
+from railfold._internal.core import Token
+from railfold._internal.decisions.configuration import Configuration
+from railfold._internal.entry.answers import (
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+    Reply,
+    refused_reply,
+)
+from railfold._internal.entry.dispatch import Dispatcher
+from railfold._internal.entry.generate import GenerateDriver
+from railfold._internal.entry.parsing import ParsedGenerate, RequestParser
+from railfold._internal.errors import (
+    BodyTooLargeError,
+    HeadersTooLargeError,
+    NotReadyError,
+    RequestError,
+    RequestTimeoutError,
+    UnknownTargetError,
+)
+from railfold._internal.observability.metrics import Metrics
+from railfold._internal.settings.models import CallerLimits
+
+__all__ = ["CallerServices", "GenerateHandler", "NotFoundHandler", "ServiceHandler"]
+
+_NOT_READY_RETRY_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class CallerServices:
+    """What the handlers need.
+
+    :param missing: returns what is missing for taking requests.
+    """
+
+    dispatcher: Dispatcher
+    parser: RequestParser
+    limits: CallerLimits
+    metrics: Metrics
+    configuration: Callable[[], Configuration]
+    missing: Callable[[], list[str]]
+
+
+@stream_request_body
+class _CallerHandler(RequestHandler):
+    """Reads a bounded body in bounded time; writes replies."""
+
+    def initialize(self, services: CallerServices) -> None:
+        self.services = services
+        self._body = bytearray()
+        self._slow_timer: asyncio.TimerHandle | None = None
+
+    def prepare(self) -> None:
+        """Check what can be checked before the body is read."""
+        limits = self.services.limits
+        size = sum(len(k) + len(v) + 4 for k, v in self.request.headers.get_all())
+        if size > limits.max_header_bytes:
+            self.refuse(
+                HeadersTooLargeError(
+                    f"the request's headers are {size} bytes",
+                    why=f"the limit is {limits.max_header_bytes}",
+                )
+            )
+            return
+        missing = self.services.missing()
+        if missing:
+            error = NotReadyError(
+                "this entry takes no requests now",
+                why="; ".join(missing),
+                hint="send it again; the balancer will choose another entry",
+            )
+            self.refuse(error, _NOT_READY_RETRY_S)
+            return
+        length = self.request.headers.get("Content-Length", "0")
+        if length.isdigit() and int(length) > limits.max_body_bytes:
+            self.refuse(self._too_large(int(length)))
+            return
+        loop = asyncio.get_running_loop()
+        self._slow_timer = loop.call_later(limits.body_timeout_s, self._too_slow)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take a piece of the body."""
+        if self._finished:
+            return
+        self._body += chunk
+        if len(self._body) > self.services.limits.max_body_bytes:
+            self.refuse(self._too_large(len(self._body)))
+
+    def take_body(self) -> bytes:
+        """Return the whole body; called by the methods, which run after it."""
+        if self._slow_timer is not None:
+            self._slow_timer.cancel()
+        return bytes(self._body)
+
+    def on_finish(self) -> None:
+        """Stop the timer of slow bodies."""
+        if self._slow_timer is not None:
+            self._slow_timer.cancel()
+
+    def refuse(self, error: RequestError, retry_after_s: float | None = None) -> None:
+        """Answer with a request error."""
+        self.services.metrics.count(f"refused.{error.code}")
+        self.reply(refused_reply("", error, retry_after_s))
+
+    def reply(self, reply: Reply) -> None:
+        """Write a whole answer."""
+        if self._finished:
+            return
+        self.set_status(reply.status)
+        self.set_header("Content-Type", reply.content_type or "application/json")
+        self.set_header(OUTCOME_HEADER, reply.outcome)
+        for name, value in reply.headers.items():
+            self.set_header(name, value)
+        self.finish(reply.body)
+
+    def _too_slow(self) -> None:
+        self.refuse(
+            RequestTimeoutError(
+                "the request's body came too slowly",
+                why=f"it wasn't whole after {self.services.limits.body_timeout_s} s",
+            )
+        )
+
+    def _too_large(self, size: int) -> BodyTooLargeError:
+        return BodyTooLargeError(
+            f"the request's body is {size} bytes or more",
+            why=f"the limit is {self.services.limits.max_body_bytes}",
+            hint="send less",
+        )
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answer what tornado itself refuses, in our form."""
+        error = RequestError(
+            f"the request was refused with status {status_code}", why=self._reason
+        )
+        self.set_header("Content-Type", "application/json")
+        self.set_header(OUTCOME_HEADER, "not_run")
+        self.finish(refused_reply("", error, None).body)
+
+
+class GenerateHandler(_CallerHandler):
+    """``POST /v1/pipelines/<name>/generate``."""
+
+    def initialize(self, services: CallerServices) -> None:
+        """Set up."""
+        super().initialize(services)
+        self._driver: GenerateDriver | None = None
+        self._tokens: list[Token] = []
+        self._wake = asyncio.Event()
+
+    async def post(self, name: str) -> None:
+        """Run the request."""
+        body = self.take_body()
+        services = self.services
+        try:
+            parsed = services.parser.generate(
+                services.configuration(),
+                name,
+                self.request.headers,
+                body,
+                asyncio.get_running_loop().time(),
+            )
+        except RequestError as error:
+            self.refuse(error)
+            return
+        self.set_header(REQUEST_ID_HEADER, parsed.request.request_id)
+        if parsed.stream:
+            await self._stream(parsed, body)
+        else:
+            self.reply(await self._dispatch(parsed, body, _ignore))
+
+    def on_connection_close(self) -> None:
+        """The caller went away: cancel its work."""
+        if self._driver is not None:
+            self.services.metrics.count("callers.gone")
+            self._driver.caller_gone()
+
+    async def _dispatch(
+        self, parsed: ParsedGenerate, body: bytes, on_token: Callable[[Token], None]
+    ) -> Reply:
+        return await self.services.dispatcher.generate(
+            parsed, on_token, self._set_driver, body
+        )
+
+    def _set_driver(self, driver: GenerateDriver) -> None:
+        self._driver = driver
+
+    async def _stream(self, parsed: ParsedGenerate, body: bytes) -> None:
+        task = asyncio.create_task(self._dispatch(parsed, body, self._take_token))
+        task.add_done_callback(lambda _: self._wake.set())
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            if self._tokens:
+                await self._write_tokens()
+            if task.done() and not self._tokens:
+                break
+        self._end_stream(task.result())
+
+    def _take_token(self, token: Token) -> None:
+        self._tokens.append(token)
+        self._wake.set()
+
+    async def _write_tokens(self) -> None:
+        # What has gathered while the last flush waited leaves as one event.
+        tokens, self._tokens = self._tokens, []
+        self._start_stream()
+        first = tokens[0].step
+        event = {
+            "first_step": first,
+            "token_ids": [token.token_id for token in tokens],
+            "text": "".join(token.text for token in tokens),
+        }
+        self.write(b"event: tokens\ndata: " + msgspec.json.encode(event) + b"\n\n")
+        try:
+            await self.flush()
+        except StreamClosedError:
+            return
+
+    def _start_stream(self) -> None:
+        # Headers wait for the first token, so that a request that is refused
+        # before it gets a plain answer with its own status.
+        if not self._headers_written:
+            self.set_header("Content-Type", "text/event-stream")
+            self.set_header("Cache-Control", "no-store")
+
+    def _end_stream(self, reply: Reply) -> None:
+        if not self._headers_written:
+            self.reply(reply)
+            return
+        self.write(b"event: outcome\ndata: " + reply.body + b"\n\n")
+        self.finish()
+
+
+class ServiceHandler(_CallerHandler):
+    """``/v1/services/<name>/<path>``, any method."""
+
+    async def get(self, name: str, path: str) -> None:
+        """Pass a GET on."""
+        await self._pass_on(name, path)
+
+    async def head(self, name: str, path: str) -> None:
+        """Pass a HEAD on."""
+        await self._pass_on(name, path)
+
+    async def post(self, name: str, path: str) -> None:
+        """Pass a POST on."""
+        await self._pass_on(name, path)
+
+    async def put(self, name: str, path: str) -> None:
+        """Pass a PUT on."""
+        await self._pass_on(name, path)
+
+    async def patch(self, name: str, path: str) -> None:
+        """Pass a PATCH on."""
+        await self._pass_on(name, path)
+
+    async def delete(self, name: str, path: str) -> None:
+        """Pass a DELETE on."""
+        await self._pass_on(name, path)
+
+    async def _pass_on(self, name: str, path: str) -> None:
+        body = self.take_body()
+        if self.request.query:
+            path = f"{path}?{self.request.query}"
+        services = self.services
+        try:
+            parsed = services.parser.service(
+                services.configuration(),
+                name,
+                self.request.method or "",
+                path,
+                self.request.headers,
+                body,
+                asyncio.get_running_loop().time(),
+            )
+        except RequestError as error:
+            self.refuse(error)
+            return
+        self.set_header(REQUEST_ID_HEADER, parsed.request.request_id)
+        self.reply(await services.dispatcher.call(parsed))
+
+
+class NotFoundHandler(_CallerHandler):
+    """Any other path."""
+
+    def prepare(self) -> None:
+        """Refuse."""
+        self.refuse(
+            UnknownTargetError(
+                f"there is nothing at {self.request.path}",
+                hint="use /v1/pipelines/<name>/generate or /v1/services/<name>/<path>",
+            )
+        )
+
+
+def _ignore(token: Token) -> None:
+    """Tokens of a plain answer are gathered by the dispatcher."""
--- /dev/null
+++ b/src/railfold/_internal/entry/calls.py
@@ -0,0 +1,154 @@
+"""Driving one plain service call through its lifecycle."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from railfold._internal.core import Outcome, ServiceRequest, Stage
+from railfold._internal.decisions.calls import (
+    CallAction,
+    CallAnswered,
+    CallDeadlinePassed,
+    CallEvent,
+    CallHostChosen,
+    CallHostLost,
+    CallHostRefused,
+    CallLifecycle,
+    ChooseHost,
+    FinishCall,
+    NoHost,
+    SendCall,
+)
+from railfold._internal.decisions.configuration import Service
+from railfold._internal.decisions.planner import choose_host
+from railfold._internal.decisions.retry_budget import jittered_retry_after_s
+from railfold._internal.entry.agents import RequestMessage
+from railfold._internal.entry.generate import RoutingContext
+from railfold._internal.errors import NoCapacityError, OverloadedError
+from railfold._internal.links.messages import CallRefused, CallResult, CallService
+
+__all__ = ["CallDriver", "CallReply"]
+
+
+@dataclass(frozen=True, slots=True)
+class CallReply:
+    """The outcome of a call, and the service's answer if there is one."""
+
+    outcome: Outcome
+    answer: CallResult | None
+    host: str
+
+
+class CallDriver:
+    """Feeds one call's lifecycle and performs its actions."""
+
+    def __init__(
+        self, request: ServiceRequest, service: Service, context: RoutingContext
+    ) -> None:
+        self._request = request
+        self._service = service
+        self._context = context
+        self._lifecycle = CallLifecycle(request)
+        self._loop = asyncio.get_running_loop()
+        self._outcome: asyncio.Future[Outcome] = self._loop.create_future()
+        self._stage: Stage | None = None
+        self._answer: CallResult | None = None
+
+    async def run(self) -> CallReply:
+        """Return the final outcome and the answer."""
+        request_id = self._request.request_id
+        self._context.agents.register(request_id, self)
+        self._context.budget.earn()
+        deadline = self._loop.call_at(
+            self._request.deadline_s, self._feed, CallDeadlinePassed()
+        )
+        try:
+            self._perform(self._lifecycle.start())
+            outcome = await self._outcome
+            return CallReply(outcome, self._answer, self._lifecycle.host)
+        finally:
+            deadline.cancel()
+            self._context.agents.unregister(request_id)
+            self._count_own(-1)
+
+    def hosts_lost(self, hosts: frozenset[str]) -> None:
+        """These hosts' work in flight is lost."""
+        if self._lifecycle.host in hosts:
+            self._feed(CallHostLost(self._lifecycle.host))
+
+    def message(self, host: str, message: RequestMessage) -> None:
+        """Take an agent's message about this call."""
+        match message:
+            case CallResult():
+                if host == self._lifecycle.host and not self._lifecycle.done:
+                    self._answer = message
+                self._feed(CallAnswered(host))
+            case CallRefused(started=started, reason=reason):
+                self._feed(CallHostRefused(host, started, reason))
+            case _:
+                pass
+
+    def _feed(self, event: CallEvent) -> None:
+        self._perform(self._lifecycle.apply(event))
+
+    def _perform(self, actions: list[CallAction]) -> None:
+        for action in actions:
+            match action:
+                case ChooseHost():
+                    self._choose(action)
+                case SendCall():
+                    self._send()
+                case FinishCall(outcome=outcome):
+                    if not self._outcome.done():
+                        self._outcome.set_result(outcome)
+
+    def _choose(self, action: ChooseHost) -> None:
+        context = self._context
+        retry_after_s = jittered_retry_after_s(1.0, context.rng.random())
+        if action.is_retry:
+            context.metrics.count("calls.retries")
+            self._count_own(-1)
+        if action.is_retry and not context.budget.spend():
+            error = OverloadedError(
+                "no retry is allowed now", why="the retry budget is spent"
+            )
+            self._feed(NoHost(error, retry_after_s))
+            return
+        replicas = context.agents.view.service_replicas(
+            self._service.name, self._service.hosts
+        )
+        try:
+            replica = choose_host(
+                replicas,
+                exclude=action.exclude,
+                weights=context.weights,
+                rng=context.rng,
+            )
+        except NoCapacityError as error:
+            self._feed(NoHost(error, retry_after_s))
+            return
+        self._stage = replica.stage
+        self._feed(CallHostChosen(replica.stage.host))
+
+    def _send(self) -> None:
+        stage = self._stage
+        assert stage is not None
+        self._count_own(1)
+        request = self._request
+        message = CallService(
+            request_id=request.request_id,
+            service=request.service,
+            method=request.method,
+            path=request.path,
+            content_type=request.content_type,
+            body=request.body,
+            timeout_s=max(0.001, request.deadline_s - self._loop.time()),
+        )
+        if not self._context.agents.send(stage, message):
+            # Nothing left this entry: as good as a refusal.
+            self._feed(CallHostRefused(stage.host, False, "not linked"))
+
+    def _count_own(self, change: int) -> None:
+        if self._stage is not None:
+            self._context.agents.view.count_own((self._stage,), change)
--- /dev/null
+++ b/src/railfold/_internal/entry/dispatch.py
@@ -0,0 +1,250 @@
+"""Taking a validated request from admission to its final outcome."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from railfold._internal.core import (
+    Answered,
+    GenerateRequest,
+    NotRun,
+    Outcome,
+    ServiceRequest,
+    Token,
+    Unknown,
+    outcome_name,
+)
+from railfold._internal.decisions.claims import (
+    Claim,
+    ClaimKey,
+    ClaimState,
+    ClaimVerdict,
+    ClaimWrite,
+)
+from railfold._internal.decisions.configuration import Workspace
+from railfold._internal.entry.admission import Admission, AdmissionRefused, Target
+from railfold._internal.entry.answers import (
+    OUTCOME_HEADER,
+    REPLAYED_HEADER,
+    Reply,
+    answered_reply,
+    error_reply,
+    refused_reply,
+)
+from railfold._internal.entry.calls import CallDriver
+from railfold._internal.entry.claims import ClaimKeeper
+from railfold._internal.entry.generate import GenerateDriver, RoutingContext
+from railfold._internal.entry.parsing import (
+    ParsedGenerate,
+    ParsedService,
+    fingerprint,
+)
+from railfold._internal.errors import (
+    DuplicateKeyError,
+    InvalidRequestError,
+    LogUnavailableError,
+)
+
+__all__ = ["Dispatcher"]
+
+_CLAIM_TIMEOUT_S = 5.0
+_DUPLICATE_RETRY_S = 1.0
+
+Run = Callable[[], Awaitable["_Result"]]
+
+
+@dataclass(frozen=True, slots=True)
+class _Result:
+    outcome: Outcome
+    reply: Reply
+
+
+class Dispatcher:
+    """Runs requests: admission, claim, then the driver."""
+
+    def __init__(
+        self,
+        entry: str,
+        context: RoutingContext,
+        admission: Admission,
+        claims: ClaimKeeper,
+        log_answers: Callable[[], bool],
+    ) -> None:
+        self._entry = entry
+        self._context = context
+        self._admission = admission
+        self._claims = claims
+        self._log_answers = log_answers
+
+    async def generate(
+        self,
+        parsed: ParsedGenerate,
+        on_token: Callable[[Token], None],
+        on_driver: Callable[[GenerateDriver], None],
+        body: bytes,
+    ) -> Reply:
+        """Run a generate request and return its whole answer.
+
+        :param on_token: called with each token as it comes.
+        :param on_driver: called with the driver, to cancel it by.
+        """
+        request = parsed.request
+        tokens: list[Token] = []
+
+        def take(token: Token) -> None:
+            tokens.append(token)
+            on_token(token)
+
+        async def run() -> _Result:
+            driver = GenerateDriver(request, parsed.pipeline, self._context, take)
+            on_driver(driver)
+            outcome = await driver.run()
+            if not isinstance(outcome, Answered):
+                return _Result(outcome, error_reply(request.request_id, outcome))
+            reply = answered_reply(
+                request.request_id, tokens, driver.chain, driver.attempts
+            )
+            return _Result(outcome, reply)
+
+        digest = fingerprint("generate", request.pipeline, body)
+        cost = float(request.max_tokens)
+        return await self._run(
+            request, parsed.workspace, parsed.pipeline, cost, digest, run
+        )
+
+    async def call(self, parsed: ParsedService) -> Reply:
+        """Run a service call and return its whole answer."""
+        request = parsed.request
+
+        async def run() -> _Result:
+            reply = await CallDriver(request, parsed.service, self._context).run()
+            if reply.answer is None or not isinstance(reply.outcome, Answered):
+                outcome = reply.outcome
+                return _Result(outcome, error_reply(request.request_id, outcome))
+            answer = reply.answer
+            return _Result(
+                reply.outcome,
+                Reply(
+                    answer.status,
+                    outcome_name(reply.outcome),
+                    answer.body,
+                    answer.content_type,
+                ),
+            )
+
+        target = f"{request.method} {request.service}/{request.path}"
+        digest = fingerprint("service", target, request.body)
+        return await self._run(
+            request, parsed.workspace, parsed.service, 1.0, digest, run
+        )
+
+    async def _run(
+        self,
+        request: GenerateRequest | ServiceRequest,
+        workspace: Workspace,
+        target: Target,
+        cost: float,
+        digest: str,
+        run: Run,
+    ) -> Reply:
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        try:
+            async with self._admission.admitted(
+                target,
+                workspace,
+                priority=request.priority,
+                cost=cost,
+                deadline_s=request.deadline_s,
+                entries=self._context.agents.entries,
+            ):
+                reply = await self._run_admitted(request, digest, run)
+        except AdmissionRefused as refusal:
+            reply = refused_reply(
+                request.request_id, refusal.error, refusal.retry_after_s
+            )
+        metrics = self._context.metrics
+        metrics.count(f"outcomes.{reply.outcome}")
+        metrics.timing("request", loop.time() - started_s)
+        return reply
+
+    async def _run_admitted(
+        self, request: GenerateRequest | ServiceRequest, digest: str, run: Run
+    ) -> Reply:
+        if request.repeatable or not request.idempotency_key:
+            return (await run()).reply
+        key = ClaimKey(request.workspace, request.idempotency_key)
+        write = ClaimWrite(key, request.request_id, self._entry, digest)
+        earlier = await self._claim(write, request.deadline_s)
+        if earlier is not None:
+            return earlier
+        result = await run()
+        if isinstance(result.outcome, NotRun):
+            self._claims.release(key, request.request_id)
+        else:
+            self._claims.complete(
+                key,
+                request.request_id,
+                result.reply.outcome,
+                result.reply.status,
+                result.reply.content_type,
+                result.reply.body,
+            )
+        return result.reply
+
+    async def _claim(self, write: ClaimWrite, deadline_s: float) -> Reply | None:
+        """Return None if the claim was won, else what to answer."""
+        left_s = deadline_s - asyncio.get_running_loop().time()
+        try:
+            if not self._log_answers():
+                raise LogUnavailableError("the platform's log doesn't answer")
+            verdict = await self._claims.claim(write, min(_CLAIM_TIMEOUT_S, left_s))
+        except LogUnavailableError as error:
+            return self._claim_unsettled(write, error)
+        match verdict:
+            case ClaimVerdict.WON:
+                return None
+            case ClaimVerdict.MISUSED:
+                misuse = InvalidRequestError(
+                    "the idempotency key belongs to a different request",
+                    why="method, path or body differ from the first request's",
+                    hint="use a new key for a new request",
+                )
+                return refused_reply(write.request_id, misuse, None)
+            case ClaimVerdict.LOST:
+                self._context.metrics.count("claims.duplicates")
+                return self._earlier_reply(write, self._claims.standing(write.key))
+
+    def _claim_unsettled(self, write: ClaimWrite, error: LogUnavailableError) -> Reply:
+        # This request wasn't sent, but an earlier one with the same key may
+        # have run; without the log that can't be told, so it isn't "not run".
+        self._context.metrics.count("claims.unsettled")
+        unsettled = LogUnavailableError(
+            "the idempotency key can't be claimed now, so the request wasn't sent",
+            why=error.what,
+            hint="send it again with the same key after Retry-After",
+        )
+        delay_s = _DUPLICATE_RETRY_S * (1.0 + self._context.rng.random())
+        return error_reply(write.request_id, Unknown(unsettled, round(delay_s, 2)))
+
+    def _earlier_reply(self, write: ClaimWrite, claim: Claim | None) -> Reply:
+        if claim is not None and claim.state is ClaimState.COMPLETED:
+            done = claim.completion
+            if done is not None and done.answer:
+                headers = {REPLAYED_HEADER: "true", OUTCOME_HEADER: done.outcome}
+                return Reply(
+                    done.status, done.outcome, done.answer, done.content_type, headers
+                )
+            too_large = DuplicateKeyError(
+                "an earlier request with this key has ended; its answer isn't kept",
+                why="the answer was empty or too large to keep",
+            )
+            return error_reply(write.request_id, Unknown(too_large))
+        under_way = DuplicateKeyError(
+            "an earlier request with this key is under way, or its entry died",
+            why="its outcome isn't recorded",
+            hint="ask again with the same key after Retry-After",
+        )
+        return error_reply(write.request_id, Unknown(under_way, _DUPLICATE_RETRY_S))
--- /dev/null
+++ b/src/railfold/_internal/entry/generate.py
@@ -0,0 +1,266 @@
+"""Driving one generate request through its lifecycle."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from railfold._internal.core import Chain, GenerateRequest, Outcome, Token
+from railfold._internal.decisions.configuration import Pipeline
+from railfold._internal.decisions.heartbeats import OverdueTimer
+from railfold._internal.decisions.lifecycle import (
+    CallerGone,
+    CancelAttempt,
+    ChainPlanned,
+    DeadlinePassed,
+    EmitToken,
+    Finish,
+    HostsLost,
+    LifecycleAction,
+    LifecycleEvent,
+    LifecycleLimits,
+    OpenAttempt,
+    PlanChain,
+    PlanRefused,
+    ProbeStages,
+    RequestLifecycle,
+    StageFailed,
+    StageRefused,
+    TokenArrived,
+    TokenOverdue,
+    TombstoneReplied,
+)
+from railfold._internal.decisions.planner import LinkCosts, PlannerWeights, plan_chain
+from railfold._internal.decisions.retry_budget import (
+    RetryBudget,
+    jittered_retry_after_s,
+)
+from railfold._internal.entry.agents import AgentPool, RequestMessage
+from railfold._internal.errors import NoCapacityError, OverloadedError
+from railfold._internal.links.conversion import (
+    chain_to_wire,
+    lineage_from_wire,
+    token_from_wire,
+)
+from railfold._internal.links.messages import (
+    CancelSequence,
+    EmittedToken,
+    OpenSequence,
+    SequenceFailed,
+    SequenceRefused,
+    TombstoneReply,
+)
+from railfold._internal.observability.metrics import Metrics
+
+__all__ = ["GenerateDriver", "RoutingContext"]
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingContext:
+    """What all drivers of an entry share."""
+
+    agents: AgentPool
+    metrics: Metrics
+    budget: RetryBudget
+    costs: LinkCosts
+    weights: PlannerWeights
+    lifecycle_limits: LifecycleLimits
+    overdue_floor_s: float
+    overdue_factor: float
+    first_token_overdue_s: float
+    rng: random.Random
+
+
+class GenerateDriver:
+    """Feeds one request's lifecycle and performs its actions.
+
+    :param pipeline: the pipeline as it was when the request was admitted.
+    :param on_token: called with each token, in order.
+    """
+
+    def __init__(
+        self,
+        request: GenerateRequest,
+        pipeline: Pipeline,
+        context: RoutingContext,
+        on_token: Callable[[Token], None],
+    ) -> None:
+        self._request = request
+        self._pipeline = pipeline
+        self._context = context
+        self._on_token = on_token
+        self._lifecycle = RequestLifecycle(
+            request, pipeline.layer_count, context.lifecycle_limits
+        )
+        self._overdue = OverdueTimer(
+            factor=context.overdue_factor,
+            floor_s=context.overdue_floor_s,
+            first_token_s=context.first_token_overdue_s,
+        )
+        self._loop = asyncio.get_running_loop()
+        self._outcome: asyncio.Future[Outcome] = self._loop.create_future()
+        self._timer: asyncio.TimerHandle | None = None
+        self._probe: asyncio.Task[None] | None = None
+
+    @property
+    def chain(self) -> Chain:
+        """The chain of the newest attempt."""
+        return self._lifecycle.chain
+
+    @property
+    def attempts(self) -> int:
+        """How many attempts there were."""
+        return self._lifecycle.attempt
+
+    async def run(self) -> Outcome:
+        """Return the final outcome."""
+        request_id = self._request.request_id
+        self._context.agents.register(request_id, self)
+        self._context.budget.earn()
+        deadline = self._loop.call_at(
+            self._request.deadline_s, self._feed, DeadlinePassed()
+        )
+        try:
+            self._perform(self._lifecycle.start())
+            return await self._outcome
+        finally:
+            deadline.cancel()
+            if self._timer is not None:
+                self._timer.cancel()
+            self._context.agents.unregister(request_id)
+            self._count_own(-1)
+
+    def caller_gone(self) -> None:
+        """The caller closed its connection."""
+        self._feed(CallerGone())
+
+    def hosts_lost(self, hosts: frozenset[str]) -> None:
+        """These hosts' work in flight is lost."""
+        self._feed(HostsLost(hosts))
+
+    def message(self, host: str, message: RequestMessage) -> None:
+        """Take an agent's message about this request."""
+        match message:
+            case EmittedToken(attempt=attempt, token=token, lineage=lineage):
+                if attempt == self._lifecycle.attempt:
+                    self._overdue.token(self._loop.time())
+                self._feed(
+                    TokenArrived(
+                        attempt, token_from_wire(token), lineage_from_wire(lineage)
+                    )
+                )
+            case SequenceRefused(attempt=attempt, reason=reason):
+                self._feed(StageRefused(attempt, host, reason))
+            case SequenceFailed(attempt=attempt, host=failed, reason=reason):
+                self._feed(StageFailed(attempt, failed, reason))
+            case TombstoneReply(attempt=attempt, started=started):
+                self._feed(TombstoneReplied(attempt, host, started))
+            case _:
+                pass
+
+    def _feed(self, event: LifecycleEvent) -> None:
+        self._perform(self._lifecycle.apply(event))
+
+    def _perform(self, actions: list[LifecycleAction]) -> None:
+        for action in actions:
+            match action:
+                case PlanChain():
+                    self._plan(action)
+                case OpenAttempt():
+                    self._open(action)
+                case CancelAttempt(attempt=attempt, chain=chain):
+                    cancel = CancelSequence(self._request.request_id, attempt)
+                    for stage in chain.stages:
+                        self._context.agents.send(stage, cancel)
+                case ProbeStages(chain=chain):
+                    self._probe = asyncio.create_task(self._probe_stages(chain))
+                case EmitToken(token=token):
+                    self._on_token(token)
+                case Finish(outcome=outcome):
+                    if not self._outcome.done():
+                        self._outcome.set_result(outcome)
+
+    def _plan(self, action: PlanChain) -> None:
+        context = self._context
+        retry_after_s = jittered_retry_after_s(1.0, context.rng.random())
+        if action.is_retry:
+            context.metrics.count("generate.retries")
+            self._count_own(-1)
+        if action.is_retry and not context.budget.spend():
+            context.metrics.count("generate.retry_budget_empty")
+            error = OverloadedError(
+                "no retry is allowed now",
+                why="the retry budget is spent",
+                hint="come back after Retry-After",
+            )
+            self._feed(PlanRefused(error, retry_after_s))
+            return
+        pipeline = self._pipeline
+        replicas = context.agents.view.stages(
+            pipeline.model, pipeline.version, pipeline.placements
+        )
+        try:
+            chain = plan_chain(
+                replicas,
+                pipeline.layer_count,
+                exclude=action.exclude,
+                prefer=action.prefer,
+                costs=context.costs,
+                weights=context.weights,
+                rng=context.rng,
+            )
+        except NoCapacityError as error:
+            self._feed(PlanRefused(error, retry_after_s))
+            return
+        self._feed(ChainPlanned(chain))
+
+    def _open(self, action: OpenAttempt) -> None:
+        agents = self._context.agents
+        now_s = self._loop.time()
+        self._count_own(1)
+        stages = chain_to_wire(action.chain)
+        unreachable = set()
+        for index, stage in enumerate(action.chain.stages):
+            message = OpenSequence(
+                request_id=self._request.request_id,
+                attempt=action.attempt,
+                workspace=self._request.workspace,
+                priority=self._request.priority,
+                index=index,
+                stages=stages,
+                model=self._pipeline.model,
+                base_step=len(action.emitted),
+                max_tokens=self._request.max_tokens,
+                prompt=self._request.prompt if index == 0 else "",
+                emitted=list(action.emitted) if index == 0 else [],
+                timeout_s=max(0.0, self._request.deadline_s - now_s),
+            )
+            if not agents.send(stage, message):
+                unreachable.add(stage.host)
+        self._overdue.opened(now_s)
+        self._arm()
+        if unreachable:
+            self._feed(HostsLost(frozenset(unreachable)))
+
+    def _count_own(self, change: int) -> None:
+        self._context.agents.view.count_own(self.chain.stages, change)
+
+    def _arm(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_at(self._overdue.due_s(), self._check_overdue)
+
+    def _check_overdue(self) -> None:
+        if self._lifecycle.done:
+            return
+        if self._loop.time() >= self._overdue.due_s():
+            self._context.metrics.count("generate.tokens_overdue")
+            self._overdue.probed(self._loop.time())
+            self._feed(TokenOverdue())
+        self._arm()
+
+    async def _probe_stages(self, chain: Chain) -> None:
+        # Hosts found dead are reported to all drivers, this one included.
+        await self._context.agents.probe(chain.stages)
--- /dev/null
+++ b/src/railfold/_internal/entry/process.py
@@ -0,0 +1,352 @@
+"""The entry: one of the few processes behind the platform's balancer."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import Any
+
+import msgspec
+from tornado.web import Application
+
+from railfold._internal.configuration.replica import ConfigurationReplica
+from railfold._internal.decisions.admission import AdmissionLimits
+from railfold._internal.decisions.checkpoints import CheckpointSchedule
+from railfold._internal.decisions.claims import ClaimLedger
+from railfold._internal.decisions.heartbeats import HeartbeatPace
+from railfold._internal.decisions.lifecycle import LifecycleLimits
+from railfold._internal.decisions.planner import LinkCosts, PlannerWeights
+from railfold._internal.decisions.retry_budget import RetryBudget
+from railfold._internal.entry.admission import Admission
+from railfold._internal.entry.agents import AgentPool
+from railfold._internal.entry.callers import (
+    CallerServices,
+    GenerateHandler,
+    NotFoundHandler,
+    ServiceHandler,
+)
+from railfold._internal.entry.claims import ClaimKeeper
+from railfold._internal.entry.configuration import ConfigurationKeeper
+from railfold._internal.entry.dispatch import Dispatcher
+from railfold._internal.entry.generate import RoutingContext
+from railfold._internal.entry.parsing import RequestParser
+from railfold._internal.links.connection import LinkLimits
+from railfold._internal.links.messages import PROTOCOL_VERSION, Hello
+from railfold._internal.observability.http import (
+    DrainHandler,
+    HealthHandler,
+    JsonHandler,
+    ReadyHandler,
+)
+from railfold._internal.observability.metrics import Metrics, MetricsSender
+from railfold._internal.observability.server import HttpServerChild
+from railfold._internal.platform.follower import SettlingAppender, StreamFollower
+from railfold._internal.platform.hosts import HostListPoller
+from railfold._internal.platform.http import new_http_client
+from railfold._internal.platform.log import LogClient
+from railfold._internal.settings.models import EntrySettings
+from railfold._internal.supervision.process import run_process, wait_until_idle
+from railfold._internal.supervision.supervisor import ChildSpec, Supervisor
+
+__all__ = ["Entry", "run_entry"]
+
+_REFRESH_S = 0.25
+_CHECKPOINT_MAX_AGE_S = 6 * 3600.0
+_HEADER_LIMIT_FACTOR = 16
+
+
+class Entry:
+    """The parts of one entry, wired together."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self._settings = settings
+        self.metrics = Metrics()
+        self._incarnation = time.time_ns()
+        self._rng = random.Random()
+        self._draining = False
+        self._http = new_http_client()
+        self._log = LogClient(
+            settings.platform.log_url, self._http, settings.platform.request_timeout_s
+        )
+        self._replica = ConfigurationReplica(self.metrics, self._on_configuration)
+        self._agents = self._make_agents()
+        self._admission = self._make_admission()
+        self._configuration = self._make_configuration()
+        self._appender = SettlingAppender(
+            self._log,
+            settings.platform.claims_stream,
+            self.metrics,
+            settings.platform.claim_linger_s,
+        )
+        ledger = ClaimLedger(settings.platform.claim_validity_s)
+        self._claims = ClaimKeeper(settings.name, ledger, self._appender, self.metrics)
+        self._claims_follower = StreamFollower(
+            self._log,
+            settings.platform.claims_stream,
+            self._claims,
+            self.metrics,
+            settings.platform.read_wait_s,
+        )
+        self._dispatcher = Dispatcher(
+            settings.name,
+            self._make_context(),
+            self._admission,
+            self._claims,
+            self._claims_readable,
+        )
+
+    def _make_agents(self) -> AgentPool:
+        settings = self._settings
+        hello = Hello(
+            PROTOCOL_VERSION,
+            "entry",
+            settings.name,
+            self._incarnation,
+            settings.failure_domain,
+            settings.region,
+        )
+        pace = HeartbeatPace(
+            budget_bytes_per_s=settings.routing.heartbeat_budget_bytes_per_s
+        )
+        return AgentPool(
+            hello,
+            self._replica,
+            LinkLimits(**settings.links.model_dump()),
+            pace,
+            settings.routing.probe_timeout_s,
+            self.metrics,
+            self._on_capacity,
+        )
+
+    def _make_admission(self) -> Admission:
+        routing = self._settings.routing
+        limits = AdmissionLimits(routing.max_waiting, routing.max_waiting_per_workspace)
+        return Admission(limits, self._agents.view, self.metrics, self._rng)
+
+    def _make_configuration(self) -> ConfigurationKeeper:
+        platform = self._settings.platform
+        return ConfigurationKeeper(
+            self._settings.name,
+            self._replica,
+            self._log,
+            platform.configuration_stream,
+            CheckpointSchedule(
+                platform.checkpoint_every_records, _CHECKPOINT_MAX_AGE_S
+            ),
+            platform.checkpoint_max_delay_s,
+            self._agents.broadcast,
+            self.metrics,
+            self._rng,
+        )
+
+    def _make_context(self) -> RoutingContext:
+        routing = self._settings.routing
+        return RoutingContext(
+            agents=self._agents,
+            metrics=self.metrics,
+            budget=RetryBudget(routing.retry_share, routing.retry_burst),
+            costs=LinkCosts(
+                routing.same_domain_ms, routing.same_region_ms, routing.other_region_ms
+            ),
+            weights=PlannerWeights(),
+            lifecycle_limits=LifecycleLimits(routing.max_attempts),
+            overdue_floor_s=routing.overdue_floor_s,
+            overdue_factor=routing.overdue_factor,
+            first_token_overdue_s=routing.first_token_overdue_s,
+            rng=self._rng,
+        )
+
+    def tree(self) -> Supervisor:
+        """Return the entry's supervisor tree."""
+        platform = self._settings.platform
+        configuration_follower = StreamFollower(
+            self._log,
+            platform.configuration_stream,
+            self._configuration,
+            self.metrics,
+            platform.read_wait_s,
+        )
+        hosts = HostListPoller(
+            platform.hosts_url,
+            self._http,
+            self._agents.hosts_listed,
+            self.metrics,
+            platform.hosts_interval_s,
+            platform.request_timeout_s,
+        )
+        streams = Supervisor(
+            "platform",
+            [
+                ChildSpec("configuration", configuration_follower.run),
+                ChildSpec("checkpoints", self._configuration.run_checkpoints),
+                ChildSpec("claims", self._claims_follower.run),
+                ChildSpec("claim-appender", self._appender.run),
+                ChildSpec("hosts", hosts.run),
+            ],
+        )
+        children = [
+            ChildSpec("agents", self._agents.run),
+            ChildSpec("platform", streams.run),
+            ChildSpec("admission", self._run_refresh),
+            ChildSpec("operators", self._operators().run),
+            ChildSpec("callers", self._callers().run),
+        ]
+        statsd = self._settings.statsd
+        if statsd is not None:
+            sender = MetricsSender(self.metrics, statsd.address, statsd.interval_s)
+            children.insert(0, ChildSpec("metrics", sender.run))
+        return Supervisor("entry", children)
+
+    def begin_drain(self) -> None:
+        """Say "not ready" to the balancer from now on."""
+        self._draining = True
+
+    async def drain(self) -> None:
+        """Leave the balancer, finish what is in flight, then return."""
+        drain = self._settings.drain
+        self.begin_drain()
+        await asyncio.sleep(drain.notice_s)
+        await wait_until_idle(self._busy, drain.timeout_s)
+
+    def _busy(self) -> bool:
+        waiting = any(queue.waiting for _, queue in self._admission.gates())
+        return bool(self._agents.in_flight or waiting)
+
+    def status(self) -> dict[str, Any]:
+        """Return what ``railfold status`` shows."""
+        versions = self._agents.peer_versions()
+        sent, received = self._agents.control_bytes()
+        return {
+            "role": "entry",
+            "name": self._settings.name,
+            "incarnation": self._incarnation,
+            "failure_domain": self._settings.failure_domain,
+            "region": self._settings.region,
+            "configuration_version": self._replica.version,
+            "agents_behind": sorted(
+                host for host, v in versions.items() if v < self._replica.version
+            ),
+            "draining": self._draining,
+            "missing": self._missing(),
+            "in_flight": self._agents.in_flight,
+            "link_bytes_sent": sent,
+            "link_bytes_received": received,
+            "admission": {
+                name: {"running": queue.running, "waiting": queue.waiting}
+                for name, queue in self._admission.gates()
+            },
+            "agents": [
+                {
+                    "host": member.host,
+                    "state": "suspect" if member.suspect else member.state,
+                    "failure_domain": member.failure_domain,
+                    "load": member.load,
+                    "capacity": member.max_sequences,
+                    "step_ms": round(member.step_ms, 3),
+                    "loaded": [
+                        f"{x.model}@{x.version}:{x.layers}" for x in member.loaded
+                    ],
+                    "services": sorted(member.services),
+                }
+                for member in sorted(self._agents.view, key=lambda m: m.host)
+            ],
+            "counters": dict(self.metrics.counters),
+        }
+
+    def audit(self) -> list[dict[str, Any]]:
+        """Return the audit trail, oldest first."""
+        entries = self._replica.configuration.audit
+        return [msgspec.to_builtins(entry) for entry in entries]
+
+    def _configuration_state(self) -> dict[str, Any]:
+        return self._replica.configuration.to_state()
+
+    def _claims_readable(self) -> bool:
+        return self._claims.current and self._claims_follower.reading
+
+    def _on_configuration(self) -> None:
+        # A changed pipeline or limit meets requests admitted from now on.
+        self._on_capacity()
+
+    def _on_capacity(self) -> None:
+        self._admission.refresh(self._agents.entries)
+
+    async def _run_refresh(self, ready: asyncio.Event) -> None:
+        ready.set()
+        while True:
+            await asyncio.sleep(_REFRESH_S)
+            self._on_capacity()
+            self.metrics.gauge("in_flight", self._agents.in_flight)
+
+    def _missing(self) -> list[str]:
+        missing = []
+        if not self._configuration.ready:
+            missing.append("no configuration yet")
+        if self._draining:
+            missing.append("draining")
+        return missing
+
+    def _refusing(self) -> list[str]:
+        # While draining, a request that still comes is served: the balancer
+        # may not have seen the probe fail yet.
+        return [] if self._configuration.ready else ["no configuration yet"]
+
+    def _operators(self) -> HttpServerChild:
+        application = Application(
+            [
+                ("/healthz", HealthHandler),
+                ("/readyz", ReadyHandler, {"missing": self._missing}),
+                ("/v1/status", JsonHandler, {"source": self.status}),
+                ("/v1/audit", JsonHandler, {"source": self.audit}),
+                (
+                    "/v1/configuration",
+                    JsonHandler,
+                    {"source": self._configuration_state},
+                ),
+                ("/v1/drain", DrainHandler, {"drain": self.begin_drain}),
+            ],
+            log_function=_nothing,
+        )
+        return HttpServerChild(application, self._settings.listen.operators)
+
+    def _callers(self) -> HttpServerChild:
+        limits = self._settings.callers
+        services = CallerServices(
+            self._dispatcher,
+            RequestParser(limits),
+            limits,
+            self.metrics,
+            lambda: self._replica.configuration,
+            self._refusing,
+        )
+        arguments = {"services": services}
+        application = Application(
+            [
+                ("/healthz", HealthHandler),
+                ("/readyz", ReadyHandler, {"missing": self._missing}),
+                (r"/v1/pipelines/([^/]+)/generate", GenerateHandler, arguments),
+                (r"/v1/services/([^/]+)/(.*)", ServiceHandler, arguments),
+            ],
+            default_handler_class=NotFoundHandler,
+            default_handler_args=arguments,
+            log_function=_nothing,
+        )
+        return HttpServerChild(
+            application,
+            self._settings.listen.callers,
+            # Above our own limits, which answer with a typed error.
+            max_header_size=limits.max_header_bytes * _HEADER_LIMIT_FACTOR,
+            max_body_size=limits.max_body_bytes * 2,
+            idle_connection_timeout=limits.body_timeout_s,
+        )
+
+
+async def run_entry(settings: EntrySettings) -> None:
+    """Run an entry until it is told to stop."""
+    entry = Entry(settings)
+    await run_process(entry.tree(), entry.drain)
+
+
+def _nothing(*_: object) -> None:
+    """Do nothing."""
--- /dev/null
+++ b/src/railfold/_internal/errors.py
@@ -0,0 +1,229 @@
+"""Every error railfold raises, as one tree.
+
+An error says what went wrong, why, and what to do about it. The ``code`` of a
+class is part of the interface: it appears in answers, logs and metrics.
+"""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+__all__ = [
+    "BodyTooLargeError",
+    "ConfigurationConflictError",
+    "ConfigurationRefusedError",
+    "DeadlineExpiredError",
+    "DuplicateKeyError",
+    "EngineError",
+    "EngineStateLostError",
+    "EngineUnavailableError",
+    "HeadersTooLargeError",
+    "InvalidRequestError",
+    "LineageError",
+    "LinkClosedError",
+    "LinkProtocolError",
+    "LogUnavailableError",
+    "NoCapacityError",
+    "NotReadyError",
+    "OverloadedError",
+    "PolicyRefusedError",
+    "RailfoldError",
+    "RecordsExpiredError",
+    "RequestError",
+    "RequestTimeoutError",
+    "SettingsError",
+    "UnauthorizedError",
+    "UnknownTargetError",
+    "WriteUnsettledError",
+]
+
+
+class RailfoldError(Exception):
+    """Base of all errors.
+
+    :param what: what went wrong, one sentence.
+    :param why: the cause as far as it is known.
+    :param hint: what the reader can do about it.
+    """
+
+    code: ClassVar[str] = "internal"
+
+    def __init__(self, what: str, *, why: str = "", hint: str = "") -> None:
+        self.what = what
+        self.why = why
+        self.hint = hint
+        super().__init__(what)
+
+    def __str__(self) -> str:
+        parts = [self.what]
+        if self.why:
+            parts.append(f"Cause: {self.why}")
+        if self.hint:
+            parts.append(f"Hint: {self.hint}")
+        return "\n".join(parts)
+
+
+class SettingsError(RailfoldError):
+    """A settings file is refused; ``faults`` lists every fault found."""
+
+    code = "settings_invalid"
+
+    def __init__(self, path: str, faults: list[str]) -> None:
+        self.faults = faults
+        super().__init__(
+            f"settings file {path} has {len(faults)} fault(s)",
+            why="; ".join(faults),
+            hint="correct every fault listed, then run 'railfold check' again",
+        )
+
+
+class RequestError(RailfoldError):
+    """A caller's request is refused before anything was sent to an agent."""
+
+    code = "request_refused"
+
+
+class InvalidRequestError(RequestError):
+    """The request's body, header or field is malformed."""
+
+    code = "invalid_request"
+
+
+class BodyTooLargeError(RequestError):
+    """The request's body is over the limit."""
+
+    code = "body_too_large"
+
+
+class HeadersTooLargeError(RequestError):
+    """The request's headers are over the limit."""
+
+    code = "headers_too_large"
+
+
+class RequestTimeoutError(RequestError):
+    """The caller sent its request too slowly."""
+
+    code = "request_timeout"
+
+
+class UnauthorizedError(RequestError):
+    """The workspace is unknown or its credential is wrong."""
+
+    code = "unauthorized"
+
+
+class UnknownTargetError(RequestError):
+    """The pipeline or service doesn't exist for this workspace."""
+
+    code = "unknown_target"
+
+
+class DeadlineExpiredError(RequestError):
+    """The request's deadline has passed or can't be met."""
+
+    code = "deadline_expired"
+
+
+class DuplicateKeyError(RequestError):
+    """An earlier request holds the same idempotency key."""
+
+    code = "duplicate_key"
+
+
+class OverloadedError(RequestError):
+    """The workspace's or the system's limit is reached."""
+
+    code = "overloaded"
+
+
+class NoCapacityError(RequestError):
+    """No set of live backend servers covers the pipeline or service."""
+
+    code = "no_capacity"
+
+
+class PolicyRefusedError(RequestError):
+    """The workspace's policy refuses the request."""
+
+    code = "policy_refused"
+
+
+class NotReadyError(RequestError):
+    """The process hasn't a configuration yet, or is draining."""
+
+    code = "not_ready"
+
+
+class LineageError(RailfoldError):
+    """A token's layers weren't each run exactly once and in order."""
+
+    code = "lineage_invalid"
+
+
+class LinkProtocolError(RailfoldError):
+    """A peer sent a frame that can't be read."""
+
+    code = "link_protocol"
+
+
+class LinkClosedError(RailfoldError):
+    """A link to a peer is closed."""
+
+    code = "link_closed"
+
+
+class EngineError(RailfoldError):
+    """A backend server refused a call or failed."""
+
+    code = "engine_failed"
+
+
+class EngineUnavailableError(EngineError):
+    """A backend server didn't answer; the call may or may not have run."""
+
+    code = "engine_unavailable"
+
+
+class EngineStateLostError(EngineError):
+    """A backend server no longer holds the sequence's KV cache."""
+
+    code = "engine_state_lost"
+
+
+class LogUnavailableError(RailfoldError):
+    """The platform's log can't be reached or refuses."""
+
+    code = "log_unavailable"
+
+
+class RecordsExpiredError(LogUnavailableError):
+    """Records at the asked offset are gone: retention passed the reader."""
+
+    code = "records_expired"
+
+
+class WriteUnsettledError(LogUnavailableError):
+    """An append's answer was lost and its effect isn't known yet."""
+
+    code = "write_unsettled"
+
+
+class ConfigurationRefusedError(RailfoldError):
+    """A configuration change is invalid; ``faults`` lists every fault found."""
+
+    code = "configuration_refused"
+
+    def __init__(self, target: str, faults: list[str]) -> None:
+        self.faults = faults
+        super().__init__(
+            f"change of {target} is refused",
+            why="; ".join(faults),
+            hint="correct every fault listed and publish again",
+        )
+
+
+class ConfigurationConflictError(RailfoldError):
+    """Another change of the same object came first in the log."""
+
+    code = "configuration_conflict"
--- /dev/null
+++ b/src/railfold/_internal/links/__init__.py
@@ -0,0 +1,1 @@
+"""Links between railfold processes."""
--- /dev/null
+++ b/src/railfold/_internal/links/endpoint.py
@@ -0,0 +1,161 @@
+"""Accepting and dialling links, and reading frames from them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from absl import logging
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+from tornado.tcpserver import TCPServer
+
+from railfold._internal.core.addresses import Address
+from railfold._internal.errors import LinkClosedError, LinkProtocolError
+from railfold._internal.links.connection import Link, LinkLimits
+from railfold._internal.links.messages import Frame, Hello
+
+__all__ = ["LinkDialer", "LinkHandler", "LinkServer", "dial", "serve_link"]
+
+
+class LinkHandler(Protocol):
+    """What a process does with its links."""
+
+    def link_up(self, link: Link) -> None:
+        """Called after the handshake."""
+
+    def frame_received(self, link: Link, frame: Frame) -> None:
+        """Called for every frame."""
+
+    def link_down(self, link: Link) -> None:
+        """Called once when an opened link ends."""
+
+
+async def serve_link(link: Link, handler: LinkHandler) -> None:
+    """Read a handshaken link until it ends, feeding its handler."""
+    handler.link_up(link)
+    try:
+        while True:
+            handler.frame_received(link, await link.receive())
+    except LinkClosedError:
+        pass
+    except LinkProtocolError as error:
+        logging.warning("link to %s dropped: %s", link.peer.name, error)
+    finally:
+        link.close()
+        handler.link_down(link)
+
+
+class LinkServer(TCPServer):
+    """Accepts links from peers."""
+
+    def __init__(
+        self,
+        hello: Hello,
+        version: Callable[[], int],
+        limits: LinkLimits,
+        handler: LinkHandler,
+    ) -> None:
+        super().__init__(max_buffer_size=limits.max_queued_bytes)
+        self._hello = hello
+        self._version = version
+        self._limits = limits
+        self._handler = handler
+        self._links: set[Link] = set()
+
+    async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
+        """Handshake and read one accepted stream."""
+        link = Link(stream, self._hello, self._version, self._limits)
+        try:
+            await link.handshake()
+        except (LinkClosedError, LinkProtocolError) as error:
+            logging.log_every_n(
+                logging.WARNING, "handshake with %s failed: %s", 100, address, error
+            )
+            return
+        self._links.add(link)
+        try:
+            await serve_link(link, self._handler)
+        finally:
+            self._links.discard(link)
+
+    def close_links(self) -> None:
+        """Close every accepted link."""
+        for link in list(self._links):
+            link.flush()
+            link.close()
+
+
+async def dial(
+    address: Address,
+    hello: Hello,
+    version: Callable[[], int],
+    limits: LinkLimits,
+) -> Link:
+    """Return a handshaken link to ``address``.
+
+    :raises LinkClosedError: the peer can't be reached in time.
+    :raises LinkProtocolError: the peer speaks another protocol.
+    """
+    try:
+        stream = await asyncio.wait_for(
+            TCPClient().connect(
+                address.ip, address.port, max_buffer_size=limits.max_queued_bytes
+            ),
+            limits.handshake_timeout_s,
+        )
+    except (OSError, StreamClosedError, TimeoutError) as error:
+        raise LinkClosedError(
+            f"can't connect to {address}", why=str(error) or type(error).__name__
+        ) from error
+    link = Link(stream, hello, version, limits)
+    await link.handshake()
+    return link
+
+
+class LinkDialer:
+    """Keeps one link to one address open, dialling again when it ends."""
+
+    def __init__(
+        self,
+        address: Address,
+        hello: Hello,
+        version: Callable[[], int],
+        limits: LinkLimits,
+        handler: LinkHandler,
+        delay_s: Callable[[int], float],
+    ) -> None:
+        self.address = address
+        self._hello = hello
+        self._version = version
+        self._limits = limits
+        self._handler = handler
+        self._delay_s = delay_s
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin dialling."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop dialling and close the link."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        failures = 0
+        while True:
+            try:
+                link = await dial(
+                    self.address, self._hello, self._version, self._limits
+                )
+            except (LinkClosedError, LinkProtocolError):
+                failures += 1
+                await asyncio.sleep(self._delay_s(failures))
+                continue
+            failures = 0
+            await serve_link(link, self._handler)
+            await asyncio.sleep(self._delay_s(1))
--- /dev/null
+++ b/src/railfold/_internal/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics; logs go through absl.logging."""
--- /dev/null
+++ b/src/railfold/_internal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of what the platform gives: the log and the host list."""
--- /dev/null
+++ b/src/railfold/_internal/platform/log.py
@@ -0,0 +1,132 @@
+"""Client of the platform's append-only log service.
+
+This is the one module that knows the service's protocol: JSON over HTTP, a
+stream of records with offsets, reads that may wait for new records.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import urlencode
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPError
+
+from railfold._internal.errors import (
+    LogUnavailableError,
+    RecordsExpiredError,
+    WriteUnsettledError,
+)
+from railfold._internal.platform.http import (
+    CONNECT_TIMEOUT_S,
+    CONNECTION_FAILED,
+    was_never_connected,
+)
+
+__all__ = ["LogClient", "LogPage", "LogRecord"]
+
+_GONE = 410
+_SERVER_ERROR = 500
+_READ_LIMIT = 1000
+
+
+class LogRecord(msgspec.Struct, frozen=True):
+    """One record as the service gives it."""
+
+    offset: int
+    appended_s: float
+    body: Any
+
+
+class LogPage(msgspec.Struct, frozen=True):
+    """Records from one read; ``next_offset`` is the stream's end."""
+
+    records: list[LogRecord]
+    first_offset: int
+    next_offset: int
+
+
+class _Appended(msgspec.Struct, frozen=True):
+    offsets: list[int]
+
+
+@dataclass(frozen=True, slots=True)
+class LogClient:
+    """Reads and appends; never repeats an append by itself."""
+
+    url: str
+    http: AsyncHTTPClient
+    timeout_s: float
+
+    async def append(self, stream: str, bodies: Sequence[Any]) -> list[int]:
+        """Append records in one call; return their offsets.
+
+        :raises LogUnavailableError: the records were not appended.
+        :raises WriteUnsettledError: they may have been; read back to know.
+        """
+        body = msgspec.json.encode({"records": list(bodies)})
+        try:
+            response = await self.http.fetch(
+                f"{self.url}/streams/{stream}/records",
+                method="POST",
+                body=body,
+                headers={"Content-Type": "application/json"},
+                connect_timeout=CONNECT_TIMEOUT_S,
+                request_timeout=self.timeout_s,
+            )
+            return msgspec.json.decode(response.body, type=_Appended).offsets
+        except HTTPError as error:
+            raise _append_error(error) from error
+        except (OSError, msgspec.DecodeError) as error:
+            raise WriteUnsettledError(
+                "the log's answer to an append was lost", why=str(error)
+            ) from error
+
+    async def read(self, stream: str, offset: int, wait_s: float) -> LogPage:
+        """Return records from ``offset`` on, waiting for one if there is none.
+
+        :raises RecordsExpiredError: ``offset`` is before the first kept record.
+        :raises LogUnavailableError: the log can't be read now.
+        """
+        query = urlencode({"from": offset, "limit": _READ_LIMIT, "wait_s": wait_s})
+        try:
+            response = await self.http.fetch(
+                f"{self.url}/streams/{stream}/records?{query}",
+                connect_timeout=CONNECT_TIMEOUT_S,
+                request_timeout=wait_s + self.timeout_s,
+            )
+            return msgspec.json.decode(response.body, type=LogPage)
+        except HTTPError as error:
+            if error.code == _GONE:
+                raise RecordsExpiredError(
+                    f"records of {stream} from offset {offset} have expired",
+                    why="the log keeps records for a limited time",
+                    hint="start from a checkpoint",
+                ) from error
+            raise LogUnavailableError(
+                f"the log can't be read (stream {stream})", why=str(error)
+            ) from error
+        except (OSError, msgspec.DecodeError) as error:
+            raise LogUnavailableError(
+                f"the log can't be read (stream {stream})", why=str(error)
+            ) from error
+
+
+def _append_error(error: HTTPError) -> LogUnavailableError:
+    refused = error.code < _SERVER_ERROR
+    # curl says 599 both for a connection that was refused, which has had no
+    # effect, and for an answer that was lost, which may have had one.
+    never_connected = error.code == CONNECTION_FAILED and was_never_connected(
+        str(error.message)
+    )
+    if refused or never_connected:
+        return LogUnavailableError(
+            "the log refused an append", why=str(error), hint="try again later"
+        )
+    return WriteUnsettledError(
+        "the log's answer to an append was lost",
+        why=str(error),
+        hint="its effect is known once the log can be read again",
+    )
--- /dev/null
+++ b/src/railfold/_internal/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Validated settings files."""
--- /dev/null
+++ b/src/railfold/_internal/supervision/__init__.py
@@ -0,0 +1,1 @@
+"""The supervisor tree that both roles are built on."""
--- /dev/null
+++ b/src/railfold/_internal/supervision/supervisor.py
@@ -0,0 +1,179 @@
+"""A supervisor tree on one event loop.
+
+A child is a coroutine function ``run(ready)``: it sets ``ready`` once it
+serves, runs until it is cancelled, and cleans up as it is cancelled. A
+supervisor starts its children in order, each once the one before is ready;
+restarts a child that fails; escalates when failures come too often; and stops
+children in reverse order. ``Supervisor.run`` has the same form, so that
+supervisors nest.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from absl import logging
+
+from railfold._internal.errors import RailfoldError
+
+__all__ = [
+    "ChildEndedError",
+    "ChildSpec",
+    "RestartLimit",
+    "Strategy",
+    "Supervisor",
+    "SupervisorFailedError",
+]
+
+
+class SupervisorFailedError(RailfoldError):
+    """Children failed more often than the restart limit allows."""
+
+    code = "supervisor_failed"
+
+
+class ChildEndedError(RailfoldError):
+    """A child returned although children run until they are cancelled."""
+
+    code = "child_ended"
+
+
+class Strategy(Enum):
+    """Which children are restarted when one fails."""
+
+    ONE_FOR_ONE = "one_for_one"
+    REST_FOR_ONE = "rest_for_one"  # Also those that were started after it.
+
+
+@dataclass(frozen=True, slots=True)
+class RestartLimit:
+    """At most ``max_restarts`` in ``window_s`` seconds, else escalate."""
+
+    max_restarts: int = 5
+    window_s: float = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class ChildSpec:
+    """A child's name, how to run it, and how long it may take to stop."""
+
+    name: str
+    run: Callable[[asyncio.Event], Awaitable[None]]
+    stop_timeout_s: float = 5.0
+
+
+@dataclass(slots=True)
+class _Running:
+    spec: ChildSpec
+    task: asyncio.Task[None]
+
+
+@dataclass(slots=True)
+class Supervisor:
+    """Runs children; see the module's documentation."""
+
+    name: str
+    children: list[ChildSpec]
+    strategy: Strategy = Strategy.ONE_FOR_ONE
+    limit: RestartLimit = field(default_factory=RestartLimit)
+    restarts: int = 0
+    _running: list[_Running] = field(default_factory=list)
+    _recent: deque[float] = field(default_factory=deque)
+
+    async def run(self, ready: asyncio.Event) -> None:
+        """Run all children until cancelled.
+
+        :raises SupervisorFailedError: the restart limit was passed.
+        """
+        try:
+            await self._start_from(0)
+            ready.set()
+            while True:
+                await self._wait_for_failure()
+        finally:
+            await self._stop_from(0)
+
+    async def _start_from(self, index: int) -> None:
+        for spec in self.children[index:]:
+            await self._start(spec)
+
+    async def _start(self, spec: ChildSpec) -> None:
+        while True:
+            ready = asyncio.Event()
+            task = asyncio.create_task(_run_child(spec, ready), name=spec.name)
+            ready_task = asyncio.create_task(ready.wait())
+            try:
+                await asyncio.wait(
+                    {task, ready_task}, return_when=asyncio.FIRST_COMPLETED
+                )
+            except asyncio.CancelledError:
+                await _stop(_Running(spec, task))
+                raise
+            finally:
+                ready_task.cancel()
+            if ready.is_set():
+                self._running.append(_Running(spec, task))
+                return
+            self._count_failure(spec, task)
+            await asyncio.sleep(_RESTART_DELAY_S)
+
+    async def _wait_for_failure(self) -> None:
+        tasks = {child.task for child in self._running}
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for index, child in enumerate(list(self._running)):
+            if child.task.done():
+                self._count_failure(child.spec, child.task)
+                await asyncio.sleep(_RESTART_DELAY_S)
+                await self._restart(index)
+                return
+
+    async def _restart(self, index: int) -> None:
+        match self.strategy:
+            case Strategy.REST_FOR_ONE:
+                await self._stop_from(index)
+                await self._start_from(index)
+            case Strategy.ONE_FOR_ONE:
+                spec = self._running.pop(index).spec
+                await self._start(spec)
+                self._running.insert(index, self._running.pop())
+
+    def _count_failure(self, spec: ChildSpec, task: asyncio.Task[None]) -> None:
+        error = task.exception()
+        now_s = asyncio.get_running_loop().time()
+        self.restarts += 1
+        self._recent.append(now_s)
+        while self._recent and self._recent[0] <= now_s - self.limit.window_s:
+            self._recent.popleft()
+        logging.error(
+            "%s: child %s failed and is restarted: %r", self.name, spec.name, error
+        )
+        if len(self._recent) > self.limit.max_restarts:
+            raise SupervisorFailedError(
+                f"supervisor {self.name} gives up",
+                why=f"{len(self._recent)} failures in {self.limit.window_s:g} s,"
+                f" the last of {spec.name}: {error!r}",
+                hint="read the log lines before this one; the process ends",
+            ) from error
+
+    async def _stop_from(self, index: int) -> None:
+        while len(self._running) > index:
+            await _stop(self._running.pop())
+
+
+_RESTART_DELAY_S = 0.05
+
+
+async def _run_child(spec: ChildSpec, ready: asyncio.Event) -> None:
+    await spec.run(ready)
+    raise ChildEndedError(f"child {spec.name} ended by itself")
+
+
+async def _stop(child: _Running) -> None:
+    child.task.cancel()
+    done, _ = await asyncio.wait({child.task}, timeout=child.spec.stop_timeout_s)
+    if not done:
+        logging.error("child %s didn't stop in time", child.spec.name)
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,33 @@
+"""The demonstration: one streamed request through a small deployment."""
+
+from __future__ import annotations
+
+from standins.cluster import LAYER_COUNT, THREE_STAGES, Cluster, stream_generate
+from standins.engine import expected_tokens
+
+PROMPT = "Unit 4711: describe the valve housing."
+TOKENS = 16
+
+
+def main() -> int:
+    """Start everything, send the request, print the answer and its lineage."""
+    print("starting a log, an entry and three agents with engines ...")
+    with Cluster(THREE_STAGES) as cluster:
+        token_ids: list[int] = []
+        for event in stream_generate(cluster.callers_url(), PROMPT, TOKENS):
+            match event.name:
+                case "tokens":
+                    token_ids += event.data["token_ids"]
+                    print(event.data["text"], end="", flush=True)
+                case "outcome":
+                    outcome = event.data
+    print(f"\noutcome: {outcome['outcome']} (attempts: {outcome['attempts']})")
+    for stage in outcome["lineage"]:
+        print(f"  layers {stage['layers']:>5} ran on {stage['host']}")
+    whole = token_ids == expected_tokens(PROMPT, LAYER_COUNT, TOKENS)
+    print(f"every token as the whole model gives it: {whole}")
+    return 0 if whole and outcome["outcome"] == "answered" else 1
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
