--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,228 @@
+"""Stand-in for a model engine that holds a range of layers.
+
+The model is a chain of hashes: each layer mixes a position's hidden state into
+its KV cache, and the last layer's state gives the token. The answer depends on
+the prompt alone, however the layers are split over engines and however often
+an attempt begins anew, so that a test can state it in advance. The engine
+counts every (sequence, position) it runs twice and every one it is given out
+of order; both must stay zero.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import uuid
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+from tornado.web import Application, RequestHandler
+
+STATE_BYTES = 16
+VOCABULARY = 50_000
+
+
+@dataclass(frozen=True)
+class EngineSpec:
+    """What one stand-in engine holds and how fast it is.
+
+    A step takes ``fixed_ms`` plus ``per_sequence_ms`` for each sequence.
+    """
+
+    model: str
+    version: str
+    layer_count: int
+    first_layer: int
+    last_layer: int
+    fixed_ms: float = 1.0
+    per_sequence_ms: float = 0.02
+    checks_fencing: bool = True
+
+
+@dataclass
+class EngineState:
+    """An engine's loaded range, caches and counters."""
+
+    spec: EngineSpec
+    engine_id: str = field(default_factory=lambda: uuid.uuid4().hex)
+    caches: dict[str, dict[int, bytes]] = field(default_factory=dict)
+    positions: dict[str, int] = field(default_factory=dict)
+    started: set[str] = field(default_factory=set)
+    steps: int = 0
+    sequence_steps: int = 0
+    double_runs: int = 0
+    out_of_order: int = 0
+    frozen: asyncio.Event = field(default_factory=asyncio.Event)
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+    def __post_init__(self) -> None:
+        self.frozen.set()
+
+    def run(self, item: dict[str, Any]) -> dict[str, Any]:
+        """Run one sequence's part of a step."""
+        sequence, step = item["sequence"], item["step"]
+        expected = self.positions.get(sequence)
+        if expected is None and item.get("token_id") is not None:
+            return {"error": "unknown_sequence"}
+        if expected is not None and step != expected:
+            if step < expected:
+                self.double_runs += 1
+            else:
+                self.out_of_order += 1
+            return {"error": "wrong_step"}
+        self.positions[sequence] = step + 1
+        self.started.add(sequence)
+        cache = self.caches.setdefault(sequence, {})
+        states = [self._layers(cache, state) for state in inputs(item)]
+        if self.spec.last_layer < self.spec.layer_count - 1:
+            return {"activation": b"".join(states)}
+        token_id = token_of(states[-1])
+        return {"token_id": token_id, "text": f" t{token_id}"}
+
+    def _layers(self, cache: dict[int, bytes], state: bytes) -> bytes:
+        for layer in range(self.spec.first_layer, self.spec.last_layer + 1):
+            state = run_layer(cache, layer, state)
+        return state
+
+    def close(self, sequence: str) -> None:
+        """Free a sequence."""
+        self.caches.pop(sequence, None)
+        self.positions.pop(sequence, None)
+
+
+def run_layer(cache: dict[int, bytes], layer: int, state: bytes) -> bytes:
+    """Return a layer's output; mixes the input into the layer's cache."""
+    key = hashlib.blake2b(cache.get(layer, b"") + state, digest_size=STATE_BYTES)
+    cache[layer] = key.digest()
+    mixed = layer.to_bytes(4, "big") + cache[layer]
+    return hashlib.blake2b(mixed, digest_size=STATE_BYTES).digest()
+
+
+def inputs(item: dict[str, Any]) -> list[bytes]:
+    """Return the hidden states that a step feeds to the first layer held."""
+    activation = item.get("activation")
+    if activation is not None:
+        return [
+            activation[i : i + STATE_BYTES]
+            for i in range(0, len(activation), STATE_BYTES)
+        ]
+    if item.get("prompt") is not None:
+        tokens = [embed_token(token) for token in item.get("emitted", ())]
+        return [embed(item["prompt"].encode()), *tokens]
+    return [embed_token(item["token_id"])]
+
+
+def embed(data: bytes) -> bytes:
+    """Return the hidden state of an input."""
+    return hashlib.blake2b(data, digest_size=STATE_BYTES).digest()
+
+
+def embed_token(token_id: int) -> bytes:
+    """Return the hidden state of a token."""
+    return embed(b"token" + token_id.to_bytes(4, "big"))
+
+
+def token_of(state: bytes) -> int:
+    """Return the token that a last hidden state gives."""
+    return int.from_bytes(state[:4], "big") % VOCABULARY
+
+
+def expected_tokens(prompt: str, layer_count: int, count: int) -> list[int]:
+    """Return the answer that the whole model gives to a prompt."""
+    cache: dict[int, bytes] = {}
+    state = embed(prompt.encode())
+    tokens: list[int] = []
+    while len(tokens) < count:
+        for layer in range(layer_count):
+            state = run_layer(cache, layer, state)
+        tokens.append(token_of(state))
+        state = embed_token(tokens[-1])
+    return tokens
+
+
+class _Handler(RequestHandler):
+    def initialize(self, state: EngineState) -> None:
+        self.state = state
+
+
+class StatusHandler(_Handler):
+    """What the engine has loaded, and its counters."""
+
+    def get(self) -> None:
+        """Answer."""
+        state, spec = self.state, self.state.spec
+        self.finish(
+            {
+                "engine_id": state.engine_id,
+                "model": spec.model,
+                "version": spec.version,
+                "first_layer": spec.first_layer,
+                "last_layer": spec.last_layer,
+                "checks_fencing": spec.checks_fencing,
+                "open_sequences": len(state.positions),
+                "started": len(state.started),
+                "steps": state.steps,
+                "sequence_steps": state.sequence_steps,
+                "double_runs": state.double_runs,
+                "out_of_order": state.out_of_order,
+            }
+        )
+
+
+class StepHandler(_Handler):
+    """One step for several sequences; steps run one at a time."""
+
+    async def post(self) -> None:
+        """Run the step."""
+        items = msgspec.msgpack.decode(self.request.body)
+        state, spec = self.state, self.state.spec
+        async with state.lock:
+            await state.frozen.wait()
+            step_ms = spec.fixed_ms + spec.per_sequence_ms * len(items)
+            await asyncio.sleep(step_ms / 1000.0)
+            results = [state.run(item) for item in items]
+            state.steps += 1
+            state.sequence_steps += len(items)
+        self.finish(msgspec.msgpack.encode(results))
+
+
+class CloseHandler(_Handler):
+    """Frees sequences."""
+
+    def post(self) -> None:
+        """Free them."""
+        for sequence in msgspec.msgpack.decode(self.request.body):
+            self.state.close(sequence)
+        self.finish()
+
+
+class ControlHandler(_Handler):
+    """What tests set: ``freeze``, ``thaw`` and ``restart``."""
+
+    def post(self, what: str) -> None:
+        """Do it."""
+        match what:
+            case "freeze":
+                self.state.frozen.clear()
+            case "thaw":
+                self.state.frozen.set()
+            case "restart":
+                self.state.engine_id = uuid.uuid4().hex
+                self.state.caches.clear()
+                self.state.positions.clear()
+        self.finish({})
+
+
+def make_application(spec: EngineSpec) -> Application:
+    """Return a stand-in engine's application."""
+    arguments = {"state": EngineState(spec)}
+    return Application(
+        [
+            (r"/v1/status", StatusHandler, arguments),
+            (r"/v1/step", StepHandler, arguments),
+            (r"/v1/close", CloseHandler, arguments),
+            (r"/control/([a-z]+)", ControlHandler, arguments),
+        ],
+        log_function=lambda handler: None,
+    )
--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,77 @@
+"""Stand-in for a plain service whose calls may not be repeated.
+
+``POST /slips/<id>`` logs a slip and counts it; ``GET /slips`` returns the
+counts; ``GET /echo`` answers at once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+
+from tornado.web import Application, RequestHandler
+
+
+@dataclass
+class ServiceState:
+    """What was logged."""
+
+    slips: Counter[str] = field(default_factory=Counter)
+    delay_s: float = 0.0
+
+
+class _Handler(RequestHandler):
+    def initialize(self, state: ServiceState) -> None:
+        self.state = state
+
+
+class SlipHandler(_Handler):
+    """Logs slips."""
+
+    async def post(self, slip: str) -> None:
+        """Log one."""
+        self.state.slips[slip] += 1
+        await asyncio.sleep(self.state.delay_s)
+        self.set_status(201)
+        self.finish({"slip": slip, "count": self.state.slips[slip]})
+
+
+class SlipsHandler(_Handler):
+    """Returns all counts."""
+
+    def get(self) -> None:
+        """Answer."""
+        self.finish(dict(self.state.slips))
+
+
+class HealthHandler(_Handler):
+    """Always healthy."""
+
+    def get(self) -> None:
+        """Answer."""
+        self.finish("ok")
+
+
+class ControlHandler(_Handler):
+    """Sets the delay of each call, in milliseconds."""
+
+    def post(self, what: str) -> None:
+        """Set it."""
+        self.state.delay_s = int(what) / 1000.0
+        self.finish({})
+
+
+def make_application() -> Application:
+    """Return the stand-in's application."""
+    arguments = {"state": ServiceState()}
+    return Application(
+        [
+            (r"/slips/([^/]+)", SlipHandler, arguments),
+            (r"/slips", SlipsHandler, arguments),
+            (r"/healthz", HealthHandler, arguments),
+            (r"/echo", HealthHandler, arguments),
+            (r"/control/delay/([0-9]+)", ControlHandler, arguments),
+        ],
+        log_function=lambda handler: None,
+    )
