Prove outcomes and recovery on real processes; never let curl repeat a call

Cause: two tests that lose an answer after its effect failed: a slip was logged twice (2 == 1) and an engine was given a step twice. libcurl sends a request again by itself when a kept-alive connection breaks before the first byte of an answer, for POST as well. A third failure, an answer that changed after an engine lost its caches, came from steps that didn't say whether they begin a sequence, so that an engine without a cache went on as if it were new.

Ruled out: the agent's own guard (it gave each step once) and the entry's retries (the call's lifecycle sent it once).

Change: calls, steps and appends go through a client that opens a connection for each call; 'never connected' is told by curl's error number, not by its words; steps say whether they begin a sequence. The list's 'leaving' mark now keeps new work away.

Conclusion: at most once holds against the HTTP client too.

--- a/src/railfold/_internal/agent/engine_backend.py
+++ b/src/railfold/_internal/agent/engine_backend.py
@@ -371,7 +371,7 @@
 def _step_item(run: StartRun) -> StepItem:
     payload = run.input.data
     assert isinstance(payload, PrefillInput | DecodeInput | ActivationInput)
-    return StepItem(str(run.attempt_id), run.step, payload)
+    return StepItem(str(run.attempt_id), run.step, run.begins, payload)
 
 
 def _run_event(run: StartRun, result: StepResult) -> SequenceEvent:
--- a/src/railfold/_internal/agent/process.py
+++ b/src/railfold/_internal/agent/process.py
@@ -28,7 +28,7 @@
 )
 from railfold._internal.observability.metrics import Metrics, MetricsSender
 from railfold._internal.observability.server import HttpServerChild
-from railfold._internal.platform.http import new_http_client
+from railfold._internal.platform.http import new_http_client, new_single_use_client
 from railfold._internal.settings.models import (
     AgentSettings,
     EngineBackendSettings,
@@ -48,6 +48,7 @@
         self.metrics = Metrics()
         self._incarnation = time.time_ns()
         self._http = new_http_client()
+        self._single_use_http = new_single_use_client()
         self._replica = ConfigurationReplica(self.metrics, on_change=_nothing)
         self._links = AgentLinks(self._replica, self.metrics)
         self._limits = LinkLimits(**settings.links.model_dump())
@@ -82,7 +83,9 @@
         )
         self._peers = peers
         backend = EngineBackend(
-            HttpEngine(settings.url, self._http, settings.step_timeout_s),
+            HttpEngine(
+                settings.url, self._http, self._single_use_http, settings.step_timeout_s
+            ),
             table,
             peers,
             self.metrics,
@@ -101,7 +104,9 @@
     def _make_service_backend(self, settings: ServiceBackendSettings) -> Backend:
         backend = ServiceBackend(
             settings.service,
-            HttpService(settings.url, settings.health_path, self._http),
+            HttpService(
+                settings.url, settings.health_path, self._http, self._single_use_http
+            ),
             self.metrics,
             capacity=settings.max_calls,
             status_interval_s=settings.status_interval_s,
--- a/src/railfold/_internal/decisions/membership.py
+++ b/src/railfold/_internal/decisions/membership.py
@@ -3,8 +3,9 @@
 Three sources speak of an agent, in this order of authority: the agent's own
 word over its link, the state of the link, and the platform's host list, which
 lags. An agent that says it is draining gets no new work whatever the list
-says; an agent whose link is down gets none either; the list adds hosts to dial
-and removes those that left.
+says; an agent whose link is down gets none either. The list adds hosts to dial
+and marks those that are leaving, which get no new work; a linked host that is
+missing from it goes on serving, since the list may be wrong or empty.
 """
 
 from __future__ import annotations
@@ -129,6 +130,7 @@
     region: str
     state: str = "unknown"
     suspect: bool = False
+    leaving: bool = False
     reported_sequences: int = 0
     own: int = 0
     own_at_report: int = 0
@@ -140,7 +142,16 @@
     @property
     def routable(self) -> bool:
         """Whether new work may go there."""
-        return self.state == "serving" and not self.suspect
+        return self.state == "serving" and not self.suspect and not self.leaving
+
+    @property
+    def standing(self) -> str:
+        """What operators see: the agent's own state, or why it gets no work."""
+        if self.suspect:
+            return "suspect"
+        if self.leaving and self.state == "serving":
+            return "leaving"
+        return self.state
 
     @property
     def load(self) -> int:
@@ -181,6 +192,8 @@
         listed = {h.host: h for h in hosts}
         known = self._listed
         self._listed = listed
+        for member in self._members.values():
+            member.leaving = self._is_leaving(member.host)
         dial = tuple(
             h
             for name, h in listed.items()
@@ -203,6 +216,7 @@
             event.incarnation,
             event.failure_domain,
             event.region,
+            leaving=self._is_leaving(event.host),
         )
         if known is None or known.incarnation == event.incarnation:
             return MembershipChange()
@@ -216,6 +230,10 @@
         hang_up = () if host in self._listed else (host,)
         return MembershipChange(hang_up=hang_up, lost=frozenset({host}))
 
+    def _is_leaving(self, host: str) -> bool:
+        listed = self._listed.get(host)
+        return listed is not None and listed.leaving
+
     def _report(self, event: AgentReport) -> None:
         member = self._members.get(event.host)
         if member is None or member.incarnation != event.incarnation:
--- a/src/railfold/_internal/decisions/policy.py
+++ b/src/railfold/_internal/decisions/policy.py
@@ -12,8 +12,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-import cel
-
 from railfold._internal.errors import ConfigurationRefusedError
 
 __all__ = ["DEFAULT_DECISION", "MAX_POLICY_BYTES", "Policy", "PolicyDecision"]
@@ -62,6 +60,10 @@
             faults.append(f"policy has over {_MAX_COMPREHENSIONS} comprehensions")
         if faults:
             raise ConfigurationRefusedError("policy", faults)
+        # Imported where it is needed: the library brings a terminal toolkit
+        # with it, which costs a third of a second at every start.
+        import cel
+
         try:
             return cls(cel.compile(text))
         except ValueError as error:
--- a/src/railfold/_internal/decisions/sequences.py
+++ b/src/railfold/_internal/decisions/sequences.py
@@ -170,10 +170,15 @@
 
 @dataclass(frozen=True, slots=True)
 class StartRun:
-    """Give this step to the engine."""
+    """Give this step to the engine.
+
+    :param begins: whether it is the first step of the attempt, so that the
+        engine has no cache for it yet. For any other step it must have one.
+    """
 
     attempt_id: AttemptId
     step: int
+    begins: bool
     input: StepInput
 
 
@@ -409,11 +414,12 @@
         if step_input is None:
             return []
         step = sequence.next_step
+        begins = not sequence.started
         sequence.running = step
         sequence.started = True
         sequence.next_step = step + 1
         sequence.lineage = step_input.lineage
-        return [StartRun(attempt_id, step, step_input)]
+        return [StartRun(attempt_id, step, begins, step_input)]
 
     def _completed(self, event: RunCompleted) -> list[SequenceAction]:
         sequence = self._sequences.get(event.attempt_id)
--- a/src/railfold/_internal/engines/http_engine.py
+++ b/src/railfold/_internal/engines/http_engine.py
@@ -33,6 +33,7 @@
 class _Item(msgspec.Struct, omit_defaults=True):
     sequence: str
     step: int
+    begins: bool = False
     prompt: str | None = None
     emitted: tuple[int, ...] = ()
     token_id: int | None = None
@@ -62,10 +63,15 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpEngine:
-    """An engine at ``url``."""
+    """An engine at ``url``.
+
+    :param http: client for what may be repeated.
+    :param step_http: client for steps, which doesn't repeat them.
+    """
 
     url: str
     http: AsyncHTTPClient
+    step_http: AsyncHTTPClient
     step_timeout_s: float
 
     async def status(self) -> EngineStatus:
@@ -102,7 +108,7 @@
         """
         body = _ENCODER.encode([_wire_item(item) for item in items])
         try:
-            response = await self.http.fetch(
+            response = await self.step_http.fetch(
                 f"{self.url}/v1/step",
                 method="POST",
                 body=body,
@@ -143,13 +149,15 @@
 
 
 def _wire_item(item: StepItem) -> _Item:
+    wire = _Item(item.sequence, item.step, item.begins)
     match item.payload:
         case PrefillInput(prompt=prompt, emitted=emitted):
-            return _Item(item.sequence, item.step, prompt=prompt, emitted=emitted)
+            wire.prompt, wire.emitted = prompt, emitted
         case DecodeInput(token_id=token_id):
-            return _Item(item.sequence, item.step, token_id=token_id)
+            wire.token_id = token_id
         case ActivationInput(data=data):
-            return _Item(item.sequence, item.step, activation=data)
+            wire.activation = data
+    return wire
 
 
 def _result(item: StepItem, result: _Result) -> StepResult:
--- a/src/railfold/_internal/engines/http_service.py
+++ b/src/railfold/_internal/engines/http_service.py
@@ -9,7 +9,6 @@
 from railfold._internal.errors import EngineError, EngineUnavailableError
 from railfold._internal.platform.http import (
     CONNECT_TIMEOUT_S,
-    CONNECTION_FAILED,
     was_never_connected,
 )
 
@@ -29,11 +28,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpService:
-    """A plain service at ``url``."""
+    """A plain service at ``url``.
+
+    :param http: client for health checks.
+    :param call_http: client for calls, which doesn't repeat them.
+    """
 
     url: str
     health_path: str
     http: AsyncHTTPClient
+    call_http: AsyncHTTPClient
 
     async def healthy(self) -> bool:
         """Return whether the service says it is healthy."""
@@ -66,7 +70,7 @@
             headers["Content-Type"] = content_type
         has_body = method in ("POST", "PUT", "PATCH")
         try:
-            response = await self.http.fetch(
+            response = await self.call_http.fetch(
                 f"{self.url}/{path}",
                 method=method,
                 headers=headers,
@@ -77,17 +81,13 @@
                 raise_error=False,
             )
         except (HTTPClientError, OSError, ValueError) as error:
-            raise EngineUnavailableError(
-                "the service didn't answer", why=str(error)
-            ) from error
-        if response.code == CONNECTION_FAILED:
-            raise _no_answer(str(response.error))
+            raise _no_answer(error) from error
         return ServiceAnswer(
             response.code, response.headers.get("Content-Type", ""), response.body
         )
 
 
-def _no_answer(reason: str) -> EngineError:
-    if was_never_connected(reason):
-        return EngineError("the service can't be reached", why=reason)
-    return EngineUnavailableError("the service didn't answer", why=reason)
+def _no_answer(error: Exception) -> EngineError:
+    if was_never_connected(error):
+        return EngineError("the service can't be reached", why=str(error))
+    return EngineUnavailableError("the service didn't answer", why=str(error))
--- a/src/railfold/_internal/engines/interface.py
+++ b/src/railfold/_internal/engines/interface.py
@@ -52,10 +52,15 @@
 
 @dataclass(frozen=True, slots=True)
 class StepItem:
-    """One sequence's part of an engine step."""
+    """One sequence's part of an engine step.
+
+    :param begins: whether the engine is to begin a new cache. Without it, an
+        engine that holds no cache for the sequence must refuse.
+    """
 
     sequence: str
     step: int
+    begins: bool
     payload: StepPayload
 
 
--- a/src/railfold/_internal/entry/process.py
+++ b/src/railfold/_internal/entry/process.py
@@ -43,7 +43,7 @@
 from railfold._internal.observability.server import HttpServerChild
 from railfold._internal.platform.follower import SettlingAppender, StreamFollower
 from railfold._internal.platform.hosts import HostListPoller
-from railfold._internal.platform.http import new_http_client
+from railfold._internal.platform.http import new_http_client, new_single_use_client
 from railfold._internal.platform.log import LogClient
 from railfold._internal.settings.models import EntrySettings
 from railfold._internal.supervision.process import run_process, wait_until_idle
@@ -67,7 +67,10 @@
         self._draining = False
         self._http = new_http_client()
         self._log = LogClient(
-            settings.platform.log_url, self._http, settings.platform.request_timeout_s
+            settings.platform.log_url,
+            self._http,
+            new_single_use_client(),
+            settings.platform.request_timeout_s,
         )
         self._replica = ConfigurationReplica(self.metrics, self._on_configuration)
         self._agents = self._make_agents()
@@ -239,7 +242,7 @@
             "agents": [
                 {
                     "host": member.host,
-                    "state": "suspect" if member.suspect else member.state,
+                    "state": member.standing,
                     "failure_domain": member.failure_domain,
                     "load": member.load,
                     "capacity": member.max_sequences,
--- a/src/railfold/_internal/observability/http.py
+++ b/src/railfold/_internal/observability/http.py
@@ -63,4 +63,4 @@
         """Begin, or do nothing if it has begun."""
         self._drain()
         self.set_status(_ACCEPTED)
-        self.finish("draining\n")
+        self.finish({"draining": True})
--- a/src/railfold/_internal/platform/http.py
+++ b/src/railfold/_internal/platform/http.py
@@ -1,31 +1,53 @@
-"""The HTTP client that all outside interfaces share."""
+"""The HTTP clients that all outside interfaces share."""
 
 from __future__ import annotations
 
+import pycurl
+from tornado.curl_httpclient import CurlError
 from tornado.httpclient import AsyncHTTPClient
 
 __all__ = [
-    "CONNECTION_FAILED",
     "CONNECT_TIMEOUT_S",
     "new_http_client",
+    "new_single_use_client",
     "was_never_connected",
 ]
 
 CONNECT_TIMEOUT_S = 1.0
 
-# Tornado's status for a call that got no answer.
-CONNECTION_FAILED = 599
-
 _MAX_CLIENTS = 64
-_NOT_CONNECTED = ("refused", "connect to server", "failed to connect")
 
 
 def new_http_client() -> AsyncHTTPClient:
-    """Return a new client, built on curl, with connections kept alive."""
+    """Return a new client, built on curl, with connections kept alive.
+
+    Only for calls that may be repeated: curl sends a request again by itself
+    when a connection that it kept alive breaks before the first byte of an
+    answer, whatever the request's method.
+    """
     AsyncHTTPClient.configure("tornado.curl_httpclient.CurlAsyncHTTPClient")
     return AsyncHTTPClient(force_instance=True, max_clients=_MAX_CLIENTS)
 
 
-def was_never_connected(reason: str) -> bool:
-    """Return whether curl's ``reason`` proves that nothing was sent."""
-    return any(phrase in reason.lower() for phrase in _NOT_CONNECTED)
+def new_single_use_client() -> AsyncHTTPClient:
+    """Return a new client that opens a connection for each call.
+
+    For calls that must not be repeated: curl never sends a request again on a
+    connection that was opened for it.
+    """
+    AsyncHTTPClient.configure("tornado.curl_httpclient.CurlAsyncHTTPClient")
+    return AsyncHTTPClient(
+        force_instance=True,
+        max_clients=_MAX_CLIENTS,
+        defaults={"prepare_curl_callback": _open_own_connection},
+    )
+
+
+def _open_own_connection(curl: pycurl.Curl) -> None:
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+    curl.setopt(pycurl.FORBID_REUSE, 1)
+
+
+def was_never_connected(error: Exception) -> bool:
+    """Return whether a failed call surely sent nothing."""
+    return isinstance(error, CurlError) and error.errno == pycurl.E_COULDNT_CONNECT
--- a/src/railfold/_internal/platform/log.py
+++ b/src/railfold/_internal/platform/log.py
@@ -21,7 +21,6 @@
 )
 from railfold._internal.platform.http import (
     CONNECT_TIMEOUT_S,
-    CONNECTION_FAILED,
     was_never_connected,
 )
 
@@ -54,10 +53,15 @@
 
 @dataclass(frozen=True, slots=True)
 class LogClient:
-    """Reads and appends; never repeats an append by itself."""
+    """Reads and appends; never repeats an append by itself.
+
+    :param http: client for reads.
+    :param append_http: client for appends, which doesn't repeat them either.
+    """
 
     url: str
     http: AsyncHTTPClient
+    append_http: AsyncHTTPClient
     timeout_s: float
 
     async def append(self, stream: str, bodies: Sequence[Any]) -> list[int]:
@@ -68,7 +72,7 @@
         """
         body = msgspec.json.encode({"records": list(bodies)})
         try:
-            response = await self.http.fetch(
+            response = await self.append_http.fetch(
                 f"{self.url}/streams/{stream}/records",
                 method="POST",
                 body=body,
@@ -116,12 +120,7 @@
 
 def _append_error(error: HTTPError) -> LogUnavailableError:
     refused = error.code < _SERVER_ERROR
-    # curl says 599 both for a connection that was refused, which has had no
-    # effect, and for an answer that was lost, which may have had one.
-    never_connected = error.code == CONNECTION_FAILED and was_never_connected(
-        str(error.message)
-    )
-    if refused or never_connected:
+    if refused or was_never_connected(error):
         return LogUnavailableError(
             "the log refused an append", why=str(error), hint="try again later"
         )
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -118,6 +118,7 @@
             self.start_agent(host)
         for index in range(self.service_hosts):
             self._start_service(index)
+        self.wait_http(f"{self.platform_url}/control/state")
         self.publish_hosts()
         self.publish_configuration()
         for index in range(self.entries):
@@ -131,7 +132,6 @@
             "platform",
             [sys.executable, "-m", "standins", "platform", "--port", str(port)],
         )
-        self.wait_http(f"{self.platform_url}/control/state")
 
     @property
     def platform_url(self) -> str:
@@ -154,7 +154,6 @@
             f"engine-{host.host}",
             [sys.executable, "-m", "standins", "engines", json.dumps([[port, fields]])],
         )
-        self.wait_http(f"{self.engine_url(host.host)}/v1/status")
 
     def engine_url(self, host: str) -> str:
         """Base URL of a host's engine."""
@@ -178,7 +177,6 @@
             f"service-{name}",
             [sys.executable, "-m", "standins", "service", "--port", str(port)],
         )
-        self.wait_http(f"{self.service_url(name)}/healthz")
         backend = f"""
 [backend]
 kind = "service"
@@ -206,14 +204,13 @@
         path = self.folder / f"agent-{host}.toml"
         path.write_text(settings)
         self._spawn(f"agent-{host}", [*self.command, "agent", str(path)])
-        self.wait_http(f"{self.agent_url(host)}/readyz")
 
     def agent_url(self, host: str) -> str:
         """Base URL of an agent's operator port."""
         return f"http://127.0.0.1:{self.port(f'agent-{host}')}"
 
     def start_entry(self, index: int) -> None:
-        """Start an entry; :meth:`wait_serving` waits for its agents."""
+        """Start an entry; :meth:`wait_serving` waits for it and its agents."""
         sections: dict[str, dict[str, Any]] = {
             "listen": {
                 "callers": f"127.0.0.1:{self.port(f'callers-{index}')}",
@@ -243,7 +240,6 @@
         path = self.folder / f"entry-{index}.toml"
         path.write_text("\n".join(lines) + "\n")
         self._spawn(f"entry-{index}", [*self.command, "entry", str(path)])
-        self.wait_http(f"{self.entry_url(index)}/readyz")
 
     def entry_url(self, index: int = 0) -> str:
         """Base URL of an entry's operator port."""
@@ -357,6 +353,7 @@
         """Wait until every entry sees every agent serving."""
         expected = len(self.engines) + self.service_hosts
         for index in range(self.entries):
+            self.wait_http(f"{self.entry_url(index)}/readyz")
             self.wait_until(
                 lambda index=index: self.serving(index) == expected,
                 f"{expected} agents serving at entry {index}",
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -53,6 +53,7 @@
     sequence_steps: int = 0
     double_runs: int = 0
     out_of_order: int = 0
+    drops_left: int = 0
     frozen: asyncio.Event = field(default_factory=asyncio.Event)
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
@@ -63,7 +64,7 @@
         """Run one sequence's part of a step."""
         sequence, step = item["sequence"], item["step"]
         expected = self.positions.get(sequence)
-        if expected is None and item.get("token_id") is not None:
+        if expected is None and not item.get("begins"):
             return {"error": "unknown_sequence"}
         if expected is not None and step != expected:
             if step < expected:
@@ -184,6 +185,11 @@
             results = [state.run(item) for item in items]
             state.steps += 1
             state.sequence_steps += len(items)
+        if state.drops_left:
+            state.drops_left -= 1
+            self.request.connection.detach().close()
+            self._finished = True
+            return
         self.finish(msgspec.msgpack.encode(results))
 
 
@@ -198,7 +204,10 @@
 
 
 class ControlHandler(_Handler):
-    """What tests set: ``freeze``, ``thaw`` and ``restart``."""
+    """What tests set: ``freeze``, ``thaw``, ``restart`` and ``drop``.
+
+    ``drop`` loses the answer of the next step, which has run.
+    """
 
     def post(self, what: str) -> None:
         """Do it."""
@@ -207,6 +216,8 @@
                 self.state.frozen.clear()
             case "thaw":
                 self.state.frozen.set()
+            case "drop":
+                self.state.drops_left += 1
             case "restart":
                 self.state.engine_id = uuid.uuid4().hex
                 self.state.caches.clear()
--- a/standins/service.py
+++ b/standins/service.py
@@ -1,7 +1,8 @@
 """Stand-in for a plain service whose calls may not be repeated.
 
-``POST /slips/<id>`` logs a slip and counts it; ``GET /slips`` returns the
-counts; ``GET /echo`` answers at once.
+``POST /slips/<id>`` logs a slip and counts it; ``POST /drops/<id>`` does so and
+loses the answer; ``GET /slips`` returns the counts; ``GET /echo`` answers at
+once.
 """
 
 from __future__ import annotations
@@ -37,6 +38,16 @@
         self.finish({"slip": slip, "count": self.state.slips[slip]})
 
 
+class DropHandler(_Handler):
+    """Logs a slip and ends the connection without an answer."""
+
+    def post(self, slip: str) -> None:
+        """Log one."""
+        self.state.slips[slip] += 1
+        self.request.connection.detach().close()
+        self._finished = True
+
+
 class SlipsHandler(_Handler):
     """Returns all counts."""
 
@@ -68,6 +79,7 @@
     return Application(
         [
             (r"/slips/([^/]+)", SlipHandler, arguments),
+            (r"/drops/([^/]+)", DropHandler, arguments),
             (r"/slips", SlipsHandler, arguments),
             (r"/healthz", HealthHandler, arguments),
             (r"/echo", HealthHandler, arguments),
--- a/tests/functional/conftest.py
+++ b/tests/functional/conftest.py
@@ -6,11 +6,56 @@
 
 import pytest
 
-from standins.cluster import THREE_STAGES, Cluster
+from standins.cluster import THREE_STAGES, Cluster, EngineHost, get
+
+DOMAINS = ("hall-a", "hall-b", "depot-c")
+
+
+def two_of_each_stage(fixed_ms: float = 5.0) -> list[EngineHost]:
+    """Six hosts: two for each third of the layers, in different domains."""
+    return [
+        EngineHost(
+            f"meter-{stage}{copy}",
+            stage * 4,
+            stage * 4 + 3,
+            DOMAINS[(stage + copy) % len(DOMAINS)],
+            fixed_ms=fixed_ms,
+        )
+        for stage in range(3)
+        for copy in range(2)
+    ]
 
 
 @pytest.fixture
 def cluster() -> Iterator[Cluster]:
     """One entry and three agents, each with a third of the layers."""
-    with Cluster(THREE_STAGES) as running:
+    with Cluster(THREE_STAGES, service_hosts=1) as running:
+        yield running
+        assert_engines_sound(running)
+
+
+@pytest.fixture
+def spare_cluster() -> Iterator[Cluster]:
+    """One entry and six agents: each stage has a spare."""
+    with Cluster(two_of_each_stage()) as running:
         yield running
+        assert_engines_sound(running)
+
+
+@pytest.fixture
+def two_entries() -> Iterator[Cluster]:
+    """Two entries, three stages, and two hosts with the plain service."""
+    with Cluster(THREE_STAGES, entries=2, service_hosts=2) as running:
+        yield running
+        assert_engines_sound(running)
+
+
+def assert_engines_sound(cluster: Cluster) -> None:
+    """Check that no engine was ever given a step twice or out of order."""
+    for host in cluster.engines:
+        process = cluster.processes[f"engine-{host.host}"]
+        if process.popen.poll() is not None:
+            continue
+        status = get(f"{cluster.engine_url(host.host)}/v1/status")
+        assert status["double_runs"] == 0, host
+        assert status["out_of_order"] == 0, host
--- /dev/null
+++ b/tests/functional/test_bad_input.py
@@ -0,0 +1,135 @@
+"""Bad input gets a typed error at once and never reaches an engine."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+from urllib.parse import urlsplit
+
+import pytest
+
+from standins.cluster import PIPELINE, Cluster, EngineHost, caller_headers, get
+from tests.lib.callers import Answer, generate, send
+
+HOST = EngineHost("meter-a1", 0, 11)
+LIMITS = {"callers": {"max_body_bytes": 4096, "body_timeout_s": 0.5}}
+
+
+@pytest.fixture(scope="module")
+def one_host() -> Iterator[Cluster]:
+    """One entry and one agent whose engine must never be reached."""
+    with Cluster([HOST], entry_overrides=LIMITS) as cluster:
+        yield cluster
+        assert get(f"{cluster.engine_url(HOST.host)}/v1/status")["started"] == 0
+
+
+def post_generate(cluster: Cluster, body: object, **headers: str) -> Answer:
+    url = f"{cluster.callers_url()}/v1/pipelines/{PIPELINE}/generate"
+    return send(url, body, headers=caller_headers(**headers))
+
+
+def assert_refused(answer: Answer, status: int, code: str) -> None:
+    assert (answer.status, answer.body["code"]) == (status, code)
+    assert answer.outcome == answer.body["outcome"] == "not_run"
+    assert answer.body["what"]
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"{",
+        b"[]",
+        b"\xff\xfe",
+        {"prompt": ""},
+        {"prompt": 7},
+        {"prompt": "x", "max_tokens": 0},
+        {"prompt": "x", "max_tokens": "many"},
+        {"prompt": "x", "max_tokens": 1_000_000},
+        {"prompt": "x", "unknown_field": 1},
+    ],
+)
+def test_invalid_body(one_host: Cluster, body: object) -> None:
+    assert_refused(post_generate(one_host, body), 400, "invalid_request")
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        {"Railfold_Deadline_Ms": "soon"},
+        {"Railfold_Deadline_Ms": "999999999999"},
+        {"Railfold_Priority": "-1"},
+        {"Railfold_Priority": "10"},
+        {"Railfold_Repeatable": "maybe"},
+        {"Idempotency_Key": "k" * 300},
+    ],
+)
+def test_invalid_header(one_host: Cluster, headers: dict[str, str]) -> None:
+    answer = post_generate(one_host, {"prompt": "x"}, **headers)
+    assert_refused(answer, 400, "invalid_request")
+
+
+def test_expired_deadline(one_host: Cluster) -> None:
+    answer = generate(one_host.callers_url(), "x", 4, Railfold_Deadline_Ms="0")
+    assert_refused(answer, 504, "deadline_expired")
+
+
+def test_wrong_credential_and_unknown_workspace_look_alike(one_host: Cluster) -> None:
+    wrong = generate(one_host.callers_url(), "x", 4, Authorization="Bearer guess")
+    unknown = post_generate(one_host, {"prompt": "x"}, workspace="nobody")
+    assert_refused(wrong, 401, "unauthorized")
+    assert_refused(unknown, 401, "unauthorized")
+    assert wrong.body["what"] == unknown.body["what"]
+
+
+def test_unknown_pipeline_and_path(one_host: Cluster) -> None:
+    url = one_host.callers_url()
+    answer = send(f"{url}/v1/pipelines/nothing/generate", {"prompt": "x"})
+    assert_refused(answer, 404, "unknown_target")
+    assert_refused(send(f"{url}/v2/anything", {}), 404, "unknown_target")
+
+
+def test_method_that_is_not_allowed(one_host: Cluster) -> None:
+    url = f"{one_host.callers_url()}/v1/pipelines/{PIPELINE}/generate"
+    assert send(url, method="GET").status == 405
+
+
+def test_body_over_the_limit(one_host: Cluster) -> None:
+    answer = post_generate(one_host, {"prompt": "x" * 5000})
+    assert_refused(answer, 413, "body_too_large")
+
+
+def test_huge_headers(one_host: Cluster) -> None:
+    answer = post_generate(one_host, {"prompt": "x"}, X_Filler="y" * 20_000)
+    assert_refused(answer, 431, "headers_too_large")
+
+
+def exchange(cluster: Cluster, *parts: bytes) -> bytes:
+    """Send raw bytes and return all that comes until the end."""
+    address = urlsplit(cluster.callers_url())
+    with socket.create_connection((address.hostname, address.port), 20.0) as raw:
+        for part in parts:
+            raw.sendall(part)
+        received = b""
+        while chunk := raw.recv(65536):
+            received += chunk
+    return received
+
+
+def request_head(*extra: str) -> bytes:
+    lines = [f"POST /v1/pipelines/{PIPELINE}/generate HTTP/1.1", "Host: x"]
+    lines += [f"{name}: {value}" for name, value in caller_headers().items()]
+    return "\r\n".join([*lines, *extra, "", ""]).encode()
+
+
+def test_slow_body(one_host: Cluster) -> None:
+    answer = exchange(one_host, request_head("Content-Length: 100"), b'{"prompt"')
+    assert b" 408 " in answer.splitlines()[0]
+    assert b'"request_timeout"' in answer
+
+
+def test_chunked_body_over_the_limit(one_host: Cluster) -> None:
+    chunk = b"1000\r\n" + b"x" * 4096 + b"\r\n"
+    head = request_head("Transfer-Encoding: chunked")
+    answer = exchange(one_host, head, chunk, chunk)
+    assert b" 413 " in answer.splitlines()[0]
+    assert b'"body_too_large"' in answer
--- /dev/null
+++ b/tests/functional/test_outcomes.py
@@ -0,0 +1,234 @@
+"""What callers are told holds, under lost answers, outages and pauses."""
+
+from __future__ import annotations
+
+import threading
+
+from standins.cluster import Cluster, EngineHost, get, post
+from tests.lib.callers import Answer, StreamCaller, generate, log_slip, send
+
+SLOW_CALL_MS = 800
+
+
+def slips_logged(cluster: Cluster, slip: str) -> int:
+    """Return how often a slip was logged, over all service hosts."""
+    return sum(
+        get(f"{cluster.service_url(f'records-{index}')}/slips").get(slip, 0)
+        for index in range(cluster.service_hosts)
+    )
+
+
+def slow_services(cluster: Cluster) -> None:
+    """Make each call of the plain service take a while."""
+    for index in range(cluster.service_hosts):
+        url = cluster.service_url(f"records-{index}")
+        post(f"{url}/control/delay/{SLOW_CALL_MS}", {})
+
+
+class BackgroundCall(threading.Thread):
+    """A slip logged on a thread of its own."""
+
+    def __init__(self, url: str, slip: str, **headers: str) -> None:
+        super().__init__(daemon=True)
+        self.answer: Answer | None = None
+        self._arguments = (url, slip, headers)
+        self.start()
+
+    def run(self) -> None:
+        """Send the call."""
+        url, slip, headers = self._arguments
+        self.answer = log_slip(url, slip, **headers)
+
+    def result(self) -> Answer:
+        """Return the answer."""
+        self.join(30.0)
+        assert self.answer is not None
+        return self.answer
+
+
+def test_slip_is_logged_once(two_entries: Cluster) -> None:
+    answer = log_slip(two_entries.callers_url(), "slip-1")
+    assert (answer.status, answer.outcome) == (201, "answered")
+    assert slips_logged(two_entries, "slip-1") == 1
+
+
+def test_same_key_through_two_entries_runs_once(two_entries: Cluster) -> None:
+    slow_services(two_entries)
+    calls = [
+        BackgroundCall(two_entries.callers_url(i % 2), "slip-2", Idempotency_Key="k2")
+        for i in range(6)
+    ]
+    outcomes = sorted(call.result().outcome for call in calls)
+    assert slips_logged(two_entries, "slip-2") == 1
+    assert "answered" in outcomes
+    assert "not_run" not in outcomes
+
+
+def test_repeated_key_gets_the_first_answer(two_entries: Cluster) -> None:
+    first = log_slip(two_entries.callers_url(0), "slip-3", Idempotency_Key="k3")
+    assert first.outcome == "answered"
+
+    def second_is_replayed() -> bool:
+        second = log_slip(two_entries.callers_url(1), "slip-3", Idempotency_Key="k3")
+        assert second.outcome != "not_run"
+        if second.headers.get("Railfold-Replayed") != "true":
+            return False
+        assert (second.status, second.body) == (first.status, first.body)
+        return True
+
+    two_entries.wait_until(second_is_replayed, "the first answer")
+    assert slips_logged(two_entries, "slip-3") == 1
+
+
+def test_key_of_another_request_is_refused(two_entries: Cluster) -> None:
+    log_slip(two_entries.callers_url(0), "slip-4", Idempotency_Key="k4")
+    other = log_slip(two_entries.callers_url(1), "slip-5", Idempotency_Key="k4")
+    assert (other.status, other.body["code"]) == (400, "invalid_request")
+    assert slips_logged(two_entries, "slip-5") == 0
+
+
+def test_lost_append_answer_runs_once(two_entries: Cluster) -> None:
+    two_entries.fault("lose_answer")
+    answer = log_slip(two_entries.callers_url(0), "slip-6", Idempotency_Key="k6")
+    assert answer.outcome == "answered"
+    again = log_slip(two_entries.callers_url(1), "slip-6", Idempotency_Key="k6")
+    assert again.outcome != "not_run"
+    assert slips_logged(two_entries, "slip-6") == 1
+
+
+def test_log_outage_refuses_keyed_calls_and_serves_the_rest(
+    two_entries: Cluster,
+) -> None:
+    two_entries.fault("out")
+    keyed = log_slip(two_entries.callers_url(), "slip-7", Idempotency_Key="k7")
+    assert (keyed.status, keyed.outcome) == (503, "unknown")
+    assert keyed.body["code"] == "log_unavailable"
+    assert int(keyed.headers["Retry-After"]) >= 1
+    assert slips_logged(two_entries, "slip-7") == 0
+    unkeyed = log_slip(two_entries.callers_url(), "slip-8")
+    assert unkeyed.outcome == "answered"
+    assert generate(two_entries.callers_url(), "unit 1", 4).outcome == "answered"
+
+
+def test_key_is_usable_after_the_outage(two_entries: Cluster) -> None:
+    two_entries.fault("out")
+    log_slip(two_entries.callers_url(), "slip-9", Idempotency_Key="k9")
+    two_entries.fault("ok")
+
+    def answered() -> bool:
+        answer = log_slip(two_entries.callers_url(1), "slip-9", Idempotency_Key="k9")
+        return answer.outcome == "answered"
+
+    two_entries.wait_until(answered, "an answer")
+    assert slips_logged(two_entries, "slip-9") == 1
+
+
+def test_paused_entry_that_wakes_runs_nothing_twice(two_entries: Cluster) -> None:
+    slow_services(two_entries)
+    first = BackgroundCall(two_entries.callers_url(0), "slip-10", Idempotency_Key="k10")
+    two_entries.wait_until(
+        lambda: slips_logged(two_entries, "slip-10") == 1, "the first call"
+    )
+    entry = two_entries.processes["entry-0"]
+    entry.freeze()
+    second = log_slip(two_entries.callers_url(1), "slip-10", Idempotency_Key="k10")
+    assert second.outcome == "unknown"
+    entry.thaw()
+    assert first.result().outcome in ("answered", "unknown")
+    assert slips_logged(two_entries, "slip-10") == 1
+
+
+def test_call_whose_agent_dies_is_unknown_and_not_repeated(
+    two_entries: Cluster,
+) -> None:
+    slow_services(two_entries)
+    call = BackgroundCall(two_entries.callers_url(), "slip-11")
+    two_entries.wait_until(
+        lambda: slips_logged(two_entries, "slip-11") == 1, "the call"
+    )
+    for index in range(2):
+        two_entries.processes[f"agent-records-{index}"].kill()
+    answer = call.result()
+    assert answer.outcome == "unknown"
+    assert "Retry-After" not in answer.headers
+    assert slips_logged(two_entries, "slip-11") == 1
+
+
+def test_lost_answer_of_a_service_is_not_asked_for_again(cluster: Cluster) -> None:
+    # A connection that has served a call before is kept alive. An HTTP client
+    # may send a request again when such a connection breaks.
+    for number in range(3):
+        assert log_slip(cluster.callers_url(), f"slip-{number}").status == 201
+    url = f"{cluster.callers_url()}/v1/services/line-records/drops/slip-14"
+    assert send(url, {}).outcome == "unknown"
+    assert slips_logged(cluster, "slip-14") == 1
+
+
+def test_call_that_never_reached_its_service_is_retried(two_entries: Cluster) -> None:
+    two_entries.processes["service-records-0"].kill()
+    for number in range(8):
+        answer = log_slip(two_entries.callers_url(), f"slip-12-{number}")
+        assert answer.outcome == "answered"
+
+
+def test_repeatable_call_is_retried_after_its_agent_dies(
+    two_entries: Cluster,
+) -> None:
+    slow_services(two_entries)
+    call = BackgroundCall(
+        two_entries.callers_url(), "slip-13", Railfold_Repeatable="true"
+    )
+    two_entries.wait_until(
+        lambda: slips_logged(two_entries, "slip-13") == 1, "the call"
+    )
+    busy = [
+        agent["host"]
+        for agent in two_entries.status()["agents"]
+        if agent["services"] and agent["load"]
+    ]
+    two_entries.processes[f"agent-{busy[0]}"].kill()
+    assert call.result().outcome == "answered"
+
+
+def test_not_repeatable_generation_is_not_begun_again(
+    spare_cluster: Cluster,
+) -> None:
+    caller = StreamCaller(
+        spare_cluster.callers_url(), "unit 5", 400, Railfold_Repeatable="false"
+    )
+    caller.wait_tokens(3)
+    busy = [a["host"] for a in spare_cluster.status()["agents"] if a["load"]]
+    spare_cluster.processes[f"agent-{busy[1]}"].kill()
+    caller.finish()
+    assert caller.outcome["outcome"] == "failed"
+
+
+def test_deadline_ends_a_request_at_once(cluster: Cluster) -> None:
+    answer = generate(cluster.callers_url(), "unit 6", 8000, Railfold_Deadline_Ms="300")
+    assert (answer.status, answer.outcome) == (504, "failed")
+    assert answer.body["code"] == "deadline_expired"
+
+
+def test_caller_that_goes_away_frees_the_engines() -> None:
+    host = EngineHost("meter-a1", 0, 11)
+    with Cluster([host]) as cluster:
+        url = f"{cluster.engine_url(host.host)}/v1/status"
+        caller = StreamCaller(cluster.callers_url(), "unit 7", 8000)
+        caller.wait_tokens(2)
+        assert get(url)["open_sequences"] == 1
+        cluster.processes["entry-0"].kill()
+        cluster.wait_until(lambda: get(url)["open_sequences"] == 0, "the orphan's end")
+
+
+def test_answers_of_many_callers_do_not_mix(cluster: Cluster) -> None:
+    callers = [
+        StreamCaller(cluster.callers_url(), f"unit {i}", 20 + i) for i in range(16)
+    ]
+    for caller in callers:
+        caller.assert_whole()
+
+
+def test_status_of_a_service_passes_through(cluster: Cluster) -> None:
+    url = f"{cluster.callers_url()}/v1/services/line-records/nowhere"
+    answer = send(url, method="GET")
+    assert (answer.status, answer.outcome) == (404, "answered")
--- /dev/null
+++ b/tests/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that several tests share."""
