Publish, settle and explain: operators' commands and configuration faults

Cause: configuration could only be appended by hand, and its promises (one rule, never back, settled by write id) had no test under races, lost answers, outages and retention.

Change: commands validate, publish, delete, settle, show, diff, audit, wait, status, routes, explain and drain with exit codes; one scanner folds the stream over gaps that retention made, for entries and commands alike. Tests: two operators at one base, lost answer, lost append, outage before the append, entry starting in an outage, paused entry over expired records, restart.

Ruled out: settling by sending again; a change is looked for by its write id.

Conclusion: the outage and retention cases of configuration hold.

--- a/src/railfold/_internal/cli/main.py
+++ b/src/railfold/_internal/cli/main.py
@@ -11,6 +11,10 @@
 from railfold._internal.commands.agent import agent
 from railfold._internal.commands.check import check
 from railfold._internal.commands.entry import entry
+from railfold._internal.commands.publish import delete, publish, settle
+from railfold._internal.commands.show import audit, diff, show
+from railfold._internal.commands.status import drain, explain, routes, status, wait
+from railfold._internal.commands.validate import validate
 from railfold._internal.errors import RailfoldError
 
 __all__ = ["cli", "main"]
@@ -22,7 +26,23 @@
     """Route model pipelines over mixed accelerators."""
 
 
-for command in (agent, check, entry):
+for command in (
+    agent,
+    audit,
+    check,
+    delete,
+    diff,
+    drain,
+    entry,
+    explain,
+    publish,
+    routes,
+    settle,
+    show,
+    status,
+    validate,
+    wait,
+):
     cli.add_command(command)
 
 
@@ -53,4 +73,7 @@
     "configuration_conflict": 5,
     "write_unsettled": 6,
     "log_unavailable": 7,
+    "records_expired": 7,
+    "process_unreachable": 8,
+    "version_not_in_force": 9,
 }
--- /dev/null
+++ b/src/railfold/_internal/configuration/scanner.py
@@ -0,0 +1,96 @@
+"""Reading the configuration stream, over gaps that retention has made."""
+
+from __future__ import annotations
+
+import msgspec
+from absl import logging
+
+from railfold._internal.configuration.replica import ConfigurationReplica
+from railfold._internal.decisions.configuration import CheckpointRecord, state_digest
+from railfold._internal.observability.metrics import Metrics
+from railfold._internal.platform.log import LogRecord
+
+__all__ = ["ConfigurationScanner", "FoldedRecord"]
+
+
+class FoldedRecord(msgspec.Struct, frozen=True):
+    """A record that was folded.
+
+    :param previous: the replica's next offset before it.
+    :param checkpoint: the record, if it is a checkpoint.
+    """
+
+    previous: int
+    data: bytes
+    checkpoint: CheckpointRecord | None
+
+
+class ConfigurationScanner:
+    """Folds log records into a replica.
+
+    Where records that weren't folded have expired, nothing is folded until a
+    checkpoint, or a peer's copy, leads over the gap.
+    """
+
+    def __init__(self, replica: ConfigurationReplica, metrics: Metrics) -> None:
+        self._replica = replica
+        self._metrics = metrics
+        self._first_kept = 0
+        self._scan_offset = 0
+
+    @property
+    def in_gap(self) -> bool:
+        """Whether records that weren't folded have expired."""
+        return self._replica.configuration.next_offset < self._first_kept
+
+    def next_offset(self) -> int:
+        """Return the offset to read from."""
+        if self.in_gap:
+            return max(self._scan_offset, self._first_kept)
+        return self._replica.configuration.next_offset
+
+    def expired(self, first_offset: int) -> int:
+        """Take note that records before ``first_offset`` have expired.
+
+        :returns: the offset to go on from.
+        """
+        self._first_kept = first_offset
+        self._scan_offset = first_offset
+        return self.next_offset()
+
+    def record(self, record: LogRecord) -> FoldedRecord | None:
+        """Take one record; return it if it was folded."""
+        data = msgspec.json.encode(record.body)
+        checkpoint = _as_checkpoint(data)
+        if self.in_gap:
+            self._scan_offset = record.offset + 1
+            if checkpoint is not None:
+                self._restore(checkpoint)
+            return None
+        previous = self._replica.configuration.next_offset
+        if record.offset < previous:
+            return None
+        self._replica.fold(record.offset, record.appended_s, data)
+        return FoldedRecord(previous, data, checkpoint)
+
+    def _restore(self, checkpoint: CheckpointRecord) -> None:
+        state = msgspec.json.encode(checkpoint.state, order="sorted")
+        next_offset = checkpoint.covers_offset + 1
+        usable = next_offset >= self._first_kept
+        if state_digest(state) != checkpoint.digest or not usable:
+            self._metrics.count("configuration.checkpoints_refused")
+            logging.error(
+                "checkpoint by %s (covers %d) is refused",
+                checkpoint.writer,
+                checkpoint.covers_offset,
+            )
+            return
+        logging.info("configuration restored from checkpoint of %s", checkpoint.writer)
+        self._replica.restore_state(checkpoint.state, next_offset)
+
+
+def _as_checkpoint(data: bytes) -> CheckpointRecord | None:
+    try:
+        return msgspec.json.decode(data, type=CheckpointRecord)
+    except msgspec.MsgspecError:
+        return None
--- a/src/railfold/_internal/entry/configuration.py
+++ b/src/railfold/_internal/entry/configuration.py
@@ -8,11 +8,11 @@
 from collections.abc import Callable
 
 import msgspec
-from absl import logging
 
 from railfold._internal.configuration.replica import ConfigurationReplica
+from railfold._internal.configuration.scanner import ConfigurationScanner
 from railfold._internal.decisions.checkpoints import CheckpointSchedule
-from railfold._internal.decisions.configuration import CheckpointRecord, state_digest
+from railfold._internal.decisions.configuration import CheckpointRecord
 from railfold._internal.errors import LogUnavailableError
 from railfold._internal.links.messages import ConfigurationChange
 from railfold._internal.observability.metrics import Metrics
@@ -50,49 +50,33 @@
         self._broadcast = broadcast
         self._metrics = metrics
         self._rng = rng
-        self._first_kept = 0
-        self._scan_offset = 0
+        self._scanner = ConfigurationScanner(replica, metrics)
         self.caught_up_once = False
 
-    @property
-    def _in_gap(self) -> bool:
-        # Records that this process hasn't folded have expired: only a
-        # checkpoint or a peer's copy leads over the gap.
-        return self._replica.configuration.next_offset < self._first_kept
-
     @property
     def ready(self) -> bool:
         """Whether this process has a configuration to work with."""
         if self._replica.version > 0:
             return True
-        return self.caught_up_once and not self._in_gap
+        return self.caught_up_once and not self._scanner.in_gap
 
     def next_offset(self) -> int:
         """Return the offset to read from."""
-        if self._in_gap:
-            return max(self._scan_offset, self._first_kept)
-        return self._replica.configuration.next_offset
+        return self._scanner.next_offset()
 
     def record(self, record: LogRecord) -> None:
-        """Take one record."""
-        data = msgspec.json.encode(record.body)
-        checkpoint = _as_checkpoint(data)
-        if self._in_gap:
-            self._scan_offset = record.offset + 1
-            if checkpoint is not None:
-                self._restore(checkpoint)
-            return
-        previous = self._replica.configuration.next_offset
-        if record.offset < previous:
+        """Take one record, and pass it on to the agents."""
+        folded = self._scanner.record(record)
+        if folded is None:
             return
-        self._replica.fold(record.offset, record.appended_s, data)
         self._broadcast(
-            ConfigurationChange(previous, record.offset, record.appended_s, data)
+            ConfigurationChange(
+                folded.previous, record.offset, record.appended_s, folded.data
+            )
         )
-        now_s = asyncio.get_running_loop().time()
-        if checkpoint is None:
-            self._schedule.record_seen(now_s)
-        elif checkpoint.digest == self._replica.configuration.digest():
+        if folded.checkpoint is None:
+            self._schedule.record_seen(asyncio.get_running_loop().time())
+        elif folded.checkpoint.digest == self._replica.configuration.digest():
             self._schedule.checkpoint_seen()
 
     def caught_up(self, next_offset: int) -> None:
@@ -101,26 +85,7 @@
 
     def expired(self, first_offset: int) -> int:
         """Records were lost to retention: look for a checkpoint."""
-        self._first_kept = first_offset
-        self._scan_offset = first_offset
-        return self.next_offset()
-
-    def _restore(self, checkpoint: CheckpointRecord) -> None:
-        state = msgspec.json.encode(checkpoint.state, order="sorted")
-        next_offset = checkpoint.covers_offset + 1
-        usable = next_offset >= self._first_kept
-        if state_digest(state) != checkpoint.digest or not usable:
-            self._metrics.count("configuration.checkpoints_refused")
-            logging.error(
-                "checkpoint by %s (covers %d) is refused",
-                checkpoint.writer,
-                checkpoint.covers_offset,
-            )
-            return
-        logging.info(
-            "configuration restored from a checkpoint by %s", checkpoint.writer
-        )
-        self._replica.restore_state(checkpoint.state, next_offset)
+        return self._scanner.expired(first_offset)
 
     async def run_checkpoints(self, ready: asyncio.Event) -> None:
         """Child: write a checkpoint when one is due and nobody else does."""
@@ -149,10 +114,3 @@
         except LogUnavailableError:
             # It stays due; a checkpoint that did take effect will be met.
             self._metrics.count("configuration.checkpoint_failures")
-
-
-def _as_checkpoint(data: bytes) -> CheckpointRecord | None:
-    try:
-        return msgspec.json.decode(data, type=CheckpointRecord)
-    except msgspec.MsgspecError:
-        return None
--- a/src/railfold/_internal/entry/process.py
+++ b/src/railfold/_internal/entry/process.py
@@ -29,6 +29,11 @@
 from railfold._internal.entry.claims import ClaimKeeper
 from railfold._internal.entry.configuration import ConfigurationKeeper
 from railfold._internal.entry.dispatch import Dispatcher
+from railfold._internal.entry.explain import (
+    ExplainHandler,
+    Explanation,
+    explain_pipeline,
+)
 from railfold._internal.entry.generate import RoutingContext
 from railfold._internal.entry.parsing import RequestParser
 from railfold._internal.links.connection import LinkLimits
@@ -91,9 +96,10 @@
             self.metrics,
             settings.platform.read_wait_s,
         )
+        self._context = self._make_context()
         self._dispatcher = Dispatcher(
             settings.name,
-            self._make_context(),
+            self._context,
             self._admission,
             self._claims,
             self._claims_readable,
@@ -227,9 +233,6 @@
             "failure_domain": self._settings.failure_domain,
             "region": self._settings.region,
             "configuration_version": self._replica.version,
-            "agents_behind": sorted(
-                host for host, v in versions.items() if v < self._replica.version
-            ),
             "draining": self._draining,
             "missing": self._missing(),
             "in_flight": self._agents.in_flight,
@@ -242,6 +245,7 @@
             "agents": [
                 {
                     "host": member.host,
+                    "configuration_version": versions.get(member.host, 0),
                     "state": member.standing,
                     "failure_domain": member.failure_domain,
                     "load": member.load,
@@ -257,6 +261,15 @@
             "counters": dict(self.metrics.counters),
         }
 
+    def explain(self, name: str) -> Explanation | None:
+        """Return why a request of a pipeline would go where, if it exists."""
+        pipeline = self._replica.configuration.pipelines.get(name)
+        if pipeline is None:
+            return None
+        return explain_pipeline(
+            pipeline, self._agents.view, self._context.costs, self._context.weights
+        )
+
     def audit(self) -> list[dict[str, Any]]:
         """Return the audit trail, oldest first."""
         entries = self._replica.configuration.audit
@@ -301,6 +314,7 @@
                 ("/healthz", HealthHandler),
                 ("/readyz", ReadyHandler, {"missing": self._missing}),
                 ("/v1/status", JsonHandler, {"source": self.status}),
+                ("/v1/explain", ExplainHandler, {"explain": self.explain}),
                 ("/v1/audit", JsonHandler, {"source": self.audit}),
                 (
                     "/v1/configuration",
--- a/src/railfold/_internal/errors.py
+++ b/src/railfold/_internal/errors.py
@@ -27,6 +27,7 @@
     "NotReadyError",
     "OverloadedError",
     "PolicyRefusedError",
+    "ProcessUnreachableError",
     "RailfoldError",
     "RecordsExpiredError",
     "RequestError",
@@ -34,6 +35,7 @@
     "SettingsError",
     "UnauthorizedError",
     "UnknownTargetError",
+    "VersionNotInForceError",
     "WriteUnsettledError",
 ]
 
@@ -209,6 +211,18 @@
     code = "write_unsettled"
 
 
+class ProcessUnreachableError(RailfoldError):
+    """A process's operator port doesn't answer."""
+
+    code = "process_unreachable"
+
+
+class VersionNotInForceError(RailfoldError):
+    """A configuration version isn't in force everywhere in time."""
+
+    code = "version_not_in_force"
+
+
 class ConfigurationRefusedError(RailfoldError):
     """A configuration change is invalid; ``faults`` lists every fault found."""
 
--- /dev/null
+++ b/src/railfold/_internal/operations/__init__.py
@@ -0,0 +1,1 @@
+"""What operators do: publish configuration, look at processes, drain them."""
--- /dev/null
+++ b/src/railfold/_internal/operations/processes.py
@@ -0,0 +1,94 @@
+"""Looking at running processes through their operator ports."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+from urllib.parse import urlencode
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPError
+
+from railfold._internal.errors import ProcessUnreachableError, VersionNotInForceError
+
+__all__ = ["drain", "explain", "fetch", "wait_in_force"]
+
+_TIMEOUT_S = 5.0
+_POLL_S = 0.1
+
+
+async def fetch(http: AsyncHTTPClient, url: str, path: str) -> Any:
+    """Return the JSON at an operator port's ``path``.
+
+    :raises ProcessUnreachableError: the process doesn't answer.
+    """
+    try:
+        response = await http.fetch(f"{url}{path}", request_timeout=_TIMEOUT_S)
+    except (HTTPError, OSError) as error:
+        raise ProcessUnreachableError(
+            f"the process at {url} doesn't answer",
+            why=str(error),
+            hint="check the address of its operator port",
+        ) from error
+    return msgspec.json.decode(response.body)
+
+
+async def drain(http: AsyncHTTPClient, url: str) -> None:
+    """Begin a drain.
+
+    :raises ProcessUnreachableError: the process doesn't answer.
+    """
+    try:
+        await http.fetch(
+            f"{url}/v1/drain", method="POST", body=b"", request_timeout=_TIMEOUT_S
+        )
+    except (HTTPError, OSError) as error:
+        raise ProcessUnreachableError(
+            f"the process at {url} doesn't answer", why=str(error)
+        ) from error
+
+
+async def explain(http: AsyncHTTPClient, url: str, pipeline: str) -> Any:
+    """Return why an entry would send a request where.
+
+    :raises ProcessUnreachableError: the entry doesn't answer.
+    """
+    query = urlencode({"pipeline": pipeline})
+    return await fetch(http, url, f"/v1/explain?{query}")
+
+
+async def wait_in_force(
+    http: AsyncHTTPClient, urls: list[str], version: int, timeout_s: float
+) -> None:
+    """Return once ``version`` is in force at all entries and their agents.
+
+    :raises VersionNotInForceError: it wasn't in time; says where.
+    """
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + timeout_s
+    while True:
+        behind = [line for url in urls for line in await _behind(http, url, version)]
+        if not behind:
+            return
+        if loop.time() >= deadline_s:
+            raise VersionNotInForceError(
+                f"version {version} isn't in force everywhere",
+                why="; ".join(behind),
+                hint="look at the processes named with 'railfold status'",
+            )
+        await asyncio.sleep(_POLL_S)
+
+
+async def _behind(http: AsyncHTTPClient, url: str, version: int) -> list[str]:
+    try:
+        status = await fetch(http, url, "/v1/status")
+    except ProcessUnreachableError as error:
+        return [error.what]
+    here = status["configuration_version"]
+    if here < version:
+        return [f"entry {status['name']} is at {here}"]
+    return [
+        f"agent {agent['host']} is at {agent['configuration_version']}"
+        for agent in status["agents"]
+        if agent["configuration_version"] < version
+    ]
