--- /dev/null
+++ b/benchmarks/lib.py
@@ -0,0 +1,132 @@
+"""What several benchmarks share: tables, process figures and load."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import statistics
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import psutil
+from tornado.httpclient import AsyncHTTPClient
+
+from standins.cluster import PIPELINE, Cluster, caller_headers
+
+MEBIBYTE = 1024 * 1024
+
+
+def print_table(title: str, header: Sequence[str], rows: Sequence[Sequence[object]]) -> None:
+    """Print a table with aligned columns."""
+    cells = [list(header)] + [[_text(cell) for cell in row] for row in rows]
+    widths = [max(len(row[i]) for row in cells) for i in range(len(header))]
+    print(f"\n{title}")
+    for number, row in enumerate(cells):
+        print("  " + "  ".join(cell.rjust(w) for cell, w in zip(row, widths, strict=True)))
+        if number == 0:
+            print("  " + "  ".join("-" * width for width in widths))
+
+
+def _text(cell: object) -> str:
+    return f"{cell:.3g}" if isinstance(cell, float) else str(cell)
+
+
+def percentile(values: Sequence[float], share: float) -> float:
+    """Return a percentile of ``values``; ``share`` is from 0 to 1."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+@dataclass(frozen=True)
+class Usage:
+    """A process's processor time and memory at one moment."""
+
+    cpu_s: float
+    resident_mib: float
+
+
+def usage(cluster: Cluster, name: str) -> Usage:
+    """Return a process's usage."""
+    process = psutil.Process(cluster.processes[name].popen.pid)
+    times = process.cpu_times()
+    return Usage(times.user + times.system, process.memory_info().rss / MEBIBYTE)
+
+
+@dataclass
+class StreamTimes:
+    """When one streamed answer's pieces came, in seconds from its start."""
+
+    first_token_s: float = 0.0
+    gaps_s: list[float] = field(default_factory=list)
+    tokens: int = 0
+    outcome: str = ""
+    total_s: float = 0.0
+
+
+async def stream(
+    http: AsyncHTTPClient,
+    base_url: str,
+    prompt: str,
+    max_tokens: int,
+    workspace: str = "quality",
+    **headers: str,
+) -> StreamTimes:
+    """Stream one answer and time its pieces."""
+    times = StreamTimes()
+    started_s = time.perf_counter()
+    last_s = started_s
+    rest = b""
+
+    def take(chunk: bytes) -> None:
+        nonlocal last_s, rest
+        rest += chunk
+        *events, rest = rest.split(b"\n\n")
+        for event in events:
+            now_s = time.perf_counter()
+            name, _, data = event.partition(b"\ndata: ")
+            if name == b"event: tokens":
+                count = data[data.index(b"[") : data.index(b"]")].count(b",") + 1
+                if times.tokens:
+                    times.gaps_s += [(now_s - last_s) / count] * count
+                else:
+                    times.first_token_s = now_s - started_s
+                times.tokens += count
+                last_s = now_s
+            else:
+                times.outcome = json.loads(data)["outcome"]
+
+    response = await http.fetch(
+        f"{base_url}/v1/pipelines/{PIPELINE}/generate",
+        method="POST",
+        headers=caller_headers(workspace, **headers),
+        body=json.dumps({"prompt": prompt, "max_tokens": max_tokens, "stream": True}),
+        streaming_callback=take,
+        request_timeout=300.0,
+        raise_error=False,
+    )
+    times.outcome = times.outcome or response.headers.get("Railfold-Outcome", "failed")
+    times.total_s = time.perf_counter() - started_s
+    return times
+
+
+def new_client(most: int = 512) -> AsyncHTTPClient:
+    """Return a client for load."""
+    AsyncHTTPClient.configure("tornado.curl_httpclient.CurlAsyncHTTPClient")
+    return AsyncHTTPClient(force_instance=True, max_clients=most)
+
+
+def median(values: Sequence[float]) -> float:
+    """Return the median, or 0 of nothing."""
+    return statistics.median(values) if values else 0.0
+
+
+def prompt(number: int) -> str:
+    """Return a prompt that differs for each number."""
+    return hashlib.blake2b(str(number).encode(), digest_size=8).hexdigest()
+
+
+def run(coroutine) -> object:  # noqa: ANN001
+    """Run a benchmark's coroutine."""
+    return asyncio.run(coroutine)
--- a/src/railfold/_internal/agent/engine_backend.py
+++ b/src/railfold/_internal/agent/engine_backend.py
@@ -11,7 +11,7 @@
 from railfold._internal.agent.backend import BackendReport
 from railfold._internal.agent.peers import PeerLinks
 from railfold._internal.core import AttemptId, Token
-from railfold._internal.decisions.batching import batch_limit
+from railfold._internal.decisions.batching import RoundBatcher
 from railfold._internal.decisions.sequences import (
     CancelReceived,
     CloseEngineSequence,
@@ -94,7 +94,7 @@
         self._peers = peers
         self._metrics = metrics
         self._capacity = capacity
-        self._max_batch = max_batch
+        self._batcher = RoundBatcher(max_batch)
         self._status_interval_s = status_interval_s
         self._owner_link = owner_link
         self._on_change = on_change
@@ -278,10 +278,11 @@
             await self._free_closed()
 
     async def _step(self) -> None:
-        limit = batch_limit(
-            len(self._table), self._table.longest_chain(), self._max_batch
+        ready = [run.attempt_id for run in self._ready]
+        count = self._batcher.take(
+            ready, len(self._table), self._table.longest_chain()
         )
-        runs = [self._ready.popleft() for _ in range(min(limit, len(self._ready)))]
+        runs = [self._ready.popleft() for _ in range(count)]
         items = [_step_item(run) for run in runs]
         loop = asyncio.get_running_loop()
         self._times.started(loop.time())
--- a/src/railfold/_internal/decisions/batching.py
+++ b/src/railfold/_internal/decisions/batching.py
@@ -1,21 +1,46 @@
 """How many ready sequences one engine step takes.
 
-If a stage took all that is ready, the sequences of a chain would gather into
-one cohort, and while one stage runs it the others would idle. Splitting the
-open sequences evenly over the chain's stages keeps all stages busy.
+A sequence passes each stage of its chain once for each token. If a stage took
+all that is ready, the sequences would gather into one cohort, and while one
+stage runs it the others would idle. If it took them as they trickle in, there
+would be more cohorts than stages, and each would wait for the others. So each
+round of a stage, in which every open sequence passes once, is split into as
+many even steps as the chain has stages.
 """
 
 from __future__ import annotations
 
-__all__ = ["batch_limit"]
+from collections.abc import Hashable, Sequence
 
+__all__ = ["RoundBatcher"]
 
-def batch_limit(open_sequences: int, stages: int, max_batch: int) -> int:
-    """Return the most sequences to give to the next engine step.
 
-    :param open_sequences: attempts open at this stage.
-    :param stages: stages of the longest open chain.
-    :param max_batch: the engine's own limit.
+class RoundBatcher:
+    """Splits the sequences of one stage into even steps.
+
+    :param max_batch: the most sequences that the engine takes in one step.
     """
-    even_share = -(-open_sequences // max(1, stages))
-    return max(1, min(max_batch, even_share))
+
+    def __init__(self, max_batch: int) -> None:
+        self._max_batch = max_batch
+        self._ran: set[Hashable] = set()
+        self._steps = 0
+
+    def take(
+        self, ready: Sequence[Hashable], open_sequences: int, stages: int
+    ) -> int:
+        """Return how many of ``ready``, from its front, the next step takes.
+
+        :param open_sequences: sequences open at this stage, ready or not.
+        :param stages: stages of the longest open chain.
+        """
+        if self._steps >= stages or ready[0] in self._ran:
+            self._ran.clear()
+            self._steps = 0
+        steps_left = max(1, stages - self._steps)
+        expected = max(len(ready), open_sequences - len(self._ran))
+        share = -(-expected // steps_left)
+        count = max(1, min(share, len(ready), self._max_batch))
+        self._ran.update(ready[:count])
+        self._steps += 1
+        return count
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import hashlib
+import time
 import uuid
 from dataclasses import dataclass, field
 from typing import Any
@@ -181,7 +182,9 @@
         async with state.lock:
             await state.frozen.wait()
             step_ms = spec.fixed_ms + spec.per_sequence_ms * len(items)
-            await asyncio.sleep(step_ms / 1000.0)
+            # A thread's sleep is true to a tenth of a millisecond; the loop's
+            # timers are late by one or two.
+            await asyncio.to_thread(time.sleep, step_ms / 1000.0)
             results = [state.run(item) for item in items]
             state.steps += 1
             state.sequence_steps += len(items)
