--- a/benchmarks/lib.py
+++ b/benchmarks/lib.py
@@ -66,6 +66,7 @@
     gaps_s: list[float] = field(default_factory=list)
     tokens: int = 0
     outcome: str = ""
+    attempts: int = 0
     total_s: float = 0.0
 
 
@@ -99,7 +100,9 @@
                 times.tokens += count
                 last_s = now_s
             else:
-                times.outcome = json.loads(data)["outcome"]
+                final = json.loads(data)
+                times.outcome = final["outcome"]
+                times.attempts = final.get("attempts", 0)
 
     response = await http.fetch(
         f"{base_url}/v1/pipelines/{PIPELINE}/generate",
--- /dev/null
+++ b/benchmarks/recovery.py
@@ -0,0 +1,202 @@
+"""Time from a stage's death to the next token, as a ratio to the step time.
+
+Kills and freezes agents under streams that are under way, and takes the
+longest gap between tokens that each stream saw. The time of one token over the
+whole chain, measured before the fault, is the unit. Also compares the ways of
+going on: prefill from prompt plus emitted tokens (what railfold does) against
+beginning the whole answer again, which the callers do where recovery is off.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from benchmarks.lib import (
+    StreamTimes,
+    median,
+    new_client,
+    print_table,
+    prompt,
+    run,
+    stream,
+)
+from standins.cluster import Cluster, EngineHost, post
+
+FIXED_MS = 10.0
+TOKENS = 120
+STREAMS = 8
+FAULT_AFTER_S = 1.5
+DOMAINS = ("hall-a", "hall-b", "depot-c")
+
+Fault = Callable[[Cluster, list[str]], None]
+
+
+def hosts() -> list[EngineHost]:
+    """Nine hosts: each third of the layers in each failure domain."""
+    return [
+        EngineHost(
+            f"meter-{stage}{copy}",
+            stage * 4,
+            stage * 4 + 3,
+            domain,
+            fixed_ms=FIXED_MS,
+            max_sequences=32,
+        )
+        for stage in range(3)
+        for copy, domain in enumerate(DOMAINS)
+    ]
+
+
+def busy(cluster: Cluster) -> list[str]:
+    """Return hosts with sequences, in layer order."""
+    agents = cluster.status()["agents"]
+    return sorted(agent["host"] for agent in agents if agent["load"] > 0)
+
+
+def kill_one(cluster: Cluster, names: list[str]) -> None:
+    """Kill the agent of the middle stage."""
+    cluster.processes[f"agent-{middle(names)}"].kill()
+
+
+def kill_two(cluster: Cluster, names: list[str]) -> None:
+    """Kill the agents of the first and last stage together."""
+    for name in (names[0], names[-1]):
+        cluster.processes[f"agent-{name}"].kill()
+
+
+def kill_domain(cluster: Cluster, names: list[str]) -> None:
+    """Kill a whole failure domain, agents and engines."""
+    domain = next(h.failure_domain for h in cluster.engines if h.host == names[0])
+    for host in cluster.engines:
+        if host.failure_domain == domain:
+            cluster.processes[f"agent-{host.host}"].kill()
+            cluster.processes[f"engine-{host.host}"].kill()
+
+
+def kill_one_without_log(cluster: Cluster, names: list[str]) -> None:
+    """Kill the agent of the middle stage while the platform is out."""
+    cluster.fault("out")
+    kill_one(cluster, names)
+
+
+def freeze_agent(cluster: Cluster, names: list[str]) -> None:
+    """Freeze the agent of the middle stage."""
+    cluster.processes[f"agent-{middle(names)}"].freeze()
+
+
+def freeze_engine(cluster: Cluster, names: list[str]) -> None:
+    """Freeze the engine of the middle stage."""
+    post(f"{cluster.engine_url(middle(names))}/control/freeze", {})
+
+
+def middle(names: list[str]) -> str:
+    """Return the busy host that holds the middle layers."""
+    return next(name for name in names if name.startswith("meter-1"))
+
+
+FAULTS: dict[str, Fault] = {
+    "agent killed": kill_one,
+    "two agents killed": kill_two,
+    "failure domain killed": kill_domain,
+    "agent killed, log out": kill_one_without_log,
+    "agent frozen": freeze_agent,
+    "engine frozen": freeze_engine,
+}
+
+
+@dataclass(frozen=True)
+class Case:
+    """What one fault did to the streams.
+
+    :param stalls_s: for each stream that was hit, its wait for the next token.
+    """
+
+    whole: int
+    token_s: float
+    stalls_s: list[float]
+
+    def row(self, name: str) -> list[object]:
+        """Return the table's row."""
+        stall_s = median(self.stalls_s)
+        return [
+            name,
+            f"{self.whole}/{STREAMS}",
+            len(self.stalls_s),
+            self.token_s * 1000,
+            stall_s * 1000,
+            stall_s / self.token_s,
+            max(self.stalls_s, default=0.0) / self.token_s,
+        ]
+
+
+async def play(fault: Fault) -> Case:
+    """Run streams, apply the fault, and wait for the answers."""
+    with Cluster(hosts()) as cluster:
+        http = new_client()
+        url = cluster.callers_url()
+        tasks = [
+            asyncio.create_task(stream(http, url, prompt(n), TOKENS))
+            for n in range(STREAMS)
+        ]
+        await asyncio.sleep(FAULT_AFTER_S)
+        names = await asyncio.to_thread(busy, cluster)
+        await asyncio.to_thread(fault, cluster, names)
+        answers = await asyncio.gather(*tasks)
+    token_s = median([median(t.gaps_s) for t in answers])
+    stalls_s = [max(t.gaps_s) for t in answers if t.attempts > 1]
+    return Case(sum(t.outcome == "answered" for t in answers), token_s, stalls_s)
+
+
+async def begin_again() -> Case:
+    """Kill an agent, without recovery: the callers send the request again.
+
+    The wait ends when the second answer passes the first one's length.
+    """
+    overrides = {"routing": {"max_attempts": 1}}
+    with Cluster(hosts(), entry_overrides=overrides) as cluster:
+        http = new_client()
+        url = cluster.callers_url()
+
+        async def with_caller_retry(number: int) -> tuple[StreamTimes, float]:
+            first = await stream(http, url, prompt(number), TOKENS)
+            if first.outcome == "answered":
+                return first, 0.0
+            failed_s = time.perf_counter()
+            second = await stream(http, url, prompt(number), first.tokens + 1)
+            assert second.outcome == "answered"
+            return second, time.perf_counter() - failed_s
+
+        tasks = [asyncio.create_task(with_caller_retry(n)) for n in range(STREAMS)]
+        await asyncio.sleep(FAULT_AFTER_S)
+        names = await asyncio.to_thread(busy, cluster)
+        await asyncio.to_thread(kill_one, cluster, names)
+        results = await asyncio.gather(*tasks)
+    token_s = median([median(times.gaps_s) for times, _ in results])
+    stalls_s = [stall_s for _, stall_s in results if stall_s]
+    return Case(len(results), token_s, stalls_s)
+
+
+async def main() -> None:
+    """Measure and print."""
+    rows = [(await play(fault)).row(name) for name, fault in FAULTS.items()]
+    rows.append((await begin_again()).row("agent killed, begun again"))
+    print_table(
+        f"{STREAMS} streams over 3 stages of {FIXED_MS} ms; stalls in token times",
+        [
+            "fault",
+            "whole",
+            "hit",
+            "token ms",
+            "stall p50 ms",
+            "stall p50",
+            "stall worst",
+        ],
+        rows,
+    )
+
+
+if __name__ == "__main__":
+    run(main())
--- a/src/railfold/_internal/decisions/heartbeats.py
+++ b/src/railfold/_internal/decisions/heartbeats.py
@@ -55,14 +55,20 @@
         self._last_s = None
         self._opened_s = now_s
 
-    def token(self, now_s: float) -> None:
-        """A token arrived."""
+    def token(self, now_s: float) -> bool:
+        """A token arrived; return whether the next one is due sooner than before.
+
+        That is so at an attempt's first token: until then the limit is the one
+        for first tokens.
+        """
+        is_first = self._last_s is None
         if self._last_s is not None:
             gap_s = now_s - self._last_s
             mean_s = self._mean_gap_s
             self._mean_gap_s = gap_s if mean_s is None else 0.8 * mean_s + 0.2 * gap_s
         self._last_s = now_s
         self._patience = 1.0
+        return is_first
 
     def probed(self, now_s: float) -> None:
         """All stages answered a probe: wait twice as long for the next."""
--- a/src/railfold/_internal/decisions/stalls.py
+++ b/src/railfold/_internal/decisions/stalls.py
@@ -15,8 +15,8 @@
     least ``floor_s``: a prefill takes many times a decode step.
     """
 
-    factor: float = 20.0
-    floor_s: float = 1.0
+    factor: float = 10.0
+    floor_s: float = 0.6
     mean_s: float = 0.0
     _started_s: float | None = None
 
--- a/src/railfold/_internal/entry/generate.py
+++ b/src/railfold/_internal/entry/generate.py
@@ -139,8 +139,9 @@
         """Take an agent's message about this request."""
         match message:
             case EmittedToken(attempt=attempt, token=token, lineage=lineage):
-                if attempt == self._lifecycle.attempt:
-                    self._overdue.token(self._loop.time())
+                is_newest = attempt == self._lifecycle.attempt
+                if is_newest and self._overdue.token(self._loop.time()):
+                    self._arm()
                 self._feed(TokenArrived(attempt, token, lineage))
             case SequenceRefused(attempt=attempt, reason=reason):
                 self._feed(StageRefused(attempt, host, reason))
--- a/src/railfold/_internal/settings/models.py
+++ b/src/railfold/_internal/settings/models.py
@@ -95,9 +95,9 @@
     max_attempts: int = Field(default=6, ge=1, le=100)
     retry_share: float = Field(default=0.2, ge=0, le=10)
     retry_burst: float = Field(default=200.0, ge=1)
-    probe_timeout_s: Seconds = 0.25
-    overdue_floor_s: Seconds = 0.25
-    overdue_factor: float = Field(default=8.0, ge=2)
+    probe_timeout_s: Seconds = 0.2
+    overdue_floor_s: Seconds = 0.1
+    overdue_factor: float = Field(default=4.0, ge=2)
     first_token_overdue_s: Seconds = 2.0
     max_waiting: int = Field(default=2000, ge=1)
     max_waiting_per_workspace: int = Field(default=500, ge=1)
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -108,6 +108,7 @@
     command: list[str] = field(
         default_factory=lambda: [sys.executable, "-m", "railfold"]
     )
+    environment: dict[str, str] = field(default_factory=dict)
     processes: dict[str, Process] = field(default_factory=dict)
     ports: dict[str, int] = field(default_factory=dict)
 
@@ -271,7 +272,9 @@
 
     def _spawn(self, name: str, command: list[str]) -> None:
         log = (self.folder / f"{name}.log").open("ab")
-        environment = dict(os.environ, PYTHONPATH=os.pathsep.join(sys.path))
+        environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
+        if command[: len(self.command)] == self.command:
+            environment.update(self.environment)
         popen = subprocess.Popen(
             command, stdout=log, stderr=log, env=environment, cwd=self.folder
         )
--- /dev/null
+++ b/tests/unit/test_generate_driver.py
@@ -0,0 +1,172 @@
+"""The driver of a generate request, with a paused clock and no processes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from railfold._internal.core import (
+    Answered,
+    GenerateRequest,
+    LayerRange,
+    NotRun,
+    Stage,
+    StageRun,
+    Token,
+)
+from railfold._internal.decisions.configuration import Pipeline
+from railfold._internal.decisions.lifecycle import LifecycleLimits
+from railfold._internal.decisions.membership import (
+    AgentReport,
+    HostListed,
+    LinkUp,
+    ListedHost,
+    Loaded,
+    MembershipView,
+)
+from railfold._internal.decisions.planner import LinkCosts, PlannerWeights
+from railfold._internal.decisions.retry_budget import RetryBudget
+from railfold._internal.entry.generate import GenerateDriver, RoutingContext
+from railfold._internal.links.connection import LinkMessage
+from railfold._internal.links.messages import EmittedToken, OpenSequence
+from railfold._internal.observability.metrics import Metrics
+
+pytestmark = [pytest.mark.asyncio, pytest.mark.looptime]
+
+FLOOR_S = 0.1
+LAYERS = {"a1": LayerRange(0, 5), "a2": LayerRange(0, 5), "b1": LayerRange(6, 11)}
+PIPELINE = Pipeline("inspect-llm", "inspect-llm", "1", 12, LAYERS)
+
+
+class FakeAgents:
+    """Plays the agent pool: remembers what was sent and probed."""
+
+    def __init__(self) -> None:
+        self.view = MembershipView()
+        self.opened: list[OpenSequence] = []
+        self.probed_at_s: list[float] = []
+        self.silent: frozenset[str] = frozenset()
+        self.driver: GenerateDriver | None = None
+        self.view.apply(HostListed(tuple(ListedHost(h, "10.0.0.1:1") for h in LAYERS)))
+        for host, layers in LAYERS.items():
+            self.view.apply(LinkUp(host, "10.0.0.1:1", 1, "hall-a", "west"))
+            loaded = (Loaded("inspect-llm", "1", layers),)
+            report = AgentReport(host, 1, "serving", 0, 8, 10.0, loaded, ())
+            self.view.apply(report)
+
+    def register(self, request_id: str, driver: GenerateDriver) -> None:
+        self.driver = driver
+
+    def unregister(self, request_id: str) -> None:
+        self.driver = None
+
+    def send(self, stage: Stage, message: LinkMessage) -> bool:
+        if isinstance(message, OpenSequence):
+            self.opened.append(message)
+        return True
+
+    async def probe(self, stages: tuple[Stage, ...]) -> frozenset[str]:
+        self.probed_at_s.append(asyncio.get_running_loop().time())
+        if self.silent and self.driver is not None:
+            self.driver.hosts_lost(self.silent)
+        return self.silent
+
+    def emit(self, step: int) -> None:
+        """Send the token of a step, with its lineage, to the driver."""
+        newest = self.opened[-1]
+        lineage = tuple(
+            StageRun(s.host, s.incarnation, newest.attempt, s.layers)
+            for s in newest.chain.stages
+        )
+        token = Token(step, 100 + step, "t")
+        assert self.driver is not None
+        message = EmittedToken("r1", newest.attempt, token, lineage)
+        self.driver.message("b1", message)
+
+
+def start(agents: FakeAgents, max_tokens: int = 3) -> asyncio.Task:  # type: ignore[type-arg]
+    context = RoutingContext(
+        agents=agents,  # type: ignore[arg-type]
+        metrics=Metrics(),
+        budget=RetryBudget(),
+        costs=LinkCosts(),
+        weights=PlannerWeights(),
+        lifecycle_limits=LifecycleLimits(),
+        overdue_floor_s=FLOOR_S,
+        overdue_factor=4.0,
+        first_token_overdue_s=2.0,
+        rng=random.Random(1),
+    )
+    now_s = asyncio.get_running_loop().time()
+    request = GenerateRequest(
+        "r1", "quality", "inspect-llm", "x", max_tokens, now_s + 60.0
+    )
+    driver = GenerateDriver(request, PIPELINE, context, lambda token: None)
+    return asyncio.create_task(driver.run())
+
+
+async def test_late_token_is_noticed_as_soon_as_it_is_overdue() -> None:
+    agents = FakeAgents()
+    task = start(agents)
+    await asyncio.sleep(0.01)
+    first_s = asyncio.get_running_loop().time()
+    agents.emit(0)
+    await asyncio.sleep(0.5)
+    assert agents.probed_at_s[0] == pytest.approx(first_s + FLOOR_S, abs=0.01)
+    task.cancel()
+
+
+async def test_silent_host_is_replaced_and_the_answer_goes_on() -> None:
+    agents = FakeAgents()
+    task = start(agents)
+    await asyncio.sleep(0.01)
+    agents.emit(0)
+    agents.silent = frozenset({agents.opened[0].chain.stages[0].host})
+    await asyncio.sleep(0.2)
+    agents.silent = frozenset()
+    assert agents.opened[-1].attempt == 2
+    assert agents.opened[-1].base_step == 1
+    agents.emit(1)
+    agents.emit(2)
+    assert await task == Answered()
+
+
+async def test_slow_chain_is_probed_less_and_less_often() -> None:
+    agents = FakeAgents()
+    task = start(agents)
+    await asyncio.sleep(0.01)
+    agents.emit(0)
+    await asyncio.sleep(6.0)
+    gaps_s = [b - a for a, b in zip(agents.probed_at_s, agents.probed_at_s[1:])]  # noqa: B905
+    assert gaps_s == sorted(gaps_s)
+    assert len(agents.probed_at_s) < 8
+    task.cancel()
+
+
+async def test_first_token_has_a_limit_of_its_own() -> None:
+    agents = FakeAgents()
+    task = start(agents)
+    started_s = asyncio.get_running_loop().time()
+    await asyncio.sleep(2.5)
+    assert agents.probed_at_s == [pytest.approx(started_s + 2.0, abs=0.01)]
+    task.cancel()
+
+
+async def test_deadline_ends_the_request_on_the_clock() -> None:
+    agents = FakeAgents()
+    task = start(agents)
+    await asyncio.sleep(0.01)
+    agents.emit(0)
+    await asyncio.sleep(61.0)
+    assert task.done()
+    assert task.result().error.code == "deadline_expired"
+
+
+async def test_nothing_is_sent_without_a_chain() -> None:
+    agents = FakeAgents()
+    agents.view = MembershipView()
+    outcome = await start(agents)
+    assert isinstance(outcome, NotRun)
+    assert agents.opened == []
