Plan and queue in time that fits the size to design for

Change: of the replicas of one range in one failure domain only the cheapest enters the search; flows of the fair queue stand in a heap.

--- /dev/null
+++ b/benchmarks/decisions.py
@@ -0,0 +1,181 @@
+"""Cost of the decisions against the size to design for.
+
+Planning a chain against the number of runners; folding and encoding a
+configuration against the number of workspaces; policies; fair queueing.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+
+from benchmarks.lib import print_table
+from railfold._internal.core import LayerRange, Stage
+from railfold._internal.decisions.configuration import ChangeRecord, Configuration
+from railfold._internal.decisions.fair_queue import FairQueue
+from railfold._internal.decisions.planner import (
+    LinkCosts,
+    PlannerWeights,
+    Replica,
+    plan_chain,
+)
+from railfold._internal.decisions.policy import Policy
+
+RUNNERS = (40, 150, 300, 600)
+WORKSPACES = (10, 150, 300, 610)
+STAGES = 4
+DOMAINS = 10
+REGIONS = 3
+POLICY = (
+    '{"priority": request.kind == "service" ? 9 : request.priority,'
+    ' "admit": request.max_tokens <= 4096}'
+)
+
+
+def time_us(action: Callable[[], object], count: int) -> float:
+    """Return the mean time of ``action`` in microseconds."""
+    started_s = time.perf_counter()
+    for _ in range(count):
+        action()
+    return (time.perf_counter() - started_s) / count * 1e6
+
+
+def replicas(runners: int, rng: random.Random) -> list[Replica]:
+    """Return runners spread over stages, domains and regions."""
+    return [
+        Replica(
+            Stage(
+                f"host-{n}",
+                "10.0.0.1:7000",
+                1,
+                LayerRange(n % STAGES * 8, n % STAGES * 8 + 7),
+            ),
+            f"domain-{n // STAGES % DOMAINS}",
+            f"region-{n // STAGES % DOMAINS % REGIONS}",
+            in_flight=rng.randrange(60),
+            capacity=64,
+            step_ms=rng.uniform(5, 15),
+        )
+        for n in range(runners)
+    ]
+
+
+def plan_cost_us(runners: int) -> float:
+    """Return the time to plan one chain."""
+    rng = random.Random(1)
+    known = replicas(runners, rng)
+
+    def plan() -> None:
+        plan_chain(
+            known,
+            STAGES * 8,
+            exclude=frozenset(),
+            prefer=(),
+            costs=LinkCosts(),
+            weights=PlannerWeights(),
+            rng=rng,
+        )
+
+    return time_us(plan, 200)
+
+
+def folded(workspaces: int, runners: int) -> tuple[Configuration, float]:
+    """Return a configuration and the seconds it took to fold it."""
+    configuration = Configuration()
+    offset = 0
+    started_s = time.perf_counter()
+
+    def change(kind: str, name: str, body: dict[str, object]) -> None:
+        nonlocal offset
+        record = ChangeRecord(f"w{offset}", "ana", kind, name, 0, body)
+        configuration.fold(offset, 0.0, record)
+        offset += 1
+
+    for model in range(8):
+        placements = [
+            {
+                "host": f"host-{n}",
+                "first_layer": n % STAGES * 8,
+                "last_layer": n % STAGES * 8 + 7,
+            }
+            for n in range(runners // 8 // STAGES * STAGES)
+        ]
+        body = {
+            "model": f"model-{model}",
+            "version": "1",
+            "layer_count": STAGES * 8,
+            "placements": placements,
+        }
+        change("pipeline", f"pipeline-{model}", body)
+    for number in range(workspaces):
+        body = {
+            "credentials_sha256": [f"{number:064x}"],
+            "pipelines": [f"pipeline-{number % 8}"],
+            "policy": POLICY if number % 4 == 0 else "",
+        }
+        change("workspace", f"workspace-{number}", body)
+    return configuration, time.perf_counter() - started_s
+
+
+def configuration_row(workspaces: int) -> list[object]:
+    """Return one row of the configuration table."""
+    tracemalloc.start()
+    configuration, _ = folded(workspaces, 600)
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    configuration, seconds = folded(workspaces, 600)
+    records = workspaces + 8
+    encode_us = time_us(configuration.encoded_state, 20)
+    return [
+        workspaces,
+        records,
+        seconds / records * 1e6,
+        held_bytes / 1024,
+        len(configuration.encoded_state()) / 1024,
+        encode_us / 1000,
+    ]
+
+
+def queue_cost_us(flows: int) -> float:
+    """Return the time to push and pop one request with ``flows`` waiting."""
+    queue: FairQueue[int] = FairQueue(1000, 100_000)
+    for number in range(flows * 4):
+        queue.push(f"w{number % flows}", 1.0, 0, 100.0, number)
+
+    def turn() -> None:
+        item = queue.pop() or 0
+        queue.push(f"w{item % flows}", 1.0, 0, 100.0, item)
+
+    return time_us(turn, 2000)
+
+
+def main() -> None:
+    """Measure and print."""
+    print_table(
+        "planning one chain",
+        ["runners", "us"],
+        [[runners, plan_cost_us(runners)] for runners in RUNNERS],
+    )
+    print_table(
+        "configuration of 8 pipelines over 600 runners",
+        ["workspaces", "records", "fold us", "held KiB", "state KiB", "encode ms"],
+        [configuration_row(workspaces) for workspaces in WORKSPACES],
+    )
+    print_table(
+        "fair queue, one push and one pop",
+        ["waiting workspaces", "us"],
+        [[flows, queue_cost_us(flows)] for flows in (10, 100, 610)],
+    )
+    policy = Policy.compile(POLICY)
+    request = {"kind": "generate", "priority": 0, "max_tokens": 64}
+    print_table(
+        "one policy evaluation",
+        ["us"],
+        [[time_us(lambda: policy.evaluate("quality", request), 5000)]],
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/links.py
@@ -0,0 +1,196 @@
+"""The choice of link: a grpcio stream against a tornado stream.
+
+Two processes exchange frames as they travel between stages, with their real
+encoding. Gives the round trip, the frames a second with many on the way, and
+the threads each process runs.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import multiprocessing
+import struct
+import threading
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import grpc
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
+from tornado.tcpserver import TCPServer
+
+from benchmarks.lib import print_table, run
+from railfold._internal.core import LayerRange, StageRun
+from railfold._internal.links.messages import (
+    Activation,
+    Frame,
+    decode_frame,
+    encode_frame,
+)
+
+SEQUENCES = (1, 8, 64)
+STATE_BYTES = 64
+SERIAL = 1000
+PIPELINED = 5000
+WINDOW = 64
+LENGTH = struct.Struct(">I")
+
+
+@dataclass(frozen=True)
+class Channel:
+    """One end of a link under test."""
+
+    send: Callable[[bytes], Awaitable[None]]
+    receive: Callable[[], Awaitable[bytes]]
+
+
+def frame(sequences: int) -> Frame:
+    """Return a frame of activations from the second stage of a chain."""
+    lineage = tuple(
+        StageRun(f"meter-{i}", 1, 1, LayerRange(i * 4, i * 4 + 3)) for i in range(2)
+    )
+    return Frame(
+        7,
+        activations=[
+            Activation(f"{n:032x}", 1, 100, bytes(STATE_BYTES), lineage)
+            for n in range(sequences)
+        ],
+    )
+
+
+async def grpc_echo(port: Any) -> None:
+    """Serve an echo over a grpcio stream."""
+
+    async def echo(requests: Any, context: Any) -> Any:
+        async for data in requests:
+            yield encode_frame(decode_frame(data))
+
+    server = grpc.aio.server()
+    handler = grpc.stream_stream_rpc_method_handler(echo)
+    server.add_generic_rpc_handlers(
+        (grpc.method_handlers_generic_handler("Link", {"Frames": handler}),)
+    )
+    port.put(server.add_insecure_port("127.0.0.1:0"))
+    await server.start()
+    await server.wait_for_termination()
+
+
+async def grpc_channel(port: int) -> Channel:
+    """Open a grpcio stream."""
+    call = grpc.aio.insecure_channel(f"127.0.0.1:{port}").stream_stream(
+        "/Link/Frames"
+    )()
+    return Channel(call.write, call.read)
+
+
+async def tornado_echo(port: Any) -> None:
+    """Serve an echo over a tornado stream."""
+
+    class Echo(TCPServer):
+        async def handle_stream(self, stream: Any, address: Any) -> None:
+            stream.set_nodelay(True)
+            try:
+                while True:
+                    (size,) = LENGTH.unpack(await stream.read_bytes(LENGTH.size))
+                    data = await stream.read_bytes(size)
+                    answer = encode_frame(decode_frame(data))
+                    stream.write(LENGTH.pack(len(answer)) + answer)
+            except StreamClosedError:
+                return
+
+    server = Echo()
+    server.listen(0, "127.0.0.1")
+    sockets = list(server._sockets.values())
+    port.put(sockets[0].getsockname()[1])
+    await asyncio.Event().wait()
+
+
+async def tornado_channel(port: int) -> Channel:
+    """Open a tornado stream."""
+    stream = await TCPClient().connect("127.0.0.1", port)
+    stream.set_nodelay(True)
+
+    async def send(data: bytes) -> None:
+        stream.write(LENGTH.pack(len(data)) + data)
+
+    async def receive() -> bytes:
+        (size,) = LENGTH.unpack(await stream.read_bytes(LENGTH.size))
+        return await stream.read_bytes(size)
+
+    return Channel(send, receive)
+
+
+def serve(kind: str, port: Any) -> None:
+    """Run an echo server; the child process's main function."""
+    asyncio.run(grpc_echo(port) if kind == "grpcio" else tornado_echo(port))
+
+
+async def measure(channel: Channel, sequences: int) -> tuple[float, float, float]:
+    """Return round trip us, frames/s and processor us a frame of this end."""
+    one = frame(sequences)
+
+    async def exchange() -> None:
+        await channel.send(encode_frame(one))
+        decode_frame(await channel.receive())
+
+    for _ in range(100):
+        await exchange()
+    started_s = time.perf_counter()
+    for _ in range(SERIAL):
+        await exchange()
+    round_trip_s = (time.perf_counter() - started_s) / SERIAL
+    room = asyncio.Semaphore(WINDOW)
+
+    async def send_all() -> None:
+        for _ in range(PIPELINED):
+            await room.acquire()
+            await channel.send(encode_frame(one))
+
+    async def receive_all() -> None:
+        for _ in range(PIPELINED):
+            decode_frame(await channel.receive())
+            room.release()
+
+    started_s, cpu_s = time.perf_counter(), time.process_time()
+    await asyncio.gather(send_all(), receive_all())
+    wall_s = time.perf_counter() - started_s
+    cpu_us = (time.process_time() - cpu_s) / PIPELINED * 1e6
+    return round_trip_s * 1e6, PIPELINED / wall_s, cpu_us
+
+
+async def main() -> None:
+    """Measure and print."""
+    rows = []
+    context = multiprocessing.get_context("spawn")
+    opened = {"tornado": tornado_channel, "grpcio": grpc_channel}
+    for sequences in SEQUENCES:
+        for kind, connect in opened.items():
+            port = context.Queue()
+            server = context.Process(target=serve, args=(kind, port), daemon=True)
+            server.start()
+            number = await asyncio.to_thread(port.get)
+            channel = await connect(number)
+            figures = await measure(channel, sequences)
+            size = len(encode_frame(frame(sequences)))
+            rows.append([kind, sequences, size, *figures, threading.active_count()])
+            server.kill()
+            server.join()
+    print_table(
+        "one link, frames as between stages",
+        [
+            "link",
+            "sequences",
+            "bytes",
+            "round trip us",
+            "frames/s",
+            "cpu us/frame",
+            "threads",
+        ],
+        rows,
+    )
+
+
+if __name__ == "__main__":
+    run(main())
--- a/src/railfold/_internal/decisions/admission.py
+++ b/src/railfold/_internal/decisions/admission.py
@@ -149,13 +149,15 @@
         """Return the expected wait of a new request of ``workspace``.
 
         Fair queueing serves the workspaces that wait in turn, so that a new
-        request waits for its own workspace's queue times their number.
+        request waits until its own workspace's queue, times their number, has
+        started: that many places must come free.
         """
         if self.running < self._capacity and not self._waiting:
             return 0.0
         flows = len({ticket.workspace for ticket in self._waiting} | {workspace})
-        ahead = min(self.waiting, (self._queue.waiting(workspace) + 1) * flows)
-        return ahead * self._mean_service_s / max(1, self._capacity)
+        own = self._queue.waiting(workspace) + 1
+        places = min(self.waiting + 1, own * flows)
+        return places * self._mean_service_s / max(1, self._capacity)
 
     def finished(self, ticket: Ticket, service_s: float) -> list[Ticket]:
         """Count a request that ended; return those that may start now."""
--- a/src/railfold/_internal/decisions/fair_queue.py
+++ b/src/railfold/_internal/decisions/fair_queue.py
@@ -26,12 +26,15 @@
 class _Flow(Generic[T]):
     weight: float
     last_tag: float = 0.0
+    queued: bool = False
     waiting: list[tuple[int, int, float, T]] = field(default_factory=list)
 
 
 class FairQueue(Generic[T]):
     """Requests that wait for capacity.
 
+    Taking and adding cost the logarithm of the number of workspaces.
+
     :param max_per_flow: most requests one workspace may have waiting.
     :param max_total: most requests that may wait in all.
     """
@@ -40,6 +43,9 @@
         self._max_per_flow = max_per_flow
         self._max_total = max_total
         self._flows: dict[str, _Flow[T]] = {}
+        # Flows by tag: those that may have requests, and those that are idle.
+        self._ready: list[tuple[float, int, str]] = []
+        self._idle: list[tuple[float, int, str]] = []
         self._virtual_time = 0.0
         self._count = itertools.count()
         self._length = 0
@@ -60,27 +66,35 @@
         :param cost: its expected work, in any unit common to all requests.
         :raises QueueFull: a bound is reached.
         """
+        if self._length >= self._max_total:
+            raise QueueFull
         flow = self._flows.setdefault(workspace, _Flow(weight))
-        flow.weight = weight
-        if len(flow.waiting) >= self._max_per_flow or self._length >= self._max_total:
+        if len(flow.waiting) >= self._max_per_flow:
             raise QueueFull
+        flow.weight = weight
         if not flow.waiting:
             flow.last_tag = max(flow.last_tag, self._virtual_time)
         heapq.heappush(flow.waiting, (-priority, next(self._count), cost, item))
         self._length += 1
+        self._enqueue(workspace, flow)
 
     def pop(self) -> T | None:
         """Take the request whose turn it is."""
-        ready = [flow for flow in self._flows.values() if flow.waiting]
-        if not ready:
-            return None
-        flow = min(ready, key=lambda f: f.last_tag)
-        _, _, cost, item = heapq.heappop(flow.waiting)
-        self._virtual_time = flow.last_tag
-        flow.last_tag += cost / flow.weight
-        self._length -= 1
-        self._forget_idle()
-        return item
+        while self._ready:
+            _, _, workspace = heapq.heappop(self._ready)
+            flow = self._flows[workspace]
+            flow.queued = False
+            if not flow.waiting:
+                self._set_idle(workspace, flow)  # Its requests were withdrawn.
+                continue
+            _, _, cost, item = heapq.heappop(flow.waiting)
+            self._virtual_time = max(self._virtual_time, flow.last_tag)
+            flow.last_tag += cost / flow.weight
+            self._length -= 1
+            self._enqueue(workspace, flow)
+            self._forget_idle()
+            return item
+        return None
 
     def remove(self, workspace: str, item: T) -> bool:
         """Take out a request that no longer wants to wait."""
@@ -95,12 +109,24 @@
         self._length -= 1
         return True
 
+    def _enqueue(self, workspace: str, flow: _Flow[T]) -> None:
+        if flow.queued:
+            return
+        if not flow.waiting:
+            self._set_idle(workspace, flow)
+            return
+        flow.queued = True
+        entry = (flow.last_tag, next(self._count), workspace)
+        heapq.heappush(self._ready, entry)
+
+    def _set_idle(self, workspace: str, flow: _Flow[T]) -> None:
+        entry = (flow.last_tag, next(self._count), workspace)
+        heapq.heappush(self._idle, entry)
+
     def _forget_idle(self) -> None:
         # An idle flow whose tag has been passed carries no information.
-        idle = [
-            name
-            for name, flow in self._flows.items()
-            if not flow.waiting and flow.last_tag <= self._virtual_time
-        ]
-        for name in idle:
-            del self._flows[name]
+        while self._idle and self._idle[0][0] <= self._virtual_time:
+            _, _, workspace = heapq.heappop(self._idle)
+            flow = self._flows.get(workspace)
+            if flow and not flow.queued and flow.last_tag <= self._virtual_time:
+                del self._flows[workspace]
--- a/src/railfold/_internal/decisions/planner.py
+++ b/src/railfold/_internal/decisions/planner.py
@@ -97,15 +97,11 @@
         all layers.
     """
     usable = [r for r in replicas if r.stage.host not in exclude and not r.full]
-    preferred = frozenset(prefer)
-    starts_at: dict[int, list[Replica]] = {}
-    for replica in usable:
-        starts_at.setdefault(replica.stage.layers.first, []).append(replica)
+    candidates = _cheapest_of_each_place(usable, frozenset(prefer), weights, rng)
     paths: dict[int, dict[str, _Path]] = {0: {"": _Path(0.0, ())}}
     for layer in range(layer_count):
         arrived = paths.get(layer, {})
-        for replica in starts_at.get(layer, ()) if arrived else ():
-            cost = _replica_cost(replica, preferred, weights, rng)
+        for replica, cost in candidates.get(layer, ()) if arrived else ():
             path = _extend(arrived.values(), replica, cost, costs)
             end = replica.stage.layers.last + 1
             _keep_cheapest(paths.setdefault(end, {}), replica, path)
@@ -153,6 +149,31 @@
     return cost * (1.0 + weights.jitter * rng.random())
 
 
+def _cheapest_of_each_place(
+    usable: list[Replica],
+    preferred: frozenset[str],
+    weights: PlannerWeights,
+    rng: random.Random,
+) -> dict[int, list[tuple[Replica, float]]]:
+    """Return candidates and their costs by first layer.
+
+    What a path costs beyond its replicas depends only on their places, so that
+    of the replicas of one range in one failure domain the cheapest is enough.
+    """
+    cheapest: dict[tuple[int, int, str], tuple[Replica, float]] = {}
+    for replica in usable:
+        layers = replica.stage.layers
+        place = (layers.first, layers.last, replica.failure_domain)
+        cost = _replica_cost(replica, preferred, weights, rng)
+        known = cheapest.get(place)
+        if known is None or cost < known[1]:
+            cheapest[place] = (replica, cost)
+    by_layer: dict[int, list[tuple[Replica, float]]] = {}
+    for (first, _, _), candidate in cheapest.items():
+        by_layer.setdefault(first, []).append(candidate)
+    return by_layer
+
+
 def _extend(
     arrived: Iterable[_Path], replica: Replica, cost: float, costs: LinkCosts
 ) -> _Path:
--- /dev/null
+++ b/tests/unit/test_admission.py
@@ -0,0 +1,178 @@
+"""Admission is fair, bounded, and follows live capacity."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from railfold._internal.decisions.admission import (
+    AdmissionLimits,
+    AdmissionQueue,
+    Admitted,
+    Queued,
+    Refused,
+    Ticket,
+    entry_share,
+)
+from railfold._internal.decisions.fair_queue import FairQueue, QueueFull
+from railfold._internal.decisions.retry_budget import (
+    RetryBudget,
+    jittered_retry_after_s,
+)
+
+
+def ticket(workspace: str = "quality", **fields: float) -> Ticket:
+    defaults = {"weight": 1.0, "max_in_flight": 1000, "priority": 0, "cost": 1.0}
+    return Ticket(workspace, deadline_s=60.0, **{**defaults, **fields})  # type: ignore[arg-type]
+
+
+def queue_of(capacity: int, **limits: int) -> AdmissionQueue:
+    queue = AdmissionQueue(AdmissionLimits(**limits))
+    queue.set_capacity(capacity)
+    return queue
+
+
+def drain_order(queue: FairQueue[str], count: int) -> list[str]:
+    return [item for _ in range(count) if (item := queue.pop()) is not None]
+
+
+def test_flood_does_not_delay_a_quiet_workspace() -> None:
+    queue: FairQueue[str] = FairQueue(1000, 10_000)
+    for _ in range(500):
+        queue.push("flood", 1.0, 0, 1.0, "flood")
+    drain_order(queue, 100)
+    queue.push("quiet", 1.0, 0, 1.0, "quiet")
+    assert "quiet" in drain_order(queue, 2)
+
+
+def test_shares_follow_weights_and_cost() -> None:
+    queue: FairQueue[str] = FairQueue(10_000, 100_000)
+    for _ in range(2000):
+        queue.push("heavy", 3.0, 0, 1.0, "heavy")
+        queue.push("light", 1.0, 0, 1.0, "light")
+        queue.push("large", 1.0, 0, 4.0, "large")
+    served = Counter(drain_order(queue, 1700))
+    assert served["heavy"] / served["light"] == pytest.approx(3.0, rel=0.02)
+    assert served["light"] / served["large"] == pytest.approx(4.0, rel=0.02)
+
+
+def test_idle_workspace_saves_no_credit() -> None:
+    queue: FairQueue[str] = FairQueue(1000, 10_000)
+    queue.push("early", 1.0, 0, 1.0, "early")
+    for _ in range(100):
+        queue.push("steady", 1.0, 0, 1.0, "steady")
+    drain_order(queue, 60)
+    for _ in range(40):
+        queue.push("early", 1.0, 0, 1.0, "early")
+    assert Counter(drain_order(queue, 20))["early"] <= 11
+
+
+def test_priority_goes_first_within_its_workspace_only() -> None:
+    queue: FairQueue[str] = FairQueue(100, 100)
+    queue.push("a", 1.0, 0, 1.0, "a-low")
+    queue.push("a", 1.0, 5, 1.0, "a-high")
+    queue.push("b", 1.0, 0, 1.0, "b")
+    assert drain_order(queue, 3) == ["a-high", "b", "a-low"]
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 2)), max_size=80))
+def test_queue_gives_each_request_once(events: list[tuple[int, int]]) -> None:
+    queue: FairQueue[object] = FairQueue(5, 12)
+    inside: dict[int, tuple[str, object]] = {}
+    for kind, flow in events:
+        workspace = f"w{flow}"
+        match kind:
+            case 0 | 1:
+                item = object()
+                try:
+                    queue.push(workspace, 1.0 + flow, kind, 1.0, item)
+                    inside[id(item)] = (workspace, item)
+                except QueueFull:
+                    assert len(inside) == 12 or queue.waiting(workspace) == 5
+            case 2:
+                popped = queue.pop()
+                assert (popped is None) == (not inside)
+                inside.pop(id(popped), None)
+            case 3 if inside:
+                key, (name, item) = next(iter(inside.items()))
+                assert queue.remove(name, item)
+                del inside[key]
+            case _:
+                pass
+        assert len(queue) == len(inside)
+
+
+def test_capacity_admits_and_queues() -> None:
+    queue = queue_of(2)
+    first = ticket()
+    assert queue.offer(first, 0.0) == Admitted()
+    assert queue.offer(ticket(), 0.0) == Admitted()
+    waiting = ticket()
+    assert queue.offer(waiting, 0.0) == Queued()
+    assert queue.finished(first, 1.0) == [waiting]
+
+
+def test_wait_past_the_deadline_is_refused_at_once() -> None:
+    queue = queue_of(1)
+    running = ticket()
+    queue.offer(running, 0.0)
+    queue.finished(running, 40.0)
+    queue.offer(ticket(), 0.0)
+    assert queue.offer(ticket(), 0.0) == Queued()
+    refused = queue.offer(ticket(), 0.0)
+    assert isinstance(refused, Refused)
+    assert refused.error.code == "deadline_expired"
+
+
+def test_limit_of_a_workspace() -> None:
+    queue = queue_of(10)
+    assert queue.offer(ticket(max_in_flight=1), 0.0) == Admitted()
+    refused = queue.offer(ticket(max_in_flight=1), 0.0)
+    assert isinstance(refused, Refused)
+    assert refused.error.code == "overloaded"
+    assert queue.offer(ticket("other", max_in_flight=1), 0.0) == Admitted()
+
+
+def test_dead_capacity_refuses_and_sheds() -> None:
+    queue = queue_of(1)
+    queue.offer(ticket(), 0.0)
+    waiting = ticket()
+    queue.offer(waiting, 0.0)
+    queue.set_capacity(0)
+    assert queue.shed(0.0) == [waiting]
+    refused = queue.offer(ticket(), 0.0)
+    assert isinstance(refused, Refused)
+    assert refused.error.code == "no_capacity"
+
+
+def test_bounded_queue_refuses() -> None:
+    queue = queue_of(1, max_waiting=1)
+    queue.offer(ticket(), 0.0)
+    assert queue.offer(ticket(), 0.0) == Queued()
+    refused = queue.offer(ticket(), 0.0)
+    assert isinstance(refused, Refused)
+    assert refused.load == 2.0
+
+
+def test_entry_shares_cover_the_limit() -> None:
+    assert entry_share(10, 3) == 4
+    assert entry_share(1, 8) == 1
+    assert entry_share(10, 0) == 10
+
+
+def test_retries_are_a_share_of_first_attempts() -> None:
+    budget = RetryBudget(share=0.2, burst=3.0)
+    assert [budget.spend() for _ in range(4)] == [True, True, True, False]
+    for _ in range(5):
+        budget.earn()
+    assert [budget.spend(), budget.spend()] == [True, False]
+
+
+def test_refused_callers_come_back_later_under_load() -> None:
+    assert jittered_retry_after_s(1.0, 0.0) < jittered_retry_after_s(2.0, 0.0)
+    assert jittered_retry_after_s(1.0, 0.0) < jittered_retry_after_s(1.0, 1.0)
+    assert jittered_retry_after_s(1000.0, 1.0) <= 45.0
