Keep goodput under overload, and a flood away from its neighbours

Three causes: the load of a host was the lagging report corrected by a count that mixed two moments, so that hosts looked full; a cancelled sequence whose last step still ran took a place at its agent; and requests were admitted that could not end before their deadline.

Ruled out: the fair queue; its shares are right in tests with a stated order.

Change: heartbeats tell each entry how much of the load is its own, which it then knows exactly; closing sequences take no place; admission predicts the end of a request from its cost and refuses or sheds it if that is too late; a twentieth of the capacity is kept from a workspace that holds all the rest. The figures in the test of a predicted wait changed, since the predicted end decides now: the third request at 25 s a piece is refused, as before at 40 s.

--- /dev/null
+++ b/benchmarks/isolation.py
@@ -0,0 +1,199 @@
+"""A quiet workspace beside a flooding one, and load beyond capacity.
+
+First a quiet workspace's latencies alone and beside a flood; then goodput at
+several multiples of capacity, as a ratio to the goodput at full load.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass
+
+from tornado.httpclient import AsyncHTTPClient
+
+from benchmarks.lib import (
+    StreamTimes,
+    median,
+    new_client,
+    percentile,
+    print_table,
+    prompt,
+    run,
+    stream,
+)
+from standins.cluster import Cluster, EngineHost
+
+TOKENS = 12
+CAPACITY = 24
+HOSTS = [
+    EngineHost(
+        f"meter-{stage}", stage * 4, stage * 4 + 3, fixed_ms=8.0, max_sequences=CAPACITY
+    )
+    for stage in range(3)
+]
+WORKSPACES = {"quiet": {}, "flood": {}, **{f"load-{n}": {} for n in range(10)}}
+QUIET_REQUESTS = 60
+QUIET_EVERY_S = 0.15
+LOADS = (0.8, 1.0, 1.5, 2.0)
+LOAD_SECONDS = 8.0
+DEADLINE_S = 2.0
+
+
+@dataclass
+class Load:
+    """Requests sent at a rate, and what came of them."""
+
+    answers: list[StreamTimes]
+
+    def goodput(self, seconds: float) -> float:
+        """Tokens a second of whole answers within their deadline."""
+        good = [
+            t
+            for t in self.answers
+            if t.outcome == "answered" and t.total_s <= DEADLINE_S
+        ]
+        return sum(t.tokens for t in good) / seconds
+
+
+async def quiet(http: AsyncHTTPClient, url: str) -> list[StreamTimes]:
+    """Send the quiet workspace's requests one after the other."""
+    times = []
+    for number in range(QUIET_REQUESTS):
+        times.append(await stream(http, url, prompt(number), TOKENS, "quiet"))
+        await asyncio.sleep(QUIET_EVERY_S)
+    return times
+
+
+async def flood(http: AsyncHTTPClient, url: str, stop: asyncio.Event) -> int:
+    """Keep many requests of the flooding workspace waiting."""
+    sent = 0
+
+    async def one() -> None:
+        nonlocal sent
+        while not stop.is_set():
+            sent += 1
+            await stream(http, url, prompt(sent), TOKENS, "flood")
+
+    await asyncio.gather(*(one() for _ in range(CAPACITY * 5)))
+    return sent
+
+
+async def measure_quiet(url: str) -> list[list[object]]:
+    """Return the quiet workspace's rows, alone and beside the flood."""
+    alone = await quiet(new_client(), url)
+    stop = asyncio.Event()
+    flooding = asyncio.create_task(flood(new_client(), url, stop))
+    await asyncio.sleep(1.0)
+    beside = await quiet(new_client(), url)
+    stop.set()
+    await flooding
+    rows = []
+    for name, times in (("alone", alone), ("beside a flood", beside)):
+        firsts = [t.first_token_s for t in times if t.outcome == "answered"]
+        totals = [t.total_s for t in times if t.outcome == "answered"]
+        rows.append(
+            [
+                name,
+                f"{len(firsts)}/{len(times)}",
+                median(firsts) * 1000,
+                percentile(firsts, 0.95) * 1000,
+                percentile(totals, 0.95) * 1000,
+            ]
+        )
+    ratio = [rows[1][i] / rows[0][i] for i in (2, 3, 4)]  # type: ignore[operator]
+    return [*rows, ["ratio", "", *ratio]]
+
+
+async def offer(url: str, rate: float) -> Load:
+    """Send requests of ten workspaces at ``rate`` a second."""
+    http = new_client(4096)
+    rng = random.Random(1)
+    tasks = []
+    started_s = time.perf_counter()
+    number = 0
+    while time.perf_counter() - started_s < LOAD_SECONDS:
+        number += 1
+        headers = {"Railfold_Deadline_Ms": str(int(DEADLINE_S * 1000))}
+        workspace = f"load-{number % 10}"
+        tasks.append(
+            asyncio.create_task(
+                stream(http, url, prompt(number), TOKENS, workspace, **headers)
+            )
+        )
+        await asyncio.sleep(rng.expovariate(rate))
+    return Load(list(await asyncio.gather(*tasks)))
+
+
+async def full_rate(url: str) -> float:
+    """Return the requests a second that a closed loop at capacity gets."""
+    http = new_client()
+    stop_s = time.perf_counter() + LOAD_SECONDS
+    done = 0
+
+    async def one(first: int) -> None:
+        nonlocal done
+        number = first
+        while time.perf_counter() < stop_s:
+            number += CAPACITY
+            workspace = f"load-{first % 10}"
+            answer = await stream(http, url, prompt(number), TOKENS, workspace)
+            done += answer.outcome == "answered"
+
+    await asyncio.gather(*(one(n) for n in range(CAPACITY)))
+    return done / LOAD_SECONDS
+
+
+async def main() -> None:
+    """Measure and print."""
+    with Cluster(HOSTS, workspaces=WORKSPACES) as cluster:
+        url = cluster.callers_url()
+        print_table(
+            "a quiet workspace",
+            ["", "answered", "first p50 ms", "first p95 ms", "total p95 ms"],
+            await measure_quiet(url),
+        )
+        rate = await full_rate(url)
+        full = rate * TOKENS
+        rows = []
+        for multiple in LOADS:
+            load = await offer(url, rate * multiple)
+            outcomes = [t.outcome for t in load.answers]
+            goodput = load.goodput(LOAD_SECONDS)
+            refusals = [t.total_s for t in load.answers if t.outcome == "not_run"]
+            firsts = [t.first_token_s for t in load.answers if t.outcome == "answered"]
+            rows.append(
+                [
+                    multiple,
+                    len(outcomes),
+                    outcomes.count("answered"),
+                    outcomes.count("not_run"),
+                    len(outcomes)
+                    - outcomes.count("answered")
+                    - outcomes.count("not_run"),
+                    goodput,
+                    goodput / full,
+                    percentile(firsts, 0.95) * 1000,
+                    median(refusals) * 1000,
+                ]
+            )
+        print_table(
+            f"load in multiples of the closed loop's {rate:.1f} requests/s",
+            [
+                "load",
+                "sent",
+                "answered",
+                "not run",
+                "other",
+                "good tokens/s",
+                "ratio",
+                "first p95 ms",
+                "refused p50 ms",
+            ],
+            rows,
+        )
+
+
+if __name__ == "__main__":
+    run(main())
--- a/src/railfold/_internal/agent/backend.py
+++ b/src/railfold/_internal/agent/backend.py
@@ -35,6 +35,9 @@
     def owner_lost(self, owner: str) -> None:
         """An entry's link ended: cancel what it had here."""
 
+    def owned_by(self, owner: str) -> int:
+        """Return how much of what runs here is an entry's."""
+
     def set_draining(self) -> None:
         """Refuse new work from now on; finish what is here."""
 
--- a/src/railfold/_internal/agent/engine_backend.py
+++ b/src/railfold/_internal/agent/engine_backend.py
@@ -45,7 +45,7 @@
     StepResult,
 )
 from railfold._internal.errors import EngineError
-from railfold._internal.links.connection import Link, LinkMessage
+from railfold._internal.links.connection import Link, LinkMessage, owner_name
 from railfold._internal.links.messages import (
     Activation,
     CancelSequence,
@@ -119,6 +119,10 @@
         """Return whether the running step is stalled."""
         return self._times.stalled(asyncio.get_running_loop().time())
 
+    def owned_by(self, owner: str) -> int:
+        """Return how many sequences are an entry's."""
+        return self._table.owned_by(owner)
+
     def set_draining(self) -> None:
         """Refuse new sequences from now on; finish the open ones."""
         self._table.draining = True
@@ -326,11 +330,6 @@
             self._apply(RunFailed(attempt_id, 0, reason))
 
 
-def owner_name(link: Link) -> str:
-    """Return the name under which an entry owns sequences."""
-    return f"{link.peer.name}#{link.peer.incarnation}"
-
-
 def _engine_changed(before: EngineStatus, after: EngineStatus | None) -> bool:
     return after is None or before.engine_id != after.engine_id
 
--- a/src/railfold/_internal/agent/links.py
+++ b/src/railfold/_internal/agent/links.py
@@ -8,9 +8,8 @@
 from absl import logging
 
 from railfold._internal.agent.backend import Backend
-from railfold._internal.agent.engine_backend import owner_name
 from railfold._internal.configuration.replica import ConfigurationReplica
-from railfold._internal.links.connection import Link
+from railfold._internal.links.connection import Link, owner_name
 from railfold._internal.links.messages import Frame, Heartbeat, Probe, ProbeReply
 from railfold._internal.observability.metrics import Metrics
 
@@ -122,18 +121,18 @@
         due = [e for e in self._entries.values() if e.next_heartbeat_s <= now_s]
         if not due:
             return
-        heartbeat = self._heartbeat()
         for entry in due:
-            entry.link.send(heartbeat)
+            entry.link.send(self._heartbeat(owner_name(entry.link)))
             entry.next_heartbeat_s = now_s + entry.interval_s
         self._metrics.count("heartbeats", len(due))
 
-    def _heartbeat(self) -> Heartbeat:
+    def _heartbeat(self, owner: str) -> Heartbeat:
         report = self.backend.report()
         state = "serving" if report.available else "unavailable"
         return Heartbeat(
             "draining" if self.draining else state,  # type: ignore[arg-type]
             report.running,
+            self.backend.owned_by(owner),
             report.capacity,
             report.step_ms,
             list(report.loaded),
--- a/src/railfold/_internal/agent/service_backend.py
+++ b/src/railfold/_internal/agent/service_backend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 
 from absl import logging
@@ -12,7 +13,7 @@
 from railfold._internal.decisions.stalls import StepTimes
 from railfold._internal.engines.http_service import HttpService
 from railfold._internal.errors import EngineError, EngineUnavailableError
-from railfold._internal.links.connection import Link
+from railfold._internal.links.connection import Link, owner_name
 from railfold._internal.links.messages import (
     CallRefused,
     CallResult,
@@ -46,6 +47,7 @@
         self._register = CallRegister()
         self._healthy = False
         self._call_times = StepTimes()
+        self._running_of: Counter[str] = Counter()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def report(self) -> BackendReport:
@@ -66,6 +68,10 @@
         """Refuse new calls from now on; finish the running ones."""
         self._register.draining = True
 
+    def owned_by(self, owner: str) -> int:
+        """Return how many of the running calls are an entry's."""
+        return self._running_of[owner]
+
     def owner_lost(self, owner: str) -> None:
         """Nothing to do: a call that was passed on can't be taken back."""
 
@@ -89,6 +95,7 @@
             self._metrics.count("calls.duplicates")
             return
         self._register.running += 1
+        self._running_of[owner_name(link)] += 1
         task = asyncio.create_task(self._call(link, call))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -125,6 +132,7 @@
             reply = CallRefused(call.request_id, False, error.why)
         finally:
             self._register.running -= 1
+            self._running_of[owner_name(link)] -= 1
         self._metrics.count("calls.passed_on")
         self._call_times.record(loop.time() - started_s)
         link.send(reply)
--- a/src/railfold/_internal/decisions/admission.py
+++ b/src/railfold/_internal/decisions/admission.py
@@ -1,9 +1,12 @@
 """Admitting requests to one pipeline or service at one entry.
 
 A request starts at once while there is live capacity, else it waits in a fair
-queue. It is refused at once when a bound is reached or when its predicted wait
+queue. It is refused at once when a bound is reached or when its predicted end
 passes its deadline. When capacity dies the limit falls with it, and waiting
-requests that can't make their deadline any more are shed.
+requests that can't make their deadline any more are shed, at the latest when
+their turn comes: work that would come too late takes capacity from work that
+would not. A small part of the capacity is kept from any workspace that already
+holds all the rest, so that a quiet one never waits for a flood.
 """
 
 from __future__ import annotations
@@ -35,10 +38,15 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmissionLimits:
-    """Bounds of one admission queue."""
+    """Bounds of one admission queue.
+
+    :param reserved_share: part of the capacity kept from a workspace that
+        holds all the rest.
+    """
 
     max_waiting: int = 2000
     max_waiting_per_workspace: int = 500
+    reserved_share: float = 0.05
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -81,10 +89,14 @@
         self._queue: FairQueue[Ticket] = FairQueue(
             limits.max_waiting_per_workspace, limits.max_waiting
         )
+        self._reserved_share = limits.reserved_share
         self._running: set[Ticket] = set()
+        self._running_of: Counter[str] = Counter()
         self._per_workspace: Counter[str] = Counter()
         self._waiting: dict[Ticket, None] = {}
+        self._late: list[Ticket] = []
         self._mean_service_s = 0.0
+        self._s_per_cost = 0.0
         self._capacity = 0
 
     @property
@@ -107,7 +119,7 @@
         refusal = self._refusal(ticket, now_s)
         if refusal is not None:
             return Refused(refusal, self.load)
-        if not self._waiting and self.running < self._capacity:
+        if self.running < self._capacity and self._may_start(ticket.workspace):
             self._start(ticket)
             return Admitted()
         try:
@@ -137,9 +149,10 @@
                 why=f"its limit at this entry is {ticket.max_in_flight}",
                 hint="come back after Retry-After, or ask for a higher limit",
             )
-        if now_s + self.predicted_wait_s(ticket.workspace) > ticket.deadline_s:
+        start_s = now_s + self.predicted_wait_s(ticket.workspace)
+        if self._too_late(ticket, start_s):
             return DeadlineExpiredError(
-                "the request would wait past its deadline",
+                "the request would end past its deadline",
                 why=f"{self.waiting} requests wait for {self._capacity} places",
                 hint="come back after Retry-After, or allow a longer deadline",
             )
@@ -152,23 +165,30 @@
         request waits until its own workspace's queue, times their number, has
         started: that many places must come free.
         """
-        if self.running < self._capacity and not self._waiting:
+        if self.running < self._capacity and self._may_start(workspace):
             return 0.0
         flows = len({ticket.workspace for ticket in self._waiting} | {workspace})
         own = self._queue.waiting(workspace) + 1
         places = min(self.waiting + 1, own * flows)
         return places * self._mean_service_s / max(1, self._capacity)
 
-    def finished(self, ticket: Ticket, service_s: float) -> list[Ticket]:
+    def finished(self, ticket: Ticket, service_s: float, now_s: float) -> list[Ticket]:
         """Count a request that ended; return those that may start now."""
         if ticket in self._running:
             self._running.discard(ticket)
+            self._running_of[ticket.workspace] -= 1
             self._forget(ticket)
-            mean_s = self._mean_service_s
-            self._mean_service_s = (
-                service_s if mean_s == 0.0 else 0.9 * mean_s + 0.1 * service_s
-            )
-        return self._admit_waiting()
+            self._mean_service_s = _smoothed(self._mean_service_s, service_s)
+            self._s_per_cost = _smoothed(self._s_per_cost, service_s / ticket.cost)
+        return self._admit_waiting(now_s)
+
+    def withdrawn_early(self, ticket: Ticket, now_s: float) -> list[Ticket]:
+        """Give back the place of a request that was admitted but didn't run."""
+        if ticket in self._running:
+            self._running.discard(ticket)
+            self._running_of[ticket.workspace] -= 1
+            self._forget(ticket)
+        return self._admit_waiting(now_s)
 
     def withdraw(self, ticket: Ticket) -> bool:
         """Take out a waiting request; return whether it waited."""
@@ -179,38 +199,49 @@
         self._forget(ticket)
         return True
 
-    def set_capacity(self, capacity: int) -> list[Ticket]:
+    def set_capacity(self, capacity: int, now_s: float) -> list[Ticket]:
         """Set the live capacity; return requests that may start now."""
         self._capacity = capacity
-        return self._admit_waiting()
+        return self._admit_waiting(now_s)
 
     def shed(self, now_s: float) -> list[Ticket]:
         """Take out and return waiting requests that can't make their deadline."""
-        if self._capacity > 0 and self._mean_service_s == 0.0:
-            late = [t for t in self._waiting if t.deadline_s <= now_s]
-        elif self._capacity == 0:
+        if self._capacity == 0:
             late = list(self._waiting)
         else:
             soonest_s = now_s + self._mean_service_s / self._capacity
-            late = [t for t in self._waiting if t.deadline_s <= soonest_s]
+            late = [t for t in self._waiting if self._too_late(t, soonest_s)]
         for ticket in late:
             self.withdraw(ticket)
+        late += self._late
+        self._late = []
         return late
 
-    def _admit_waiting(self) -> list[Ticket]:
+    def _too_late(self, ticket: Ticket, start_s: float) -> bool:
+        return start_s + self._s_per_cost * ticket.cost > ticket.deadline_s
+
+    def _may_start(self, workspace: str) -> bool:
+        reserved = round(self._reserved_share * self._capacity)
+        return self._running_of[workspace] < self._capacity - reserved
+
+    def _admit_waiting(self, now_s: float) -> list[Ticket]:
         admitted: list[Ticket] = []
         while self.running < self._capacity:
-            ticket = self._queue.pop()
+            ticket = self._queue.pop(self._may_start)
             if ticket is None:
                 break
             del self._waiting[ticket]
-            self._per_workspace[ticket.workspace] -= 1
+            self._forget(ticket)
+            if self._too_late(ticket, now_s):
+                self._late.append(ticket)
+                continue
             self._start(ticket)
             admitted.append(ticket)
         return admitted
 
     def _start(self, ticket: Ticket) -> None:
         self._running.add(ticket)
+        self._running_of[ticket.workspace] += 1
         self._per_workspace[ticket.workspace] += 1
 
     def _forget(self, ticket: Ticket) -> None:
@@ -219,6 +250,10 @@
             del self._per_workspace[ticket.workspace]
 
 
+def _smoothed(mean: float, value: float) -> float:
+    return value if mean == 0.0 else 0.9 * mean + 0.1 * value
+
+
 def pipeline_capacity(replicas: Iterable[Replica], layer_count: int) -> int:
     """Return how many sequences live replicas can hold on every layer."""
     # A difference array over the layers: linear in replicas plus layers.
--- a/src/railfold/_internal/decisions/fair_queue.py
+++ b/src/railfold/_internal/decisions/fair_queue.py
@@ -10,6 +10,7 @@
 
 import heapq
 import itertools
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
@@ -78,11 +79,30 @@
         self._length += 1
         self._enqueue(workspace, flow)
 
-    def pop(self) -> T | None:
-        """Take the request whose turn it is."""
+    def pop(self, eligible: Callable[[str], bool] | None = None) -> T | None:
+        """Take the request whose turn it is.
+
+        :param eligible: tells of a workspace whether its turn may come now.
+        """
+        passed_over: list[tuple[float, int, str]] = []
+        try:
+            return self._pop(eligible, passed_over)
+        finally:
+            for entry in passed_over:
+                heapq.heappush(self._ready, entry)
+
+    def _pop(
+        self,
+        eligible: Callable[[str], bool] | None,
+        passed_over: list[tuple[float, int, str]],
+    ) -> T | None:
         while self._ready:
-            _, _, workspace = heapq.heappop(self._ready)
+            entry = heapq.heappop(self._ready)
+            workspace = entry[2]
             flow = self._flows[workspace]
+            if flow.waiting and eligible is not None and not eligible(workspace):
+                passed_over.append(entry)
+                continue
             flow.queued = False
             if not flow.waiting:
                 self._set_idle(workspace, flow)  # Its requests were withdrawn.
--- a/src/railfold/_internal/decisions/membership.py
+++ b/src/railfold/_internal/decisions/membership.py
@@ -77,12 +77,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AgentReport:
-    """An agent's own word, from a heartbeat."""
+    """An agent's own word, from a heartbeat.
+
+    :param owned: how many of its ``sequences`` are this entry's.
+    """
 
     host: str
     incarnation: int
     state: str
     sequences: int
+    owned: int
     max_sequences: int
     step_ms: float
     loaded: tuple[Loaded, ...]
@@ -118,9 +122,8 @@
 class Member:
     """What an entry knows of one linked agent.
 
-    :param own: this entry's own sequences there now.
-    :param own_at_report: the same when the last report came; the difference
-        corrects the report, which lags.
+    :param own: this entry's own sequences there now, which it knows exactly.
+    :param others: sequences of other entries there, by the last report.
     """
 
     host: str
@@ -131,9 +134,8 @@
     state: str = "unknown"
     suspect: bool = False
     leaving: bool = False
-    reported_sequences: int = 0
     own: int = 0
-    own_at_report: int = 0
+    others: int = 0
     max_sequences: int = 0
     step_ms: float = 1.0
     loaded: tuple[Loaded, ...] = ()
@@ -156,7 +158,7 @@
     @property
     def load(self) -> int:
         """Sequences there, as well as it is known."""
-        return max(0, self.reported_sequences + self.own - self.own_at_report)
+        return self.own + self.others
 
 
 class MembershipView:
@@ -240,8 +242,7 @@
             return
         member.state = event.state
         member.suspect = False
-        member.reported_sequences = event.sequences
-        member.own_at_report = member.own
+        member.others = max(0, event.sequences - event.owned)
         member.max_sequences = event.max_sequences
         member.step_ms = max(0.01, event.step_ms)
         member.loaded = event.loaded
--- a/src/railfold/_internal/decisions/sequences.py
+++ b/src/railfold/_internal/decisions/sequences.py
@@ -290,12 +290,26 @@
         self._newest: dict[str, int] = {}
         self._tombstones: OrderedDict[AttemptId, bool] = OrderedDict()
         self._orphans: list[_Orphan] = []
+        self._closing = 0
         self.draining = False
         self.available = True
 
     def __len__(self) -> int:
         return len(self._sequences)
 
+    @property
+    def _live(self) -> int:
+        # A cancelled sequence whose last step still runs takes no place: its
+        # entry has given the place to another request already.
+        return len(self._sequences) - self._closing
+
+    def owned_by(self, owner: str) -> int:
+        """Return how many sequences an entry owns."""
+        return sum(
+            sequence.owner == owner and not sequence.closing
+            for sequence in self._sequences.values()
+        )
+
     def view(self, attempt_id: AttemptId) -> SequenceView | None:
         """Return what is needed to route an open attempt's messages."""
         sequence = self._sequences.get(attempt_id)
@@ -372,7 +386,7 @@
             return RefusalReason.DRAINING
         if not self.available:
             return RefusalReason.UNAVAILABLE
-        if len(self._sequences) >= self._limits.max_sequences:
+        if self._live >= self._limits.max_sequences:
             return RefusalReason.FULL
         return None
 
@@ -463,8 +477,12 @@
         self._bury(attempt_id, started=sequence.started)
         if sequence.running is not None:
             # The engine is at it: its KV cache goes when the step has ended.
+            if not sequence.closing:
+                self._closing += 1
             sequence.closing = True
             return []
+        if sequence.closing:
+            self._closing -= 1
         del self._sequences[attempt_id]
         if self._newest.get(attempt_id.request_id) == attempt_id.attempt:
             del self._newest[attempt_id.request_id]
--- a/src/railfold/_internal/entry/admission.py
+++ b/src/railfold/_internal/entry/admission.py
@@ -100,7 +100,7 @@
             yield
         finally:
             service_s = loop.time() - started_s
-            self._wake(gate.queue.finished(ticket, service_s))
+            self._wake(gate.queue.finished(ticket, service_s, loop.time()))
 
     async def _wait(self, gate: _Gate, ticket: Ticket) -> None:
         loop = asyncio.get_running_loop()
@@ -116,14 +116,15 @@
             self._waiters.pop(ticket, None)
             if not gate.queue.withdraw(ticket) and not _succeeded(future):
                 # It was admitted in the moment its caller gave up.
-                self._wake(gate.queue.finished(ticket, 0.0))
+                self._wake(gate.queue.withdrawn_early(ticket, loop.time()))
             self._metrics.timing("admission.wait", loop.time() - started_s)
 
     def refresh(self, entries: int) -> None:
         """Take new capacity from the membership view; shed what it can't serve."""
         now_s = asyncio.get_running_loop().time()
         for gate in self._gates.values():
-            self._wake(gate.queue.set_capacity(self._capacity(gate.target, entries)))
+            capacity = self._capacity(gate.target, entries)
+            self._wake(gate.queue.set_capacity(capacity, now_s))
             load = gate.queue.load
             for ticket in gate.queue.shed(now_s):
                 self._metrics.count("admission.shed")
@@ -146,7 +147,9 @@
         if gate is None or gate.target is not target:
             queue = gate.queue if gate else AdmissionQueue(self._limits)
             gate = self._gates[key] = _Gate(target, queue)
-            self._wake(queue.set_capacity(self._capacity(target, entries)))
+            now_s = asyncio.get_running_loop().time()
+            capacity = self._capacity(target, entries)
+            self._wake(queue.set_capacity(capacity, now_s))
         return gate
 
     def _capacity(self, target: Target, entries: int) -> int:
--- a/src/railfold/_internal/entry/agents.py
+++ b/src/railfold/_internal/entry/agents.py
@@ -256,6 +256,7 @@
             link.peer.incarnation,
             message.state,
             message.sequences,
+            message.owned,
             message.max_sequences,
             message.step_ms,
             loaded,
--- a/src/railfold/_internal/links/connection.py
+++ b/src/railfold/_internal/links/connection.py
@@ -26,7 +26,7 @@
     encode_frame,
 )
 
-__all__ = ["Link", "LinkLimits", "LinkMessage", "LinkPeer"]
+__all__ = ["Link", "LinkLimits", "LinkMessage", "LinkPeer", "owner_name"]
 
 LinkMessage = Message | Activation | Feedback | EmittedToken
 
@@ -197,3 +197,8 @@
     def close(self) -> None:
         """Close the link; safe to call again."""
         self._stream.close()
+
+
+def owner_name(link: Link) -> str:
+    """Return the name under which a linked entry owns work at an agent."""
+    return f"{link.peer.name}#{link.peer.incarnation}"
--- a/src/railfold/_internal/links/messages.py
+++ b/src/railfold/_internal/links/messages.py
@@ -66,12 +66,14 @@
 class Heartbeat(msgspec.Struct, tag="hb", frozen=True):
     """An agent's own word about itself.
 
-    ``step_ms`` is the recent time of one engine step, in milliseconds;
+    ``sequences`` counts all work there and ``owned`` the receiving entry's part
+    of it; ``step_ms`` is the recent time of one engine step, in milliseconds;
     ``entries`` is how many entries the agent is linked to.
     """
 
     state: Literal["serving", "draining", "unavailable"]
     sequences: int
+    owned: int
     max_sequences: int
     step_ms: float
     loaded: list[LoadedRange]
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -31,7 +31,7 @@
 
 def queue_of(capacity: int, **limits: int) -> AdmissionQueue:
     queue = AdmissionQueue(AdmissionLimits(**limits))
-    queue.set_capacity(capacity)
+    queue.set_capacity(capacity, 0.0)
     return queue
 
 
@@ -113,14 +113,14 @@
     assert queue.offer(ticket(), 0.0) == Admitted()
     waiting = ticket()
     assert queue.offer(waiting, 0.0) == Queued()
-    assert queue.finished(first, 1.0) == [waiting]
+    assert queue.finished(first, 1.0, 1.0) == [waiting]
 
 
 def test_wait_past_the_deadline_is_refused_at_once() -> None:
     queue = queue_of(1)
     running = ticket()
     queue.offer(running, 0.0)
-    queue.finished(running, 40.0)
+    queue.finished(running, 25.0, 25.0)
     queue.offer(ticket(), 0.0)
     assert queue.offer(ticket(), 0.0) == Queued()
     refused = queue.offer(ticket(), 0.0)
@@ -128,6 +128,32 @@
     assert refused.error.code == "deadline_expired"
 
 
+def test_request_that_would_end_too_late_is_refused_or_shed_at_its_turn() -> None:
+    queue = queue_of(1)
+    first = ticket(cost=10.0)
+    queue.offer(first, 0.0)
+    queue.finished(first, 10.0, 10.0)
+    running, waiting = ticket(cost=10.0), ticket(cost=30.0)
+    queue.offer(running, 10.0)
+    assert queue.offer(waiting, 10.0) == Queued()
+    assert queue.finished(running, 10.0, 35.0) == []
+    assert queue.shed(35.0) == [waiting]
+    assert queue.running == 0
+    assert isinstance(queue.offer(ticket(cost=70.0), 0.0), Refused)
+
+
+def test_place_is_kept_from_a_workspace_that_holds_the_rest() -> None:
+    queue = queue_of(20)
+    flood = [ticket("flood") for _ in range(40)]
+    assert [queue.offer(t, 0.0) for t in flood].count(Admitted()) == 19
+    assert queue.offer(ticket("quiet"), 0.0) == Admitted()
+    assert queue.finished(flood[0], 1.0, 1.0) == [flood[19]]
+
+
+def test_one_place_serves_one_workspace() -> None:
+    assert queue_of(1).offer(ticket(), 0.0) == Admitted()
+
+
 def test_limit_of_a_workspace() -> None:
     queue = queue_of(10)
     assert queue.offer(ticket(max_in_flight=1), 0.0) == Admitted()
@@ -142,7 +168,7 @@
     queue.offer(ticket(), 0.0)
     waiting = ticket()
     queue.offer(waiting, 0.0)
-    queue.set_capacity(0)
+    queue.set_capacity(0, 0.0)
     assert queue.shed(0.0) == [waiting]
     refused = queue.offer(ticket(), 0.0)
     assert isinstance(refused, Refused)
--- a/tests/unit/test_generate_driver.py
+++ b/tests/unit/test_generate_driver.py
@@ -53,7 +53,7 @@
         for host, layers in LAYERS.items():
             self.view.apply(LinkUp(host, "10.0.0.1:1", 1, "hall-a", "west"))
             loaded = (Loaded("inspect-llm", "1", layers),)
-            report = AgentReport(host, 1, "serving", 0, 8, 10.0, loaded, ())
+            report = AgentReport(host, 1, "serving", 0, 0, 8, 10.0, loaded, ())
             self.view.apply(report)
 
     def register(self, request_id: str, driver: GenerateDriver) -> None:
