Test supervisor, membership, replica and links; golden sessions

Cause: these parts had only been reached through whole deployments.

Change: tests with a paused clock and fakes at the interfaces, and golden files of a whole session for both deployments.

Conclusion: a stranger on a link port costs a connection no longer.

--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,164 @@
+"""Cost of control against the size of the group, and time until in force.
+
+Idle deployments of growing size, real processes: what entries and agents spend
+on control in processor time, bytes and memory. Then configuration changes with
+the log healthy, slow, and out right after acceptance: how long until each
+process has them in force.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from tornado.httpclient import AsyncHTTPClient
+
+from benchmarks.lib import (
+    Usage,
+    median,
+    new_client,
+    percentile,
+    print_table,
+    run,
+    usage,
+)
+from railfold._internal.operations.processes import fetch
+from standins.cluster import LAYER_COUNT, SERVICE, Cluster, EngineHost
+
+GROUPS = (5, 10, 20, 40)
+ENTRIES = 2
+SETTLE_S = 4.0
+WINDOW_S = 10.0
+CHANGES = 10
+SLOW_S = 1.0
+POLL_S = 0.05
+GIVE_UP_S = 30.0
+
+
+def hosts(count: int) -> list[EngineHost]:
+    """Return hosts that each hold the whole model."""
+    return [EngineHost(f"host-{n}", 0, LAYER_COUNT - 1) for n in range(count)]
+
+
+def link_bytes(cluster: Cluster) -> int:
+    """Return the bytes on the first entry's links, both ways."""
+    status = cluster.status(0)
+    return int(status["link_bytes_sent"] + status["link_bytes_received"])
+
+
+def spent(before: Usage, after: Usage) -> float:
+    """Return the processor time between, in percent of a core."""
+    return (after.cpu_s - before.cpu_s) / WINDOW_S * 100
+
+
+def idle_row(cluster: Cluster, count: int) -> list[object]:
+    """Measure an idle deployment."""
+    time.sleep(SETTLE_S)
+    names = ["entry-0", *(f"agent-host-{n}" for n in range(count))]
+    before = {name: usage(cluster, name) for name in names}
+    bytes_before = link_bytes(cluster)
+    time.sleep(WINDOW_S)
+    after = {name: usage(cluster, name) for name in names}
+    sent = link_bytes(cluster) - bytes_before
+    agents = [spent(before[n], after[n]) for n in names[1:]]
+    return [
+        count,
+        spent(before["entry-0"], after["entry-0"]),
+        sent / WINDOW_S,
+        after["entry-0"].resident_mib,
+        median(agents),
+        sent / WINDOW_S / count,
+        median([after[n].resident_mib for n in names[1:]]),
+    ]
+
+
+async def times_in_force(
+    cluster: Cluster, version: int, started_s: float
+) -> list[float]:
+    """Return the time until ``version`` was in force, for each process."""
+    http = new_client()
+    urls = [cluster.entry_url(i) for i in range(cluster.entries)]
+    urls += [cluster.agent_url(h.host) for h in cluster.engines]
+    return list(
+        await asyncio.gather(
+            *(time_in_force(http, url, version, started_s) for url in urls)
+        )
+    )
+
+
+async def time_in_force(
+    http: AsyncHTTPClient, url: str, version: int, started_s: float
+) -> float:
+    """Return the time until one process has ``version``."""
+    while True:
+        status = await fetch(http, url, "/v1/status")
+        if status["configuration_version"] >= version:
+            return time.perf_counter() - started_s
+        if time.perf_counter() - started_s > GIVE_UP_S:
+            raise TimeoutError(f"{url} doesn't come to version {version}")
+        await asyncio.sleep(POLL_S)
+
+
+async def change_row(
+    cluster: Cluster, mode: str, versions: dict[str, int]
+) -> list[object]:
+    """Publish changes in one state of the log."""
+    seconds: list[float] = []
+    for number in range(CHANGES):
+        if mode == "slow":
+            cluster.fault("slow", SLOW_S)
+        body = {"hosts": [f"{mode.split()[0]}-{number}"]}
+        base = versions.get(SERVICE, 0)
+        offset = await asyncio.to_thread(cluster.change, "service", SERVICE, base, body)
+        started_s = time.perf_counter()
+        versions[SERVICE] = offset + 1
+        if mode == "out after acceptance":
+            cluster.fault("log_out")
+        seconds += await times_in_force(cluster, offset + 1, started_s)
+        cluster.fault("ok")
+    return [
+        mode,
+        len(seconds),
+        median(seconds) * 1000,
+        percentile(seconds, 0.99) * 1000,
+        max(seconds) * 1000,
+    ]
+
+
+async def in_force(cluster: Cluster) -> list[list[object]]:
+    """Return the rows of all states of the log."""
+    versions: dict[str, int] = {}
+    modes = ("healthy", "slow", "out after acceptance")
+    return [await change_row(cluster, mode, versions) for mode in modes]
+
+
+def main() -> None:
+    """Measure and print."""
+    rows = []
+    for count in GROUPS:
+        with Cluster(hosts(count), entries=ENTRIES, shared_engines=True) as cluster:
+            rows.append(idle_row(cluster, count))
+            if count == GROUPS[-1]:
+                changes = run(in_force(cluster))
+    print_table(
+        f"control of idle groups, {ENTRIES} entries, payload bytes on links",
+        [
+            "agents",
+            "entry % core",
+            "entry bytes/s",
+            "entry MiB",
+            "agent % core",
+            "agent bytes/s",
+            "agent MiB",
+        ],
+        rows,
+    )
+    print_table(
+        f"from accepted to in force, {GROUPS[-1]} agents and {ENTRIES} entries",
+        ["log", "samples", "p50 ms", "p99 ms", "worst ms"],
+        changes,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/railfold/_internal/links/connection.py
+++ b/src/railfold/_internal/links/connection.py
@@ -100,6 +100,9 @@
         timeout_s = self._limits.handshake_timeout_s
         try:
             frame = await asyncio.wait_for(self._read_frame(), timeout_s)
+        except LinkProtocolError:
+            self.close()
+            raise
         except (TimeoutError, StreamClosedError) as error:
             self.close()
             raise LinkClosedError(
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -79,6 +79,18 @@
         return self.popen.wait(timeout_s)
 
 
+def _engine_fields(host: EngineHost) -> dict[str, Any]:
+    return {
+        "model": PIPELINE,
+        "version": "1",
+        "layer_count": LAYER_COUNT,
+        "first_layer": host.first_layer,
+        "last_layer": host.last_layer,
+        "fixed_ms": host.fixed_ms,
+        "per_sequence_ms": host.per_sequence_ms,
+    }
+
+
 def _free_ports() -> Iterator[int]:
     # Below the range that the system gives to outgoing connections, which
     # could take a port between its choice and its use. Each test worker has
@@ -103,6 +115,7 @@
     engines: list[EngineHost]
     entries: int = 1
     service_hosts: int = 0
+    shared_engines: bool = False
     entry_overrides: dict[str, dict[str, Any]] = field(default_factory=dict)
     workspaces: dict[str, dict[str, Any]] = field(default_factory=dict)
     command: list[str] = field(
@@ -134,8 +147,11 @@
 
     def _start_all(self) -> None:
         self.start_platform()
+        if self.shared_engines:
+            self._spawn_engines("engines", self.engines)
         for host in self.engines:
-            self.start_engine(host)
+            if not self.shared_engines:
+                self.start_engine(host)
             self.start_agent(host)
         for index in range(self.service_hosts):
             self._start_service(index)
@@ -161,20 +177,14 @@
 
     def start_engine(self, host: EngineHost) -> None:
         """Start a host's engine."""
-        port = self.port(f"engine-{host.host}")
-        fields = {
-            "model": PIPELINE,
-            "version": "1",
-            "layer_count": LAYER_COUNT,
-            "first_layer": host.first_layer,
-            "last_layer": host.last_layer,
-            "fixed_ms": host.fixed_ms,
-            "per_sequence_ms": host.per_sequence_ms,
-        }
-        self._spawn(
-            f"engine-{host.host}",
-            [sys.executable, "-m", "standins", "engines", json.dumps([[port, fields]])],
-        )
+        self._spawn_engines(f"engine-{host.host}", [host])
+
+    def _spawn_engines(self, name: str, hosts: list[EngineHost]) -> None:
+        specs = [
+            [self.port(f"engine-{host.host}"), _engine_fields(host)] for host in hosts
+        ]
+        command = [sys.executable, "-m", "standins", "engines", json.dumps(specs)]
+        self._spawn(name, command)
 
     def engine_url(self, host: str) -> str:
         """Base URL of a host's engine."""
--- /dev/null
+++ b/tests/functional/test_sessions.py
@@ -0,0 +1,76 @@
+"""Whole sessions of both deployments, compared with golden files."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+from syrupy.assertion import SnapshotAssertion
+
+from standins.cluster import PIPELINE, SERVICE, Cluster, EngineHost, stream_generate
+from tests.lib.callers import Answer, generate, log_slip, send
+
+
+@dataclass(frozen=True)
+class Deployment:
+    """A deployment's shape, cut down to one host for each stage."""
+
+    name: str
+    domains: tuple[str, str, str]
+    workspaces: dict[str, dict[str, Any]] = field(default_factory=dict)
+
+
+DEPLOYMENTS = [
+    Deployment(
+        "prairie_basin",
+        ("hall-a", "hall-b", "depot-c"),
+        {"quality": {"weight": 4.0}, "records": {"policy": '{"max_tokens": 3}'}},
+    ),
+    Deployment(
+        "sapatura",
+        ("hall-cluj", "hall-sibiu", "hall-brasov"),
+        {"quality": {}, "records": {"policy": '{"admit": request.priority > 0}'}},
+    ),
+]
+
+
+def plain(answer: Answer) -> dict[str, Any]:
+    """Return what a session's golden file holds of an answer."""
+    kept = ("Railfold-Outcome", "Content-Type", "Railfold-Replayed")
+    body = answer.body
+    if isinstance(body, dict):
+        body = {
+            k: v for k, v in body.items() if k not in ("request_id", "retry_after_s")
+        }
+    headers = {k: v for k, v in answer.headers.items() if k in kept}
+    return {"status": answer.status, "headers": headers, "body": body}
+
+
+def streamed(cluster: Cluster, prompt: str) -> list[Any]:
+    """Return a streamed session; how tokens share events isn't stated."""
+    events = list(stream_generate(cluster.callers_url(), prompt, 8))
+    text = "".join(e.data["text"] for e in events if e.name == "tokens")
+    outcome = {k: v for k, v in events[-1].data.items() if k != "request_id"}
+    return [text, outcome]
+
+
+@pytest.mark.parametrize("deployment", DEPLOYMENTS, ids=lambda d: d.name)
+def test_session(deployment: Deployment, snapshot: SnapshotAssertion) -> None:
+    hosts = [
+        EngineHost(f"runner-{i}", i * 4, i * 4 + 3, domain)
+        for i, domain in enumerate(deployment.domains)
+    ]
+    with Cluster(hosts, service_hosts=1, workspaces=deployment.workspaces) as cluster:
+        url = cluster.callers_url()
+        session = {
+            "answer": plain(generate(url, "unit 1", 5)),
+            "stream": streamed(cluster, "unit 2"),
+            "policy": plain(generate(url, "unit 3", 5, workspace="records")),
+            "call": plain(log_slip(url, "slip-1")),
+            "read": plain(send(f"{url}/v1/services/{SERVICE}/slips", method="GET")),
+            "wrong body": plain(send(f"{url}/v1/pipelines/{PIPELINE}/generate", [])),
+            "no such service": plain(send(f"{url}/v1/services/none/x", {})),
+        }
+    assert json.dumps(session, indent=1, sort_keys=True) == snapshot
--- /dev/null
+++ b/tests/unit/test_membership.py
@@ -0,0 +1,149 @@
+"""The view follows the agent's word, then its link, then the list."""
+
+from __future__ import annotations
+
+import pytest
+
+from railfold._internal.core import LayerRange, Stage
+from railfold._internal.decisions.heartbeats import HeartbeatPace
+from railfold._internal.decisions.membership import (
+    AgentReport,
+    HostListed,
+    LinkDown,
+    LinkUp,
+    ListedHost,
+    Loaded,
+    MembershipView,
+    ProbeUnanswered,
+)
+
+PLACED = {"a1": LayerRange(0, 3)}
+HELD = Loaded("m", "1", LayerRange(0, 3))
+
+
+def report(
+    state: str = "serving",
+    incarnation: int = 1,
+    loaded: tuple[Loaded, ...] = (HELD,),
+    sequences: int = 0,
+    owned: int = 0,
+) -> AgentReport:
+    return AgentReport("a1", incarnation, state, sequences, owned, 8, 5.0, loaded, ())
+
+
+def link_up(incarnation: int = 1) -> LinkUp:
+    return LinkUp("a1", "10.0.0.1:1", incarnation, "hall-a", "west")
+
+
+@pytest.fixture
+def view() -> MembershipView:
+    """A view of one serving agent."""
+    view = MembershipView()
+    view.apply(HostListed((ListedHost("a1", "10.0.0.1:1"),)))
+    view.apply(link_up())
+    view.apply(report())
+    return view
+
+
+def routed(view: MembershipView) -> bool:
+    return bool(view.stages("m", "1", PLACED))
+
+
+def test_listed_host_is_dialled_once() -> None:
+    view = MembershipView()
+    host = ListedHost("a1", "10.0.0.1:1")
+    assert view.apply(HostListed((host,))).dial == (host,)
+    assert view.apply(HostListed((host,))).dial == ()
+    moved = ListedHost("a1", "10.0.0.2:1")
+    assert view.apply(HostListed((moved,))).dial == (moved,)
+
+
+def test_agent_is_routed_to_after_its_own_word(view: MembershipView) -> None:
+    assert routed(view)
+    fresh = MembershipView()
+    fresh.apply(link_up())
+    assert not routed(fresh)
+
+
+@pytest.mark.parametrize("state", ["draining", "unavailable"])
+def test_agents_own_word_goes_before_the_list(view: MembershipView, state: str) -> None:
+    view.apply(report(state))
+    view.apply(HostListed((ListedHost("a1", "10.0.0.1:1"),)))
+    assert not routed(view)
+
+
+def test_list_may_take_away_but_not_give(view: MembershipView) -> None:
+    view.apply(HostListed((ListedHost("a1", "10.0.0.1:1", leaving=True),)))
+    assert not routed(view)
+    view.apply(HostListed((ListedHost("a1", "10.0.0.1:1"),)))
+    assert routed(view)
+
+
+def test_empty_list_does_not_stop_a_linked_agent(view: MembershipView) -> None:
+    assert view.apply(HostListed(())).hang_up == ()
+    assert routed(view)
+    assert view.apply(LinkDown("a1", 1)).hang_up == ("a1",)
+
+
+def test_broken_link_loses_the_hosts_work(view: MembershipView) -> None:
+    assert view.apply(LinkDown("a1", 1)).lost == {"a1"}
+    assert not routed(view)
+
+
+def test_new_incarnation_loses_the_old_ones_work(view: MembershipView) -> None:
+    assert view.apply(link_up(2)).lost == {"a1"}
+    assert not routed(view)
+    view.apply(report(incarnation=1))
+    assert not routed(view)
+    assert view.apply(LinkDown("a1", 1)).lost == frozenset()
+    view.apply(report(incarnation=2))
+    assert routed(view)
+
+
+def test_older_incarnation_does_not_come_back(view: MembershipView) -> None:
+    view.apply(link_up(5))
+    view.apply(link_up(1))
+    member = view.get("a1")
+    assert member is not None
+    assert member.incarnation == 5
+
+
+def test_silent_host_is_lost_until_it_reports_again(view: MembershipView) -> None:
+    assert view.apply(ProbeUnanswered("a1", 1)).lost == {"a1"}
+    assert not routed(view)
+    view.apply(report())
+    assert routed(view)
+
+
+@pytest.mark.parametrize(
+    "loaded",
+    [
+        (),
+        (Loaded("m", "2", LayerRange(0, 3)),),
+        (Loaded("other", "1", LayerRange(0, 3)),),
+        (Loaded("m", "1", LayerRange(0, 2)),),
+    ],
+)
+def test_only_what_was_read_back_is_routed_to(
+    view: MembershipView, loaded: tuple[Loaded, ...]
+) -> None:
+    view.apply(report(loaded=loaded))
+    assert not routed(view)
+
+
+def test_own_load_is_exact_and_others_load_is_reported(view: MembershipView) -> None:
+    stage = Stage("a1", "10.0.0.1:1", 1, LayerRange(0, 3))
+    view.apply(report(sequences=5, owned=2))
+    for _ in range(4):
+        view.count_own((stage,), 1)
+    view.count_own((stage,), -1)
+    member = view.get("a1")
+    assert member is not None
+    assert member.load == 3 + 3
+
+
+@pytest.mark.parametrize("agents", [43, 380])
+def test_heartbeats_keep_to_their_budget(agents: int) -> None:
+    pace = HeartbeatPace()
+    spent = agents * pace.heartbeat_bytes / pace.interval_s(agents)
+    assert spent <= pace.budget_bytes_per_s * 1.001
--- /dev/null
+++ b/tests/unit/test_replica.py
@@ -0,0 +1,144 @@
+"""A process's configuration never goes back, whatever its peers say."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from railfold._internal.configuration.replica import ConfigurationReplica
+from railfold._internal.configuration.scanner import ConfigurationScanner
+from railfold._internal.decisions.configuration import (
+    ChangeRecord,
+    CheckpointRecord,
+    Configuration,
+)
+from railfold._internal.links.connection import LinkMessage
+from railfold._internal.links.messages import (
+    ConfigurationChange,
+    ConfigurationRequest,
+    Frame,
+)
+from railfold._internal.observability.metrics import Metrics
+from railfold._internal.platform.log import LogRecord
+
+
+class FakePeer:
+    """Plays a link's name and remembers what is sent."""
+
+    name = "peer"
+
+    def __init__(self) -> None:
+        self.peer = self
+        self.sent: list[LinkMessage] = []
+
+    def send(self, message: LinkMessage) -> None:
+        self.sent.append(message)
+
+
+def record(offset: int, base: int) -> bytes:
+    body = {"hosts": [f"h{offset}"]}
+    change = ChangeRecord(f"w{offset}", "ana", "service", "line-records", base, body)
+    return msgspec.json.encode(change)
+
+
+def replica_at(changes: int) -> ConfigurationReplica:
+    replica = ConfigurationReplica(Metrics(), lambda: None)
+    for offset in range(changes):
+        replica.fold(offset, 1.0, record(offset, offset))
+    return replica
+
+
+def give(replica: ConfigurationReplica, peer: FakePeer, *messages, version: int = 0):  # type: ignore[no-untyped-def]
+    """Give a frame to a replica."""
+    replica.frame(peer, Frame(version, list(messages)))  # type: ignore[arg-type]
+
+
+def test_replica_that_is_behind_asks_once_and_catches_up() -> None:
+    behind, ahead, peer = replica_at(1), replica_at(3), FakePeer()
+    give(behind, peer, version=3)
+    give(behind, peer, version=3)
+    assert peer.sent == [ConfigurationRequest(1)]
+    give(behind, peer, ahead.snapshot(), version=3)
+    assert behind.version == 3
+    assert behind.configuration.digest() == ahead.configuration.digest()
+
+
+def test_stale_peer_changes_nothing() -> None:
+    ahead, stale, peer = replica_at(3), replica_at(1), FakePeer()
+    give(ahead, peer, stale.snapshot(), version=1)
+    assert ahead.version == 3
+    assert peer.sent == []
+
+
+def test_stale_peer_that_asks_gets_the_newer_copy() -> None:
+    ahead, peer = replica_at(3), FakePeer()
+    give(ahead, peer, ConfigurationRequest(1))
+    assert peer.sent == [ahead.snapshot()]
+    give(ahead, peer, ConfigurationRequest(3))
+    assert len(peer.sent) == 1
+
+
+def test_damaged_copy_is_refused() -> None:
+    behind, ahead, peer = replica_at(1), replica_at(3), FakePeer()
+    damaged = msgspec.structs.replace(ahead.snapshot(), digest="0" * 32)
+    give(behind, peer, damaged)
+    assert behind.version == 1
+
+
+def test_change_is_folded_only_if_none_is_missing_before_it() -> None:
+    behind, peer = replica_at(1), FakePeer()
+    give(behind, peer, ConfigurationChange(2, 2, 1.0, record(2, 2)), version=3)
+    assert behind.version == 1
+    assert peer.sent == [ConfigurationRequest(1)]
+    give(behind, peer, ConfigurationChange(1, 1, 1.0, record(1, 1)))
+    assert behind.version == 2
+
+
+def test_unreadable_record_is_passed_over() -> None:
+    replica = replica_at(1)
+    replica.fold(1, 1.0, b'{"type":"later"}')
+    replica.fold(2, 1.0, record(2, 1))
+    assert replica.version == 3
+
+
+def checkpoint(of: Configuration, *, digest: str = "") -> CheckpointRecord:
+    return CheckpointRecord(
+        "c1", "entry-0", of.next_offset - 1, digest or of.digest(), of.to_state()
+    )
+
+
+def log_record(offset: int, body: object) -> LogRecord:
+    return LogRecord(offset, 1.0, msgspec.to_builtins(body))
+
+
+def test_gap_is_crossed_by_a_checkpoint_only() -> None:
+    whole, behind = replica_at(4), replica_at(1)
+    scanner = ConfigurationScanner(behind, Metrics())
+    assert scanner.expired(3) == 3
+    late = msgspec.json.decode(record(3, 3))
+    assert scanner.record(LogRecord(3, 1.0, late)) is None
+    assert behind.version == 1
+    scanner.record(log_record(4, checkpoint(whole.configuration)))
+    assert behind.version == 4
+    assert not scanner.in_gap
+    assert scanner.next_offset() == 4
+
+
+def test_checkpoint_with_a_wrong_digest_is_refused_and_audited() -> None:
+    whole, behind = replica_at(3), replica_at(1)
+    wrong = checkpoint(whole.configuration, digest="0" * 32)
+    scanner = ConfigurationScanner(behind, Metrics())
+    scanner.expired(2)
+    scanner.record(log_record(3, wrong))
+    assert behind.version == 1
+    whole.fold(3, 1.0, msgspec.json.encode(wrong))
+    assert whole.configuration.audit[-1].verdict.value == "checkpoint_refused"
+
+
+@pytest.mark.parametrize("changes", [1, 3])
+def test_checkpoint_of_the_same_state_says_nothing(changes: int) -> None:
+    replica = replica_at(changes)
+    before = len(replica.configuration.audit)
+    data = msgspec.json.encode(checkpoint(replica.configuration))
+    replica.fold(changes, 1.0, data)
+    assert len(replica.configuration.audit) == before
--- /dev/null
+++ b/tests/unit/test_supervisor.py
@@ -0,0 +1,120 @@
+"""The supervisor tree restarts, escalates and stops in order."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from railfold._internal.supervision.supervisor import (
+    ChildSpec,
+    RestartLimit,
+    Strategy,
+    Supervisor,
+    SupervisorFailedError,
+)
+
+pytestmark = [pytest.mark.asyncio, pytest.mark.looptime]
+
+
+class Recorder:
+    """Makes children that record their starts and stops."""
+
+    def __init__(self) -> None:
+        self.events: list[str] = []
+        self.failing: dict[str, asyncio.Event] = {}
+
+    def child(self, name: str) -> ChildSpec:
+        async def run(ready: asyncio.Event) -> None:
+            self.events.append(f"+{name}")
+            self.failing[name] = asyncio.Event()
+            ready.set()
+            try:
+                await self.failing[name].wait()
+                raise ValueError(name)
+            finally:
+                self.events.append(f"-{name}")
+
+        return ChildSpec(name, run)
+
+    def fail(self, name: str) -> None:
+        self.failing[name].set()
+
+
+async def started(supervisor: Supervisor) -> asyncio.Task[None]:
+    ready = asyncio.Event()
+    task = asyncio.create_task(supervisor.run(ready))
+    await asyncio.wait_for(ready.wait(), 1.0)
+    return task
+
+
+async def stop(task: asyncio.Task[None]) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+async def test_children_start_in_order_and_stop_in_reverse() -> None:
+    recorder = Recorder()
+    task = await started(Supervisor("s", [recorder.child(n) for n in "abc"]))
+    await stop(task)
+    assert recorder.events == ["+a", "+b", "+c", "-c", "-b", "-a"]
+
+
+async def test_failed_child_alone_is_restarted() -> None:
+    recorder = Recorder()
+    task = await started(Supervisor("s", [recorder.child(n) for n in "abc"]))
+    recorder.fail("b")
+    await asyncio.sleep(1.0)
+    assert recorder.events == ["+a", "+b", "+c", "-b", "+b"]
+    await stop(task)
+    assert recorder.events[-3:] == ["-c", "-b", "-a"]
+
+
+async def test_rest_for_one_restarts_what_was_started_later() -> None:
+    recorder = Recorder()
+    children = [recorder.child(n) for n in "abc"]
+    task = await started(Supervisor("s", children, Strategy.REST_FOR_ONE))
+    recorder.fail("b")
+    await asyncio.sleep(1.0)
+    assert recorder.events[3:] == ["-b", "-c", "+b", "+c"]
+    await stop(task)
+
+
+async def test_too_many_failures_escalate() -> None:
+    recorder = Recorder()
+    limit = RestartLimit(max_restarts=2, window_s=10.0)
+    task = await started(Supervisor("s", [recorder.child("a")], limit=limit))
+    for _ in range(3):
+        recorder.fail("a")
+        await asyncio.sleep(1.0)
+    with pytest.raises(SupervisorFailedError):
+        await task
+
+
+async def test_failures_far_apart_do_not_escalate() -> None:
+    recorder = Recorder()
+    limit = RestartLimit(max_restarts=2, window_s=10.0)
+    task = await started(Supervisor("s", [recorder.child("a")], limit=limit))
+    for _ in range(6):
+        recorder.fail("a")
+        await asyncio.sleep(11.0)
+    assert not task.done()
+    await stop(task)
+
+
+async def test_failure_of_a_nested_supervisor_restarts_it() -> None:
+    recorder = Recorder()
+    inner = Supervisor("inner", [recorder.child("a")], limit=RestartLimit(0, 10.0))
+    task = await started(Supervisor("outer", [ChildSpec("inner", inner.run)]))
+    recorder.fail("a")
+    await asyncio.sleep(1.0)
+    assert recorder.events == ["+a", "-a", "+a"]
+    await stop(task)
+
+
+async def test_child_that_never_gets_ready_escalates() -> None:
+    async def run(ready: asyncio.Event) -> None:
+        raise ValueError
+
+    with pytest.raises(SupervisorFailedError):
+        await Supervisor("s", [ChildSpec("a", run)]).run(asyncio.Event())
