--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -107,14 +107,21 @@
     for number in range(CHANGES):
         if mode == "slow":
             cluster.fault("slow", SLOW_S)
-        body = {"hosts": [f"{mode.split()[0]}-{number}"]}
+        if mode == "out":
+            cluster.processes["entry-1"].freeze()
+        body = {"hosts": [f"{mode}-{number}"]}
         base = versions.get(SERVICE, 0)
         offset = await asyncio.to_thread(cluster.change, "service", SERVICE, base, body)
         started_s = time.perf_counter()
-        versions[SERVICE] = offset + 1
-        if mode == "out after acceptance":
+        version = versions[SERVICE] = offset + 1
+        if mode == "out":
+            # One entry has read the change; the other wakes in the outage and
+            # can only learn of it from agents.
+            await time_in_force(new_client(), cluster.entry_url(0), version, started_s)
             cluster.fault("log_out")
-        seconds += await times_in_force(cluster, offset + 1, started_s)
+            started_s = time.perf_counter()
+            cluster.processes["entry-1"].thaw()
+        seconds += await times_in_force(cluster, version, started_s)
         cluster.fault("ok")
     return [
         mode,
@@ -128,7 +135,7 @@
 async def in_force(cluster: Cluster) -> list[list[object]]:
     """Return the rows of all states of the log."""
     versions: dict[str, int] = {}
-    modes = ("healthy", "slow", "out after acceptance")
+    modes = ("healthy", "slow", "out")
     return [await change_row(cluster, mode, versions) for mode in modes]
 
 
@@ -138,8 +145,6 @@
     for count in GROUPS:
         with Cluster(hosts(count), entries=ENTRIES, shared_engines=True) as cluster:
             rows.append(idle_row(cluster, count))
-            if count == GROUPS[-1]:
-                changes = run(in_force(cluster))
     print_table(
         f"control of idle groups, {ENTRIES} entries, payload bytes on links",
         [
@@ -153,8 +158,11 @@
         ],
         rows,
     )
+    group = GROUPS[-1]
+    with Cluster(hosts(group), entries=ENTRIES, shared_engines=True) as cluster:
+        changes = run(in_force(cluster))
     print_table(
-        f"from accepted to in force, {GROUPS[-1]} agents and {ENTRIES} entries",
+        f"from accepted to in force, {group} agents and {ENTRIES} entries",
         ["log", "samples", "p50 ms", "p99 ms", "worst ms"],
         changes,
     )
--- /dev/null
+++ b/benchmarks/without.py
@@ -0,0 +1,83 @@
+"""Which tests fail when a mechanism is taken out.
+
+For each row of ``tests/mechanisms.toml`` the tree is copied, the mechanism's
+line is replaced, and the named test is run on the copy. The test must fail
+there: this shows that the test sees the failure that the mechanism prevents.
+"""
+
+from __future__ import annotations
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+
+from benchmarks.lib import print_table
+
+PROJECT = Path(__file__).parent.parent
+COPIED = ("src", "tests", "standins", "benchmarks", "pyproject.toml")
+
+
+@dataclass(frozen=True)
+class Mechanism:
+    """A mechanism, how to take it out, and the test that must see it."""
+
+    name: str
+    file: str
+    old: str
+    new: str
+    test: str
+
+
+def mechanisms() -> list[Mechanism]:
+    """Return all rows."""
+    data = tomllib.loads((PROJECT / "tests" / "mechanisms.toml").read_text())
+    return [Mechanism(**row) for row in data["mechanism"]]
+
+
+def verdict(mechanism: Mechanism) -> str:
+    """Return what the test says without the mechanism."""
+    with tempfile.TemporaryDirectory() as folder:
+        copy = Path(folder)
+        for name in COPIED:
+            source = PROJECT / name
+            if source.is_dir():
+                ignored = shutil.ignore_patterns("__pycache__")
+                shutil.copytree(source, copy / name, ignore=ignored)
+            else:
+                shutil.copy(source, copy / name)
+        target = copy / "src" / "railfold" / "_internal" / mechanism.file
+        text = target.read_text()
+        if text.count(mechanism.old) != 1:
+            return "not applied"
+        target.write_text(text.replace(mechanism.old, mechanism.new))
+        environment = {**os.environ, "PYTHONPATH": f"{copy / 'src'}:{copy}"}
+        done = subprocess.run(
+            [sys.executable, "-m", "pytest", "-n", "0", "-x", mechanism.test],
+            cwd=copy,
+            env=environment,
+            capture_output=True,
+            check=False,
+            timeout=300,
+        )
+    return {0: "PASSES", 1: "fails"}.get(done.returncode, f"exit {done.returncode}")
+
+
+def main() -> int:
+    """Run all rows, or those whose names contain the argument."""
+    wanted = sys.argv[1] if len(sys.argv) > 1 else ""
+    rows = [
+        [m.name, m.test.rpartition("::")[2], verdict(m)]
+        for m in mechanisms()
+        if wanted in m.name
+    ]
+    print_table("tests without their mechanism", ["without", "test", "it"], rows)
+    return int(any(row[2] != "fails" for row in rows))
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/src/railfold/__init__.py
+++ b/src/railfold/__init__.py
@@ -1,5 +1,118 @@
-"""railfold routes model pipelines over mixed accelerators."""
+"""railfold routes model pipelines over mixed accelerators.
+
+The names exported here are the coordination parts that others may embed: state
+machines and functions without I/O or clock. All else is private.
+"""
+
+from railfold._internal.core import (
+    Answered,
+    AttemptId,
+    Chain,
+    Failed,
+    GenerateRequest,
+    LayerRange,
+    NeverSent,
+    NotRun,
+    Outcome,
+    RefusedBeforeStart,
+    ServiceRequest,
+    Stage,
+    StageRun,
+    Token,
+    TombstoneConfirmed,
+    Unknown,
+)
+from railfold._internal.decisions.admission import (
+    AdmissionLimits,
+    AdmissionQueue,
+    Ticket,
+    pipeline_capacity,
+)
+from railfold._internal.decisions.backoff import Backoff
+from railfold._internal.decisions.batching import RoundBatcher
+from railfold._internal.decisions.calls import CallLifecycle, CallRegister
+from railfold._internal.decisions.claims import ClaimKey, ClaimLedger, ClaimVerdict
+from railfold._internal.decisions.configuration import Configuration, ObjectId
+from railfold._internal.decisions.fair_queue import FairQueue, QueueFull
+from railfold._internal.decisions.heartbeats import HeartbeatPace, OverdueTimer
+from railfold._internal.decisions.lifecycle import LifecycleLimits, RequestLifecycle
+from railfold._internal.decisions.lineage import check_lineage, expected_lineage
+from railfold._internal.decisions.membership import MembershipView
+from railfold._internal.decisions.planner import (
+    LinkCosts,
+    PlannerWeights,
+    Replica,
+    choose_host,
+    plan_chain,
+)
+from railfold._internal.decisions.policy import Policy, PolicyDecision
+from railfold._internal.decisions.retry_budget import RetryBudget
+from railfold._internal.decisions.sequences import SequenceLimits, SequenceTable
+from railfold._internal.decisions.stalls import StepTimes
+from railfold._internal.errors import RailfoldError
+from railfold._internal.supervision.supervisor import (
+    ChildSpec,
+    RestartLimit,
+    Strategy,
+    Supervisor,
+)
 
 __version__ = "0.1.0"
 
-__all__ = ["__version__"]
+__all__ = [
+    "AdmissionLimits",
+    "AdmissionQueue",
+    "Answered",
+    "AttemptId",
+    "Backoff",
+    "CallLifecycle",
+    "CallRegister",
+    "Chain",
+    "ChildSpec",
+    "ClaimKey",
+    "ClaimLedger",
+    "ClaimVerdict",
+    "Configuration",
+    "Failed",
+    "FairQueue",
+    "GenerateRequest",
+    "HeartbeatPace",
+    "LayerRange",
+    "LifecycleLimits",
+    "LinkCosts",
+    "MembershipView",
+    "NeverSent",
+    "NotRun",
+    "ObjectId",
+    "Outcome",
+    "OverdueTimer",
+    "PlannerWeights",
+    "Policy",
+    "PolicyDecision",
+    "QueueFull",
+    "RailfoldError",
+    "RefusedBeforeStart",
+    "Replica",
+    "RequestLifecycle",
+    "RestartLimit",
+    "RetryBudget",
+    "RoundBatcher",
+    "SequenceLimits",
+    "SequenceTable",
+    "ServiceRequest",
+    "Stage",
+    "StageRun",
+    "StepTimes",
+    "Strategy",
+    "Supervisor",
+    "Ticket",
+    "Token",
+    "TombstoneConfirmed",
+    "Unknown",
+    "__version__",
+    "check_lineage",
+    "choose_host",
+    "expected_lineage",
+    "pipeline_capacity",
+    "plan_chain",
+]
