Bring engines to what the configuration wants, with fencing and leases

Cause: a published pipeline version had no effect on engines; they held what they were started with, and entries had nothing to route to.

Change: each agent reconciles its engine with the configuration: one order at a time, fenced by the log's order, under a lease on the monotonic clock, after open sequences have ended, in a slot of its own at the weight store.

Ruled out: firing an order at each change; an engine that ignores fencing numbers and was put back by an old order stays wrong then.

Before: publishing version 2 left engines at version 1.

--- a/src/railfold/_internal/agent/engine_backend.py
+++ b/src/railfold/_internal/agent/engine_backend.py
@@ -96,7 +96,8 @@
         self._closing: list[str] = []
         self._wake = asyncio.Event()
         self._times = StepTimes()
-        self._status: EngineStatus | None = None
+        self._changing = False
+        self.status: EngineStatus | None = None
         table.available = False
 
     # Reports.
@@ -104,7 +105,7 @@
     def report(self) -> BackendReport:
         """Return what to tell entries."""
         loaded: tuple[LoadedRange, ...] = ()
-        status = self._status
+        status = self.status
         if status is not None and status.layers is not None:
             loaded = (LoadedRange(status.model, status.version, status.layers),)
         return BackendReport(
@@ -306,22 +307,34 @@
         """Child: read back what the engine has loaded, at intervals."""
         ready.set()
         while True:
-            await self._read_status()
+            await self.read_status()
             await asyncio.sleep(self._status_interval_s)
 
-    async def _read_status(self) -> None:
-        before = self._status
+    def set_changing(self, changing: bool) -> None:
+        """Refuse new sequences while the engine is about to load other layers."""
+        if changing == self._changing:
+            return
+        self._changing = changing
+        self._set_available()
+        self._on_change()
+
+    def _set_available(self) -> None:
+        self._table.available = self.status is not None and not self._changing
+
+    async def read_status(self) -> None:
+        """Read back what the engine has loaded."""
+        before = self.status
         try:
-            self._status = await self._engine.status()
+            self.status = await self._engine.status()
         except EngineError as error:
             if self._table.available:
                 logging.warning("engine unavailable: %s", error)
-            self._status = None
-        self._table.available = self._status is not None
-        if before is not None and _engine_changed(before, self._status):
+            self.status = None
+        self._set_available()
+        if before is not None and _engine_changed(before, self.status):
             self._fail_all("engine_state_lost")
-        if before != self._status:
-            logging.info("engine status: %s", self._status)
+        if before != self.status:
+            logging.info("engine status: %s", self.status)
             self._on_change()
 
     def _fail_all(self, reason: str) -> None:
@@ -331,7 +344,10 @@
 
 
 def _engine_changed(before: EngineStatus, after: EngineStatus | None) -> bool:
-    return after is None or before.engine_id != after.engine_id
+    if after is None or before.engine_id != after.engine_id:
+        return True
+    loaded_before = (before.model, before.version, before.layers)
+    return loaded_before != (after.model, after.version, after.layers)
 
 
 def _activation_event(link: Link, message: Activation) -> FrameReceived:
--- a/src/railfold/_internal/agent/links.py
+++ b/src/railfold/_internal/agent/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass
 
 from absl import logging
@@ -52,6 +53,11 @@
         """Names of the linked entries."""
         return [entry.link.peer.name for entry in self._entries.values()]
 
+    def heard_s(self) -> float:
+        """Return when an entry was heard last, on the loop's clock."""
+        heard = (entry.link.last_heard_s for entry in self._entries.values())
+        return max(heard, default=-math.inf)
+
     def entry_link(self, owner: str) -> Link | None:
         """Return the link to an entry by its owner name."""
         entry = self._entries.get(owner)
--- /dev/null
+++ b/src/railfold/_internal/agent/orders.py
@@ -0,0 +1,92 @@
+"""Child that brings the engine to what the configuration wants of it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from absl import logging
+
+from railfold._internal.agent.engine_backend import EngineBackend
+from railfold._internal.configuration.replica import ConfigurationReplica
+from railfold._internal.decisions.orders import (
+    GiveOrder,
+    LevelReached,
+    LoadOrder,
+    OrderDecision,
+    Reconciler,
+    WaitForSequences,
+    WaitForSlot,
+    wanted_load,
+)
+from railfold._internal.engines.interface import Engine
+from railfold._internal.errors import EngineError
+from railfold._internal.observability.metrics import Metrics
+
+__all__ = ["OrderKeeper"]
+
+_TICK_S = 0.1
+
+
+class OrderKeeper:
+    """Gives orders to one engine, one at a time.
+
+    :param heard_s: returns when an entry was heard last, on the loop's clock.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        engine: Engine,
+        backend: EngineBackend,
+        replica: ConfigurationReplica,
+        reconciler: Reconciler,
+        heard_s: Callable[[], float],
+        metrics: Metrics,
+    ) -> None:
+        self._host = host
+        self._engine = engine
+        self._backend = backend
+        self._replica = replica
+        self._reconciler = reconciler
+        self._heard_s = heard_s
+        self._metrics = metrics
+
+    async def run(self, ready: asyncio.Event) -> None:
+        """Reconcile until cancelled."""
+        ready.set()
+        while True:
+            await asyncio.sleep(_TICK_S)
+            decision = self._decide()
+            waiting = isinstance(decision, GiveOrder | WaitForSequences | WaitForSlot)
+            self._backend.set_changing(waiting)
+            if isinstance(decision, GiveOrder):
+                await self._give(decision.order)
+
+    def _decide(self) -> OrderDecision:
+        status = self._backend.status
+        if status is None:
+            return LevelReached()  # Nothing can be compared with.
+        loaded = None
+        if status.layers is not None:
+            loaded = (status.model, status.version, status.layers)
+        return self._reconciler.decide(
+            wanted_load(self._replica.configuration, self._host),
+            loaded=loaded,
+            engine_fencing=status.fencing,
+            open_sequences=self._backend.report().running,
+            heard_s=self._heard_s(),
+            now_s=asyncio.get_running_loop().time(),
+        )
+
+    async def _give(self, order: LoadOrder) -> None:
+        # Nothing is awaited between the look at the lease and the order.
+        self._reconciler.ordered(asyncio.get_running_loop().time())
+        self._metrics.count("orders.given")
+        logging.info("order: load %s", order)
+        try:
+            await self._engine.load(order)
+        except EngineError as error:
+            self._metrics.count("orders.failed")
+            logging.warning("order not carried out: %s", error)
+        await self._backend.read_status()
--- a/src/railfold/_internal/agent/process.py
+++ b/src/railfold/_internal/agent/process.py
@@ -11,9 +11,11 @@
 from railfold._internal.agent.backend import Backend
 from railfold._internal.agent.engine_backend import EngineBackend
 from railfold._internal.agent.links import AgentLinks
+from railfold._internal.agent.orders import OrderKeeper
 from railfold._internal.agent.peers import PeerLinks
 from railfold._internal.agent.service_backend import ServiceBackend
 from railfold._internal.configuration.replica import ConfigurationReplica
+from railfold._internal.decisions.orders import OrderLimits, Reconciler
 from railfold._internal.decisions.sequences import SequenceLimits, SequenceTable
 from railfold._internal.engines.http_engine import HttpEngine
 from railfold._internal.engines.http_service import HttpService
@@ -82,10 +84,11 @@
             on_lost=lambda host: backend.peer_lost(host),
         )
         self._peers = peers
+        engine = HttpEngine(
+            settings.url, self._http, self._single_use_http, settings.step_timeout_s
+        )
         backend = EngineBackend(
-            HttpEngine(
-                settings.url, self._http, self._single_use_http, settings.step_timeout_s
-            ),
+            engine,
             table,
             peers,
             self.metrics,
@@ -95,9 +98,19 @@
             owner_link=self._links.entry_link,
             on_change=self._links.announce,
         )
+        orders = OrderKeeper(
+            self._settings.host,
+            engine,
+            backend,
+            self._replica,
+            Reconciler(OrderLimits(**settings.orders.model_dump())),
+            self._links.heard_s,
+            self.metrics,
+        )
         self._backend_children = [
             ChildSpec("engine-status", backend.run_status),
             ChildSpec("engine-steps", backend.run_steps),
+            ChildSpec("engine-orders", orders.run),
         ]
         return backend
 
--- /dev/null
+++ b/src/railfold/_internal/decisions/orders.py
@@ -0,0 +1,182 @@
+"""Orders to an engine: which one to give now, if any.
+
+Only the agent beside an engine gives orders, one at a time, and compares what
+the engine then says with what the configuration wants: the level is reconciled,
+not an order fired once. Each order carries a fencing number from the log's
+order. Some engines refuse an older number; others ignore it, and there the
+agent is the fence: it gives no order unless it heard from an entry within its
+lease, looked at on the monotonic clock right before, and none if the engine has
+seen a newer number. A paused agent that wakes finds its lease lapsed.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+
+from railfold._internal.core import LayerRange
+from railfold._internal.decisions.configuration import Configuration, ObjectId
+
+__all__ = [
+    "GiveOrder",
+    "LevelReached",
+    "LoadOrder",
+    "OrderDecision",
+    "OrderLimits",
+    "Reconciler",
+    "WaitForLease",
+    "WaitForSequences",
+    "WaitForSlot",
+    "WaitForSuccessor",
+    "wanted_load",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class LoadOrder:
+    """Load these layers of this model version.
+
+    :param fencing: version of the pipeline in the log's order.
+    """
+
+    model: str
+    version: str
+    layers: LayerRange
+    fencing: int
+
+
+@dataclass(frozen=True, slots=True)
+class LevelReached:
+    """The engine holds what is wanted, or nothing is wanted of it."""
+
+
+@dataclass(frozen=True, slots=True)
+class GiveOrder:
+    """Give this order now."""
+
+    order: LoadOrder
+
+
+@dataclass(frozen=True, slots=True)
+class WaitForLease:
+    """No entry was heard within the lease: another agent may be in charge."""
+
+
+@dataclass(frozen=True, slots=True)
+class WaitForSuccessor:
+    """The engine has seen a newer fencing number than ours."""
+
+
+@dataclass(frozen=True, slots=True)
+class WaitForSequences:
+    """Sequences are open on what is loaded; refuse new ones until it is free."""
+
+
+@dataclass(frozen=True, slots=True)
+class WaitForSlot:
+    """Its turn at the weight store comes at loop time ``at_s``."""
+
+    at_s: float
+
+
+OrderDecision = (
+    LevelReached
+    | GiveOrder
+    | WaitForLease
+    | WaitForSuccessor
+    | WaitForSequences
+    | WaitForSlot
+)
+
+
+@dataclass(frozen=True, slots=True)
+class OrderLimits:
+    """Bounds of orders.
+
+    :param loads_per_s: what the weight store allows all hosts together.
+    :param retry_s: least time between two orders.
+    """
+
+    lease_s: float = 5.0
+    loads_per_s: float = 2.0
+    retry_s: float = 5.0
+
+
+def wanted_load(
+    configuration: Configuration, host: str
+) -> tuple[LoadOrder, int] | None:
+    """Return what the configuration wants of a host's engine, and its slot.
+
+    The slot is the host's place in a fixed shuffle of the pipeline's hosts, so
+    that hosts share the weight store's rate without talking to each other. If
+    several pipelines place the host, the one that changed last counts.
+    """
+    found: tuple[LoadOrder, int] | None = None
+    for name, pipeline in configuration.pipelines.items():
+        layers = pipeline.placements.get(host)
+        fencing = configuration.objects[ObjectId("pipeline", name)].version
+        if layers is None or (found is not None and found[0].fencing > fencing):
+            continue
+        order = LoadOrder(pipeline.model, pipeline.version, layers, fencing)
+        shuffled = sorted(pipeline.placements, key=lambda h: _rank(h, fencing))
+        found = (order, shuffled.index(host))
+    return found
+
+
+def _rank(host: str, fencing: int) -> bytes:
+    return hashlib.blake2b(f"{fencing}/{host}".encode(), digest_size=8).digest()
+
+
+class Reconciler:
+    """Decides on orders for one engine."""
+
+    def __init__(self, limits: OrderLimits) -> None:
+        self._limits = limits
+        self._wanted: LoadOrder | None = None
+        self._wanted_since_s = 0.0
+        self._ordered_s: float | None = None
+
+    def decide(
+        self,
+        wanted: tuple[LoadOrder, int] | None,
+        *,
+        loaded: tuple[str, str, LayerRange] | None,
+        engine_fencing: int,
+        open_sequences: int,
+        heard_s: float,
+        now_s: float,
+    ) -> OrderDecision:
+        """Return what to do now.
+
+        :param loaded: model, version and layers as read back.
+        :param engine_fencing: the highest number that the engine has seen.
+        :param heard_s: when an entry was heard last, on the monotonic clock.
+        :param now_s: the monotonic clock right now.
+        """
+        if wanted is None:
+            return LevelReached()
+        order, slot = wanted
+        if order != self._wanted:
+            self._wanted, self._wanted_since_s = order, now_s
+            self._ordered_s = None
+        if loaded == (order.model, order.version, order.layers):
+            return LevelReached()
+        if engine_fencing > order.fencing:
+            return WaitForSuccessor()
+        if open_sequences:
+            return WaitForSequences()
+        turn_s = self._turn_s(slot)
+        if now_s < turn_s:
+            return WaitForSlot(turn_s)
+        if now_s - heard_s > self._limits.lease_s:
+            return WaitForLease()
+        return GiveOrder(order)
+
+    def ordered(self, now_s: float) -> None:
+        """An order was given."""
+        self._ordered_s = now_s
+
+    def _turn_s(self, slot: int) -> float:
+        if self._ordered_s is not None:
+            return self._ordered_s + self._limits.retry_s
+        return self._wanted_since_s + slot / self._limits.loads_per_s
--- a/src/railfold/_internal/engines/http_engine.py
+++ b/src/railfold/_internal/engines/http_engine.py
@@ -12,6 +12,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPError
 
 from railfold._internal.core import LayerRange, Token
+from railfold._internal.decisions.orders import LoadOrder
 from railfold._internal.engines.interface import (
     ActivationInput,
     DecodeInput,
@@ -28,6 +29,7 @@
 __all__ = ["HttpEngine"]
 
 _STATUS_TIMEOUT_S = 2.0
+_LOAD_TIMEOUT_S = 600.0
 
 
 class _Item(msgspec.Struct, omit_defaults=True):
@@ -55,6 +57,7 @@
     first_layer: int = -1
     last_layer: int = -1
     checks_fencing: bool = False
+    fencing: int = 0
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -99,8 +102,35 @@
             status.version,
             layers,
             status.checks_fencing,
+            status.fencing,
         )
 
+    async def load(self, order: LoadOrder) -> None:
+        """Give an order to load layers; it replaces what is loaded.
+
+        :raises EngineError: the engine refused, or didn't answer.
+        """
+        body = {
+            "model": order.model,
+            "version": order.version,
+            "first_layer": order.layers.first,
+            "last_layer": order.layers.last,
+            "fencing": order.fencing,
+        }
+        try:
+            await self.step_http.fetch(
+                f"{self.url}/v1/load",
+                method="POST",
+                body=msgspec.json.encode(body),
+                headers={"Content-Type": "application/json"},
+                connect_timeout=CONNECT_TIMEOUT_S,
+                request_timeout=_LOAD_TIMEOUT_S,
+            )
+        except (HTTPError, OSError) as error:
+            raise EngineError(
+                "the engine didn't carry out an order", why=str(error)
+            ) from error
+
     async def step(self, items: Sequence[StepItem]) -> list[StepResult]:
         """Run one step for several sequences; results are in items' order.
 
--- a/src/railfold/_internal/engines/interface.py
+++ b/src/railfold/_internal/engines/interface.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from railfold._internal.core import LayerRange, Token
+from railfold._internal.decisions.orders import LoadOrder
 
 __all__ = [
     "ActivationInput",
@@ -86,6 +87,8 @@
     """What an engine says of itself.
 
     :param engine_id: changes when the engine restarts and its caches are gone.
+    :param fencing: the highest fencing number that it has seen.
+    :param checks_fencing: whether it refuses an older one.
     """
 
     engine_id: str
@@ -93,6 +96,7 @@
     version: str
     layers: LayerRange | None
     checks_fencing: bool
+    fencing: int = 0
 
 
 class Engine(Protocol):
@@ -110,6 +114,12 @@
         :raises EngineUnavailableError: no answer; the step may have run.
         """
 
+    async def load(self, order: LoadOrder) -> None:
+        """Give an order to load layers; it replaces what is loaded.
+
+        :raises EngineError: the engine refused, or didn't answer.
+        """
+
     async def close(self, sequences: Sequence[str]) -> None:
         """Free sequences' KV caches.
 
--- a/src/railfold/_internal/settings/models.py
+++ b/src/railfold/_internal/settings/models.py
@@ -150,6 +150,18 @@
     status_interval_s: Seconds = 1.0
     max_sequences: int = Field(default=64, ge=1)
     max_batch: int = Field(default=64, ge=1)
+    orders: OrderSettings = Field(default_factory=lambda: OrderSettings())
+
+
+class OrderSettings(_Section):
+    """How the agent gives orders to its engine.
+
+    ``loads_per_s`` is what the weight store allows all hosts together.
+    """
+
+    lease_s: Seconds = 5.0
+    loads_per_s: float = Field(default=2.0, gt=0)
+    retry_s: Seconds = 5.0
 
 
 class ServiceBackendSettings(_Section):
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -47,6 +47,7 @@
     fixed_ms: float = 1.0
     per_sequence_ms: float = 0.02
     max_sequences: int = 64
+    checks_fencing: bool = True
 
 
 @dataclass
@@ -88,6 +89,7 @@
         "last_layer": host.last_layer,
         "fixed_ms": host.fixed_ms,
         "per_sequence_ms": host.per_sequence_ms,
+        "checks_fencing": host.checks_fencing,
     }
 
 
@@ -95,7 +97,7 @@
     # Below the range that the system gives to outgoing connections, which
     # could take a port between its choice and its use. Each test worker has
     # ports of its own.
-    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw8").removeprefix("gw"))
     first = FIRST_PORT + worker * PORTS_PER_WORKER
     for port in itertools.cycle(range(first, first + PORTS_PER_WORKER)):
         with socket.socket() as probe:
@@ -198,6 +200,9 @@
 url = "{self.engine_url(host.host)}"
 max_sequences = {host.max_sequences}
 status_interval_s = 0.2
+[backend.orders]
+loads_per_s = 20.0
+retry_s = 0.5
 """
         self._start_agent(host.host, host.failure_domain, backend)
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import hashlib
 import time
 import uuid
@@ -55,6 +56,9 @@
     double_runs: int = 0
     out_of_order: int = 0
     drops_left: int = 0
+    fencing: int = 0
+    loads: int = 0
+    refused_loads: int = 0
     frozen: asyncio.Event = field(default_factory=asyncio.Event)
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
@@ -162,6 +166,9 @@
                 "first_layer": spec.first_layer,
                 "last_layer": spec.last_layer,
                 "checks_fencing": spec.checks_fencing,
+                "fencing": state.fencing,
+                "loads": state.loads,
+                "refused_loads": state.refused_loads,
                 "open_sequences": len(state.positions),
                 "started": len(state.started),
                 "steps": state.steps,
@@ -206,6 +213,28 @@
         self.finish()
 
 
+class LoadHandler(_Handler):
+    """Loads other layers; caches of what was loaded are gone."""
+
+    async def post(self) -> None:
+        """Carry out the order, unless it is an old one and numbers are checked."""
+        state = self.state
+        order = msgspec.json.decode(self.request.body)
+        fencing = order.pop("fencing")
+        if fencing < state.fencing and state.spec.checks_fencing:
+            state.refused_loads += 1
+            self.set_status(409)
+            self.finish("old fencing number")
+            return
+        async with state.lock:
+            state.spec = dataclasses.replace(state.spec, **order)
+            state.fencing = max(state.fencing, fencing)
+            state.loads += 1
+            state.caches.clear()
+            state.positions.clear()
+        self.finish({})
+
+
 class ControlHandler(_Handler):
     """What tests set: ``freeze``, ``thaw``, ``restart`` and ``drop``.
 
@@ -235,6 +264,7 @@
         [
             (r"/v1/status", StatusHandler, arguments),
             (r"/v1/step", StepHandler, arguments),
+            (r"/v1/load", LoadHandler, arguments),
             (r"/v1/close", CloseHandler, arguments),
             (r"/control/([a-z]+)", ControlHandler, arguments),
         ],
--- /dev/null
+++ b/tests/unit/test_orders.py
@@ -0,0 +1,109 @@
+"""An engine gets one order at a time, from the agent in charge only."""
+
+from __future__ import annotations
+
+import pytest
+
+from railfold._internal.core import LayerRange
+from railfold._internal.decisions.configuration import ChangeRecord, Configuration
+from railfold._internal.decisions.orders import (
+    GiveOrder,
+    LevelReached,
+    LoadOrder,
+    OrderDecision,
+    OrderLimits,
+    Reconciler,
+    WaitForLease,
+    WaitForSequences,
+    WaitForSlot,
+    WaitForSuccessor,
+    wanted_load,
+)
+
+LIMITS = OrderLimits(lease_s=5.0, loads_per_s=2.0, retry_s=3.0)
+ORDER = LoadOrder("m", "2", LayerRange(0, 3), 7)
+OLD = ("m", "1", LayerRange(0, 3))
+
+
+def decide(
+    reconciler: Reconciler, now_s: float = 10.0, **changes: object
+) -> OrderDecision:
+    arguments = {
+        "loaded": OLD,
+        "engine_fencing": 3,
+        "open_sequences": 0,
+        "heard_s": now_s,
+        **changes,
+    }
+    slot = arguments.pop("slot", 0)
+    return reconciler.decide((ORDER, slot), now_s=now_s, **arguments)  # type: ignore[arg-type]
+
+
+@pytest.fixture
+def reconciler() -> Reconciler:
+    """A reconciler that has seen nothing yet."""
+    return Reconciler(LIMITS)
+
+
+def test_order_is_given_until_it_is_read_back(reconciler: Reconciler) -> None:
+    assert decide(reconciler) == GiveOrder(ORDER)
+    reconciler.ordered(10.0)
+    assert decide(reconciler, 11.0) == WaitForSlot(13.0)
+    assert decide(reconciler, 13.0) == GiveOrder(ORDER)
+    wanted = ("m", "2", LayerRange(0, 3))
+    assert decide(reconciler, 14.0, loaded=wanted) == LevelReached()
+    assert decide(reconciler, 20.0) == GiveOrder(ORDER)
+
+
+def test_woken_agent_finds_its_lease_lapsed(reconciler: Reconciler) -> None:
+    assert decide(reconciler, 100.0, heard_s=94.0) == WaitForLease()
+    assert decide(reconciler, 100.0, heard_s=96.0) == GiveOrder(ORDER)
+
+
+def test_agent_that_never_heard_an_entry_gives_no_order(reconciler: Reconciler) -> None:
+    assert decide(reconciler, heard_s=float("-inf")) == WaitForLease()
+
+
+def test_newer_number_at_the_engine_stops_us(reconciler: Reconciler) -> None:
+    assert decide(reconciler, engine_fencing=8) == WaitForSuccessor()
+
+
+def test_open_sequences_end_first(reconciler: Reconciler) -> None:
+    assert decide(reconciler, open_sequences=1) == WaitForSequences()
+
+
+def test_slots_share_the_weight_stores_rate(reconciler: Reconciler) -> None:
+    assert decide(reconciler, 10.0, slot=4) == WaitForSlot(12.0)
+    assert decide(reconciler, 12.0, slot=4) == GiveOrder(ORDER)
+
+
+def configuration() -> Configuration:
+    hosts = [f"h{n}" for n in range(6)]
+    found = Configuration()
+    for offset, name in enumerate(("first", "second")):
+        placed = hosts if name == "first" else hosts[:1]
+        body = {
+            "model": name,
+            "version": "1",
+            "layer_count": 4,
+            "placements": [
+                {"host": host, "first_layer": 0, "last_layer": 3} for host in placed
+            ],
+        }
+        change = ChangeRecord(f"w{offset}", "ana", "pipeline", name, 0, body)
+        found.fold(offset, 1.0, change)
+    return found
+
+
+def test_each_host_has_a_slot_of_its_own() -> None:
+    found = [wanted_load(configuration(), f"h{n}") for n in range(6)]
+    slots = [wanted[1] for wanted in found[1:] if wanted]
+    assert len(set(slots)) == 5
+    assert max(slots) < 6
+
+
+def test_pipeline_that_changed_last_counts() -> None:
+    wanted = wanted_load(configuration(), "h0")
+    assert wanted is not None
+    assert (wanted[0].model, wanted[0].fencing) == ("second", 2)
+    assert wanted_load(configuration(), "elsewhere") is None
