--- a/src/railfold/__init__.py
+++ b/src/railfold/__init__.py
@@ -35,7 +35,10 @@
 from railfold._internal.decisions.configuration import Configuration, ObjectId
 from railfold._internal.decisions.fair_queue import FairQueue, QueueFull
 from railfold._internal.decisions.heartbeats import HeartbeatPace, OverdueTimer
-from railfold._internal.decisions.lifecycle import LifecycleLimits, RequestLifecycle
+from railfold._internal.decisions.lifecycle import (
+    LifecycleLimits,
+    RequestLifecycle,
+)
 from railfold._internal.decisions.lineage import check_lineage, expected_lineage
 from railfold._internal.decisions.membership import MembershipView
 from railfold._internal.decisions.planner import (
@@ -47,7 +50,12 @@
 )
 from railfold._internal.decisions.policy import Policy, PolicyDecision
 from railfold._internal.decisions.retry_budget import RetryBudget
-from railfold._internal.decisions.sequences import SequenceLimits, SequenceTable
+from railfold._internal.decisions.sequence_events import (
+    SequenceLimits,
+)
+from railfold._internal.decisions.sequences import (
+    SequenceTable,
+)
 from railfold._internal.decisions.stalls import StepTimes
 from railfold._internal.errors import RailfoldError
 from railfold._internal.supervision.supervisor import (
--- a/src/railfold/_internal/agent/engine_backend.py
+++ b/src/railfold/_internal/agent/engine_backend.py
@@ -12,7 +12,7 @@
 from railfold._internal.agent.peers import PeerLinks
 from railfold._internal.core import AttemptId, Token
 from railfold._internal.decisions.batching import RoundBatcher
-from railfold._internal.decisions.sequences import (
+from railfold._internal.decisions.sequence_events import (
     CancelReceived,
     CloseEngineSequence,
     ConfirmTombstone,
@@ -27,11 +27,13 @@
     RunFailed,
     SequenceAction,
     SequenceEvent,
-    SequenceTable,
-    SequenceView,
     StartRun,
     StepInput,
 )
+from railfold._internal.decisions.sequences import (
+    SequenceTable,
+    SequenceView,
+)
 from railfold._internal.decisions.stalls import StepTimes
 from railfold._internal.engines.interface import (
     ActivationInput,
--- a/src/railfold/_internal/agent/process.py
+++ b/src/railfold/_internal/agent/process.py
@@ -16,7 +16,12 @@
 from railfold._internal.agent.service_backend import ServiceBackend
 from railfold._internal.configuration.replica import ConfigurationReplica
 from railfold._internal.decisions.orders import OrderLimits, Reconciler
-from railfold._internal.decisions.sequences import SequenceLimits, SequenceTable
+from railfold._internal.decisions.sequence_events import (
+    SequenceLimits,
+)
+from railfold._internal.decisions.sequences import (
+    SequenceTable,
+)
 from railfold._internal.engines.http_engine import HttpEngine
 from railfold._internal.engines.http_service import HttpService
 from railfold._internal.links.connection import LinkLimits
--- a/src/railfold/_internal/decisions/configuration.py
+++ b/src/railfold/_internal/decisions/configuration.py
@@ -362,9 +362,7 @@
         :returns: False, changing nothing, if the state isn't newer.
         :raises ConfigurationRefusedError: an object in it is invalid.
         """
-        if state["version"] <= self.version and next_offset <= self.next_offset:
-            return False
-        if state["version"] < self.version:
+        if (state["version"], next_offset) <= (self.version, self.next_offset):
             return False
         fresh = Configuration()
         order = {"pipeline": 0, "service": 1, "workspace": 2}
--- a/src/railfold/_internal/entry/generate.py
+++ b/src/railfold/_internal/entry/generate.py
@@ -11,6 +11,10 @@
 from railfold._internal.decisions.configuration import Pipeline
 from railfold._internal.decisions.heartbeats import OverdueTimer
 from railfold._internal.decisions.lifecycle import (
+    LifecycleLimits,
+    RequestLifecycle,
+)
+from railfold._internal.decisions.lifecycle_events import (
     CallerGone,
     CancelAttempt,
     ChainPlanned,
@@ -20,12 +24,10 @@
     HostsLost,
     LifecycleAction,
     LifecycleEvent,
-    LifecycleLimits,
     OpenAttempt,
     PlanChain,
     PlanRefused,
     ProbeStages,
-    RequestLifecycle,
     StageFailed,
     StageRefused,
     TokenArrived,
--- a/src/railfold/_internal/entry/process.py
+++ b/src/railfold/_internal/entry/process.py
@@ -15,7 +15,9 @@
 from railfold._internal.decisions.checkpoints import CheckpointSchedule
 from railfold._internal.decisions.claims import ClaimLedger
 from railfold._internal.decisions.heartbeats import HeartbeatPace
-from railfold._internal.decisions.lifecycle import LifecycleLimits
+from railfold._internal.decisions.lifecycle import (
+    LifecycleLimits,
+)
 from railfold._internal.decisions.planner import LinkCosts, PlannerWeights
 from railfold._internal.decisions.retry_budget import RetryBudget
 from railfold._internal.entry.admission import Admission
--- a/tests/functional/test_configuration.py
+++ b/tests/functional/test_configuration.py
@@ -179,6 +179,8 @@
     small.wait_until(
         lambda: version_at(small, 1) == version_at(small, 0), "the paused entry"
     )
+    states = [get(f"{small.entry_url(i)}/v1/configuration") for i in (0, 1)]
+    assert states[0] == states[1]
     assert publish(small, "service-last").exit_code == 0
 
 
--- a/tests/lib/traces.py
+++ b/tests/lib/traces.py
@@ -18,7 +18,14 @@
 
 from railfold._internal import errors
 from railfold._internal.core import AttemptId, Chain, GenerateRequest, ServiceRequest
-from railfold._internal.decisions import calls, claims, lifecycle, sequences
+from railfold._internal.decisions import (
+    calls,
+    claims,
+    lifecycle,
+    lifecycle_events,
+    sequence_events,
+    sequences,
+)
 from railfold._internal.decisions import configuration as conf
 from railfold._internal.errors import RailfoldError
 
@@ -101,9 +108,9 @@
     def feed(self, at_s: float, name: str, fields: dict[str, Any]) -> list[Any]:
         if name == "start":
             return self.machine.start()
-        actions = self.machine.apply(decode(lifecycle, name, fields))
+        actions = self.machine.apply(decode(lifecycle_events, name, fields))
         for action in actions:
-            if isinstance(action, lifecycle.Finish):
+            if isinstance(action, lifecycle_events.Finish):
                 assert self.finish is None, "two final outcomes"
                 self.finish = action.outcome
         return actions
@@ -137,7 +144,7 @@
 
 class _Sequences:
     def __init__(self, header: dict[str, Any]) -> None:
-        limits = sequences.SequenceLimits(**header.get("limits", {}))
+        limits = sequence_events.SequenceLimits(**header.get("limits", {}))
         self.table = sequences.SequenceTable(header["host"], 1, limits)
         self.runs: list[str] = []
 
@@ -145,9 +152,9 @@
         if name == "drain":
             self.table.draining = True
             return []
-        actions = self.table.apply(decode(sequences, name, fields), at_s)
+        actions = self.table.apply(decode(sequence_events, name, fields), at_s)
         for action in actions:
-            if isinstance(action, sequences.StartRun):
+            if isinstance(action, sequence_events.StartRun):
                 self.runs.append(f"{action.attempt_id}@{action.step}")
         return actions
 
--- a/tests/unit/test_generate_driver.py
+++ b/tests/unit/test_generate_driver.py
@@ -17,7 +17,9 @@
     Token,
 )
 from railfold._internal.decisions.configuration import Pipeline
-from railfold._internal.decisions.lifecycle import LifecycleLimits
+from railfold._internal.decisions.lifecycle import (
+    LifecycleLimits,
+)
 from railfold._internal.decisions.membership import (
     AgentReport,
     HostListed,
--- a/tests/unit/test_lifecycle_properties.py
+++ b/tests/unit/test_lifecycle_properties.py
@@ -15,6 +15,10 @@
     Token,
 )
 from railfold._internal.decisions.lifecycle import (
+    LifecycleLimits,
+    RequestLifecycle,
+)
+from railfold._internal.decisions.lifecycle_events import (
     CallerGone,
     CancelAttempt,
     ChainPlanned,
@@ -24,11 +28,9 @@
     HostsLost,
     LifecycleAction,
     LifecycleEvent,
-    LifecycleLimits,
     OpenAttempt,
     PlanChain,
     PlanRefused,
-    RequestLifecycle,
     StageFailed,
     StageRefused,
     TokenArrived,
--- a/tests/unit/test_sequence_properties.py
+++ b/tests/unit/test_sequence_properties.py
@@ -15,7 +15,7 @@
 
 from railfold._internal.core import AttemptId, Chain, LayerRange, Stage, StageRun
 from railfold._internal.decisions.lineage import check_lineage, expected_lineage
-from railfold._internal.decisions.sequences import (
+from railfold._internal.decisions.sequence_events import (
     CancelReceived,
     ForwardOutput,
     FrameReceived,
@@ -26,10 +26,12 @@
     SequenceAction,
     SequenceEvent,
     SequenceLimits,
-    SequenceTable,
     StartRun,
     StepInput,
 )
+from railfold._internal.decisions.sequences import (
+    SequenceTable,
+)
 
 HOSTS = ("a1", "b1", "c1")
 CHAIN = Chain(
