--- a/tests/functional/test_engine_orders.py
+++ b/tests/functional/test_engine_orders.py
@@ -66,9 +66,10 @@
 def test_new_version_is_loaded_and_served_without_cutting_an_answer(
     pair: Cluster,
 ) -> None:
-    caller = StreamCaller(pair.callers_url(), "unit 1", 100)
+    caller = StreamCaller(pair.callers_url(), "unit 1", 1000)
     caller.wait_tokens(3)
     publish_version(pair, "2")
+    assert not caller.outcome, "the answer ended before the change"
     caller.assert_whole()
     assert caller.outcome["attempts"] == 1
     wait_version(pair, "2")
