--- a/src/railfold/_internal/cli/main.py
+++ b/src/railfold/_internal/cli/main.py
@@ -5,7 +5,7 @@
 import sys
 
 import click
-from absl import logging
+from absl import flags, logging
 
 from railfold import __version__
 from railfold._internal.commands.agent import agent
@@ -48,6 +48,8 @@
 
 def main() -> None:
     """Run the program; turn errors into texts and exit codes."""
+    # Options are click's; without this absl would warn of its own unparsed flags.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     try:
