Put all errors in one module, and read the code once more

Cause: four exceptions stood outside the tree of errors, two of them unnamed as errors; decisions and configuration imported each other; one handler had a method for each HTTP verb that did the same; an ignored type in the heartbeat's state.

Change: errors.py holds them all; the schema stands beside the fold that uses it; one method serves all verbs; the state has a type.

--- a/src/railfold/__init__.py
+++ b/src/railfold/__init__.py
@@ -33,7 +33,7 @@
 from railfold._internal.decisions.calls import CallLifecycle, CallRegister
 from railfold._internal.decisions.claims import ClaimKey, ClaimLedger, ClaimVerdict
 from railfold._internal.decisions.configuration import Configuration, ObjectId
-from railfold._internal.decisions.fair_queue import FairQueue, QueueFull
+from railfold._internal.decisions.fair_queue import FairQueue
 from railfold._internal.decisions.heartbeats import HeartbeatPace, OverdueTimer
 from railfold._internal.decisions.lifecycle import (
     LifecycleLimits,
@@ -57,7 +57,7 @@
     SequenceTable,
 )
 from railfold._internal.decisions.stalls import StepTimes
-from railfold._internal.errors import RailfoldError
+from railfold._internal.errors import QueueFullError, RailfoldError
 from railfold._internal.supervision.supervisor import (
     ChildSpec,
     RestartLimit,
@@ -97,7 +97,7 @@
     "PlannerWeights",
     "Policy",
     "PolicyDecision",
-    "QueueFull",
+    "QueueFullError",
     "RailfoldError",
     "RefusedBeforeStart",
     "Replica",
--- a/src/railfold/_internal/agent/links.py
+++ b/src/railfold/_internal/agent/links.py
@@ -8,10 +8,16 @@
 
 from absl import logging
 
-from railfold._internal.agent.backend import Backend
+from railfold._internal.agent.backend import Backend, BackendReport
 from railfold._internal.configuration.replica import ConfigurationReplica
 from railfold._internal.links.connection import Link, owner_name
-from railfold._internal.links.messages import Frame, Heartbeat, Probe, ProbeReply
+from railfold._internal.links.messages import (
+    AgentState,
+    Frame,
+    Heartbeat,
+    Probe,
+    ProbeReply,
+)
 from railfold._internal.observability.metrics import Metrics
 
 __all__ = ["AgentLinks"]
@@ -134,9 +140,8 @@
 
     def _heartbeat(self, owner: str) -> Heartbeat:
         report = self.backend.report()
-        state = "serving" if report.available else "unavailable"
         return Heartbeat(
-            "draining" if self.draining else state,  # type: ignore[arg-type]
+            self._state(report),
             report.running,
             self.backend.owned_by(owner),
             report.capacity,
@@ -146,6 +151,11 @@
             len(self._entries),
         )
 
+    def _state(self, report: BackendReport) -> AgentState:
+        if self.draining:
+            return "draining"
+        return "serving" if report.available else "unavailable"
+
     def _drop_lapsed(self) -> None:
         now_s = asyncio.get_running_loop().time()
         for entry in list(self._entries.values()):
--- a/src/railfold/_internal/decisions/admission.py
+++ b/src/railfold/_internal/decisions/admission.py
@@ -15,12 +15,13 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from railfold._internal.decisions.fair_queue import FairQueue, QueueFull
+from railfold._internal.decisions.fair_queue import FairQueue
 from railfold._internal.decisions.planner import Replica
 from railfold._internal.errors import (
     DeadlineExpiredError,
     NoCapacityError,
     OverloadedError,
+    QueueFullError,
     RequestError,
 )
 
@@ -126,9 +127,9 @@
             self._queue.push(
                 ticket.workspace, ticket.weight, ticket.priority, ticket.cost, ticket
             )
-        except QueueFull:
+        except QueueFullError as full:
             error = OverloadedError(
-                "the queue of waiting requests is full",
+                full.what,
                 why=f"{self.waiting} requests wait",
                 hint="come back after Retry-After",
             )
--- a/src/railfold/_internal/decisions/configuration.py
+++ b/src/railfold/_internal/decisions/configuration.py
@@ -18,13 +18,13 @@
 import msgspec
 from pydantic import BaseModel, ValidationError
 
-from railfold._internal.configuration.models import (
+from railfold._internal.core import LayerRange
+from railfold._internal.decisions.configuration_models import (
     MODELS,
     PipelineModel,
     ServiceModel,
     WorkspaceModel,
 )
-from railfold._internal.core import LayerRange
 from railfold._internal.decisions.policy import Policy
 from railfold._internal.errors import ConfigurationRefusedError
 
--- a/src/railfold/_internal/decisions/fair_queue.py
+++ b/src/railfold/_internal/decisions/fair_queue.py
@@ -14,13 +14,11 @@
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
-__all__ = ["FairQueue", "QueueFull"]
-
-T = TypeVar("T")
+from railfold._internal.errors import QueueFullError
 
+__all__ = ["FairQueue"]
 
-class QueueFull(Exception):  # noqa: N818 - named like asyncio's and queue's.
-    """The workspace's or the whole queue's bound is reached."""
+T = TypeVar("T")
 
 
 @dataclass(slots=True)
@@ -65,13 +63,13 @@
         """Add a request.
 
         :param cost: its expected work, in any unit common to all requests.
-        :raises QueueFull: a bound is reached.
+        :raises QueueFullError: a bound is reached.
         """
         if self._length >= self._max_total:
-            raise QueueFull
+            raise QueueFullError("the queue of waiting requests is full")
         flow = self._flows.setdefault(workspace, _Flow(weight))
         if len(flow.waiting) >= self._max_per_flow:
-            raise QueueFull
+            raise QueueFullError(f"workspace {workspace} has its most requests waiting")
         flow.weight = weight
         if not flow.waiting:
             flow.last_tag = max(flow.last_tag, self._virtual_time)
--- a/src/railfold/_internal/entry/admission.py
+++ b/src/railfold/_internal/entry/admission.py
@@ -22,23 +22,18 @@
 from railfold._internal.decisions.membership import MembershipView
 from railfold._internal.decisions.planner import Replica
 from railfold._internal.decisions.retry_budget import jittered_retry_after_s
-from railfold._internal.errors import DeadlineExpiredError, RequestError
+from railfold._internal.errors import (
+    AdmissionRefusedError,
+    DeadlineExpiredError,
+    RequestError,
+)
 from railfold._internal.observability.metrics import Metrics
 
-__all__ = ["Admission", "AdmissionRefused", "Target"]
+__all__ = ["Admission", "Target"]
 
 Target = Pipeline | Service
 
 
-class AdmissionRefused(Exception):  # noqa: N818 - an answer more than an error.
-    """A request wasn't admitted; says when to come back."""
-
-    def __init__(self, error: RequestError, retry_after_s: float) -> None:
-        self.error = error
-        self.retry_after_s = retry_after_s
-        super().__init__(error.what)
-
-
 @dataclass(slots=True)
 class _Gate:
     target: Target
@@ -75,7 +70,7 @@
     ) -> AsyncIterator[None]:
         """Hold a place for a request; waits for one if need be.
 
-        :raises AdmissionRefused: at once if the request can't be served in
+        :raises AdmissionRefusedError: at once if the request can't be served in
             time, or later if capacity dies while it waits.
         """
         ticket = Ticket(
@@ -170,9 +165,11 @@
             if future is not None and not future.done():
                 future.set_result(None)
 
-    def _refused(self, error: RequestError, load: float) -> AdmissionRefused:
+    def _refused(self, error: RequestError, load: float) -> AdmissionRefusedError:
         self._metrics.count(f"admission.refused.{error.code}")
-        return AdmissionRefused(error, jittered_retry_after_s(load, self._rng.random()))
+        return AdmissionRefusedError(
+            error, jittered_retry_after_s(load, self._rng.random())
+        )
 
 
 def _total(replicas: list[Replica]) -> int:
--- a/src/railfold/_internal/entry/callers.py
+++ b/src/railfold/_internal/entry/callers.py
@@ -247,31 +247,8 @@
 class ServiceHandler(_CallerHandler):
     """``/v1/services/<name>/<path>``, any method."""
 
-    async def get(self, name: str, path: str) -> None:
-        """Pass a GET on."""
-        await self._pass_on(name, path)
-
-    async def head(self, name: str, path: str) -> None:
-        """Pass a HEAD on."""
-        await self._pass_on(name, path)
-
-    async def post(self, name: str, path: str) -> None:
-        """Pass a POST on."""
-        await self._pass_on(name, path)
-
-    async def put(self, name: str, path: str) -> None:
-        """Pass a PUT on."""
-        await self._pass_on(name, path)
-
-    async def patch(self, name: str, path: str) -> None:
-        """Pass a PATCH on."""
-        await self._pass_on(name, path)
-
-    async def delete(self, name: str, path: str) -> None:
-        """Pass a DELETE on."""
-        await self._pass_on(name, path)
-
     async def _pass_on(self, name: str, path: str) -> None:
+        """Pass a call on, whatever its method."""
         body = self.take_body()
         if self.request.query:
             path = f"{path}?{self.request.query}"
@@ -292,6 +269,8 @@
         self.set_header(REQUEST_ID_HEADER, parsed.request.request_id)
         self.reply(await services.dispatcher.call(parsed))
 
+    get = head = post = put = patch = delete = _pass_on
+
 
 class NotFoundHandler(_CallerHandler):
     """Any other path."""
--- a/src/railfold/_internal/entry/dispatch.py
+++ b/src/railfold/_internal/entry/dispatch.py
@@ -24,7 +24,7 @@
     ClaimWrite,
 )
 from railfold._internal.decisions.configuration import Workspace
-from railfold._internal.entry.admission import Admission, AdmissionRefused, Target
+from railfold._internal.entry.admission import Admission, Target
 from railfold._internal.entry.answers import (
     OUTCOME_HEADER,
     REPLAYED_HEADER,
@@ -42,6 +42,7 @@
     fingerprint,
 )
 from railfold._internal.errors import (
+    AdmissionRefusedError,
     DuplicateKeyError,
     InvalidRequestError,
     LogUnavailableError,
@@ -161,7 +162,7 @@
                 entries=self._context.agents.entries,
             ):
                 reply = await self._run_admitted(request, digest, run)
-        except AdmissionRefused as refusal:
+        except AdmissionRefusedError as refusal:
             reply = refused_reply(
                 request.request_id, refusal.error, refusal.retry_after_s
             )
--- a/src/railfold/_internal/errors.py
+++ b/src/railfold/_internal/errors.py
@@ -9,7 +9,9 @@
 from typing import ClassVar
 
 __all__ = [
+    "AdmissionRefusedError",
     "BodyTooLargeError",
+    "ChildEndedError",
     "ConfigurationConflictError",
     "ConfigurationRefusedError",
     "DeadlineExpiredError",
@@ -28,11 +30,13 @@
     "OverloadedError",
     "PolicyRefusedError",
     "ProcessUnreachableError",
+    "QueueFullError",
     "RailfoldError",
     "RecordsExpiredError",
     "RequestError",
     "RequestTimeoutError",
     "SettingsError",
+    "SupervisorFailedError",
     "UnauthorizedError",
     "UnknownTargetError",
     "VersionNotInForceError",
@@ -145,6 +149,39 @@
     code = "no_capacity"
 
 
+class AdmissionRefusedError(RailfoldError):
+    """A request wasn't admitted.
+
+    :param error: why; this is what the caller is told.
+    :param retry_after_s: when the caller should come back.
+    """
+
+    code = "admission_refused"
+
+    def __init__(self, error: RequestError, retry_after_s: float) -> None:
+        self.error = error
+        self.retry_after_s = retry_after_s
+        super().__init__(error.what, why=error.why, hint=error.hint)
+
+
+class QueueFullError(RailfoldError):
+    """A bound of a queue of waiting requests is reached."""
+
+    code = "queue_full"
+
+
+class SupervisorFailedError(RailfoldError):
+    """Children failed more often than the restart limit allows."""
+
+    code = "supervisor_failed"
+
+
+class ChildEndedError(RailfoldError):
+    """A child returned although children run until they are cancelled."""
+
+    code = "child_ended"
+
+
 class PolicyRefusedError(RequestError):
     """The workspace's policy refuses the request."""
 
--- a/src/railfold/_internal/links/messages.py
+++ b/src/railfold/_internal/links/messages.py
@@ -17,6 +17,7 @@
 __all__ = [
     "PROTOCOL_VERSION",
     "Activation",
+    "AgentState",
     "CallRefused",
     "CallResult",
     "CallService",
@@ -42,6 +43,8 @@
 
 PROTOCOL_VERSION = 1
 
+AgentState = Literal["serving", "draining", "unavailable"]
+
 
 class Hello(msgspec.Struct, tag="hello", frozen=True):
     """First message in both directions on every link."""
@@ -62,7 +65,7 @@
     ``entries`` is how many entries the agent is linked to.
     """
 
-    state: Literal["serving", "draining", "unavailable"]
+    state: AgentState
     sequences: int
     owned: int
     max_sequences: int
--- a/src/railfold/_internal/supervision/supervisor.py
+++ b/src/railfold/_internal/supervision/supervisor.py
@@ -18,30 +18,16 @@
 
 from absl import logging
 
-from railfold._internal.errors import RailfoldError
+from railfold._internal.errors import ChildEndedError, SupervisorFailedError
 
 __all__ = [
-    "ChildEndedError",
     "ChildSpec",
     "RestartLimit",
     "Strategy",
     "Supervisor",
-    "SupervisorFailedError",
 ]
 
 
-class SupervisorFailedError(RailfoldError):
-    """Children failed more often than the restart limit allows."""
-
-    code = "supervisor_failed"
-
-
-class ChildEndedError(RailfoldError):
-    """A child returned although children run until they are cancelled."""
-
-    code = "child_ended"
-
-
 class Strategy(Enum):
     """Which children are restarted when one fails."""
 
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -17,11 +17,12 @@
     Ticket,
     entry_share,
 )
-from railfold._internal.decisions.fair_queue import FairQueue, QueueFull
+from railfold._internal.decisions.fair_queue import FairQueue
 from railfold._internal.decisions.retry_budget import (
     RetryBudget,
     jittered_retry_after_s,
 )
+from railfold._internal.errors import QueueFullError
 
 
 def ticket(workspace: str = "quality", **fields: float) -> Ticket:
@@ -91,7 +92,7 @@
                 try:
                     queue.push(workspace, 1.0 + flow, kind, 1.0, item)
                     inside[id(item)] = (workspace, item)
-                except QueueFull:
+                except QueueFullError:
                     assert len(inside) == 12 or queue.waiting(workspace) == 5
             case 2:
                 popped = queue.pop()
--- a/tests/unit/test_supervisor.py
+++ b/tests/unit/test_supervisor.py
@@ -6,12 +6,12 @@
 
 import pytest
 
+from railfold._internal.errors import SupervisorFailedError
 from railfold._internal.supervision.supervisor import (
     ChildSpec,
     RestartLimit,
     Strategy,
     Supervisor,
-    SupervisorFailedError,
 )
 
 pytestmark = [pytest.mark.asyncio, pytest.mark.looptime]
