Give back a place in one way

Cause: two methods of admission took a running request out by the same lines, and a link counted frames that nobody read.

Change: one private method; the counter is gone. Ruled out: nothing else.

Conclusion: behaviour is the same.

--- a/src/railfold/_internal/decisions/admission.py
+++ b/src/railfold/_internal/decisions/admission.py
@@ -175,20 +175,14 @@
 
     def finished(self, ticket: Ticket, service_s: float, now_s: float) -> list[Ticket]:
         """Count a request that ended; return those that may start now."""
-        if ticket in self._running:
-            self._running.discard(ticket)
-            self._running_of[ticket.workspace] -= 1
-            self._forget(ticket)
+        if self._end(ticket):
             self._mean_service_s = _smoothed(self._mean_service_s, service_s)
             self._s_per_cost = _smoothed(self._s_per_cost, service_s / ticket.cost)
         return self._admit_waiting(now_s)
 
     def withdrawn_early(self, ticket: Ticket, now_s: float) -> list[Ticket]:
         """Give back the place of a request that was admitted but didn't run."""
-        if ticket in self._running:
-            self._running.discard(ticket)
-            self._running_of[ticket.workspace] -= 1
-            self._forget(ticket)
+        self._end(ticket)
         return self._admit_waiting(now_s)
 
     def withdraw(self, ticket: Ticket) -> bool:
@@ -245,6 +239,15 @@
         self._running_of[ticket.workspace] += 1
         self._per_workspace[ticket.workspace] += 1
 
+    def _end(self, ticket: Ticket) -> bool:
+        """Give back a running request's place; return whether it had one."""
+        if ticket not in self._running:
+            return False
+        self._running.discard(ticket)
+        self._running_of[ticket.workspace] -= 1
+        self._forget(ticket)
+        return True
+
     def _forget(self, ticket: Ticket) -> None:
         self._per_workspace[ticket.workspace] -= 1
         if self._per_workspace[ticket.workspace] <= 0:
--- a/src/railfold/_internal/links/connection.py
+++ b/src/railfold/_internal/links/connection.py
@@ -82,7 +82,6 @@
         self.last_heard_s = 0.0
         self.bytes_sent = 0
         self.bytes_received = 0
-        self.frames_sent = 0
 
     @property
     def closed(self) -> bool:
@@ -165,7 +164,6 @@
             self.close()
             return
         self.bytes_sent += _LENGTH.size + len(data)
-        self.frames_sent += 1
 
     async def receive(self) -> Frame:
         """Return the peer's next frame.
