--- a/src/railfold/_internal/agent/process.py
+++ b/src/railfold/_internal/agent/process.py
@@ -33,14 +33,15 @@
     JsonHandler,
     ReadyHandler,
 )
-from railfold._internal.observability.metrics import Metrics, MetricsSender
+from railfold._internal.observability.metrics import Metrics
 from railfold._internal.observability.server import HttpServerChild
-from railfold._internal.platform.http import new_http_client, new_single_use_client
+from railfold._internal.observability.statsd_sender import MetricsSender
 from railfold._internal.settings.models import (
     AgentSettings,
     EngineBackendSettings,
     ServiceBackendSettings,
 )
+from railfold._internal.store.http import new_http_client, new_single_use_client
 from railfold._internal.supervision.process import run_process, wait_until_idle
 from railfold._internal.supervision.supervisor import ChildSpec, Supervisor
 
--- a/src/railfold/_internal/cli/main.py
+++ b/src/railfold/_internal/cli/main.py
@@ -2,50 +2,63 @@
 
 from __future__ import annotations
 
+import importlib
 import sys
 
 import click
 from absl import flags, logging
 
 from railfold import __version__
-from railfold._internal.commands.agent import agent
-from railfold._internal.commands.check import check
-from railfold._internal.commands.entry import entry
-from railfold._internal.commands.publish import delete, publish, settle
-from railfold._internal.commands.show import audit, diff, show
-from railfold._internal.commands.status import drain, explain, routes, status, wait
-from railfold._internal.commands.validate import validate
 from railfold._internal.errors import RailfoldError
 
 __all__ = ["cli", "main"]
 
 
-@click.group()
+# Each command's module, imported when the command is called: a daemon that
+# starts pays only for what it runs.
+_COMMAND_MODULES = {
+    "agent": "agent",
+    "audit": "show",
+    "check": "check",
+    "delete": "publish",
+    "diff": "show",
+    "drain": "status",
+    "entry": "entry",
+    "explain": "status",
+    "forward": "forward",
+    "publish": "publish",
+    "routes": "status",
+    "settle": "publish",
+    "show": "show",
+    "status": "status",
+    "validate": "validate",
+    "wait": "status",
+}
+
+
+class _LazyGroup(click.Group):
+    """A group whose commands are imported on use."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Return the names of all commands."""
+        return sorted(_COMMAND_MODULES)
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """Import and return a command, or nothing if there is none."""
+        module = _COMMAND_MODULES.get(cmd_name)
+        if module is None:
+            return None
+        commands = importlib.import_module(f"railfold._internal.commands.{module}")
+        command: click.Command = getattr(commands, cmd_name)
+        return command
+
+
+@click.group(cls=_LazyGroup)
 @click.version_option(__version__, prog_name="railfold")
 def cli() -> None:
     """Route model pipelines over mixed accelerators."""
 
 
-for command in (
-    agent,
-    audit,
-    check,
-    delete,
-    diff,
-    drain,
-    entry,
-    explain,
-    publish,
-    routes,
-    settle,
-    show,
-    status,
-    validate,
-    wait,
-):
-    cli.add_command(command)
-
-
 def main() -> None:
     """Run the program; turn errors into texts and exit codes."""
     # Options are click's; without this absl would warn of its own unparsed flags.
--- a/src/railfold/_internal/cli/options.py
+++ b/src/railfold/_internal/cli/options.py
@@ -14,8 +14,8 @@
 
 from railfold._internal.errors import ConfigurationRefusedError
 from railfold._internal.operations.publishing import ConfigurationLog
-from railfold._internal.platform.http import new_http_client, new_single_use_client
-from railfold._internal.platform.log import LogClient
+from railfold._internal.store.http import new_http_client, new_single_use_client
+from railfold._internal.store.log import LogClient
 
 __all__ = [
     "as_json",
--- /dev/null
+++ b/src/railfold/_internal/commands/forward.py
@@ -0,0 +1,42 @@
+"""``railfold forward``: run a forwarding entry on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import click
+
+from railfold._internal.forwarding.process import run_forwarding_entry
+from railfold._internal.platform.adapter import UsersPlatform
+from railfold._internal.platform.settings import (
+    PlatformSettings,
+    load_platform_settings,
+    settings_path,
+)
+
+__all__ = ["forward"]
+
+
+@click.command()
+@click.option(
+    "--check", is_flag=True, help="Only check the settings; report every fault."
+)
+@click.argument("settings", required=False, type=click.Path(path_type=Path))
+def forward(settings: Path | None, check: bool) -> None:
+    """Run an entry that sends requests to engines directly.
+
+    SETTINGS is the platform's settings file; by default the one that the
+    environment names.
+    """
+    path = settings or settings_path()
+    loaded = load_platform_settings(path)
+    if check:
+        click.echo(f"{path}: no faults")
+        return
+    asyncio.run(_run(loaded))
+
+
+async def _run(loaded: PlatformSettings) -> None:
+    adapter = UsersPlatform(loaded.store)
+    await run_forwarding_entry(loaded.forwarding, adapter)
--- a/src/railfold/_internal/commands/status.py
+++ b/src/railfold/_internal/commands/status.py
@@ -14,7 +14,7 @@
     timeout_option,
 )
 from railfold._internal.operations import processes
-from railfold._internal.platform.http import new_http_client
+from railfold._internal.store.http import new_http_client
 
 __all__ = ["drain", "explain", "routes", "status", "wait"]
 
--- a/src/railfold/_internal/configuration/scanner.py
+++ b/src/railfold/_internal/configuration/scanner.py
@@ -8,7 +8,7 @@
 from railfold._internal.configuration.replica import ConfigurationReplica
 from railfold._internal.decisions.configuration import CheckpointRecord, state_digest
 from railfold._internal.observability.metrics import Metrics
-from railfold._internal.platform.log import LogRecord
+from railfold._internal.store.records import LogRecord
 
 __all__ = ["ConfigurationScanner", "FoldedRecord"]
 
--- a/src/railfold/_internal/decisions/calls.py
+++ b/src/railfold/_internal/decisions/calls.py
@@ -1,4 +1,8 @@
-"""The life of one plain service call, at its entry and at its agent."""
+"""The life of one call, at its entry and at its agent.
+
+A call goes to one host at a time: a plain service, or the first backend server
+of a chain that forwards the call itself.
+"""
 
 from __future__ import annotations
 
@@ -13,11 +17,11 @@
     NotRun,
     Outcome,
     RefusedBeforeStart,
-    ServiceRequest,
     Unknown,
 )
 from railfold._internal.errors import (
     DeadlineExpiredError,
+    EngineError,
     EngineUnavailableError,
     NoCapacityError,
     RailfoldError,
@@ -26,12 +30,14 @@
 __all__ = [
     "CallAction",
     "CallAnswered",
+    "CallCallerGone",
     "CallDeadlinePassed",
     "CallEvent",
     "CallHostChosen",
     "CallHostLost",
     "CallHostRefused",
     "CallLifecycle",
+    "CallLimits",
     "CallRegister",
     "ChooseHost",
     "FinishCall",
@@ -73,9 +79,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CallHostLost:
-    """The host is dead, replaced or unreachable."""
+    """The host is dead, replaced or unreachable, or broke its answer off.
+
+    :param alive: whether the host lives on, so that this counts as one of the
+        hosts that ran the call.
+    """
 
     host: str
+    alive: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +94,11 @@
     """The call's deadline has passed."""
 
 
+@dataclass(frozen=True, slots=True)
+class CallCallerGone:
+    """The caller closed its connection."""
+
+
 CallEvent = (
     CallHostChosen
     | NoHost
@@ -90,6 +106,7 @@
     | CallHostRefused
     | CallHostLost
     | CallDeadlinePassed
+    | CallCallerGone
 )
 
 
@@ -117,10 +134,21 @@
 
 CallAction = ChooseHost | SendCall | FinishCall
 
-_MAX_TRIES = 4
 _RETRY_AFTER_S = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class CallLimits:
+    """Bounds of one call.
+
+    :param max_tries: how often it is sent; refused tries cost little.
+    :param max_runs: how many live hosts may run it.
+    """
+
+    max_tries: int = 4
+    max_runs: int = 4
+
+
 class _Phase(Enum):
     CHOOSING = auto()
     SENT = auto()
@@ -128,10 +156,15 @@
 
 
 class CallLifecycle:
-    """State machine of one service call at its entry."""
+    """State machine of one call at its entry.
+
+    :param repeatable: whether the call may run more than once.
+    """
 
-    def __init__(self, request: ServiceRequest) -> None:
-        self._request = request
+    def __init__(self, *, repeatable: bool, limits: CallLimits) -> None:
+        self._repeatable = repeatable
+        self._limits = limits
+        self._runs = 0
         self._phase = _Phase.CHOOSING
         self._host = ""
         self._tries = 0
@@ -166,13 +199,19 @@
             case CallHostRefused(host=host, started=started, reason=reason):
                 error = NoCapacityError(f"host {host} gave no answer", why=reason)
                 return self._retry(host, error, may_have_run=started)
-            case CallHostLost(host=host):
+            case CallHostLost(host=host, alive=alive):
                 lost = EngineUnavailableError(
                     f"host {host} was lost while it had the call"
                 )
+                self._runs += alive
                 return self._retry(host, lost, may_have_run=True)
             case CallDeadlinePassed():
-                return self._expire()
+                error = DeadlineExpiredError(
+                    "the call's deadline passed before its answer came"
+                )
+                return self._abandon(error)
+            case CallCallerGone():
+                return self._abandon(EngineError("the caller closed its connection"))
 
     def _send(self, host: str) -> list[CallAction]:
         if self._phase is not _Phase.CHOOSING:
@@ -189,17 +228,17 @@
             return []
         self._may_have_run = self._may_have_run or may_have_run
         self._excluded.add(host)
-        blocked = self._may_have_run and not self._request.repeatable
-        if blocked or self._tries >= _MAX_TRIES:
+        blocked = self._may_have_run and not self._repeatable
+        spent = (
+            self._tries >= self._limits.max_tries or self._runs >= self._limits.max_runs
+        )
+        if blocked or spent:
             return self._give_up(error, _RETRY_AFTER_S)
         self._phase = _Phase.CHOOSING
         return [ChooseHost(frozenset(self._excluded), is_retry=True)]
 
-    def _expire(self) -> list[CallAction]:
+    def _abandon(self, error: RailfoldError) -> list[CallAction]:
         self._may_have_run = self._may_have_run or self._phase is _Phase.SENT
-        error = DeadlineExpiredError(
-            "the call's deadline passed before its answer came"
-        )
         return self._give_up(error, _RETRY_AFTER_S)
 
     def _give_up(self, error: RailfoldError, retry_after_s: float) -> list[CallAction]:
@@ -209,7 +248,7 @@
             hosts = tuple(sorted(self._excluded))
             proof = RefusedBeforeStart(hosts)
             return self._finish(NotRun(proof, error, retry_after_s))
-        if self._request.repeatable:
+        if self._repeatable:
             return self._finish(Failed(error, retry_after_s))
         # Coming back with a new request could run it twice: no Retry-After.
         return self._finish(Unknown(error))
--- /dev/null
+++ b/src/railfold/_internal/decisions/engine_directory.py
@@ -0,0 +1,190 @@
+"""Backend servers that register themselves, as one entry knows them.
+
+Sources, in order of authority: what the backend server itself registered
+(serving or draining, the layers it holds), and what this entry has seen of it.
+A backend server that resets or doesn't answer is suspect, and gets no new work
+until a probe finds it well. Entries that lapse while the store is away say
+nothing about their backend servers: after an outage a removal counts only when
+the grace time has passed without a new registration.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from railfold._internal.core import LayerRange, Stage
+from railfold._internal.decisions.planner import Replica
+from railfold._internal.decisions.routing_table import EngineModel
+
+__all__ = ["DirectoryEntry", "EngineDirectory", "Registration"]
+
+# A backend server that lives has registered again about 2 s after the store is
+# back (the platform's word); the rest is for reading it.
+_RETURN_GRACE_S = 2.3
+
+
+@dataclass(frozen=True, slots=True)
+class Registration:
+    """What a backend server registered of itself.
+
+    :param server_id: names one incarnation of the backend server.
+    :param address: ``ip:port``.
+    :param slots: how many requests it works on at a time.
+    :param model: name of the model that ``layers`` are of.
+    :param layers: the layers it holds, if it is a model engine that holds any.
+    :param accelerator: kind of its accelerator, if it is a model engine.
+    """
+
+    server_id: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    draining: bool
+    model: str = ""
+    layers: LayerRange | None = None
+    accelerator: str = ""
+
+
+@dataclass(slots=True, eq=False)
+class DirectoryEntry:
+    """A backend server as this entry knows it; compared by identity.
+
+    :param in_flight: this entry's own requests there.
+    :param removal_due_s: when a removal that was read counts, if one was.
+    """
+
+    registration: Registration
+    in_flight: int = 0
+    suspect_since_s: float | None = None
+    removal_due_s: float | None = None
+
+    @property
+    def server_id(self) -> str:
+        """The backend server's id."""
+        return self.registration.server_id
+
+    @property
+    def routable(self) -> bool:
+        """Whether new work may go there."""
+        return self.suspect_since_s is None and not self.registration.draining
+
+
+class EngineDirectory:
+    """All registered backend servers."""
+
+    def __init__(self) -> None:
+        self._entries: dict[str, DirectoryEntry] = {}
+        self._returned_s: float | None = None
+
+    def __iter__(self) -> Iterator[DirectoryEntry]:
+        return iter(self._entries.values())
+
+    def get(self, server_id: str) -> DirectoryEntry | None:
+        """Return a backend server's entry."""
+        return self._entries.get(server_id)
+
+    def store_returned(self, now_s: float) -> None:
+        """The store answers again after an outage."""
+        self._returned_s = now_s
+
+    def register(self, registration: Registration) -> DirectoryEntry:
+        """Take a registration, new or renewed."""
+        entry = self._entries.get(registration.server_id)
+        if entry is None:
+            entry = DirectoryEntry(registration)
+            self._entries[registration.server_id] = entry
+        entry.registration = registration
+        entry.removal_due_s = None
+        return entry
+
+    def remove(self, server_id: str, now_s: float) -> None:
+        """Take the removal of a registration."""
+        entry = self._entries.get(server_id)
+        if entry is None:
+            return
+        due_s = now_s
+        if self._returned_s is not None:
+            due_s = max(now_s, self._returned_s + _RETURN_GRACE_S)
+        if due_s <= now_s:
+            del self._entries[server_id]
+        elif entry.removal_due_s is None:
+            entry.removal_due_s = due_s
+
+    def replace_all(self, registrations: Iterable[Registration], now_s: float) -> None:
+        """Take a whole copy of the registrations."""
+        listed = {r.server_id: r for r in registrations}
+        for server_id in [s for s in self._entries if s not in listed]:
+            self.remove(server_id, now_s)
+        for registration in listed.values():
+            self.register(registration)
+
+    def expire(self, now_s: float) -> list[str]:
+        """Drop entries whose removal has come to count; return their ids."""
+        due = [
+            entry.server_id
+            for entry in self._entries.values()
+            if entry.removal_due_s is not None and entry.removal_due_s <= now_s
+        ]
+        for server_id in due:
+            del self._entries[server_id]
+        return due
+
+    def suspect(self, server_id: str, now_s: float) -> bool:
+        """Give it no new work; return whether it got any before."""
+        entry = self._entries.get(server_id)
+        if entry is None or entry.suspect_since_s is not None:
+            return False
+        entry.suspect_since_s = now_s
+        return True
+
+    def cleared(self, server_id: str) -> None:
+        """A probe found it well."""
+        entry = self._entries.get(server_id)
+        if entry is not None:
+            entry.suspect_since_s = None
+
+    def of_service(self, service: str) -> list[DirectoryEntry]:
+        """Return a service's backend servers."""
+        return [e for e in self._entries.values() if e.registration.service == service]
+
+    def replicas(self, service: str, region: str) -> list[Replica]:
+        """Return a plain service's backend servers that may get new work."""
+        return [
+            Replica(
+                Stage(e.server_id, e.registration.address, 0, LayerRange(0, 0)),
+                e.registration.failure_domain,
+                region,
+                in_flight=e.in_flight,
+                capacity=max(1, e.registration.slots),
+                step_ms=1.0,
+            )
+            for e in self.of_service(service)
+            if e.routable
+        ]
+
+    def layer_replicas(
+        self, service: str, model: EngineModel, region: str
+    ) -> list[Replica]:
+        """Return a model's backend servers that hold layers and may get work."""
+        found = []
+        for entry in self.of_service(service):
+            registration = entry.registration
+            layers = registration.layers
+            accelerator = model.accelerators.get(registration.accelerator)
+            if not entry.routable or layers is None or accelerator is None:
+                continue
+            if registration.model != model.name:
+                continue
+            found.append(
+                Replica(
+                    Stage(entry.server_id, registration.address, 0, layers),
+                    registration.failure_domain,
+                    region,
+                    in_flight=entry.in_flight,
+                    capacity=max(1, registration.slots),
+                    step_ms=accelerator.step_factor * len(layers),
+                )
+            )
+        return found
--- /dev/null
+++ b/src/railfold/_internal/decisions/event_cursor.py
@@ -0,0 +1,80 @@
+"""Passing a stream of server-sent events on, so that it can be resumed.
+
+Only whole events are passed on. When a backend server breaks off within an
+event, the rest comes whole from the next one, which starts after the last event
+that the client has.
+"""
+
+from __future__ import annotations
+
+import re
+
+__all__ = ["EventCursor"]
+
+_EVENT_END = re.compile(rb"\r?\n\r?\n")
+_EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d+)")
+
+
+class EventCursor:
+    """Position in one answer, over all attempts.
+
+    :param last_id: id of the last event that the client has, if any.
+    """
+
+    def __init__(self, last_id: int | None = None) -> None:
+        self._last_id = last_id
+        self._partial = b""
+        self._resumed = False
+        self.events = 0
+
+    @property
+    def last_id(self) -> int | None:
+        """The id of the last event that was passed on."""
+        return self._last_id
+
+    def resumed(self) -> None:
+        """Another attempt continues the answer."""
+        self._partial = b""
+        self._resumed = True
+
+    @property
+    def partial(self) -> bool:
+        """Whether an event has begun that isn't whole yet."""
+        return bool(self._partial)
+
+    def feed(self, data: bytes) -> bytes:
+        """Take bytes as they arrive; return the whole events among them."""
+        data = self._partial + data if self._partial else data
+        end = _end_of_last_event(data)
+        whole, self._partial = data[:end], data[end:]
+        if not whole:
+            return whole
+        if self._resumed:
+            whole = self._without_repeated(whole)
+        ids = _EVENT_ID.findall(whole)
+        if ids:
+            self._last_id = int(ids[-1])
+            self.events += len(ids)
+        return whole
+
+    def _without_repeated(self, whole: bytes) -> bytes:
+        """Drop events that the client already has from a new attempt's start."""
+        start = 0
+        while start < len(whole):
+            match = _EVENT_END.search(whole, start)
+            end = match.end() if match else len(whole)
+            found = _EVENT_ID.search(whole, start, end)
+            if found is None or self._last_id is None:
+                break
+            if int(found.group(1)) > self._last_id:
+                self._resumed = False
+                break
+            start = end
+        return whole[start:]
+
+
+def _end_of_last_event(data: bytes) -> int:
+    end = data.rfind(b"\n\n") + 2
+    crlf_end = data.rfind(b"\n\r\n") + 3
+    found = max(end if end > 1 else 0, crlf_end if crlf_end > 2 else 0)
+    return found
--- /dev/null
+++ b/src/railfold/_internal/decisions/leadership.py
@@ -0,0 +1,63 @@
+"""Which of several processes does a duty, by a lease with a fencing token."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["Leadership", "LeaseGrant"]
+
+# Clocks of holder and granter may run apart, and an order is under way for a
+# while after the last look at the lease.
+_MARGIN_SHARE = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseGrant:
+    """The granter's answer to one renewal.
+
+    :param holding: whether the lease is the caller's.
+    :param fencing: rises with every change of holder.
+    """
+
+    holding: bool
+    fencing: int
+
+
+@dataclass(slots=True)
+class Leadership:
+    """One process's view of the lease; times are on the monotonic clock.
+
+    The lease counts from when its renewal was sent, and ends for its holder
+    before it ends for the granter. A holder whose token was refused as too low
+    has a successor, and waits until it is granted a higher one.
+    """
+
+    duration_s: float
+    _grant: LeaseGrant | None = None
+    _renewed_s: float = 0.0
+    _fenced_at: int = -1
+
+    def renewed(self, grant: LeaseGrant, sent_s: float) -> bool:
+        """Take an answer to a renewal; return whether the role changed."""
+        before = self._grant
+        self._grant = grant
+        self._renewed_s = sent_s
+        return before is None or before.holding != grant.holding
+
+    def fenced(self, fencing: int) -> None:
+        """An order with this token was refused: another has a higher one."""
+        self._fenced_at = max(self._fenced_at, fencing)
+
+    def fencing(self, now_s: float) -> int | None:
+        """Return the token to give orders with, if the lease holds now."""
+        grant = self._grant
+        if grant is None or not grant.holding or grant.fencing <= self._fenced_at:
+            return None
+        if now_s - self._renewed_s >= self.duration_s * (1.0 - _MARGIN_SHARE):
+            return None
+        return grant.fencing
+
+    @property
+    def newest_fencing(self) -> int:
+        """The newest token that was heard of."""
+        return self._grant.fencing if self._grant else 0
--- a/src/railfold/_internal/decisions/planner.py
+++ b/src/railfold/_internal/decisions/planner.py
@@ -1,8 +1,10 @@
 """Choosing a chain of backend servers that covers every layer once.
 
 The chain is the cheapest path from the first layer to the last over the
-replicas' ranges. A replica's cost is its expected step time at its present
-load; a hop's cost is the latency between the two failure domains.
+replicas' ranges. Where engines allow it, ranges may overlap: a chain may enter a
+range behind its first layer, and then runs it to its end. A replica's cost is
+its expected step time at its present load, by the share of its layers that the
+chain runs; a hop's cost is the latency between the two failure domains.
 """
 
 from __future__ import annotations
@@ -40,8 +42,11 @@
 
 @dataclass(frozen=True, slots=True)
 class _Path:
+    """A chain's beginning; ``end`` is the replica that it ends at."""
+
     cost: float
-    replicas: tuple[Replica, ...]
+    stages: tuple[Stage, ...]
+    end: Replica | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,21 +95,26 @@
     costs: LinkCosts,
     weights: PlannerWeights,
     rng: random.Random,
+    partial: bool = False,
 ) -> Chain:
     """Return the cheapest chain over ``layer_count`` layers.
 
+    :param partial: whether a chain may run only the last part of a range.
     :raises NoCapacityError: no replicas that are live and have room cover
         all layers.
     """
     usable = [r for r in replicas if r.stage.host not in exclude and not r.full]
-    candidates = _cheapest_of_each_place(usable, frozenset(prefer), weights, rng)
+    cheapest = _cheapest_of_each_place(usable, frozenset(prefer), weights, rng)
+    candidates = _by_layer(cheapest, partial)
     paths: dict[int, dict[str, _Path]] = {0: {"": _Path(0.0, ())}}
     for layer in range(layer_count):
         arrived = paths.get(layer, {})
         for replica, cost in candidates.get(layer, ()) if arrived else ():
-            path = _extend(arrived.values(), replica, cost, costs)
-            end = replica.stage.layers.last + 1
-            _keep_cheapest(paths.setdefault(end, {}), replica, path)
+            layers = replica.stage.layers
+            used = LayerRange(layer, layers.last)
+            share = len(used) / len(layers)
+            path = _extend(arrived.values(), replica, used, cost * share, costs)
+            _keep_cheapest(paths.setdefault(layers.last + 1, {}), replica, path)
     complete = paths.get(layer_count) if layer_count else None
     if not complete:
         raise NoCapacityError(
@@ -113,7 +123,7 @@
             hint="come back after Retry-After; operators: see 'railfold status'",
         )
     best = min(complete.values(), key=lambda path: path.cost)
-    return Chain(tuple(replica.stage for replica in best.replicas))
+    return Chain(best.stages)
 
 
 def choose_host(
@@ -154,8 +164,8 @@
     preferred: frozenset[str],
     weights: PlannerWeights,
     rng: random.Random,
-) -> dict[int, list[tuple[Replica, float]]]:
-    """Return candidates and their costs by first layer.
+) -> list[tuple[Replica, float]]:
+    """Return candidates and their costs.
 
     What a path costs beyond its replicas depends only on their places, so that
     of the replicas of one range in one failure domain the cheapest is enough.
@@ -168,22 +178,39 @@
         known = cheapest.get(place)
         if known is None or cost < known[1]:
             cheapest[place] = (replica, cost)
+    return list(cheapest.values())
+
+
+def _by_layer(
+    candidates: list[tuple[Replica, float]], partial: bool
+) -> dict[int, list[tuple[Replica, float]]]:
+    """Return candidates by the layers at which a chain may enter them."""
     by_layer: dict[int, list[tuple[Replica, float]]] = {}
-    for (first, _, _), candidate in cheapest.items():
-        by_layer.setdefault(first, []).append(candidate)
+    for candidate in candidates:
+        layers = candidate[0].stage.layers
+        last_entry = layers.last if partial else layers.first
+        for layer in range(layers.first, last_entry + 1):
+            by_layer.setdefault(layer, []).append(candidate)
     return by_layer
 
 
 def _extend(
-    arrived: Iterable[_Path], replica: Replica, cost: float, costs: LinkCosts
+    arrived: Iterable[_Path],
+    replica: Replica,
+    used: LayerRange,
+    cost: float,
+    costs: LinkCosts,
 ) -> _Path:
     def cost_through(path: _Path) -> float:
-        if not path.replicas:
+        if path.end is None:
             return path.cost
-        return path.cost + costs.between(path.replicas[-1], replica)
+        return path.cost + costs.between(path.end, replica)
 
     best = min(arrived, key=cost_through)
-    return _Path(cost_through(best) + cost, (*best.replicas, replica))
+    stage = replica.stage
+    if used != stage.layers:
+        stage = Stage(stage.host, stage.address, stage.incarnation, used)
+    return _Path(cost_through(best) + cost, (*best.stages, stage), replica)
 
 
 def _keep_cheapest(ends: dict[str, _Path], replica: Replica, path: _Path) -> None:
--- /dev/null
+++ b/src/railfold/_internal/decisions/routing_table.py
@@ -0,0 +1,212 @@
+"""Routes, services and credentials of one configuration version.
+
+A table is immutable: a request keeps the one it was admitted under, and a newer
+one replaces it whole.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+from railfold._internal.errors import (
+    NotReadyError,
+    UnauthorizedError,
+    UnknownTargetError,
+)
+
+__all__ = [
+    "Accelerator",
+    "ClientLimits",
+    "CredentialOwner",
+    "EngineModel",
+    "Route",
+    "RouteKind",
+    "RoutingTable",
+    "ServiceSpec",
+    "WeightedService",
+    "require_table",
+]
+
+
+class RouteKind(Enum):
+    """How often a request on a route may run, and the form of its answer."""
+
+    SAFE = auto()  # May run more than once.
+    UNSAFE = auto()  # Runs at most once.
+    STREAM = auto()  # A stream of events; may run again only if resumable.
+
+
+@dataclass(frozen=True, slots=True)
+class WeightedService:
+    """A service and its share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where requests of one host and path prefix go.
+
+    :param timeout_s: the longest time a request may be held.
+    :param objective_s: time to the answer, or to its first event.
+    :param max_attempts: how many backend servers may run one request.
+    :param gap_objective_s: the longest pause between two events; 0 if unknown.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    services: tuple[WeightedService, ...]
+    timeout_s: float
+    objective_s: float
+    priority: int
+    max_attempts: int
+    public: bool
+    resumable: bool
+    gap_objective_s: float
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        match self.kind:
+            case RouteKind.SAFE:
+                return True
+            case RouteKind.UNSAFE:
+                return False
+            case RouteKind.STREAM:
+                return self.resumable
+
+
+@dataclass(frozen=True, slots=True)
+class Accelerator:
+    """A kind of accelerator.
+
+    :param memory_mb: for layers and the state of requests together.
+    :param step_factor: how many times longer than the model's base a decode
+        step takes.
+    :param prefill_factor: the same for reading a prompt.
+    """
+
+    memory_mb: float
+    step_factor: float
+    prefill_factor: float
+
+
+@dataclass(frozen=True, slots=True)
+class EngineModel:
+    """A model whose layers are spread over engines.
+
+    :param layer_mb: memory of one layer.
+    :param request_mb_per_token: a request's state of one token in one layer.
+    :param mean_tokens: prompt and answer of a usual request.
+    :param load_s: time to load all layers at once.
+    :param loads_at_once: how many loads run at full speed at a time.
+    """
+
+    name: str
+    layer_count: int
+    layer_mb: float
+    request_mb_per_token: float
+    mean_tokens: int
+    load_s: float
+    loads_at_once: int
+    max_sequences: int
+    accelerators: Mapping[str, Accelerator]
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSpec:
+    """A service; ``model`` is given if its backend servers are model engines."""
+
+    name: str
+    health_path: str
+    max_connections: int
+    model: EngineModel | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CredentialOwner:
+    """The workspace that holds a credential."""
+
+    workspace: str
+    priority: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class ClientLimits:
+    """What a client may send, and how long it may take."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingTable:
+    """One configuration version.
+
+    :param credentials: owners by credential; ``None`` if none are used.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, ServiceSpec]
+    credentials: Mapping[str, CredentialOwner] | None
+    limits: ClientLimits
+    _by_host: dict[str, list[Route]] = field(default_factory=dict, compare=False)
+
+    def __post_init__(self) -> None:
+        for route in self.routes:
+            self._by_host.setdefault(route.host, []).append(route)
+        for routes in self._by_host.values():
+            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+
+    def find(self, host: str, path: str) -> Route:
+        """Return the route with the longest prefix of ``path``.
+
+        :raises UnknownTargetError: there is none.
+        """
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        raise UnknownTargetError(
+            f"no route leads to {host}{path}",
+            why=f"configuration version {self.version} has none",
+        )
+
+    def authorize(self, route: Route, credential: str) -> CredentialOwner | None:
+        """Return who holds a credential; nothing where none is needed.
+
+        :raises UnauthorizedError: the credential isn't known.
+        """
+        if self.credentials is None:
+            return None
+        owner = self.credentials.get(credential)
+        if owner is None and not route.public:
+            raise UnauthorizedError(
+                "the credential isn't known",
+                why=f"configuration version {self.version} doesn't hold it",
+                hint="send 'Authorization: Bearer <credential>'",
+            )
+        return owner
+
+    def model_services(self) -> list[ServiceSpec]:
+        """Return the services whose backend servers are model engines."""
+        return [spec for spec in self.services.values() if spec.model is not None]
+
+
+def require_table(table: RoutingTable | None) -> RoutingTable:
+    """Return the table.
+
+    :raises NotReadyError: there is no configuration yet.
+    """
+    if table is None:
+        raise NotReadyError(
+            "no configuration was read yet", hint="come back after Retry-After"
+        )
+    return table
--- a/src/railfold/_internal/engines/http_engine.py
+++ b/src/railfold/_internal/engines/http_engine.py
@@ -24,7 +24,7 @@
     StepResult,
 )
 from railfold._internal.errors import EngineError, EngineUnavailableError
-from railfold._internal.platform.http import CONNECT_TIMEOUT_S
+from railfold._internal.store.http import CONNECT_TIMEOUT_S
 
 __all__ = ["HttpEngine"]
 
--- a/src/railfold/_internal/engines/http_service.py
+++ b/src/railfold/_internal/engines/http_service.py
@@ -7,7 +7,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPError
 
 from railfold._internal.errors import EngineError, EngineUnavailableError
-from railfold._internal.platform.http import (
+from railfold._internal.store.http import (
     CONNECT_TIMEOUT_S,
     was_never_connected,
 )
--- a/src/railfold/_internal/entry/calls.py
+++ b/src/railfold/_internal/entry/calls.py
@@ -15,6 +15,7 @@
     CallHostLost,
     CallHostRefused,
     CallLifecycle,
+    CallLimits,
     ChooseHost,
     FinishCall,
     NoHost,
@@ -49,7 +50,9 @@
         self._request = request
         self._service = service
         self._context = context
-        self._lifecycle = CallLifecycle(request)
+        self._lifecycle = CallLifecycle(
+            repeatable=request.repeatable, limits=CallLimits()
+        )
         self._loop = asyncio.get_running_loop()
         self._outcome: asyncio.Future[Outcome] = self._loop.create_future()
         self._stage: Stage | None = None
--- a/src/railfold/_internal/entry/claims.py
+++ b/src/railfold/_internal/entry/claims.py
@@ -18,9 +18,9 @@
 )
 from railfold._internal.errors import LogUnavailableError
 from railfold._internal.observability.metrics import Metrics
-from railfold._internal.platform.claim_records import claim_from_log, claim_to_log
-from railfold._internal.platform.follower import SettlingAppender
-from railfold._internal.platform.log import LogRecord
+from railfold._internal.store.claim_records import claim_from_log, claim_to_log
+from railfold._internal.store.follower import SettlingAppender
+from railfold._internal.store.records import LogRecord
 
 __all__ = ["ClaimKeeper"]
 
@@ -67,7 +67,7 @@
             case _:
                 pass
 
-    def caught_up(self, next_offset: int) -> None:
+    def caught_up(self, next_offset: int, sent_s: float) -> None:
         """The ledger is as new as the log."""
         self.current = True
 
--- a/src/railfold/_internal/entry/configuration.py
+++ b/src/railfold/_internal/entry/configuration.py
@@ -16,7 +16,8 @@
 from railfold._internal.errors import LogUnavailableError
 from railfold._internal.links.messages import ConfigurationChange
 from railfold._internal.observability.metrics import Metrics
-from railfold._internal.platform.log import LogClient, LogRecord
+from railfold._internal.store.log import LogClient
+from railfold._internal.store.records import LogRecord
 
 __all__ = ["ConfigurationKeeper"]
 
@@ -79,7 +80,7 @@
         elif folded.checkpoint.digest == self._replica.configuration.digest():
             self._schedule.checkpoint_seen()
 
-    def caught_up(self, next_offset: int) -> None:
+    def caught_up(self, next_offset: int, sent_s: float) -> None:
         """All there is was read."""
         self.caught_up_once = True
 
--- a/src/railfold/_internal/entry/process.py
+++ b/src/railfold/_internal/entry/process.py
@@ -46,13 +46,18 @@
     JsonHandler,
     ReadyHandler,
 )
-from railfold._internal.observability.metrics import Metrics, MetricsSender
+from railfold._internal.observability.metrics import Metrics
 from railfold._internal.observability.server import HttpServerChild
-from railfold._internal.platform.follower import SettlingAppender, StreamFollower
-from railfold._internal.platform.hosts import HostListPoller
-from railfold._internal.platform.http import new_http_client, new_single_use_client
-from railfold._internal.platform.log import LogClient
+from railfold._internal.observability.statsd_sender import MetricsSender
 from railfold._internal.settings.models import EntrySettings
+from railfold._internal.store.follower import (
+    FollowerPace,
+    SettlingAppender,
+    StreamFollower,
+)
+from railfold._internal.store.hosts import HostListPoller
+from railfold._internal.store.http import new_http_client, new_single_use_client
+from railfold._internal.store.log import LogClient
 from railfold._internal.supervision.process import run_process, wait_until_idle
 from railfold._internal.supervision.supervisor import ChildSpec, Supervisor
 
@@ -96,7 +101,7 @@
             settings.platform.claims_stream,
             self._claims,
             self.metrics,
-            settings.platform.read_wait_s,
+            FollowerPace(settings.platform.read_wait_s),
         )
         self._context = self._make_context()
         self._dispatcher = Dispatcher(
@@ -176,7 +181,7 @@
             platform.configuration_stream,
             self._configuration,
             self.metrics,
-            platform.read_wait_s,
+            FollowerPace(platform.read_wait_s),
         )
         hosts = HostListPoller(
             platform.hosts_url,
--- a/src/railfold/_internal/errors.py
+++ b/src/railfold/_internal/errors.py
@@ -14,6 +14,7 @@
     "ChildEndedError",
     "ConfigurationConflictError",
     "ConfigurationRefusedError",
+    "ConfigurationStaleError",
     "DeadlineExpiredError",
     "DuplicateKeyError",
     "EngineError",
@@ -34,6 +35,7 @@
     "RecordsExpiredError",
     "RequestError",
     "RequestTimeoutError",
+    "ServerLeavingError",
     "SettingsError",
     "SupervisorFailedError",
     "UnauthorizedError",
@@ -193,6 +195,18 @@
     code = "not_ready"
 
 
+class ConfigurationStaleError(RequestError):
+    """What is known of the configuration is too old to rely on."""
+
+    code = "configuration_stale"
+
+
+class ServerLeavingError(RequestError):
+    """The backend server that was chosen takes no new work any more."""
+
+    code = "server_leaving"
+
+
 class LineageError(RailfoldError):
     """A token's layers weren't each run exactly once and in order."""
 
--- /dev/null
+++ b/src/railfold/_internal/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""An entry that reaches engines directly, which forward among themselves."""
--- /dev/null
+++ b/src/railfold/_internal/forwarding/adapter.py
@@ -0,0 +1,64 @@
+"""What a platform's adapter brings beside its dialect."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from railfold._internal.decisions.engine_directory import Registration
+from railfold._internal.decisions.routing_table import RoutingTable
+from railfold._internal.forwarding.dialect import Dialect
+from railfold._internal.forwarding.leadership import LeaseClient
+from railfold._internal.store.follower import ReadableLog
+
+__all__ = ["KeyedValue", "PlatformAdapter"]
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedValue:
+    """Body of a record of a keyed stream; no value means the key is gone."""
+
+    key: str
+    value: bytes
+
+
+class PlatformAdapter(Protocol):
+    """Everything that the forwarding entry needs of its platform.
+
+    Streams hold :class:`KeyedValue` records. Each log is a client with a
+    connection of its own, so that reads that wait don't hold each other up.
+    """
+
+    @property
+    def dialect(self) -> Dialect:
+        """Translates requests, answers and engine calls."""
+
+    @property
+    def configuration_stream(self) -> str:
+        """The stream that holds the configuration."""
+
+    @property
+    def configuration_key(self) -> str:
+        """The key of the newest configuration there."""
+
+    @property
+    def registrations_stream(self) -> str:
+        """The stream of backend servers' registrations, by their id."""
+
+    def new_log(self) -> ReadableLog:
+        """Return a new client of the store's log."""
+
+    def new_lease_client(self, duty: str) -> LeaseClient:
+        """Return a client for the lease of a duty."""
+
+    def decode_configuration(self, value: bytes) -> RoutingTable:
+        """Return a configuration.
+
+        :raises ConfigurationRefusedError: it can't be read.
+        """
+
+    def decode_registration(self, key: str, value: bytes) -> Registration:
+        """Return a backend server's registration.
+
+        :raises EngineError: it can't be read.
+        """
--- /dev/null
+++ b/src/railfold/_internal/forwarding/dialect.py
@@ -0,0 +1,192 @@
+"""What the forwarding entry needs of the platform that it runs on.
+
+An adapter implements these interfaces. It translates names and forms, and
+decides nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from railfold._internal.core import Chain, LayerRange
+from railfold._internal.forwarding.messages import (
+    ClientRequest,
+    Header,
+    ResponseHead,
+)
+
+__all__ = [
+    "AnswerKind",
+    "Dialect",
+    "EngineCall",
+    "EngineReport",
+    "ForeignAnswer",
+    "NotExecuted",
+    "OrderBegun",
+    "OrderFenced",
+    "OrderOutcome",
+    "OrderRefused",
+    "OrderUnsettled",
+    "SendPlan",
+    "ServedAnswer",
+    "ServerFailure",
+    "UnusableAnswer",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class SendPlan:
+    """How a request is sent to its backend server.
+
+    :param server_id: the one incarnation that may run it.
+    :param chain: the stages that run it, if it is for a model.
+    :param left_s: how long its client waits from now on.
+    :param workspace: who sends it, if that is known.
+    :param resume_after: the event after which a stream goes on.
+    """
+
+    server_id: str
+    address: str
+    chain: Chain | None
+    left_s: float
+    workspace: str | None
+    resume_after: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class ServedAnswer:
+    """The backend server's answer to this request."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotExecuted:
+    """Proof that the request wasn't run.
+
+    :param address: the backend server at fault, if it isn't the one asked.
+    """
+
+    address: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class ServerFailure:
+    """The request ran, or may have run, and the backend server failed."""
+
+
+@dataclass(frozen=True, slots=True)
+class ForeignAnswer:
+    """An answer to another request."""
+
+
+@dataclass(frozen=True, slots=True)
+class UnusableAnswer:
+    """It claims success but isn't what a backend server sends."""
+
+    reason: str
+
+
+AnswerKind = ServedAnswer | NotExecuted | ServerFailure | ForeignAnswer | UnusableAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class EngineCall:
+    """A call to an engine's own interface."""
+
+    method: str
+    target: str
+    headers: tuple[Header, ...]
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """An engine's state in its own words.
+
+    :param order_count: orders that it has begun in this incarnation.
+    :param layers: the layers it holds.
+    :param pace: over 1, it is slower than its kind.
+    """
+
+    order_count: int
+    busy: bool
+    running: int
+    waiting: int
+    state_used: int
+    state_total: int
+    layers: LayerRange | None
+    pace: float
+
+
+@dataclass(frozen=True, slots=True)
+class OrderBegun:
+    """The engine carries the order out, or already holds what it asks for."""
+
+
+@dataclass(frozen=True, slots=True)
+class OrderRefused:
+    """The order doesn't fit the engine's state."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class OrderFenced:
+    """The engine has seen a higher fencing token."""
+
+
+@dataclass(frozen=True, slots=True)
+class OrderUnsettled:
+    """No answer came: the order may be carried out, also later."""
+
+    reason: str
+
+
+OrderOutcome = OrderBegun | OrderRefused | OrderFenced | OrderUnsettled
+
+
+class Dialect(Protocol):
+    """Translates requests, answers and engine calls."""
+
+    def decode_request(
+        self,
+        method: str,
+        target: str,
+        headers: Iterable[Header],
+        body: bytes,
+        now_s: float,
+    ) -> ClientRequest:
+        """Return a client's request.
+
+        :raises InvalidRequestError: a header is malformed or missing.
+        """
+
+    def forward_headers(
+        self, request: ClientRequest, plan: SendPlan
+    ) -> Sequence[Header]:
+        """Return the headers that the backend server gets."""
+
+    def classify(self, head: ResponseHead, request_id: str) -> AnswerKind:
+        """Return what an answer's head says."""
+
+    def report_call(self) -> EngineCall:
+        """Return the call that asks an engine for its report."""
+
+    def decode_report(self, body: bytes) -> EngineReport:
+        """Return an engine's report.
+
+        :raises EngineError: the body can't be read.
+        """
+
+    def place_call(
+        self, layers: LayerRange, fencing: int, order_count: int
+    ) -> EngineCall:
+        """Return the order to hold these layers."""
+
+    def reroute_call(self, request_id: str, chain: Chain) -> EngineCall:
+        """Return the order to go on with a running request over another chain."""
+
+    def order_outcome(self, head: ResponseHead) -> OrderOutcome:
+        """Return what the answer to an order says."""
--- /dev/null
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -0,0 +1,558 @@
+"""Driving one client's request through its attempts to its final answer."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from railfold._internal.core import (
+    Answered,
+    Chain,
+    Failed,
+    NotRun,
+    Outcome,
+    Unknown,
+    outcome_name,
+)
+from railfold._internal.decisions.calls import (
+    CallAction,
+    CallAnswered,
+    CallCallerGone,
+    CallDeadlinePassed,
+    CallEvent,
+    CallHostChosen,
+    CallHostLost,
+    CallHostRefused,
+    CallLifecycle,
+    CallLimits,
+    ChooseHost,
+    FinishCall,
+    NoHost,
+    SendCall,
+)
+from railfold._internal.decisions.event_cursor import EventCursor
+from railfold._internal.decisions.heartbeats import OverdueTimer
+from railfold._internal.decisions.retry_budget import jittered_retry_after_s
+from railfold._internal.decisions.routing_table import (
+    CredentialOwner,
+    Route,
+    RouteKind,
+)
+from railfold._internal.errors import (
+    OverloadedError,
+    RailfoldError,
+    RequestError,
+    ServerLeavingError,
+)
+from railfold._internal.forwarding.dialect import (
+    AnswerKind,
+    NotExecuted,
+    SendPlan,
+    ServedAnswer,
+    ServerFailure,
+    UnusableAnswer,
+)
+from railfold._internal.forwarding.exchange import EngineExchange
+from railfold._internal.forwarding.front import ClientExchange
+from railfold._internal.forwarding.messages import ClientRequest, ResponseHead
+from railfold._internal.forwarding.probes import ChainProber
+from railfold._internal.forwarding.replies import (
+    end_to_end_headers,
+    error_reply,
+    status_of,
+)
+from railfold._internal.forwarding.router import Destination, Router
+from railfold._internal.observability.events import (
+    AttemptEnded,
+    AttemptStarted,
+    RequestEnded,
+    StreamRerouted,
+)
+
+__all__ = ["RequestDriver"]
+
+# How often a request is sent at most; refused sends cost little, and each goes
+# to another backend server.
+_MAX_TRIES = 4
+
+# A silent stream is looked into when its pause is this many times the usual one
+# and at least the floor: well above the pauses that prompts of other requests
+# cause (up to 60 ms on the first sites), well below what clients bear.
+_OVERDUE_FACTOR = 5.0
+_OVERDUE_FLOOR_S = 0.11
+_FIRST_EVENT_OVERDUE_S = 0.4
+
+# A stream whose backend servers all answer, and which yet is silent for this
+# long, is taken elsewhere: clients leave after 2 s.
+_ABANDON_SILENT_S = 1.3
+
+# Answers of plain calls are gathered up to this size, so that one that breaks
+# off can be repeated; a larger one is passed on as it comes.
+_GATHER_BYTES = 256 * 1024
+
+
+@dataclass(slots=True)
+class _Gathered:
+    """An answer that is held back until it is whole."""
+
+    head: ResponseHead
+    parts: list[bytes] = field(default_factory=list)
+    size: int = 0
+
+
+class RequestDriver:
+    """Feeds one request's lifecycle and performs its actions."""
+
+    def __init__(
+        self,
+        request: ClientRequest,
+        route: Route,
+        owner: CredentialOwner | None,
+        client: ClientExchange,
+        router: Router,
+        prober: ChainProber,
+        version: int,
+    ) -> None:
+        self._request = request
+        self._route = route
+        self._owner = owner
+        self._client = client
+        self._router = router
+        self._prober = prober
+        self._version = version
+        self._loop = asyncio.get_running_loop()
+        self._lifecycle = CallLifecycle(
+            repeatable=route.repeatable,
+            limits=CallLimits(_MAX_TRIES, max(1, route.max_attempts)),
+        )
+        self._exchange: EngineExchange | None = None
+        self._destination: Destination | None = None
+        self._attempts = 0
+        self._kind: AnswerKind | None = None
+        self._gathered: _Gathered | None = None
+        self._failure: _Gathered | None = None
+        self._cursor = EventCursor(request.last_event_id)
+        self._streaming = False
+        self._overdue = OverdueTimer(
+            factor=_OVERDUE_FACTOR,
+            floor_s=_OVERDUE_FLOOR_S,
+            first_token_s=_FIRST_EVENT_OVERDUE_S,
+        )
+        self._overdue_timer: asyncio.TimerHandle | None = None
+        self._progress_s = 0.0
+        self._first_event_s: float | None = None
+        self._cause = ""
+        self._deadline_s = request.received_s + route.timeout_s
+        if request.deadline_s is not None:
+            self._deadline_s = min(self._deadline_s, request.deadline_s)
+        self._deadline = self._loop.call_at(
+            self._deadline_s, self._feed, CallDeadlinePassed()
+        )
+
+    def start(self) -> None:
+        """Begin."""
+        self._router.active.add(self)
+        self._router.budget.earn()
+        self._perform(self._lifecycle.start())
+
+    def client_gone(self) -> None:
+        """The client closed its connection."""
+        self._cause = "the client went away"
+        self._feed(CallCallerGone())
+
+    def servers_lost(self, server_ids: frozenset[str]) -> None:
+        """These backend servers don't answer."""
+        destination = self._destination
+        if destination is None or self._exchange is None:
+            return
+        lost = server_ids.intersection(destination.server_ids)
+        if not lost:
+            return
+        first = destination.server.host
+        if first not in lost and destination.chain is not None and self._started:
+            self._loop.create_task(self._reroute(destination.chain, lost))
+            return
+        reason = "lost " + ", ".join(sorted(lost))
+        self._end_attempt(reason, alive=first not in lost)
+
+    @property
+    def _started(self) -> bool:
+        return self._kind is not None
+
+    # The lifecycle's actions
+
+    def _feed(self, event: CallEvent) -> None:
+        self._perform(self._lifecycle.apply(event))
+
+    def _perform(self, actions: list[CallAction]) -> None:
+        for action in actions:
+            match action:
+                case ChooseHost(exclude=exclude, is_retry=is_retry):
+                    self._choose(exclude, is_retry=is_retry)
+                case SendCall():
+                    self._send()
+                case FinishCall(outcome=outcome):
+                    self._finish(outcome)
+
+    def _choose(self, exclude: frozenset[str], *, is_retry: bool) -> None:
+        router = self._router
+        if is_retry and not router.budget.spend():
+            router.metrics.count("requests.retry_budget_empty")
+            error = OverloadedError(
+                "no retry is allowed now", why="the retry budget is spent"
+            )
+            self._refuse(error)
+            return
+        try:
+            destination = router.choose(self._route, exclude)
+        except RequestError as found:
+            self._refuse(found)
+            return
+        if is_retry:
+            router.metrics.count("requests.retries")
+        self._destination = destination
+        self._feed(CallHostChosen(destination.server.host))
+
+    def _refuse(self, error: RailfoldError) -> None:
+        self._cause = str(error)
+        self._feed(NoHost(error, self._retry_after_s()))
+
+    def _retry_after_s(self) -> float:
+        return jittered_retry_after_s(1.0, self._router.rng.random())
+
+    def _send(self) -> None:
+        destination = self._destination
+        assert destination is not None
+        router = self._router
+        now_s = self._loop.time()
+        self._attempts += 1
+        resume_after = self._cursor.last_id
+        if self._attempts > 1:
+            self._cursor.resumed()
+        plan = SendPlan(
+            server_id=destination.server.host,
+            address=destination.server.address,
+            chain=destination.chain,
+            left_s=max(0.0, self._deadline_s - now_s),
+            workspace=self._owner.workspace if self._owner else None,
+            resume_after=resume_after,
+        )
+        self._kind = None
+        self._gathered = None
+        router.count(destination, 1)
+        self._exchange = EngineExchange(
+            self._request,
+            plan,
+            router.dialect,
+            router.pool,
+            self,
+            self._check,
+            repeatable=self._route.repeatable,
+        )
+        router.log.write_routine(
+            AttemptStarted(
+                self._request.request_id,
+                self._attempts,
+                plan.server_id,
+                _chain_text(plan.chain),
+                self._version,
+                _finite_ms(router.lease.age_s(now_s)),
+                round(plan.left_s * 1000),
+                resume_after,
+            )
+        )
+        self._exchange.start()
+        self._progress_s = now_s
+        if destination.chain is not None:
+            self._overdue.opened(now_s)
+            self._arm_overdue()
+
+    def _check(self) -> None:
+        """Look once more at what may have changed while the request waited."""
+        request = self._request
+        self._router.check_permission(self._route, request.path, request.credential)
+        destination = self._destination
+        entry = destination and self._router.directory.get(destination.server.host)
+        if not entry or entry.registration.draining:
+            raise ServerLeavingError("the backend server is leaving")
+
+    # What comes of an attempt
+
+    def attempt_unsent(self, reason: str, error: RequestError | None) -> None:
+        """Nothing was sent."""
+        destination = self._release()
+        if destination is None:
+            return
+        server_id = destination.server.host
+        self._log_attempt(server_id, reason)
+        if error is None:
+            self._prober.suspect(server_id, reason)
+        elif not isinstance(error, ServerLeavingError):
+            # Refused for a reason that holds at every backend server.
+            self._refuse(error)
+            return
+        self._feed(CallHostRefused(server_id, started=False, reason=reason))
+
+    def attempt_lost(self, reason: str) -> None:
+        """No whole answer comes of the attempt."""
+        if self._destination is not None:
+            self._prober.doubt(self._destination.server.host)
+        self._end_attempt(reason, alive=True)
+
+    def answer_head(self, kind: AnswerKind, head: ResponseHead) -> None:
+        """The head of an answer came."""
+        self._kind = kind
+        is_stream = self._route.kind is RouteKind.STREAM and _holds_events(head)
+        if isinstance(kind, ServedAnswer) and is_stream:
+            self._streaming = True
+            if not self._client.head_sent:
+                headers = end_to_end_headers(head, with_length=False)
+                self._client.send_head(head.status, head.reason, headers)
+            return
+        self._gathered = _Gathered(head)
+
+    def answer_body(self, data: bytes) -> None:
+        """Bytes of a body came."""
+        if self._gathered is None:
+            self._pass_events(data)
+            return
+        gathered = self._gathered
+        gathered.parts.append(data)
+        gathered.size += len(data)
+        if gathered.size > _GATHER_BYTES and isinstance(self._kind, ServedAnswer):
+            self._pass_on_from_now(gathered)
+
+    def answer_ended(self) -> None:
+        """An answer is whole."""
+        kind, gathered = self._kind, self._gathered
+        destination = self._destination
+        if destination is None:
+            return
+        server_id = destination.server.host
+        match kind:
+            case ServedAnswer():
+                self._answered(server_id, gathered)
+            case NotExecuted(address=address, reason=reason):
+                self._release()
+                self._log_attempt(server_id, reason)
+                self._prober.not_executed(server_id, address)
+                self._feed(CallHostRefused(server_id, started=False, reason=reason))
+            case ServerFailure():
+                self._failure = gathered
+                self._prober.failed(server_id)
+                status = gathered.head.status if gathered else 0
+                self._end_attempt(f"it answered {status}", alive=True)
+            case UnusableAnswer(reason=reason):
+                self._prober.failed(server_id)
+                self._end_attempt(reason, alive=True)
+            case _:
+                self._end_attempt("its answer has no head", alive=True)
+
+    def _answered(self, server_id: str, gathered: _Gathered | None) -> None:
+        if self._streaming and gathered is None and self._cursor.partial:
+            self._end_attempt("it ended within an event", alive=True)
+            return
+        self._prober.served(server_id)
+        if gathered is not None:
+            self._deliver(gathered)
+        else:
+            self._client.finish()
+        self._feed(CallAnswered(server_id))
+
+    def _pass_events(self, data: bytes) -> None:
+        now_s = self._loop.time()
+        self._progress_s = now_s
+        whole = self._cursor.feed(data) if self._streaming else data
+        if not whole:
+            return
+        if self._first_event_s is None:
+            self._first_event_s = now_s
+        if self._overdue.token(now_s):
+            self._arm_overdue()
+        self._client.send_body(whole)
+
+    def _pass_on_from_now(self, gathered: _Gathered) -> None:
+        """Stop gathering: the answer is large and goes on as it comes."""
+        self._gathered = None
+        headers = end_to_end_headers(gathered.head, with_length=True)
+        self._client.send_head(gathered.head.status, gathered.head.reason, headers)
+        self._client.send_body(b"".join(gathered.parts))
+
+    def _deliver(self, gathered: _Gathered) -> None:
+        head = gathered.head
+        headers = end_to_end_headers(head, with_length=False)
+        body = b"".join(gathered.parts)
+        self._client.reply(head.status, headers, body, head.reason)
+
+    def _end_attempt(self, reason: str, *, alive: bool) -> None:
+        destination = self._release()
+        if destination is None:
+            return
+        server_id = destination.server.host
+        self._log_attempt(server_id, reason)
+        self._cause = reason
+        if self._client.head_sent and not self._streaming:
+            # Part of a large plain answer is out: nothing can continue it.
+            self._feed(CallCallerGone())
+            return
+        self._feed(CallHostLost(server_id, alive=alive))
+
+    def _release(self) -> Destination | None:
+        """Let go of the attempt under way, if there is one."""
+        exchange, self._exchange = self._exchange, None
+        destination, self._destination = self._destination, None
+        if exchange is not None:
+            exchange.cancel()
+        if destination is not None:
+            self._router.count(destination, -1)
+        if self._overdue_timer is not None:
+            self._overdue_timer.cancel()
+        return destination
+
+    def _log_attempt(self, server_id: str, cause: str) -> None:
+        silent_s = self._loop.time() - self._progress_s
+        self._router.metrics.count("attempts.ended_early")
+        self._router.log.write(
+            AttemptEnded(
+                self._request.request_id,
+                self._attempts,
+                server_id,
+                cause,
+                self._cursor.events,
+                round(silent_s * 1000, 1),
+            )
+        )
+
+    # Silence
+
+    def _arm_overdue(self) -> None:
+        if self._overdue_timer is not None:
+            self._overdue_timer.cancel()
+        self._overdue_timer = self._loop.call_at(
+            self._overdue.due_s(), self._check_overdue
+        )
+
+    def _check_overdue(self) -> None:
+        destination = self._destination
+        if self._lifecycle.done or destination is None or destination.chain is None:
+            return
+        now_s = self._loop.time()
+        if now_s < self._overdue.due_s():
+            self._arm_overdue()
+            return
+        silent_s = now_s - self._progress_s
+        if silent_s > _ABANDON_SILENT_S:
+            self._end_attempt("silent although all answer", alive=True)
+            return
+        self._router.metrics.count("streams.overdue")
+        self._overdue.probed(now_s)
+        self._prober.probe(destination.chain, self._request.request_id, silent_s)
+        self._arm_overdue()
+
+    async def _reroute(self, chain: Chain, lost: frozenset[str]) -> None:
+        """Let the first backend server go on over another chain."""
+        exchange = self._exchange
+        other = self._router.reroute(self._route, chain, lost)
+        outcome = "there is no other chain"
+        if other is not None:
+            outcome = await self._prober.reroute(self._request.request_id, other)
+        if self._exchange is not exchange or self._destination is None:
+            return  # The attempt ended meanwhile.
+        self._router.log.write(
+            StreamRerouted(self._request.request_id, _chain_text(other), outcome)
+        )
+        if other is None or outcome:
+            self._end_attempt(f"not rerouted: {outcome}", alive=True)
+            return
+        self._router.metrics.count("streams.rerouted")
+        self._router.count(self._destination, -1)
+        self._destination = Destination(other.stages[0], other)
+        self._router.count(self._destination, 1)
+        self._overdue.opened(self._loop.time())
+        self._arm_overdue()
+
+    # The end
+
+    def _finish(self, outcome: Outcome) -> None:
+        self._deadline.cancel()
+        self._release()
+        self._router.active.discard(self)
+        status = self._answer_client(outcome)
+        self._count_outcome(outcome, status)
+
+    def _answer_client(self, outcome: Outcome) -> int:
+        """Give the client its final answer; return the status."""
+        match outcome:
+            case Answered():
+                return 200
+            case NotRun(error=error, retry_after_s=retry_after_s):
+                return self._reply_error(error, retry_after_s, not_run=True)
+            case Failed(error=error, retry_after_s=retry_after_s):
+                return self._reply_failure(error, retry_after_s)
+            case Unknown(error=error):
+                return self._reply_failure(error, None)
+
+    def _reply_failure(self, error: RailfoldError, retry_after_s: float | None) -> int:
+        if self._client.head_sent:
+            self._client.abort()
+            return 0
+        if self._failure is not None:
+            self._deliver(self._failure)
+            return self._failure.head.status
+        return self._reply_error(error, retry_after_s, not_run=False)
+
+    def _reply_error(
+        self, error: RailfoldError, retry_after_s: float | None, *, not_run: bool
+    ) -> int:
+        if self._client.head_sent:
+            self._client.abort()
+            return 0
+        status = status_of(error, not_run=not_run)
+        headers, body = error_reply(error, retry_after_s)
+        self._client.reply(status, headers, body)
+        return status
+
+    def _count_outcome(self, outcome: Outcome, status: int) -> None:
+        router = self._router
+        now_s = self._loop.time()
+        name = outcome_name(outcome)
+        router.metrics.count(f"outcomes.{name}")
+        duration_s = now_s - self._request.received_s
+        router.metrics.timing("request", duration_s)
+        first_s = 0.0
+        if self._first_event_s is not None:
+            first_s = self._first_event_s - self._request.received_s
+            router.metrics.timing("first_event", first_s)
+        event = RequestEnded(
+            request_id=self._request.request_id,
+            outcome=name,
+            status=status,
+            cause="" if isinstance(outcome, Answered) else self._cause,
+            route=self._route.name,
+            workspace=self._owner.workspace if self._owner else "",
+            attempts=self._attempts,
+            duration_ms=round(duration_s * 1000, 1),
+            first_event_ms=round(first_s * 1000, 1),
+            events=self._cursor.events,
+            configuration_version=self._version,
+            retry_after_ms=round((getattr(outcome, "retry_after_s", 0) or 0) * 1000),
+        )
+        if isinstance(outcome, Answered):
+            router.log.write_routine(event)
+        else:
+            router.log.write(event)
+
+
+def _chain_text(chain: Chain | None) -> str:
+    """Return a chain as it stands in logs."""
+    if chain is None:
+        return ""
+    return " ".join(f"{stage.host}:{stage.layers}" for stage in chain.stages)
+
+
+def _holds_events(head: ResponseHead) -> bool:
+    return head.get("Content-Type").startswith("text/event-stream")
+
+
+def _finite_ms(seconds: float) -> float:
+    return round(min(seconds, 1e6) * 1000, 1)
--- /dev/null
+++ b/src/railfold/_internal/forwarding/front.py
@@ -0,0 +1,277 @@
+"""HTTP interface towards clients, on tornado's server."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream
+
+from railfold._internal.core import Address
+from railfold._internal.decisions.routing_table import ClientLimits
+from railfold._internal.forwarding.messages import Header
+
+__all__ = ["ClientExchange", "ClientServer", "ReadyServer", "RequestHandler"]
+
+# What a client that doesn't read may hold up; more, and it is cut off.
+_MAX_UNREAD_BYTES = 8 * 1024 * 1024
+
+_OK = 200
+_SERVICE_UNAVAILABLE = 503
+_REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    413: "Content Too Large",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class RequestHandler(Protocol):
+    """What is done with a client's requests."""
+
+    def request(
+        self,
+        exchange: ClientExchange,
+        method: str,
+        target: str,
+        headers: Sequence[Header],
+        body: bytes,
+    ) -> None:
+        """Take a whole request."""
+
+    def client_gone(self, exchange: ClientExchange) -> None:
+        """The client closed its connection before it had its answer."""
+
+
+class ClientExchange:
+    """One request of a client and the answer to it."""
+
+    def __init__(self, connection: HTTP1Connection, closing: bool) -> None:
+        self._connection = connection
+        self._closing = closing
+        self._unread_bytes = 0
+        self._ended = False
+        self.head_sent = False
+
+    def send_head(self, status: int, reason: str, headers: Sequence[Header]) -> None:
+        """Send status and headers.
+
+        Without a Content-Length the body goes in chunks, so that an answer that
+        is cut off can't look whole.
+        """
+        if self._ended:
+            return
+        self.head_sent = True
+        fields = HTTPHeaders()
+        for name, value in headers:
+            fields.add(name, value)
+        if self._closing:
+            fields["Connection"] = "close"
+        line = ResponseStartLine("HTTP/1.1", status, reason or _REASONS.get(status, ""))
+        _retrieve(self._connection.write_headers(line, fields))
+
+    def send_body(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if self._ended:
+            return
+        stream = self._connection.stream
+        self._unread_bytes = self._unread_bytes if stream.writing() else 0
+        self._unread_bytes += len(data)
+        if self._unread_bytes > _MAX_UNREAD_BYTES:
+            self.abort()
+            return
+        _retrieve(self._connection.write(data))
+
+    def finish(self) -> None:
+        """The answer is whole."""
+        if self._ended:
+            return
+        self._ended = True
+        stream = self._connection.stream
+        self._connection.finish()
+        if self._closing and stream is not None and not stream.closed():
+            _close_when_written(stream)
+
+    def abort(self) -> None:
+        """Cut the answer off, visibly incomplete."""
+        if self._ended:
+            return
+        self._ended = True
+        self._connection.close()
+
+    def reply(
+        self, status: int, headers: Sequence[Header], body: bytes, reason: str = ""
+    ) -> None:
+        """Send a whole answer."""
+        fields = [*headers, ("Content-Length", str(len(body)))]
+        self.send_head(status, reason, fields)
+        if body:
+            self.send_body(body)
+        self.finish()
+
+
+def _retrieve(future: asyncio.Future[None]) -> None:
+    """Look at a write's outcome; a closed connection is reported elsewhere."""
+    if future.done() and not future.cancelled():
+        future.exception()
+
+
+def _close_when_written(stream: IOStream) -> None:
+    """Close once the kernel has taken what was written."""
+    if not stream.writing():
+        stream.close()
+        return
+    loop = asyncio.get_running_loop()
+    loop.call_later(0.01, _close_when_written, stream)
+
+
+class _ClientMessage(HTTPMessageDelegate):
+    """Gathers one request."""
+
+    def __init__(self, server: ClientServer, connection: HTTP1Connection) -> None:
+        self._server = server
+        self._connection = connection
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._line = RequestStartLine("", "", "")
+        self._headers: list[Header] = []
+        self._exchange: ClientExchange | None = None
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        """Take the head."""
+        assert isinstance(start_line, RequestStartLine)
+        self._line = start_line
+        self._headers = list(headers.get_all())
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take a part of the body."""
+        self._parts.append(chunk)
+
+    def finish(self) -> None:
+        """Give the whole request to the handler."""
+        exchange = ClientExchange(self._connection, self._server.draining)
+        self._exchange = exchange
+        self._server.handler.request(
+            exchange,
+            self._line.method,
+            self._line.path,
+            self._headers,
+            b"".join(self._parts),
+        )
+
+    def on_connection_close(self) -> None:
+        """The client went away."""
+        if self._exchange is not None:
+            self._server.handler.client_gone(self._exchange)
+
+
+class ClientServer(HTTPServerConnectionDelegate):
+    """Child that serves clients."""
+
+    def __init__(self, address: Address, handler: RequestHandler) -> None:
+        self.handler = handler
+        self.draining = False
+        self._address = address
+        self._connections: set[object] = set()
+        self._server: HTTPServer | None = None
+        self._limits = ClientLimits()
+
+    @property
+    def open_connections(self) -> int:
+        """How many connections clients have open."""
+        return len(self._connections)
+
+    def set_limits(self, limits: ClientLimits) -> None:
+        """Bound what clients may send from now on."""
+        self._limits = limits
+        if self._server is not None:
+            params = self._server.conn_params
+            params.header_timeout = limits.idle_timeout_s
+            params.max_body_size = limits.max_body_bytes
+            params.max_header_size = limits.max_header_bytes
+
+    async def run(self, ready: asyncio.Event) -> None:
+        """Listen and serve until cancelled."""
+        server = HTTPServer(
+            self,
+            idle_connection_timeout=self._limits.idle_timeout_s,
+            max_body_size=self._limits.max_body_bytes,
+            max_header_size=self._limits.max_header_bytes,
+        )
+        self._server = server
+        server.listen(self._address.port, self._address.ip, backlog=1024)
+        ready.set()
+        try:
+            await asyncio.Event().wait()
+        finally:
+            server.stop()
+            await server.close_all_connections()
+
+    # HTTPServerConnectionDelegate
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Begin to read a request."""
+        assert isinstance(request_conn, HTTP1Connection)
+        self._connections.add(server_conn)
+        return _ClientMessage(self, request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        """A connection was closed."""
+        self._connections.discard(server_conn)
+
+
+class _ReadyMessage(HTTPMessageDelegate):
+    def __init__(self, connection: HTTPConnection, ready: bool) -> None:
+        self._connection = connection
+        self._ready = ready
+
+    def finish(self) -> None:
+        status = _OK if self._ready else _SERVICE_UNAVAILABLE
+        line = ResponseStartLine("HTTP/1.1", status, _REASONS[status])
+        fields = HTTPHeaders({"Content-Length": "0"})
+        _retrieve(self._connection.write_headers(line, fields))
+        self._connection.finish()
+
+
+class ReadyServer(HTTPServerConnectionDelegate):
+    """Child that tells the balancer whether new connections may come."""
+
+    def __init__(self, address: Address, is_ready: Callable[[], bool]) -> None:
+        self._address = address
+        self._is_ready = is_ready
+
+    async def run(self, ready: asyncio.Event) -> None:
+        """Listen and answer until cancelled."""
+        server = HTTPServer(self)
+        server.listen(self._address.port, self._address.ip)
+        ready.set()
+        try:
+            await asyncio.Event().wait()
+        finally:
+            server.stop()
+            await server.close_all_connections()
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Answer any request."""
+        return _ReadyMessage(request_conn, self._is_ready())
--- /dev/null
+++ b/src/railfold/_internal/forwarding/http_client.py
@@ -0,0 +1,320 @@
+"""HTTP/1.1 towards backend servers and the store: one exchange at a time.
+
+A connection never sends a request twice, and tells exactly how an answer ended.
+Bytes that come when none are due poison a connection: it is closed, not used
+again. Parsing is httptools'.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import Protocol
+
+import httptools
+
+from railfold._internal.core import Address
+from railfold._internal.errors import EngineUnavailableError
+from railfold._internal.forwarding.messages import Header, ResponseHead
+
+__all__ = [
+    "ExchangeSink",
+    "HttpConnection",
+    "LostExchange",
+    "Response",
+    "connect",
+    "fetch",
+]
+
+_CONTINUE_LIMIT = 200
+_NO_CONTENT = 204
+_NOT_MODIFIED = 304
+
+
+class LostExchange(Enum):
+    """How an exchange ended without a whole answer."""
+
+    CLOSED = auto()  # The server closed the connection or it was reset.
+    MALFORMED = auto()  # What came isn't an HTTP answer.
+
+
+class ExchangeSink(Protocol):
+    """Takes one answer as it arrives."""
+
+    def head(self, head: ResponseHead) -> bool:
+        """Take the head; return whether it answers this exchange.
+
+        One that doesn't is skipped, and the connection isn't used again.
+        """
+
+    def body(self, data: bytes) -> None:
+        """Take bytes of the body."""
+
+    def end(self) -> None:
+        """The answer is whole."""
+
+    def lost(self, reason: LostExchange) -> None:
+        """The answer will not become whole."""
+
+
+class HttpConnection(asyncio.Protocol):
+    """One connection to a server."""
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._sink: ExchangeSink | None = None
+        self._status = b""
+        self._headers: list[Header] = []
+        self._skipping = False
+        self._message_open = False
+        self._ends_with_connection = False
+        self._no_body = False
+        self._done = False
+        self._poisoned = False
+        self._keep_alive = True
+        self.used = False
+        self.idle_since_s = 0.0
+        self.keep_alive_s: float | None = None
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection can't be used any more."""
+        return self._poisoned or self._transport is None
+
+    @property
+    def busy(self) -> bool:
+        """Whether an exchange is under way."""
+        return self._sink is not None
+
+    def send(
+        self,
+        method: str,
+        target: str,
+        headers: Sequence[Header],
+        body: bytes,
+        sink: ExchangeSink,
+    ) -> None:
+        """Send one request; its answer goes to ``sink``."""
+        if self._transport is None or self.busy:
+            raise EngineUnavailableError("the connection can't take a request")
+        self._sink = sink
+        self._no_body = method == "HEAD"
+        self._done = False
+        self.used = True
+        lines = [f"{method} {target} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        if body or method not in ("GET", "HEAD"):
+            lines.append(f"Content-Length: {len(body)}")
+        head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
+        self._transport.write(head + body)
+
+    def abort(self) -> None:
+        """Close at once; an answer under way isn't reported any more."""
+        self._sink = None
+        self._poisoned = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes."""
+        if self._sink is None:
+            self.abort()  # Nothing is due.
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self._lose(LostExchange.MALFORMED)
+            return
+        if self._done:
+            self._finish()
+
+    def eof_received(self) -> bool:
+        """The server sends no more; close."""
+        if self._sink is not None and self._ends_with_connection:
+            self._poisoned = True
+            self._finish()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report an answer that won't become whole."""
+        self._transport = None
+        self._lose(LostExchange.CLOSED)
+
+    # httptools
+
+    def on_message_begin(self) -> None:
+        """Begin an answer; a second one in the same exchange isn't ours."""
+        if self._done:
+            self._poisoned = True
+        self._message_open = True
+        self._headers = []
+        self._status = b""
+
+    def on_status(self, status: bytes) -> None:
+        """Take the reason phrase."""
+        self._status += status
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
+        self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Give the head to the sink."""
+        if self._done or self._sink is None:
+            return
+        status = self._parser.get_status_code()
+        if status < _CONTINUE_LIMIT:
+            self._skipping = True
+            return
+        head = ResponseHead(
+            status, self._status.decode("latin-1"), tuple(self._headers)
+        )
+        self._note_framing(head)
+        self._skipping = not self._sink.head(head)
+        if self._skipping:
+            self._poisoned = True
+        elif self._no_body:
+            self._done = True
+            self._poisoned = True
+
+    def _note_framing(self, head: ResponseHead) -> None:
+        framed = bool(head.get("Content-Length") or head.get("Transfer-Encoding"))
+        bodiless = head.status in (_NO_CONTENT, _NOT_MODIFIED)
+        self._ends_with_connection = not framed and not bodiless
+        self._keep_alive = self._parser.should_keep_alive()
+        if "close" in head.get("Connection").lower():
+            self._keep_alive = False
+        self.keep_alive_s = _keep_alive_s(head.get("Keep-Alive"))
+
+    def on_body(self, body: bytes) -> None:
+        """Give bytes of the body to the sink."""
+        if self._sink is not None and not self._skipping and not self._done:
+            self._sink.body(body)
+
+    def on_message_complete(self) -> None:
+        """Note that the answer is whole, unless it isn't the one due."""
+        self._message_open = False
+        if self._skipping:
+            self._skipping = False
+            return
+        self._done = True
+
+    def _finish(self) -> None:
+        sink, self._sink = self._sink, None
+        transport = self._transport
+        unsent = transport is not None and transport.get_write_buffer_size() > 0
+        if self._message_open or unsent or not self._keep_alive:
+            # Bytes behind the answer, or a request that wasn't read to its end.
+            self._poisoned = True
+        if self._poisoned and transport is not None:
+            transport.abort()
+        if sink is not None:
+            sink.end()
+
+    def _lose(self, reason: LostExchange) -> None:
+        sink, self._sink = self._sink, None
+        self._poisoned = True
+        if self._transport is not None:
+            self._transport.abort()
+        if sink is not None:
+            sink.lost(reason)
+
+
+def _keep_alive_s(value: str) -> float | None:
+    """Return how long the server keeps an idle connection, if it says so."""
+    for part in value.split(","):
+        name, _, number = part.strip().partition("=")
+        if name.lower() == "timeout" and number.strip().isdigit():
+            return float(number)
+    return None
+
+
+async def connect(address: Address, timeout_s: float) -> HttpConnection:
+    """Open a connection.
+
+    :raises EngineUnavailableError: it didn't come up in time; nothing was sent.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, connection = await loop.create_connection(
+                HttpConnection, address.ip, address.port
+            )
+    except (OSError, TimeoutError) as error:
+        raise EngineUnavailableError(
+            f"no connection to {address}", why=str(error) or "it took too long"
+        ) from error
+    return connection
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """A whole answer."""
+
+    head: ResponseHead
+    body: bytes
+
+
+class _Collector:
+    """Gathers one whole answer."""
+
+    def __init__(self, future: asyncio.Future[Response]) -> None:
+        self._future = future
+        self._head: ResponseHead | None = None
+        self._parts: list[bytes] = []
+
+    def head(self, head: ResponseHead) -> bool:
+        self._head = head
+        return True
+
+    def body(self, data: bytes) -> None:
+        self._parts.append(data)
+
+    def end(self) -> None:
+        if self._head is not None and not self._future.done():
+            self._future.set_result(Response(self._head, b"".join(self._parts)))
+
+    def lost(self, reason: LostExchange) -> None:
+        if not self._future.done():
+            self._future.set_exception(
+                EngineUnavailableError(
+                    "an answer was lost", why=reason.name.lower().replace("_", " ")
+                )
+            )
+
+
+async def fetch(
+    connection: HttpConnection,
+    method: str,
+    target: str,
+    headers: Sequence[Header],
+    body: bytes,
+    timeout_s: float,
+) -> Response:
+    """Send a request and return its whole answer; aborts when cancelled.
+
+    :raises EngineUnavailableError: no whole answer came in time; the request
+        may have been carried out.
+    """
+    future: asyncio.Future[Response] = asyncio.get_running_loop().create_future()
+    try:
+        async with asyncio.timeout(timeout_s):
+            connection.send(method, target, headers, body, _Collector(future))
+            return await future
+    except TimeoutError as error:
+        raise EngineUnavailableError(
+            "an answer didn't come in time", why=f"it took over {timeout_s:g} s"
+        ) from error
+    finally:
+        if connection.busy:
+            connection.abort()
--- /dev/null
+++ b/src/railfold/_internal/forwarding/placement.py
@@ -0,0 +1,331 @@
+"""Child that keeps the layers of models placed on engines.
+
+Only the holder of the lease gives orders. What each engine registered decides,
+not which orders were given: an order without an answer may be carried out late,
+and is met by looking again. An order names how many orders the engine has taken
+before, so that one that arrives after a newer one is refused.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from railfold._internal.core import LayerRange
+from railfold._internal.decisions.engine_directory import DirectoryEntry
+from railfold._internal.decisions.layer_placement import (
+    EngineRoom,
+    plan_layers,
+    uncovered_layers,
+)
+from railfold._internal.decisions.leadership import Leadership
+from railfold._internal.decisions.orders import (
+    GiveOrder,
+    LevelReached,
+    LoadOrder,
+    OrderLimits,
+    Reconciler,
+    WaitForLease,
+    WaitForSequences,
+    WaitForSlot,
+    WaitForSuccessor,
+)
+from railfold._internal.decisions.routing_table import EngineModel, ServiceSpec
+from railfold._internal.errors import EngineError
+from railfold._internal.forwarding.dialect import (
+    OrderBegun,
+    OrderFenced,
+    OrderOutcome,
+    OrderRefused,
+    OrderUnsettled,
+)
+from railfold._internal.forwarding.leadership import LEASE_S
+from railfold._internal.forwarding.probes import ChainProber
+from railfold._internal.forwarding.router import Router
+from railfold._internal.observability.events import LayersOrdered
+
+__all__ = ["PlacementKeeper"]
+
+_LOOK_S = 0.2
+
+# An engine registers new layers once they are loaded; what it answered with a
+# lag of up to 0.8 s on the first sites.
+_READ_BACK_S = 1.2
+_ORDER_TIMEOUT_S = 0.5
+
+# A first plan waits until no engine has appeared for this long: a plan that is
+# made too early leaves engines without layers of their own.
+_SETTLED_S = 1.5
+_SETTLED_MOST_S = 6.0
+
+# An engine that is suspect for this long is given up, and its layers placed
+# elsewhere; a shorter silence isn't worth a load.
+_GIVEN_UP_S = 0.25
+
+
+@dataclass(slots=True)
+class _Pending:
+    """An order that was given and isn't read back."""
+
+    layers: LayerRange
+    given_up_s: float
+
+
+class PlacementKeeper:
+    """Keeps every model's layers placed."""
+
+    def __init__(
+        self, router: Router, leadership: Leadership, prober: ChainProber
+    ) -> None:
+        self._router = router
+        self._leadership = leadership
+        self._prober = prober
+        self._loop = asyncio.get_running_loop()
+        self._reconcilers: dict[str, Reconciler] = {}
+        self._pending: dict[str, _Pending] = {}
+        self._ordering: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._known: set[str] = set()
+        self._started_s = self._loop.time()
+        self._changed_s = self._loop.time()
+
+    async def run(self, ready: asyncio.Event) -> None:
+        """Look at the placement until cancelled."""
+        ready.set()
+        while True:
+            self._look()
+            await asyncio.sleep(_LOOK_S)
+
+    def _look(self) -> None:
+        now_s = self._loop.time()
+        table = self._router.table
+        self._note_appearances(now_s)
+        if table is None or self._leadership.fencing(now_s) is None:
+            return
+        for spec in table.model_services():
+            if spec.model is not None:
+                self._place(spec, spec.model, now_s)
+
+    def _note_appearances(self, now_s: float) -> None:
+        known = {e.server_id for e in self._router.directory if _is_engine(e)}
+        if known - self._known:
+            self._changed_s = now_s
+        self._known = known
+        for gone in set(self._reconcilers) - known:
+            del self._reconcilers[gone]
+            self._pending.pop(gone, None)
+
+    def _place(self, spec: ServiceSpec, model: EngineModel, now_s: float) -> None:
+        entries = [e for e in self._router.directory.of_service(spec.name)]
+        usable = [e for e in entries if self._usable(e, now_s)]
+        if not any(e.registration.layers for e in usable) and not self._settled(now_s):
+            return
+        wanted: dict[str, LayerRange] = {}
+        for members in _by_domain(usable, model):
+            wanted.update(self._domain_plan(members, model))
+        self._give(wanted, usable, model, now_s)
+
+    def _usable(self, entry: DirectoryEntry, now_s: float) -> bool:
+        if entry.registration.draining:
+            return False
+        since_s = entry.suspect_since_s
+        return since_s is None or now_s - since_s < _GIVEN_UP_S
+
+    def _settled(self, now_s: float) -> bool:
+        if now_s - self._changed_s >= _SETTLED_S:
+            return True
+        return now_s - self._started_s >= _SETTLED_MOST_S
+
+    def _domain_plan(
+        self, members: list[DirectoryEntry], model: EngineModel
+    ) -> dict[str, LayerRange]:
+        rooms = []
+        for entry in members:
+            pending = self._pending.get(entry.server_id)
+            held = entry.registration.layers
+            rooms.append(
+                EngineRoom(
+                    entry.server_id,
+                    model.accelerators[entry.registration.accelerator],
+                    pending.layers if pending else held,
+                )
+            )
+        return plan_layers(rooms, model)
+
+    def _give(
+        self,
+        planned: dict[str, LayerRange],
+        entries: list[DirectoryEntry],
+        model: EngineModel,
+        now_s: float,
+    ) -> None:
+        for entry in entries:
+            pending = self._pending.get(entry.server_id)
+            if pending and self._settled_order(entry, pending, now_s):
+                del self._pending[entry.server_id]
+        wanted = {server_id: p.layers for server_id, p in self._pending.items()}
+        wanted.update(planned)
+        by_id = {e.server_id: e for e in entries}
+        for server_id in self._by_urgency(wanted, entries, model):
+            if len(self._ordering) >= model.loads_at_once:
+                return
+            if server_id not in self._ordering:
+                self._decide(by_id[server_id], wanted[server_id], model, now_s)
+
+    def _settled_order(
+        self, entry: DirectoryEntry, pending: _Pending, now_s: float
+    ) -> bool:
+        if entry.server_id in self._ordering:
+            return False
+        return entry.registration.layers == pending.layers or now_s > pending.given_up_s
+
+    def _by_urgency(
+        self,
+        wanted: dict[str, LayerRange],
+        entries: list[DirectoryEntry],
+        model: EngineModel,
+    ) -> list[str]:
+        """Return engines to order: those of the most complete domains first."""
+        missing: dict[str, int] = {}
+        for members in _by_domain(entries, model):
+            gaps = uncovered_layers(
+                (e.registration.layers for e in members), model.layer_count
+            )
+            domain = members[0].registration.failure_domain
+            missing[domain] = sum(len(gap) for gap in gaps)
+        domains = {e.server_id: e.registration.failure_domain for e in entries}
+        known = [server_id for server_id in wanted if server_id in domains]
+        return sorted(known, key=lambda s: (missing.get(domains[s], 0), domains[s], s))
+
+    def _decide(
+        self,
+        entry: DirectoryEntry,
+        layers: LayerRange,
+        model: EngineModel,
+        now_s: float,
+    ) -> None:
+        fencing = self._leadership.fencing(now_s)
+        if fencing is None:
+            return
+        load_s = model.load_s * len(layers) / model.layer_count
+        reconciler = self._reconcilers.setdefault(
+            entry.server_id,
+            Reconciler(
+                OrderLimits(
+                    lease_s=LEASE_S,
+                    loads_per_s=float(model.loads_at_once),
+                    retry_s=load_s + _READ_BACK_S,
+                )
+            ),
+        )
+        held = entry.registration.layers
+        loaded = (model.name, "", held) if held is not None else None
+        decision = reconciler.decide(
+            (LoadOrder(model.name, "", layers, fencing), 0),
+            loaded=loaded,
+            engine_fencing=0,
+            open_sequences=0,
+            heard_s=now_s,
+            now_s=now_s,
+        )
+        match decision:
+            case GiveOrder(order=order):
+                reconciler.ordered(now_s)
+                self._pending[entry.server_id] = _Pending(
+                    layers, now_s + 2 * load_s + _READ_BACK_S
+                )
+                self._ordering.add(entry.server_id)
+                task = self._loop.create_task(self._order(entry, order, load_s))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+            case (
+                LevelReached()
+                | WaitForLease()
+                | WaitForSequences()
+                | WaitForSlot()
+                | WaitForSuccessor()
+            ):
+                pass
+
+    async def _order(
+        self, entry: DirectoryEntry, order: LoadOrder, load_s: float
+    ) -> None:
+        server_id = entry.server_id
+        try:
+            outcome = await self._send(entry, order)
+            held = entry.registration.layers
+            self._router.metrics.count("orders.given")
+            self._router.log.write(
+                LayersOrdered(
+                    server_id,
+                    str(order.layers),
+                    str(held) if held else "none",
+                    order.fencing,
+                    _outcome_text(outcome),
+                )
+            )
+            match outcome:
+                case OrderBegun():
+                    await self._wait_loaded(entry, order.layers, load_s)
+                case OrderFenced():
+                    self._leadership.fenced(order.fencing)
+                    self._pending.pop(server_id, None)
+                case OrderRefused():
+                    self._pending.pop(server_id, None)
+                case OrderUnsettled():
+                    pass  # It may act yet: the level is looked at again later.
+        finally:
+            self._ordering.discard(server_id)
+
+    async def _send(self, entry: DirectoryEntry, order: LoadOrder) -> OrderOutcome:
+        dialect = self._router.dialect
+        try:
+            response = await self._prober.call(
+                entry, dialect.report_call(), _ORDER_TIMEOUT_S
+            )
+            report = dialect.decode_report(response.body)
+            # The lease is looked at again right before the order leaves.
+            if self._leadership.fencing(self._loop.time()) != order.fencing:
+                return OrderRefused("the lease was lost before the order was sent")
+            call = dialect.place_call(order.layers, order.fencing, report.order_count)
+            response = await self._prober.call(entry, call, _ORDER_TIMEOUT_S)
+        except EngineError as error:
+            return OrderUnsettled(str(error))
+        return dialect.order_outcome(response.head)
+
+    async def _wait_loaded(
+        self, entry: DirectoryEntry, layers: LayerRange, load_s: float
+    ) -> None:
+        """Hold the place among the loads until the layers are read back."""
+        due_s = self._loop.time() + load_s + _READ_BACK_S
+        # The registration is read by another child.
+        while self._loop.time() < due_s and entry.registration.layers != layers:  # noqa: ASYNC110
+            await asyncio.sleep(_LOOK_S / 2)
+
+
+def _is_engine(entry: DirectoryEntry) -> bool:
+    return bool(entry.registration.accelerator)
+
+
+def _by_domain(
+    entries: Iterable[DirectoryEntry], model: EngineModel
+) -> list[list[DirectoryEntry]]:
+    found: dict[str, list[DirectoryEntry]] = {}
+    for entry in entries:
+        registration = entry.registration
+        if registration.accelerator in model.accelerators:
+            found.setdefault(registration.failure_domain, []).append(entry)
+    return [found[domain] for domain in sorted(found)]
+
+
+def _outcome_text(outcome: OrderOutcome) -> str:
+    match outcome:
+        case OrderBegun():
+            return "begun"
+        case OrderFenced():
+            return "fenced"
+        case OrderRefused(reason=reason):
+            return f"refused: {reason}"
+        case OrderUnsettled(reason=reason):
+            return f"no answer: {reason}"
--- /dev/null
+++ b/src/railfold/_internal/forwarding/pool.py
@@ -0,0 +1,76 @@
+"""Kept connections to backend servers."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from railfold._internal.forwarding.http_client import HttpConnection
+
+__all__ = ["ConnectionPool"]
+
+# A server that announces nothing keeps an idle connection at least this long;
+# measured on the first sites, where none closed one sooner.
+_IDLE_LIMIT_S = 4.0
+
+# A server closes an idle connection at the time it announced; a request must
+# not meet that moment.
+_ANNOUNCED_SHARE = 0.6
+
+
+class ConnectionPool:
+    """Idle connections by backend server, newest first."""
+
+    def __init__(self) -> None:
+        self._idle: dict[str, deque[HttpConnection]] = {}
+
+    def take(
+        self, server_id: str, now_s: float, max_idle_s: float = _IDLE_LIMIT_S
+    ) -> HttpConnection | None:
+        """Return a connection that can be used, if there is one."""
+        idle = self._idle.get(server_id)
+        while idle:
+            connection = idle.pop()
+            idle_s = now_s - connection.idle_since_s
+            if connection.closed:
+                continue
+            if idle_s > min(max_idle_s, _limit_s(connection)):
+                idle.append(connection)
+                return None  # All others are older still.
+            return connection
+        return None
+
+    def give_back(
+        self, server_id: str, connection: HttpConnection, now_s: float
+    ) -> None:
+        """Keep a connection for later, if it can be used again."""
+        if connection.closed or connection.busy:
+            return
+        connection.idle_since_s = now_s
+        self._idle.setdefault(server_id, deque()).append(connection)
+
+    def drop(self, server_id: str) -> None:
+        """Close all idle connections to a backend server."""
+        for connection in self._idle.pop(server_id, ()):
+            connection.abort()
+
+    def prune(self, now_s: float) -> None:
+        """Close connections that have been idle for too long."""
+        for server_id in list(self._idle):
+            idle = self._idle[server_id]
+            while idle and (
+                idle[0].closed or now_s - idle[0].idle_since_s > _limit_s(idle[0])
+            ):
+                idle.popleft().abort()
+            if not idle:
+                del self._idle[server_id]
+
+    def close(self) -> None:
+        """Close all."""
+        for server_id in list(self._idle):
+            self.drop(server_id)
+
+
+def _limit_s(connection: HttpConnection) -> float:
+    if connection.keep_alive_s is None:
+        return _IDLE_LIMIT_S
+    return connection.keep_alive_s * _ANNOUNCED_SHARE
--- /dev/null
+++ b/src/railfold/_internal/forwarding/probes.py
@@ -0,0 +1,246 @@
+"""Finding out which backend servers live, and keeping work from those that don't.
+
+What requests see comes first: a connection that is refused, a stream that falls
+silent, answers that fail. A probe then tells a dead backend server from a slow
+one, and finds a suspect one well again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Coroutine
+from typing import Any
+
+from railfold._internal.core import Chain, parse_address
+from railfold._internal.decisions.engine_directory import DirectoryEntry
+from railfold._internal.errors import EngineError
+from railfold._internal.forwarding.dialect import (
+    EngineCall,
+    OrderBegun,
+    OrderFenced,
+    OrderRefused,
+    OrderUnsettled,
+)
+from railfold._internal.forwarding.http_client import Response, connect, fetch
+from railfold._internal.forwarding.router import Router
+from railfold._internal.observability.events import ChainProbed, EngineChanged
+
+__all__ = ["ChainProber"]
+
+# A live engine answers its report within a few milliseconds, also under load; a
+# connection takes one round trip more.
+_PROBE_TIMEOUT_S = 0.12
+
+# How often a suspect backend server is probed: first, and at most.
+_RECHECK_FIRST_S = 0.3
+_RECHECK_MOST_S = 1.5
+
+_REROUTE_TIMEOUT_S = 0.3
+
+# One chain is probed at most this often, whoever asks.
+_PROBE_INTERVAL_S = 0.25
+
+# A backend server that fails this many of its last answers gets no more work
+# for a while, as long as most others of its service are in use.
+_OUTCOMES_KEPT = 8
+_FAILURES_TO_EJECT = 5
+_EJECTION_S = 2.0
+_MOST_EJECTED_SHARE = 0.34
+
+_BUSY = 503
+
+
+class ChainProber:
+    """Probes backend servers and marks those that are lost."""
+
+    def __init__(self, router: Router) -> None:
+        self._router = router
+        self._loop = asyncio.get_running_loop()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._probed_s: dict[tuple[str, ...], float] = {}
+        self._checking: set[str] = set()
+        self._outcomes: dict[str, deque[bool]] = {}
+
+    # What requests saw
+
+    def suspect(self, server_id: str, cause: str) -> None:
+        """It can't be reached: no new work until a probe finds it well."""
+        if not self._router.directory.suspect(server_id, self._loop.time()):
+            return
+        self._router.metrics.count("servers.suspected")
+        self._router.pool.drop(server_id)
+        self._router.log.write(EngineChanged(server_id, "suspect", cause))
+        self._spawn(self._recheck(server_id, _RECHECK_FIRST_S))
+
+    def doubt(self, server_id: str) -> None:
+        """It broke off an answer: probe it at once."""
+        if server_id not in self._checking:
+            self._spawn(self._check_one(server_id))
+
+    def not_executed(self, server_id: str, at_fault: str) -> None:
+        """It refused a request; another may be at fault, by its address."""
+        if not at_fault:
+            return
+        for entry in self._router.directory:
+            if entry.registration.address == at_fault:
+                self.doubt(entry.server_id)
+
+    def served(self, server_id: str) -> None:
+        """It served a request."""
+        self._note(server_id, served=True)
+
+    def failed(self, server_id: str) -> None:
+        """It failed a request that it took."""
+        self._note(server_id, served=False)
+
+    def _note(self, server_id: str, *, served: bool) -> None:
+        outcomes = self._outcomes.setdefault(server_id, deque(maxlen=_OUTCOMES_KEPT))
+        outcomes.append(served)
+        if served or outcomes.count(False) < _FAILURES_TO_EJECT:
+            return
+        entry = self._router.directory.get(server_id)
+        if entry is None or not self._may_eject(entry):
+            return
+        outcomes.clear()
+        if self._router.directory.suspect(server_id, self._loop.time()):
+            self._router.metrics.count("servers.ejected")
+            self._router.log.write(
+                EngineChanged(server_id, "ejected", "most of its last answers failed")
+            )
+            self._spawn(self._recheck(server_id, _EJECTION_S))
+
+    def _may_eject(self, entry: DirectoryEntry) -> bool:
+        peers = self._router.directory.of_service(entry.registration.service)
+        out = sum(1 for peer in peers if not peer.routable)
+        return out + 1 <= _MOST_EJECTED_SHARE * len(peers)
+
+    # Probes
+
+    def probe(self, chain: Chain, request_id: str, silent_s: float) -> None:
+        """Ask all backend servers of a silent chain whether they live."""
+        now_s = self._loop.time()
+        if now_s - self._probed_s.get(chain.hosts, -1.0) < _PROBE_INTERVAL_S:
+            return
+        self._probed_s[chain.hosts] = now_s
+        self._spawn(self._probe_chain(chain, request_id, silent_s))
+
+    async def _probe_chain(
+        self, chain: Chain, request_id: str, silent_s: float
+    ) -> None:
+        answers = await asyncio.gather(*(self._alive(host) for host in chain.hosts))
+        lost = {h for h, alive in zip(chain.hosts, answers, strict=True) if not alive}
+        self._router.log.write(
+            ChainProbed(
+                request_id,
+                round(silent_s * 1000, 1),
+                len(chain.hosts),
+                sorted(lost),
+            )
+        )
+        for server_id in lost:
+            self.suspect(server_id, "no answer to a probe")
+        if lost:
+            self._router.report_lost(frozenset(lost))
+        self._probed_s = {
+            hosts: at_s
+            for hosts, at_s in self._probed_s.items()
+            if self._loop.time() - at_s < _PROBE_INTERVAL_S
+        }
+
+    async def _check_one(self, server_id: str) -> None:
+        self._checking.add(server_id)
+        try:
+            if not await self._alive(server_id):
+                self.suspect(server_id, "no answer to a probe")
+                self._router.report_lost(frozenset({server_id}))
+        finally:
+            self._checking.discard(server_id)
+
+    async def _recheck(self, server_id: str, delay_s: float) -> None:
+        while True:
+            await asyncio.sleep(delay_s)
+            entry = self._router.directory.get(server_id)
+            if entry is None or entry.suspect_since_s is None:
+                return
+            if await self._alive(server_id):
+                break
+            delay_s = min(_RECHECK_MOST_S, 2 * delay_s)
+        self._router.directory.cleared(server_id)
+        self._router.log.write(EngineChanged(server_id, "well", "it answers a probe"))
+
+    async def _alive(self, server_id: str) -> bool:
+        entry = self._router.directory.get(server_id)
+        if entry is None:
+            return False
+        self._router.metrics.count("probes")
+        try:
+            response = await self.call(entry, self._probe_call(entry), _PROBE_TIMEOUT_S)
+        except EngineError:
+            return False
+        return self._is_well(entry, response)
+
+    def _probe_call(self, entry: DirectoryEntry) -> EngineCall:
+        if entry.registration.accelerator:
+            return self._router.dialect.report_call()
+        table = self._router.table
+        spec = table.services.get(entry.registration.service) if table else None
+        path = spec.health_path if spec else "/"
+        headers = (("Host", entry.registration.address),)
+        return EngineCall("GET", path, headers)
+
+    def _is_well(self, entry: DirectoryEntry, response: Response) -> bool:
+        # A plain service that is full refuses its health check like any other
+        # request, and yet lives.
+        return (
+            bool(entry.registration.accelerator)
+            or response.head.status < 500
+            or (response.head.status == _BUSY and not entry.registration.draining)
+        )
+
+    async def call(
+        self, entry: DirectoryEntry, call: EngineCall, timeout_s: float
+    ) -> Response:
+        """Make one call to a backend server.
+
+        :raises EngineUnavailableError: no answer came in time.
+        """
+        pool = self._router.pool
+        server_id = entry.server_id
+        connection = pool.take(server_id, self._loop.time())
+        if connection is None:
+            address = parse_address(entry.registration.address)
+            connection = await connect(address, timeout_s)
+        response = await fetch(
+            connection, call.method, call.target, call.headers, call.body, timeout_s
+        )
+        pool.give_back(server_id, connection, self._loop.time())
+        return response
+
+    async def reroute(self, request_id: str, chain: Chain) -> str:
+        """Order a running request onto another chain; return why not, if so."""
+        entry = self._router.directory.get(chain.stages[0].host)
+        if entry is None:
+            return "its first backend server is gone"
+        call = self._router.dialect.reroute_call(request_id, chain)
+        try:
+            response = await self.call(entry, call, _REROUTE_TIMEOUT_S)
+        except EngineError as error:
+            return error.what
+        match self._router.dialect.order_outcome(response.head):
+            case OrderBegun():
+                return ""
+            case OrderRefused(reason=reason) | OrderUnsettled(reason=reason):
+                return reason
+            case OrderFenced():
+                return "fenced"
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled():
+            task.exception()
--- /dev/null
+++ b/src/railfold/_internal/forwarding/process.py
@@ -0,0 +1,296 @@
+"""A forwarding entry: engines that it sends requests to pass work on by themselves."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Sequence
+
+from railfold import __version__
+from railfold._internal.decisions.engine_directory import EngineDirectory
+from railfold._internal.decisions.freshness import FreshnessLease
+from railfold._internal.decisions.leadership import Leadership
+from railfold._internal.decisions.retry_budget import (
+    RetryBudget,
+    jittered_retry_after_s,
+)
+from railfold._internal.decisions.routing_table import RoutingTable, require_table
+from railfold._internal.errors import LogUnavailableError, RequestError
+from railfold._internal.forwarding.adapter import PlatformAdapter
+from railfold._internal.forwarding.driver import RequestDriver
+from railfold._internal.forwarding.feeds import ConfigurationFeed, RegistrationFeed
+from railfold._internal.forwarding.front import (
+    ClientExchange,
+    ClientServer,
+    ReadyServer,
+)
+from railfold._internal.forwarding.leadership import LEASE_S, LeadershipKeeper
+from railfold._internal.forwarding.messages import Header
+from railfold._internal.forwarding.placement import PlacementKeeper
+from railfold._internal.forwarding.pool import ConnectionPool
+from railfold._internal.forwarding.probes import ChainProber
+from railfold._internal.forwarding.replies import error_reply, status_of
+from railfold._internal.forwarding.router import Router
+from railfold._internal.forwarding.settings import ForwardingSettings
+from railfold._internal.observability.decision_log import DecisionLog
+from railfold._internal.observability.events import (
+    DependencyLost,
+    DependencyRegained,
+    ProcessStarted,
+    ProcessStopping,
+    RequestEnded,
+)
+from railfold._internal.observability.metrics import Metrics
+from railfold._internal.store.follower import FollowerPace, StreamFollower
+from railfold._internal.supervision.process import run_process
+from railfold._internal.supervision.supervisor import ChildSpec, Supervisor
+
+__all__ = ["ForwardingEntry", "run_forwarding_entry"]
+
+_PLACEMENT_DUTY = "placement"
+
+# A read that waits proves the configuration's freshness from when it was sent:
+# three fit into the shortest credential lease of the first sites (5 s).
+_CONFIGURATION_PACE = FollowerPace(wait_s=1.4, min_interval_s=0.05, max_backoff_s=0.4)
+
+# Engines renew their registrations all the time; batches of this long keep the
+# calls few and a leaving engine's notice well within the 2 s that it serves on.
+_REGISTRATION_PACE = FollowerPace(wait_s=1.4, min_interval_s=0.4, max_backoff_s=0.4)
+
+_TICK_S = 0.25
+
+# The balancer needs two probes, one a second, to send new connections elsewhere.
+_LEAVE_BALANCER_S = 2.5
+
+# Kept from the grace time, to close what is left and end.
+_EXIT_S = 0.4
+
+# Retries that all entries may make beyond their share are divided by the most
+# entries that a deployment of the first sites has.
+_MOST_ENTRIES = 25
+_RETRY_SAFETY = 0.7
+
+
+class ForwardingEntry:
+    """The parts of one forwarding entry, wired together."""
+
+    def __init__(self, settings: ForwardingSettings, adapter: PlatformAdapter) -> None:
+        self._settings = settings
+        self._adapter = adapter
+        self._loop = asyncio.get_running_loop()
+        self._draining = False
+        self.metrics = Metrics()
+        self.log = DecisionLog(settings.name)
+        self.router = Router(
+            dialect=adapter.dialect,
+            directory=EngineDirectory(),
+            pool=ConnectionPool(),
+            lease=FreshnessLease(settings.credential_lease_s),
+            budget=RetryBudget(
+                settings.retry_share * _RETRY_SAFETY,
+                max(4.0, settings.retry_slack / _MOST_ENTRIES),
+            ),
+            metrics=self.metrics,
+            log=self.log,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            rng=random.Random(),
+        )
+        self._prober = ChainProber(self.router)
+        self._leadership = Leadership(LEASE_S)
+        self._leadership_keeper = LeadershipKeeper(
+            settings.name,
+            self._leadership,
+            adapter.new_lease_client(_PLACEMENT_DUTY),
+            self.log,
+            self.metrics,
+        )
+        self._placement = PlacementKeeper(self.router, self._leadership, self._prober)
+        self._clients = ClientServer(settings.clients, self)
+        self._drivers: dict[ClientExchange, RequestDriver] = {}
+
+    def tree(self) -> Supervisor:
+        """Return the entry's supervisor tree."""
+        settings = self._settings
+        children = [
+            ChildSpec("log", self.log.run),
+            ChildSpec("configuration", self._configuration_follower().run),
+            ChildSpec("registrations", self._registration_follower().run),
+            ChildSpec("leadership", self._leadership_keeper.run),
+            ChildSpec("placement", self._placement.run),
+            ChildSpec("upkeep", self._run_upkeep),
+            ChildSpec("clients", self._clients.run),
+            ChildSpec("readiness", ReadyServer(settings.readiness, self.ready).run),
+        ]
+        return Supervisor("forwarding", children)
+
+    def _configuration_follower(self) -> StreamFollower:
+        feed = ConfigurationFeed(
+            self.router,
+            self._adapter.configuration_key,
+            self._adapter.decode_configuration,
+            self._on_configuration,
+        )
+        return StreamFollower(
+            self._adapter.new_log(),
+            self._adapter.configuration_stream,
+            feed,
+            self.metrics,
+            _CONFIGURATION_PACE,
+            on_lost=self._on_store_lost,
+            on_regained=self._on_store_regained,
+        )
+
+    def _registration_follower(self) -> StreamFollower:
+        feed = RegistrationFeed(self.router, self._adapter.decode_registration)
+        return StreamFollower(
+            self._adapter.new_log(),
+            self._adapter.registrations_stream,
+            feed,
+            self.metrics,
+            _REGISTRATION_PACE,
+            on_regained=self._on_registrations_regained,
+        )
+
+    def ready(self) -> bool:
+        """Return whether new clients may come."""
+        known = self.router.table is not None
+        return (
+            known and not self._draining and self.router.lease.valid(self._loop.time())
+        )
+
+    # What the store says
+
+    def _on_configuration(self, table: RoutingTable) -> None:
+        self._clients.set_limits(table.limits)
+
+    def _on_store_lost(self, error: LogUnavailableError) -> None:
+        self.log.write(DependencyLost("store", str(error)))
+
+    def _on_store_regained(self) -> None:
+        self.log.write(DependencyRegained("store"))
+
+    def _on_registrations_regained(self) -> None:
+        self.router.directory.store_returned(self._loop.time())
+
+    # Clients' requests
+
+    def request(
+        self,
+        exchange: ClientExchange,
+        method: str,
+        target: str,
+        headers: Sequence[Header],
+        body: bytes,
+    ) -> None:
+        """Take a client's request."""
+        now_s = self._loop.time()
+        router = self.router
+        request_id = ""
+        try:
+            request = router.dialect.decode_request(
+                method, target, headers, body, now_s
+            )
+            request_id = request.request_id
+            table = require_table(router.table)
+            route = table.find(request.host, request.path)
+            owner = table.authorize(route, request.credential)
+        except RequestError as error:
+            self._refuse(exchange, request_id, error, now_s)
+            return
+        driver = RequestDriver(
+            request, route, owner, exchange, router, self._prober, table.version
+        )
+        self._drivers[exchange] = driver
+        driver.start()
+        if len(self._drivers) > len(router.active):
+            self._forget_finished()
+
+    def _forget_finished(self) -> None:
+        active = self.router.active
+        self._drivers = {e: d for e, d in self._drivers.items() if d in active}
+
+    def _refuse(
+        self,
+        exchange: ClientExchange,
+        request_id: str,
+        error: RequestError,
+        now_s: float,
+    ) -> None:
+        """Answer a request that goes to no backend server."""
+        retry_after_s = jittered_retry_after_s(1.0, self.router.rng.random())
+        status = status_of(error, not_run=True)
+        self.metrics.count(f"refused.{error.code}")
+        self.log.write(
+            RequestEnded(
+                request_id=request_id,
+                outcome="not_run",
+                status=status,
+                cause=str(error),
+                route="",
+                workspace="",
+                attempts=0,
+                duration_ms=round((self._loop.time() - now_s) * 1000, 1),
+                first_event_ms=0.0,
+                events=0,
+                configuration_version=self.router.table.version
+                if self.router.table
+                else 0,
+                retry_after_ms=round(retry_after_s * 1000),
+            )
+        )
+        headers, body = error_reply(error, retry_after_s)
+        exchange.reply(status, headers, body)
+
+    def client_gone(self, exchange: ClientExchange) -> None:
+        """A client closed its connection."""
+        driver = self._drivers.pop(exchange, None)
+        if driver is not None:
+            self.metrics.count("clients.gone")
+            driver.client_gone()
+
+    # Upkeep and the end
+
+    async def _run_upkeep(self, ready: asyncio.Event) -> None:
+        ready.set()
+        while True:
+            await asyncio.sleep(_TICK_S)
+            now_s = self._loop.time()
+            self.router.directory.expire(now_s)
+            self.router.pool.prune(now_s)
+            self._forget_finished()
+            self.metrics.gauge("in_flight", len(self.router.active))
+            self.metrics.gauge("configuration.age_s", self.router.lease.age_s(now_s))
+
+    async def drain(self) -> None:
+        """Leave the balancer, finish what is in flight, then return."""
+        started_s = self._loop.time()
+        self._draining = True
+        self._clients.draining = True
+        self.log.write(ProcessStopping("told to stop", len(self.router.active)))
+        await self._leadership_keeper.release()
+        end_s = started_s + self._settings.grace_s - _EXIT_S
+        while self._loop.time() < end_s:
+            idle = not self.router.active and not self._clients.open_connections
+            if idle and self._loop.time() - started_s >= _LEAVE_BALANCER_S:
+                break
+            await asyncio.sleep(_TICK_S / 5)
+        self.log.write(ProcessStopping("the process ends", len(self.router.active)))
+        self.log.flush()
+
+
+async def run_forwarding_entry(
+    settings: ForwardingSettings, adapter: PlatformAdapter
+) -> None:
+    """Run a forwarding entry until it is told to stop."""
+    entry = ForwardingEntry(settings, adapter)
+    entry.log.write(
+        ProcessStarted(
+            "forwarding entry",
+            __version__,
+            settings.failure_domain,
+            round(time.process_time() * 1000, 1),
+        )
+    )
+    await run_process(entry.tree(), entry.drain)
--- /dev/null
+++ b/src/railfold/_internal/forwarding/router.py
@@ -0,0 +1,254 @@
+"""What all requests of a forwarding entry share, and where each one goes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from railfold._internal.core import Chain, Stage
+from railfold._internal.decisions.engine_directory import EngineDirectory
+from railfold._internal.decisions.freshness import FreshnessLease
+from railfold._internal.decisions.planner import (
+    LinkCosts,
+    PlannerWeights,
+    Replica,
+    choose_host,
+    plan_chain,
+)
+from railfold._internal.decisions.retry_budget import RetryBudget
+from railfold._internal.decisions.routing_table import (
+    EngineModel,
+    Route,
+    RoutingTable,
+    ServiceSpec,
+)
+from railfold._internal.errors import (
+    ConfigurationStaleError,
+    NoCapacityError,
+    RequestError,
+    UnknownTargetError,
+)
+from railfold._internal.forwarding.dialect import Dialect
+from railfold._internal.forwarding.pool import ConnectionPool
+from railfold._internal.observability.decision_log import DecisionLog
+from railfold._internal.observability.metrics import Metrics
+
+__all__ = ["ActiveRequest", "Destination", "Router"]
+
+# How much cheaper a chain in the entry's own failure domain counts: enough to
+# keep even load at home, little enough to leave a domain that is twice as busy.
+_LOCAL_FACTOR = 0.75
+
+
+class ActiveRequest(Protocol):
+    """A request under way that wants to hear of lost backend servers."""
+
+    def servers_lost(self, server_ids: frozenset[str]) -> None:
+        """These backend servers don't answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class Destination:
+    """Where a request may go; ``server`` is the one that it is sent to."""
+
+    server: Stage
+    chain: Chain | None
+
+    @property
+    def server_ids(self) -> tuple[str, ...]:
+        """All backend servers that would work on it."""
+        return self.chain.hosts if self.chain else (self.server.host,)
+
+
+@dataclass(slots=True)
+class Router:
+    """Chooses destinations by what is known now."""
+
+    dialect: Dialect
+    directory: EngineDirectory
+    pool: ConnectionPool
+    lease: FreshnessLease
+    budget: RetryBudget
+    metrics: Metrics
+    log: DecisionLog
+    failure_domain: str
+    region: str
+    rng: random.Random
+    table: RoutingTable | None = None
+    active: set[ActiveRequest] = field(default_factory=set)
+    costs: LinkCosts = field(default_factory=LinkCosts)
+    weights: PlannerWeights = field(default_factory=PlannerWeights)
+
+    def check_permission(self, route: Route, path: str, credential: str) -> None:
+        """Look at the newest configuration right before a request is sent.
+
+        :raises ConfigurationStaleError: what is known is too old to use keys.
+        :raises RequestError: the newest version doesn't allow it any more.
+        """
+        table = self.table
+        if table is None or (table.credentials is not None and not route.public):
+            self.require_fresh()
+        if table is None:
+            return
+        newest = table.find(route.host, path)
+        table.authorize(newest, credential)
+
+    def require_fresh(self) -> None:
+        """Refuse if what is known of credentials is too old.
+
+        :raises ConfigurationStaleError: it is.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if not self.lease.valid(now_s):
+            raise ConfigurationStaleError(
+                "whether the credential still holds isn't known",
+                why=f"the store last answered {self.lease.age_s(now_s):.1f} s ago",
+                hint="come back after Retry-After",
+            )
+
+    def choose(self, route: Route, exclude: frozenset[str]) -> Destination:
+        """Return where a request of a route goes now.
+
+        :param exclude: backend servers that it must not be sent to.
+        :raises RequestError: there is no such place.
+        """
+        spec = self._service(route)
+        if spec.model is not None:
+            return self._choose_chain(spec, spec.model, exclude)
+        replicas = self.directory.replicas(spec.name, self.region)
+        chosen = choose_host(
+            _near_first(replicas, self.failure_domain),
+            exclude=exclude,
+            weights=self.weights,
+            rng=self.rng,
+        )
+        return Destination(chosen.stage, None)
+
+    def _service(self, route: Route) -> ServiceSpec:
+        if self.table is None:
+            raise NoCapacityError("no configuration was read yet")
+        weights = [choice.weight for choice in route.services]
+        if not weights or sum(weights) <= 0:
+            raise UnknownTargetError(f"route {route.name} leads to no service")
+        choice = self.rng.choices(route.services, weights)[0]
+        spec = self.table.services.get(choice.service)
+        if spec is None:
+            raise UnknownTargetError(f"there is no service {choice.service}")
+        return spec
+
+    def _choose_chain(
+        self, spec: ServiceSpec, model: EngineModel, exclude: frozenset[str]
+    ) -> Destination:
+        replicas = self.directory.layer_replicas(spec.name, model, self.region)
+        best: tuple[float, Chain] | None = None
+        error: RequestError | None = None
+        for domain, members in _by_domain(replicas).items():
+            # Only the first stage is excluded: the request was sent to it.
+            usable = [
+                r
+                for r in members
+                if r.stage.layers.first > 0 or r.stage.host not in exclude
+            ]
+            try:
+                chain = self._plan(usable, model)
+            except NoCapacityError as found:
+                error = found
+                continue
+            cost = self._cost(chain, members, model)
+            if domain == self.failure_domain:
+                cost *= _LOCAL_FACTOR
+            if best is None or cost < best[0]:
+                best = (cost, chain)
+        if best is None:
+            raise error or NoCapacityError(
+                "no backend server holds layers of the model",
+                hint="come back after Retry-After",
+            )
+        return Destination(best[1].stages[0], best[1])
+
+    def reroute(self, route: Route, chain: Chain, lost: frozenset[str]) -> Chain | None:
+        """Return another chain that begins at the same backend server."""
+        first = chain.stages[0]
+        spec = self._service(route)
+        model = spec.model
+        entry = self.directory.get(first.host)
+        if model is None or entry is None or first.host in lost:
+            return None
+        domain = entry.registration.failure_domain
+        replicas = self.directory.layer_replicas(spec.name, model, self.region)
+        usable = [
+            r
+            for r in replicas
+            if r.failure_domain == domain
+            and r.stage.host not in lost
+            and (r.stage.layers.first > 0 or r.stage.host == first.host)
+        ]
+        try:
+            found = self._plan(usable, model)
+        except NoCapacityError:
+            return None
+        return found if found.stages[0] == first else None
+
+    def _plan(self, replicas: Iterable[Replica], model: EngineModel) -> Chain:
+        return plan_chain(
+            replicas,
+            model.layer_count,
+            exclude=frozenset(),
+            prefer=(),
+            costs=self.costs,
+            weights=self.weights,
+            rng=self.rng,
+            partial=True,
+        )
+
+    def _cost(
+        self, chain: Chain, replicas: Iterable[Replica], model: EngineModel
+    ) -> float:
+        by_host = {r.stage.host: r for r in replicas}
+        cost = 0.0
+        for stage in chain.stages:
+            replica = by_host[stage.host]
+            load = replica.in_flight / replica.capacity
+            per_layer_ms = replica.step_ms / len(replica.stage.layers)
+            loaded = 1.0 + self.weights.load_weight * load
+            cost += per_layer_ms * len(stage.layers) * loaded
+        return cost
+
+    def count(self, destination: Destination, change: int) -> None:
+        """Count a request that begins (1) or ends (-1) at its backend servers."""
+        for server_id in destination.server_ids:
+            entry = self.directory.get(server_id)
+            if entry is not None:
+                entry.in_flight = max(0, entry.in_flight + change)
+
+    def report_lost(self, server_ids: frozenset[str]) -> None:
+        """Tell all requests under way of lost backend servers."""
+        for server_id in server_ids:
+            self.pool.drop(server_id)
+        for request in list(self.active):
+            request.servers_lost(server_ids)
+
+
+def _by_domain(replicas: Iterable[Replica]) -> dict[str, list[Replica]]:
+    found: dict[str, list[Replica]] = {}
+    for replica in replicas:
+        found.setdefault(replica.failure_domain, []).append(replica)
+    return found
+
+
+def _near_first(replicas: list[Replica], domain: str) -> list[Replica]:
+    """Return replicas of which those in ``domain`` cost less."""
+    return [
+        Replica(
+            r.stage,
+            r.failure_domain,
+            r.region,
+            r.in_flight,
+            r.capacity,
+            r.step_ms * (_LOCAL_FACTOR if r.failure_domain == domain else 1.0),
+        )
+        for r in replicas
+    ]
--- /dev/null
+++ b/src/railfold/_internal/forwarding/settings.py
@@ -0,0 +1,39 @@
+"""Settings of a forwarding entry, as its platform's adapter gives them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from railfold._internal.core import Address
+
+__all__ = ["ForwardingSettings"]
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardingSettings:
+    """Settings of one process.
+
+    :param clients: where clients are served.
+    :param readiness: where the balancer asks whether it may send clients.
+    :param metrics: where metrics are served, if they are.
+    :param credential_lease_s: how long credentials may be used after the store
+        was last known to allow them.
+    :param grace_s: time between the order to stop and the kill.
+    :param retry_share: retries as a share of first sends that all entries
+        together may make.
+    :param retry_slack: retries beyond that share that all entries together may
+        make in a window of time.
+    :param first_start: whether the whole installation starts for the first time.
+    """
+
+    name: str
+    failure_domain: str
+    region: str
+    clients: Address
+    readiness: Address
+    metrics: Address | None
+    credential_lease_s: float
+    grace_s: float
+    retry_share: float
+    retry_slack: float
+    first_start: bool
--- /dev/null
+++ b/src/railfold/_internal/observability/events.py
@@ -0,0 +1,183 @@
+"""Events that a forwarding entry logs, and their fields.
+
+One class an event, so that names and fields are the same everywhere. Durations
+and ages carry their unit; ``request_id`` is the id that the client sent.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+__all__ = [
+    "AttemptEnded",
+    "AttemptStarted",
+    "ChainProbed",
+    "ConfigurationAccepted",
+    "DependencyLost",
+    "DependencyRegained",
+    "EngineChanged",
+    "Event",
+    "LayersOrdered",
+    "LeadershipChanged",
+    "LinesDropped",
+    "ProcessStarted",
+    "ProcessStopping",
+    "RequestEnded",
+    "SettingsReloaded",
+    "StreamRerouted",
+]
+
+
+class ProcessStarted(msgspec.Struct, frozen=True, tag="process_started"):
+    """The process listens."""
+
+    role: str
+    version: str
+    failure_domain: str
+    start_ms: float
+
+
+class ProcessStopping(msgspec.Struct, frozen=True, tag="process_stopping"):
+    """The process was told to stop, or goes."""
+
+    reason: str
+    in_flight: int
+
+
+class SettingsReloaded(msgspec.Struct, frozen=True, tag="settings_reloaded"):
+    """The settings file was read again."""
+
+    outcome: str
+
+
+class DependencyLost(msgspec.Struct, frozen=True, tag="dependency_lost"):
+    """A service that the process depends on stopped answering."""
+
+    dependency: str
+    cause: str
+
+
+class DependencyRegained(msgspec.Struct, frozen=True, tag="dependency_regained"):
+    """It answers again."""
+
+    dependency: str
+
+
+class ConfigurationAccepted(msgspec.Struct, frozen=True, tag="configuration_accepted"):
+    """A newer configuration is in force in this process."""
+
+    version: int
+    previous: int
+    routes: int
+    credentials: int
+
+
+class EngineChanged(msgspec.Struct, frozen=True, tag="engine_changed"):
+    """What the process believes of a backend server changed."""
+
+    server_id: str
+    state: str
+    cause: str
+    layers: str = ""
+
+
+class LeadershipChanged(msgspec.Struct, frozen=True, tag="leadership_changed"):
+    """The process took over, or gave up, the placement of layers."""
+
+    leading: bool
+    fencing: int
+    cause: str
+
+
+class LayersOrdered(msgspec.Struct, frozen=True, tag="layers_ordered"):
+    """An engine was ordered to hold layers."""
+
+    server_id: str
+    layers: str
+    held: str
+    fencing: int
+    outcome: str
+
+
+class AttemptStarted(msgspec.Struct, frozen=True, tag="attempt_started"):
+    """A request was sent to a backend server."""
+
+    request_id: str
+    attempt: int
+    server_id: str
+    chain: str
+    configuration_version: int
+    configuration_age_ms: float
+    left_ms: float
+    resume_after: int | None
+
+
+class AttemptEnded(msgspec.Struct, frozen=True, tag="attempt_ended"):
+    """An attempt ended without the answer that was wanted."""
+
+    request_id: str
+    attempt: int
+    server_id: str
+    cause: str
+    events: int
+    silent_ms: float
+
+
+class ChainProbed(msgspec.Struct, frozen=True, tag="chain_probed"):
+    """The backend servers of a silent chain were asked whether they live."""
+
+    request_id: str
+    silent_ms: float
+    asked: int
+    lost: list[str]
+
+
+class StreamRerouted(msgspec.Struct, frozen=True, tag="stream_rerouted"):
+    """A running stream was ordered to go on over another chain."""
+
+    request_id: str
+    chain: str
+    outcome: str
+
+
+class RequestEnded(msgspec.Struct, frozen=True, tag="request_ended"):
+    """A request got its final answer."""
+
+    request_id: str
+    outcome: str
+    status: int
+    cause: str
+    route: str
+    workspace: str
+    attempts: int
+    duration_ms: float
+    first_event_ms: float
+    events: int
+    configuration_version: int
+    retry_after_ms: float
+
+
+class LinesDropped(msgspec.Struct, frozen=True, tag="lines_dropped"):
+    """Lines that were left out: the buffer was full, or they were routine."""
+
+    dropped: int
+    routine_skipped: int
+
+
+Event = (
+    ProcessStarted
+    | ProcessStopping
+    | SettingsReloaded
+    | DependencyLost
+    | DependencyRegained
+    | ConfigurationAccepted
+    | EngineChanged
+    | LeadershipChanged
+    | LayersOrdered
+    | AttemptStarted
+    | AttemptEnded
+    | ChainProbed
+    | StreamRerouted
+    | RequestEnded
+    | LinesDropped
+)
--- a/src/railfold/_internal/observability/metrics.py
+++ b/src/railfold/_internal/observability/metrics.py
@@ -1,4 +1,4 @@
-"""Counters, gauges and timers, sent to statsd at intervals.
+"""Counters, gauges and timers of one process.
 
 Values gather in memory and leave in one batch, so that counting costs no
 system call on the request path. ``docs/operations/metrics.md`` lists them.
@@ -6,16 +6,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections import Counter, deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-import statsd
-
-from railfold._internal.core import Address
-
-__all__ = ["Metrics", "MetricsSender"]
+__all__ = ["Metrics"]
 
 _TIMERS_KEPT = 10_000
 
@@ -50,40 +45,3 @@
             if increment:
                 self._sent[name] = value
                 yield name, increment
-
-
-class MetricsSender:
-    """Child that sends the metrics to a statsd server at intervals."""
-
-    def __init__(self, metrics: Metrics, address: Address, interval_s: float) -> None:
-        self._metrics = metrics
-        self._address = address
-        self._interval_s = interval_s
-
-    async def run(self, ready: asyncio.Event) -> None:
-        """Send until cancelled, and once more then."""
-        client = statsd.StatsClient(
-            self._address.ip,
-            self._address.port,
-            prefix="railfold",
-            ipv6=":" in self._address.ip,
-        )
-        ready.set()
-        try:
-            while True:
-                await asyncio.sleep(self._interval_s)
-                self._send(client)
-        finally:
-            self._send(client)
-            client.close()
-
-    def _send(self, client: statsd.StatsClient) -> None:
-        metrics = self._metrics
-        with client.pipeline() as pipeline:
-            for name, increment in metrics.counter_increments():
-                pipeline.incr(name, increment)
-            for name, value in metrics.gauges.items():
-                pipeline.gauge(name, value)
-            while metrics.timers_ms:
-                name, duration_ms = metrics.timers_ms.popleft()
-                pipeline.timing(name, duration_ms)
--- a/src/railfold/_internal/operations/publishing.py
+++ b/src/railfold/_internal/operations/publishing.py
@@ -33,7 +33,7 @@
     WriteUnsettledError,
 )
 from railfold._internal.observability.metrics import Metrics
-from railfold._internal.platform.log import LogClient
+from railfold._internal.store.log import LogClient
 
 __all__ = ["Change", "ConfigurationLog", "raise_for_verdict"]
 
--- a/src/railfold/_internal/platform/__init__.py
+++ b/src/railfold/_internal/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of what the platform gives: the log and the host list."""
+"""Adapter of the users' platform: it translates names and forms only."""
--- /dev/null
+++ b/src/railfold/_internal/platform/configuration.py
@@ -0,0 +1,204 @@
+"""The operator's configuration, decoded."""
+
+from __future__ import annotations
+
+import msgspec
+
+from railfold._internal.decisions.routing_table import (
+    Accelerator,
+    ClientLimits,
+    CredentialOwner,
+    EngineModel,
+    Route,
+    RouteKind,
+    RoutingTable,
+    ServiceSpec,
+    WeightedService,
+)
+from railfold._internal.errors import ConfigurationRefusedError
+
+__all__ = ["decode_configuration"]
+
+_KINDS = {
+    "safe": RouteKind.SAFE,
+    "unsafe": RouteKind.UNSAFE,
+    "stream": RouteKind.STREAM,
+}
+
+
+class _Split(msgspec.Struct, frozen=True):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, frozen=True):
+    """``slo_ms`` is the latency objective; ``gap_aim_ms`` the same for pauses.
+
+    A route names either one service or, in ``traffic_split``, several.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    slo_ms: float = 1000.0
+    priority: int = 1
+    service: str | None = None
+    traffic_split: list[_Split] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 0.0
+
+
+class _Model(msgspec.Struct, frozen=True):
+    name: str
+    load_s: float = 0.0
+
+
+class _Kind(msgspec.Struct, frozen=True):
+    """``pace`` multiplies decode steps, ``read_x`` the reading of prompts."""
+
+    name: str
+    mb: float
+    pace: float = 1.0
+    read_x: float = 1.0
+
+
+class _Usual(msgspec.Struct, frozen=True):
+    """Mean numbers of tokens."""
+
+    prompt: int = 500
+    answer: int = 200
+
+
+class _Engine(msgspec.Struct, frozen=True):
+    """``slots`` is how many requests run at once.
+
+    ``kv_bytes`` is the state of one token over all layers.
+    """
+
+    slots: int
+    kv_bytes: float
+    models: list[_Model]
+    layers: int = 0
+    layer_mb: float = 0.0
+    kinds: list[_Kind] = []
+    loads_at_once: int = 4
+    usual: _Usual = _Usual()
+
+
+class _Service(msgspec.Struct, frozen=True):
+    name: str
+    health_path: str = "/health"
+    max_conns: int = 64
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class _Tenant(msgspec.Struct, frozen=True):
+    """A workspace and its credentials."""
+
+    name: str
+    api_keys: list[str]
+    priority: int | None = None
+
+
+class _Configuration(msgspec.Struct, frozen=True):
+    """``tenants`` is missing where no credentials are used."""
+
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
+    tenants: list[_Tenant] | None = None
+
+
+_DECODER = msgspec.json.Decoder(_Configuration)
+
+
+def decode_configuration(value: bytes) -> RoutingTable:
+    """Return a configuration.
+
+    :raises ConfigurationRefusedError: it can't be read.
+    """
+    try:
+        document = _DECODER.decode(value)
+        return RoutingTable(
+            version=document.version,
+            routes=tuple(_route(route) for route in document.routes),
+            services={s.name: _service(s) for s in document.services},
+            credentials=_credentials(document.tenants),
+            limits=ClientLimits(
+                max_header_bytes=document.limits.max_header_bytes,
+                max_body_bytes=document.limits.max_body_bytes,
+                header_timeout_s=document.limits.header_timeout_ms / 1000.0,
+                idle_timeout_s=document.limits.idle_timeout_ms / 1000.0,
+            ),
+        )
+    except (msgspec.DecodeError, KeyError) as error:
+        raise ConfigurationRefusedError("the configuration", [str(error)]) from error
+
+
+def _route(route: _Route) -> Route:
+    splits = route.traffic_split
+    if route.service is not None:
+        splits = [_Split(route.service, 1.0)]
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        path_prefix=route.path_prefix,
+        kind=_KINDS[route.kind],
+        services=tuple(WeightedService(s.service, s.weight) for s in splits),
+        timeout_s=route.timeout_ms / 1000.0,
+        objective_s=route.slo_ms / 1000.0,
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        public=route.public,
+        resumable=route.resumable,
+        gap_objective_s=route.gap_aim_ms / 1000.0,
+    )
+
+
+def _service(service: _Service) -> ServiceSpec:
+    engine = service.engine
+    model = _model(engine) if engine is not None and engine.layers else None
+    return ServiceSpec(service.name, service.health_path, service.max_conns, model)
+
+
+def _model(engine: _Engine) -> EngineModel:
+    model = engine.models[0]
+    bytes_per_token_and_layer = engine.kv_bytes / engine.layers
+    return EngineModel(
+        name=model.name,
+        layer_count=engine.layers,
+        layer_mb=engine.layer_mb,
+        request_mb_per_token=bytes_per_token_and_layer / 1e6,
+        mean_tokens=engine.usual.prompt + engine.usual.answer,
+        load_s=model.load_s,
+        loads_at_once=max(1, engine.loads_at_once),
+        max_sequences=engine.slots,
+        accelerators={
+            kind.name: Accelerator(kind.mb, kind.pace, kind.read_x)
+            for kind in engine.kinds
+        },
+    )
+
+
+def _credentials(
+    tenants: list[_Tenant] | None,
+) -> dict[str, CredentialOwner] | None:
+    if tenants is None:
+        return None
+    return {
+        key: CredentialOwner(tenant.name, tenant.priority)
+        for tenant in tenants
+        for key in tenant.api_keys
+    }
--- /dev/null
+++ b/src/railfold/_internal/platform/dialect.py
@@ -0,0 +1,192 @@
+"""Headers of requests and answers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+from railfold._internal.core import Chain, LayerRange
+from railfold._internal.errors import InvalidRequestError
+from railfold._internal.forwarding.dialect import (
+    AnswerKind,
+    EngineCall,
+    EngineReport,
+    ForeignAnswer,
+    NotExecuted,
+    OrderBegun,
+    OrderFenced,
+    OrderOutcome,
+    OrderRefused,
+    SendPlan,
+    ServedAnswer,
+    ServerFailure,
+    UnusableAnswer,
+)
+from railfold._internal.forwarding.messages import (
+    ClientRequest,
+    Header,
+    RequestSize,
+    ResponseHead,
+)
+from railfold._internal.forwarding.replies import connection_headers
+from railfold._internal.platform import engines
+
+__all__ = ["PlatformDialect"]
+
+# The name means one request of a client: a client's own retry has another id.
+_REQUEST_ID = "Railfold-Attempt-Id"
+_DEADLINE = "Railfold-Deadline-Ms"
+_WORKSPACE = "Railfold-Tenant"
+_TARGET = "Railfold-Target-Instance"
+# The name is misleading: it holds the whole chain, with addresses and layers.
+_CHAIN = "Railfold-Hop-Count"
+_TOKEN_COUNTS = "Railfold-Token-Counts"
+_SEAL = "Railfold-Response-Seal"
+_NOT_EXECUTED = "Railfold-Not-Executed"
+_AT_FAULT = "At-Server"
+_LAST_EVENT_ID = "Last-Event-Id"
+
+_BEARER = "bearer "
+
+# Set by this process alone; what a client sends under these names is dropped.
+_OWN_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        _DEADLINE,
+        _WORKSPACE,
+        _TARGET,
+        _CHAIN,
+        _LAST_EVENT_ID,
+        "Railfold-Request-Priority",
+        "Railfold-Expect-Version",
+        "Authorization",
+        "Content-Length",
+        "Expect",
+        "Host",
+    )
+)
+
+_MISDIRECTED = 421
+_PROMISES_NOT_RUN = (408, 421, 429, 503)
+_FIRST_SERVER_ERROR = 500
+_CLIENT_ERRORS = range(400, 500)
+_SUCCESSES = range(200, 300)
+_ACCEPTED = (200, 202)
+_FENCED = 412
+
+
+class PlatformDialect:
+    """Translates requests, answers and engine calls."""
+
+    def decode_request(
+        self,
+        method: str,
+        target: str,
+        headers: Iterable[Header],
+        body: bytes,
+        now_s: float,
+    ) -> ClientRequest:
+        """Return a client's request.
+
+        :raises InvalidRequestError: a header is malformed or missing.
+        """
+        headers = list(headers)
+        fields = {name.lower(): value for name, value in headers}
+        request_id = fields.get(_REQUEST_ID.lower(), "")
+        if not request_id:
+            raise InvalidRequestError(f"the request has no {_REQUEST_ID}")
+        dropped = _OWN_HEADERS | connection_headers(fields.get("connection", ""))
+        deadline_ms = _number(fields, _DEADLINE)
+        authorization = fields.get("authorization", "")
+        credential = ""
+        if authorization[: len(_BEARER)].lower() == _BEARER:
+            credential = authorization[len(_BEARER) :].strip()
+        return ClientRequest(
+            request_id=request_id,
+            method=method,
+            target=target,
+            path=target.partition("?")[0],
+            host=fields.get("host", "").lower(),
+            headers=tuple((n, v) for n, v in headers if n.lower() not in dropped),
+            body=body,
+            credential=credential,
+            received_s=now_s,
+            deadline_s=None if deadline_ms is None else now_s + deadline_ms / 1000.0,
+            last_event_id=_number(fields, _LAST_EVENT_ID),
+            size=_size(fields.get(_TOKEN_COUNTS.lower(), "")),
+        )
+
+    def forward_headers(
+        self, request: ClientRequest, plan: SendPlan
+    ) -> Sequence[Header]:
+        """Return the headers that the backend server gets."""
+        headers: list[Header] = [("Host", request.host), *request.headers]
+        headers.append((_DEADLINE, str(max(1, int(plan.left_s * 1000)))))
+        headers.append((_TARGET, plan.server_id))
+        if plan.workspace is not None:
+            headers.append((_WORKSPACE, plan.workspace))
+        if plan.resume_after is not None:
+            headers.append((_LAST_EVENT_ID, str(plan.resume_after)))
+        if plan.chain is not None:
+            headers.append((_CHAIN, engines.chain_text(plan.chain)))
+        return headers
+
+    def classify(self, head: ResponseHead, request_id: str) -> AnswerKind:
+        """Return what an answer's head says."""
+        answered_id = head.get(_REQUEST_ID)
+        if answered_id and answered_id != request_id:
+            return ForeignAnswer()
+        if head.get(_NOT_EXECUTED) or head.status == _MISDIRECTED:
+            return NotExecuted(head.get(_AT_FAULT), f"it answered {head.status}")
+        if head.status in _SUCCESSES:
+            if not head.get(_SEAL):
+                return UnusableAnswer("its answer has no signature")
+            if head.get("Content-Encoding"):
+                return UnusableAnswer("its answer is encoded")
+            return ServedAnswer()
+        if head.status in _PROMISES_NOT_RUN:
+            # Without the proof that it wasn't run, this isn't to be passed on.
+            return UnusableAnswer(f"it answered {head.status} without a proof")
+        if head.status >= _FIRST_SERVER_ERROR:
+            return ServerFailure()
+        return ServedAnswer()
+
+    def report_call(self) -> EngineCall:
+        """Return the call that asks an engine for its report."""
+        return engines.report_call()
+
+    def decode_report(self, body: bytes) -> EngineReport:
+        """Return an engine's report."""
+        return engines.decode_report(body)
+
+    def place_call(
+        self, layers: LayerRange, fencing: int, order_count: int
+    ) -> EngineCall:
+        """Return the order to hold these layers."""
+        return engines.place_call(layers, fencing, order_count)
+
+    def reroute_call(self, request_id: str, chain: Chain) -> EngineCall:
+        """Return the order to go on with a running request over another chain."""
+        return engines.reroute_call(request_id, chain)
+
+    def order_outcome(self, head: ResponseHead) -> OrderOutcome:
+        """Return what the answer to an order says."""
+        if head.status in _ACCEPTED:
+            return OrderBegun()
+        if head.status == _FENCED:
+            return OrderFenced()
+        return OrderRefused(f"it answered {head.status}")
+
+
+def _number(fields: dict[str, str], name: str) -> int | None:
+    text = fields.get(name.lower())
+    if text is None or not text.strip().isdigit():
+        return None
+    return int(text)
+
+
+def _size(text: str) -> RequestSize:
+    """Return the sizes in ``prompt,answer``."""
+    prompt, _, answer = text.partition(",")
+    if not prompt.strip().isdigit() or not answer.strip().isdigit():
+        return RequestSize()
+    return RequestSize(int(prompt), int(answer))
--- /dev/null
+++ b/src/railfold/_internal/platform/settings.py
@@ -0,0 +1,153 @@
+"""The settings file that the platform lays beside each process.
+
+The path stands in the environment; the format is the platform's. Fields that
+this process doesn't use are passed over.
+"""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Any, TypeVar
+
+import msgspec
+
+from railfold._internal.core import Address, parse_address
+from railfold._internal.errors import SettingsError
+from railfold._internal.forwarding.settings import ForwardingSettings
+
+__all__ = ["SETTINGS_VARIABLE", "PlatformSettings", "load_platform_settings"]
+
+SETTINGS_VARIABLE = "RAILFOLD_NODE_FILE"
+
+# The first of the ports that the platform leaves to the project's own use.
+_METRICS_PORT_INDEX = 0
+
+T = TypeVar("T")
+
+
+class _Listen(msgspec.Struct, frozen=True):
+    """Addresses that the platform sends something to.
+
+    ``front`` is where clients come, ``ready`` where the balancer asks.
+    """
+
+    front: str
+    ready: str
+
+
+class _Bounds(msgspec.Struct, frozen=True):
+    """Bounds of the rules that are in force.
+
+    ``revoke_ms``: how long after its removal a credential may still be used.
+    ``budget_ratio`` and ``budget_slack``: what all entries may send beyond the
+    first send of each request, as a share and a number.
+    """
+
+    grace_s: float = 8.0
+    revoke_ms: float = 5000.0
+    budget_ratio: float = 0.1
+    budget_slack: float = 10.0
+
+
+class _Store(msgspec.Struct, frozen=True):
+    """The metadata store; ``keep_s`` is how long it keeps history."""
+
+    address: str
+
+
+class _Document(msgspec.Struct, frozen=True):
+    """The whole file, as far as it is used."""
+
+    node: str
+    ip: str
+    zone: str
+    listen: dict[str, Any]
+    platform: dict[str, Any]
+    region: str = ""
+    bootstrap: bool = False
+    bounds: dict[str, Any] = msgspec.field(default_factory=dict)
+    port_range: tuple[int, int] = (0, 0)
+
+
+class PlatformSettings(msgspec.Struct, frozen=True):
+    """What the file says, decoded."""
+
+    forwarding: ForwardingSettings
+    store: Address
+
+
+def settings_path() -> Path:
+    """Return the settings file's path.
+
+    :raises SettingsError: the environment names none.
+    """
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise SettingsError("", [f"the variable {SETTINGS_VARIABLE} isn't set"])
+    return Path(path)
+
+
+def load_platform_settings(path: Path) -> PlatformSettings:
+    """Return the settings in a file.
+
+    :raises SettingsError: with every fault found.
+    """
+    try:
+        data = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError(str(path), [f"can't be read: {error.strerror}"]) from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(str(path), [f"isn't valid TOML: {error}"]) from error
+    return _Decoder(path).decode(data)
+
+
+class _Decoder:
+    """Decodes one file and gathers its faults."""
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._faults: list[str] = []
+
+    def decode(self, data: dict[str, Any]) -> PlatformSettings:
+        document = self._convert("", data, _Document)
+        listen = self._convert("listen.", data.get("listen", {}), _Listen)
+        bounds = self._convert("bounds.", data.get("bounds", {}), _Bounds)
+        store = self._convert("platform.", data.get("platform", {}), _Store)
+        clients = self._address("listen.front", listen.front if listen else None)
+        ready = self._address("listen.ready", listen.ready if listen else None)
+        address = self._address("platform.address", store.address if store else None)
+        if not (document and bounds and clients and ready and address):
+            raise SettingsError(str(self._path), self._faults)
+        port = document.port_range[_METRICS_PORT_INDEX]
+        forwarding = ForwardingSettings(
+            name=document.node,
+            failure_domain=document.zone,
+            region=document.region,
+            clients=clients,
+            readiness=ready,
+            metrics=Address(document.ip, port) if port else None,
+            credential_lease_s=bounds.revoke_ms / 1000.0,
+            grace_s=bounds.grace_s,
+            retry_share=bounds.budget_ratio,
+            retry_slack=bounds.budget_slack,
+            first_start=document.bootstrap,
+        )
+        return PlatformSettings(forwarding, address)
+
+    def _convert(self, prefix: str, data: Any, form: type[T]) -> T | None:
+        try:
+            return msgspec.convert(data, form)
+        except msgspec.ValidationError as error:
+            self._faults.append(f"{prefix or 'file: '}{error}")
+            return None
+
+    def _address(self, name: str, text: str | None) -> Address | None:
+        if text is None:
+            return None
+        try:
+            return parse_address(text)
+        except ValueError as error:
+            self._faults.append(f"{name}: {error}")
+            return None
--- /dev/null
+++ b/src/railfold/_internal/platform/store.py
@@ -0,0 +1,252 @@
+"""Client of the platform's metadata store.
+
+Every client keeps one connection of its own. After an answer was lost the
+connection is closed: it says nothing further.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import struct
+from typing import TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+
+from railfold._internal.core import Address
+from railfold._internal.decisions.leadership import LeaseGrant
+from railfold._internal.errors import (
+    EngineError,
+    LogUnavailableError,
+    RecordsExpiredError,
+)
+from railfold._internal.forwarding.adapter import KeyedValue
+from railfold._internal.forwarding.http_client import (
+    HttpConnection,
+    Response,
+    connect,
+    fetch,
+)
+from railfold._internal.forwarding.messages import Header
+from railfold._internal.store.records import LogPage, LogRecord
+
+__all__ = ["GroupLease", "KeyedLog"]
+
+_CONNECT_TIMEOUT_S = 0.6
+
+# Beyond the time that the store itself may wait. It answers in 4 ms, and up to
+# 60 times as slow in its bad times.
+_ANSWER_TIMEOUT_S = 1.0
+
+# The store closes connections that rest; a call must not meet that moment.
+_MAX_IDLE_S = 5.0
+
+_OK = 200
+_GONE = 410
+
+# All streams of the system have one partition that is used: the first.
+_PARTITION = 0
+
+_PAGE_HEAD = struct.Struct(">QQ")
+_LENGTH = struct.Struct(">I")
+
+T = TypeVar("T")
+
+
+class _NewestItem(msgspec.Struct, frozen=True):
+    """``value`` is in base64; none means that the key is gone."""
+
+    key: str
+    offset: int
+    value: str | None = None
+
+
+class _NewestPage(msgspec.Struct, frozen=True):
+    """``more_pages`` is true if keys follow; ``end`` is the stream's end."""
+
+    items: list[_NewestItem]
+    end: int
+    more_pages: bool = False
+
+
+class _Joined(msgspec.Struct, frozen=True):
+    """``parts`` are rows of topic, partition and committed offset."""
+
+    generation: int
+    parts: list[tuple[str, int, int]] = []
+
+
+class _StoreConnection:
+    """Makes one call at a time."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._connection: HttpConnection | None = None
+
+    async def call(
+        self, method: str, target: str, body: bytes = b"", wait_s: float = 0.0
+    ) -> Response:
+        """Make a call; return its answer.
+
+        :raises LogUnavailableError: no sound answer came.
+        """
+        headers: list[Header] = [("Host", str(self._address))]
+        if body:
+            headers.append(("Content-Type", "application/json"))
+        timeout_s = wait_s + _ANSWER_TIMEOUT_S
+        try:
+            connection = await self._take()
+            response = await fetch(connection, method, target, headers, body, timeout_s)
+        except EngineError as error:
+            self._connection = None
+            raise LogUnavailableError(
+                "the store doesn't answer", why=str(error)
+            ) from error
+        connection.idle_since_s = asyncio.get_running_loop().time()
+        if response.head.status == _GONE:
+            raise RecordsExpiredError("records of the store have expired")
+        if response.head.status != _OK:
+            raise LogUnavailableError(f"the store answered {response.head.status}")
+        return response
+
+    async def _take(self) -> HttpConnection:
+        now_s = asyncio.get_running_loop().time()
+        connection = self._connection
+        if connection is not None:
+            usable = not connection.closed and not connection.busy
+            if usable and now_s - connection.idle_since_s < _MAX_IDLE_S:
+                return connection
+            connection.abort()
+        self._connection = await connect(self._address, _CONNECT_TIMEOUT_S)
+        return self._connection
+
+
+class KeyedLog:
+    """Reads streams that keep the newest record of each key."""
+
+    def __init__(self, address: Address) -> None:
+        self._connection = _StoreConnection(address)
+
+    async def read(self, stream: str, offset: int, wait_s: float) -> LogPage:
+        """Return records from ``offset`` on, or the newest of each key.
+
+        :param offset: negative to get the newest record of each key.
+        :raises RecordsExpiredError: ``offset`` is before the first kept record.
+        :raises LogUnavailableError: the store can't be read now.
+        """
+        if offset < 0:
+            return await self._newest(stream)
+        query = urlencode(
+            {
+                "topic": stream,
+                "part": _PARTITION,
+                "from": offset,
+                "wait_ms": int(wait_s * 1000),
+            }
+        )
+        response = await self._connection.call(
+            "GET", f"/railfold/log-read?{query}", wait_s=wait_s
+        )
+        return _page(response.body, offset)
+
+    async def _newest(self, stream: str) -> LogPage:
+        records: list[LogRecord] = []
+        after = ""
+        while True:
+            fields = {"topic": stream, "part": _PARTITION}
+            if after:
+                # The name says revision; it takes the last key of a page.
+                fields["after_rev"] = after
+            query = urlencode(fields)
+            response = await self._connection.call(
+                "GET", f"/railfold/log-newest?{query}"
+            )
+            page = _decode(response.body, _NewestPage)
+            records += [_newest_record(item) for item in page.items]
+            if not page.more_pages or not page.items:
+                # The first page's end: what came since is read again.
+                records.sort(key=lambda record: record.offset)
+                return LogPage(records, 0, page.end)
+            after = page.items[-1].key
+
+
+def _newest_record(item: _NewestItem) -> LogRecord:
+    value = base64.b64decode(item.value) if item.value else b""
+    return LogRecord(item.offset, 0.0, KeyedValue(item.key, value))
+
+
+def _page(body: bytes, offset: int) -> LogPage:
+    """Decode the end, the first kept offset, then records with their lengths."""
+    if len(body) < _PAGE_HEAD.size:
+        raise LogUnavailableError("the store's answer is cut short")
+    end, first = _PAGE_HEAD.unpack_from(body)
+    records: list[LogRecord] = []
+    position = _PAGE_HEAD.size
+    while position + _LENGTH.size <= len(body):
+        (length,) = _LENGTH.unpack_from(body, position)
+        position += _LENGTH.size
+        records.append(
+            LogRecord(offset, 0.0, _keyed(body[position : position + length]))
+        )
+        position += length
+        offset += 1
+    return LogPage(records, first, end)
+
+
+def _keyed(record: bytes) -> KeyedValue:
+    """Decode a key's length, the key and the value."""
+    key_length = record[0] if record else 0
+    key = record[1 : 1 + key_length].decode("utf-8", "replace")
+    return KeyedValue(key, record[1 + key_length :])
+
+
+def _decode(body: bytes, form: type[T]) -> T:
+    try:
+        return msgspec.json.decode(body, type=form)
+    except msgspec.DecodeError as error:
+        raise LogUnavailableError(
+            "the store's answer can't be read", why=str(error)
+        ) from error
+
+
+class GroupLease:
+    """A lease made of a group: who is dealt the first partition holds it.
+
+    The group's generation rises with every change of its members, and so is
+    the fencing token.
+    """
+
+    def __init__(self, address: Address, duty: str) -> None:
+        self._connection = _StoreConnection(address)
+        self._group = f"railfold-{duty}"
+        self._topic = f"railfold-{duty}"
+        self._generation = 0
+
+    async def renew(self, holder: str, duration_s: float) -> LeaseGrant:
+        """Ask for the lease, or keep it.
+
+        :raises LogUnavailableError: no answer came.
+        """
+        body = msgspec.json.encode(
+            {
+                "group": self._group,
+                "member": holder,
+                "topics": [self._topic],
+                "ttl_ms": int(duration_s * 1000),
+                "generation": self._generation,
+            }
+        )
+        response = await self._connection.call("POST", "/railfold/log-join", body)
+        joined = _decode(response.body, _Joined)
+        self._generation = joined.generation
+        holding = any(row[1] == _PARTITION for row in joined.parts)
+        return LeaseGrant(holding, joined.generation)
+
+    async def release(self, holder: str) -> None:
+        """Give the lease back.
+
+        :raises LogUnavailableError: no answer came.
+        """
+        body = msgspec.json.encode({"group": self._group, "member": holder})
+        await self._connection.call("POST", "/railfold/log-leave", body)
--- a/src/railfold/_internal/platform/follower.py
+++ b/src/railfold/_internal/store/follower.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from typing import Any, Protocol
 
 from absl import logging
@@ -19,7 +21,7 @@
     WriteUnsettledError,
 )
 from railfold._internal.observability.metrics import Metrics
-from railfold._internal.platform.log import LogClient, LogRecord
+from railfold._internal.store.records import LogPage, LogRecord
 
 __all__ = ["SettlingAppender", "StreamFollower", "StreamReader"]
 
@@ -28,35 +30,79 @@
     """What is done with a followed stream."""
 
     def next_offset(self) -> int:
-        """Return the offset to read from."""
+        """Return the offset to read from.
+
+        Negative to get, from a log that keeps the newest record of each key,
+        those records.
+        """
 
     def record(self, record: LogRecord) -> None:
         """Take one record, in order."""
 
-    def caught_up(self, next_offset: int) -> None:
-        """Called after each successful read that reached the stream's end."""
+    def caught_up(self, next_offset: int, sent_s: float) -> None:
+        """Called after each successful read that reached the stream's end.
+
+        :param sent_s: loop time at which that read was sent: all that was in
+            the stream then has been given.
+        """
 
     def expired(self, first_offset: int) -> int:
         """Records were lost to retention; return the offset to go on from."""
 
 
+class ReadableLog(Protocol):
+    """A log whose streams can be read."""
+
+    async def read(self, stream: str, offset: int, wait_s: float) -> LogPage:
+        """Return records from ``offset`` on, waiting for one if there is none.
+
+        :raises RecordsExpiredError: ``offset`` is before the first kept record.
+        :raises LogUnavailableError: the log can't be read now.
+        """
+
+
+@dataclass(frozen=True, slots=True)
+class FollowerPace:
+    """How often a stream is read.
+
+    :param wait_s: how long one read waits for a record.
+    :param min_interval_s: least time between two reads, so that a busy stream
+        is read in batches.
+    :param max_backoff_s: most time between two tries while the log is out.
+    """
+
+    wait_s: float
+    min_interval_s: float = 0.0
+    max_backoff_s: float = 5.0
+
+
 class StreamFollower:
-    """Child that follows one stream."""
+    """Child that follows one stream.
+
+    :param on_lost: called when reads begin to fail.
+    :param on_regained: called when a read succeeds after failures, before its
+        records are given to the reader.
+    """
 
     def __init__(
         self,
-        log: LogClient,
+        log: ReadableLog,
         stream: str,
         reader: StreamReader,
         metrics: Metrics,
-        wait_s: float,
+        pace: FollowerPace,
+        on_lost: Callable[[LogUnavailableError], None] | None = None,
+        on_regained: Callable[[], None] | None = None,
     ) -> None:
         self._log = log
         self._stream = stream
         self._reader = reader
         self._metrics = metrics
-        self._wait_s = wait_s
-        self._backoff = Backoff()
+        self._pace = pace
+        self._on_lost = on_lost
+        self._on_regained = on_regained
+        self._backoff = Backoff(max_s=pace.max_backoff_s)
+        self._read_at_s = 0.0
         self._reading = False
         self._resume_at = 0
 
@@ -83,15 +129,25 @@
 
     async def _read_once(self, *, wait: bool) -> None:
         offset = max(self._reader.next_offset(), self._resume_at)
-        wait_s = self._wait_s if wait else 0.0
+        wait_s = self._pace.wait_s if wait else 0.0
+        await self._wait_for_turn()
+        sent_s = asyncio.get_running_loop().time()
         page = await self._log.read(self._stream, offset, wait_s)
+        self._set_reading(True, None)
         for record in page.records:
             if record.offset < offset:
                 continue  # The service may repeat records.
             self._reader.record(record)
-        if not page.records or page.records[-1].offset + 1 >= page.next_offset:
-            self._reader.caught_up(page.next_offset)
-        self._set_reading(True, None)
+        whole = offset < 0  # A copy of all that is in force, up to the end.
+        if whole or not page.records or page.records[-1].offset + 1 >= page.next_offset:
+            self._reader.caught_up(page.next_offset, sent_s)
+
+    async def _wait_for_turn(self) -> None:
+        loop = asyncio.get_running_loop()
+        turn_s = self._read_at_s + self._pace.min_interval_s
+        if turn_s > loop.time():
+            await asyncio.sleep(turn_s - loop.time())
+        self._read_at_s = loop.time()
 
     async def _skip_expired(self, error: RecordsExpiredError) -> None:
         self._metrics.count(f"log.{self._stream}.expired_reads")
@@ -113,8 +169,23 @@
         self._reading = reading
         if reading:
             logging.info("stream %s: the log answers", self._stream)
-        else:
-            logging.warning("stream %s: the log is out: %s", self._stream, error)
+            if self._on_regained is not None:
+                self._on_regained()
+            return
+        logging.warning("stream %s: the log is out: %s", self._stream, error)
+        if self._on_lost is not None and error is not None:
+            self._on_lost(error)
+
+
+class AppendableLog(Protocol):
+    """A log whose streams can be appended to."""
+
+    async def append(self, stream: str, bodies: Sequence[Any]) -> list[int]:
+        """Append records in one call; return their offsets.
+
+        :raises LogUnavailableError: the records were not appended.
+        :raises WriteUnsettledError: they may have been; read back to know.
+        """
 
 
 class SettlingAppender:
@@ -126,7 +197,7 @@
     """
 
     def __init__(
-        self, log: LogClient, stream: str, metrics: Metrics, linger_s: float
+        self, log: AppendableLog, stream: str, metrics: Metrics, linger_s: float
     ) -> None:
         self._log = log
         self._stream = stream
--- a/src/railfold/_internal/platform/hosts.py
+++ b/src/railfold/_internal/store/hosts.py
@@ -16,7 +16,7 @@
 from railfold._internal.decisions.backoff import Backoff
 from railfold._internal.decisions.membership import ListedHost
 from railfold._internal.observability.metrics import Metrics
-from railfold._internal.platform.http import CONNECT_TIMEOUT_S
+from railfold._internal.store.http import CONNECT_TIMEOUT_S
 
 __all__ = ["HostListPoller"]
 
--- a/src/railfold/_internal/platform/log.py
+++ b/src/railfold/_internal/store/log.py
@@ -19,34 +19,19 @@
     RecordsExpiredError,
     WriteUnsettledError,
 )
-from railfold._internal.platform.http import (
+from railfold._internal.store.http import (
     CONNECT_TIMEOUT_S,
     was_never_connected,
 )
+from railfold._internal.store.records import LogPage
 
-__all__ = ["LogClient", "LogPage", "LogRecord"]
+__all__ = ["LogClient"]
 
 _GONE = 410
 _SERVER_ERROR = 500
 _READ_LIMIT = 1000
 
 
-class LogRecord(msgspec.Struct, frozen=True):
-    """One record as the service gives it."""
-
-    offset: int
-    appended_s: float
-    body: Any
-
-
-class LogPage(msgspec.Struct, frozen=True):
-    """Records from one read; ``next_offset`` is the stream's end."""
-
-    records: list[LogRecord]
-    first_offset: int
-    next_offset: int
-
-
 class _Appended(msgspec.Struct, frozen=True):
     offsets: list[int]
 
--- /dev/null
+++ b/src/railfold/_internal/store/records.py
@@ -0,0 +1,25 @@
+"""Records of a log, as every client of one returns them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+__all__ = ["LogPage", "LogRecord"]
+
+
+class LogRecord(msgspec.Struct, frozen=True):
+    """One record as the service gives it."""
+
+    offset: int
+    appended_s: float
+    body: Any
+
+
+class LogPage(msgspec.Struct, frozen=True):
+    """Records from one read; ``next_offset`` is the stream's end."""
+
+    records: list[LogRecord]
+    first_offset: int
+    next_offset: int
--- a/tests/lib/traces.py
+++ b/tests/lib/traces.py
@@ -125,7 +125,9 @@
         request = msgspec.convert(
             {"body": b"", "content_type": "", **header["request"]}, ServiceRequest
         )
-        self.machine = calls.CallLifecycle(request)
+        self.machine = calls.CallLifecycle(
+            repeatable=request.repeatable, limits=calls.CallLimits()
+        )
         self.finish: Any = None
 
     def feed(self, at_s: float, name: str, fields: dict[str, Any]) -> list[Any]:
--- a/tests/unit/test_metrics.py
+++ b/tests/unit/test_metrics.py
@@ -8,7 +8,8 @@
 import pytest
 
 from railfold._internal.core import Address
-from railfold._internal.observability.metrics import Metrics, MetricsSender
+from railfold._internal.observability.metrics import Metrics
+from railfold._internal.observability.statsd_sender import MetricsSender
 
 pytestmark = pytest.mark.asyncio
 
--- a/tests/unit/test_replica.py
+++ b/tests/unit/test_replica.py
@@ -21,7 +21,7 @@
     Frame,
 )
 from railfold._internal.observability.metrics import Metrics
-from railfold._internal.platform.log import LogRecord
+from railfold._internal.store.records import LogRecord
 
 pytestmark = pytest.mark.looptime
 
