Spread requests over all chains: count load in tokens of state

Load was counted in requests against 96 slots, while memory for their state is what runs out; and a first plan kept too little of it (a second copy of neighbours' layers took 40%). Change: load and capacity in tokens, others' load reckoned from one's own only for the choice, first plans keep room for 0.8 of a full batch.

--- a/src/railfold/_internal/commands/forward.py
+++ b/src/railfold/_internal/commands/forward.py
@@ -38,5 +38,5 @@
 
 
 async def _run(loaded: PlatformSettings) -> None:
-    adapter = UsersPlatform(loaded.store)
+    adapter = UsersPlatform(loaded.store, loaded.store_partitions)
     await run_forwarding_entry(loaded.forwarding, adapter)
--- a/src/railfold/_internal/decisions/engine_directory.py
+++ b/src/railfold/_internal/decisions/engine_directory.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from railfold._internal.core import LayerRange, Stage
@@ -51,12 +51,13 @@
 class DirectoryEntry:
     """A backend server as this entry knows it; compared by identity.
 
-    :param in_flight: this entry's own requests there.
+    :param own_load: this entry's own requests there; of a model engine, the
+        tokens that they may grow to.
     :param removal_due_s: when a removal that was read counts, if one was.
     """
 
     registration: Registration
-    in_flight: int = 0
+    own_load: int = 0
     suspect_since_s: float | None = None
     removal_due_s: float | None = None
 
@@ -112,14 +113,6 @@
         elif entry.removal_due_s is None:
             entry.removal_due_s = due_s
 
-    def replace_all(self, registrations: Iterable[Registration], now_s: float) -> None:
-        """Take a whole copy of the registrations."""
-        listed = {r.server_id: r for r in registrations}
-        for server_id in [s for s in self._entries if s not in listed]:
-            self.remove(server_id, now_s)
-        for registration in listed.values():
-            self.register(registration)
-
     def expire(self, now_s: float) -> list[str]:
         """Drop entries whose removal has come to count; return their ids."""
         due = [
@@ -156,7 +149,7 @@
                 Stage(e.server_id, e.registration.address, 0, LayerRange(0, 0)),
                 e.registration.failure_domain,
                 region,
-                in_flight=e.in_flight,
+                in_flight=e.own_load,
                 capacity=max(1, e.registration.slots),
                 step_ms=1.0,
             )
@@ -165,9 +158,15 @@
         ]
 
     def layer_replicas(
-        self, service: str, model: EngineModel, region: str
+        self, service: str, model: EngineModel, region: str, entries: int
     ) -> list[Replica]:
-        """Return a model's backend servers that hold layers and may get work."""
+        """Return a model's backend servers that hold layers and may get work.
+
+        Their load and capacity are counted in tokens: memory for the state of
+        requests is what runs out first.
+
+        :param entries: how many entries there are.
+        """
         found = []
         for entry in self.of_service(service):
             registration = entry.registration
@@ -177,14 +176,27 @@
                 continue
             if registration.model != model.name:
                 continue
+            capacity = max(1, model.state_tokens(accelerator, len(layers)))
             found.append(
                 Replica(
                     Stage(entry.server_id, registration.address, 0, layers),
                     registration.failure_domain,
                     region,
-                    in_flight=entry.in_flight,
-                    capacity=max(1, registration.slots),
+                    in_flight=_reckoned_load(entry.own_load, entries, capacity),
+                    capacity=capacity,
                     step_ms=accelerator.step_factor * len(layers),
                 )
             )
         return found
+
+
+def _reckoned_load(own: int, entries: int, capacity: int) -> int:
+    """Return the load of all entries, reckoned from one entry's own.
+
+    Entries take about like shares of all requests, which is good enough to
+    choose by. Only one's own load makes a backend server full: whether others'
+    does is known better there, and it refuses.
+    """
+    if own >= capacity:
+        return own
+    return min(own * entries, capacity - 1)
--- a/src/railfold/_internal/decisions/layer_placement.py
+++ b/src/railfold/_internal/decisions/layer_placement.py
@@ -24,7 +24,7 @@
 # Parts of the memory for a full batch of usual requests that a first plan tries
 # to keep, most first. Half a batch is twice what an evenly loaded domain of the
 # first sites holds at a time.
-_WANTED_ROOM = (0.5, 0.35, 0.25, 0.15, 0.1, 0.05)
+_WANTED_ROOM = (0.8, 0.65, 0.5, 0.35, 0.25, 0.15, 0.1, 0.05)
 
 # The same when layers are taken over after a loss: serving fewer requests at a
 # time is better than loading a whole domain anew.
--- a/src/railfold/_internal/decisions/leadership.py
+++ b/src/railfold/_internal/decisions/leadership.py
@@ -17,10 +17,12 @@
 
     :param holding: whether the lease is the caller's.
     :param fencing: rises with every change of holder.
+    :param members: about how many processes ask for the lease.
     """
 
     holding: bool
     fencing: int
+    members: int = 1
 
 
 @dataclass(slots=True)
@@ -57,6 +59,11 @@
             return None
         return grant.fencing
 
+    @property
+    def members(self) -> int:
+        """About how many processes ask for the lease."""
+        return self._grant.members if self._grant else 1
+
     @property
     def newest_fencing(self) -> int:
         """The newest token that was heard of."""
--- a/src/railfold/_internal/decisions/routing_table.py
+++ b/src/railfold/_internal/decisions/routing_table.py
@@ -117,6 +117,11 @@
     max_sequences: int
     accelerators: Mapping[str, Accelerator]
 
+    def state_tokens(self, accelerator: Accelerator, layers: int) -> int:
+        """Return how many tokens of requests fit beside so many layers."""
+        free_mb = accelerator.memory_mb - layers * self.layer_mb
+        return max(0, int(free_mb / (layers * self.request_mb_per_token)))
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceSpec:
--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -128,6 +128,7 @@
         self._exchange: EngineExchange | None = None
         self._destination: Destination | None = None
         self._attempts = 0
+        self._load = max(1, request.size.total)
         self._kind: AnswerKind | None = None
         self._gathered: _Gathered | None = None
         self._failure: _Gathered | None = None
@@ -239,7 +240,7 @@
         )
         self._kind = None
         self._gathered = None
-        router.count(destination, 1)
+        router.count(destination, self._load)
         self._exchange = EngineExchange(
             self._request,
             plan,
@@ -404,7 +405,7 @@
         if exchange is not None:
             exchange.cancel()
         if destination is not None:
-            self._router.count(destination, -1)
+            self._router.count(destination, -self._load)
         if self._overdue_timer is not None:
             self._overdue_timer.cancel()
         return destination
@@ -465,9 +466,9 @@
             self._end_attempt(f"not rerouted: {outcome}", alive=True)
             return
         self._router.metrics.count("streams.rerouted")
-        self._router.count(self._destination, -1)
+        self._router.count(self._destination, -self._load)
         self._destination = Destination(other.stages[0], other)
-        self._router.count(self._destination, 1)
+        self._router.count(self._destination, self._load)
         self._overdue.opened(self._loop.time())
         self._arm_overdue()
 
--- a/src/railfold/_internal/forwarding/leadership.py
+++ b/src/railfold/_internal/forwarding/leadership.py
@@ -71,6 +71,7 @@
             # The follower of the configuration tells of the store's outages.
             self._metrics.count("lease.renewals_failed")
             return _RETRY_S
+        self._metrics.gauge("entries", grant.members)
         if self._leadership.renewed(grant, sent_s):
             self._log.write(
                 LeadershipChanged(grant.holding, grant.fencing, "the store's answer")
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Sequence
 
 from railfold import __version__
@@ -259,6 +258,7 @@
             now_s = self._loop.time()
             self.router.directory.expire(now_s)
             self.router.pool.prune(now_s)
+            self.router.entries = self._leadership.members
             self._forget_finished()
             self.metrics.gauge("in_flight", len(self.router.active))
             self.metrics.gauge("configuration.age_s", self.router.lease.age_s(now_s))
@@ -290,7 +290,6 @@
             "forwarding entry",
             __version__,
             settings.failure_domain,
-            round(time.process_time() * 1000, 1),
         )
     )
     await run_process(entry.tree(), entry.drain)
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -78,6 +78,7 @@
     region: str
     rng: random.Random
     table: RoutingTable | None = None
+    entries: int = 1
     active: set[ActiveRequest] = field(default_factory=set)
     costs: LinkCosts = field(default_factory=LinkCosts)
     weights: PlannerWeights = field(default_factory=PlannerWeights)
@@ -142,7 +143,9 @@
     def _choose_chain(
         self, spec: ServiceSpec, model: EngineModel, exclude: frozenset[str]
     ) -> Destination:
-        replicas = self.directory.layer_replicas(spec.name, model, self.region)
+        replicas = self.directory.layer_replicas(
+            spec.name, model, self.region, self.entries
+        )
         best: tuple[float, Chain] | None = None
         error: RequestError | None = None
         for domain, members in _by_domain(replicas).items():
@@ -178,7 +181,9 @@
         if model is None or entry is None or first.host in lost:
             return None
         domain = entry.registration.failure_domain
-        replicas = self.directory.layer_replicas(spec.name, model, self.region)
+        replicas = self.directory.layer_replicas(
+            spec.name, model, self.region, self.entries
+        )
         usable = [
             r
             for r in replicas
@@ -217,12 +222,15 @@
             cost += per_layer_ms * len(stage.layers) * loaded
         return cost
 
-    def count(self, destination: Destination, change: int) -> None:
-        """Count a request that begins (1) or ends (-1) at its backend servers."""
+    def count(self, destination: Destination, load: int) -> None:
+        """Add to the load of a destination's backend servers.
+
+        :param load: tokens of a request to a model, else 1; negative at its end.
+        """
         for server_id in destination.server_ids:
             entry = self.directory.get(server_id)
             if entry is not None:
-                entry.in_flight = max(0, entry.in_flight + change)
+                entry.own_load = max(0, entry.own_load + load)
 
     def report_lost(self, server_ids: frozenset[str]) -> None:
         """Tell all requests under way of lost backend servers."""
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -34,7 +34,6 @@
     role: str
     version: str
     failure_domain: str
-    start_ms: float
 
 
 class ProcessStopping(msgspec.Struct, frozen=True, tag="process_stopping"):
--- a/src/railfold/_internal/platform/adapter.py
+++ b/src/railfold/_internal/platform/adapter.py
@@ -19,8 +19,9 @@
     configuration_key = "config"
     registrations_stream = "keyed.servers"
 
-    def __init__(self, store: Address) -> None:
+    def __init__(self, store: Address, partitions: int) -> None:
         self._store = store
+        self._partitions = partitions
         self.dialect = PlatformDialect()
 
     def new_log(self) -> KeyedLog:
@@ -29,7 +30,7 @@
 
     def new_lease_client(self, duty: str) -> GroupLease:
         """Return a client for the lease of a duty."""
-        return GroupLease(self._store, duty)
+        return GroupLease(self._store, duty, self._partitions)
 
     def decode_configuration(self, value: bytes) -> RoutingTable:
         """Return a configuration."""
--- a/src/railfold/_internal/platform/settings.py
+++ b/src/railfold/_internal/platform/settings.py
@@ -52,9 +52,10 @@
 
 
 class _Store(msgspec.Struct, frozen=True):
-    """The metadata store; ``keep_s`` is how long it keeps history."""
+    """The metadata store; ``parts`` is how many partitions a topic has."""
 
     address: str
+    parts: int = 1
 
 
 class _Document(msgspec.Struct, frozen=True):
@@ -76,6 +77,7 @@
 
     forwarding: ForwardingSettings
     store: Address
+    store_partitions: int
 
 
 def settings_path() -> Path:
@@ -118,7 +120,7 @@
         clients = self._address("listen.front", listen.front if listen else None)
         ready = self._address("listen.ready", listen.ready if listen else None)
         address = self._address("platform.address", store.address if store else None)
-        if not (document and bounds and clients and ready and address):
+        if not (document and bounds and store and clients and ready and address):
             raise SettingsError(str(self._path), self._faults)
         port = document.port_range[_METRICS_PORT_INDEX]
         forwarding = ForwardingSettings(
@@ -134,7 +136,7 @@
             retry_slack=bounds.budget_slack,
             first_start=document.bootstrap,
         )
-        return PlatformSettings(forwarding, address)
+        return PlatformSettings(forwarding, address, store.parts)
 
     def _convert(self, prefix: str, data: Any, form: type[T]) -> T | None:
         try:
--- a/src/railfold/_internal/platform/store.py
+++ b/src/railfold/_internal/platform/store.py
@@ -48,6 +48,10 @@
 # All streams of the system have one partition that is used: the first.
 _PARTITION = 0
 
+# Topics of the lease's group: enough partitions for a share of each of some
+# dozens of members.
+_TOPICS = 6
+
 _PAGE_HEAD = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
 
@@ -213,14 +217,16 @@
 class GroupLease:
     """A lease made of a group: who is dealt the first partition holds it.
 
-    The group's generation rises with every change of its members, and so is
-    the fencing token.
+    Partitions are dealt out evenly, so that a member's share tells how many
+    members there are. The group's generation rises with every change of its
+    members, and so is the fencing token.
     """
 
-    def __init__(self, address: Address, duty: str) -> None:
+    def __init__(self, address: Address, duty: str, partitions: int) -> None:
+        self._partitions = partitions
         self._connection = _StoreConnection(address)
         self._group = f"railfold-{duty}"
-        self._topic = f"railfold-{duty}"
+        self._topics = [f"railfold-{duty}-{n}" for n in range(_TOPICS)]
         self._generation = 0
 
     async def renew(self, holder: str, duration_s: float) -> LeaseGrant:
@@ -232,7 +238,7 @@
             {
                 "group": self._group,
                 "member": holder,
-                "topics": [self._topic],
+                "topics": self._topics,
                 "ttl_ms": int(duration_s * 1000),
                 "generation": self._generation,
             }
@@ -240,8 +246,14 @@
         response = await self._connection.call("POST", "/railfold/log-join", body)
         joined = _decode(response.body, _Joined)
         self._generation = joined.generation
-        holding = any(row[1] == _PARTITION for row in joined.parts)
-        return LeaseGrant(holding, joined.generation)
+        lease_row = (self._topics[0], _PARTITION)
+        holding = any(row[:2] == lease_row for row in joined.parts)
+        return LeaseGrant(holding, joined.generation, self._members(joined))
+
+    def _members(self, joined: _Joined) -> int:
+        """Reckon the members from the share of partitions that were dealt here."""
+        own = len(joined.parts)
+        return max(1, round(_TOPICS * self._partitions / own)) if own else 1
 
     async def release(self, holder: str) -> None:
         """Give the lease back.
