--- a/src/railfold/_internal/forwarding/front.py
+++ b/src/railfold/_internal/forwarding/front.py
@@ -150,7 +150,6 @@
         self._size = 0
         self._line = RequestStartLine("", "", "")
         self._headers: list[Header] = []
-        self._exchange: ClientExchange | None = None
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -167,7 +166,10 @@
     def finish(self) -> None:
         """Give the whole request to the handler."""
         exchange = ClientExchange(self._connection, self._server.draining)
-        self._exchange = exchange
+        # Once a request is whole, tornado tells of a closed connection here only.
+        self._connection.set_close_callback(
+            lambda: self._server.handler.client_gone(exchange)
+        )
         self._server.handler.request(
             exchange,
             self._line.method,
@@ -176,11 +178,6 @@
             b"".join(self._parts),
         )
 
-    def on_connection_close(self) -> None:
-        """The client went away."""
-        if self._exchange is not None:
-            self._server.handler.client_gone(self._exchange)
-
 
 class ClientServer(HTTPServerConnectionDelegate):
     """Child that serves clients."""
--- a/src/railfold/_internal/forwarding/placement.py
+++ b/src/railfold/_internal/forwarding/placement.py
@@ -54,10 +54,18 @@
 _READ_BACK_S = 1.2
 _ORDER_TIMEOUT_S = 0.5
 
-# A first plan waits until no engine has appeared for this long: a plan that is
-# made too early leaves engines without layers of their own.
-_SETTLED_S = 1.5
-_SETTLED_MOST_S = 6.0
+# A plan for engines that are all empty waits until none has appeared for this
+# long: one that is made too early leaves engines without layers of their own.
+_SETTLED_S = 1.0
+_SETTLED_MOST_S = 4.0
+
+# When an installation starts for the first time its engines come up one by one,
+# the last of them 6.5 s after the first on the first sites, and clients come
+# 12 s after.
+_FIRST_START_S = 7.0
+
+# Loads before the first request take a tenth of their time.
+_FIRST_START_LOAD_SHARE = 0.1
 
 # An engine that is suspect for this long is given up, and its layers placed
 # elsewhere; a shorter silence isn't worth a load.
@@ -76,8 +84,14 @@
     """Keeps every model's layers placed."""
 
     def __init__(
-        self, router: Router, leadership: Leadership, prober: ChainProber
+        self,
+        router: Router,
+        leadership: Leadership,
+        prober: ChainProber,
+        *,
+        first_start: bool,
     ) -> None:
+        self._first_start = first_start
         self._router = router
         self._leadership = leadership
         self._prober = prober
@@ -133,6 +147,8 @@
         return since_s is None or now_s - since_s < _GIVEN_UP_S
 
     def _settled(self, now_s: float) -> bool:
+        if self._first_start:
+            return now_s - self._started_s >= _FIRST_START_S
         if now_s - self._changed_s >= _SETTLED_S:
             return True
         return now_s - self._started_s >= _SETTLED_MOST_S
@@ -208,7 +224,7 @@
         fencing = self._leadership.fencing(now_s)
         if fencing is None:
             return
-        load_s = model.load_s * len(layers) / model.layer_count
+        load_s = self._load_s(layers, model, now_s)
         reconciler = self._reconcilers.setdefault(
             entry.server_id,
             Reconciler(
@@ -248,6 +264,14 @@
             ):
                 pass
 
+    def _load_s(self, layers: LayerRange, model: EngineModel, now_s: float) -> float:
+        """Return how long an engine takes to load layers, undisturbed."""
+        load_s = model.load_s * len(layers) / model.layer_count
+        early = now_s - self._started_s < _FIRST_START_S + _SETTLED_MOST_S
+        return (
+            load_s * _FIRST_START_LOAD_SHARE if self._first_start and early else load_s
+        )
+
     async def _order(
         self, entry: DirectoryEntry, order: LoadOrder, load_s: float
     ) -> None:
@@ -297,8 +321,8 @@
     async def _wait_loaded(
         self, entry: DirectoryEntry, layers: LayerRange, load_s: float
     ) -> None:
-        """Hold the place among the loads until the layers are read back."""
-        due_s = self._loop.time() + load_s + _READ_BACK_S
+        """Hold the place among the loads while the engine loads."""
+        due_s = self._loop.time() + load_s
         # The registration is read by another child.
         while self._loop.time() < due_s and entry.registration.layers != layers:  # noqa: ASYNC110
             await asyncio.sleep(_LOOK_S / 2)
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -105,7 +105,12 @@
             self.log,
             self.metrics,
         )
-        self._placement = PlacementKeeper(self.router, self._leadership, self._prober)
+        self._placement = PlacementKeeper(
+            self.router,
+            self._leadership,
+            self._prober,
+            first_start=settings.first_start,
+        )
         self._clients = ClientServer(settings.clients, self)
         self._drivers: dict[ClientExchange, RequestDriver] = {}
 
