Keep a plan of layers until it is carried out

Ruled out: late registrations (all 41 were read 7.7 s before traffic, orders began 3.4 s later), slots (96 at the head, never reached). Change: a target stays until its engine registers the layers or is lost; plans count targets as held.

--- a/src/railfold/_internal/forwarding/placement.py
+++ b/src/railfold/_internal/forwarding/placement.py
@@ -10,7 +10,6 @@
 
 import asyncio
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from railfold._internal.core import LayerRange
 from railfold._internal.decisions.engine_directory import DirectoryEntry
@@ -72,14 +71,6 @@
 _GIVEN_UP_S = 0.25
 
 
-@dataclass(slots=True)
-class _Pending:
-    """An order that was given and isn't read back."""
-
-    layers: LayerRange
-    given_up_s: float
-
-
 class PlacementKeeper:
     """Keeps every model's layers placed."""
 
@@ -97,7 +88,7 @@
         self._prober = prober
         self._loop = asyncio.get_running_loop()
         self._reconcilers: dict[str, Reconciler] = {}
-        self._pending: dict[str, _Pending] = {}
+        self._targets: dict[str, LayerRange] = {}
         self._ordering: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._known: set[str] = set()
@@ -116,6 +107,7 @@
         table = self._router.table
         self._note_appearances(now_s)
         if table is None or self._leadership.fencing(now_s) is None:
+            self._targets.clear()  # Another may plan meanwhile.
             return
         for spec in table.model_services():
             if spec.model is not None:
@@ -128,17 +120,16 @@
         self._known = known
         for gone in set(self._reconcilers) - known:
             del self._reconcilers[gone]
-            self._pending.pop(gone, None)
+            self._targets.pop(gone, None)
 
     def _place(self, spec: ServiceSpec, model: EngineModel, now_s: float) -> None:
         entries = [e for e in self._router.directory.of_service(spec.name)]
         usable = [e for e in entries if self._usable(e, now_s)]
         if not any(e.registration.layers for e in usable) and not self._settled(now_s):
             return
-        wanted: dict[str, LayerRange] = {}
         for members in _by_domain(usable, model):
-            wanted.update(self._domain_plan(members, model))
-        self._give(wanted, usable, model, now_s)
+            self._targets.update(self._domain_plan(members, model))
+        self._give(usable, model, now_s)
 
     def _usable(self, entry: DirectoryEntry, now_s: float) -> bool:
         if entry.registration.draining:
@@ -158,47 +149,32 @@
     ) -> dict[str, LayerRange]:
         rooms = []
         for entry in members:
-            pending = self._pending.get(entry.server_id)
-            held = entry.registration.layers
-            rooms.append(
-                EngineRoom(
-                    entry.server_id,
-                    model.accelerators[entry.registration.accelerator],
-                    pending.layers if pending else held,
-                )
-            )
+            # What was planned counts as held: a plan is carried out over many
+            # looks, and only changed where an engine was lost.
+            held = self._targets.get(entry.server_id, entry.registration.layers)
+            accelerator = model.accelerators[entry.registration.accelerator]
+            rooms.append(EngineRoom(entry.server_id, accelerator, held))
         return plan_layers(rooms, model)
 
     def _give(
         self,
-        planned: dict[str, LayerRange],
         entries: list[DirectoryEntry],
         model: EngineModel,
         now_s: float,
     ) -> None:
-        for entry in entries:
-            pending = self._pending.get(entry.server_id)
-            if pending and self._settled_order(entry, pending, now_s):
-                del self._pending[entry.server_id]
-        wanted = {server_id: p.layers for server_id, p in self._pending.items()}
-        wanted.update(planned)
         by_id = {e.server_id: e for e in entries}
-        for server_id in self._by_urgency(wanted, entries, model):
+        for server_id, target in list(self._targets.items()):
+            entry = by_id.get(server_id)
+            if entry is not None and entry.registration.layers == target:
+                del self._targets[server_id]
+        for server_id in self._by_urgency(entries, model):
             if len(self._ordering) >= model.loads_at_once:
                 return
             if server_id not in self._ordering:
-                self._decide(by_id[server_id], wanted[server_id], model, now_s)
-
-    def _settled_order(
-        self, entry: DirectoryEntry, pending: _Pending, now_s: float
-    ) -> bool:
-        if entry.server_id in self._ordering:
-            return False
-        return entry.registration.layers == pending.layers or now_s > pending.given_up_s
+                self._decide(by_id[server_id], self._targets[server_id], model, now_s)
 
     def _by_urgency(
         self,
-        wanted: dict[str, LayerRange],
         entries: list[DirectoryEntry],
         model: EngineModel,
     ) -> list[str]:
@@ -211,7 +187,7 @@
             domain = members[0].registration.failure_domain
             missing[domain] = sum(len(gap) for gap in gaps)
         domains = {e.server_id: e.registration.failure_domain for e in entries}
-        known = [server_id for server_id in wanted if server_id in domains]
+        known = [server_id for server_id in self._targets if server_id in domains]
         return sorted(known, key=lambda s: (missing.get(domains[s], 0), domains[s], s))
 
     def _decide(
@@ -248,9 +224,6 @@
         match decision:
             case GiveOrder(order=order):
                 reconciler.ordered(now_s)
-                self._pending[entry.server_id] = _Pending(
-                    layers, now_s + 2 * load_s + _READ_BACK_S
-                )
                 self._ordering.add(entry.server_id)
                 task = self._loop.create_task(self._order(entry, order, load_s))
                 self._tasks.add(task)
@@ -294,11 +267,8 @@
                     await self._wait_loaded(entry, order.layers, load_s)
                 case OrderFenced():
                     self._leadership.fenced(order.fencing)
-                    self._pending.pop(server_id, None)
-                case OrderRefused():
-                    self._pending.pop(server_id, None)
-                case OrderUnsettled():
-                    pass  # It may act yet: the level is looked at again later.
+                case OrderRefused() | OrderUnsettled():
+                    pass  # The level is looked at again when the order is due.
         finally:
             self._ordering.discard(server_id)
 
--- a/src/railfold/_internal/platform/dialect.py
+++ b/src/railfold/_internal/platform/dialect.py
@@ -136,7 +136,9 @@
         if answered_id and answered_id != request_id:
             return ForeignAnswer()
         if head.get(_NOT_EXECUTED) or head.status == _MISDIRECTED:
-            return NotExecuted(head.get(_AT_FAULT), f"it answered {head.status}")
+            at_fault = head.get(_AT_FAULT)
+            where = f" because of {at_fault}" if at_fault else ""
+            return NotExecuted(at_fault, f"it answered {head.status}{where}")
         if head.status in _SUCCESSES:
             if not head.get(_SEAL):
                 return UnusableAnswer("its answer has no signature")
