Close connections without a request when a planned stop has left the balancer

Ruled out: refusing such requests (they would pay for a refusal; a close before reading lets clients go elsewhere at once). Change: 2.8 s after SIGTERM idle connections and the listener are closed, and those with a request once it is answered.

--- a/src/railfold/_internal/forwarding/front.py
+++ b/src/railfold/_internal/forwarding/front.py
@@ -61,9 +61,10 @@
 class ClientExchange:
     """One request of a client and the answer to it."""
 
-    def __init__(self, connection: HTTP1Connection, closing: bool) -> None:
+    def __init__(self, connection: HTTP1Connection, server: ClientServer) -> None:
         self._connection = connection
-        self._closing = closing
+        self._server = server
+        self._closing = False
         self._unread_bytes = 0
         self._ended = False
         self.head_sent = False
@@ -80,7 +81,8 @@
         fields = HTTPHeaders()
         for name, value in headers:
             fields.add(name, value)
-        if self._closing:
+        if self._server.draining:
+            self._closing = True
             fields["Connection"] = "close"
         line = ResponseStartLine("HTTP/1.1", status, reason or _REASONS.get(status, ""))
         _retrieve(self._connection.write_headers(line, fields))
@@ -104,7 +106,10 @@
         self._ended = True
         stream = self._connection.stream
         self._connection.finish()
-        if self._closing and stream is not None and not stream.closed():
+        # An answer that began before the drain promised to keep the connection;
+        # once no new requests are taken it is closed all the same.
+        closing = self._closing or self._server.stopped
+        if closing and stream is not None and not stream.closed():
             _close_when_written(stream)
 
     def abort(self) -> None:
@@ -156,6 +161,7 @@
     ) -> None:
         """Take the head."""
         assert isinstance(start_line, RequestStartLine)
+        self._server.begin_request(self._connection.stream)
         self._line = start_line
         self._headers = list(headers.get_all())
 
@@ -165,7 +171,7 @@
 
     def finish(self) -> None:
         """Give the whole request to the handler."""
-        exchange = ClientExchange(self._connection, self._server.draining)
+        exchange = ClientExchange(self._connection, self._server)
         # Once a request is whole, tornado tells of a closed connection here only.
         self._connection.set_close_callback(
             lambda: self._server.handler.client_gone(exchange)
@@ -185,8 +191,10 @@
     def __init__(self, address: Address, handler: RequestHandler) -> None:
         self.handler = handler
         self.draining = False
+        self.stopped = False
         self._address = address
-        self._connections: set[object] = set()
+        self._connections: dict[object, IOStream] = {}
+        self._busy: set[IOStream] = set()
         self._server: HTTPServer | None = None
         self._limits = ClientLimits()
 
@@ -195,6 +203,22 @@
         """How many connections clients have open."""
         return len(self._connections)
 
+    def begin_request(self, stream: IOStream) -> None:
+        """A request began to arrive on a connection."""
+        self._busy.add(stream)
+
+    def stop_accepting(self) -> None:
+        """Take no new connections, and close those without a request.
+
+        A client whose request crosses the close knows that it wasn't read.
+        """
+        self.stopped = True
+        if self._server is not None:
+            self._server.stop()
+        for stream in list(self._connections.values()):
+            if stream not in self._busy:
+                stream.close()
+
     def set_limits(self, limits: ClientLimits) -> None:
         """Bound what clients may send from now on."""
         self._limits = limits
@@ -228,12 +252,15 @@
     ) -> HTTPMessageDelegate:
         """Begin to read a request."""
         assert isinstance(request_conn, HTTP1Connection)
-        self._connections.add(server_conn)
+        self._connections[server_conn] = request_conn.stream
+        self._busy.discard(request_conn.stream)
         return _ClientMessage(self, request_conn)
 
     def on_close(self, server_conn: object) -> None:
         """A connection was closed."""
-        self._connections.discard(server_conn)
+        stream = self._connections.pop(server_conn, None)
+        if stream is not None:
+            self._busy.discard(stream)
 
 
 class _ReadyMessage(HTTPMessageDelegate):
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -60,7 +60,9 @@
 _TICK_S = 0.25
 
 # The balancer needs two probes, one a second, to send new connections elsewhere.
-_LEAVE_BALANCER_S = 2.5
+# After that connections without a request are closed: a stream that began later
+# could not end within the grace time.
+_LEAVE_BALANCER_S = 2.8
 
 # Kept from the grace time, to close what is left and end.
 _EXIT_S = 0.4
@@ -276,10 +278,10 @@
         self.log.write(ProcessStopping("told to stop", len(self.router.active)))
         await self._leadership_keeper.release()
         end_s = started_s + self._settings.grace_s - _EXIT_S
-        while self._loop.time() < end_s:
-            idle = not self.router.active and not self._clients.open_connections
-            if idle and self._loop.time() - started_s >= _LEAVE_BALANCER_S:
-                break
+        await asyncio.sleep(_LEAVE_BALANCER_S)
+        self._clients.stop_accepting()
+        # Connections end in tornado's callbacks, requests in drivers.
+        while self._clients.open_connections and self._loop.time() < end_s:  # noqa: ASYNC110
             await asyncio.sleep(_TICK_S / 5)
         self.log.write(ProcessStopping("the process ends", len(self.router.active)))
         self.log.flush()
