Test the decisions of the forwarding entry; drop repeated events after the first too

Cause: found by a property test: after a resumption only the first repeated event was dropped, since the pattern's line start didn't match behind the start of a search. Change: a multi-line pattern.

--- a/src/railfold/_internal/decisions/event_cursor.py
+++ b/src/railfold/_internal/decisions/event_cursor.py
@@ -12,7 +12,7 @@
 __all__ = ["EventCursor"]
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
-_EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d+)")
+_EVENT_ID = re.compile(rb"^id: ?(\d+)", re.MULTILINE)
 
 
 class EventCursor:
--- /dev/null
+++ b/tests/unit/test_layer_placement.py
@@ -0,0 +1,139 @@
+"""Plans of layers cover the model, fit the memory and change little."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from railfold._internal.core import LayerRange
+from railfold._internal.decisions.layer_placement import (
+    EngineRoom,
+    plan_layers,
+    uncovered_layers,
+)
+from railfold._internal.decisions.routing_table import Accelerator, EngineModel
+
+FAST = Accelerator(36000.0, 3.1, 3.2)
+MIDDLE = Accelerator(21600.0, 16.0, 8.2)
+SMALL = Accelerator(14400.0, 15.0, 15.0)
+
+MODEL = EngineModel(
+    name="inspect",
+    layer_count=80,
+    layer_mb=1750.0,
+    request_mb_per_token=0.0115,
+    mean_tokens=926,
+    load_s=14.0,
+    loads_at_once=6,
+    max_sequences=96,
+    accelerators={"a100s": FAST, "l4": MIDDLE, "t4": SMALL},
+)
+
+
+def engines(*kinds: Accelerator) -> list[EngineRoom]:
+    return [EngineRoom(f"e{n:02d}", kind, None) for n, kind in enumerate(kinds)]
+
+
+def carried_out(
+    before: list[EngineRoom], plan: dict[str, LayerRange]
+) -> list[EngineRoom]:
+    return [replace(e, held=plan.get(e.server_id, e.held)) for e in before]
+
+
+def covers(members: list[EngineRoom]) -> bool:
+    return not uncovered_layers((e.held for e in members), MODEL.layer_count)
+
+
+HALL = [FAST] * 3 + [MIDDLE] * 3 + [SMALL] * 5
+
+
+def test_a_first_plan_covers_all_and_uses_every_engine() -> None:
+    plan = plan_layers(engines(*HALL), MODEL)
+    assert len(plan) == len(HALL)
+    assert covers(carried_out(engines(*HALL), plan))
+
+
+def test_a_first_plan_keeps_memory_for_most_of_a_full_batch() -> None:
+    kinds = dict(zip((e.server_id for e in engines(*HALL)), HALL, strict=True))
+    for server_id, layers in plan_layers(engines(*HALL), MODEL).items():
+        tokens = MODEL.state_tokens(kinds[server_id], len(layers))
+        assert tokens >= 0.8 * MODEL.max_sequences * MODEL.mean_tokens
+
+
+def test_a_plan_that_is_carried_out_isnt_changed() -> None:
+    placed = carried_out(engines(*HALL), plan_layers(engines(*HALL), MODEL))
+    assert plan_layers(placed, MODEL) == {}
+
+
+def test_too_few_engines_get_no_plan() -> None:
+    assert plan_layers(engines(*[SMALL] * 9), MODEL) == {}
+
+
+def test_a_lost_engines_layers_go_to_its_neighbours() -> None:
+    placed = carried_out(engines(*HALL), plan_layers(engines(*HALL), MODEL))
+    left = [e for e in placed if e.server_id != "e04"]
+    changes = plan_layers(left, MODEL)
+    assert covers(carried_out(left, changes))
+    assert set(changes) <= {"e03", "e05"}
+
+
+def test_a_new_engine_takes_over_a_gap_that_neighbours_cant() -> None:
+    tight = [SMALL] * 10
+    placed = [
+        EngineRoom(f"e{n:02d}", SMALL, LayerRange(8 * n, 8 * n + 7))
+        for n in range(len(tight))
+    ]
+    left = [
+        *(e for e in placed if e.server_id != "e05"),
+        EngineRoom("new", MIDDLE, None),
+    ]
+    changes = plan_layers(left, MODEL)
+    assert changes == {"new": LayerRange(40, 47)}
+
+
+def test_a_new_engine_copies_layers_that_few_hold() -> None:
+    placed = carried_out(engines(*HALL), plan_layers(engines(*HALL), MODEL))
+    changes = plan_layers([*placed, EngineRoom("new", MIDDLE, None)], MODEL)
+    assert set(changes) == {"new"}
+    copied = changes["new"]
+    assert any(e.held and e.held.first == copied.first for e in placed)
+
+
+@given(
+    kinds=st.lists(st.sampled_from([FAST, MIDDLE, SMALL]), min_size=9, max_size=24),
+    losses=st.lists(st.integers(0, 23), max_size=6),
+)
+@settings(max_examples=150, deadline=None)
+def test_losses_in_any_order_leave_a_plan_that_covers_and_fits(
+    kinds: list[Accelerator], losses: list[int]
+) -> None:
+    members = engines(*kinds)
+    members = carried_out(members, plan_layers(members, MODEL))
+    for loss in losses:
+        members = [e for e in members if e.server_id != f"e{loss:02d}"]
+        changes = plan_layers(members, MODEL)
+        after = carried_out(members, changes)
+        if changes:
+            assert covers(after)
+        for engine in after:
+            used_mb = len(engine.held or ()) * MODEL.layer_mb
+            assert used_mb <= engine.accelerator.memory_mb
+        members = after
+
+
+@pytest.mark.parametrize(
+    ("ranges", "gaps"),
+    [
+        ([], [LayerRange(0, 9)]),
+        ([LayerRange(0, 9)], []),
+        ([LayerRange(2, 4), LayerRange(4, 6)], [LayerRange(0, 1), LayerRange(7, 9)]),
+        ([None, LayerRange(0, 3)], [LayerRange(4, 9)]),
+    ],
+)
+def test_uncovered_layers(
+    ranges: list[LayerRange | None], gaps: list[LayerRange]
+) -> None:
+    assert uncovered_layers(ranges, 10) == gaps
--- /dev/null
+++ b/tests/unit/test_leases.py
@@ -0,0 +1,51 @@
+"""Leases count from when a call was sent, and end before others believe so."""
+
+from __future__ import annotations
+
+from railfold._internal.decisions.freshness import FreshnessLease
+from railfold._internal.decisions.leadership import Leadership, LeaseGrant
+
+
+def test_freshness_counts_from_the_call_not_its_answer() -> None:
+    lease = FreshnessLease(5.0)
+    assert not lease.valid(0.0)
+    lease.renew(sent_s=10.0)  # Its answer may have come at 14.
+    assert lease.valid(14.9)
+    assert not lease.valid(15.0)
+
+
+def test_a_late_answer_to_an_older_call_takes_nothing_back() -> None:
+    lease = FreshnessLease(5.0)
+    lease.renew(sent_s=10.0)
+    lease.renew(sent_s=4.0)
+    assert lease.age_s(12.0) == 2.0
+
+
+def test_a_holder_stops_before_its_lease_ends() -> None:
+    leadership = Leadership(duration_s=2.0)
+    leadership.renewed(LeaseGrant(holding=True, fencing=7), sent_s=100.0)
+    assert leadership.fencing(101.5) == 7
+    assert leadership.fencing(101.7) is None
+
+
+def test_a_holder_that_slept_gives_no_order() -> None:
+    leadership = Leadership(duration_s=2.0)
+    leadership.renewed(LeaseGrant(holding=True, fencing=7), sent_s=100.0)
+    assert leadership.fencing(130.0) is None
+
+
+def test_a_fenced_holder_waits_for_a_higher_token() -> None:
+    leadership = Leadership(duration_s=2.0)
+    leadership.renewed(LeaseGrant(holding=True, fencing=7), sent_s=100.0)
+    leadership.fenced(7)
+    leadership.renewed(LeaseGrant(holding=True, fencing=7), sent_s=100.5)
+    assert leadership.fencing(100.6) is None
+    leadership.renewed(LeaseGrant(holding=True, fencing=8), sent_s=101.0)
+    assert leadership.fencing(101.1) == 8
+
+
+def test_only_a_change_of_the_role_is_told() -> None:
+    leadership = Leadership(duration_s=2.0)
+    assert leadership.renewed(LeaseGrant(holding=False, fencing=1), 0.0)
+    assert not leadership.renewed(LeaseGrant(holding=False, fencing=2), 1.0)
+    assert leadership.renewed(LeaseGrant(holding=True, fencing=3), 2.0)
--- a/tests/unit/test_planner.py
+++ b/tests/unit/test_planner.py
@@ -148,3 +148,45 @@
     steps = sum(r.step_ms * (1 + EXACT.load_weight * r.in_flight / 10) for r in chosen)
     hops = sum(COSTS.between(a, b) for a, b in itertools.pairwise(chosen))
     return steps + hops
+
+
+def test_a_chain_may_enter_a_range_behind_its_first_layer() -> None:
+    replicas = [replica("a", 0, 4), replica("b", 3, 7)]
+    chain = plan_chain(
+        replicas,
+        8,
+        exclude=frozenset(),
+        prefer=(),
+        costs=COSTS,
+        weights=EXACT,
+        rng=random.Random(1),
+        partial=True,
+    )
+    assert [str(stage.layers) for stage in chain.stages] == ["0-4", "5-7"]
+
+
+def test_ranges_are_run_whole_where_engines_cant_run_a_part() -> None:
+    with pytest.raises(NoCapacityError):
+        plan([replica("a", 0, 4), replica("b", 3, 7)])
+
+
+@given(
+    ranges=st.lists(
+        st.tuples(st.integers(0, 11), st.integers(0, 11)).map(sorted), max_size=8
+    )
+)
+@settings(max_examples=200, deadline=None)
+def test_partial_chains_cover_every_layer_once_if_the_ranges_do(
+    ranges: list[list[int]],
+) -> None:
+    replicas = [replica(f"h{n}", a, b) for n, (a, b) in enumerate(ranges)]
+    covered = set().union(*(range(a, b + 1) for a, b in ranges)) if ranges else set()
+    options = {"exclude": frozenset(), "prefer": (), "costs": COSTS, "partial": True}
+    arguments = {**options, "weights": EXACT, "rng": random.Random(1)}
+    if covered != set(range(12)):
+        with pytest.raises(NoCapacityError):
+            plan_chain(replicas, 12, **arguments)  # type: ignore[arg-type]
+        return
+    chain = plan_chain(replicas, 12, **arguments)  # type: ignore[arg-type]
+    run = [n for s in chain.stages for n in range(s.layers.first, s.layers.last + 1)]
+    assert run == list(range(12))
