--- /dev/null
+++ b/src/railfold/_internal/decisions/chain_activity.py
@@ -0,0 +1,73 @@
+"""Telling a chain that stands still from streams that are slow.
+
+One stream's pause may have many causes. When all streams over one chain pause
+together while other chains go on, a backend server of that chain has stopped,
+and there is no need to wait for a probe's timeout. When several chains pause
+together, the cause is more likely here or on the way, and nothing is concluded.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["ChainActivity", "ChainKey"]
+
+# Hosts of a chain, in order.
+ChainKey = tuple[str, ...]
+
+# Events of a stream come every 15 to 30 ms on the first sites; reading a long
+# prompt holds all streams of a chain up by 30 ms more.
+_STALL_S = 0.085
+
+# Fewer streams that pause together prove too little.
+_MIN_STREAMS = 3
+
+# The event loop's own delay that makes a pause prove nothing.
+_MAX_LOOP_DELAY_S = 0.03
+
+
+@dataclass(slots=True)
+class _Chain:
+    streams: int = 0
+    last_event_s: float = 0.0
+
+
+class ChainActivity:
+    """When each chain's streams last moved, at one entry."""
+
+    def __init__(self) -> None:
+        self._chains: dict[ChainKey, _Chain] = {}
+
+    def flowing(self, key: ChainKey, now_s: float) -> None:
+        """A stream over the chain got its first event."""
+        chain = self._chains.setdefault(key, _Chain())
+        chain.streams += 1
+        chain.last_event_s = now_s
+
+    def moved(self, key: ChainKey, now_s: float) -> None:
+        """A stream over the chain got an event."""
+        chain = self._chains.get(key)
+        if chain is not None:
+            chain.last_event_s = now_s
+
+    def ended(self, key: ChainKey) -> None:
+        """A stream over the chain that had got events ended."""
+        chain = self._chains.get(key)
+        if chain is None:
+            return
+        chain.streams -= 1
+        if chain.streams <= 0:
+            del self._chains[key]
+
+    def stalled(self, key: ChainKey, now_s: float, loop_delay_s: float) -> bool:
+        """Return whether the chain surely stands still, and it alone."""
+        chain = self._chains.get(key)
+        if chain is None or chain.streams < _MIN_STREAMS:
+            return False
+        if loop_delay_s > _MAX_LOOP_DELAY_S:
+            return False
+        if now_s - chain.last_event_s < _STALL_S:
+            return False
+        others = [c for k, c in self._chains.items() if k != key]
+        moving = [c for c in others if now_s - c.last_event_s < _STALL_S]
+        return bool(moving) and 2 * len(moving) >= len(others)
--- a/src/railfold/_internal/decisions/engine_directory.py
+++ b/src/railfold/_internal/decisions/engine_directory.py
@@ -91,8 +91,14 @@
         self._returned_s = now_s
 
     def register(self, registration: Registration) -> DirectoryEntry:
-        """Take a registration, new or renewed."""
+        """Take a registration, new or renewed.
+
+        A new incarnation at an address ends the one that was there: a probe of
+        the address would find the dead one well.
+        """
         entry = self._entries.get(registration.server_id)
+        if entry is None:
+            self._end_predecessor(registration.address)
         if entry is None:
             entry = DirectoryEntry(registration)
             self._entries[registration.server_id] = entry
@@ -100,6 +106,15 @@
         entry.removal_due_s = None
         return entry
 
+    def _end_predecessor(self, address: str) -> None:
+        former = [
+            e.server_id
+            for e in self._entries.values()
+            if e.registration.address == address
+        ]
+        for server_id in former:
+            del self._entries[server_id]
+
     def remove(self, server_id: str, now_s: float) -> None:
         """Take the removal of a registration."""
         entry = self._entries.get(server_id)
--- a/src/railfold/_internal/decisions/layer_placement.py
+++ b/src/railfold/_internal/decisions/layer_placement.py
@@ -7,7 +7,8 @@
 layers. Later plans change as little as possible: layers that no engine holds
 any more are taken over by the engines that hold the layers next to them, or by
 an engine that isn't needed where it is; only where that fails does a domain
-begin anew.
+begin anew. An engine that comes empty copies layers of the engine with the
+least memory left for requests, which then gives those up.
 """
 
 from __future__ import annotations
@@ -30,6 +31,13 @@
 # time is better than loading a whole domain anew.
 _TAKEOVER_ROOM = 0.12
 
+# The same when a domain's layers are spread anew after a loss. Less room lets
+# more engines keep what they hold.
+_MOVED_ROOM = (0.4, 0.2, 0.1, 0.05)
+
+# An engine with less room gives up layers that others hold as well.
+_CROWDED_ROOM = 0.5
+
 
 @dataclass(frozen=True, slots=True)
 class EngineRoom:
@@ -56,7 +64,7 @@
         return _first_plan(ordered, model)
     patched = _patch(ordered, model)
     if patched is None:
-        return _first_plan(ordered, model)
+        return _moved_plan(ordered, model)
     return patched
 
 
@@ -95,25 +103,96 @@
     for room in _WANTED_ROOM:
         most = [_max_layers(engine, model, room) for engine in engines]
         if sum(most) >= model.layer_count:
-            return _spread(engines, most, model.layer_count)
+            own = _spread(engines, most, model.layer_count)
+            limits = {e.server_id: n for e, n in zip(engines, most, strict=True)}
+            return {
+                server_id: _widened(layers, limits[server_id], model.layer_count)
+                for server_id, layers in own.items()
+            }
     return {}
 
 
 def _spread(
     engines: Sequence[EngineRoom], most: Sequence[int], layer_count: int
 ) -> dict[str, LayerRange]:
-    """Give each layer to one engine, then fill the engines with neighbours'."""
-    own = _own_sizes(engines, most, layer_count)
+    """Give each layer to one engine, in the engines' order."""
     plan: dict[str, LayerRange] = {}
     first = 0
-    for engine, size, limit in zip(engines, own, most, strict=True):
-        last = first + size - 1
+    sizes = _own_sizes(engines, most, layer_count)
+    for engine, size in zip(engines, sizes, strict=True):
         if size > 0:
-            plan[engine.server_id] = _widened(first, last, limit - size, layer_count)
+            plan[engine.server_id] = LayerRange(first, first + size - 1)
         first += size
     return plan
 
 
+def _moved_plan(
+    engines: Sequence[EngineRoom], model: EngineModel
+) -> dict[str, LayerRange]:
+    """Spread the layers anew, so that the chain is whole again soon.
+
+    Engines keep their order, but for up to two that move into a gap; of these
+    ways the one whose loads end first is taken.
+    """
+    in_order = sorted(engines, key=lambda e: e.held.first if e.held else 0)
+    best: tuple[float, dict[str, LayerRange]] | None = None
+    for room in _MOVED_ROOM:
+        for order in _orders(in_order, model):
+            most = [_max_layers(engine, model, room) for engine in order]
+            if sum(most) < model.layer_count:
+                continue
+            own = _spread(order, most, model.layer_count)
+            plan = {
+                engine.server_id: _keeping(own[engine.server_id], engine.held, limit)
+                for engine, limit in zip(order, most, strict=True)
+                if engine.server_id in own
+            }
+            cost = _load_time(order, plan, model)
+            if best is None or cost < best[0]:
+                best = (cost, plan)
+        if best is not None:
+            held = {e.server_id: e.held for e in engines}
+            return {s: n for s, n in best[1].items() if held[s] != n}
+    return _first_plan(engines, model)
+
+
+def _orders(
+    in_order: Sequence[EngineRoom], model: EngineModel
+) -> Iterable[list[EngineRoom]]:
+    """Yield orders along the chain that are worth a look."""
+    yield list(in_order)
+    gaps = uncovered_layers((e.held for e in in_order), model.layer_count)
+    gap_first = gaps[0].first if gaps else 0
+    count = len(in_order)
+    for one in range(count):
+        for other in range(one, count):
+            moved = [in_order[i] for i in sorted({one, other})]
+            rest = [e for e in in_order if e not in moved]
+            before = [e for e in rest if e.held and e.held.first < gap_first]
+            after = rest[len(before) :]
+            yield [*before, *moved, *after]
+
+
+def _load_time(
+    order: Sequence[EngineRoom], plan: dict[str, LayerRange], model: EngineModel
+) -> float:
+    """Return about how long a plan's loads take, in loads of one layer."""
+    loads = [
+        _new_layers(engine.held, plan[engine.server_id])
+        for engine in order
+        if engine.server_id in plan
+    ]
+    return max(max(loads), sum(loads) / model.loads_at_once)
+
+
+def _new_layers(held: LayerRange | None, target: LayerRange) -> int:
+    if held is None:
+        return len(target)
+    first = max(held.first, target.first)
+    kept = min(held.last, target.last) - first + 1
+    return len(target) - max(0, kept)
+
+
 def _own_sizes(
     engines: Sequence[EngineRoom], most: Sequence[int], layer_count: int
 ) -> list[int]:
@@ -137,12 +216,23 @@
     return sizes
 
 
-def _widened(first: int, last: int, extra: int, layer_count: int) -> LayerRange:
-    """Widen a range on both sides by ``extra`` layers together."""
-    before = min(first, extra // 2)
-    after = min(layer_count - 1 - last, extra - before)
-    before = min(first, extra - after)
-    return LayerRange(first - before, last + after)
+def _widened(layers: LayerRange, limit: int, layer_count: int) -> LayerRange:
+    """Widen a range on both sides to ``limit`` layers."""
+    extra = limit - len(layers)
+    before = min(layers.first, extra // 2)
+    after = min(layer_count - 1 - layers.last, extra - before)
+    before = min(layers.first, extra - after)
+    return LayerRange(layers.first - before, layers.last + after)
+
+
+def _keeping(layers: LayerRange, held: LayerRange | None, limit: int) -> LayerRange:
+    """Widen a range by what is held next to it, up to ``limit`` layers."""
+    if held is None or held.last < layers.first - 1 or held.first > layers.last + 1:
+        return layers
+    extra = limit - len(layers)
+    before = min(extra, max(0, layers.first - held.first))
+    after = min(extra - before, max(0, held.last - layers.last))
+    return LayerRange(layers.first - before, layers.last + after)
 
 
 def _patch(
@@ -163,6 +253,8 @@
             current[server_id] = replace(current[server_id], held=layers)
             changes[server_id] = layers
     _employ_idle(current, changes, model)
+    if not changes:
+        changes = _relieve(engines, model)
     return changes
 
 
@@ -171,6 +263,10 @@
 ) -> dict[str, LayerRange] | None:
     """Return who takes over the layers of a gap."""
     engines = list(engines)
+    idle = [e for e in engines if e.held is None]
+    fitting = [e for e in idle if _max_layers(e, model, _CROWDED_ROOM) >= len(gap)]
+    if fitting:
+        return {fitting[0].server_id: gap}
     widened = _widen_neighbours(gap, engines, model)
     if widened is not None:
         return widened
@@ -185,10 +281,21 @@
     gap: LayerRange, engines: Sequence[EngineRoom], model: EngineModel
 ) -> dict[str, LayerRange] | None:
     """Let the engines on both sides of a gap take its layers, if they can."""
+    for room in (r for r in _WANTED_ROOM if r > _TAKEOVER_ROOM):
+        widened = _widen_keeping(gap, engines, model, room)
+        if widened is not None:
+            return widened
+    return _widen_keeping(gap, engines, model, _TAKEOVER_ROOM)
+
+
+def _widen_keeping(
+    gap: LayerRange, engines: Sequence[EngineRoom], model: EngineModel, kept: float
+) -> dict[str, LayerRange] | None:
+    """Do so if they keep that part of a full batch's memory."""
 
     def room(engine: EngineRoom) -> int:
         held = len(engine.held) if engine.held else 0
-        return _max_layers(engine, model, _TAKEOVER_ROOM) - held
+        return _max_layers(engine, model, kept) - held
 
     before = [e for e in engines if e.held and e.held.last == gap.first - 1]
     after = [e for e in engines if e.held and e.held.first == gap.last + 1]
@@ -246,34 +353,81 @@
 def _employ_idle(
     current: dict[str, EngineRoom], changes: dict[str, LayerRange], model: EngineModel
 ) -> None:
-    """Let empty engines copy the layers that the fewest others hold."""
+    """Let empty engines copy layers, where that leaves the most room."""
     for engine in [e for e in current.values() if e.held is None]:
-        size = _max_layers(engine, model, _WANTED_ROOM[0])
-        if size <= 0:
-            continue
-        coverage = _coverage(current.values())
-        target = _least_covered(current.values(), coverage, size)
+        target = _best_copy(engine, list(current.values()), model)
         if target is None:
             continue
         current[engine.server_id] = replace(engine, held=target)
         changes[engine.server_id] = target
 
 
-def _least_covered(
-    engines: Iterable[EngineRoom], coverage: Counter[int], size: int
+def _best_copy(
+    idle: EngineRoom, engines: Sequence[EngineRoom], model: EngineModel
 ) -> LayerRange | None:
-    """Return the held range, cut to ``size``, that has the fewest copies.
+    """Return the layers of which a copy relieves the most crowded engines.
 
-    Copying another engine's range from its beginning lets a chain that loses
-    that engine go on at the copy.
+    An engine is relieved of what a copy holds of its range's beginning or end.
     """
-    ranges = sorted({e.held for e in engines if e.held}, key=lambda r: r.first)
+    size = min(
+        _max_layers(idle, model, _WANTED_ROOM[0]) or _max_layers(idle, model, 0.0),
+        model.layer_count,
+    )
+    if size <= 0:
+        return None
+    coverage = _coverage(engines)
 
-    def copies(layers: LayerRange) -> tuple[float, int]:
-        numbers = [coverage[n] for n in range(layers.first, layers.last + 1)]
-        return (sum(numbers) / len(numbers), -len(layers))
+    def worth(copy: LayerRange) -> tuple[list[int], int]:
+        rooms = sorted(
+            model.state_tokens(e.accelerator, len(_rest(e.held, copy)))
+            for e in engines
+            if e.held
+        )
+        copies = sum(coverage[n] for n in range(copy.first, copy.last + 1))
+        return (rooms, -copies)
 
-    best = min(ranges, key=copies, default=None)
-    if best is None:
-        return None
-    return LayerRange(best.first, min(best.last, best.first + size - 1))
+    starts = range(model.layer_count - size + 1)
+    return max((LayerRange(n, n + size - 1) for n in starts), key=worth)
+
+
+def _rest(held: LayerRange, copy: LayerRange) -> LayerRange:
+    """Return what an engine needs to hold beside a copy of some of its layers."""
+    if copy.first <= held.first and copy.last >= held.last:
+        return LayerRange(held.first, held.first)  # All: it keeps next to nothing.
+    if copy.first <= held.first <= copy.last:
+        return LayerRange(copy.last + 1, held.last)
+    if copy.first <= held.last <= copy.last:
+        return LayerRange(held.first, copy.first - 1)
+    return held
+
+
+def _relieve(
+    engines: Sequence[EngineRoom], model: EngineModel
+) -> dict[str, LayerRange]:
+    """Let the most crowded engine give up layers that others hold."""
+    crowded = [
+        e
+        for e in engines
+        if e.held and len(e.held) > _max_layers(e, model, _CROWDED_ROOM)
+    ]
+    crowded.sort(key=lambda e: model.state_tokens(e.accelerator, len(e.held or ())))
+    coverage = _coverage(engines)
+    for engine in crowded:
+        if engine.held is None:
+            continue
+        kept = _trimmed(
+            engine.held, coverage, _max_layers(engine, model, _CROWDED_ROOM)
+        )
+        if kept != engine.held:
+            return {engine.server_id: kept}
+    return {}
+
+
+def _trimmed(held: LayerRange, coverage: Counter[int], size: int) -> LayerRange:
+    """Return a range without layers at its ends that others hold, if over size."""
+    first, last = held.first, held.last
+    while last - first + 1 > size and coverage[last] > 1:
+        last -= 1
+    while last - first + 1 > size and coverage[first] > 1:
+        first += 1
+    return LayerRange(first, last)
--- a/src/railfold/_internal/forwarding/dialect.py
+++ b/src/railfold/_internal/forwarding/dialect.py
@@ -45,6 +45,7 @@
     :param left_s: how long its client waits from now on.
     :param workspace: who sends it, if that is known.
     :param resume_after: the event after which a stream goes on.
+    :param urgent: whether a client waits in the middle of its answer.
     """
 
     server_id: str
@@ -53,6 +54,7 @@
     left_s: float
     workspace: str | None
     resume_after: int | None
+    urgent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -30,6 +30,7 @@
     NoHost,
     SendCall,
 )
+from railfold._internal.decisions.chain_activity import ChainKey
 from railfold._internal.decisions.event_cursor import EventCursor
 from railfold._internal.decisions.heartbeats import OverdueTimer
 from railfold._internal.decisions.retry_budget import jittered_retry_after_s
@@ -79,7 +80,7 @@
 # and at least the floor: well above the pauses that prompts of other requests
 # cause (up to 60 ms on the first sites), well below what clients bear.
 _OVERDUE_FACTOR = 5.0
-_OVERDUE_FLOOR_S = 0.11
+_OVERDUE_FLOOR_S = 0.09
 _FIRST_EVENT_OVERDUE_S = 0.4
 
 # A stream whose backend servers all answer, and which yet is silent for this
@@ -141,6 +142,7 @@
         )
         self._overdue_timer: asyncio.TimerHandle | None = None
         self._progress_s = 0.0
+        self._flowing: ChainKey | None = None
         self._first_event_s: float | None = None
         self._cause = ""
         self._deadline_s = request.received_s + route.timeout_s
@@ -176,6 +178,14 @@
         reason = "lost " + ", ".join(sorted(lost))
         self._end_attempt(reason, alive=first not in lost)
 
+    def chain_stalled(self, chain: Chain) -> None:
+        """All streams over this chain stand still: go on elsewhere."""
+        destination = self._destination
+        if destination is None or destination.chain != chain:
+            return
+        if self._flowing is not None:
+            self._end_attempt("its chain stands still", alive=True)
+
     @property
     def _started(self) -> bool:
         return self._kind is not None
@@ -237,6 +247,7 @@
             left_s=max(0.0, self._deadline_s - now_s),
             workspace=self._owner.workspace if self._owner else None,
             resume_after=resume_after,
+            urgent=self._client.head_sent,
         )
         self._kind = None
         self._gathered = None
@@ -368,10 +379,19 @@
             return
         if self._first_event_s is None:
             self._first_event_s = now_s
+        self._note_activity(now_s)
         if self._overdue.token(now_s):
             self._arm_overdue()
         self._client.send_body(whole)
 
+    def _note_activity(self, now_s: float) -> None:
+        activity = self._router.activity
+        if self._flowing is not None:
+            activity.moved(self._flowing, now_s)
+        elif self._destination is not None and self._destination.chain is not None:
+            self._flowing = self._destination.chain.hosts
+            activity.flowing(self._flowing, now_s)
+
     def _pass_on_from_now(self, gathered: _Gathered) -> None:
         """Stop gathering: the answer is large and goes on as it comes."""
         self._gathered = None
@@ -406,10 +426,16 @@
             exchange.cancel()
         if destination is not None:
             self._router.count(destination, -self._load)
+        self._end_activity()
         if self._overdue_timer is not None:
             self._overdue_timer.cancel()
         return destination
 
+    def _end_activity(self) -> None:
+        if self._flowing is not None:
+            self._router.activity.ended(self._flowing)
+            self._flowing = None
+
     def _log_attempt(self, server_id: str, cause: str) -> None:
         silent_s = self._loop.time() - self._progress_s
         self._router.metrics.count("attempts.ended_early")
@@ -442,6 +468,13 @@
             self._arm_overdue()
             return
         silent_s = now_s - self._progress_s
+        loop_delay_s = now_s - self._overdue.due_s()
+        if self._flowing is not None and self._router.activity.stalled(
+            self._flowing, now_s, loop_delay_s
+        ):
+            self._prober.probe(destination.chain, self._request.request_id, silent_s)
+            self._router.report_stalled(destination.chain)
+            return
         if silent_s > _ABANDON_SILENT_S:
             self._end_attempt("silent although all answer", alive=True)
             return
@@ -467,6 +500,7 @@
             return
         self._router.metrics.count("streams.rerouted")
         self._router.count(self._destination, -self._load)
+        self._end_activity()
         self._destination = Destination(other.stages[0], other)
         self._router.count(self._destination, self._load)
         self._overdue.opened(self._loop.time())
--- a/src/railfold/_internal/forwarding/placement.py
+++ b/src/railfold/_internal/forwarding/placement.py
@@ -68,7 +68,7 @@
 
 # An engine that is suspect for this long is given up, and its layers placed
 # elsewhere; a shorter silence isn't worth a load.
-_GIVEN_UP_S = 0.25
+_GIVEN_UP_S = 0.3
 
 
 class PlacementKeeper:
--- a/src/railfold/_internal/forwarding/probes.py
+++ b/src/railfold/_internal/forwarding/probes.py
@@ -30,10 +30,10 @@
 
 # A live engine answers its report within a few milliseconds, also under load; a
 # connection takes one round trip more.
-_PROBE_TIMEOUT_S = 0.12
+_PROBE_TIMEOUT_S = 0.08
 
 # How often a suspect backend server is probed: first, and at most.
-_RECHECK_FIRST_S = 0.3
+_RECHECK_FIRST_S = 0.15
 _RECHECK_MOST_S = 1.5
 
 _REROUTE_TIMEOUT_S = 0.3
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from railfold._internal.core import Chain, Stage
+from railfold._internal.decisions.chain_activity import ChainActivity
 from railfold._internal.decisions.engine_directory import EngineDirectory
 from railfold._internal.decisions.freshness import FreshnessLease
 from railfold._internal.decisions.planner import (
@@ -42,6 +43,10 @@
 # keep even load at home, little enough to leave a domain that is twice as busy.
 _LOCAL_FACTOR = 0.75
 
+# How long a chain that stood still gets no new work: until probes have told
+# which of its backend servers is dead.
+_AVOID_S = 0.3
+
 
 class ActiveRequest(Protocol):
     """A request under way that wants to hear of lost backend servers."""
@@ -49,6 +54,9 @@
     def servers_lost(self, server_ids: frozenset[str]) -> None:
         """These backend servers don't answer."""
 
+    def chain_stalled(self, chain: Chain) -> None:
+        """All streams over this chain stand still."""
+
 
 @dataclass(frozen=True, slots=True)
 class Destination:
@@ -80,6 +88,8 @@
     table: RoutingTable | None = None
     entries: int = 1
     active: set[ActiveRequest] = field(default_factory=set)
+    activity: ChainActivity = field(default_factory=ChainActivity)
+    avoided: dict[str, float] = field(default_factory=dict)
     costs: LinkCosts = field(default_factory=LinkCosts)
     weights: PlannerWeights = field(default_factory=PlannerWeights)
 
@@ -153,7 +163,8 @@
             usable = [
                 r
                 for r in members
-                if r.stage.layers.first > 0 or r.stage.host not in exclude
+                if r.stage.layers.first > 0
+                or (r.stage.host not in exclude and not self._avoided(r.stage.host))
             ]
             try:
                 chain = self._plan(usable, model)
@@ -172,6 +183,24 @@
             )
         return Destination(best[1].stages[0], best[1])
 
+    def _avoided(self, server_id: str) -> bool:
+        """Return whether a chain that begins here was seen to stand still."""
+        until_s = self.avoided.get(server_id)
+        if until_s is None:
+            return False
+        if asyncio.get_running_loop().time() < until_s:
+            return True
+        del self.avoided[server_id]
+        return False
+
+    def report_stalled(self, chain: Chain) -> None:
+        """Send nothing over this chain for a moment, and move its streams."""
+        now_s = asyncio.get_running_loop().time()
+        self.avoided[chain.stages[0].host] = now_s + _AVOID_S
+        self.metrics.count("chains.stalled")
+        for request in list(self.active):
+            request.chain_stalled(chain)
+
     def reroute(self, route: Route, chain: Chain, lost: frozenset[str]) -> Chain | None:
         """Return another chain that begins at the same backend server."""
         first = chain.stages[0]
--- a/src/railfold/_internal/platform/dialect.py
+++ b/src/railfold/_internal/platform/dialect.py
@@ -44,6 +44,9 @@
 _NOT_EXECUTED = "Railfold-Not-Executed"
 _AT_FAULT = "At-Server"
 _LAST_EVENT_ID = "Last-Event-Id"
+# 0 is let in first, 5 is usual.
+_ENGINE_PRIORITY = "Railfold-Request-Priority"
+_MOST_URGENT = "0"
 
 _BEARER = "bearer "
 
@@ -56,7 +59,7 @@
         _TARGET,
         _CHAIN,
         _LAST_EVENT_ID,
-        "Railfold-Request-Priority",
+        _ENGINE_PRIORITY,
         "Railfold-Expect-Version",
         "Authorization",
         "Content-Length",
@@ -126,6 +129,8 @@
             headers.append((_WORKSPACE, plan.workspace))
         if plan.resume_after is not None:
             headers.append((_LAST_EVENT_ID, str(plan.resume_after)))
+        if plan.urgent:
+            headers.append((_ENGINE_PRIORITY, _MOST_URGENT))
         if plan.chain is not None:
             headers.append((_CHAIN, engines.chain_text(plan.chain)))
         return headers
--- a/src/railfold/_internal/store/follower.py
+++ b/src/railfold/_internal/store/follower.py
@@ -104,7 +104,7 @@
         self._backoff = Backoff(max_s=pace.max_backoff_s)
         self._read_at_s = 0.0
         self._reading = False
-        self._resume_at = 0
+        self._resume_at = -1
 
     @property
     def reading(self) -> bool:
