--- a/src/railfold/_internal/agent/orders.py
+++ b/src/railfold/_internal/agent/orders.py
@@ -17,8 +17,8 @@
     Reconciler,
     WaitForSequences,
     WaitForSlot,
-    wanted_load,
 )
+from railfold._internal.decisions.wanted_loads import wanted_load
 from railfold._internal.engines.interface import Engine
 from railfold._internal.errors import EngineError
 from railfold._internal.observability.metrics import Metrics
--- a/src/railfold/_internal/commands/forward.py
+++ b/src/railfold/_internal/commands/forward.py
@@ -22,15 +22,18 @@
 @click.option(
     "--check", is_flag=True, help="Only check the settings; report every fault."
 )
+@click.option(
+    "--metrics-port", type=click.IntRange(1, 65535), help="Serve metrics there."
+)
 @click.argument("settings", required=False, type=click.Path(path_type=Path))
-def forward(settings: Path | None, check: bool) -> None:
+def forward(settings: Path | None, check: bool, metrics_port: int | None) -> None:
     """Run an entry that sends requests to engines directly.
 
     SETTINGS is the platform's settings file; by default the one that the
     environment names.
     """
     path = settings or settings_path()
-    loaded = load_platform_settings(path)
+    loaded = load_platform_settings(path, metrics_port)
     if check:
         click.echo(f"{path}: no faults")
         return
--- a/src/railfold/_internal/decisions/layer_placement.py
+++ b/src/railfold/_internal/decisions/layer_placement.py
@@ -35,8 +35,11 @@
 # more engines keep what they hold.
 _MOVED_ROOM = (0.4, 0.2, 0.1, 0.05)
 
-# An engine with less room gives up layers that others hold as well.
+# An engine with less room gives up layers that others hold as well until it has
+# the relieved room, if they are enough to be worth an order.
 _CROWDED_ROOM = 0.5
+_RELIEVED_ROOM = 0.65
+_LEAST_RELIEF_LAYERS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -416,9 +419,9 @@
         if engine.held is None:
             continue
         kept = _trimmed(
-            engine.held, coverage, _max_layers(engine, model, _CROWDED_ROOM)
+            engine.held, coverage, _max_layers(engine, model, _RELIEVED_ROOM)
         )
-        if kept != engine.held:
+        if len(engine.held) - len(kept) >= _LEAST_RELIEF_LAYERS:
             return {engine.server_id: kept}
     return {}
 
--- a/src/railfold/_internal/forwarding/front.py
+++ b/src/railfold/_internal/forwarding/front.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import Protocol
 
 from tornado.http1connection import HTTP1Connection
@@ -22,13 +22,11 @@
 from railfold._internal.decisions.routing_table import ClientLimits
 from railfold._internal.forwarding.messages import Header
 
-__all__ = ["ClientExchange", "ClientServer", "ReadyServer", "RequestHandler"]
+__all__ = ["ClientExchange", "ClientServer", "RequestHandler"]
 
 # What a client that doesn't read may hold up; more, and it is cut off.
 _MAX_UNREAD_BYTES = 8 * 1024 * 1024
 
-_OK = 200
-_SERVICE_UNAVAILABLE = 503
 _REASONS = {
     200: "OK",
     400: "Bad Request",
@@ -261,41 +259,3 @@
         stream = self._connections.pop(server_conn, None)
         if stream is not None:
             self._busy.discard(stream)
-
-
-class _ReadyMessage(HTTPMessageDelegate):
-    def __init__(self, connection: HTTPConnection, ready: bool) -> None:
-        self._connection = connection
-        self._ready = ready
-
-    def finish(self) -> None:
-        status = _OK if self._ready else _SERVICE_UNAVAILABLE
-        line = ResponseStartLine("HTTP/1.1", status, _REASONS[status])
-        fields = HTTPHeaders({"Content-Length": "0"})
-        _retrieve(self._connection.write_headers(line, fields))
-        self._connection.finish()
-
-
-class ReadyServer(HTTPServerConnectionDelegate):
-    """Child that tells the balancer whether new connections may come."""
-
-    def __init__(self, address: Address, is_ready: Callable[[], bool]) -> None:
-        self._address = address
-        self._is_ready = is_ready
-
-    async def run(self, ready: asyncio.Event) -> None:
-        """Listen and answer until cancelled."""
-        server = HTTPServer(self)
-        server.listen(self._address.port, self._address.ip)
-        ready.set()
-        try:
-            await asyncio.Event().wait()
-        finally:
-            server.stop()
-            await server.close_all_connections()
-
-    def start_request(
-        self, server_conn: object, request_conn: HTTPConnection
-    ) -> HTTPMessageDelegate:
-        """Answer any request."""
-        return _ReadyMessage(request_conn, self._is_ready())
--- a/src/railfold/_internal/forwarding/leadership.py
+++ b/src/railfold/_internal/forwarding/leadership.py
@@ -18,6 +18,7 @@
 
 _RENEW_S = 0.75
 _RETRY_S = 0.3
+_CONFIRM_S = 0.03
 
 
 class LeaseClient(Protocol):
@@ -72,16 +73,20 @@
             self._metrics.count("lease.renewals_failed")
             return _RETRY_S
         self._metrics.gauge("entries", grant.members)
+        is_new = grant.fencing != self._leadership.newest_fencing
         if self._leadership.renewed(grant, sent_s):
             self._log.write(
                 LeadershipChanged(grant.holding, grant.fencing, "the store's answer")
             )
-        return _RENEW_S
+        # A former holder gives the lease up by naming the new term: until all
+        # have, nobody holds it.
+        return _CONFIRM_S if is_new else _RENEW_S
 
     async def release(self) -> None:
         """Give the lease back, so that a successor needn't wait."""
         self._released = True
-        self._leadership.renewed(LeaseGrant(False, self._leadership.newest_fencing), 0)
+        newest = self._leadership.newest_fencing
+        self._leadership.renewed(LeaseGrant(holding=False, fencing=newest), 0.0)
         try:
             await self._client.release(self._holder)
         except LogUnavailableError:
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -19,11 +19,7 @@
 from railfold._internal.forwarding.adapter import PlatformAdapter
 from railfold._internal.forwarding.driver import RequestDriver
 from railfold._internal.forwarding.feeds import ConfigurationFeed, RegistrationFeed
-from railfold._internal.forwarding.front import (
-    ClientExchange,
-    ClientServer,
-    ReadyServer,
-)
+from railfold._internal.forwarding.front import ClientExchange, ClientServer
 from railfold._internal.forwarding.leadership import LEASE_S, LeadershipKeeper
 from railfold._internal.forwarding.messages import Header
 from railfold._internal.forwarding.placement import PlacementKeeper
@@ -41,12 +37,16 @@
     RequestEnded,
 )
 from railfold._internal.observability.metrics import Metrics
+from railfold._internal.observability.small_server import SmallAnswer, SmallServer
 from railfold._internal.store.follower import FollowerPace, StreamFollower
 from railfold._internal.supervision.process import run_process
 from railfold._internal.supervision.supervisor import ChildSpec, Supervisor
 
 __all__ = ["ForwardingEntry", "run_forwarding_entry"]
 
+_OK = 200
+_SERVICE_UNAVAILABLE = 503
+
 _PLACEMENT_DUTY = "placement"
 
 # A read that waits proves the configuration's freshness from when it was sent:
@@ -67,22 +67,26 @@
 # Kept from the grace time, to close what is left and end.
 _EXIT_S = 0.4
 
-# Retries that all entries may make beyond their share are divided by the most
-# entries that a deployment of the first sites has.
-_MOST_ENTRIES = 25
+# Retries that all entries may make beyond their share are divided by how many
+# entries there are: until that is known by this many, and never by fewer than
+# a deployment has when the balancer knows more than the store does.
+_UNKNOWN_ENTRIES = 25
+_FEWEST_ENTRIES = 4
 _RETRY_SAFETY = 0.7
 
 
 class ForwardingEntry:
     """The parts of one forwarding entry, wired together."""
 
-    def __init__(self, settings: ForwardingSettings, adapter: PlatformAdapter) -> None:
+    def __init__(
+        self, settings: ForwardingSettings, adapter: PlatformAdapter, log_fd: int = 1
+    ) -> None:
         self._settings = settings
         self._adapter = adapter
         self._loop = asyncio.get_running_loop()
         self._draining = False
         self.metrics = Metrics()
-        self.log = DecisionLog(settings.name)
+        self.log = DecisionLog(settings.name, log_fd)
         self.router = Router(
             dialect=adapter.dialect,
             directory=EngineDirectory(),
@@ -90,7 +94,7 @@
             lease=FreshnessLease(settings.credential_lease_s),
             budget=RetryBudget(
                 settings.retry_share * _RETRY_SAFETY,
-                max(4.0, settings.retry_slack / _MOST_ENTRIES),
+                settings.retry_slack * _RETRY_SAFETY / _UNKNOWN_ENTRIES,
             ),
             metrics=self.metrics,
             log=self.log,
@@ -127,8 +131,13 @@
             ChildSpec("placement", self._placement.run),
             ChildSpec("upkeep", self._run_upkeep),
             ChildSpec("clients", self._clients.run),
-            ChildSpec("readiness", ReadyServer(settings.readiness, self.ready).run),
+            ChildSpec(
+                "readiness", SmallServer(settings.readiness, self._readiness).run
+            ),
         ]
+        if settings.metrics is not None:
+            server = SmallServer(settings.metrics, self._metrics_page)
+            children.append(ChildSpec("metrics", server.run))
         return Supervisor("forwarding", children)
 
     def _configuration_follower(self) -> StreamFollower:
@@ -159,6 +168,16 @@
             on_regained=self._on_registrations_regained,
         )
 
+    def _readiness(self, path: str) -> SmallAnswer:
+        return SmallAnswer(_OK if self.ready() else _SERVICE_UNAVAILABLE)
+
+    def _metrics_page(self, path: str) -> SmallAnswer:
+        # Imported when somebody looks: a daemon that starts after a kill pays
+        # only for what serves.
+        from railfold._internal.observability import prometheus
+
+        return SmallAnswer(_OK, prometheus.render(self.metrics), prometheus.FORMAT)
+
     def ready(self) -> bool:
         """Return whether new clients may come."""
         known = self.router.table is not None
@@ -265,11 +284,18 @@
             now_s = self._loop.time()
             self.router.directory.expire(now_s)
             self.router.pool.prune(now_s)
-            self.router.entries = self._leadership.members
+            self._divide_limits(self._leadership.members)
             self._forget_finished()
             self.metrics.gauge("in_flight", len(self.router.active))
             self.metrics.gauge("configuration.age_s", self.router.lease.age_s(now_s))
 
+    def _divide_limits(self, entries: int) -> None:
+        """Take this entry's part of what all entries may do."""
+        self.router.entries = entries
+        known = entries if self._leadership.newest_fencing else _UNKNOWN_ENTRIES
+        slack = self._settings.retry_slack * _RETRY_SAFETY
+        self.router.budget.burst = slack / max(known, _FEWEST_ENTRIES)
+
     async def drain(self) -> None:
         """Leave the balancer, finish what is in flight, then return."""
         started_s = self._loop.time()
--- a/src/railfold/_internal/observability/metrics.py
+++ b/src/railfold/_internal/observability/metrics.py
@@ -6,14 +6,32 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections import Counter, deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-__all__ = ["Metrics"]
+__all__ = ["BUCKETS_S", "Histogram", "Metrics"]
 
 _TIMERS_KEPT = 10_000
 
+# Upper bounds: around the objectives of the first sites (0.125 to 0.6 s to the
+# first event, pauses of 0.2 s) and up to the longest time limit.
+BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 2.0, 5.0, 20.0)
+
+
+@dataclass(slots=True)
+class Histogram:
+    """Durations by bucket; the last bucket has no upper bound."""
+
+    counts: list[int] = field(default_factory=lambda: [0] * (len(BUCKETS_S) + 1))
+    sum_s: float = 0.0
+
+    def observe(self, duration_s: float) -> None:
+        """Count a duration."""
+        self.counts[bisect_left(BUCKETS_S, duration_s)] += 1
+        self.sum_s += duration_s
+
 
 @dataclass(slots=True)
 class Metrics:
@@ -24,6 +42,7 @@
     timers_ms: deque[tuple[str, float]] = field(
         default_factory=lambda: deque(maxlen=_TIMERS_KEPT)
     )
+    histograms: dict[str, Histogram] = field(default_factory=dict)
     _sent: Counter[str] = field(default_factory=Counter)
 
     def count(self, name: str, value: int = 1) -> None:
@@ -36,6 +55,7 @@
 
     def timing(self, name: str, duration_s: float) -> None:
         """Record a duration."""
+        self.histograms.setdefault(name, Histogram()).observe(duration_s)
         self.timers_ms.append((name, duration_s * 1000.0))
 
     def counter_increments(self) -> Iterator[tuple[str, int]]:
--- a/src/railfold/_internal/platform/settings.py
+++ b/src/railfold/_internal/platform/settings.py
@@ -21,9 +21,6 @@
 
 SETTINGS_VARIABLE = "RAILFOLD_NODE_FILE"
 
-# The first of the ports that the platform leaves to the project's own use.
-_METRICS_PORT_INDEX = 0
-
 T = TypeVar("T")
 
 
@@ -69,7 +66,6 @@
     region: str = ""
     bootstrap: bool = False
     bounds: dict[str, Any] = msgspec.field(default_factory=dict)
-    port_range: tuple[int, int] = (0, 0)
 
 
 class PlatformSettings(msgspec.Struct, frozen=True):
@@ -91,9 +87,13 @@
     return Path(path)
 
 
-def load_platform_settings(path: Path) -> PlatformSettings:
+def load_platform_settings(
+    path: Path, metrics_port: int | None = None
+) -> PlatformSettings:
     """Return the settings in a file.
 
+    :param metrics_port: where metrics are served on the process's own address;
+        the deploy file tells it, since the platform reads it there too.
     :raises SettingsError: with every fault found.
     """
     try:
@@ -102,14 +102,15 @@
         raise SettingsError(str(path), [f"can't be read: {error.strerror}"]) from error
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise SettingsError(str(path), [f"isn't valid TOML: {error}"]) from error
-    return _Decoder(path).decode(data)
+    return _Decoder(path, metrics_port).decode(data)
 
 
 class _Decoder:
     """Decodes one file and gathers its faults."""
 
-    def __init__(self, path: Path) -> None:
+    def __init__(self, path: Path, metrics_port: int | None) -> None:
         self._path = path
+        self._metrics_port = metrics_port
         self._faults: list[str] = []
 
     def decode(self, data: dict[str, Any]) -> PlatformSettings:
@@ -122,14 +123,13 @@
         address = self._address("platform.address", store.address if store else None)
         if not (document and bounds and store and clients and ready and address):
             raise SettingsError(str(self._path), self._faults)
-        port = document.port_range[_METRICS_PORT_INDEX]
         forwarding = ForwardingSettings(
             name=document.node,
             failure_domain=document.zone,
             region=document.region,
             clients=clients,
             readiness=ready,
-            metrics=Address(document.ip, port) if port else None,
+            metrics=self._metrics(document.ip),
             credential_lease_s=bounds.revoke_ms / 1000.0,
             grace_s=bounds.grace_s,
             retry_share=bounds.budget_ratio,
@@ -138,6 +138,11 @@
         )
         return PlatformSettings(forwarding, address, store.parts)
 
+    def _metrics(self, ip: str) -> Address | None:
+        if self._metrics_port is None:
+            return None
+        return self._address("ip", f"{ip}:{self._metrics_port}")
+
     def _convert(self, prefix: str, data: Any, form: type[T]) -> T | None:
         try:
             return msgspec.convert(data, form)
--- /dev/null
+++ b/standins/chaining_engine.py
@@ -0,0 +1,271 @@
+"""Stand-in for engines and plain services that clients' requests are sent to.
+
+An engine holds a range of layers, forwards requests over the chain that they
+name by itself, and registers what it holds in the store. Only the first engine
+of a chain streams; it looks at the others as the platform's engines do: a dead
+one makes the stream stand still. Faults are attributes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from standins.metadata_store import MetadataStore
+
+SEAL = "3e1b.07.5a2"
+
+
+@dataclass
+class Engine:
+    """One engine or plain service.
+
+    :param mode: ``"ok"``, ``"dead"`` (streams over it stand still, probes get no
+        answer), ``"shed"`` (refuses unrun), ``"error"`` (fails what it ran),
+        ``"lose"`` (runs, and closes without an answer), ``"foreign"`` (sends
+        another request's answer first), ``"surplus"`` (sends a second answer).
+    :param runs: how often each request ran here.
+    """
+
+    server_id: str
+    service: str
+    zone: str
+    store: MetadataStore
+    fleet: dict[str, Engine]
+    model: str = ""
+    kind: str = ""
+    layers: tuple[int, int] | None = None
+    event_s: float = 0.01
+    mode: str = "ok"
+    state: str = "ready"
+    port: int = 0
+    orders: int = 0
+    fence: int = -1
+    runs: Counter[str] = field(default_factory=Counter)
+    seen: list[dict[str, str]] = field(default_factory=list)
+    cancelled: list[str] = field(default_factory=list)
+    given: list[dict[str, Any]] = field(default_factory=list)
+    _server: HTTPServer | None = None
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return f"127.0.0.1:{self.port}"
+
+    def start(self) -> None:
+        """Listen and register."""
+        sockets = bind_sockets(self.port, "127.0.0.1")
+        self.port = sockets[0].getsockname()[1]
+        application = Application(
+            [
+                ("/railfold/report", _Report, {"engine": self}),
+                ("/railfold/order", _Order, {"engine": self}),
+                ("/health", _Health, {"engine": self}),
+                (".*", _Request, {"engine": self}),
+            ],
+            log_function=lambda handler: None,
+        )
+        self._server = HTTPServer(application)
+        self._server.add_sockets(sockets)
+        self.fleet[self.address] = self
+        self.register()
+
+    async def stop(self) -> None:
+        """Stop listening and close connections, as a crash does."""
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+        self.fleet.pop(self.address, None)
+
+    def register(self) -> None:
+        """Write what it is into the store."""
+        entry: dict[str, Any] = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "cold_left_ms": 0,
+            "seq": 1,
+        }
+        if self.model:
+            entry["models"] = [{"name": self.model, "version": 1, "adapters": []}]
+            entry["kind"] = self.kind
+            entry["layers"] = self.told_layers()
+        self.store.put("keyed.servers", self.server_id, entry)
+
+    def told_layers(self) -> dict[str, int] | None:
+        """Return the held layers as reports tell them."""
+        if self.layers is None:
+            return None
+        first, end = self.layers
+        return {"from": first, "target_version": end, "version": 1}
+
+    def deregister(self) -> None:
+        """Let its entry disappear."""
+        self.store.put("keyed.servers", self.server_id, None)
+
+
+class _Handler(RequestHandler):
+    def initialize(self, engine: Engine) -> None:
+        self.engine = engine
+
+    async def prepare(self) -> None:
+        if self.engine.mode == "dead":
+            await asyncio.Event().wait()
+
+
+class _Report(_Handler):
+    def get(self) -> None:
+        engine = self.engine
+        self.finish({"seq": engine.orders, "layers": engine.told_layers(), "pace": 1.0})
+
+
+class _Order(_Handler):
+    def post(self) -> None:
+        engine, order = self.engine, json.loads(self.request.body)
+        engine.given.append(order)
+        if order["operation"] == "repath":
+            self.set_status(202)
+            self.finish({})
+            return
+        if order["fence_token"] < engine.fence:
+            self.set_status(412)
+        elif order["expected_rev"] != engine.orders:
+            self.set_status(409)
+        else:
+            engine.fence = order["fence_token"]
+            engine.orders += 1
+            engine.layers = (order["from"], order["target_version"])
+            engine.register()
+            self.set_status(202)
+        self.finish({})
+
+
+class _Health(_Handler):
+    def get(self) -> None:
+        self.finish("ok")
+
+
+class _Request(_Handler):
+    async def prepare(self) -> None:
+        """Streams of a dead engine stand still; all else is up to the mode."""
+
+    def on_connection_close(self) -> None:
+        self.engine.cancelled.append(self.request.headers["Railfold-Attempt-Id"])
+
+    async def get(self) -> None:
+        await self._answer()
+
+    async def post(self) -> None:
+        await self._answer()
+
+    async def _answer(self) -> None:
+        engine, headers = self.engine, self.request.headers
+        request_id = headers["Railfold-Attempt-Id"]
+        engine.seen.append(dict(headers.get_all()))
+        if headers.get("Railfold-Target-Instance") != engine.server_id:
+            self._refuse(421)
+            return
+        if engine.mode == "shed":
+            self._refuse(503)
+            return
+        if engine.mode == "dead":
+            await asyncio.Event().wait()
+        engine.runs[request_id] += 1
+        if engine.mode == "lose":
+            self.request.connection.detach().close()
+            self._finished = True
+            return
+        self.set_header("Railfold-Attempt-Id", request_id)
+        self.set_header("Railfold-Response-Seal", SEAL)
+        if engine.mode == "error":
+            self.set_status(500)
+            self.finish("failed")
+        elif "Railfold-Hop-Count" in headers:
+            await self._stream(headers["Railfold-Hop-Count"])
+        else:
+            await self._plain(request_id)
+
+    def _refuse(self, status: int) -> None:
+        self.set_status(status)
+        self.set_header("Railfold-Not-Executed", "1")
+        self.finish()
+
+    async def _plain(self, request_id: str) -> None:
+        body = f"record of {request_id}".encode()
+        if self.engine.mode == "foreign":
+            await self._raw("another-request", b"not yours")
+        if self.engine.mode == "surplus":
+            await self._raw(request_id, body)
+            await self._raw(request_id, body)
+            self._finished = True
+            return
+        await asyncio.sleep(self.engine.event_s)
+        self.finish(body)
+
+    async def _raw(self, request_id: str, body: bytes) -> None:
+        head = (
+            f"HTTP/1.1 200 OK\r\nRailfold-Attempt-Id: {request_id}\r\n"
+            f"Railfold-Response-Seal: {SEAL}\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        stream = self.request.connection.stream  # type: ignore[attr-defined]
+        await stream.write(head.encode() + body)
+
+    async def _stream(self, chain: str) -> None:
+        if problem := chain_problem(chain, self.engine.fleet):
+            self.set_header("At-Server", problem)
+            self._refuse(421)
+            return
+        self.set_header("Content-Type", "text/event-stream")
+        members = [part.partition("=")[0] for part in chain.split(",")]
+        first = int(self.request.headers.get("Last-Event-Id", "0")) + 1
+        last = int(self.request.headers["Railfold-Token-Counts"].split(",")[1])
+        try:
+            for number in range(first, last + 1):
+                await asyncio.sleep(self.engine.event_s)
+                await self._wait_for(members)
+                self.write(f"id: {number}\ndata: token {number}\n\n")
+                await self.flush()
+            self.finish()
+        except StreamClosedError:
+            return
+
+    async def _wait_for(self, members: list[str]) -> None:
+        """Stand still while an engine of the chain is dead."""
+        while any(  # noqa: ASYNC110 - faults are attributes.
+            m not in self.engine.fleet or self.engine.fleet[m].mode == "dead"
+            for m in members
+        ):
+            await asyncio.sleep(0.01)
+
+
+def chain_problem(chain: str, fleet: dict[str, Engine]) -> str:
+    """Return the address of an engine that doesn't hold its part, if any.
+
+    A chain that doesn't run every layer once and in order fails the test.
+    """
+    position = 0
+    for part in chain.split(","):
+        address, _, layers = part.partition("=")
+        first, end = (int(n) for n in layers.split("-"))
+        assert first == position, f"layers run out of order: {chain}"
+        position = end
+        engine = fleet.get(address)
+        held = engine.layers if engine else None
+        if held is None or first < held[0] or end > held[1]:
+            return address
+    assert position == LAYERS, f"layers are missing: {chain}"
+    return ""
+
+
+LAYERS = 8
--- /dev/null
+++ b/standins/metadata_store.py
@@ -0,0 +1,192 @@
+"""Stand-in for the users' metadata store, as its pages tell it.
+
+Topics whose names begin with ``keyed.`` keep the newest record of each key.
+Faults are attributes: ``mode`` is ``"ok"``, ``"out"`` (answers 503), ``"silent"``
+(no answer) or ``"reset"`` (closes the connection); ``turned_away`` holds the
+members whose joins get no answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import json
+import struct
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+from tornado.web import Application, RequestHandler
+
+PARTITIONS = 12
+
+
+@dataclass
+class Topic:
+    """One partition of records: key, value (empty if the key is gone)."""
+
+    first: int = 0
+    records: list[tuple[str, bytes]] = field(default_factory=list)
+    newest: dict[str, tuple[int, bytes]] = field(default_factory=dict)
+    grown: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def end(self) -> int:
+        """The offset that the next record gets."""
+        return self.first + len(self.records)
+
+    def append(self, key: str, value: bytes) -> None:
+        """Append a record."""
+        self.newest[key] = (self.end, value)
+        if not value:
+            del self.newest[key]
+        self.records.append((key, value))
+        self.grown.set()
+        self.grown = asyncio.Event()
+
+    def forget(self) -> None:
+        """Drop all history; the newest record of each key stays."""
+        self.first = self.end
+        self.records = []
+
+
+@dataclass
+class Group:
+    """Members of a group and the time each was last heard."""
+
+    generation: int = 0
+    heard_s: dict[str, float] = field(default_factory=dict)
+    ttl_s: float = 1.0
+    confirmed: dict[str, int] = field(default_factory=dict)
+
+    def join(self, member: str, ttl_s: float, generation: int) -> None:
+        """Hear of a member."""
+        now_s = time.monotonic()
+        self.ttl_s = ttl_s
+        known = set(self.heard_s)
+        self.heard_s = {
+            m: at for m, at in self.heard_s.items() if now_s - at < ttl_s or m == member
+        }
+        self.heard_s[member] = now_s
+        if set(self.heard_s) != known:
+            self.generation += 1
+        self.confirmed[member] = generation
+
+    def leave(self, member: str) -> None:
+        """A member goes."""
+        if self.heard_s.pop(member, None) is not None:
+            self.generation += 1
+
+    def rows(self, member: str, topics: list[str]) -> list[list[Any]]:
+        """Return the partitions dealt to a member, once all know the deal."""
+        members = sorted(self.heard_s)
+        behind = [m for m in members if self.confirmed.get(m) != self.generation]
+        parts = [[topic, part, 0] for topic in topics for part in range(PARTITIONS)]
+        mine = parts[members.index(member) :: len(members)]
+        return mine if not behind or behind == [member] else []
+
+
+@dataclass
+class MetadataStore:
+    """What the store holds, and its faults."""
+
+    topics: dict[str, Topic] = field(default_factory=dict)
+    groups: dict[str, Group] = field(default_factory=dict)
+    mode: str = "ok"
+    turned_away: set[str] = field(default_factory=set)
+    calls: int = 0
+
+    def topic(self, name: str) -> Topic:
+        """Return a topic, made at its first use."""
+        return self.topics.setdefault(name, Topic())
+
+    def put(self, topic: str, key: str, document: Any) -> None:
+        """Write a record, as operators and backend servers do."""
+        value = b"" if document is None else json.dumps(document).encode()
+        self.topic(topic).append(key, value)
+
+    def application(self) -> Application:
+        """Return the HTTP application."""
+        arguments = {"store": self}
+        return Application(
+            [
+                ("/railfold/log-read", _Read, arguments),
+                ("/railfold/log-newest", _Newest, arguments),
+                ("/railfold/log-join", _Join, arguments),
+                ("/railfold/log-leave", _Leave, arguments),
+            ],
+            log_function=lambda handler: None,
+        )
+
+
+class _Handler(RequestHandler):
+    def initialize(self, store: MetadataStore) -> None:
+        self.store = store
+
+    async def prepare(self) -> None:
+        self.store.calls += 1
+        await self.fault()
+
+    async def fault(self) -> None:
+        """Do what the mode says."""
+        match self.store.mode:
+            case "out":
+                self.set_status(503)
+                self.finish()
+            case "silent":
+                await asyncio.Event().wait()
+            case "reset":
+                self.request.connection.detach().close()
+                self._finished = True
+
+
+class _Read(_Handler):
+    async def get(self) -> None:
+        topic = self.store.topic(self.get_query_argument("topic"))
+        start = int(self.get_query_argument("from"))
+        wait_s = float(self.get_query_argument("wait_ms", "0")) / 1000.0
+        if start >= topic.end and wait_s > 0:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(topic.grown.wait(), wait_s)
+            await self.fault()
+            if self._finished:
+                return
+        if start < topic.first:
+            self.set_status(410)
+            self.finish({"first": topic.first})
+            return
+        body = struct.pack(">QQ", topic.end, topic.first)
+        for key, value in topic.records[start - topic.first :]:
+            record = bytes([len(key)]) + key.encode() + value
+            body += struct.pack(">I", len(record)) + record
+        self.finish(body)
+
+
+class _Newest(_Handler):
+    def get(self) -> None:
+        topic = self.store.topic(self.get_query_argument("topic"))
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            for key, (offset, value) in sorted(topic.newest.items())
+        ]
+        self.finish({"items": items, "more_pages": False, "end": topic.end})
+
+
+class _Join(_Handler):
+    async def post(self) -> None:
+        body = json.loads(self.request.body)
+        member = body["member"]
+        if member in self.store.turned_away:
+            await asyncio.Event().wait()
+        group = self.store.groups.setdefault(body["group"], Group())
+        group.join(member, body["ttl_ms"] / 1000.0, body["generation"])
+        rows = group.rows(member, body["topics"])
+        self.finish({"generation": group.generation, "parts": rows})
+
+
+class _Leave(_Handler):
+    def post(self) -> None:
+        body = json.loads(self.request.body)
+        self.store.groups.setdefault(body["group"], Group()).leave(body["member"])
+        self.finish({})
--- /dev/null
+++ b/tests/forwarding/test_failures.py
@@ -0,0 +1,219 @@
+"""What dies, freezes or lies, and what clients get meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from railfold._internal.forwarding import placement
+from standins.chaining_engine import Engine
+from tests.lib.forwarding import (
+    Connection,
+    Deployment,
+    Reply,
+    configuration,
+    events_of,
+    until,
+)
+
+
+async def begin_stream(
+    deployment: Deployment, request_id: str = "s-1", events: int = 60
+) -> tuple[Connection, Engine]:
+    """Begin a stream; return its connection and the engine that streams."""
+    connection = await deployment.connect()
+    await connection.send("/draft/1", request_id, events=events)
+    await until(lambda: any(e.runs[request_id] for e in deployment.engines))
+    (engine,) = [e for e in deployment.engines if e.runs[request_id]]
+    await asyncio.sleep(0.15)
+    return connection, engine
+
+
+async def rest_of(connection: Connection) -> Reply:
+    return await asyncio.wait_for(connection.read(), 5.0)
+
+
+async def test_a_stream_goes_on_elsewhere_when_its_first_engine_dies(
+    deployment: Deployment,
+) -> None:
+    connection, engine = await begin_stream(deployment)
+    await engine.stop()
+    reply = await rest_of(connection)
+    assert reply.whole
+    assert reply.body == events_of(60)
+
+
+async def test_a_stream_goes_on_elsewhere_when_a_later_engine_falls_silent(
+    deployment: Deployment,
+) -> None:
+    connection, engine = await begin_stream(deployment)
+    (later,) = [
+        e for e in deployment.engines if e.zone == engine.zone and e is not engine
+    ]
+    later.mode = "dead"
+    reply = await rest_of(connection)
+    assert reply.body == events_of(60)
+    entry = deployment.entry.router.directory.get(later.server_id)
+    assert entry is not None
+    assert entry.suspect_since_s is not None
+
+
+async def test_streams_move_without_a_probe_when_their_whole_chain_stands_still(
+    deployment: Deployment,
+) -> None:
+    begun = [await begin_stream(deployment, f"s-{n}", events=80) for n in range(8)]
+    zones = {engine.zone for _, engine in begun}
+    assert len(zones) == 2, "the load should reach both failure domains"
+    broken = begun[0][1].zone
+    (later,) = [
+        e for e in deployment.engines if e.zone == broken and e.layers == (4, 8)
+    ]
+    later.mode = "dead"
+    replies = await asyncio.gather(*(rest_of(c) for c, _ in begun))
+    assert all(reply.body == events_of(80) for reply in replies)
+    assert deployment.entry.metrics.counters["chains.stalled"] >= 1
+
+
+async def test_a_suspect_engine_gets_work_again_once_it_answers(
+    deployment: Deployment,
+) -> None:
+    connection, engine = await begin_stream(deployment)
+    engine.mode = "dead"
+    await rest_of(connection)
+    entry = deployment.entry.router.directory.get(engine.server_id)
+    await until(lambda: entry is not None and entry.suspect_since_s is not None)
+    engine.mode = "ok"
+    await until(lambda: entry is not None and entry.suspect_since_s is None)
+
+
+async def test_a_draining_server_gets_no_new_work(deployment: Deployment) -> None:
+    leaving = deployment.plain[0]
+    leaving.state = "draining"
+    leaving.register()
+    await until(deployment.all_known)
+    for number in range(8):
+        await deployment.ask("/slip/1", f"c-{number}")
+    assert not leaving.seen
+
+
+async def test_a_server_whose_entry_is_gone_gets_no_new_work(
+    deployment: Deployment,
+) -> None:
+    leaving = deployment.plain[0]
+    leaving.deregister()
+    directory = deployment.entry.router.directory
+    await until(lambda: directory.get(leaving.server_id) is None)
+    for number in range(8):
+        await deployment.ask("/slip/1", f"c-{number}")
+    assert not leaving.seen
+
+
+async def test_a_new_incarnation_at_an_address_ends_the_old_one(
+    deployment: Deployment,
+) -> None:
+    old = deployment.plain[0]
+    await old.stop()
+    new = Engine(
+        "i-new",
+        old.service,
+        old.zone,
+        deployment.store,
+        deployment.fleet,
+        port=old.port,
+    )
+    new.start()
+    deployment.plain[0] = new
+    directory = deployment.entry.router.directory
+    await until(lambda: directory.get("i-new") is not None)
+    assert directory.get(old.server_id) is None
+
+
+@pytest.mark.parametrize("mode", ["out", "silent", "reset"])
+async def test_keys_are_used_for_a_bounded_time_while_the_store_is_away(
+    deployment: Deployment, mode: str
+) -> None:
+    deployment.store.mode = mode
+    assert (await deployment.ask("/slip/1", "c-1")).status == 200
+    await asyncio.sleep(deployment.lease_s)
+    reply = await deployment.ask("/slip/1", "c-2")
+    assert reply.status == 503
+    assert not deployment.entry.ready()
+    deployment.store.mode = "ok"
+    await until(deployment.entry.ready)
+    assert (await deployment.ask("/slip/1", "c-3")).status == 200
+
+
+async def test_a_key_that_was_removed_isnt_used(deployment: Deployment) -> None:
+    tenants = [{"name": "quality", "api_keys": ["another"], "priority": 1}]
+    deployment.store.put("keyed.op", "config", configuration(2, tenants=tenants))
+    await until(lambda: deployment.entry.router.table.version == 2)
+    assert (await deployment.ask("/slip/1", "c-1")).status == 401
+
+
+async def test_registrations_that_lapsed_with_the_store_dont_end_work(
+    deployment: Deployment,
+) -> None:
+    deployment.store.mode = "out"
+    await until(lambda: deployment.entry.router.lease.age_s(_now()) > 1.6)
+    for server in deployment.plain:
+        server.deregister()
+    deployment.store.mode = "ok"
+    await until(lambda: deployment.entry.router.lease.age_s(_now()) < 0.5)
+    await asyncio.sleep(0.5)
+    assert (await deployment.ask("/slip/1", "c-1")).status == 200
+    for server in deployment.plain:
+        server.register()
+    await asyncio.sleep(2.5)
+    assert (await deployment.ask("/slip/1", "c-2")).status == 200
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+async def test_layers_are_placed_on_empty_engines(empty_deployment: Deployment) -> None:
+    await until(lambda: all(e.layers for e in empty_deployment.engines), 8.0)
+    await until(empty_deployment.all_known)
+    reply = await empty_deployment.ask("/draft/1", "s-1")
+    assert reply.body == events_of(10)
+    orders = [order for e in empty_deployment.engines for order in e.given]
+    assert len(orders) == len(empty_deployment.engines)
+    assert all(order["fence_token"] > 0 for order in orders)
+
+
+async def test_layers_of_a_lost_engine_are_taken_over(deployment: Deployment) -> None:
+    lost = deployment.engines[0]
+    neighbour = deployment.engines[1]
+    await lost.stop()
+    lost.deregister()
+    await until(lambda: bool(neighbour.given), 8.0)
+    assert neighbour.given[0]["operation"] == "place"
+
+
+async def test_a_fenced_leader_gives_no_more_orders(
+    empty_deployment: Deployment,
+) -> None:
+    for engine in empty_deployment.engines:
+        engine.fence = 1 << 30
+    await until(lambda: any(e.given for e in empty_deployment.engines), 8.0)
+    await asyncio.sleep(4 * placement._LOOK_S)
+    refused = sum(len(e.given) for e in empty_deployment.engines)
+    await asyncio.sleep(1.0)
+    assert sum(len(e.given) for e in empty_deployment.engines) == refused
+
+
+async def test_a_planned_stop_finishes_what_runs_and_takes_nothing_late(
+    deployment: Deployment,
+) -> None:
+    stream, _ = await begin_stream(deployment, events=40)
+    idle = await deployment.connect()
+    await idle.ask("/tray/1", "c-1", method="GET", body=b"")
+    stop = asyncio.create_task(deployment.entry.drain())
+    await asyncio.sleep(0)
+    assert not deployment.entry.ready()
+    served = await idle.ask("/tray/1", "c-2", method="GET", body=b"")
+    assert served.status == 200
+    assert served.headers["Connection"] == "close"
+    assert (await rest_of(stream)).body == events_of(40)
+    await asyncio.wait_for(stop, 5.0)
--- /dev/null
+++ b/tests/forwarding/test_requests.py
@@ -0,0 +1,195 @@
+"""Each client gets its own whole answer, and nothing runs more often than it may."""
+
+from __future__ import annotations
+
+import asyncio
+import urllib.request
+
+import pytest
+
+from standins.chaining_engine import SEAL
+from tests.lib.forwarding import (
+    KEY,
+    Deployment,
+    configuration,
+    events_of,
+    routes,
+    until,
+)
+
+
+def runs(deployment: Deployment, request_id: str) -> int:
+    servers = (*deployment.engines, *deployment.plain)
+    return sum(server.runs[request_id] for server in servers)
+
+
+async def test_a_stream_passes_through_a_chain(deployment: Deployment) -> None:
+    reply = await deployment.ask("/draft/1", "s-1", events=12)
+    assert (reply.status, reply.whole) == (200, True)
+    assert reply.body == events_of(12)
+    assert reply.headers["Railfold-Response-Seal"] == SEAL
+    assert runs(deployment, "s-1") == 1
+
+
+async def test_chains_stay_in_one_failure_domain(deployment: Deployment) -> None:
+    await deployment.ask("/draft/1", "s-1")
+    (engine,) = [e for e in deployment.engines if e.runs["s-1"]]
+    chain = engine.seen[0]["Railfold-Hop-Count"]
+    zones = {deployment.fleet[part.partition("=")[0]].zone for part in chain.split(",")}
+    assert zones == {"hall-a"}
+
+
+async def test_a_plain_call_gets_its_answer(deployment: Deployment) -> None:
+    reply = await deployment.ask("/slip/1", "c-1")
+    assert (reply.status, reply.body) == (200, b"record of c-1")
+
+
+async def test_headers_are_translated(deployment: Deployment) -> None:
+    smuggled = {
+        "Railfold-Tenant": "another",
+        "Railfold-Target-Instance": "i-elsewhere",
+        "Connection": "keep-alive, X-Hop",
+        "X-Hop": "1",
+        "X-Kept": "2",
+    }
+    await deployment.ask("/slip/1", "c-1", headers=smuggled)
+    (server,) = [s for s in deployment.plain if s.seen]
+    seen = server.seen[0]
+    assert seen["Railfold-Tenant"] == "quality"
+    assert seen["Railfold-Target-Instance"] == server.server_id
+    assert seen["X-Kept"] == "2"
+    assert "X-Hop" not in seen
+    assert "Authorization" not in seen
+    assert 0 < int(seen["Railfold-Deadline-Ms"]) <= 4000
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [("/nowhere/1", KEY, 404), ("/slip/1", "wrong", 401), ("/slip/1", None, 401)],
+)
+async def test_what_isnt_allowed_is_refused(
+    deployment: Deployment, path: str, key: str | None, status: int
+) -> None:
+    reply = await deployment.ask(path, "c-1", key=key)
+    assert reply.status == status
+    assert runs(deployment, "c-1") == 0
+
+
+async def test_a_refusal_by_one_server_is_no_answer(deployment: Deployment) -> None:
+    deployment.plain[0].mode = "shed"
+    for number in range(6):
+        reply = await deployment.ask("/slip/1", f"c-{number}")
+        assert reply.status == 200
+        assert runs(deployment, f"c-{number}") == 1
+
+
+async def test_not_run_is_said_when_all_refuse(deployment: Deployment) -> None:
+    for server in deployment.plain:
+        server.mode = "shed"
+    reply = await deployment.ask("/slip/1", "c-1")
+    assert reply.status == 503
+    assert float(reply.headers["Retry-After"]) > 0
+    assert runs(deployment, "c-1") == 0
+
+
+async def test_an_unrepeatable_call_whose_answer_is_lost_runs_once(
+    deployment: Deployment,
+) -> None:
+    for server in deployment.plain:
+        server.mode = "lose"
+    reply = await deployment.ask("/slip/1", "c-1")
+    assert reply.status == 502
+    assert "Retry-After" not in reply.headers
+    assert runs(deployment, "c-1") == 1
+
+
+async def test_a_safe_call_whose_answer_is_lost_is_repeated(
+    deployment: Deployment,
+) -> None:
+    deployment.plain[0].mode = "lose"
+    for number in range(6):
+        reply = await deployment.ask("/tray/1", f"c-{number}", method="GET", body=b"")
+        assert reply.status == 200
+
+
+async def test_a_failure_is_passed_on_unchanged(deployment: Deployment) -> None:
+    for server in deployment.plain:
+        server.mode = "error"
+    reply = await deployment.ask("/slip/1", "c-1")
+    assert (reply.status, reply.body) == (500, b"failed")
+    assert reply.headers["Railfold-Response-Seal"] == SEAL
+
+
+async def test_an_answer_to_another_request_is_skipped(deployment: Deployment) -> None:
+    for server in deployment.plain:
+        server.mode = "foreign"
+    reply = await deployment.ask("/slip/1", "c-1")
+    assert reply.body == b"record of c-1"
+
+
+async def test_a_surplus_answer_reaches_nobody(deployment: Deployment) -> None:
+    for server in deployment.plain:
+        server.mode = "surplus"
+    first = await deployment.ask("/tray/1", "c-1", method="GET", body=b"")
+    for server in deployment.plain:
+        server.mode = "ok"
+    second = await deployment.ask("/tray/1", "c-2", method="GET", body=b"")
+    assert (first.body, second.body) == (b"record of c-1", b"record of c-2")
+
+
+async def test_a_client_that_leaves_stops_its_stream(deployment: Deployment) -> None:
+    connection = await deployment.connect()
+    await connection.send("/draft/1", "s-1", events=1000)
+    await connection.read_head()
+    connection.close()
+    (engine,) = [e for e in deployment.engines if e.runs["s-1"]]
+    await until(lambda: "s-1" in engine.cancelled)
+
+
+async def test_a_request_is_answered_at_its_routes_timeout(
+    deployment: Deployment,
+) -> None:
+    for server in deployment.plain:
+        server.event_s = 2.0
+    started_s = asyncio.get_running_loop().time()
+    reply = await deployment.ask("/brief/1", "c-1", method="GET", body=b"")
+    assert reply.status == 504
+    assert asyncio.get_running_loop().time() - started_s < 1.0
+
+
+async def test_connections_are_kept_on_both_sides(deployment: Deployment) -> None:
+    connection = await deployment.connect()
+    for number in range(5):
+        reply = await connection.ask("/tray/1", f"c-{number}", method="GET", body=b"")
+        assert reply.body == f"record of c-{number}".encode()
+    connection.close()
+
+
+async def test_a_newer_configuration_is_in_force_at_once(
+    deployment: Deployment,
+) -> None:
+    kept = [route for route in routes() if route["name"] != "slip"]
+    deployment.store.put("keyed.op", "config", configuration(2, routes=kept))
+    await until(lambda: deployment.entry.router.table.version == 2)
+    assert (await deployment.ask("/slip/1", "c-1")).status == 404
+    deployment.store.put("keyed.op", "config", configuration(1))
+    await asyncio.sleep(0.3)
+    assert (await deployment.ask("/slip/1", "c-2")).status == 404
+
+
+async def test_history_that_is_gone_is_read_by_key(deployment: Deployment) -> None:
+    topic = deployment.store.topic("keyed.op")
+    for version in range(2, 6):
+        deployment.store.put("keyed.op", "config", configuration(version))
+    topic.forget()
+    await until(lambda: deployment.entry.router.table.version == 5)
+
+
+async def test_metrics_are_served(deployment: Deployment) -> None:
+    await deployment.ask("/draft/1", "s-1")
+    metrics = deployment.settings.metrics
+    assert metrics is not None
+    url = f"http://{metrics}/metrics"
+    text = await asyncio.to_thread(lambda: urllib.request.urlopen(url).read().decode())
+    assert "railfold_outcomes_answered_total 1.0" in text
+    assert 'railfold_first_event_seconds_bucket{le="+Inf"} 1.0' in text
--- /dev/null
+++ b/tests/lib/forwarding.py
@@ -0,0 +1,295 @@
+"""A forwarding entry in the test's own loop, with stand-ins around it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+from dataclasses import dataclass, field
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from railfold._internal.core import Address
+from railfold._internal.forwarding.process import ForwardingEntry
+from railfold._internal.forwarding.settings import ForwardingSettings
+from railfold._internal.platform.adapter import UsersPlatform
+from standins.chaining_engine import LAYERS, Engine
+from standins.metadata_store import PARTITIONS, MetadataStore
+
+HOST = "station.example"
+MODEL_SERVICE = "inspect-llm"
+PLAIN_SERVICE = "line-records"
+KEY = "key-of-quality"
+ZONES = ("hall-a", "hall-b")
+WAIT_S = 5.0
+
+
+def routes() -> list[dict[str, Any]]:
+    """One route of each kind."""
+
+    def route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
+        return {
+            "name": name,
+            "host": HOST,
+            "path_prefix": f"/{name}/",
+            "kind": kind,
+            "service": service,
+            "timeout_ms": 4000,
+            "slo_ms": 500,
+            "priority": 1,
+            "max_attempts": 2,
+            "public": False,
+            **fields,
+        }
+
+    return [
+        route("draft", "stream", MODEL_SERVICE, resumable=True, gap_aim_ms=200),
+        route("slip", "unsafe", PLAIN_SERVICE),
+        route("tray", "safe", PLAIN_SERVICE),
+        route("brief", "safe", PLAIN_SERVICE, timeout_ms=300),
+    ]
+
+
+def configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """A configuration as operators write it."""
+    model = {
+        "slots": 8,
+        "kv_bytes": 11_000_000,
+        "models": [{"name": "inspect", "load_s": 0.1}],
+        "layers": LAYERS,
+        "layer_mb": 1000.0,
+        "kinds": [{"name": "l4", "mb": 9500.0, "pace": 1.0, "read_x": 1.0}],
+        "loads_at_once": 4,
+        "usual": {"prompt": 20, "answer": 20},
+    }
+    return {
+        "version": version,
+        "routes": routes(),
+        "services": [
+            {"name": MODEL_SERVICE, "health_path": "/health", "engine": model},
+            {"name": PLAIN_SERVICE, "health_path": "/health"},
+        ],
+        "limits": {"idle_timeout_ms": 15000},
+        "tenants": [{"name": "quality", "api_keys": [KEY], "priority": 1}],
+        **changes,
+    }
+
+
+def free_port() -> int:
+    """Return a port that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+@dataclass
+class Reply:
+    """An answer as a client sees it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+@dataclass
+class Deployment:
+    """One entry, a store, engines in two failure domains and a plain service."""
+
+    store: MetadataStore = field(default_factory=MetadataStore)
+    fleet: dict[str, Engine] = field(default_factory=dict)
+    engines: list[Engine] = field(default_factory=list)
+    plain: list[Engine] = field(default_factory=list)
+    lease_s: float = 3.0
+    placed: bool = True
+
+    async def start(self) -> None:
+        """Start everything and wait until the entry is ready."""
+        sockets = bind_sockets(0, "127.0.0.1")
+        self._store_server = HTTPServer(self.store.application())
+        self._store_server.add_sockets(sockets)
+        store = Address("127.0.0.1", sockets[0].getsockname()[1])
+        self.store.put("keyed.op", "config", configuration())
+        self._start_engines()
+        self._log_out, self._log_in = os.pipe()
+        settings = ForwardingSettings(
+            name="entry-1",
+            failure_domain="hall-a",
+            region="west",
+            clients=Address("127.0.0.1", free_port()),
+            readiness=Address("127.0.0.1", free_port()),
+            metrics=Address("127.0.0.1", free_port()),
+            credential_lease_s=self.lease_s,
+            grace_s=4.0,
+            retry_share=0.2,
+            retry_slack=400.0,
+            first_start=False,
+        )
+        self.settings = settings
+        adapter = UsersPlatform(store, PARTITIONS)
+        self.entry = ForwardingEntry(settings, adapter, log_fd=self._log_in)
+        self._tree = asyncio.create_task(self.entry.tree().run(asyncio.Event()))
+        await until(lambda: self.entry.ready())
+        await until(self.all_known)
+
+    def _start_engines(self) -> None:
+        for zone in ZONES:
+            for part in range(2):
+                half = LAYERS // 2
+                layers = (part * half, (part + 1) * half) if self.placed else None
+                engine = Engine(
+                    f"i-{zone}-{part}",
+                    MODEL_SERVICE,
+                    zone,
+                    self.store,
+                    self.fleet,
+                    model="inspect",
+                    kind="l4",
+                    layers=layers,
+                )
+                self.engines.append(engine)
+            service = Engine(
+                f"i-{zone}-plain", PLAIN_SERVICE, zone, self.store, self.fleet
+            )
+            self.plain.append(service)
+        for server in (*self.engines, *self.plain):
+            server.start()
+
+    def all_known(self) -> bool:
+        """Whether the entry knows all backend servers as they are."""
+        directory = self.entry.router.directory
+        known = {e.server_id: e.registration for e in directory}
+        for server in (*self.engines, *self.plain):
+            registration = known.get(server.server_id)
+            if registration is None:
+                return False
+            held = registration.layers
+            told = (held.first, held.last + 1) if held else None
+            if told != server.layers or registration.draining != (
+                server.state == "draining"
+            ):
+                return False
+        return True
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        self._tree.cancel()
+        await asyncio.gather(self._tree, return_exceptions=True)
+        for server in (*self.engines, *self.plain):
+            await server.stop()
+        self._store_server.stop()
+        await self._store_server.close_all_connections()
+        os.close(self._log_in)
+        os.close(self._log_out)
+
+    def log_lines(self) -> list[dict[str, Any]]:
+        """Return the log lines written since the last call."""
+        self.entry.log.flush()
+        os.set_blocking(self._log_out, False)
+        data = b""
+        try:
+            while chunk := os.read(self._log_out, 65536):
+                data += chunk
+        except BlockingIOError:
+            pass
+        return [json.loads(line)["event"] for line in data.splitlines()]
+
+    async def connect(self) -> Connection:
+        """Open a client's connection."""
+        address = self.settings.clients
+        reader, writer = await asyncio.open_connection(address.ip, address.port)
+        return Connection(reader, writer)
+
+    async def ask(self, path: str, request_id: str = "r-1", **options: Any) -> Reply:
+        """Send one request over a connection of its own."""
+        connection = await self.connect()
+        try:
+            return await connection.ask(path, request_id, **options)
+        finally:
+            connection.close()
+
+    @property
+    def first_engines(self) -> list[Engine]:
+        """The engines that chains begin at."""
+        return [e for e in self.engines if e.layers and e.layers[0] == 0]
+
+
+@dataclass
+class Connection:
+    """A client's connection."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    async def send(
+        self,
+        path: str,
+        request_id: str,
+        *,
+        method: str = "POST",
+        key: str | None = KEY,
+        events: int = 10,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"slip",
+    ) -> None:
+        """Send a request."""
+        fields = {
+            "Host": HOST,
+            "Railfold-Attempt-Id": request_id,
+            "Railfold-Deadline-Ms": "4000",
+            "Railfold-Token-Counts": f"10,{events}",
+            "Content-Length": str(len(body)),
+            **({"Authorization": f"Bearer {key}"} if key else {}),
+            **(headers or {}),
+        }
+        lines = [f"{method} {path} HTTP/1.1", *(f"{n}: {v}" for n, v in fields.items())]
+        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        await self.writer.drain()
+
+    async def ask(self, path: str, request_id: str, **options: Any) -> Reply:
+        """Send a request and return its answer."""
+        await self.send(path, request_id, **options)
+        return await asyncio.wait_for(self.read(), WAIT_S)
+
+    async def read_head(self) -> tuple[int, dict[str, str]]:
+        """Read status and headers."""
+        head = (await self.reader.readuntil(b"\r\n\r\n")).decode()
+        first, *lines = head.strip().split("\r\n")
+        headers = dict(line.split(": ", 1) for line in lines)
+        return int(first.split()[1]), headers
+
+    async def read(self) -> Reply:
+        """Read an answer to its end or to the connection's."""
+        status, headers = await self.read_head()
+        if "Content-Length" in headers:
+            body = await self.reader.readexactly(int(headers["Content-Length"]))
+            return Reply(status, headers, body, whole=True)
+        parts: list[bytes] = []
+        try:
+            while size := int(await self.reader.readline() or b"", 16):
+                parts.append(await self.reader.readexactly(size))
+                await self.reader.readline()
+        except (ValueError, asyncio.IncompleteReadError, ConnectionError):
+            return Reply(status, headers, b"".join(parts), whole=False)
+        return Reply(status, headers, b"".join(parts), whole=True)
+
+    def close(self) -> None:
+        """Close it."""
+        self.writer.close()
+
+
+async def until(condition: Any, timeout_s: float = WAIT_S) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():  # noqa: ASYNC110 - conditions of many kinds.
+            await asyncio.sleep(0.01)
+
+
+def events_of(count: int, first: int = 1) -> bytes:
+    """Return the events of a whole stream."""
+    return b"".join(
+        f"id: {n}\ndata: token {n}\n\n".encode() for n in range(first, count + 1)
+    )
--- a/tests/unit/test_orders.py
+++ b/tests/unit/test_orders.py
@@ -17,8 +17,8 @@
     WaitForSequences,
     WaitForSlot,
     WaitForSuccessor,
-    wanted_load,
 )
+from railfold._internal.decisions.wanted_loads import wanted_load
 
 LIMITS = OrderLimits(lease_s=5.0, loads_per_s=2.0, retry_s=3.0)
 ORDER = LoadOrder("m", "2", LayerRange(0, 3), 7)
