Choose chains by the pauses seen; ask one engine about a silent stream; call the store less

Ruled out: probing fewer chains (each was silent), a longer timeout. Change: a chain's cost counts the mean of its pauses over the expected one; a silent stream asks the first engine whom it waits for, all are probed only when the whole chain stands still; only the one that places layers reads registrations often; one follower probes a store that is out; an engine that carries an order out gets no other.

--- a/src/railfold/_internal/decisions/chain_activity.py
+++ b/src/railfold/_internal/decisions/chain_activity.py
@@ -4,10 +4,14 @@
 together while other chains go on, a backend server of that chain has stopped,
 and there is no need to wait for a probe's timeout. When several chains pause
 together, the cause is more likely here or on the way, and nothing is concluded.
+
+The same events tell how slow a chain is: the mean of their pauses over the pause
+that its accelerators would lead one to expect.
 """
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 __all__ = ["ChainActivity", "ChainKey"]
@@ -25,6 +29,14 @@
 # The event loop's own delay that makes a pause prove nothing.
 _MAX_LOOP_DELAY_S = 0.03
 
+# Weight of one pause in the mean, and how soon a chain that nobody uses any more
+# is believed to be as fast as its accelerators again.
+_PAUSE_WEIGHT = 0.05
+_FORGET_S = 4.0
+
+# A slowness beyond this changes no choice.
+_MOST_SLOWNESS = 20.0
+
 
 @dataclass(slots=True)
 class _Chain:
@@ -32,11 +44,20 @@
     last_event_s: float = 0.0
 
 
+@dataclass(slots=True)
+class _Pace:
+    """Mean pause over the expected one, and when it was last seen."""
+
+    slowness: float = 1.0
+    seen_s: float = 0.0
+
+
 class ChainActivity:
     """When each chain's streams last moved, at one entry."""
 
     def __init__(self) -> None:
         self._chains: dict[ChainKey, _Chain] = {}
+        self._paces: dict[str, _Pace] = {}
 
     def flowing(self, key: ChainKey, now_s: float) -> None:
         """A stream over the chain got its first event."""
@@ -44,11 +65,30 @@
         chain.streams += 1
         chain.last_event_s = now_s
 
-    def moved(self, key: ChainKey, now_s: float) -> None:
-        """A stream over the chain got an event."""
+    def moved(self, key: ChainKey, now_s: float, slowness: float) -> None:
+        """A stream over the chain got an event.
+
+        :param slowness: its pause over the expected one.
+        """
         chain = self._chains.get(key)
         if chain is not None:
             chain.last_event_s = now_s
+        pace = self._paces.setdefault(key[0], _Pace())
+        pace.slowness += _PAUSE_WEIGHT * (min(slowness, _MOST_SLOWNESS) - pace.slowness)
+        pace.seen_s = now_s
+
+    def slowness(self, first_host: str, now_s: float) -> float:
+        """Return how slow chains that begin at a host are; 1 is as expected."""
+        pace = self._paces.get(first_host)
+        if pace is None:
+            return 1.0
+        weight = math.exp(-(now_s - pace.seen_s) / _FORGET_S)
+        return 1.0 + (max(1.0, pace.slowness) - 1.0) * weight
+
+    def forget(self, known_hosts: set[str]) -> None:
+        """Forget all hosts but these."""
+        for host in set(self._paces) - known_hosts:
+            del self._paces[host]
 
     def ended(self, key: ChainKey) -> None:
         """A stream over the chain that had got events ended."""
--- a/src/railfold/_internal/decisions/routing_table.py
+++ b/src/railfold/_internal/decisions/routing_table.py
@@ -105,6 +105,8 @@
     :param mean_tokens: prompt and answer of a usual request.
     :param load_s: time to load all layers at once.
     :param loads_at_once: how many loads run at full speed at a time.
+    :param step_s: time of one decode step over all layers on a base accelerator.
+    :param tokens_per_event: decode steps between two events of a stream.
     """
 
     name: str
@@ -116,6 +118,8 @@
     loads_at_once: int
     max_sequences: int
     accelerators: Mapping[str, Accelerator]
+    step_s: float = 0.001
+    tokens_per_event: int = 1
 
     def state_tokens(self, accelerator: Accelerator, layers: int) -> int:
         """Return how many tokens of requests fit beside so many layers."""
--- a/src/railfold/_internal/forwarding/dialect.py
+++ b/src/railfold/_internal/forwarding/dialect.py
@@ -110,6 +110,8 @@
     :param order_count: orders that it has begun in this incarnation.
     :param layers: the layers it holds.
     :param pace: over 1, it is slower than its kind.
+    :param stalled: addresses of backend servers that streams which begin here
+        wait for.
     """
 
     order_count: int
@@ -120,6 +122,7 @@
     state_total: int
     layers: LayerRange | None
     pace: float
+    stalled: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -87,6 +87,9 @@
 # long, is taken elsewhere: clients leave after 2 s.
 _ABANDON_SILENT_S = 1.3
 
+# An expected pause below this proves nothing: events arrive together.
+_LEAST_PAUSE_S = 0.005
+
 # Answers of plain calls are gathered up to this size, so that one that breaks
 # off can be repeated; a larger one is passed on as it comes.
 _GATHER_BYTES = 256 * 1024
@@ -143,7 +146,10 @@
         self._overdue_timer: asyncio.TimerHandle | None = None
         self._progress_s = 0.0
         self._flowing: ChainKey | None = None
+        self._expected_pause_s = _LEAST_PAUSE_S
         self._first_event_s: float | None = None
+        self._last_event_s = 0.0
+        self._longest_pause_s = 0.0
         self._cause = ""
         self._deadline_s = request.received_s + route.timeout_s
         if request.deadline_s is not None:
@@ -373,23 +379,30 @@
 
     def _pass_events(self, data: bytes) -> None:
         now_s = self._loop.time()
-        self._progress_s = now_s
         whole = self._cursor.feed(data) if self._streaming else data
+        since_s, self._progress_s = now_s - self._progress_s, now_s
         if not whole:
             return
         if self._first_event_s is None:
             self._first_event_s = now_s
-        self._note_activity(now_s)
+        else:
+            pause_s = now_s - self._last_event_s
+            self._longest_pause_s = max(self._longest_pause_s, pause_s)
+        self._last_event_s = now_s
+        self._note_activity(now_s, since_s)
         if self._overdue.token(now_s):
             self._arm_overdue()
         self._client.send_body(whole)
 
-    def _note_activity(self, now_s: float) -> None:
+    def _note_activity(self, now_s: float, since_s: float) -> None:
         activity = self._router.activity
         if self._flowing is not None:
-            activity.moved(self._flowing, now_s)
+            activity.moved(self._flowing, now_s, since_s / self._expected_pause_s)
         elif self._destination is not None and self._destination.chain is not None:
-            self._flowing = self._destination.chain.hosts
+            chain = self._destination.chain
+            self._flowing = chain.hosts
+            expected_s = self._router.expected_pause_s(self._route, chain)
+            self._expected_pause_s = max(_LEAST_PAUSE_S, expected_s)
             activity.flowing(self._flowing, now_s)
 
     def _pass_on_from_now(self, gathered: _Gathered) -> None:
@@ -472,7 +485,9 @@
         if self._flowing is not None and self._router.activity.stalled(
             self._flowing, now_s, loop_delay_s
         ):
-            self._prober.probe(destination.chain, self._request.request_id, silent_s)
+            self._prober.probe_all(
+                destination.chain, self._request.request_id, silent_s
+            )
             self._router.report_stalled(destination.chain)
             return
         if silent_s > _ABANDON_SILENT_S:
@@ -480,7 +495,7 @@
             return
         self._router.metrics.count("streams.overdue")
         self._overdue.probed(now_s)
-        self._prober.probe(destination.chain, self._request.request_id, silent_s)
+        self._prober.ask_first(destination.chain, self._request.request_id, silent_s)
         self._arm_overdue()
 
     async def _reroute(self, chain: Chain, lost: frozenset[str]) -> None:
@@ -568,6 +583,7 @@
             attempts=self._attempts,
             duration_ms=round(duration_s * 1000, 1),
             first_event_ms=round(first_s * 1000, 1),
+            longest_pause_ms=round(self._longest_pause_s * 1000, 1),
             events=self._cursor.events,
             configuration_version=self._version,
             retry_after_ms=round((getattr(outcome, "retry_after_s", 0) or 0) * 1000),
--- a/src/railfold/_internal/forwarding/placement.py
+++ b/src/railfold/_internal/forwarding/placement.py
@@ -279,6 +279,9 @@
                 entry, dialect.report_call(), _ORDER_TIMEOUT_S
             )
             report = dialect.decode_report(response.body)
+            if report.busy:
+                # Another order would begin its work anew.
+                return OrderRefused("it still carries an order out")
             # The lease is looked at again right before the order leaves.
             if self._leadership.fencing(self._loop.time()) != order.fencing:
                 return OrderRefused("the lease was lost before the order was sent")
--- a/src/railfold/_internal/forwarding/probes.py
+++ b/src/railfold/_internal/forwarding/probes.py
@@ -117,24 +117,60 @@
 
     # Probes
 
-    def probe(self, chain: Chain, request_id: str, silent_s: float) -> None:
-        """Ask all backend servers of a silent chain whether they live."""
+    def probe_all(self, chain: Chain, request_id: str, silent_s: float) -> None:
+        """Ask all backend servers of a chain that stands still."""
+        if self._may_probe(chain.hosts):
+            self._spawn(self._probe_chain(chain, chain.hosts, request_id, silent_s))
+
+    def ask_first(self, chain: Chain, request_id: str, silent_s: float) -> None:
+        """Ask the first backend server of a silent stream whom it waits for.
+
+        It costs one probe instead of one for each stage; streams are silent
+        often when engines are slow.
+        """
+        if self._may_probe(chain.hosts[:1]):
+            self._spawn(self._ask_first(chain, request_id, silent_s))
+
+    def _may_probe(self, hosts: tuple[str, ...]) -> bool:
         now_s = self._loop.time()
-        if now_s - self._probed_s.get(chain.hosts, -1.0) < _PROBE_INTERVAL_S:
+        if now_s - self._probed_s.get(hosts, -1.0) < _PROBE_INTERVAL_S:
+            return False
+        self._probed_s = {
+            known: at_s
+            for known, at_s in self._probed_s.items()
+            if now_s - at_s < _PROBE_INTERVAL_S
+        }
+        self._probed_s[hosts] = now_s
+        return True
+
+    async def _ask_first(self, chain: Chain, request_id: str, silent_s: float) -> None:
+        first = self._router.directory.get(chain.hosts[0])
+        if first is None:
             return
-        self._probed_s[chain.hosts] = now_s
-        self._spawn(self._probe_chain(chain, request_id, silent_s))
+        dialect = self._router.dialect
+        self._router.metrics.count("probes")
+        try:
+            response = await self.call(first, dialect.report_call(), _PROBE_TIMEOUT_S)
+            stalled = dialect.decode_report(response.body).stalled
+        except EngineError:
+            await self._probe_chain(chain, chain.hosts[:1], request_id, silent_s)
+            return
+        waited_for = tuple(
+            stage.host for stage in chain.stages if stage.address in stalled
+        )
+        if waited_for:
+            await self._probe_chain(chain, waited_for, request_id, silent_s)
 
     async def _probe_chain(
-        self, chain: Chain, request_id: str, silent_s: float
+        self, chain: Chain, hosts: tuple[str, ...], request_id: str, silent_s: float
     ) -> None:
-        answers = await asyncio.gather(*(self._alive(host) for host in chain.hosts))
-        lost = {h for h, alive in zip(chain.hosts, answers, strict=True) if not alive}
+        answers = await asyncio.gather(*(self._alive(host) for host in hosts))
+        lost = {h for h, alive in zip(hosts, answers, strict=True) if not alive}
         self._router.log.write(
             ChainProbed(
                 request_id,
                 round(silent_s * 1000, 1),
-                len(chain.hosts),
+                len(hosts),
                 sorted(lost),
             )
         )
@@ -142,11 +178,6 @@
             self.suspect(server_id, "no answer to a probe")
         if lost:
             self._router.report_lost(frozenset(lost))
-        self._probed_s = {
-            hosts: at_s
-            for hosts, at_s in self._probed_s.items()
-            if self._loop.time() - at_s < _PROBE_INTERVAL_S
-        }
 
     async def _check_one(self, server_id: str) -> None:
         self._checking.add(server_id)
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -49,13 +49,23 @@
 
 _PLACEMENT_DUTY = "placement"
 
-# A read that waits proves the configuration's freshness from when it was sent:
-# three fit into the shortest credential lease of the first sites (5 s).
-_CONFIGURATION_PACE = FollowerPace(wait_s=1.4, min_interval_s=0.05, max_backoff_s=0.4)
+# A read that waits proves the configuration's freshness from when it was sent.
+# This part of the credential lease leaves more than the 0.6 of it for which
+# requests are owed service after the store is lost.
+_WAIT_SHARE = 0.37
 
-# Engines renew their registrations all the time; batches of this long keep the
-# calls few and a leaving engine's notice well within the 2 s that it serves on.
-_REGISTRATION_PACE = FollowerPace(wait_s=1.4, min_interval_s=0.4, max_backoff_s=0.4)
+_MAX_BACKOFF_S = 0.6
+
+# Engines renew their registrations all the time, and each read costs: they are
+# read in batches, which still tells of a leaving engine well within the 2 s that
+# it serves on. The one that places layers, and all while a chain is missing,
+# read them more often: they wait for what engines have loaded.
+_CALM_PACE = FollowerPace(1.4, min_interval_s=1.4, max_backoff_s=_MAX_BACKOFF_S)
+_EAGER_PACE = FollowerPace(1.4, min_interval_s=0.8, max_backoff_s=_MAX_BACKOFF_S)
+_LEADING_PACE = FollowerPace(1.4, min_interval_s=0.3, max_backoff_s=_MAX_BACKOFF_S)
+
+# Clients of an installation that starts for the first time come 12 s after it.
+_FIRST_START_S = 10.0
 
 _TICK_S = 0.25
 
@@ -85,6 +95,7 @@
         self._adapter = adapter
         self._loop = asyncio.get_running_loop()
         self._draining = False
+        self._started_s = self._loop.time()
         self.metrics = Metrics()
         self.log = DecisionLog(settings.name, log_fd)
         self.router = Router(
@@ -119,6 +130,8 @@
         )
         self._clients = ClientServer(settings.clients, self)
         self._drivers: dict[ClientExchange, RequestDriver] = {}
+        self._store_reachable = asyncio.Event()
+        self._registrations = self._registration_follower()
 
     def tree(self) -> Supervisor:
         """Return the entry's supervisor tree."""
@@ -126,7 +139,7 @@
         children = [
             ChildSpec("log", self.log.run),
             ChildSpec("configuration", self._configuration_follower().run),
-            ChildSpec("registrations", self._registration_follower().run),
+            ChildSpec("registrations", self._registrations.run),
             ChildSpec("leadership", self._leadership_keeper.run),
             ChildSpec("placement", self._placement.run),
             ChildSpec("upkeep", self._run_upkeep),
@@ -152,7 +165,11 @@
             self._adapter.configuration_stream,
             feed,
             self.metrics,
-            _CONFIGURATION_PACE,
+            FollowerPace(
+                wait_s=_WAIT_SHARE * self._settings.credential_lease_s,
+                min_interval_s=0.05,
+                max_backoff_s=_MAX_BACKOFF_S,
+            ),
             on_lost=self._on_store_lost,
             on_regained=self._on_store_regained,
         )
@@ -164,8 +181,9 @@
             self._adapter.registrations_stream,
             feed,
             self.metrics,
-            _REGISTRATION_PACE,
+            _EAGER_PACE,
             on_regained=self._on_registrations_regained,
+            reachable=self._store_reachable,
         )
 
     def _readiness(self, path: str) -> SmallAnswer:
@@ -191,9 +209,11 @@
         self._clients.set_limits(table.limits)
 
     def _on_store_lost(self, error: LogUnavailableError) -> None:
+        self._store_reachable.clear()
         self.log.write(DependencyLost("store", str(error)))
 
     def _on_store_regained(self) -> None:
+        self._store_reachable.set()
         self.log.write(DependencyRegained("store"))
 
     def _on_registrations_regained(self) -> None:
@@ -258,6 +278,7 @@
                 attempts=0,
                 duration_ms=round((self._loop.time() - now_s) * 1000, 1),
                 first_event_ms=0.0,
+                longest_pause_ms=0.0,
                 events=0,
                 configuration_version=self.router.table.version
                 if self.router.table
@@ -285,10 +306,22 @@
             self.router.directory.expire(now_s)
             self.router.pool.prune(now_s)
             self._divide_limits(self._leadership.members)
+            known = {entry.server_id for entry in self.router.directory}
+            self.router.activity.forget(known)
+            self._registrations.pace = self._registration_pace(now_s)
             self._forget_finished()
             self.metrics.gauge("in_flight", len(self.router.active))
             self.metrics.gauge("configuration.age_s", self.router.lease.age_s(now_s))
 
+    def _registration_pace(self, now_s: float) -> FollowerPace:
+        leads = self._leadership.fencing(now_s) is not None
+        if leads:
+            return _LEADING_PACE
+        starting = now_s - self._started_s < _FIRST_START_S
+        if self._settings.first_start and starting:
+            return _CALM_PACE  # No client waits for the first placement yet.
+        return _EAGER_PACE if self.router.chain_missing() else _CALM_PACE
+
     def _divide_limits(self, entries: int) -> None:
         """Take this entry's part of what all entries may do."""
         self.router.entries = entries
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -8,10 +8,11 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from railfold._internal.core import Chain, Stage
+from railfold._internal.core import Chain, LayerRange, Stage
 from railfold._internal.decisions.chain_activity import ChainActivity
 from railfold._internal.decisions.engine_directory import EngineDirectory
 from railfold._internal.decisions.freshness import FreshnessLease
+from railfold._internal.decisions.layer_placement import uncovered_layers
 from railfold._internal.decisions.planner import (
     LinkCosts,
     PlannerWeights,
@@ -156,6 +157,7 @@
         replicas = self.directory.layer_replicas(
             spec.name, model, self.region, self.entries
         )
+        now_s = asyncio.get_running_loop().time()
         best: tuple[float, Chain] | None = None
         error: RequestError | None = None
         for domain, members in _by_domain(replicas).items():
@@ -171,7 +173,8 @@
             except NoCapacityError as found:
                 error = found
                 continue
-            cost = self._cost(chain, members, model)
+            cost = self._cost(chain, members)
+            cost *= self.activity.slowness(chain.stages[0].host, now_s)
             if domain == self.failure_domain:
                 cost *= _LOCAL_FACTOR
             if best is None or cost < best[0]:
@@ -238,9 +241,25 @@
             partial=True,
         )
 
-    def _cost(
-        self, chain: Chain, replicas: Iterable[Replica], model: EngineModel
-    ) -> float:
+    def expected_pause_s(self, route: Route, chain: Chain) -> float:
+        """Return the pause between events that a chain's accelerators lead to."""
+        spec = self._service(route)
+        model = spec.model
+        if model is None:
+            return 0.0
+        factor = 0.0
+        for stage in chain.stages:
+            entry = self.directory.get(stage.host)
+            kind = entry.registration.accelerator if entry else ""
+            accelerator = model.accelerators.get(kind)
+            factor += (accelerator.step_factor if accelerator else 1.0) * len(
+                stage.layers
+            )
+        step_s = model.step_s * factor / model.layer_count
+        hops_s = self.costs.same_domain_ms / 1000.0 * len(chain.stages)
+        return model.tokens_per_event * (step_s + hops_s)
+
+    def _cost(self, chain: Chain, replicas: Iterable[Replica]) -> float:
         by_host = {r.stage.host: r for r in replicas}
         cost = 0.0
         for stage in chain.stages:
@@ -251,6 +270,23 @@
             cost += per_layer_ms * len(stage.layers) * loaded
         return cost
 
+    def chain_missing(self) -> bool:
+        """Return whether some failure domain with engines has no whole chain."""
+        if self.table is None:
+            return True
+        for spec in self.table.model_services():
+            held: dict[str, list[LayerRange | None]] = {}
+            for entry in self.directory.of_service(spec.name):
+                layers = entry.registration.layers if entry.routable else None
+                domain = entry.registration.failure_domain
+                held.setdefault(domain, []).append(layers)
+            model = spec.model
+            if model is None:
+                continue
+            if any(uncovered_layers(r, model.layer_count) for r in held.values()):
+                return True
+        return False
+
     def count(self, destination: Destination, load: int) -> None:
         """Add to the load of a destination's backend servers.
 
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -151,6 +151,7 @@
     attempts: int
     duration_ms: float
     first_event_ms: float
+    longest_pause_ms: float
     events: int
     configuration_version: int
     retry_after_ms: float
--- a/src/railfold/_internal/platform/configuration.py
+++ b/src/railfold/_internal/platform/configuration.py
@@ -76,7 +76,8 @@
 class _Engine(msgspec.Struct, frozen=True):
     """``slots`` is how many requests run at once.
 
-    ``kv_bytes`` is the state of one token over all layers.
+    ``kv_bytes`` is the state of one token over all layers; ``stride`` is how
+    many tokens an event of a stream holds.
     """
 
     slots: int
@@ -87,6 +88,8 @@
     kinds: list[_Kind] = []
     loads_at_once: int = 4
     usual: _Usual = _Usual()
+    step_ms: float = 1.0
+    stride: int = 1
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -185,6 +188,8 @@
         load_s=model.load_s,
         loads_at_once=max(1, engine.loads_at_once),
         max_sequences=engine.slots,
+        step_s=engine.step_ms / 1000.0,
+        tokens_per_event=max(1, engine.stride),
         accelerators={
             kind.name: Accelerator(kind.mb, kind.pace, kind.read_x)
             for kind in engine.kinds
--- a/src/railfold/_internal/platform/engines.py
+++ b/src/railfold/_internal/platform/engines.py
@@ -55,6 +55,12 @@
     kind: str | None = None
 
 
+class _Stalled(msgspec.Struct, frozen=True):
+    """A request (``id``) that stands still, and whom it waits for."""
+
+    address: str = ""
+
+
 class _Report(msgspec.Struct, frozen=True):
     """An engine's state; ``kv_used`` and ``kv_total`` count tokens x layers.
 
@@ -69,6 +75,7 @@
     kv_total: float = 0
     layers: _Layers | None = None
     pace: float = 1.0
+    stalled: list[_Stalled] = []
 
 
 class _PlaceOrder(msgspec.Struct, frozen=True):
@@ -132,6 +139,7 @@
         state_total=int(report.kv_total),
         layers=_layers(report.layers),
         pace=report.pace,
+        stalled=frozenset(s.address for s in report.stalled),
     )
 
 
--- a/src/railfold/_internal/store/follower.py
+++ b/src/railfold/_internal/store/follower.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -26,6 +27,10 @@
 __all__ = ["SettlingAppender", "StreamFollower", "StreamReader"]
 
 
+# How long a follower waits for another one's success before it tries itself.
+_UNREACHABLE_RETRY_S = 2.0
+
+
 class StreamReader(Protocol):
     """What is done with a followed stream."""
 
@@ -79,9 +84,14 @@
 class StreamFollower:
     """Child that follows one stream.
 
+    The pace may be changed at any time; it holds from the next read on.
+
     :param on_lost: called when reads begin to fail.
     :param on_regained: called when a read succeeds after failures, before its
         records are given to the reader.
+    :param reachable: set while another follower's reads of the same log succeed;
+        after a failure this one waits for it, so that an outage isn't probed by
+        all.
     """
 
     def __init__(
@@ -93,14 +103,16 @@
         pace: FollowerPace,
         on_lost: Callable[[LogUnavailableError], None] | None = None,
         on_regained: Callable[[], None] | None = None,
+        reachable: asyncio.Event | None = None,
     ) -> None:
         self._log = log
         self._stream = stream
         self._reader = reader
         self._metrics = metrics
-        self._pace = pace
+        self.pace = pace
         self._on_lost = on_lost
         self._on_regained = on_regained
+        self._reachable = reachable
         self._backoff = Backoff(max_s=pace.max_backoff_s)
         self._read_at_s = 0.0
         self._reading = False
@@ -125,11 +137,18 @@
                 failures += 1
                 self._set_reading(False, error)
                 self._metrics.count(f"log.{self._stream}.read_failures")
-                await asyncio.sleep(self._backoff.delay_s(failures))
+                await self._wait_after_failure(failures)
+
+    async def _wait_after_failure(self, failures: int) -> None:
+        await asyncio.sleep(self._backoff.delay_s(failures))
+        if self._reachable is None or self._reachable.is_set():
+            return
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._reachable.wait(), _UNREACHABLE_RETRY_S)
 
     async def _read_once(self, *, wait: bool) -> None:
         offset = max(self._reader.next_offset(), self._resume_at)
-        wait_s = self._pace.wait_s if wait else 0.0
+        wait_s = self.pace.wait_s if wait else 0.0
         await self._wait_for_turn()
         sent_s = asyncio.get_running_loop().time()
         page = await self._log.read(self._stream, offset, wait_s)
@@ -144,7 +163,7 @@
 
     async def _wait_for_turn(self) -> None:
         loop = asyncio.get_running_loop()
-        turn_s = self._read_at_s + self._pace.min_interval_s
+        turn_s = self._read_at_s + self.pace.min_interval_s
         if turn_s > loop.time():
             await asyncio.sleep(turn_s - loop.time())
         self._read_at_s = loop.time()
--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -52,6 +52,7 @@
     runs: Counter[str] = field(default_factory=Counter)
     seen: list[dict[str, str]] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
+    stalled: dict[str, str] = field(default_factory=dict)
     given: list[dict[str, Any]] = field(default_factory=list)
     _server: HTTPServer | None = None
 
@@ -127,7 +128,9 @@
 class _Report(_Handler):
     def get(self) -> None:
         engine = self.engine
-        self.finish({"seq": engine.orders, "layers": engine.told_layers(), "pace": 1.0})
+        stalled = [{"id": i, "address": a} for i, a in engine.stalled.items()]
+        layers = engine.told_layers()
+        self.finish({"seq": engine.orders, "layers": layers, "stalled": stalled})
 
 
 class _Order(_Handler):
@@ -242,11 +245,15 @@
 
     async def _wait_for(self, members: list[str]) -> None:
         """Stand still while an engine of the chain is dead."""
-        while any(  # noqa: ASYNC110 - faults are attributes.
-            m not in self.engine.fleet or self.engine.fleet[m].mode == "dead"
-            for m in members
-        ):
+        request_id = self.request.headers["Railfold-Attempt-Id"]
+        while dead := [m for m in members if self._is_dead(m)]:
+            self.engine.stalled[request_id] = dead[0]
             await asyncio.sleep(0.01)
+        self.engine.stalled.pop(request_id, None)
+
+    def _is_dead(self, address: str) -> bool:
+        engine = self.engine.fleet.get(address)
+        return engine is None or engine.mode == "dead"
 
 
 def chain_problem(chain: str, fleet: dict[str, Engine]) -> str:
