Find what the logs say of one request; go on with streams while the store is away

Change: the lease is only asked for before an answer has begun (a removal that is known still ends it); a silent stream asks every 150 ms; two streams that pause together prove a stall, if the pause is four times the chain's usual one.

--- a/src/railfold/_internal/cli/main.py
+++ b/src/railfold/_internal/cli/main.py
@@ -31,6 +31,7 @@
     "settle": "publish",
     "show": "show",
     "status": "status",
+    "trace": "trace",
     "validate": "validate",
     "wait": "status",
 }
@@ -91,4 +92,5 @@
     "records_expired": 7,
     "process_unreachable": 8,
     "version_not_in_force": 9,
+    "request_not_logged": 10,
 }
--- /dev/null
+++ b/src/railfold/_internal/commands/trace.py
@@ -0,0 +1,55 @@
+"""``railfold trace``: what the logs say about one request."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+import msgspec
+
+from railfold._internal.errors import RequestNotLoggedError
+from railfold._internal.observability.events import Event, LogLine
+from railfold._internal.operations.request_trace import read_lines, trace_request
+
+__all__ = ["trace"]
+
+
+@click.command()
+@click.argument("request_id")
+@click.argument(
+    "logs", nargs=-1, required=True, type=click.Path(exists=True, path_type=Path)
+)
+@click.option("--json", "as_json", is_flag=True, help="Print the lines as JSON.")
+def trace(request_id: str, logs: tuple[Path, ...], as_json: bool) -> None:
+    """Show the lines about REQUEST_ID in LOGS, in order, and what explains them.
+
+    Lines that tell of the process's surroundings are indented.
+    """
+    texts = (text for log in logs for text in log.read_text("utf-8").splitlines())
+    found = trace_request(read_lines(texts), request_id)
+    if not found.own:
+        raise RequestNotLoggedError(
+            f"no line is about request {request_id}",
+            hint="routine lines are left out under load; failures never are",
+        )
+    if as_json:
+        click.echo(msgspec.json.encode(found.lines))
+        return
+    start_s = found.own[0].time_s
+    for line in found.lines:
+        click.echo(_text(line, start_s, indented=line not in found.own))
+
+
+def _text(line: LogLine, start_s: float, *, indented: bool) -> str:
+    at_ms = round((line.time_s - start_s) * 1000)
+    margin = "    " if indented else ""
+    return f"{at_ms:>8} ms  {line.host}  {margin}{_event_text(line.event)}"
+
+
+def _event_text(event: Event) -> str:
+    fields = msgspec.to_builtins(event)
+    name = fields.pop("type")
+    shown = {
+        k: v for k, v in fields.items() if v not in ("", None) and k != "request_id"
+    }
+    return f"{name} " + " ".join(f"{key}={value!r}" for key, value in shown.items())
--- a/src/railfold/_internal/decisions/chain_activity.py
+++ b/src/railfold/_internal/decisions/chain_activity.py
@@ -20,11 +20,13 @@
 ChainKey = tuple[str, ...]
 
 # Events of a stream come every 15 to 30 ms on the first sites; reading a long
-# prompt holds all streams of a chain up by 30 ms more.
+# prompt holds all streams of a chain up by 30 ms more. A chain that was slow
+# before must pause for several times its usual pause.
 _STALL_S = 0.085
+_STALL_FACTOR = 4.0
 
 # Fewer streams that pause together prove too little.
-_MIN_STREAMS = 3
+_MIN_STREAMS = 2
 
 # The event loop's own delay that makes a pause prove nothing.
 _MAX_LOOP_DELAY_S = 0.03
@@ -46,9 +48,10 @@
 
 @dataclass(slots=True)
 class _Pace:
-    """Mean pause over the expected one, and when it was last seen."""
+    """Mean pause, the same over the expected one, and when it was last seen."""
 
     slowness: float = 1.0
+    pause_s: float = 0.0
     seen_s: float = 0.0
 
 
@@ -65,16 +68,21 @@
         chain.streams += 1
         chain.last_event_s = now_s
 
-    def moved(self, key: ChainKey, now_s: float, slowness: float) -> None:
+    def moved(
+        self, key: ChainKey, now_s: float, pause_s: float, expected_s: float
+    ) -> None:
         """A stream over the chain got an event.
 
-        :param slowness: its pause over the expected one.
+        :param pause_s: time since the stream's last event.
+        :param expected_s: the pause that the chain's accelerators lead to.
         """
         chain = self._chains.get(key)
         if chain is not None:
             chain.last_event_s = now_s
         pace = self._paces.setdefault(key[0], _Pace())
-        pace.slowness += _PAUSE_WEIGHT * (min(slowness, _MOST_SLOWNESS) - pace.slowness)
+        slowness = min(pause_s / expected_s, _MOST_SLOWNESS)
+        pace.slowness += _PAUSE_WEIGHT * (slowness - pace.slowness)
+        pace.pause_s += _PAUSE_WEIGHT * (pause_s - pace.pause_s)
         pace.seen_s = now_s
 
     def slowness(self, first_host: str, now_s: float) -> float:
@@ -106,7 +114,8 @@
             return False
         if loop_delay_s > _MAX_LOOP_DELAY_S:
             return False
-        if now_s - chain.last_event_s < _STALL_S:
+        pace = self._paces.get(key[0], _Pace())
+        if now_s - chain.last_event_s < max(_STALL_S, _STALL_FACTOR * pace.pause_s):
             return False
         others = [c for k, c in self._chains.items() if k != key]
         moving = [c for c in others if now_s - c.last_event_s < _STALL_S]
--- a/src/railfold/_internal/errors.py
+++ b/src/railfold/_internal/errors.py
@@ -34,6 +34,7 @@
     "RailfoldError",
     "RecordsExpiredError",
     "RequestError",
+    "RequestNotLoggedError",
     "RequestTimeoutError",
     "ServerLeavingError",
     "SettingsError",
@@ -207,6 +208,12 @@
     code = "server_leaving"
 
 
+class RequestNotLoggedError(RailfoldError):
+    """No log line is about a request."""
+
+    code = "request_not_logged"
+
+
 class LineageError(RailfoldError):
     """A token's layers weren't each run exactly once and in order."""
 
--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -83,6 +83,10 @@
 _OVERDUE_FLOOR_S = 0.09
 _FIRST_EVENT_OVERDUE_S = 0.4
 
+# An engine tells of a stream that stands still with a lag of 0.2 s on the first
+# sites: it is asked again while the silence lasts.
+_ASK_AGAIN_S = 0.15
+
 # A stream whose backend servers all answer, and which yet is silent for this
 # long, is taken elsewhere: clients leave after 2 s.
 _ABANDON_SILENT_S = 1.3
@@ -286,8 +290,14 @@
             self._arm_overdue()
 
     def _check(self) -> None:
-        """Look once more at what may have changed while the request waited."""
+        """Look once more at what may have changed while the request waited.
+
+        A stream in the middle of its answer was allowed when it was sent, and may
+        go on although the store is away.
+        """
         request = self._request
+        if not self._client.head_sent:
+            self._router.require_fresh(self._route)
         self._router.check_permission(self._route, request.path, request.credential)
         destination = self._destination
         entry = destination and self._router.directory.get(destination.server.host)
@@ -397,7 +407,7 @@
     def _note_activity(self, now_s: float, since_s: float) -> None:
         activity = self._router.activity
         if self._flowing is not None:
-            activity.moved(self._flowing, now_s, since_s / self._expected_pause_s)
+            activity.moved(self._flowing, now_s, since_s, self._expected_pause_s)
         elif self._destination is not None and self._destination.chain is not None:
             chain = self._destination.chain
             self._flowing = chain.hosts
@@ -494,9 +504,8 @@
             self._end_attempt("silent although all answer", alive=True)
             return
         self._router.metrics.count("streams.overdue")
-        self._overdue.probed(now_s)
         self._prober.ask_first(destination.chain, self._request.request_id, silent_s)
-        self._arm_overdue()
+        self._overdue_timer = self._loop.call_later(_ASK_AGAIN_S, self._check_overdue)
 
     async def _reroute(self, chain: Chain, lost: frozenset[str]) -> None:
         """Let the first backend server go on over another chain."""
@@ -562,6 +571,13 @@
         self._client.reply(status, headers, body)
         return status
 
+    def _cause_of(self, outcome: Outcome) -> str:
+        match outcome:
+            case Answered():
+                return ""
+            case NotRun(error=error) | Failed(error=error) | Unknown(error=error):
+                return self._cause or str(error)
+
     def _count_outcome(self, outcome: Outcome, status: int) -> None:
         router = self._router
         now_s = self._loop.time()
@@ -577,7 +593,7 @@
             request_id=self._request.request_id,
             outcome=name,
             status=status,
-            cause="" if isinstance(outcome, Answered) else self._cause,
+            cause=self._cause_of(outcome),
             route=self._route.name,
             workspace=self._owner.workspace if self._owner else "",
             attempts=self._attempts,
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -26,6 +26,7 @@
     Route,
     RoutingTable,
     ServiceSpec,
+    require_table,
 )
 from railfold._internal.errors import (
     ConfigurationStaleError,
@@ -97,22 +98,19 @@
     def check_permission(self, route: Route, path: str, credential: str) -> None:
         """Look at the newest configuration right before a request is sent.
 
-        :raises ConfigurationStaleError: what is known is too old to use keys.
         :raises RequestError: the newest version doesn't allow it any more.
         """
-        table = self.table
-        if table is None or (table.credentials is not None and not route.public):
-            self.require_fresh()
-        if table is None:
-            return
+        table = require_table(self.table)
         newest = table.find(route.host, path)
         table.authorize(newest, credential)
 
-    def require_fresh(self) -> None:
+    def require_fresh(self, route: Route) -> None:
         """Refuse if what is known of credentials is too old.
 
-        :raises ConfigurationStaleError: it is.
+        :raises ConfigurationStaleError: it is, and the route needs one.
         """
+        if route.public or (self.table and self.table.credentials is None):
+            return
         now_s = asyncio.get_running_loop().time()
         if not self.lease.valid(now_s):
             raise ConfigurationStaleError(
--- a/src/railfold/_internal/observability/decision_log.py
+++ b/src/railfold/_internal/observability/decision_log.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from railfold._internal.observability.events import Event, LinesDropped
+from railfold._internal.observability.events import Event, LinesDropped, LogLine
 
 __all__ = ["DecisionLog"]
 
@@ -29,12 +29,6 @@
 _WRITE_BYTES = 64 * 1024
 
 
-class _Line(msgspec.Struct, frozen=True):
-    time_s: float
-    host: str
-    event: Event
-
-
 class DecisionLog:
     """Writes events to a file descriptor."""
 
@@ -51,7 +45,7 @@
 
     def write(self, event: Event) -> None:
         """Log an event."""
-        line = self._encoder.encode(_Line(round(time.time(), 3), self._host, event))
+        line = self._encoder.encode(LogLine(round(time.time(), 3), self._host, event))
         if self._buffered_bytes + len(line) > _BUFFER_BYTES:
             self._dropped += 1
             return
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -20,6 +20,7 @@
     "LayersOrdered",
     "LeadershipChanged",
     "LinesDropped",
+    "LogLine",
     "ProcessStarted",
     "ProcessStopping",
     "RequestEnded",
@@ -181,3 +182,14 @@
     | RequestEnded
     | LinesDropped
 )
+
+
+class LogLine(msgspec.Struct, frozen=True):
+    """One line of a log: when, on which host, and what.
+
+    ``time_s`` is the host's own time of day, which may differ from others'.
+    """
+
+    time_s: float
+    host: str
+    event: Event
--- /dev/null
+++ b/tests/unit/test_chain_activity.py
@@ -0,0 +1,84 @@
+"""A chain that stands still is told from slow ones and from one's own pauses."""
+
+from __future__ import annotations
+
+import pytest
+
+from railfold._internal.decisions.chain_activity import ChainActivity, ChainKey
+
+A: ChainKey = ("a1", "a2")
+B: ChainKey = ("b1", "b2")
+
+
+def running(pause_s: float = 0.02, until_s: float = 1.0) -> ChainActivity:
+    """Two chains with three streams each that get events at equal pauses."""
+    activity = ChainActivity()
+    for key in (A, B):
+        for _ in range(3):
+            activity.flowing(key, 0.0)
+    now_s = 0.0
+    while now_s < until_s:
+        now_s += pause_s
+        for key in (A, B):
+            activity.moved(key, now_s, pause_s, expected_s=0.02)
+    return activity
+
+
+def later(activity: ChainActivity, *keys: ChainKey, until_s: float) -> None:
+    """Let chains go on."""
+    for key in keys:
+        activity.moved(key, until_s, 0.02, expected_s=0.02)
+
+
+def test_a_chain_stands_still_when_all_its_streams_do_and_others_go_on() -> None:
+    activity = running()
+    later(activity, B, until_s=1.1)
+    assert activity.stalled(A, 1.1, loop_delay_s=0.0)
+    assert not activity.stalled(B, 1.1, loop_delay_s=0.0)
+
+
+def test_one_stream_that_moves_shows_that_its_chain_lives() -> None:
+    activity = running()
+    later(activity, A, B, until_s=1.1)
+    assert not activity.stalled(A, 1.15, loop_delay_s=0.0)
+
+
+def test_nothing_is_concluded_when_all_chains_pause() -> None:
+    activity = running()
+    assert not activity.stalled(A, 1.3, loop_delay_s=0.0)
+
+
+def test_nothing_is_concluded_when_the_loop_was_late() -> None:
+    activity = running()
+    later(activity, B, until_s=1.1)
+    assert not activity.stalled(A, 1.1, loop_delay_s=0.05)
+
+
+def test_nothing_is_concluded_from_one_stream() -> None:
+    activity = running()
+    activity.ended(A)
+    activity.ended(A)
+    later(activity, B, until_s=1.1)
+    assert not activity.stalled(A, 1.1, loop_delay_s=0.0)
+
+
+def test_a_slow_chain_may_pause_for_longer() -> None:
+    activity = running(pause_s=0.08, until_s=8.0)
+    later(activity, B, until_s=8.2)
+    assert not activity.stalled(A, 8.2, loop_delay_s=0.0)
+    later(activity, B, until_s=8.5)
+    assert activity.stalled(A, 8.5, loop_delay_s=0.0)
+
+
+def test_slowness_is_the_pause_over_the_expected_one() -> None:
+    activity = running(pause_s=0.08, until_s=8.0)
+    assert activity.slowness("a1", 8.0) == pytest.approx(4.0, rel=0.1)
+    assert activity.slowness("unknown", 8.0) == 1.0
+
+
+def test_slowness_that_nobody_sees_is_forgotten() -> None:
+    activity = running(pause_s=0.08, until_s=8.0)
+    assert 1.0 < activity.slowness("a1", 12.0) < 2.5
+    assert activity.slowness("a1", 60.0) == pytest.approx(1.0, abs=0.01)
+    activity.forget({"b1"})
+    assert activity.slowness("a1", 8.0) == 1.0
--- /dev/null
+++ b/tests/unit/test_decision_log.py
@@ -0,0 +1,101 @@
+"""Logging never blocks, and tells what it left out."""
+
+from __future__ import annotations
+
+import json
+import os
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from railfold._internal.observability import decision_log
+from railfold._internal.observability.decision_log import DecisionLog
+from railfold._internal.observability.events import DependencyLost, RequestEnded
+
+
+@pytest.fixture
+def pipe() -> Iterator[tuple[int, int]]:
+    """A pipe that nobody reads by itself."""
+    out, into = os.pipe()
+    os.set_blocking(into, False)
+    yield out, into
+    os.close(out)
+    os.close(into)
+
+
+def ended(number: int) -> RequestEnded:
+    return RequestEnded(
+        request_id=f"r-{number}",
+        outcome="not_run",
+        status=503,
+        cause="x" * 200,
+        route="r",
+        workspace="w",
+        attempts=1,
+        duration_ms=1.0,
+        first_event_ms=0.0,
+        longest_pause_ms=0.0,
+        events=0,
+        configuration_version=1,
+        retry_after_ms=500.0,
+    )
+
+
+def read_all(fd: int) -> list[dict[str, object]]:
+    os.set_blocking(fd, False)
+    data = b""
+    try:
+        while chunk := os.read(fd, 1 << 16):
+            data += chunk
+    except BlockingIOError:
+        pass
+    return [json.loads(line)["event"] for line in data.splitlines() if line]
+
+
+def test_a_reader_that_doesnt_read_holds_nothing_up(pipe: tuple[int, int]) -> None:
+    log = DecisionLog("entry-1", pipe[1])
+    started_s = time.perf_counter()
+    for number in range(20_000):
+        log.write(ended(number))
+        if number % 100 == 0:
+            log.flush()
+    assert time.perf_counter() - started_s < 5.0
+    assert log._buffered_bytes <= decision_log._BUFFER_BYTES
+
+
+def test_lines_are_whole_and_in_order_once_it_reads_again(
+    pipe: tuple[int, int],
+) -> None:
+    log = DecisionLog("entry-1", pipe[1])
+    for number in range(5_000):
+        log.write(ended(number))
+    found: list[dict[str, object]] = []
+    data = b""
+    os.set_blocking(pipe[0], False)
+    for _ in range(200):
+        log.flush()
+        try:
+            data += os.read(pipe[0], 1 << 16)
+        except BlockingIOError:
+            break
+    found = [json.loads(line)["event"] for line in data.splitlines()]
+    ids = [e["request_id"] for e in found if e["type"] == "request_ended"]
+    assert ids == [f"r-{n}" for n in range(len(ids))]
+    assert found[-1]["type"] == "lines_dropped"
+    assert found[-1]["dropped"] == 5_000 - len(ids)
+
+
+def test_routine_lines_are_bounded_and_others_never_left_out(
+    pipe: tuple[int, int],
+) -> None:
+    log = DecisionLog("entry-1", pipe[1])
+    for number in range(500):
+        log.write_routine(ended(number))
+    log.write(DependencyLost("store", "silent"))
+    log.flush()
+    log.flush()
+    types = [event["type"] for event in read_all(pipe[0])]
+    assert 30 <= types.count("request_ended") <= 60
+    assert types.count("dependency_lost") == 1
+    assert types.count("lines_dropped") == 1
