--- a/src/railfold/_internal/forwarding/front.py
+++ b/src/railfold/_internal/forwarding/front.py
@@ -191,7 +191,8 @@
         self.draining = False
         self.stopped = False
         self._address = address
-        self._connections: dict[object, IOStream] = {}
+        # tornado tells its own server of closed connections, nobody else.
+        self._streams: set[IOStream] = set()
         self._busy: set[IOStream] = set()
         self._server: HTTPServer | None = None
         self._limits = ClientLimits()
@@ -199,7 +200,14 @@
     @property
     def open_connections(self) -> int:
         """How many connections clients have open."""
-        return len(self._connections)
+        self.forget_closed()
+        return len(self._streams)
+
+    def forget_closed(self) -> None:
+        """Forget connections that were closed."""
+        closed = {stream for stream in self._streams if stream.closed()}
+        self._streams -= closed
+        self._busy -= closed
 
     def begin_request(self, stream: IOStream) -> None:
         """A request began to arrive on a connection."""
@@ -213,9 +221,8 @@
         self.stopped = True
         if self._server is not None:
             self._server.stop()
-        for stream in list(self._connections.values()):
-            if stream not in self._busy:
-                stream.close()
+        for stream in self._streams - self._busy:
+            stream.close()
 
     def set_limits(self, limits: ClientLimits) -> None:
         """Bound what clients may send from now on."""
@@ -250,12 +257,6 @@
     ) -> HTTPMessageDelegate:
         """Begin to read a request."""
         assert isinstance(request_conn, HTTP1Connection)
-        self._connections[server_conn] = request_conn.stream
+        self._streams.add(request_conn.stream)
         self._busy.discard(request_conn.stream)
         return _ClientMessage(self, request_conn)
-
-    def on_close(self, server_conn: object) -> None:
-        """A connection was closed."""
-        stream = self._connections.pop(server_conn, None)
-        if stream is not None:
-            self._busy.discard(stream)
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -310,6 +310,7 @@
             self.router.activity.forget(known)
             self._registrations.pace = self._registration_pace(now_s)
             self._forget_finished()
+            self._clients.forget_closed()
             self.metrics.gauge("in_flight", len(self.router.active))
             self.metrics.gauge("configuration.age_s", self.router.lease.age_s(now_s))
 
--- a/tests/forwarding/test_failures.py
+++ b/tests/forwarding/test_failures.py
@@ -217,3 +217,15 @@
     assert served.headers["Connection"] == "close"
     assert (await rest_of(stream)).body == events_of(40)
     await asyncio.wait_for(stop, 5.0)
+
+
+async def test_a_planned_stop_ends_once_nothing_runs(deployment: Deployment) -> None:
+    connections = [await deployment.connect() for _ in range(6)]
+    for number, connection in enumerate(connections[:4]):
+        await connection.ask("/tray/1", f"c-{number}", method="GET", body=b"")
+    leaving, _ = await begin_stream(deployment, "s-9", events=1000)
+    leaving.close()
+    started_s = _now()
+    await asyncio.wait_for(deployment.entry.drain(), 5.0)
+    # The grace time is 4 s; the balancer is given 2.8 s to notice.
+    assert _now() - started_s < 3.2
