--- a/src/railfold/_internal/forwarding/probes.py
+++ b/src/railfold/_internal/forwarding/probes.py
@@ -80,10 +80,13 @@
 
     def not_executed(self, server_id: str, at_fault: str) -> None:
         """It refused a request; another may be at fault, by its address."""
+        now_s = self._loop.time()
         if not at_fault:
+            self._router.avoidance.refused(server_id, now_s)
             return
         for entry in self._router.directory:
             if entry.registration.address == at_fault:
+                self._router.avoidance.refused(entry.server_id, now_s)
                 self.doubt(entry.server_id)
 
     def served(self, server_id: str) -> None:
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -308,6 +308,7 @@
             self._divide_limits(self._leadership.members)
             known = {entry.server_id for entry in self.router.directory}
             self.router.activity.forget(known)
+            self.router.avoidance.forget(known)
             self._registrations.pace = self._registration_pace(now_s)
             self._forget_finished()
             self._clients.forget_closed()
@@ -344,6 +345,10 @@
         while self._clients.open_connections and self._loop.time() < end_s:  # noqa: ASYNC110
             await asyncio.sleep(_TICK_S / 5)
         self.log.write(ProcessStopping("the process ends", len(self.router.active)))
+        # What still runs is cut visibly; waiting for it would outlast the grace.
+        for exchange, driver in list(self._drivers.items()):
+            exchange.abort()
+            driver.client_gone()
         self.log.flush()
 
 
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from railfold._internal.core import Chain, LayerRange, Stage
+from railfold._internal.decisions.avoidance import Avoidance
 from railfold._internal.decisions.chain_activity import ChainActivity
 from railfold._internal.decisions.engine_directory import EngineDirectory
 from railfold._internal.decisions.freshness import FreshnessLease
@@ -91,7 +92,7 @@
     entries: int = 1
     active: set[ActiveRequest] = field(default_factory=set)
     activity: ChainActivity = field(default_factory=ChainActivity)
-    avoided: dict[str, float] = field(default_factory=dict)
+    avoidance: Avoidance = field(default_factory=Avoidance)
     costs: LinkCosts = field(default_factory=LinkCosts)
     weights: PlannerWeights = field(default_factory=PlannerWeights)
 
@@ -163,8 +164,8 @@
             usable = [
                 r
                 for r in members
-                if r.stage.layers.first > 0
-                or (r.stage.host not in exclude and not self._avoided(r.stage.host))
+                if (r.stage.layers.first > 0 or r.stage.host not in exclude)
+                and not self.avoidance.avoided(r.stage.host, now_s)
             ]
             try:
                 chain = self._plan(usable, model)
@@ -184,20 +185,10 @@
             )
         return Destination(best[1].stages[0], best[1])
 
-    def _avoided(self, server_id: str) -> bool:
-        """Return whether a chain that begins here was seen to stand still."""
-        until_s = self.avoided.get(server_id)
-        if until_s is None:
-            return False
-        if asyncio.get_running_loop().time() < until_s:
-            return True
-        del self.avoided[server_id]
-        return False
-
     def report_stalled(self, chain: Chain) -> None:
         """Send nothing over this chain for a moment, and move its streams."""
         now_s = asyncio.get_running_loop().time()
-        self.avoided[chain.stages[0].host] = now_s + _AVOID_S
+        self.avoidance.avoid(chain.stages[0].host, now_s + _AVOID_S)
         self.metrics.count("chains.stalled")
         for request in list(self.active):
             request.chain_stalled(chain)
