Send a request nowhere whose connection a planned stop has closed

Ruled out: a later close (the same race at another time). Change: a request whose connection is closed goes no further.

--- a/src/railfold/_internal/forwarding/front.py
+++ b/src/railfold/_internal/forwarding/front.py
@@ -168,7 +168,13 @@
         self._parts.append(chunk)
 
     def finish(self) -> None:
-        """Give the whole request to the handler."""
+        """Give the whole request to the handler.
+
+        Bytes that had arrived when a planned stop closed the connection are
+        still parsed. Their request must go nowhere: its client takes it for unread.
+        """
+        if self._connection.stream is None or self._connection.stream.closed():
+            return
         exchange = ClientExchange(self._connection, self._server)
         # Once a request is whole, tornado tells of a closed connection here only.
         self._connection.set_close_callback(
--- a/tests/forwarding/test_failures.py
+++ b/tests/forwarding/test_failures.py
@@ -219,6 +219,24 @@
     await asyncio.wait_for(stop, 5.0)
 
 
+async def test_a_request_that_crosses_a_planned_stops_close_goes_nowhere(
+    deployment: Deployment,
+) -> None:
+    connection = await deployment.connect()
+    await connection.ask("/tray/1", "c-1", method="GET", body=b"")
+    clients = deployment.entry._clients
+    (stream,) = clients._streams
+    # Bytes that were read but not parsed yet when the connection is closed.
+    head_read = stream._read_future
+    assert head_read is not None
+    await connection.send("/tray/1", "c-2", method="GET", body=b"")
+    while not head_read.done():  # noqa: ASYNC110 - the very next turn counts.
+        await asyncio.sleep(0)
+    clients.stop_accepting()
+    await asyncio.sleep(0.2)
+    assert sum(server.runs["c-2"] for server in deployment.plain) == 0
+
+
 async def test_a_planned_stop_ends_once_nothing_runs(deployment: Deployment) -> None:
     connections = [await deployment.connect() for _ in range(6)]
     for number, connection in enumerate(connections[:4]):
