--- a/src/railfold/_internal/forwarding/feeds.py
+++ b/src/railfold/_internal/forwarding/feeds.py
@@ -45,11 +45,11 @@
     def record(self, record: LogRecord) -> None:
         """Take one record."""
         self._next = record.offset + 1
-        keyed: KeyedValue = record.body
-        if keyed.key != self._key or not keyed.value:
+        item: KeyedValue = record.body
+        if item.key != self._key or not item.value:
             return
         try:
-            table = self._decode(keyed.value)
+            table = self._decode(item.value)
         except ConfigurationRefusedError as error:
             self._router.metrics.count("configuration.refused")
             self._router.log.write(
@@ -100,16 +100,16 @@
     def record(self, record: LogRecord) -> None:
         """Take one record."""
         self._next = record.offset + 1
-        keyed: KeyedValue = record.body
-        if not keyed.value:
-            self._remove(keyed.key)
+        item: KeyedValue = record.body
+        if not item.value:
+            self._remove(item.key)
             return
         try:
-            registration = self._decode(keyed.key, keyed.value)
+            registration = self._decode(item.key, item.value)
         except RailfoldError as error:
             self._router.metrics.count("registrations.refused")
             self._router.log.write(
-                EngineChanged(keyed.key, "registration refused", str(error))
+                EngineChanged(item.key, "registration refused", str(error))
             )
             return
         if self._copy is not None:
--- a/tests/forwarding/test_failures.py
+++ b/tests/forwarding/test_failures.py
@@ -144,6 +144,19 @@
     assert (await deployment.ask("/slip/1", "c-3")).status == 200
 
 
+async def test_a_stream_goes_on_elsewhere_while_the_store_is_away(
+    deployment: Deployment,
+) -> None:
+    connection, engine = await begin_stream(deployment, events=200)
+    lease = deployment.entry.router.lease
+    lease.duration_s = 0.5
+    deployment.store.mode = "out"
+    await until(lambda: not lease.valid(_now()))
+    await engine.stop()
+    reply = await rest_of(connection)
+    assert reply.body == events_of(200)
+
+
 async def test_a_key_that_was_removed_isnt_used(deployment: Deployment) -> None:
     tenants = [{"name": "quality", "api_keys": ["another"], "priority": 1}]
     deployment.store.put("keyed.op", "config", configuration(2, tenants=tenants))
