Read the settings again on SIGHUP and when their file changes

Change: a child reads the file on the signal and looks at it every second; faulty settings are refused whole.

--- a/src/railfold/_internal/commands/forward.py
+++ b/src/railfold/_internal/commands/forward.py
@@ -8,6 +8,7 @@
 import click
 
 from railfold._internal.forwarding.process import run_forwarding_entry
+from railfold._internal.forwarding.reload import SettingsSource
 from railfold._internal.platform.adapter import UsersPlatform
 from railfold._internal.platform.settings import (
     PlatformSettings,
@@ -37,9 +38,12 @@
     if check:
         click.echo(f"{path}: no faults")
         return
-    asyncio.run(_run(loaded))
+    source = SettingsSource(
+        path, lambda path: load_platform_settings(path, metrics_port).forwarding
+    )
+    asyncio.run(_run(loaded, source))
 
 
-async def _run(loaded: PlatformSettings) -> None:
+async def _run(loaded: PlatformSettings, source: SettingsSource) -> None:
     adapter = UsersPlatform(loaded.store, loaded.store_partitions)
-    await run_forwarding_entry(loaded.forwarding, adapter)
+    await run_forwarding_entry(loaded.forwarding, adapter, source)
--- a/src/railfold/_internal/forwarding/probes.py
+++ b/src/railfold/_internal/forwarding/probes.py
@@ -12,6 +12,8 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from absl import logging
+
 from railfold._internal.core import Chain, parse_address
 from railfold._internal.decisions.engine_directory import DirectoryEntry
 from railfold._internal.errors import EngineError
@@ -276,5 +278,5 @@
 
     def _done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
-        if not task.cancelled():
-            task.exception()
+        if not task.cancelled() and (error := task.exception()) is not None:
+            logging.error("a probe failed unexpectedly: %r", error)
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -25,6 +25,7 @@
 from railfold._internal.forwarding.placement import PlacementKeeper
 from railfold._internal.forwarding.pool import ConnectionPool
 from railfold._internal.forwarding.probes import ChainProber
+from railfold._internal.forwarding.reload import SettingsSource, SettingsWatcher
 from railfold._internal.forwarding.replies import error_reply, status_of
 from railfold._internal.forwarding.router import Router
 from railfold._internal.forwarding.settings import ForwardingSettings
@@ -89,10 +90,15 @@
     """The parts of one forwarding entry, wired together."""
 
     def __init__(
-        self, settings: ForwardingSettings, adapter: PlatformAdapter, log_fd: int = 1
+        self,
+        settings: ForwardingSettings,
+        adapter: PlatformAdapter,
+        source: SettingsSource | None = None,
+        log_fd: int = 1,
     ) -> None:
         self._settings = settings
         self._adapter = adapter
+        self._source = source
         self._loop = asyncio.get_running_loop()
         self._draining = False
         self._started_s = self._loop.time()
@@ -148,6 +154,9 @@
                 "readiness", SmallServer(settings.readiness, self._readiness).run
             ),
         ]
+        if self._source is not None:
+            watcher = SettingsWatcher(self._source, self._on_settings, self.log)
+            children.insert(0, ChildSpec("settings", watcher.run))
         if settings.metrics is not None:
             server = SmallServer(settings.metrics, self._metrics_page)
             children.append(ChildSpec("metrics", server.run))
@@ -203,6 +212,12 @@
             known and not self._draining and self.router.lease.valid(self._loop.time())
         )
 
+    def _on_settings(self, settings: ForwardingSettings) -> None:
+        """Take new bounds; addresses and the place stay until a restart."""
+        self._settings = settings
+        self.router.lease.duration_s = settings.credential_lease_s
+        self.router.budget.share = settings.retry_share * _RETRY_SAFETY
+
     # What the store says
 
     def _on_configuration(self, table: RoutingTable) -> None:
@@ -353,10 +368,10 @@
 
 
 async def run_forwarding_entry(
-    settings: ForwardingSettings, adapter: PlatformAdapter
+    settings: ForwardingSettings, adapter: PlatformAdapter, source: SettingsSource
 ) -> None:
     """Run a forwarding entry until it is told to stop."""
-    entry = ForwardingEntry(settings, adapter)
+    entry = ForwardingEntry(settings, adapter, source)
     entry.log.write(
         ProcessStarted(
             "forwarding entry",
--- /dev/null
+++ b/src/railfold/_internal/forwarding/reload.py
@@ -0,0 +1,94 @@
+"""Reading the settings again: when told to, and when their file changes."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Callable
+from pathlib import Path
+
+from railfold._internal.errors import SettingsError
+from railfold._internal.forwarding.settings import ForwardingSettings
+from railfold._internal.observability.decision_log import DecisionLog
+from railfold._internal.observability.events import SettingsReloaded
+
+__all__ = ["SettingsSource", "SettingsWatcher"]
+
+# A file that changes without a signal is noticed within this time.
+_LOOK_S = 1.0
+
+
+class SettingsSource:
+    """A settings file and how to read it."""
+
+    def __init__(self, path: Path, load: Callable[[Path], ForwardingSettings]) -> None:
+        self._path = path
+        self._load = load
+
+    def stamp(self) -> tuple[int, int]:
+        """Return what changes with the file; zeros if it can't be looked at."""
+        try:
+            status = self._path.stat()
+        except OSError:
+            return (0, 0)
+        return (status.st_mtime_ns, status.st_size)
+
+    def load(self) -> ForwardingSettings:
+        """Return the settings as they are now.
+
+        :raises SettingsError: the file has faults.
+        """
+        return self._load(self._path)
+
+
+class SettingsWatcher:
+    """Child that reads the settings again.
+
+    A file with faults is refused whole: the settings before stay in force.
+
+    :param on_settings: takes new settings.
+    """
+
+    def __init__(
+        self,
+        source: SettingsSource,
+        on_settings: Callable[[ForwardingSettings], None],
+        log: DecisionLog,
+    ) -> None:
+        self._source = source
+        self._on_settings = on_settings
+        self._log = log
+        self._told = asyncio.Event()
+
+    async def run(self, ready: asyncio.Event) -> None:
+        """Watch until cancelled."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self._told.set)
+        seen = self._source.stamp()
+        ready.set()
+        try:
+            while True:
+                told = await self._wait()
+                stamp = self._source.stamp()
+                if told or stamp != seen:
+                    seen = stamp
+                    self._reload()
+        finally:
+            loop.remove_signal_handler(signal.SIGHUP)
+
+    async def _wait(self) -> bool:
+        try:
+            await asyncio.wait_for(self._told.wait(), _LOOK_S)
+        except TimeoutError:
+            return False
+        self._told.clear()
+        return True
+
+    def _reload(self) -> None:
+        try:
+            settings = self._source.load()
+        except SettingsError as error:
+            self._log.write(SettingsReloaded(f"refused: {error.why}"))
+            return
+        self._on_settings(settings)
+        self._log.write(SettingsReloaded("in force"))
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -111,6 +111,11 @@
 _FREE_PORTS = _free_ports()
 
 
+def free_port() -> int:
+    """Return a port on loopback that nobody listens on, nor another test worker."""
+    return next(_FREE_PORTS)
+
+
 @dataclass
 class Cluster:
     """A deployment; use it as a context manager."""
--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import os
-import socket
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -17,6 +16,7 @@
 from railfold._internal.forwarding.settings import ForwardingSettings
 from railfold._internal.platform.adapter import UsersPlatform
 from standins.chaining_engine import LAYERS, Engine
+from standins.cluster import free_port
 from standins.metadata_store import PARTITIONS, MetadataStore
 
 HOST = "station.example"
@@ -78,13 +78,6 @@
     }
 
 
-def free_port() -> int:
-    """Return a port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 @dataclass
 class Reply:
     """An answer as a client sees it."""
--- /dev/null
+++ b/tests/unit/test_platform_settings.py
@@ -0,0 +1,125 @@
+"""The platform's settings file is checked, and read again when it changes."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from railfold._internal.cli.main import cli
+from railfold._internal.core import Address
+from railfold._internal.errors import SettingsError
+from railfold._internal.forwarding import reload
+from railfold._internal.forwarding.reload import SettingsSource, SettingsWatcher
+from railfold._internal.forwarding.settings import ForwardingSettings
+from railfold._internal.observability.decision_log import DecisionLog
+from railfold._internal.platform.settings import load_platform_settings
+
+TEXT = """
+node = "front-1"
+ip = "10.1.0.40"
+zone = "hall-a"
+region = "west"
+bootstrap = true
+unknown_field = 1
+[listen]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+[bounds]
+grace_s = 8
+revoke_ms = 5000
+budget_ratio = 0.2
+budget_slack = 202
+[platform]
+address = "10.200.1.7:8223"
+parts = 12
+"""
+
+
+@pytest.fixture
+def path(tmp_path: Path) -> Path:
+    """A settings file without faults."""
+    file = tmp_path / "boot.toml"
+    file.write_text(TEXT)
+    return file
+
+
+def test_fields_are_translated(path: Path) -> None:
+    loaded = load_platform_settings(path, metrics_port=7340)
+    assert loaded.store == Address("10.200.1.7", 8223)
+    assert loaded.store_partitions == 12
+    settings = loaded.forwarding
+    assert settings.clients == Address("10.1.0.40", 8227)
+    assert settings.metrics == Address("10.1.0.40", 7340)
+    assert settings.failure_domain == "hall-a"
+    assert settings.credential_lease_s == 5.0
+    assert (settings.retry_share, settings.retry_slack) == (0.2, 202)
+    assert settings.first_start
+
+
+def test_every_fault_is_told_at_once(path: Path) -> None:
+    text = TEXT.replace('"10.1.0.40:8227"', '"nowhere"').replace("parts = 12", "")
+    text = text.replace("grace_s = 8", 'grace_s = "long"')
+    path.write_text(text.replace('address = "10.200.1.7:8223"', ""))
+    with pytest.raises(SettingsError) as caught:
+        load_platform_settings(path)
+    told = "\n".join(caught.value.faults)
+    assert "listen.front" in told
+    assert "bounds." in told
+    assert "platform." in told
+
+
+@pytest.mark.parametrize("text", ["not toml", "node = 1"])
+def test_other_files_are_refused(path: Path, text: str) -> None:
+    path.write_text(text)
+    with pytest.raises(SettingsError):
+        load_platform_settings(path)
+
+
+def test_the_command_checks_a_file(path: Path) -> None:
+    result = CliRunner().invoke(cli, ["forward", "--check", str(path)])
+    assert result.exit_code == 0
+    assert "no faults" in result.output
+
+
+def change(path: Path, text: str) -> None:
+    path.write_text(text)
+
+
+def load(path: Path) -> ForwardingSettings:
+    return load_platform_settings(path).forwarding
+
+
+@pytest.mark.parametrize("signalled", [True, False])
+async def test_settings_are_read_again(
+    path: Path, signalled: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(reload, "_LOOK_S", 0.02 if not signalled else 60.0)
+    taken: list[ForwardingSettings] = []
+    out, into = os.pipe()
+    log = DecisionLog("front-1", into)
+    watcher = SettingsWatcher(SettingsSource(path, load), taken.append, log)
+    ready = asyncio.Event()
+    task = asyncio.create_task(watcher.run(ready))
+    await ready.wait()
+    change(path, TEXT.replace("revoke_ms = 5000", "revoke_ms = 12000"))
+    if signalled:
+        os.kill(os.getpid(), signal.SIGHUP)
+    async with asyncio.timeout(5.0):
+        while not taken:  # noqa: ASYNC110 - the watcher tells nobody else.
+            await asyncio.sleep(0.01)
+    assert taken[-1].credential_lease_s == 12.0
+    change(path, "faulty")
+    os.kill(os.getpid(), signal.SIGHUP)
+    await asyncio.sleep(0.2)
+    assert taken[-1].credential_lease_s == 12.0
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    log.flush()
+    assert b"refused" in os.read(out, 65536)
+    os.close(out)
+    os.close(into)
