--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,136 @@
+"""Run the soak: ``python -m soak --seeds 1-50 --seconds 12``."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import signal
+import sys
+import time
+from pathlib import Path
+
+import click
+
+from soak.clients import RECOVER, Client, Observed, check_servers
+from soak.faults import FAULTS, Planned, plan
+from soak.world import World, machine_load
+
+# Served again within this time after the last fault (the sites' recover_s).
+RECOVER_S = 12.0
+
+READY_S = 15.0
+
+# An entry that is told to stop or killed ends with these; so does one that is
+# told while it starts, before it listens to signals.
+EXPECTED_ENDS = (0, -signal.SIGKILL, -signal.SIGTERM)
+
+FIRST_LANE = 12
+REGRESSIONS = Path(__file__).with_name("regressions.json")
+
+
+async def run_seed(seed: int, seconds: float, entries: int) -> dict[str, object]:
+    """Run one seed; return its record."""
+    faults = plan(seed, seconds, sorted(FAULTS))
+    world, seen = World(), Observed()
+    await world.start(entries)
+    clients = [Client(f"c{n}", world, seen, seed) for n in range(3 * entries)]
+    try:
+        await _until_served(world, seen)
+        tasks = [asyncio.create_task(client.run()) for client in clients]
+        await _inject(world, faults, seed, seconds)
+        await _check_recovery(seen)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.sleep(0.5)
+        check_servers(world, seen)
+        ends = [code for entry in world.entries for code in entry.ends]
+        crashes = [code for code in ends if code not in EXPECTED_ENDS]
+        if crashes:
+            seen.violated("FAULT", f"entries ended by themselves: {crashes}")
+    finally:
+        await world.stop()
+    return {
+        "seed": seed,
+        "seconds": seconds,
+        "violations": seen.violations,
+        "outcomes": dict(seen.outcomes),
+        "faults": [f"{fault.at_s} {fault.name}" for fault in faults],
+        "logs": str(world.folder),
+        "machine_load": machine_load(),
+    }
+
+
+async def _until_served(world: World, seen: Observed) -> None:
+    probe = Client("probe", world, seen, 0)
+    deadline_s = time.monotonic() + READY_S
+    while not seen.served_at_s:
+        if time.monotonic() > deadline_s:
+            seen.violated(RECOVER, "nothing was served after the start")
+            return
+        await probe._one()
+        await asyncio.sleep(0.1)
+
+
+async def _inject(
+    world: World, faults: list[Planned], seed: int, seconds: float
+) -> None:
+    started_s = asyncio.get_running_loop().time()
+    running: list[asyncio.Task[None]] = []
+    for number, fault in enumerate(faults):
+        wait_s = started_s + fault.at_s - asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0.0, wait_s))
+        rng = random.Random(f"{seed}/{number}")
+        running.append(asyncio.create_task(FAULTS[fault.name](world, rng)))
+    await asyncio.gather(*running)
+    left_s = started_s + seconds - asyncio.get_running_loop().time()
+    await asyncio.sleep(max(0.0, left_s))
+
+
+async def _check_recovery(seen: Observed) -> None:
+    """After the last fault clients must be served again."""
+    before = len(seen.served_at_s)
+    deadline_s = time.monotonic() + RECOVER_S
+    while len(seen.served_at_s) < before + 20:
+        if time.monotonic() > deadline_s:
+            served = len(seen.served_at_s) - before
+            seen.violated(RECOVER, f"{served} served in {RECOVER_S} s after the faults")
+            return
+        await asyncio.sleep(0.1)
+
+
+def _seeds(text: str) -> list[int]:
+    first, _, last = text.partition("-")
+    return list(range(int(first), int(last or first) + 1))
+
+
+@click.command()
+@click.option("--seeds", default="1", help="One seed, or a range like 1-50.")
+@click.option("--seconds", default=12.0, help="How long faults come.")
+@click.option("--entries", default=3, help="Entries, each a process.")
+@click.option("--regressions", is_flag=True, help="Also seeds that once failed.")
+@click.option(
+    "--lane", default=0, type=click.IntRange(0, 3), help="Ports: one a soak at a time."
+)
+def main(
+    seeds: str, seconds: float, entries: int, regressions: bool, lane: int
+) -> None:
+    """Run seeds one after the other; exit with 1 if a promise was broken."""
+    # Ports are dealt out as to test workers, behind the last of those.
+    os.environ["PYTEST_XDIST_WORKER"] = f"gw{FIRST_LANE + lane}"
+    wanted = _seeds(seeds)
+    if regressions and REGRESSIONS.exists():
+        wanted += [case["seed"] for case in json.loads(REGRESSIONS.read_text())]
+    failed = 0
+    for seed in wanted:
+        record = asyncio.run(run_seed(seed, seconds, entries))
+        failed += bool(record["violations"])
+        click.echo(json.dumps(record))
+    click.echo(f"{len(wanted) - failed} passed, {failed} failed")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,138 @@
+"""Faults of one run: drawn from its seed, injected from outside the processes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+from soak.world import World
+
+Fault = Callable[[World, random.Random], Coroutine[Any, Any, None]]
+
+
+@dataclass(frozen=True)
+class Planned:
+    """A fault and when it begins."""
+
+    at_s: float
+    name: str
+
+
+def plan(seed: int, seconds: float, names: list[str]) -> list[Planned]:
+    """Return the faults of a seed; they come in series and overlap."""
+    rng = random.Random(seed)
+    count = max(3, round(seconds / 1.5))
+    times = sorted(rng.uniform(0.5, max(1.0, seconds - 2.0)) for _ in range(count))
+    return [Planned(round(at_s, 2), rng.choice(names)) for at_s in times]
+
+
+async def entry_kill(world: World, rng: random.Random) -> None:
+    """Kill an entry."""
+    rng.choice(world.entries).signal(signal.SIGKILL)
+
+
+async def entry_stop(world: World, rng: random.Random) -> None:
+    """Tell an entry to stop, as for planned work."""
+    rng.choice(world.entries).signal(signal.SIGTERM)
+
+
+async def entry_pause(world: World, rng: random.Random) -> None:
+    """Freeze an entry, and wake it."""
+    entry = rng.choice(world.entries)
+    entry.signal(signal.SIGSTOP)
+    # What a frozen entry had taken before may leave when it wakes.
+    world.store_outages_s.append(asyncio.get_running_loop().time())
+    await asyncio.sleep(rng.uniform(0.3, 3.0))
+    entry.signal(signal.SIGCONT)
+
+
+async def entry_reload(world: World, rng: random.Random) -> None:
+    """Change an entry's settings file and tell it."""
+    entry = rng.choice(world.entries)
+    entry.write_settings()
+    entry.signal(signal.SIGHUP)
+
+
+async def store_fault(world: World, rng: random.Random) -> None:
+    """Make the store refuse, fall silent or reset."""
+    world.store.mode = rng.choice(["out", "silent", "reset"])
+    world.store_outages_s.append(asyncio.get_running_loop().time())
+    await asyncio.sleep(rng.uniform(0.3, 3.0))
+    world.store.mode = "ok"
+
+
+async def store_forgets(world: World, rng: random.Random) -> None:
+    """Drop the store's history."""
+    for topic in world.store.topics.values():
+        topic.forget()
+
+
+async def link_fault(world: World, rng: random.Random) -> None:
+    """Delay, silence, cut one way or refuse one link, or reset it."""
+    name = rng.choice(sorted(world.links))
+    link = world.links[name]
+    if name.startswith("store"):
+        world.store_outages_s.append(asyncio.get_running_loop().time())
+    mode = rng.choice(["delay", "silent", "deaf", "refuse", "reset"])
+    if mode == "reset":
+        link.reset()
+        return
+    link.mode, link.delay_s = mode, rng.uniform(0.01, 0.3)
+    await asyncio.sleep(rng.uniform(0.3, 2.5))
+    link.mode = "ok"
+    if mode != "delay":
+        link.reset()
+
+
+async def server_fault(world: World, rng: random.Random) -> None:
+    """Let a backend server refuse, fail, lose or spoil answers, or fall silent."""
+    server = rng.choice([*world.engines, *world.plain])
+    modes = ["dead", "shed", "error", "lose"]
+    if not server.model:
+        modes += ["foreign", "surplus"]
+    server.mode = rng.choice(modes)
+    await asyncio.sleep(rng.uniform(0.3, 2.5))
+    server.mode = "ok"
+
+
+async def server_crash(world: World, rng: random.Random) -> None:
+    """Crash a backend server; an empty one takes its place."""
+    servers = [*world.engines, *world.plain]
+    await world.restart(rng.choice(servers))
+
+
+async def server_leaves(world: World, rng: random.Random) -> None:
+    """Let a backend server drain; then an empty one takes its place."""
+    server = rng.choice([*world.engines, *world.plain])
+    if server.state == "draining":
+        return
+    server.state = "draining"
+    server.register()
+    server.draining_since_s = asyncio.get_running_loop().time()
+    await asyncio.sleep(2.5)
+    if server in world.engines or server in world.plain:
+        await world.restart(server)
+
+
+async def configure(world: World, rng: random.Random) -> None:
+    """Publish a new version of the configuration."""
+    world.configure()
+
+
+FAULTS: dict[str, Fault] = {
+    "configure": configure,
+    "entry_kill": entry_kill,
+    "entry_pause": entry_pause,
+    "entry_reload": entry_reload,
+    "entry_stop": entry_stop,
+    "link_fault": link_fault,
+    "server_crash": server_crash,
+    "server_fault": server_fault,
+    "server_leaves": server_leaves,
+    "store_fault": store_fault,
+    "store_forgets": store_forgets,
+}
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,216 @@
+"""The store, the engines and the entries of one soak run."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+import tempfile
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from soak.proxy import Link
+from standins.chaining_engine import LAYERS, Engine
+from standins.cluster import free_port
+from standins.metadata_store import MetadataStore
+from tests.lib.forwarding import (
+    MODEL_SERVICE,
+    PLAIN_SERVICE,
+    ZONES,
+    configuration,
+)
+
+SETTINGS = """
+node = "{name}"
+ip = "127.0.0.1"
+zone = "{zone}"
+region = "west"
+bootstrap = false
+[listen]
+front = "127.0.0.1:{clients}"
+ready = "127.0.0.1:{ready}"
+[bounds]
+grace_s = 5
+revoke_ms = 4000
+budget_ratio = 0.2
+budget_slack = 400
+[platform]
+address = "127.0.0.1:{store}"
+parts = 12
+"""
+
+
+@dataclass
+class Entry:
+    """One entry: a process that is started again whenever it ends."""
+
+    name: str
+    zone: str
+    store_link: Link
+    folder: Path
+    clients: int = 0
+    ready: int = 0
+    process: asyncio.subprocess.Process | None = None
+    ends: list[int] = field(default_factory=list)
+    stopping: bool = False
+    _keeper: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Write the settings and keep the process running."""
+        self.clients, self.ready = free_port(), free_port()
+        self.write_settings()
+        self._keeper = asyncio.create_task(self._keep())
+
+    def write_settings(self) -> None:
+        """Write the settings file."""
+        text = SETTINGS.format(
+            name=self.name,
+            zone=self.zone,
+            clients=self.clients,
+            ready=self.ready,
+            store=self.store_link.listen_port,
+        )
+        (self.folder / f"{self.name}.toml").write_text(text)
+
+    async def _keep(self) -> None:
+        while not self.stopping:
+            log = (self.folder / f"{self.name}.log").open("ab")
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "railfold",
+                "forward",
+                str(self.folder / f"{self.name}.toml"),
+                stdout=log,
+                stderr=log,
+            )
+            log.close()
+            if self.stopping:  # Told to stop while the process was being started.
+                self.process.kill()
+            self.ends.append(await self.process.wait())
+            await asyncio.sleep(0.3)
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process that this entry started."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def stop(self) -> None:
+        """End it for good."""
+        self.stopping = True
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self._keeper is not None:
+            await self._keeper
+
+
+@dataclass
+class World:
+    """Everything of one run; proxies stand before the store and each engine."""
+
+    folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp(prefix="soak-")))
+    store: MetadataStore = field(default_factory=MetadataStore)
+    fleet: dict[str, Engine] = field(default_factory=dict)
+    engines: list[Engine] = field(default_factory=list)
+    plain: list[Engine] = field(default_factory=list)
+    gone: list[Engine] = field(default_factory=list)
+    entries: list[Entry] = field(default_factory=list)
+    links: dict[str, Link] = field(default_factory=dict)
+    version: int = 1
+    store_outages_s: list[float] = field(default_factory=list)
+    _count: Counter[str] = field(default_factory=Counter)
+
+    @property
+    def servers(self) -> list[Engine]:
+        """All backend servers there ever were."""
+        return [*self.engines, *self.plain, *self.gone]
+
+    async def start(self, entries: int) -> None:
+        """Start all; entries are ready once they answer their balancer."""
+        sockets = bind_sockets(0, "127.0.0.1")
+        self._store_server = HTTPServer(self.store.application())
+        self._store_server.add_sockets(sockets)
+        store_port = sockets[0].getsockname()[1]
+        self.store.put("keyed.op", "config", configuration(self.version))
+        half = LAYERS // 2
+        for zone in ZONES:
+            for part in range(2):
+                layers = (part * half, (part + 1) * half)
+                self.engines.append(await self._engine(zone, layers))
+            self.plain.append(await self._engine(zone, None))
+        for number in range(entries):
+            link = Link(store_port)
+            await link.start()
+            name = f"entry-{number}"
+            self.links[f"store-{name}"] = link
+            entry = Entry(name, ZONES[number % len(ZONES)], link, self.folder)
+            await entry.start()
+            self.entries.append(entry)
+
+    async def _engine(self, zone: str, layers: tuple[int, int] | None) -> Engine:
+        self._count[zone] += 1
+        server_id = f"i-{zone}-{self._count[zone]}"
+        is_model = layers is not None
+        engine = Engine(
+            server_id,
+            MODEL_SERVICE if is_model else PLAIN_SERVICE,
+            zone,
+            self.store,
+            self.fleet,
+            model="inspect" if is_model else "",
+            kind="l4" if is_model else "",
+            layers=layers,
+            port=free_port(),
+        )
+        link = Link(engine.port)
+        await link.start()
+        self.links[server_id] = link
+        engine.told_address = f"127.0.0.1:{link.listen_port}"
+        engine.start()
+        return engine
+
+    async def restart(self, engine: Engine) -> Engine:
+        """Crash a backend server; an empty one takes its place."""
+        group = self.engines if engine in self.engines else self.plain
+        group.remove(engine)
+        self.gone.append(engine)
+        engine.mode = "ok"
+        await engine.stop()
+        engine.deregister()
+        empty = await self._engine(engine.zone, (0, 0) if engine.model else None)
+        if engine.model:
+            empty.layers = None
+            empty.register()
+        group.append(empty)
+        return empty
+
+    def store_was_out_after(self, since_s: float) -> bool:
+        """Return whether the store, or a link to it, was faulty from then on."""
+        return any(at_s >= since_s - 4.0 for at_s in self.store_outages_s)
+
+    def configure(self, **changes: object) -> None:
+        """Publish the next version of the configuration."""
+        self.version += 1
+        self.store.put("keyed.op", "config", configuration(self.version, **changes))
+
+    async def stop(self) -> None:
+        """Stop all that was started."""
+        await asyncio.gather(*(entry.stop() for entry in self.entries))
+        for server in (*self.engines, *self.plain):
+            await server.stop()
+        for link in self.links.values():
+            await link.stop()
+        self._store_server.stop()
+        with contextlib.suppress(Exception):
+            await asyncio.wait_for(self._store_server.close_all_connections(), 2.0)
+
+
+def machine_load() -> float:
+    """Return the load average of the last minute, for the record of a run."""
+    return os.getloadavg()[0]
--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -53,13 +53,17 @@
     seen: list[dict[str, str]] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
     stalled: dict[str, str] = field(default_factory=dict)
+    problems: list[str] = field(default_factory=list)
+    run_at_s: list[float] = field(default_factory=list)
+    draining_since_s: float | None = None
+    told_address: str = ""
     given: list[dict[str, Any]] = field(default_factory=list)
     _server: HTTPServer | None = None
 
     @property
     def address(self) -> str:
-        """Where it listens."""
-        return f"127.0.0.1:{self.port}"
+        """The address that it registers: its own, or a proxy's before it."""
+        return self.told_address or f"127.0.0.1:{self.port}"
 
     def start(self) -> None:
         """Listen and register."""
@@ -185,6 +189,7 @@
         if engine.mode == "dead":
             await asyncio.Event().wait()
         engine.runs[request_id] += 1
+        engine.run_at_s.append(asyncio.get_running_loop().time())
         if engine.mode == "lose":
             self.request.connection.detach().close()
             self._finished = True
@@ -225,8 +230,14 @@
         await stream.write(head.encode() + body)
 
     async def _stream(self, chain: str) -> None:
-        if problem := chain_problem(chain, self.engine.fleet):
-            self.set_header("At-Server", problem)
+        try:
+            at_fault = server_without_its_part(chain, self.engine.fleet)
+        except ChainError as error:
+            self.engine.problems.append(str(error))
+            at_fault = self.engine.address
+        if at_fault:
+            self.set_header("At-Server", at_fault)
+            self.engine.runs.pop(self.request.headers["Railfold-Attempt-Id"])
             self._refuse(421)
             return
         self.set_header("Content-Type", "text/event-stream")
@@ -256,22 +267,28 @@
         return engine is None or engine.mode == "dead"
 
 
-def chain_problem(chain: str, fleet: dict[str, Engine]) -> str:
+class ChainError(Exception):
+    """A chain doesn't run every layer once and in order."""
+
+
+def server_without_its_part(chain: str, fleet: dict[str, Engine]) -> str:
     """Return the address of an engine that doesn't hold its part, if any.
 
-    A chain that doesn't run every layer once and in order fails the test.
+    :raises ChainError: a layer is missing, or runs twice or out of order.
     """
     position = 0
     for part in chain.split(","):
         address, _, layers = part.partition("=")
         first, end = (int(n) for n in layers.split("-"))
-        assert first == position, f"layers run out of order: {chain}"
+        if first != position:
+            raise ChainError(f"layers run out of order: {chain}")
         position = end
         engine = fleet.get(address)
         held = engine.layers if engine else None
         if held is None or first < held[0] or end > held[1]:
             return address
-    assert position == LAYERS, f"layers are missing: {chain}"
+    if position != LAYERS:
+        raise ChainError(f"layers are missing: {chain}")
     return ""
 
 
