Split the driver: watching silence, and the client's one answer, have their own modules

Change: StreamWatch, ClientAnswer, KeptConnection (out of platform/); the look's own planned time tells the loop's delay; a chain's model is looked up by its first engine.

--- /dev/null
+++ b/src/railfold/_internal/forwarding/client_answer.py
@@ -0,0 +1,106 @@
+"""The one answer that a client gets, whatever attempts it takes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from railfold._internal.core import Answered, Failed, NotRun, Outcome, Unknown
+from railfold._internal.errors import RailfoldError
+from railfold._internal.forwarding.front import ClientExchange
+from railfold._internal.forwarding.messages import ResponseHead
+from railfold._internal.forwarding.replies import (
+    end_to_end_headers,
+    error_reply,
+    status_of,
+)
+
+__all__ = ["ClientAnswer", "GatheredAnswer"]
+
+_OK = 200
+
+# The answer was cut off; its status had been sent before.
+_CUT_OFF = 0
+
+
+@dataclass(slots=True)
+class GatheredAnswer:
+    """An answer of a backend server that is held back until it is whole."""
+
+    head: ResponseHead
+    parts: list[bytes] = field(default_factory=list)
+    size: int = 0
+
+    def add(self, data: bytes) -> None:
+        """Take bytes of the body."""
+        self.parts.append(data)
+        self.size += len(data)
+
+    @property
+    def body(self) -> bytes:
+        """The body so far."""
+        return b"".join(self.parts)
+
+
+class ClientAnswer:
+    """Sends one answer; once it has begun it can only go on or be cut off."""
+
+    def __init__(self, client: ClientExchange) -> None:
+        self._client = client
+        self._failure: GatheredAnswer | None = None
+
+    @property
+    def begun(self) -> bool:
+        """Whether the client has the head of an answer."""
+        return self._client.head_sent
+
+    def begin(self, head: ResponseHead, *, with_length: bool) -> None:
+        """Send the head, if none was sent: a resumed answer keeps its first."""
+        if not self._client.head_sent:
+            headers = end_to_end_headers(head, with_length=with_length)
+            self._client.send_head(head.status, head.reason, headers)
+
+    def go_on(self, data: bytes) -> None:
+        """Send a part of the body."""
+        self._client.send_body(data)
+
+    def end(self) -> None:
+        """The answer is whole."""
+        self._client.finish()
+
+    def deliver(self, answer: GatheredAnswer) -> None:
+        """Send a whole answer."""
+        headers = end_to_end_headers(answer.head, with_length=False)
+        self._client.reply(answer.head.status, headers, answer.body, answer.head.reason)
+
+    def keep_failure(self, answer: GatheredAnswer | None) -> None:
+        """Keep a backend server's failure, to be sent if nothing better comes."""
+        self._failure = answer
+
+    def conclude(self, outcome: Outcome) -> int:
+        """Send what a final outcome asks for; return the status."""
+        match outcome:
+            case Answered():
+                return _OK
+            case NotRun(error=error, retry_after_s=retry_after_s):
+                return self._refuse(error, retry_after_s, not_run=True)
+            case Failed(error=error, retry_after_s=retry_after_s):
+                return self._fail(error, retry_after_s)
+            case Unknown(error=error):
+                return self._fail(error, None)
+
+    def _fail(self, error: RailfoldError, retry_after_s: float | None) -> int:
+        if self._failure is not None and not self._client.head_sent:
+            self.deliver(self._failure)
+            return self._failure.head.status
+        return self._refuse(error, retry_after_s, not_run=False)
+
+    def _refuse(
+        self, error: RailfoldError, retry_after_s: float | None, *, not_run: bool
+    ) -> int:
+        if self._client.head_sent:
+            self._client.abort()
+            return _CUT_OFF
+        status = status_of(error, not_run=not_run)
+        headers, body = error_reply(error, retry_after_s)
+        self._client.reply(status, headers, body)
+        return status
--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 
 from railfold._internal.core import (
     Answered,
@@ -30,9 +29,7 @@
     NoHost,
     SendCall,
 )
-from railfold._internal.decisions.chain_activity import ChainKey
 from railfold._internal.decisions.event_cursor import EventCursor
-from railfold._internal.decisions.heartbeats import OverdueTimer
 from railfold._internal.decisions.retry_budget import jittered_retry_after_s
 from railfold._internal.decisions.routing_table import (
     CredentialOwner,
@@ -45,6 +42,7 @@
     RequestError,
     ServerLeavingError,
 )
+from railfold._internal.forwarding.client_answer import ClientAnswer, GatheredAnswer
 from railfold._internal.forwarding.dialect import (
     AnswerKind,
     NotExecuted,
@@ -57,12 +55,8 @@
 from railfold._internal.forwarding.front import ClientExchange
 from railfold._internal.forwarding.messages import ClientRequest, ResponseHead
 from railfold._internal.forwarding.probes import ChainProber
-from railfold._internal.forwarding.replies import (
-    end_to_end_headers,
-    error_reply,
-    status_of,
-)
 from railfold._internal.forwarding.router import Destination, Router
+from railfold._internal.forwarding.stream_watch import StreamWatch
 from railfold._internal.observability.events import (
     AttemptEnded,
     AttemptStarted,
@@ -76,38 +70,15 @@
 # to another backend server.
 _MAX_TRIES = 4
 
-# A silent stream is looked into when its pause is this many times the usual one
-# and at least the floor: well above the pauses that prompts of other requests
-# cause (up to 60 ms on the first sites), well below what clients bear.
-_OVERDUE_FACTOR = 5.0
-_OVERDUE_FLOOR_S = 0.09
-_FIRST_EVENT_OVERDUE_S = 0.4
-
-# An engine tells of a stream that stands still with a lag of 0.2 s on the first
-# sites: it is asked again while the silence lasts.
-_ASK_AGAIN_S = 0.15
-
 # A stream whose backend servers all answer, and which yet is silent for this
 # long, is taken elsewhere: clients leave after 2 s.
 _ABANDON_SILENT_S = 1.3
 
-# An expected pause below this proves nothing: events arrive together.
-_LEAST_PAUSE_S = 0.005
-
 # Answers of plain calls are gathered up to this size, so that one that breaks
 # off can be repeated; a larger one is passed on as it comes.
 _GATHER_BYTES = 256 * 1024
 
 
-@dataclass(slots=True)
-class _Gathered:
-    """An answer that is held back until it is whole."""
-
-    head: ResponseHead
-    parts: list[bytes] = field(default_factory=list)
-    size: int = 0
-
-
 class RequestDriver:
     """Feeds one request's lifecycle and performs its actions."""
 
@@ -124,7 +95,7 @@
         self._request = request
         self._route = route
         self._owner = owner
-        self._client = client
+        self._answer = ClientAnswer(client)
         self._router = router
         self._prober = prober
         self._version = version
@@ -138,22 +109,10 @@
         self._attempts = 0
         self._load = max(1, request.size.total)
         self._kind: AnswerKind | None = None
-        self._gathered: _Gathered | None = None
-        self._failure: _Gathered | None = None
+        self._gathered: GatheredAnswer | None = None
         self._cursor = EventCursor(request.last_event_id)
         self._streaming = False
-        self._overdue = OverdueTimer(
-            factor=_OVERDUE_FACTOR,
-            floor_s=_OVERDUE_FLOOR_S,
-            first_token_s=_FIRST_EVENT_OVERDUE_S,
-        )
-        self._overdue_timer: asyncio.TimerHandle | None = None
-        self._progress_s = 0.0
-        self._flowing: ChainKey | None = None
-        self._expected_pause_s = _LEAST_PAUSE_S
-        self._first_event_s: float | None = None
-        self._last_event_s = 0.0
-        self._longest_pause_s = 0.0
+        self._watch = StreamWatch(router.activity, self._silent)
         self._cause = ""
         self._deadline_s = request.received_s + route.timeout_s
         if request.deadline_s is not None:
@@ -193,7 +152,7 @@
         destination = self._destination
         if destination is None or destination.chain != chain:
             return
-        if self._flowing is not None:
+        if self._watch.flowing:
             self._end_attempt("its chain stands still", alive=True)
 
     @property
@@ -257,7 +216,7 @@
             left_s=max(0.0, self._deadline_s - now_s),
             workspace=self._owner.workspace if self._owner else None,
             resume_after=resume_after,
-            urgent=self._client.head_sent,
+            urgent=self._answer.begun,
         )
         self._kind = None
         self._gathered = None
@@ -284,10 +243,7 @@
             )
         )
         self._exchange.start()
-        self._progress_s = now_s
-        if destination.chain is not None:
-            self._overdue.opened(now_s)
-            self._arm_overdue()
+        self._watch_chain(destination)
 
     def _check(self) -> None:
         """Look once more at what may have changed while the request waited.
@@ -296,7 +252,7 @@
         go on although the store is away.
         """
         request = self._request
-        if not self._client.head_sent:
+        if not self._answer.begun:
             self._router.require_fresh(self._route)
         self._router.check_permission(self._route, request.path, request.credential)
         destination = self._destination
@@ -333,11 +289,9 @@
         is_stream = self._route.kind is RouteKind.STREAM and _holds_events(head)
         if isinstance(kind, ServedAnswer) and is_stream:
             self._streaming = True
-            if not self._client.head_sent:
-                headers = end_to_end_headers(head, with_length=False)
-                self._client.send_head(head.status, head.reason, headers)
+            self._answer.begin(head, with_length=False)
             return
-        self._gathered = _Gathered(head)
+        self._gathered = GatheredAnswer(head)
 
     def answer_body(self, data: bytes) -> None:
         """Bytes of a body came."""
@@ -345,8 +299,7 @@
             self._pass_events(data)
             return
         gathered = self._gathered
-        gathered.parts.append(data)
-        gathered.size += len(data)
+        gathered.add(data)
         if gathered.size > _GATHER_BYTES and isinstance(self._kind, ServedAnswer):
             self._pass_on_from_now(gathered)
 
@@ -366,7 +319,7 @@
                 self._prober.not_executed(server_id, address)
                 self._feed(CallHostRefused(server_id, started=False, reason=reason))
             case ServerFailure():
-                self._failure = gathered
+                self._answer.keep_failure(gathered)
                 self._prober.failed(server_id)
                 status = gathered.head.status if gathered else 0
                 self._end_attempt(f"it answered {status}", alive=True)
@@ -376,57 +329,29 @@
             case _:
                 self._end_attempt("its answer has no head", alive=True)
 
-    def _answered(self, server_id: str, gathered: _Gathered | None) -> None:
+    def _answered(self, server_id: str, gathered: GatheredAnswer | None) -> None:
         if self._streaming and gathered is None and self._cursor.partial:
             self._end_attempt("it ended within an event", alive=True)
             return
         self._prober.served(server_id)
         if gathered is not None:
-            self._deliver(gathered)
+            self._answer.deliver(gathered)
         else:
-            self._client.finish()
+            self._answer.end()
         self._feed(CallAnswered(server_id))
 
     def _pass_events(self, data: bytes) -> None:
-        now_s = self._loop.time()
+        since_s = self._watch.progressed()
         whole = self._cursor.feed(data) if self._streaming else data
-        since_s, self._progress_s = now_s - self._progress_s, now_s
-        if not whole:
-            return
-        if self._first_event_s is None:
-            self._first_event_s = now_s
-        else:
-            pause_s = now_s - self._last_event_s
-            self._longest_pause_s = max(self._longest_pause_s, pause_s)
-        self._last_event_s = now_s
-        self._note_activity(now_s, since_s)
-        if self._overdue.token(now_s):
-            self._arm_overdue()
-        self._client.send_body(whole)
-
-    def _note_activity(self, now_s: float, since_s: float) -> None:
-        activity = self._router.activity
-        if self._flowing is not None:
-            activity.moved(self._flowing, now_s, since_s, self._expected_pause_s)
-        elif self._destination is not None and self._destination.chain is not None:
-            chain = self._destination.chain
-            self._flowing = chain.hosts
-            expected_s = self._router.expected_pause_s(self._route, chain)
-            self._expected_pause_s = max(_LEAST_PAUSE_S, expected_s)
-            activity.flowing(self._flowing, now_s)
-
-    def _pass_on_from_now(self, gathered: _Gathered) -> None:
+        if whole:
+            self._watch.event(since_s)
+            self._answer.go_on(whole)
+
+    def _pass_on_from_now(self, gathered: GatheredAnswer) -> None:
         """Stop gathering: the answer is large and goes on as it comes."""
         self._gathered = None
-        headers = end_to_end_headers(gathered.head, with_length=True)
-        self._client.send_head(gathered.head.status, gathered.head.reason, headers)
-        self._client.send_body(b"".join(gathered.parts))
-
-    def _deliver(self, gathered: _Gathered) -> None:
-        head = gathered.head
-        headers = end_to_end_headers(head, with_length=False)
-        body = b"".join(gathered.parts)
-        self._client.reply(head.status, headers, body, head.reason)
+        self._answer.begin(gathered.head, with_length=True)
+        self._answer.go_on(gathered.body)
 
     def _end_attempt(self, reason: str, *, alive: bool) -> None:
         destination = self._release()
@@ -435,7 +360,7 @@
         server_id = destination.server.host
         self._log_attempt(server_id, reason)
         self._cause = reason
-        if self._client.head_sent and not self._streaming:
+        if self._answer.begun and not self._streaming:
             # Part of a large plain answer is out: nothing can continue it.
             self._feed(CallCallerGone())
             return
@@ -449,18 +374,10 @@
             exchange.cancel()
         if destination is not None:
             self._router.count(destination, -self._load)
-        self._end_activity()
-        if self._overdue_timer is not None:
-            self._overdue_timer.cancel()
+        self._watch.closed()
         return destination
 
-    def _end_activity(self) -> None:
-        if self._flowing is not None:
-            self._router.activity.ended(self._flowing)
-            self._flowing = None
-
     def _log_attempt(self, server_id: str, cause: str) -> None:
-        silent_s = self._loop.time() - self._progress_s
         self._router.metrics.count("attempts.ended_early")
         self._router.log.write(
             AttemptEnded(
@@ -469,48 +386,39 @@
                 server_id,
                 cause,
                 self._cursor.events,
-                round(silent_s * 1000, 1),
+                round(self._watch.silent_s * 1000, 1),
             )
         )
 
     # Silence
 
-    def _arm_overdue(self) -> None:
-        if self._overdue_timer is not None:
-            self._overdue_timer.cancel()
-        self._overdue_timer = self._loop.call_at(
-            self._overdue.due_s(), self._check_overdue
-        )
+    def _watch_chain(self, destination: Destination) -> None:
+        chain = destination.chain
+        if chain is None:
+            self._watch.opened(None, 0.0)
+            return
+        expected_s = self._router.expected_pause_s(chain)
+        self._watch.opened(chain.hosts, expected_s)
 
-    def _check_overdue(self) -> None:
+    def _silent(self, silent_s: float, stalled: bool) -> None:
+        """The stream is silent; ``stalled`` if its whole chain stands still."""
         destination = self._destination
-        if self._lifecycle.done or destination is None or destination.chain is None:
+        if destination is None or destination.chain is None:
             return
-        now_s = self._loop.time()
-        if now_s < self._overdue.due_s():
-            self._arm_overdue()
-            return
-        silent_s = now_s - self._progress_s
-        loop_delay_s = now_s - self._overdue.due_s()
-        if self._flowing is not None and self._router.activity.stalled(
-            self._flowing, now_s, loop_delay_s
-        ):
-            self._prober.probe_all(
-                destination.chain, self._request.request_id, silent_s
-            )
+        request_id = self._request.request_id
+        if stalled:
+            self._prober.probe_all(destination.chain, request_id, silent_s)
             self._router.report_stalled(destination.chain)
-            return
-        if silent_s > _ABANDON_SILENT_S:
+        elif silent_s > _ABANDON_SILENT_S:
             self._end_attempt("silent although all answer", alive=True)
-            return
-        self._router.metrics.count("streams.overdue")
-        self._prober.ask_first(destination.chain, self._request.request_id, silent_s)
-        self._overdue_timer = self._loop.call_later(_ASK_AGAIN_S, self._check_overdue)
+        else:
+            self._router.metrics.count("streams.overdue")
+            self._prober.ask_first(destination.chain, request_id, silent_s)
 
     async def _reroute(self, chain: Chain, lost: frozenset[str]) -> None:
         """Let the first backend server go on over another chain."""
         exchange = self._exchange
-        other = self._router.reroute(self._route, chain, lost)
+        other = self._router.reroute(chain, lost)
         outcome = "there is no other chain"
         if other is not None:
             outcome = await self._prober.reroute(self._request.request_id, other)
@@ -524,11 +432,9 @@
             return
         self._router.metrics.count("streams.rerouted")
         self._router.count(self._destination, -self._load)
-        self._end_activity()
         self._destination = Destination(other.stages[0], other)
         self._router.count(self._destination, self._load)
-        self._overdue.opened(self._loop.time())
-        self._arm_overdue()
+        self._watch_chain(self._destination)
 
     # The end
 
@@ -536,41 +442,9 @@
         self._deadline.cancel()
         self._release()
         self._router.active.discard(self)
-        status = self._answer_client(outcome)
+        status = self._answer.conclude(outcome)
         self._count_outcome(outcome, status)
 
-    def _answer_client(self, outcome: Outcome) -> int:
-        """Give the client its final answer; return the status."""
-        match outcome:
-            case Answered():
-                return 200
-            case NotRun(error=error, retry_after_s=retry_after_s):
-                return self._reply_error(error, retry_after_s, not_run=True)
-            case Failed(error=error, retry_after_s=retry_after_s):
-                return self._reply_failure(error, retry_after_s)
-            case Unknown(error=error):
-                return self._reply_failure(error, None)
-
-    def _reply_failure(self, error: RailfoldError, retry_after_s: float | None) -> int:
-        if self._client.head_sent:
-            self._client.abort()
-            return 0
-        if self._failure is not None:
-            self._deliver(self._failure)
-            return self._failure.head.status
-        return self._reply_error(error, retry_after_s, not_run=False)
-
-    def _reply_error(
-        self, error: RailfoldError, retry_after_s: float | None, *, not_run: bool
-    ) -> int:
-        if self._client.head_sent:
-            self._client.abort()
-            return 0
-        status = status_of(error, not_run=not_run)
-        headers, body = error_reply(error, retry_after_s)
-        self._client.reply(status, headers, body)
-        return status
-
     def _cause_of(self, outcome: Outcome) -> str:
         match outcome:
             case Answered():
@@ -586,8 +460,8 @@
         duration_s = now_s - self._request.received_s
         router.metrics.timing("request", duration_s)
         first_s = 0.0
-        if self._first_event_s is not None:
-            first_s = self._first_event_s - self._request.received_s
+        if self._watch.first_event_s is not None:
+            first_s = self._watch.first_event_s - self._request.received_s
             router.metrics.timing("first_event", first_s)
         event = RequestEnded(
             request_id=self._request.request_id,
@@ -599,7 +473,7 @@
             attempts=self._attempts,
             duration_ms=round(duration_s * 1000, 1),
             first_event_ms=round(first_s * 1000, 1),
-            longest_pause_ms=round(self._longest_pause_s * 1000, 1),
+            longest_pause_ms=round(self._watch.longest_pause_s * 1000, 1),
             events=self._cursor.events,
             configuration_version=self._version,
             retry_after_ms=round((getattr(outcome, "retry_after_s", 0) or 0) * 1000),
--- /dev/null
+++ b/src/railfold/_internal/forwarding/kept_connection.py
@@ -0,0 +1,67 @@
+"""One kept connection to a service, for calls that are made one after the other."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+from railfold._internal.core import Address
+from railfold._internal.errors import EngineUnavailableError
+from railfold._internal.forwarding.http_client import (
+    HttpConnection,
+    Response,
+    connect,
+    fetch,
+)
+from railfold._internal.forwarding.messages import Header
+
+__all__ = ["KeptConnection"]
+
+_CONNECT_TIMEOUT_S = 0.6
+
+# Servers close connections that rest; a call must not meet that moment.
+_MAX_IDLE_S = 5.0
+
+
+class KeptConnection:
+    """Makes one call at a time.
+
+    After an answer was lost the connection is closed: what still came over it
+    would belong to the lost call.
+    """
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self._connection: HttpConnection | None = None
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        headers: Sequence[Header],
+        body: bytes,
+        timeout_s: float,
+    ) -> Response:
+        """Make a call; return its answer.
+
+        :raises EngineUnavailableError: no whole answer came in time.
+        """
+        try:
+            connection = await self._take()
+            response = await fetch(connection, method, target, headers, body, timeout_s)
+        except EngineUnavailableError:
+            self._connection = None
+            raise
+        connection.idle_since_s = asyncio.get_running_loop().time()
+        return response
+
+    async def _take(self) -> HttpConnection:
+        now_s = asyncio.get_running_loop().time()
+        connection = self._connection
+        if connection is not None:
+            usable = not connection.closed and not connection.busy
+            if usable and now_s - connection.idle_since_s < _MAX_IDLE_S:
+                return connection
+            connection.abort()
+        self._connection = await connect(self.address, _CONNECT_TIMEOUT_S)
+        return self._connection
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -193,17 +193,16 @@
         for request in list(self.active):
             request.chain_stalled(chain)
 
-    def reroute(self, route: Route, chain: Chain, lost: frozenset[str]) -> Chain | None:
+    def reroute(self, chain: Chain, lost: frozenset[str]) -> Chain | None:
         """Return another chain that begins at the same backend server."""
         first = chain.stages[0]
-        spec = self._service(route)
-        model = spec.model
+        model = self._model_of(chain)
         entry = self.directory.get(first.host)
         if model is None or entry is None or first.host in lost:
             return None
         domain = entry.registration.failure_domain
         replicas = self.directory.layer_replicas(
-            spec.name, model, self.region, self.entries
+            entry.registration.service, model, self.region, self.entries
         )
         usable = [
             r
@@ -230,10 +229,17 @@
             partial=True,
         )
 
-    def expected_pause_s(self, route: Route, chain: Chain) -> float:
+    def _model_of(self, chain: Chain) -> EngineModel | None:
+        """Return the model that a chain runs, if it is still configured."""
+        entry = self.directory.get(chain.stages[0].host)
+        if entry is None or self.table is None:
+            return None
+        spec = self.table.services.get(entry.registration.service)
+        return spec.model if spec else None
+
+    def expected_pause_s(self, chain: Chain) -> float:
         """Return the pause between events that a chain's accelerators lead to."""
-        spec = self._service(route)
-        model = spec.model
+        model = self._model_of(chain)
         if model is None:
             return 0.0
         factor = 0.0
--- /dev/null
+++ b/src/railfold/_internal/forwarding/stream_watch.py
@@ -0,0 +1,131 @@
+"""Watching one request's stream for silence, and measuring its pauses."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from railfold._internal.decisions.chain_activity import ChainActivity, ChainKey
+from railfold._internal.decisions.heartbeats import OverdueTimer
+
+__all__ = ["StreamWatch"]
+
+# A silent stream is looked into when its pause is this many times the usual one
+# and at least the floor: well above the pauses that prompts of other requests
+# cause (up to 60 ms on the first sites), well below what clients bear.
+_OVERDUE_FACTOR = 5.0
+_OVERDUE_FLOOR_S = 0.09
+_FIRST_EVENT_OVERDUE_S = 0.4
+
+# An engine tells of a stream that stands still with a lag of 0.2 s on the first
+# sites: it is looked into again while the silence lasts.
+_LOOK_AGAIN_S = 0.15
+
+# An expected pause below this proves nothing: events arrive together.
+_LEAST_PAUSE_S = 0.005
+
+
+class StreamWatch:
+    """Pauses of one request's answer, over all its attempts.
+
+    :param on_silent: called while the stream is silent, with for how long it has
+        been, and whether its whole chain surely stands still.
+    """
+
+    def __init__(
+        self, activity: ChainActivity, on_silent: Callable[[float, bool], None]
+    ) -> None:
+        self._activity = activity
+        self._on_silent = on_silent
+        self._loop = asyncio.get_running_loop()
+        self._overdue = OverdueTimer(
+            factor=_OVERDUE_FACTOR,
+            floor_s=_OVERDUE_FLOOR_S,
+            first_token_s=_FIRST_EVENT_OVERDUE_S,
+        )
+        self._timer: asyncio.TimerHandle | None = None
+        self._chain: ChainKey | None = None
+        self._expected_pause_s = _LEAST_PAUSE_S
+        self._flowing = False
+        self._progress_s = 0.0
+        self._last_event_s = 0.0
+        self.first_event_s: float | None = None
+        self.longest_pause_s = 0.0
+
+    @property
+    def flowing(self) -> bool:
+        """Whether the attempt under way has brought events."""
+        return self._flowing
+
+    @property
+    def silent_s(self) -> float:
+        """For how long nothing has come."""
+        return self._loop.time() - self._progress_s
+
+    def opened(self, chain: ChainKey | None, expected_pause_s: float) -> None:
+        """An attempt was sent, or goes on over another chain.
+
+        :param chain: nothing for a request that isn't watched.
+        """
+        self.closed()
+        now_s = self._loop.time()
+        self._chain = chain
+        self._expected_pause_s = max(_LEAST_PAUSE_S, expected_pause_s)
+        self._progress_s = now_s
+        if chain is not None:
+            self._overdue.opened(now_s)
+            self._look_at(self._overdue.due_s())
+
+    def closed(self) -> None:
+        """The attempt ended."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._flowing and self._chain is not None:
+            self._activity.ended(self._chain)
+        self._flowing = False
+
+    def progressed(self) -> float:
+        """Bytes came; return for how long none had."""
+        now_s = self._loop.time()
+        since_s, self._progress_s = now_s - self._progress_s, now_s
+        return since_s
+
+    def event(self, since_s: float) -> None:
+        """Whole events came, ``since_s`` after what came before."""
+        now_s = self._loop.time()
+        if self.first_event_s is None:
+            self.first_event_s = now_s
+        else:
+            pause_s = now_s - self._last_event_s
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self._last_event_s = now_s
+        if self._chain is None:
+            return
+        if self._flowing:
+            self._activity.moved(self._chain, now_s, since_s, self._expected_pause_s)
+        else:
+            self._flowing = True
+            self._activity.flowing(self._chain, now_s)
+        if self._overdue.token(now_s):
+            self._look_at(self._overdue.due_s())
+
+    def _look_at(self, at_s: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_at(at_s, self._look, at_s)
+
+    def _look(self, planned_s: float) -> None:
+        now_s = self._loop.time()
+        due_s = self._overdue.due_s()
+        if now_s < due_s:
+            self._look_at(due_s)
+            return
+        stalled = (
+            self._flowing
+            and self._chain is not None
+            and self._activity.stalled(self._chain, now_s, now_s - planned_s)
+        )
+        self._look_at(now_s + _LOOK_AGAIN_S)
+        # Last: it may close the attempt.
+        self._on_silent(self.silent_s, stalled)
--- a/src/railfold/_internal/platform/store.py
+++ b/src/railfold/_internal/platform/store.py
@@ -1,12 +1,10 @@
 """Client of the platform's metadata store.
 
-Every client keeps one connection of its own. After an answer was lost the
-connection is closed: it says nothing further.
+Every client keeps one connection of its own.
 """
 
 from __future__ import annotations
 
-import asyncio
 import base64
 import struct
 from typing import TypeVar
@@ -22,26 +20,17 @@
     RecordsExpiredError,
 )
 from railfold._internal.forwarding.adapter import KeyedValue
-from railfold._internal.forwarding.http_client import (
-    HttpConnection,
-    Response,
-    connect,
-    fetch,
-)
+from railfold._internal.forwarding.http_client import Response
+from railfold._internal.forwarding.kept_connection import KeptConnection
 from railfold._internal.forwarding.messages import Header
 from railfold._internal.store.records import LogPage, LogRecord
 
 __all__ = ["GroupLease", "KeyedLog"]
 
-_CONNECT_TIMEOUT_S = 0.6
-
 # Beyond the time that the store itself may wait. It answers in 4 ms, and up to
 # 60 times as slow in its bad times.
 _ANSWER_TIMEOUT_S = 1.0
 
-# The store closes connections that rest; a call must not meet that moment.
-_MAX_IDLE_S = 5.0
-
 _OK = 200
 _GONE = 410
 
@@ -81,12 +70,11 @@
     parts: list[tuple[str, int, int]] = []
 
 
-class _StoreConnection:
-    """Makes one call at a time."""
+class _StoreCalls:
+    """Makes one call at a time, over a connection of its own."""
 
     def __init__(self, address: Address) -> None:
-        self._address = address
-        self._connection: HttpConnection | None = None
+        self._connection = KeptConnection(address)
 
     async def call(
         self, method: str, target: str, body: bytes = b"", wait_s: float = 0.0
@@ -95,42 +83,30 @@
 
         :raises LogUnavailableError: no sound answer came.
         """
-        headers: list[Header] = [("Host", str(self._address))]
+        headers: list[Header] = [("Host", str(self._connection.address))]
         if body:
             headers.append(("Content-Type", "application/json"))
         timeout_s = wait_s + _ANSWER_TIMEOUT_S
         try:
-            connection = await self._take()
-            response = await fetch(connection, method, target, headers, body, timeout_s)
+            response = await self._connection.call(
+                method, target, headers, body, timeout_s
+            )
         except EngineError as error:
-            self._connection = None
             raise LogUnavailableError(
                 "the store doesn't answer", why=str(error)
             ) from error
-        connection.idle_since_s = asyncio.get_running_loop().time()
         if response.head.status == _GONE:
             raise RecordsExpiredError("records of the store have expired")
         if response.head.status != _OK:
             raise LogUnavailableError(f"the store answered {response.head.status}")
         return response
 
-    async def _take(self) -> HttpConnection:
-        now_s = asyncio.get_running_loop().time()
-        connection = self._connection
-        if connection is not None:
-            usable = not connection.closed and not connection.busy
-            if usable and now_s - connection.idle_since_s < _MAX_IDLE_S:
-                return connection
-            connection.abort()
-        self._connection = await connect(self._address, _CONNECT_TIMEOUT_S)
-        return self._connection
-
 
 class KeyedLog:
     """Reads streams that keep the newest record of each key."""
 
     def __init__(self, address: Address) -> None:
-        self._connection = _StoreConnection(address)
+        self._calls = _StoreCalls(address)
 
     async def read(self, stream: str, offset: int, wait_s: float) -> LogPage:
         """Return records from ``offset`` on, or the newest of each key.
@@ -149,7 +125,7 @@
                 "wait_ms": int(wait_s * 1000),
             }
         )
-        response = await self._connection.call(
+        response = await self._calls.call(
             "GET", f"/railfold/log-read?{query}", wait_s=wait_s
         )
         return _page(response.body, offset)
@@ -163,9 +139,7 @@
                 # The name says revision; it takes the last key of a page.
                 fields["after_rev"] = after
             query = urlencode(fields)
-            response = await self._connection.call(
-                "GET", f"/railfold/log-newest?{query}"
-            )
+            response = await self._calls.call("GET", f"/railfold/log-newest?{query}")
             page = _decode(response.body, _NewestPage)
             records += [_newest_record(item) for item in page.items]
             if not page.more_pages or not page.items:
@@ -224,7 +198,7 @@
 
     def __init__(self, address: Address, duty: str, partitions: int) -> None:
         self._partitions = partitions
-        self._connection = _StoreConnection(address)
+        self._calls = _StoreCalls(address)
         self._group = f"railfold-{duty}"
         self._topics = [f"railfold-{duty}-{n}" for n in range(_TOPICS)]
         self._generation = 0
@@ -243,7 +217,7 @@
                 "generation": self._generation,
             }
         )
-        response = await self._connection.call("POST", "/railfold/log-join", body)
+        response = await self._calls.call("POST", "/railfold/log-join", body)
         joined = _decode(response.body, _Joined)
         self._generation = joined.generation
         lease_row = (self._topics[0], _PARTITION)
@@ -261,4 +235,4 @@
         :raises LogUnavailableError: no answer came.
         """
         body = msgspec.json.encode({"group": self._group, "member": holder})
-        await self._connection.call("POST", "/railfold/log-leave", body)
+        await self._calls.call("POST", "/railfold/log-leave", body)
