--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 from collections import Counter
 from dataclasses import dataclass, field
@@ -87,7 +88,9 @@
         """Stop listening and close connections, as a crash does."""
         if self._server is not None:
             self._server.stop()
-            await self._server.close_all_connections()
+            # A request that stands still for ever must not hold the crash up.
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._server.close_all_connections(), 1.0)
         self.fleet.pop(self.address, None)
 
     def register(self) -> None:
