--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -36,12 +36,16 @@
     world, seen = World(), Observed()
     await world.start(entries)
     clients = [Client(f"c{n}", world, seen, seed) for n in range(3 * entries)]
+    watchdog = asyncio.get_running_loop().call_later(
+        seconds + RECOVER_S + READY_S + 20.0, _show_tasks
+    )
     try:
         await _until_served(world, seen)
         tasks = [asyncio.create_task(client.run()) for client in clients]
         await _inject(world, faults, seed, seconds)
         await _check_recovery(seen)
-        for task in tasks:
+        for client, task in zip(clients, tasks, strict=True):
+            client.stopping = True
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await asyncio.sleep(0.5)
@@ -52,6 +56,7 @@
             seen.violated("FAULT", f"entries ended by themselves: {crashes}")
     finally:
         await world.stop()
+        watchdog.cancel()
     return {
         "seed": seed,
         "seconds": seconds,
@@ -63,6 +68,13 @@
     }
 
 
+def _show_tasks() -> None:
+    """A run that hangs is a fault of the soak: show where, and end it."""
+    for task in asyncio.all_tasks():
+        task.print_stack(limit=3)
+    os._exit(2)
+
+
 async def _until_served(world: World, seen: Observed) -> None:
     probe = Client("probe", world, seen, 0)
     deadline_s = time.monotonic() + READY_S
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -54,10 +54,14 @@
         self._rng = random.Random(f"{seed}/{name}")
         self._connection: Connection | None = None
         self._number = 0
+        self.stopping = False
 
     async def run(self) -> None:
-        """Send until cancelled."""
-        while True:
+        """Send until told to stop; a cancellation alone may get lost.
+
+        (``asyncio.wait_for`` drops one that meets the end of what it waits for.)
+        """
+        while not self.stopping:
             await self._one()
             await asyncio.sleep(self._rng.uniform(0.0, 0.05))
 
