Share the model that tests of placement and of the directory both wrote down

Cause: both test files held the same EngineModel, one with fewer accelerators. Change: tests/lib/models.py; no assertion changed, src/ untouched.

--- a/tests/unit/test_engine_directory.py
+++ b/tests/unit/test_engine_directory.py
@@ -11,19 +11,7 @@
     EngineDirectory,
     Registration,
 )
-from railfold._internal.decisions.routing_table import Accelerator, EngineModel
-
-MODEL = EngineModel(
-    name="inspect",
-    layer_count=80,
-    layer_mb=1750.0,
-    request_mb_per_token=0.0115,
-    mean_tokens=926,
-    load_s=14.0,
-    loads_at_once=6,
-    max_sequences=96,
-    accelerators={"l4": Accelerator(21600.0, 16.0, 8.2)},
-)
+from tests.lib.models import MODEL
 
 ENGINE = Registration(
     server_id="i-1",
--- a/tests/unit/test_layer_placement.py
+++ b/tests/unit/test_layer_placement.py
@@ -14,23 +14,8 @@
     plan_layers,
     uncovered_layers,
 )
-from railfold._internal.decisions.routing_table import Accelerator, EngineModel
-
-FAST = Accelerator(36000.0, 3.1, 3.2)
-MIDDLE = Accelerator(21600.0, 16.0, 8.2)
-SMALL = Accelerator(14400.0, 15.0, 15.0)
-
-MODEL = EngineModel(
-    name="inspect",
-    layer_count=80,
-    layer_mb=1750.0,
-    request_mb_per_token=0.0115,
-    mean_tokens=926,
-    load_s=14.0,
-    loads_at_once=6,
-    max_sequences=96,
-    accelerators={"a100s": FAST, "l4": MIDDLE, "t4": SMALL},
-)
+from railfold._internal.decisions.routing_table import Accelerator
+from tests.lib.models import FAST, MIDDLE, MODEL, SMALL
 
 
 def engines(*kinds: Accelerator) -> list[EngineRoom]:
