Listen before the entry is imported; clients wait for the first configuration

Ruled out: fewer imports alone (asyncio and tornado are most of them). Change: sockets are opened before asyncio, tornado and the entry are imported, and are accepted from once the first configuration and registrations were read, or after 0.3 s. One HttpServerChild serves operators, clients, readiness and metrics; SmallServer's twin of its run() is gone.

--- a/src/railfold/_internal/cli/main.py
+++ b/src/railfold/_internal/cli/main.py
@@ -93,4 +93,5 @@
     "process_unreachable": 8,
     "version_not_in_force": 9,
     "request_not_logged": 10,
+    "listen_failed": 11,
 }
--- a/src/railfold/_internal/commands/forward.py
+++ b/src/railfold/_internal/commands/forward.py
@@ -1,15 +1,18 @@
-"""``railfold forward``: run a forwarding entry on the users' platform."""
+"""``railfold forward``: run a forwarding entry on the users' platform.
+
+The entry itself is imported only after its sockets listen, see
+:mod:`railfold._internal.forwarding.listeners`.
+"""
 
 from __future__ import annotations
 
-import asyncio
+import signal
 from pathlib import Path
 
 import click
 
-from railfold._internal.forwarding.process import run_forwarding_entry
-from railfold._internal.forwarding.reload import SettingsSource
-from railfold._internal.platform.adapter import UsersPlatform
+from railfold._internal.forwarding.listeners import Listeners, open_listeners
+from railfold._internal.forwarding.settings_source import SettingsSource
 from railfold._internal.platform.settings import (
     PlatformSettings,
     load_platform_settings,
@@ -34,16 +37,34 @@
     environment names.
     """
     path = settings or settings_path()
-    loaded = load_platform_settings(path, metrics_port)
     if check:
+        load_platform_settings(path, metrics_port)
         click.echo(f"{path}: no faults")
         return
+    # The settings are read after this line; until the entry has a handler, the
+    # signal to read them again would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    _serve(path, metrics_port)
+
+
+def _serve(path: Path, metrics_port: int | None) -> None:
     source = SettingsSource(
         path, lambda path: load_platform_settings(path, metrics_port).forwarding
     )
-    asyncio.run(_run(loaded, source))
+    loaded = load_platform_settings(path, metrics_port)
+    listeners = open_listeners(loaded.forwarding)
+
+    # Not before the sockets listen: this is most of a start's time.
+    import asyncio
+
+    asyncio.run(_run(source, loaded, listeners))
+
 
+async def _run(
+    source: SettingsSource, loaded: PlatformSettings, listeners: Listeners
+) -> None:
+    from railfold._internal.forwarding.process import run_forwarding_entry
+    from railfold._internal.platform.adapter import UsersPlatform
 
-async def _run(loaded: PlatformSettings, source: SettingsSource) -> None:
     adapter = UsersPlatform(loaded.store, loaded.store_partitions)
-    await run_forwarding_entry(loaded.forwarding, adapter, source)
+    await run_forwarding_entry(loaded.forwarding, adapter, source, listeners)
--- a/src/railfold/_internal/errors.py
+++ b/src/railfold/_internal/errors.py
@@ -24,6 +24,7 @@
     "LineageError",
     "LinkClosedError",
     "LinkProtocolError",
+    "ListenError",
     "LogUnavailableError",
     "NoCapacityError",
     "NotReadyError",
@@ -71,6 +72,12 @@
         return "\n".join(parts)
 
 
+class ListenError(RailfoldError):
+    """An address that the settings name can't be listened on."""
+
+    code = "listen_failed"
+
+
 class SettingsError(RailfoldError):
     """A settings file is refused; ``faults`` lists every fault found."""
 
--- a/src/railfold/_internal/forwarding/feeds.py
+++ b/src/railfold/_internal/forwarding/feeds.py
@@ -83,13 +83,20 @@
 
 
 class RegistrationFeed:
-    """Reads the backend servers' registrations."""
+    """Reads the backend servers' registrations.
+
+    :param on_copy: called when a whole copy of them has been taken.
+    """
 
     def __init__(
-        self, router: Router, decode: Callable[[str, bytes], Registration]
+        self,
+        router: Router,
+        decode: Callable[[str, bytes], Registration],
+        on_copy: Callable[[], None],
     ) -> None:
         self._router = router
         self._decode = decode
+        self._on_copy = on_copy
         self._next = _SNAPSHOT
         self._copy: dict[str, Registration] | None = {}
 
@@ -130,6 +137,7 @@
         for registration in copy.values():
             self._register(registration)
         self._router.directory.expire(now_s)
+        self._on_copy()
 
     def expired(self, first_offset: int) -> int:
         """History is gone: take a whole copy."""
--- a/src/railfold/_internal/forwarding/front.py
+++ b/src/railfold/_internal/forwarding/front.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Sequence
 from typing import Protocol
 
 from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -21,12 +21,17 @@
 from railfold._internal.core import Address
 from railfold._internal.decisions.routing_table import ClientLimits
 from railfold._internal.forwarding.messages import Header
+from railfold._internal.observability.server import HttpServerChild
 
 __all__ = ["ClientExchange", "ClientServer", "RequestHandler"]
 
 # What a client that doesn't read may hold up; more, and it is cut off.
 _MAX_UNREAD_BYTES = 8 * 1024 * 1024
 
+# A process that has just started reads the configuration and the registrations
+# within 50 ms; if the store is away, clients are told so after this time.
+_BEGIN_BY_S = 0.3
+
 _REASONS = {
     200: "OK",
     400: "Bad Request",
@@ -190,18 +195,33 @@
 
 
 class ClientServer(HTTPServerConnectionDelegate):
-    """Child that serves clients."""
+    """Child that serves clients.
+
+    :param listener: a socket that listens on the address already, if there is one.
+    """
 
-    def __init__(self, address: Address, handler: RequestHandler) -> None:
+    def __init__(
+        self,
+        address: Address,
+        handler: RequestHandler,
+        listener: socket.socket | None = None,
+    ) -> None:
         self.handler = handler
         self.draining = False
         self.stopped = False
-        self._address = address
         # tornado tells its own server of closed connections, nobody else.
         self._streams: set[IOStream] = set()
         self._busy: set[IOStream] = set()
-        self._server: HTTPServer | None = None
-        self._limits = ClientLimits()
+        # Set once requests can be answered.
+        self.begin = asyncio.Event()
+        self._child = HttpServerChild(
+            self,
+            address,
+            listener=listener,
+            begin=self.begin,
+            begin_by_s=_BEGIN_BY_S,
+        )
+        self.set_limits(ClientLimits())
 
     @property
     def open_connections(self) -> int:
@@ -225,36 +245,20 @@
         A client whose request crosses the close knows that it wasn't read.
         """
         self.stopped = True
-        if self._server is not None:
-            self._server.stop()
+        self._child.stop_listening()
         for stream in self._streams - self._busy:
             stream.close()
 
     def set_limits(self, limits: ClientLimits) -> None:
         """Bound what clients may send from now on."""
-        self._limits = limits
-        if self._server is not None:
-            params = self._server.conn_params
-            params.header_timeout = limits.idle_timeout_s
-            params.max_body_size = limits.max_body_bytes
-            params.max_header_size = limits.max_header_bytes
+        params = self._child.server.conn_params
+        params.header_timeout = limits.idle_timeout_s
+        params.max_body_size = limits.max_body_bytes
+        params.max_header_size = limits.max_header_bytes
 
     async def run(self, ready: asyncio.Event) -> None:
         """Listen and serve until cancelled."""
-        server = HTTPServer(
-            self,
-            idle_connection_timeout=self._limits.idle_timeout_s,
-            max_body_size=self._limits.max_body_bytes,
-            max_header_size=self._limits.max_header_bytes,
-        )
-        self._server = server
-        server.listen(self._address.port, self._address.ip, backlog=1024)
-        ready.set()
-        try:
-            await asyncio.Event().wait()
-        finally:
-            server.stop()
-            await server.close_all_connections()
+        await self._child.run(ready)
 
     # HTTPServerConnectionDelegate
 
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -21,14 +21,16 @@
 from railfold._internal.forwarding.feeds import ConfigurationFeed, RegistrationFeed
 from railfold._internal.forwarding.front import ClientExchange, ClientServer
 from railfold._internal.forwarding.leadership import LEASE_S, LeadershipKeeper
+from railfold._internal.forwarding.listeners import Listeners
 from railfold._internal.forwarding.messages import Header
 from railfold._internal.forwarding.placement import PlacementKeeper
 from railfold._internal.forwarding.pool import ConnectionPool
 from railfold._internal.forwarding.probes import ChainProber
-from railfold._internal.forwarding.reload import SettingsSource, SettingsWatcher
+from railfold._internal.forwarding.reload import SettingsWatcher
 from railfold._internal.forwarding.replies import error_reply, status_of
 from railfold._internal.forwarding.router import Router
 from railfold._internal.forwarding.settings import ForwardingSettings
+from railfold._internal.forwarding.settings_source import SettingsSource
 from railfold._internal.observability.decision_log import DecisionLog
 from railfold._internal.observability.events import (
     DependencyLost,
@@ -38,7 +40,8 @@
     RequestEnded,
 )
 from railfold._internal.observability.metrics import Metrics
-from railfold._internal.observability.small_server import SmallAnswer, SmallServer
+from railfold._internal.observability.server import HttpServerChild
+from railfold._internal.observability.small_server import SmallAnswer, SmallAnswers
 from railfold._internal.store.follower import FollowerPace, StreamFollower
 from railfold._internal.supervision.process import run_process
 from railfold._internal.supervision.supervisor import ChildSpec, Supervisor
@@ -87,13 +90,19 @@
 
 
 class ForwardingEntry:
-    """The parts of one forwarding entry, wired together."""
+    """The parts of one forwarding entry, wired together.
+
+    :param source: where settings are read again, if they can change.
+    :param listeners: sockets that listen already, if there are any.
+    :param log_fd: where log lines are written.
+    """
 
     def __init__(
         self,
         settings: ForwardingSettings,
         adapter: PlatformAdapter,
         source: SettingsSource | None = None,
+        listeners: Listeners | None = None,
         log_fd: int = 1,
     ) -> None:
         self._settings = settings
@@ -134,9 +143,17 @@
             self._prober,
             first_start=settings.first_start,
         )
-        self._clients = ClientServer(settings.clients, self)
+        self._clients = ClientServer(
+            settings.clients, self, listeners.clients if listeners else None
+        )
+        self._readiness = HttpServerChild(
+            SmallAnswers(self._readiness_answer),
+            settings.readiness,
+            listener=listeners.readiness if listeners else None,
+        )
         self._drivers: dict[ClientExchange, RequestDriver] = {}
         self._store_reachable = asyncio.Event()
+        self._registrations_known = False
         self._registrations = self._registration_follower()
 
     def tree(self) -> Supervisor:
@@ -150,15 +167,13 @@
             ChildSpec("placement", self._placement.run),
             ChildSpec("upkeep", self._run_upkeep),
             ChildSpec("clients", self._clients.run),
-            ChildSpec(
-                "readiness", SmallServer(settings.readiness, self._readiness).run
-            ),
+            ChildSpec("readiness", self._readiness.run),
         ]
         if self._source is not None:
             watcher = SettingsWatcher(self._source, self._on_settings, self.log)
             children.insert(0, ChildSpec("settings", watcher.run))
         if settings.metrics is not None:
-            server = SmallServer(settings.metrics, self._metrics_page)
+            server = HttpServerChild(SmallAnswers(self._metrics_page), settings.metrics)
             children.append(ChildSpec("metrics", server.run))
         return Supervisor("forwarding", children)
 
@@ -184,7 +199,9 @@
         )
 
     def _registration_follower(self) -> StreamFollower:
-        feed = RegistrationFeed(self.router, self._adapter.decode_registration)
+        feed = RegistrationFeed(
+            self.router, self._adapter.decode_registration, self._on_copy
+        )
         return StreamFollower(
             self._adapter.new_log(),
             self._adapter.registrations_stream,
@@ -195,7 +212,7 @@
             reachable=self._store_reachable,
         )
 
-    def _readiness(self, path: str) -> SmallAnswer:
+    def _readiness_answer(self, path: str) -> SmallAnswer:
         return SmallAnswer(_OK if self.ready() else _SERVICE_UNAVAILABLE)
 
     def _metrics_page(self, path: str) -> SmallAnswer:
@@ -222,6 +239,16 @@
 
     def _on_configuration(self, table: RoutingTable) -> None:
         self._clients.set_limits(table.limits)
+        self._begin_if_known()
+
+    def _on_copy(self) -> None:
+        self._registrations_known = True
+        self._begin_if_known()
+
+    def _begin_if_known(self) -> None:
+        """Accept clients once their requests have somewhere to go."""
+        if self.router.table is not None and self._registrations_known:
+            self._clients.begin.set()
 
     def _on_store_lost(self, error: LogUnavailableError) -> None:
         self._store_reachable.clear()
@@ -368,10 +395,13 @@
 
 
 async def run_forwarding_entry(
-    settings: ForwardingSettings, adapter: PlatformAdapter, source: SettingsSource
+    settings: ForwardingSettings,
+    adapter: PlatformAdapter,
+    source: SettingsSource,
+    listeners: Listeners,
 ) -> None:
     """Run a forwarding entry until it is told to stop."""
-    entry = ForwardingEntry(settings, adapter, source)
+    entry = ForwardingEntry(settings, adapter, source, listeners)
     entry.log.write(
         ProcessStarted(
             "forwarding entry",
--- a/src/railfold/_internal/forwarding/reload.py
+++ b/src/railfold/_internal/forwarding/reload.py
@@ -5,42 +5,19 @@
 import asyncio
 import signal
 from collections.abc import Callable
-from pathlib import Path
 
 from railfold._internal.errors import SettingsError
 from railfold._internal.forwarding.settings import ForwardingSettings
+from railfold._internal.forwarding.settings_source import SettingsSource
 from railfold._internal.observability.decision_log import DecisionLog
 from railfold._internal.observability.events import SettingsReloaded
 
-__all__ = ["SettingsSource", "SettingsWatcher"]
+__all__ = ["SettingsWatcher"]
 
 # A file that changes without a signal is noticed within this time.
 _LOOK_S = 1.0
 
 
-class SettingsSource:
-    """A settings file and how to read it."""
-
-    def __init__(self, path: Path, load: Callable[[Path], ForwardingSettings]) -> None:
-        self._path = path
-        self._load = load
-
-    def stamp(self) -> tuple[int, int]:
-        """Return what changes with the file; zeros if it can't be looked at."""
-        try:
-            status = self._path.stat()
-        except OSError:
-            return (0, 0)
-        return (status.st_mtime_ns, status.st_size)
-
-    def load(self) -> ForwardingSettings:
-        """Return the settings as they are now.
-
-        :raises SettingsError: the file has faults.
-        """
-        return self._load(self._path)
-
-
 class SettingsWatcher:
     """Child that reads the settings again.
 
@@ -64,14 +41,11 @@
         """Watch until cancelled."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._told.set)
-        seen = self._source.stamp()
         ready.set()
         try:
             while True:
                 told = await self._wait()
-                stamp = self._source.stamp()
-                if told or stamp != seen:
-                    seen = stamp
+                if told or self._source.stamp() != self._source.loaded_stamp:
                     self._reload()
         finally:
             loop.remove_signal_handler(signal.SIGHUP)
--- a/src/railfold/_internal/observability/server.py
+++ b/src/railfold/_internal/observability/server.py
@@ -1,35 +1,85 @@
-"""Child that serves a tornado application on one address."""
+"""Child that serves HTTP on one address."""
 
 from __future__ import annotations
 
 import asyncio
-from typing import Any
+import socket
+from typing import TYPE_CHECKING, Any
 
 from tornado.httpserver import HTTPServer
-from tornado.web import Application
+from tornado.httputil import HTTPServerConnectionDelegate
+from tornado.netutil import bind_sockets
 
 from railfold._internal.core import Address
 
+if TYPE_CHECKING:
+    from tornado.web import Application  # Costly to import; not every role needs it.
+
 __all__ = ["HttpServerChild"]
 
+_BACKLOG = 1024
+
 
 class HttpServerChild:
-    """Serves ``application`` until cancelled."""
+    """Serves until cancelled.
+
+    :param delegate: an application, or what takes each connection's requests.
+    :param listener: a socket that listens on the address already; else one is
+        opened.
+    :param begin: connections wait in the kernel's queue until it is set; if it
+        isn't given, none wait.
+    :param begin_by_s: they wait this long at most.
+    :param options: given to tornado's server.
+    """
 
     def __init__(
-        self, application: Application, address: Address, **options: Any
+        self,
+        delegate: Application | HTTPServerConnectionDelegate,
+        address: Address,
+        *,
+        listener: socket.socket | None = None,
+        begin: asyncio.Event | None = None,
+        begin_by_s: float | None = None,
+        **options: Any,
     ) -> None:
-        self._application = application
         self._address = address
-        self._options = options
+        self._listener = listener
+        self._begin = begin
+        self._begin_by_s = begin_by_s
+        self._sockets: list[socket.socket] = []
+        self.server = HTTPServer(delegate, **options)
 
     async def run(self, ready: asyncio.Event) -> None:
         """Listen and serve."""
-        server = HTTPServer(self._application, **self._options)
-        server.listen(self._address.port, self._address.ip, reuse_port=False)
+        self._sockets = self._listen()
         ready.set()
         try:
+            await self._wait_to_begin()
+            self.server.add_sockets(self._sockets)
             await asyncio.Event().wait()
         finally:
-            server.stop()
-            await server.close_all_connections()
+            self.stop_listening()
+            await self.server.close_all_connections()
+
+    def stop_listening(self) -> None:
+        """Take no new connections; those that wait are reset unread."""
+        self.server.stop()
+        for listener in self._sockets:
+            listener.close()
+        self._sockets = []
+
+    def _listen(self) -> list[socket.socket]:
+        # A child that is started anew has closed the socket it was given.
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            return [listener]
+        return bind_sockets(self._address.port, self._address.ip, backlog=_BACKLOG)
+
+    async def _wait_to_begin(self) -> None:
+        if self._begin is None:
+            return
+        try:
+            async with asyncio.timeout(self._begin_by_s):
+                await self._begin.wait()
+        except TimeoutError:
+            return  # Requests are refused one by one from now on.
--- a/src/railfold/_internal/observability/small_server.py
+++ b/src/railfold/_internal/observability/small_server.py
@@ -1,12 +1,10 @@
-"""A server of small answers: readiness, metrics."""
+"""Small answers over HTTP: readiness, metrics."""
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -16,9 +14,7 @@
     ResponseStartLine,
 )
 
-from railfold._internal.core import Address
-
-__all__ = ["SmallAnswer", "SmallServer"]
+__all__ = ["SmallAnswer", "SmallAnswers"]
 
 _REASONS = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
 
@@ -67,24 +63,12 @@
         self._connection.finish()
 
 
-class SmallServer(HTTPServerConnectionDelegate):
-    """Child that answers requests with what ``answer`` returns for their path."""
+class SmallAnswers(HTTPServerConnectionDelegate):
+    """Answers requests with what ``answer`` returns for their path."""
 
-    def __init__(self, address: Address, answer: Callable[[str], SmallAnswer]) -> None:
-        self._address = address
+    def __init__(self, answer: Callable[[str], SmallAnswer]) -> None:
         self._answer = answer
 
-    async def run(self, ready: asyncio.Event) -> None:
-        """Listen and answer until cancelled."""
-        server = HTTPServer(self)
-        server.listen(self._address.port, self._address.ip)
-        ready.set()
-        try:
-            await asyncio.Event().wait()
-        finally:
-            server.stop()
-            await server.close_all_connections()
-
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
--- /dev/null
+++ b/tests/forwarding/test_starting.py
@@ -0,0 +1,129 @@
+"""An entry that starts, with clients that don't wait for it."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from railfold._internal.errors import ListenError
+from railfold._internal.forwarding import front
+from railfold._internal.forwarding.listeners import Listeners, open_listeners
+from standins.cluster import free_port
+from tests.lib.forwarding import Deployment, events_of, until
+
+READINESS_PROBE = b"GET /ready HTTP/1.1\r\nHost: entry\r\n\r\n"
+
+
+@pytest.fixture
+async def prepared() -> AsyncIterator[Deployment]:
+    """A deployment whose entry hasn't started yet."""
+    running = Deployment()
+    running.prepare()
+    yield running
+    await running.stop()
+
+
+@pytest.fixture
+def listeners(prepared: Deployment) -> Listeners:
+    """The entry's sockets, which listen already."""
+    return open_listeners(prepared.settings)
+
+
+async def test_a_client_that_comes_before_the_entry_runs_is_served(
+    prepared: Deployment, listeners: Listeners
+) -> None:
+    connection = await prepared.connect()
+    await connection.send("/draft/1", "r-1", events=3)
+    prepared.run_entry(listeners)
+    reply = await asyncio.wait_for(connection.read(), 5.0)
+    assert (reply.status, reply.body, reply.whole) == (200, events_of(3), True)
+    connection.close()
+
+
+async def test_clients_are_told_soon_when_the_store_is_away_at_the_start(
+    prepared: Deployment, listeners: Listeners
+) -> None:
+    prepared.store.mode = "out"
+    connection = await prepared.connect()
+    await connection.send("/draft/1", "r-1")
+    prepared.run_entry(listeners)
+    reply = await asyncio.wait_for(connection.read(), front._BEGIN_BY_S + 2.0)
+    assert reply.status == 503
+    assert float(reply.headers["Retry-After"]) > 0
+    assert sum(engine.runs.total() for engine in prepared.engines) == 0
+    connection.close()
+
+
+async def test_readiness_is_denied_until_the_entry_knows_enough(
+    prepared: Deployment, listeners: Listeners
+) -> None:
+    prepared.store.mode = "out"
+    address = prepared.settings.readiness
+    reader, writer = await asyncio.open_connection(address.ip, address.port)
+    writer.write(READINESS_PROBE)
+    prepared.run_entry(listeners)
+    assert b" 503 " in await asyncio.wait_for(reader.readline(), 5.0)
+    prepared.store.mode = "ok"
+    await until(prepared.entry.ready)
+    writer.close()
+
+
+async def test_an_address_in_use_is_a_clear_error(
+    prepared: Deployment, listeners: Listeners
+) -> None:
+    with pytest.raises(ListenError) as caught:
+        open_listeners(prepared.settings)
+    assert str(prepared.settings.clients) in caught.value.what
+    for listener in (listeners.clients, listeners.readiness):
+        listener.close()
+    prepared.run_entry()
+
+
+SETTINGS = """
+node = "front-1"
+ip = "127.0.0.1"
+zone = "hall-a"
+[listen]
+front = "127.0.0.1:{clients}"
+ready = "127.0.0.1:{readiness}"
+[platform]
+address = "127.0.0.1:{store}"
+parts = 4
+"""
+
+
+def listening(port: int) -> bool:
+    with socket.socket() as probe:
+        return probe.connect_ex(("127.0.0.1", port)) == 0
+
+
+async def test_a_signal_to_read_the_settings_doesnt_end_a_process_that_starts(
+    tmp_path: Path,
+) -> None:
+    clients, readiness, store = free_port(), free_port(), free_port()
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS.format(clients=clients, readiness=readiness, store=store))
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "railfold", "forward", str(path)),
+        stdout=asyncio.subprocess.DEVNULL,
+        stderr=asyncio.subprocess.DEVNULL,
+    )
+    try:
+        await until(lambda: listening(readiness), 20.0)
+        os.kill(process.pid, signal.SIGHUP)
+        reader, writer = await asyncio.open_connection("127.0.0.1", readiness)
+        writer.write(READINESS_PROBE)
+        assert b" 503 " in await asyncio.wait_for(reader.readline(), 20.0)
+        assert process.returncode is None
+        writer.close()
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -12,6 +12,7 @@
 from tornado.netutil import bind_sockets
 
 from railfold._internal.core import Address
+from railfold._internal.forwarding.listeners import Listeners
 from railfold._internal.forwarding.process import ForwardingEntry
 from railfold._internal.forwarding.settings import ForwardingSettings
 from railfold._internal.platform.adapter import UsersPlatform
@@ -101,6 +102,13 @@
 
     async def start(self) -> None:
         """Start everything and wait until the entry is ready."""
+        self.prepare()
+        self.run_entry()
+        await until(lambda: self.entry.ready())
+        await until(self.all_known)
+
+    def prepare(self) -> None:
+        """Start all but the entry."""
         sockets = bind_sockets(0, "127.0.0.1")
         self._store_server = HTTPServer(self.store.application())
         self._store_server.add_sockets(sockets)
@@ -122,11 +130,14 @@
             first_start=False,
         )
         self.settings = settings
-        adapter = UsersPlatform(store, PARTITIONS)
-        self.entry = ForwardingEntry(settings, adapter, log_fd=self._log_in)
+        self._adapter = UsersPlatform(store, PARTITIONS)
+
+    def run_entry(self, listeners: Listeners | None = None) -> None:
+        """Start the entry; return at once."""
+        self.entry = ForwardingEntry(
+            self.settings, self._adapter, listeners=listeners, log_fd=self._log_in
+        )
         self._tree = asyncio.create_task(self.entry.tree().run(asyncio.Event()))
-        await until(lambda: self.entry.ready())
-        await until(self.all_known)
 
     def _start_engines(self) -> None:
         for zone in ZONES:
--- a/tests/unit/test_forwarding_imports.py
+++ b/tests/unit/test_forwarding_imports.py
@@ -28,21 +28,31 @@
     return set(done.stdout.split())
 
 
+# What the command imports at first, what it imports once its sockets listen.
+COMMAND = "railfold._internal.commands.forward"
+ENTRY = "railfold._internal.forwarding.process, railfold._internal.platform.adapter"
+
+
 def test_only_libraries_that_the_build_brings_are_imported() -> None:
-    names = imported("railfold._internal.commands.forward")
+    names = imported(COMMAND) | imported(ENTRY)
     foreign = {n for n in names if n not in sys.stdlib_module_names}
     foreign -= {n for n in foreign if n.startswith("_")}
     assert foreign <= BROUGHT | HARMLESS | {"railfold"}
 
 
 def test_the_metrics_library_waits_until_somebody_looks() -> None:
-    names = imported("railfold._internal.commands.forward")
+    names = imported(COMMAND) | imported(ENTRY)
     assert "prometheus_client" not in names
     assert "prometheus_client" in imported(
         "railfold._internal.observability.prometheus"
     )
 
 
+def test_sockets_listen_before_what_takes_long_is_imported() -> None:
+    names = imported(COMMAND)
+    assert not names & {"asyncio", "tornado", "httptools"}
+
+
 def test_every_library_is_pinned() -> None:
     lines = (ROOT / "deploy/requirements.txt").read_text().splitlines()
     wanted = [line for line in lines if line and not line.startswith("#")]
--- a/tests/unit/test_platform_settings.py
+++ b/tests/unit/test_platform_settings.py
@@ -14,8 +14,9 @@
 from railfold._internal.core import Address
 from railfold._internal.errors import SettingsError
 from railfold._internal.forwarding import reload
-from railfold._internal.forwarding.reload import SettingsSource, SettingsWatcher
+from railfold._internal.forwarding.reload import SettingsWatcher
 from railfold._internal.forwarding.settings import ForwardingSettings
+from railfold._internal.forwarding.settings_source import SettingsSource
 from railfold._internal.observability.decision_log import DecisionLog
 from railfold._internal.platform.settings import load_platform_settings
 
