Retry budget: a window for each service instead of a bucket for all

Ruled out: a larger bucket (its whole slack could fall into one window with what was earned; the bound would break). Change: RetryBudget counts first attempts and retries of the last window, for each service; a restarted process begins with a quarter, since its predecessor's retries are still in the window. The number of entries is 'unknown' (25), not 1, for a member that was dealt no partition. Own interface: the same class, routing.retry_window_s. Test: no window holds more than its limits (property), retries return after a window.

--- a/src/railfold/__init__.py
+++ b/src/railfold/__init__.py
@@ -55,7 +55,7 @@
         plan_chain,
     )
     from railfold._internal.decisions.policy import Policy, PolicyDecision
-    from railfold._internal.decisions.retry_budget import RetryBudget
+    from railfold._internal.decisions.retry_budget import RetryBudget, RetryLimits
     from railfold._internal.decisions.sequence_events import (
         SequenceLimits,
     )
@@ -110,6 +110,7 @@
     "RequestLifecycle",
     "RestartLimit",
     "RetryBudget",
+    "RetryLimits",
     "RoundBatcher",
     "SequenceLimits",
     "SequenceTable",
@@ -198,7 +199,7 @@
         "Policy",
         "PolicyDecision",
     ),
-    "decisions.retry_budget": ("RetryBudget",),
+    "decisions.retry_budget": ("RetryBudget", "RetryLimits"),
     "decisions.sequence_events": ("SequenceLimits",),
     "decisions.sequences": ("SequenceTable",),
     "decisions.stalls": ("StepTimes",),
--- a/src/railfold/_internal/cli/main.py
+++ b/src/railfold/_internal/cli/main.py
@@ -6,7 +6,6 @@
 import sys
 
 import click
-from absl import flags, logging
 
 from railfold import __version__
 from railfold._internal.errors import RailfoldError
@@ -62,10 +61,6 @@
 
 def main() -> None:
     """Run the program; turn errors into texts and exit codes."""
-    # Options are click's; without this absl would warn of its own unparsed flags.
-    flags.FLAGS.mark_as_parsed()
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
     try:
         cli(standalone_mode=False)
     except click.exceptions.Abort:
--- a/src/railfold/_internal/cli/options.py
+++ b/src/railfold/_internal/cli/options.py
@@ -13,6 +13,7 @@
 import click
 
 from railfold._internal.errors import ConfigurationRefusedError
+from railfold._internal.observability.process_log import set_up_process_log
 from railfold._internal.operations.publishing import ConfigurationLog
 from railfold._internal.store.http import new_http_client, new_single_use_client
 from railfold._internal.store.log import LogClient
@@ -63,6 +64,7 @@
 
 def run(coroutine: Coroutine[Any, Any, T]) -> T:
     """Run a command's coroutine."""
+    set_up_process_log()
     return asyncio.run(coroutine)
 
 
--- a/src/railfold/_internal/decisions/leadership.py
+++ b/src/railfold/_internal/decisions/leadership.py
@@ -17,12 +17,12 @@
 
     :param holding: whether the lease is the caller's.
     :param fencing: rises with every change of holder.
-    :param members: about how many processes ask for the lease.
+    :param members: about how many processes ask for the lease, if it is known.
     """
 
     holding: bool
     fencing: int
-    members: int = 1
+    members: int | None = None
 
 
 @dataclass(slots=True)
@@ -60,9 +60,9 @@
         return grant.fencing
 
     @property
-    def members(self) -> int:
-        """About how many processes ask for the lease."""
-        return self._grant.members if self._grant else 1
+    def members(self) -> int | None:
+        """About how many processes ask for the lease, if it is known."""
+        return self._grant.members if self._grant else None
 
     @property
     def newest_fencing(self) -> int:
--- a/src/railfold/_internal/decisions/retry_budget.py
+++ b/src/railfold/_internal/decisions/retry_budget.py
@@ -2,38 +2,78 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 
-__all__ = ["RetryBudget", "jittered_retry_after_s"]
+__all__ = ["RetryBudget", "RetryBudgets", "RetryLimits", "jittered_retry_after_s"]
 
 
-@dataclass(slots=True)
-class RetryBudget:
-    """Allows retries as a share of first attempts, plus a burst.
+@dataclass(frozen=True, slots=True)
+class RetryLimits:
+    """How many retries are allowed in any window of time.
 
-    :param share: retries earned by each first attempt.
-    :param burst: the most that can be saved up, and the budget at start.
+    :param share: retries for each first attempt of the window.
+    :param slack: retries beyond that share.
+    :param window_s: length of the window.
     """
 
     share: float = 0.2
-    burst: float = 100.0
-    balance: float = -1.0
+    slack: float = 100.0
+    window_s: float = 10.0
+
+
+class RetryBudget:
+    """Allows retries as a share of first attempts, plus a number, in any window.
+
+    Processes that each keep a part of common limits keep them together: in every
+    window their retries add up to no more than their parts do. A bucket that is
+    filled by first attempts would allow the slack once, not in each window.
+    """
 
-    def __post_init__(self) -> None:
-        if self.balance < 0:
-            self.balance = self.burst
+    def __init__(self, limits: RetryLimits) -> None:
+        self.limits = limits
+        self._first_attempts_s: deque[float] = deque()
+        self._retries_s: deque[float] = deque()
 
-    def earn(self) -> None:
+    def earn(self, now_s: float) -> None:
         """Count one first attempt."""
-        self.balance = min(self.burst, self.balance + self.share)
+        self._first_attempts_s.append(now_s)
+        self._forget(now_s)
 
-    def spend(self) -> bool:
+    def spend(self, now_s: float) -> bool:
         """Take one retry from the budget; return whether it was there."""
-        if self.balance < 1.0:
+        self._forget(now_s)
+        limits = self.limits
+        allowed = limits.slack + limits.share * len(self._first_attempts_s)
+        if len(self._retries_s) + 1 > allowed:
             return False
-        self.balance -= 1.0
+        self._retries_s.append(now_s)
         return True
 
+    def _forget(self, now_s: float) -> None:
+        since_s = now_s - self.limits.window_s
+        for times_s in (self._first_attempts_s, self._retries_s):
+            while times_s and times_s[0] <= since_s:
+                times_s.popleft()
+
+
+class RetryBudgets:
+    """A budget for each service, all with the same limits."""
+
+    def __init__(self, limits: RetryLimits) -> None:
+        self._limits = limits
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def set_limits(self, limits: RetryLimits) -> None:
+        """Change the limits of all."""
+        self._limits = limits
+        for budget in self._budgets.values():
+            budget.limits = limits
+
+    def of(self, service: str) -> RetryBudget:
+        """Return a service's budget."""
+        return self._budgets.setdefault(service, RetryBudget(self._limits))
+
 
 def jittered_retry_after_s(load: float, random_unit: float) -> float:
     """Return when a refused caller should come back, in seconds.
--- a/src/railfold/_internal/entry/calls.py
+++ b/src/railfold/_internal/entry/calls.py
@@ -62,7 +62,7 @@
         """Return the final outcome and the answer."""
         request_id = self._request.request_id
         self._context.agents.register(request_id, self)
-        self._context.budget.earn()
+        self._context.budget.earn(self._loop.time())
         deadline = self._loop.call_at(
             self._request.deadline_s, self._feed, CallDeadlinePassed()
         )
@@ -112,7 +112,7 @@
         if action.is_retry:
             context.metrics.count("calls.retries")
             self._count_own(-1)
-        if action.is_retry and not context.budget.spend():
+        if action.is_retry and not context.budget.spend(self._loop.time()):
             error = OverloadedError(
                 "no retry is allowed now", why="the retry budget is spent"
             )
--- a/src/railfold/_internal/entry/generate.py
+++ b/src/railfold/_internal/entry/generate.py
@@ -115,7 +115,7 @@
         """Return the final outcome."""
         request_id = self._request.request_id
         self._context.agents.register(request_id, self)
-        self._context.budget.earn()
+        self._context.budget.earn(self._loop.time())
         deadline = self._loop.call_at(
             self._request.deadline_s, self._feed, DeadlinePassed()
         )
@@ -182,7 +182,7 @@
         if action.is_retry:
             context.metrics.count("generate.retries")
             self._count_own(-1)
-        if action.is_retry and not context.budget.spend():
+        if action.is_retry and not context.budget.spend(self._loop.time()):
             context.metrics.count("generate.retry_budget_empty")
             error = OverloadedError(
                 "no retry is allowed now",
--- a/src/railfold/_internal/entry/process.py
+++ b/src/railfold/_internal/entry/process.py
@@ -19,7 +19,7 @@
     LifecycleLimits,
 )
 from railfold._internal.decisions.planner import LinkCosts, PlannerWeights
-from railfold._internal.decisions.retry_budget import RetryBudget
+from railfold._internal.decisions.retry_budget import RetryBudget, RetryLimits
 from railfold._internal.entry.admission import Admission
 from railfold._internal.entry.agents import AgentPool
 from railfold._internal.entry.callers import (
@@ -161,7 +161,11 @@
         return RoutingContext(
             agents=self._agents,
             metrics=self.metrics,
-            budget=RetryBudget(routing.retry_share, routing.retry_burst),
+            budget=RetryBudget(
+                RetryLimits(
+                    routing.retry_share, routing.retry_burst, routing.retry_window_s
+                )
+            ),
             costs=LinkCosts(
                 routing.same_domain_ms, routing.same_region_ms, routing.other_region_ms
             ),
--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -124,7 +124,6 @@
     def start(self) -> None:
         """Begin."""
         self._router.active.add(self)
-        self._router.budget.earn()
         self._perform(self._lifecycle.start())
 
     def client_gone(self) -> None:
@@ -176,20 +175,23 @@
 
     def _choose(self, exclude: frozenset[str], *, is_retry: bool) -> None:
         router = self._router
-        if is_retry and not router.budget.spend():
-            router.metrics.count("requests.retry_budget_empty")
-            error = OverloadedError(
-                "no retry is allowed now", why="the retry budget is spent"
-            )
-            self._refuse(error)
-            return
         try:
             destination = router.choose(self._route, exclude)
         except RequestError as found:
             self._refuse(found)
             return
-        if is_retry:
+        budget = router.budgets.of(destination.service)
+        if not is_retry:
+            budget.earn(self._loop.time())
+        elif budget.spend(self._loop.time()):
             router.metrics.count("requests.retries")
+        else:
+            router.metrics.count("requests.retry_budget_empty")
+            error = OverloadedError(
+                "no retry is allowed now", why="the retry budget is spent"
+            )
+            self._refuse(error)
+            return
         self._destination = destination
         self._feed(CallHostChosen(destination.server.host))
 
@@ -432,7 +434,9 @@
             return
         self._router.metrics.count("streams.rerouted")
         self._router.count(self._destination, -self._load)
-        self._destination = Destination(other.stages[0], other)
+        self._destination = Destination(
+            self._destination.service, other.stages[0], other
+        )
         self._router.count(self._destination, self._load)
         self._watch_chain(self._destination)
 
--- a/src/railfold/_internal/forwarding/leadership.py
+++ b/src/railfold/_internal/forwarding/leadership.py
@@ -72,7 +72,7 @@
             # The follower of the configuration tells of the store's outages.
             self._metrics.count("lease.renewals_failed")
             return _RETRY_S
-        self._metrics.gauge("entries", grant.members)
+        self._metrics.gauge("entries", grant.members or 0)
         is_new = grant.fencing != self._leadership.newest_fencing
         if self._leadership.renewed(grant, sent_s):
             self._log.write(
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -11,7 +11,8 @@
 from railfold._internal.decisions.freshness import FreshnessLease
 from railfold._internal.decisions.leadership import Leadership
 from railfold._internal.decisions.retry_budget import (
-    RetryBudget,
+    RetryBudgets,
+    RetryLimits,
     jittered_retry_after_s,
 )
 from railfold._internal.decisions.routing_table import RoutingTable, require_table
@@ -86,7 +87,14 @@
 # a deployment has when the balancer knows more than the store does.
 _UNKNOWN_ENTRIES = 25
 _FEWEST_ENTRIES = 4
-_RETRY_SAFETY = 0.7
+# The rest is for entries that the store's group doesn't count, as those that were
+# cut off from it.
+_RETRY_SAFETY = 0.8
+
+# What a process that was started again allows itself until all that it may have
+# sent before lies outside the window: with the share above, all stay within the
+# limits though every entry had spent its part and was killed.
+_RESTARTED_SHARE = 0.25
 
 
 class ForwardingEntry:
@@ -118,10 +126,7 @@
             directory=EngineDirectory(),
             pool=ConnectionPool(),
             lease=FreshnessLease(settings.credential_lease_s),
-            budget=RetryBudget(
-                settings.retry_share * _RETRY_SAFETY,
-                settings.retry_slack * _RETRY_SAFETY / _UNKNOWN_ENTRIES,
-            ),
+            budgets=RetryBudgets(self._retry_limits(_UNKNOWN_ENTRIES)),
             metrics=self.metrics,
             log=self.log,
             failure_domain=settings.failure_domain,
@@ -233,7 +238,6 @@
         """Take new bounds; addresses and the place stay until a restart."""
         self._settings = settings
         self.router.lease.duration_s = settings.credential_lease_s
-        self.router.budget.share = settings.retry_share * _RETRY_SAFETY
 
     # What the store says
 
@@ -366,12 +370,24 @@
             return _CALM_PACE  # No client waits for the first placement yet.
         return _EAGER_PACE if self.router.chain_missing() else _CALM_PACE
 
-    def _divide_limits(self, entries: int) -> None:
+    def _divide_limits(self, entries: int | None) -> None:
         """Take this entry's part of what all entries may do."""
-        self.router.entries = entries
-        known = entries if self._leadership.newest_fencing else _UNKNOWN_ENTRIES
-        slack = self._settings.retry_slack * _RETRY_SAFETY
-        self.router.budget.burst = slack / max(known, _FEWEST_ENTRIES)
+        if entries is not None:
+            self.router.entries = entries
+        limits = self._retry_limits(entries or _UNKNOWN_ENTRIES)
+        self.router.budgets.set_limits(limits)
+
+    def _retry_limits(self, entries: int) -> RetryLimits:
+        """Return this entry's part of the retries that all may make."""
+        settings = self._settings
+        slack = settings.retry_slack * _RETRY_SAFETY / max(entries, _FEWEST_ENTRIES)
+        age_s = self._loop.time() - self._started_s
+        if not settings.first_start and age_s < settings.retry_window_s:
+            # What this process's predecessor has sent is still in the window.
+            slack *= _RESTARTED_SHARE
+        return RetryLimits(
+            settings.retry_share * _RETRY_SAFETY, slack, settings.retry_window_s
+        )
 
     async def drain(self) -> None:
         """Leave the balancer, finish what is in flight, then return."""
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -21,7 +21,7 @@
     choose_host,
     plan_chain,
 )
-from railfold._internal.decisions.retry_budget import RetryBudget
+from railfold._internal.decisions.retry_budget import RetryBudgets
 from railfold._internal.decisions.routing_table import (
     EngineModel,
     Route,
@@ -65,6 +65,7 @@
 class Destination:
     """Where a request may go; ``server`` is the one that it is sent to."""
 
+    service: str
     server: Stage
     chain: Chain | None
 
@@ -82,7 +83,7 @@
     directory: EngineDirectory
     pool: ConnectionPool
     lease: FreshnessLease
-    budget: RetryBudget
+    budgets: RetryBudgets
     metrics: Metrics
     log: DecisionLog
     failure_domain: str
@@ -136,7 +137,7 @@
             weights=self.weights,
             rng=self.rng,
         )
-        return Destination(chosen.stage, None)
+        return Destination(spec.name, chosen.stage, None)
 
     def _service(self, route: Route) -> ServiceSpec:
         if self.table is None:
@@ -183,7 +184,7 @@
                 "no backend server holds layers of the model",
                 hint="come back after Retry-After",
             )
-        return Destination(best[1].stages[0], best[1])
+        return Destination(spec.name, best[1].stages[0], best[1])
 
     def report_stalled(self, chain: Chain) -> None:
         """Send nothing over this chain for a moment, and move its streams."""
--- a/src/railfold/_internal/forwarding/settings.py
+++ b/src/railfold/_internal/forwarding/settings.py
@@ -22,7 +22,7 @@
     :param retry_share: retries as a share of first sends that all entries
         together may make.
     :param retry_slack: retries beyond that share that all entries together may
-        make in a window of time.
+        make in any ``retry_window_s``, to each service.
     :param first_start: whether the whole installation starts for the first time.
     """
 
@@ -36,4 +36,5 @@
     grace_s: float
     retry_share: float
     retry_slack: float
+    retry_window_s: float
     first_start: bool
--- a/src/railfold/_internal/platform/settings.py
+++ b/src/railfold/_internal/platform/settings.py
@@ -39,13 +39,15 @@
 
     ``revoke_ms``: how long after its removal a credential may still be used.
     ``budget_ratio`` and ``budget_slack``: what all entries may send beyond the
-    first send of each request, as a share and a number.
+    first send of each request, as a share and a number, in any window of
+    ``budget_window_s``.
     """
 
     grace_s: float = 8.0
     revoke_ms: float = 5000.0
     budget_ratio: float = 0.1
     budget_slack: float = 10.0
+    budget_window_s: float = 10.0
 
 
 class _Store(msgspec.Struct, frozen=True):
@@ -134,6 +136,7 @@
             grace_s=bounds.grace_s,
             retry_share=bounds.budget_ratio,
             retry_slack=bounds.budget_slack,
+            retry_window_s=bounds.budget_window_s,
             first_start=document.bootstrap,
         )
         return PlatformSettings(forwarding, address, store.parts)
--- a/src/railfold/_internal/platform/store.py
+++ b/src/railfold/_internal/platform/store.py
@@ -224,10 +224,10 @@
         holding = any(row[:2] == lease_row for row in joined.parts)
         return LeaseGrant(holding, joined.generation, self._members(joined))
 
-    def _members(self, joined: _Joined) -> int:
+    def _members(self, joined: _Joined) -> int | None:
         """Reckon the members from the share of partitions that were dealt here."""
         own = len(joined.parts)
-        return max(1, round(_TOPICS * self._partitions / own)) if own else 1
+        return max(1, round(_TOPICS * self._partitions / own)) if own else None
 
     async def release(self, holder: str) -> None:
         """Give the lease back.
--- a/src/railfold/_internal/settings/models.py
+++ b/src/railfold/_internal/settings/models.py
@@ -95,6 +95,7 @@
     max_attempts: int = Field(default=6, ge=1, le=100)
     retry_share: float = Field(default=0.2, ge=0, le=10)
     retry_burst: float = Field(default=200.0, ge=1)
+    retry_window_s: float = Field(default=10.0, gt=0, le=600)
     probe_timeout_s: Seconds = 0.2
     overdue_floor_s: Seconds = 0.1
     overdue_factor: float = Field(default=4.0, ge=2)
--- a/src/railfold/_internal/supervision/process.py
+++ b/src/railfold/_internal/supervision/process.py
@@ -8,6 +8,7 @@
 
 from absl import logging
 
+from railfold._internal.observability.process_log import set_up_process_log
 from railfold._internal.supervision.supervisor import Supervisor
 
 __all__ = ["run_process", "wait_until_idle"]
@@ -30,6 +31,7 @@
 
     :raises SupervisorFailedError: the tree failed.
     """
+    set_up_process_log()
     loop = asyncio.get_running_loop()
     first, second = asyncio.Event(), asyncio.Event()
 
