Silent streams: probe at once only those that may be dead

Change: hosts that a moving stream runs through are no suspects; the others are probed at the first look (60 ms), rarely while that finds nothing (ProbePace). Streams of a chain that surely stands still wait for the answers if most suspects have a stand-in, and begin elsewhere at once if not. Tests: suspects, chains that share a dead host, the pace.

--- a/src/railfold/_internal/decisions/chain_activity.py
+++ b/src/railfold/_internal/decisions/chain_activity.py
@@ -1,9 +1,10 @@
 """Telling a chain that stands still from streams that are slow.
 
-One stream's pause may have many causes. When all streams over one chain pause
-together while other chains go on, a backend server of that chain has stopped,
-and there is no need to wait for a probe's timeout. When several chains pause
-together, the cause is more likely here or on the way, and nothing is concluded.
+One stream's pause may have many causes. Backend servers that other streams move
+through are well, so that only the rest of its chain is worth a probe. When all
+streams through those pause together while other chains go on, one of them has
+stopped, and there is no need to wait for a probe's timeout. When several chains
+pause together, the cause is more likely here or on the way, and nothing is concluded.
 
 The same events tell how slow a chain is: the mean of their pauses over the pause
 that its accelerators would lead one to expect.
@@ -107,16 +108,35 @@
         if chain.streams <= 0:
             del self._chains[key]
 
-    def stalled(self, key: ChainKey, now_s: float, loop_delay_s: float) -> bool:
-        """Return whether the chain surely stands still, and it alone."""
-        chain = self._chains.get(key)
-        if chain is None or chain.streams < _MIN_STREAMS:
-            return False
+    def suspects(
+        self, key: ChainKey, now_s: float, loop_delay_s: float
+    ) -> tuple[str, ...]:
+        """Return the hosts of a chain that no moving stream runs through.
+
+        None if the event loop was late: then nothing is known of any stream.
+        """
         if loop_delay_s > _MAX_LOOP_DELAY_S:
+            return ()
+        limit_s = self._stall_s(key)
+        moving: set[str] = set()
+        for other, chain in self._chains.items():
+            if now_s - chain.last_event_s < limit_s:
+                moving.update(other)
+        return tuple(host for host in key if host not in moving)
+
+    def stalled(self, key: ChainKey, now_s: float, loop_delay_s: float) -> bool:
+        """Return whether the chain surely stands still, and others don't."""
+        suspects = set(self.suspects(key, now_s, loop_delay_s))
+        if not suspects:
             return False
-        pace = self._paces.get(key[0], _Pace())
-        if now_s - chain.last_event_s < max(_STALL_S, _STALL_FACTOR * pace.pause_s):
+        through = [c for k, c in self._chains.items() if not suspects.isdisjoint(k)]
+        if sum(chain.streams for chain in through) < _MIN_STREAMS:
             return False
-        others = [c for k, c in self._chains.items() if k != key]
+        others = [c for k, c in self._chains.items() if suspects.isdisjoint(k)]
         moving = [c for c in others if now_s - c.last_event_s < _STALL_S]
         return bool(moving) and 2 * len(moving) >= len(others)
+
+    def _stall_s(self, key: ChainKey) -> float:
+        """Return the pause that a chain makes only if something is wrong."""
+        pace = self._paces.get(key[0], _Pace())
+        return max(_STALL_S, _STALL_FACTOR * pace.pause_s)
--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -56,7 +56,7 @@
 from railfold._internal.forwarding.messages import ClientRequest, ResponseHead
 from railfold._internal.forwarding.probes import ChainProber
 from railfold._internal.forwarding.router import Destination, Router
-from railfold._internal.forwarding.stream_watch import StreamWatch
+from railfold._internal.forwarding.stream_watch import Silence, StreamWatch
 from railfold._internal.observability.events import (
     AttemptEnded,
     AttemptStarted,
@@ -402,20 +402,20 @@
         expected_s = self._router.expected_pause_s(chain)
         self._watch.opened(chain.hosts, expected_s)
 
-    def _silent(self, silent_s: float, stalled: bool) -> None:
-        """The stream is silent; ``stalled`` if its whole chain stands still."""
+    def _silent(self, silence: Silence) -> None:
+        """The stream is silent: find out whom it waits for."""
         destination = self._destination
         if destination is None or destination.chain is None:
             return
+        chain = destination.chain
         request_id = self._request.request_id
-        if stalled:
-            self._prober.probe_all(destination.chain, request_id, silent_s)
-            self._router.report_stalled(destination.chain)
-        elif silent_s > _ABANDON_SILENT_S:
+        self._router.metrics.count("streams.overdue")
+        if silence.silent_s > _ABANDON_SILENT_S:
             self._end_attempt("silent although all answer", alive=True)
+        elif silence.suspects:
+            self._prober.probe_suspects(chain, silence, request_id)
         else:
-            self._router.metrics.count("streams.overdue")
-            self._prober.ask_first(destination.chain, request_id, silent_s)
+            self._prober.ask_first(chain, request_id, silence.silent_s)
 
     async def _reroute(self, chain: Chain, lost: frozenset[str]) -> None:
         """Let the first backend server go on over another chain."""
--- a/src/railfold/_internal/forwarding/probes.py
+++ b/src/railfold/_internal/forwarding/probes.py
@@ -16,6 +16,7 @@
 
 from railfold._internal.core import Chain, parse_address
 from railfold._internal.decisions.engine_directory import DirectoryEntry
+from railfold._internal.decisions.probe_pace import ProbePace
 from railfold._internal.errors import EngineError
 from railfold._internal.forwarding.dialect import (
     EngineCall,
@@ -26,13 +27,14 @@
 )
 from railfold._internal.forwarding.http_client import Response, connect, fetch
 from railfold._internal.forwarding.router import Router
+from railfold._internal.forwarding.stream_watch import Silence
 from railfold._internal.observability.events import ChainProbed, EngineChanged
 
 __all__ = ["ChainProber"]
 
 # A live engine answers its report within a few milliseconds, also under load; a
 # connection takes one round trip more.
-_PROBE_TIMEOUT_S = 0.08
+_PROBE_TIMEOUT_S = 0.06
 
 # How often a suspect backend server is probed: first, and at most.
 _RECHECK_FIRST_S = 0.15
@@ -40,9 +42,6 @@
 
 _REROUTE_TIMEOUT_S = 0.3
 
-# One chain is probed at most this often, whoever asks.
-_PROBE_INTERVAL_S = 0.25
-
 # A backend server that fails this many of its last answers gets no more work
 # for a while, as long as most others of its service are in use.
 _OUTCOMES_KEPT = 8
@@ -60,7 +59,7 @@
         self._router = router
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._probed_s: dict[tuple[str, ...], float] = {}
+        self.pace = ProbePace()
         self._checking: set[str] = set()
         self._outcomes: dict[str, deque[bool]] = {}
 
@@ -122,31 +121,32 @@
 
     # Probes
 
-    def probe_all(self, chain: Chain, request_id: str, silent_s: float) -> None:
-        """Ask all backend servers of a chain that stands still."""
-        if self._may_probe(chain.hosts):
-            self._spawn(self._probe_chain(chain, chain.hosts, request_id, silent_s))
-
-    def ask_first(self, chain: Chain, request_id: str, silent_s: float) -> None:
-        """Ask the first backend server of a silent stream whom it waits for.
+    def probe_suspects(self, chain: Chain, silence: Silence, request_id: str) -> None:
+        """Ask the backend servers that a silent stream may wait for.
 
-        It costs one probe instead of one for each stage; streams are silent
-        often when engines are slow.
+        Streams of a chain that surely stands still don't wait for the answers if
+        it has hardly a backend server that another one could replace: they have
+        to begin elsewhere anyway.
         """
-        if self._may_probe(chain.hosts[:1]):
-            self._spawn(self._ask_first(chain, request_id, silent_s))
+        move_now = silence.stalled and not self._router.replaceable(silence.suspects)
+        if self.pace.take(chain.hosts[0], self._loop.time()):
+            self._spawn(self._probe_suspects(chain, silence, request_id, move_now))
+        if move_now:
+            self._router.report_stalled(chain)
+
+    async def _probe_suspects(
+        self, chain: Chain, silence: Silence, request_id: str, moved: bool
+    ) -> None:
+        found = await self._probe_chain(
+            chain, silence.suspects, request_id, silence.silent_s
+        )
+        if silence.stalled and not found and not moved:
+            self._router.report_stalled(chain)
 
-    def _may_probe(self, hosts: tuple[str, ...]) -> bool:
-        now_s = self._loop.time()
-        if now_s - self._probed_s.get(hosts, -1.0) < _PROBE_INTERVAL_S:
-            return False
-        self._probed_s = {
-            known: at_s
-            for known, at_s in self._probed_s.items()
-            if now_s - at_s < _PROBE_INTERVAL_S
-        }
-        self._probed_s[hosts] = now_s
-        return True
+    def ask_first(self, chain: Chain, request_id: str, silent_s: float) -> None:
+        """Ask the first backend server of a silent stream whom it waits for."""
+        if self.pace.take(chain.hosts[0], self._loop.time()):
+            self._spawn(self._ask_first(chain, request_id, silent_s))
 
     async def _ask_first(self, chain: Chain, request_id: str, silent_s: float) -> None:
         first = self._router.directory.get(chain.hosts[0])
@@ -168,7 +168,8 @@
 
     async def _probe_chain(
         self, chain: Chain, hosts: tuple[str, ...], request_id: str, silent_s: float
-    ) -> None:
+    ) -> bool:
+        """Probe some of a chain's backend servers; return whether one is lost."""
         answers = await asyncio.gather(*(self._alive(host) for host in hosts))
         lost = {h for h, alive in zip(hosts, answers, strict=True) if not alive}
         self._router.log.write(
@@ -182,7 +183,9 @@
         for server_id in lost:
             self.suspect(server_id, "no answer to a probe")
         if lost:
+            self.pace.found(chain.hosts[0])
             self._router.report_lost(frozenset(lost))
+        return bool(lost)
 
     async def _check_one(self, server_id: str) -> None:
         self._checking.add(server_id)
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -355,6 +355,7 @@
             known = {entry.server_id for entry in self.router.directory}
             self.router.activity.forget(known)
             self.router.avoidance.forget(known)
+            self._prober.pace.forget(known)
             self._registrations.pace = self._registration_pace(now_s)
             self._forget_finished()
             self._clients.forget_closed()
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -11,7 +11,10 @@
 from railfold._internal.core import Chain, LayerRange, Stage
 from railfold._internal.decisions.avoidance import Avoidance
 from railfold._internal.decisions.chain_activity import ChainActivity
-from railfold._internal.decisions.engine_directory import EngineDirectory
+from railfold._internal.decisions.engine_directory import (
+    DirectoryEntry,
+    EngineDirectory,
+)
 from railfold._internal.decisions.freshness import FreshnessLease
 from railfold._internal.decisions.layer_placement import uncovered_layers
 from railfold._internal.decisions.planner import (
@@ -186,6 +189,30 @@
             )
         return Destination(spec.name, best[1].stages[0], best[1])
 
+    def replaceable(self, server_ids: Iterable[str]) -> bool:
+        """Return whether most of these have a stand-in for all their layers."""
+        entries = [e for e in map(self.directory.get, server_ids) if e is not None]
+        replaced = [e for e in entries if self._has_stand_in(e)]
+        return 2 * len(replaced) >= len(entries)
+
+    def _has_stand_in(self, entry: DirectoryEntry) -> bool:
+        """Return whether others in its failure domain hold all its layers."""
+        own = entry.registration
+        if own.layers is None:
+            return False
+        held = [
+            peer.registration.layers
+            for peer in self.directory.of_service(own.service)
+            if peer is not entry
+            and peer.routable
+            and peer.registration.failure_domain == own.failure_domain
+            and peer.registration.layers is not None
+        ]
+        return all(
+            any(other.first <= layer <= other.last for other in held)
+            for layer in range(own.layers.first, own.layers.last + 1)
+        )
+
     def report_stalled(self, chain: Chain) -> None:
         """Send nothing over this chain for a moment, and move its streams."""
         now_s = asyncio.get_running_loop().time()
--- a/src/railfold/_internal/forwarding/stream_watch.py
+++ b/src/railfold/_internal/forwarding/stream_watch.py
@@ -4,11 +4,12 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from railfold._internal.decisions.chain_activity import ChainActivity, ChainKey
 from railfold._internal.decisions.heartbeats import OverdueTimer
 
-__all__ = ["StreamWatch"]
+__all__ = ["Silence", "StreamWatch"]
 
 # A silent stream is looked into when its pause is this many times the usual one
 # and at least the floor: well above the pauses that prompts of other requests
@@ -25,15 +26,27 @@
 _LEAST_PAUSE_S = 0.005
 
 
+@dataclass(frozen=True, slots=True)
+class Silence:
+    """What is known of a stream that has brought nothing for a while.
+
+    :param suspects: hosts of its chain that no other stream moves through.
+    :param stalled: whether its chain surely stands still.
+    """
+
+    silent_s: float
+    suspects: tuple[str, ...] = ()
+    stalled: bool = False
+
+
 class StreamWatch:
     """Pauses of one request's answer, over all its attempts.
 
-    :param on_silent: called while the stream is silent, with for how long it has
-        been, and whether its whole chain surely stands still.
+    :param on_silent: called while the stream is silent.
     """
 
     def __init__(
-        self, activity: ChainActivity, on_silent: Callable[[float, bool], None]
+        self, activity: ChainActivity, on_silent: Callable[[Silence], None]
     ) -> None:
         self._activity = activity
         self._on_silent = on_silent
@@ -121,11 +134,16 @@
         if now_s < due_s:
             self._look_at(due_s)
             return
-        stalled = (
-            self._flowing
-            and self._chain is not None
-            and self._activity.stalled(self._chain, now_s, now_s - planned_s)
-        )
+        silence = self._silence(now_s, now_s - planned_s)
         self._look_at(now_s + _LOOK_AGAIN_S)
         # Last: it may close the attempt.
-        self._on_silent(self.silent_s, stalled)
+        self._on_silent(silence)
+
+    def _silence(self, now_s: float, loop_delay_s: float) -> Silence:
+        if self._chain is None or not self._flowing:
+            return Silence(self.silent_s)
+        return Silence(
+            self.silent_s,
+            self._activity.suspects(self._chain, now_s, loop_delay_s),
+            self._activity.stalled(self._chain, now_s, loop_delay_s),
+        )
--- a/tests/unit/test_chain_activity.py
+++ b/tests/unit/test_chain_activity.py
@@ -62,6 +62,27 @@
     assert not activity.stalled(A, 1.1, loop_delay_s=0.0)
 
 
+def test_hosts_that_a_moving_stream_runs_through_are_no_suspects() -> None:
+    activity = running()
+    shared: ChainKey = ("a1", "c2")
+    activity.flowing(shared, 1.0)
+    later(activity, shared, until_s=1.1)
+    assert activity.suspects(A, 1.1, loop_delay_s=0.0) == ("a2",)
+    assert activity.suspects(B, 1.1, loop_delay_s=0.0) == B
+    assert activity.suspects(A, 1.1, loop_delay_s=0.05) == ()
+
+
+def test_streams_over_chains_that_share_a_dead_host_stand_still_together() -> None:
+    activity = ChainActivity()
+    keys: list[ChainKey] = [("a1", "a2"), ("a1", "c2"), B]
+    for key in keys:
+        activity.flowing(key, 0.0)
+    later(activity, *keys, until_s=1.0)
+    later(activity, B, until_s=1.1)
+    assert activity.stalled(A, 1.1, loop_delay_s=0.0)
+    assert activity.suspects(A, 1.1, loop_delay_s=0.0) == A
+
+
 def test_a_slow_chain_may_pause_for_longer() -> None:
     activity = running(pause_s=0.08, until_s=8.0)
     later(activity, B, until_s=8.2)
--- a/tests/unit/test_stream_watch.py
+++ b/tests/unit/test_stream_watch.py
@@ -7,7 +7,7 @@
 import pytest
 
 from railfold._internal.decisions.chain_activity import ChainActivity, ChainKey
-from railfold._internal.forwarding.stream_watch import StreamWatch
+from railfold._internal.forwarding.stream_watch import Silence, StreamWatch
 
 pytestmark = [pytest.mark.asyncio, pytest.mark.looptime]
 
@@ -23,8 +23,8 @@
         self.watch = StreamWatch(activity, self._silent)
         self.watch.opened(chain, 0.02)
 
-    def _silent(self, silent_s: float, stalled: bool) -> None:
-        self.told.append((round(silent_s, 2), stalled))
+    def _silent(self, silence: Silence) -> None:
+        self.told.append((round(silence.silent_s, 2), silence.stalled))
 
     def event(self) -> None:
         self.watch.event(self.watch.progressed())
