Look at silent streams after three usual pauses, every 30 ms

Cause: the first look came after five usual pauses (about 135 ms) and the next 150 ms later; a probe's 60 ms and the stand-in's reading no longer fit into 200 to 250 ms. Ruled out: moving at the first look without a probe where a stand-in is there (its reading of one stage's layers is far cheaper than a whole prompt elsewhere). Change: factor 3 and floor 70 ms, looks every 30 ms; streams that moved within 60 ms or two usual pauses exonerate their hosts; a probe waits 50 ms.

--- a/src/railfold/_internal/decisions/chain_activity.py
+++ b/src/railfold/_internal/decisions/chain_activity.py
@@ -26,6 +26,11 @@
 _STALL_S = 0.085
 _STALL_FACTOR = 4.0
 
+# A stream that got an event within this time, or two of its chain's usual pauses,
+# shows that the hosts it runs through are well: two to three events.
+_MOVING_S = 0.06
+_MOVING_FACTOR = 2.0
+
 # Fewer streams that pause together prove too little.
 _MIN_STREAMS = 2
 
@@ -117,7 +122,7 @@
         """
         if loop_delay_s > _MAX_LOOP_DELAY_S:
             return ()
-        limit_s = self._stall_s(key)
+        limit_s = max(_MOVING_S, _MOVING_FACTOR * self._pace(key).pause_s)
         moving: set[str] = set()
         for other, chain in self._chains.items():
             if now_s - chain.last_event_s < limit_s:
@@ -132,11 +137,12 @@
         through = [c for k, c in self._chains.items() if not suspects.isdisjoint(k)]
         if sum(chain.streams for chain in through) < _MIN_STREAMS:
             return False
+        stall_s = max(_STALL_S, _STALL_FACTOR * self._pace(key).pause_s)
+        if any(now_s - chain.last_event_s < stall_s for chain in through):
+            return False
         others = [c for k, c in self._chains.items() if suspects.isdisjoint(k)]
         moving = [c for c in others if now_s - c.last_event_s < _STALL_S]
         return bool(moving) and 2 * len(moving) >= len(others)
 
-    def _stall_s(self, key: ChainKey) -> float:
-        """Return the pause that a chain makes only if something is wrong."""
-        pace = self._paces.get(key[0], _Pace())
-        return max(_STALL_S, _STALL_FACTOR * pace.pause_s)
+    def _pace(self, key: ChainKey) -> _Pace:
+        return self._paces.get(key[0], _Pace())
--- a/src/railfold/_internal/forwarding/probes.py
+++ b/src/railfold/_internal/forwarding/probes.py
@@ -34,7 +34,7 @@
 
 # A live engine answers its report within a few milliseconds, also under load; a
 # connection takes one round trip more.
-_PROBE_TIMEOUT_S = 0.06
+_PROBE_TIMEOUT_S = 0.05
 
 # How often a suspect backend server is probed: first, and at most.
 _RECHECK_FIRST_S = 0.15
--- a/src/railfold/_internal/forwarding/stream_watch.py
+++ b/src/railfold/_internal/forwarding/stream_watch.py
@@ -12,15 +12,16 @@
 __all__ = ["Silence", "StreamWatch"]
 
 # A silent stream is looked into when its pause is this many times the usual one
-# and at least the floor: well above the pauses that prompts of other requests
-# cause (up to 60 ms on the first sites), well below what clients bear.
-_OVERDUE_FACTOR = 5.0
-_OVERDUE_FLOOR_S = 0.09
+# and at least the floor: above the pauses that prompts of other requests cause (up
+# to 60 ms on the first sites). A look costs a few probes at most; finding a dead
+# host, and its stand-in reading the stream's tokens, has to fit into 200 ms.
+_OVERDUE_FACTOR = 3.0
+_OVERDUE_FLOOR_S = 0.07
 _FIRST_EVENT_OVERDUE_S = 0.4
 
-# An engine tells of a stream that stands still with a lag of 0.2 s on the first
-# sites: it is looked into again while the silence lasts.
-_LOOK_AGAIN_S = 0.15
+# While the silence lasts it is looked into again: whether the whole chain stands
+# still shows at a later look, and before the probes of the first one time out.
+_LOOK_AGAIN_S = 0.03
 
 # An expected pause below this proves nothing: events arrive together.
 _LEAST_PAUSE_S = 0.005
