Choose chains by how long requests wait there for their first event

Slowness by pauses saw nothing: requests that wait for memory make no pauses. Ruled out: own load in finer steps (there is none to see), reports of each first engine (184 probes/s for all entries). Change: ChainActivity keeps the mean wait for first events, and the wait of those that still wait; a chain whose wait passes a third of the route's objective counts as slow by that ratio. First looks at a waiting request after 0.25 s instead of 0.4. Route.objective_s is used now. Tests: waits make a chain slow, fade, and count while they last.

--- a/src/railfold/_internal/decisions/chain_activity.py
+++ b/src/railfold/_internal/decisions/chain_activity.py
@@ -7,7 +7,9 @@
 pause together, the cause is more likely here or on the way, and nothing is concluded.
 
 The same events tell how slow a chain is: the mean of their pauses over the pause
-that its accelerators would lead one to expect.
+that its accelerators would lead one to expect, and how long requests wait there for
+their first event. One of many entries has a request or two in flight on each chain,
+so that its own load says little of how full a chain is; the wait tells it.
 """
 
 from __future__ import annotations
@@ -42,6 +44,10 @@
 _PAUSE_WEIGHT = 0.05
 _FORGET_S = 4.0
 
+# Weight of one wait for a first event: an entry sees one every two seconds on a
+# chain of the grown sites, and a chain fills up within a second.
+_WAIT_WEIGHT = 0.4
+
 # A slowness beyond this changes no choice.
 _MOST_SLOWNESS = 20.0
 
@@ -54,11 +60,16 @@
 
 @dataclass(slots=True)
 class _Pace:
-    """Mean pause, the same over the expected one, and when it was last seen."""
+    """Mean pause, the same over the expected one, and when it was last seen.
+
+    :param wait_s: mean wait for a first event, and when one was last seen.
+    """
 
     slowness: float = 1.0
     pause_s: float = 0.0
     seen_s: float = 0.0
+    wait_s: float = 0.0
+    wait_seen_s: float = 0.0
 
 
 class ChainActivity:
@@ -91,13 +102,31 @@
         pace.pause_s += _PAUSE_WEIGHT * (pause_s - pace.pause_s)
         pace.seen_s = now_s
 
-    def slowness(self, first_host: str, now_s: float) -> float:
-        """Return how slow chains that begin at a host are; 1 is as expected."""
+    def begun(self, first_host: str, now_s: float, wait_s: float) -> None:
+        """A request got its first event, ``wait_s`` after it was sent."""
+        pace = self._paces.setdefault(first_host, _Pace())
+        pace.wait_s += _WAIT_WEIGHT * (wait_s - pace.wait_s)
+        pace.wait_seen_s = now_s
+
+    def waiting(self, first_host: str, now_s: float, wait_s: float) -> None:
+        """A request has waited for its first event for ``wait_s`` until now."""
+        pace = self._paces.setdefault(first_host, _Pace())
+        if wait_s > pace.wait_s:
+            pace.wait_s = wait_s
+            pace.wait_seen_s = now_s
+
+    def slowness(self, first_host: str, now_s: float, bearable_s: float) -> float:
+        """Return how slow chains that begin at a host are; 1 is as expected.
+
+        :param bearable_s: the wait for a first event from which on a chain counts
+            as slow.
+        """
         pace = self._paces.get(first_host)
         if pace is None:
             return 1.0
-        weight = math.exp(-(now_s - pace.seen_s) / _FORGET_S)
-        return 1.0 + (max(1.0, pace.slowness) - 1.0) * weight
+        by_pauses = _faded(pace.slowness, now_s - pace.seen_s)
+        waits = min(pace.wait_s / bearable_s, _MOST_SLOWNESS)
+        return max(by_pauses, _faded(waits, now_s - pace.wait_seen_s))
 
     def forget(self, known_hosts: set[str]) -> None:
         """Forget all hosts but these."""
@@ -146,3 +175,8 @@
 
     def _pace(self, key: ChainKey) -> _Pace:
         return self._paces.get(key[0], _Pace())
+
+
+def _faded(slowness: float, age_s: float) -> float:
+    """Return what is left of a slowness that was seen some time ago."""
+    return 1.0 + (max(1.0, slowness) - 1.0) * math.exp(-age_s / _FORGET_S)
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -49,6 +49,10 @@
 # keep even load at home, little enough to leave a domain that is twice as busy.
 _LOCAL_FACTOR = 0.75
 
+# A chain whose first events take a larger share of the objective than this is
+# losing: an idle one takes about a tenth, also of the longest prompts a third.
+_BEARABLE_SHARE = 0.33
+
 # How long a chain that stood still gets no new work: until probes have told
 # which of its backend servers is dead.
 _AVOID_S = 0.3
@@ -132,7 +136,8 @@
         """
         spec = self._service(route)
         if spec.model is not None:
-            return self._choose_chain(spec, spec.model, exclude)
+            bearable_s = _BEARABLE_SHARE * route.objective_s
+            return self._choose_chain(spec, spec.model, exclude, bearable_s)
         replicas = self.directory.replicas(spec.name, self.region)
         chosen = choose_host(
             _near_first(replicas, self.failure_domain),
@@ -155,7 +160,11 @@
         return spec
 
     def _choose_chain(
-        self, spec: ServiceSpec, model: EngineModel, exclude: frozenset[str]
+        self,
+        spec: ServiceSpec,
+        model: EngineModel,
+        exclude: frozenset[str],
+        bearable_s: float,
     ) -> Destination:
         replicas = self.directory.layer_replicas(
             spec.name, model, self.region, self.entries
@@ -177,7 +186,8 @@
                 error = found
                 continue
             cost = self._cost(chain, members)
-            cost *= self.activity.slowness(chain.stages[0].host, now_s)
+            first_host = chain.stages[0].host
+            cost *= self.activity.slowness(first_host, now_s, bearable_s)
             if domain == self.failure_domain:
                 cost *= _LOCAL_FACTOR
             if best is None or cost < best[0]:
--- a/src/railfold/_internal/forwarding/stream_watch.py
+++ b/src/railfold/_internal/forwarding/stream_watch.py
@@ -17,7 +17,7 @@
 # host, and its stand-in reading the stream's tokens, has to fit into 200 ms.
 _OVERDUE_FACTOR = 3.0
 _OVERDUE_FLOOR_S = 0.07
-_FIRST_EVENT_OVERDUE_S = 0.4
+_FIRST_EVENT_OVERDUE_S = 0.25
 
 # While the silence lasts it is looked into again: whether the whole chain stands
 # still shows at a later look, and before the probes of the first one time out.
@@ -61,6 +61,7 @@
         self._chain: ChainKey | None = None
         self._expected_pause_s = _LEAST_PAUSE_S
         self._flowing = False
+        self._opened_s = 0.0
         self._progress_s = 0.0
         self._last_event_s = 0.0
         self.first_event_s: float | None = None
@@ -85,7 +86,7 @@
         now_s = self._loop.time()
         self._chain = chain
         self._expected_pause_s = max(_LEAST_PAUSE_S, expected_pause_s)
-        self._progress_s = now_s
+        self._opened_s = self._progress_s = now_s
         if chain is not None:
             self._overdue.opened(now_s)
             self._look_at(self._overdue.due_s())
@@ -110,6 +111,9 @@
         now_s = self._loop.time()
         if self.first_event_s is None:
             self.first_event_s = now_s
+            if self._chain is not None:
+                wait_s = now_s - self._opened_s
+                self._activity.begun(self._chain[0], now_s, wait_s)
         else:
             pause_s = now_s - self._last_event_s
             self.longest_pause_s = max(self.longest_pause_s, pause_s)
@@ -135,6 +139,8 @@
         if now_s < due_s:
             self._look_at(due_s)
             return
+        if self.first_event_s is None and self._chain is not None:
+            self._activity.waiting(self._chain[0], now_s, now_s - self._opened_s)
         silence = self._silence(now_s, now_s - planned_s)
         self._look_at(now_s + _LOOK_AGAIN_S)
         # Last: it may close the attempt.
