Hand priorities to engines; use or drop what was decoded for nothing

Route and workspace priorities were decoded and never used; nine fields more had no reader; an engine's later orders waited by its first order's load. Change: an engine gets the workspace's rank, or the route's, around its usual one; streams in the middle of their answer stay the most urgent. Reconciler.ordered takes how long this order takes. Registration.is_model_engine and group_by_domain each stand once. Ruled out: leaving chains of low rank unserved ourselves; engines queue by rank. Tests: ranks of workspaces and routes reach the engine.

--- a/src/railfold/_internal/decisions/engine_directory.py
+++ b/src/railfold/_internal/decisions/engine_directory.py
@@ -46,6 +46,11 @@
     layers: LayerRange | None = None
     accelerator: str = ""
 
+    @property
+    def is_model_engine(self) -> bool:
+        """Whether it runs a model's layers; else it is a plain service."""
+        return bool(self.accelerator)
+
 
 @dataclass(slots=True, eq=False)
 class DirectoryEntry:
--- a/src/railfold/_internal/decisions/orders.py
+++ b/src/railfold/_internal/decisions/orders.py
@@ -107,6 +107,7 @@
         self._wanted: LoadOrder | None = None
         self._wanted_since_s = 0.0
         self._ordered_s: float | None = None
+        self._retry_s = limits.retry_s
 
     def decide(
         self,
@@ -144,11 +145,16 @@
             return WaitForLease()
         return GiveOrder(order)
 
-    def ordered(self, now_s: float) -> None:
-        """An order was given."""
+    def ordered(self, now_s: float, retry_s: float | None = None) -> None:
+        """An order was given.
+
+        :param retry_s: after which time it may be given again, if that isn't the
+            usual one.
+        """
         self._ordered_s = now_s
+        self._retry_s = self._limits.retry_s if retry_s is None else retry_s
 
     def _turn_s(self, slot: int) -> float:
         if self._ordered_s is not None:
-            return self._ordered_s + self._limits.retry_s
+            return self._ordered_s + self._retry_s
         return self._wanted_since_s + slot / self._limits.loads_per_s
--- a/src/railfold/_internal/decisions/routing_table.py
+++ b/src/railfold/_internal/decisions/routing_table.py
@@ -53,7 +53,6 @@
     :param timeout_s: the longest time a request may be held.
     :param objective_s: time to the answer, or to its first event.
     :param max_attempts: how many backend servers may run one request.
-    :param gap_objective_s: the longest pause between two events; 0 if unknown.
     """
 
     name: str
@@ -67,7 +66,6 @@
     max_attempts: int
     public: bool
     resumable: bool
-    gap_objective_s: float
 
     @property
     def repeatable(self) -> bool:
@@ -88,12 +86,10 @@
     :param memory_mb: for layers and the state of requests together.
     :param step_factor: how many times longer than the model's base a decode
         step takes.
-    :param prefill_factor: the same for reading a prompt.
     """
 
     memory_mb: float
     step_factor: float
-    prefill_factor: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,7 +129,6 @@
 
     name: str
     health_path: str
-    max_connections: int
     model: EngineModel | None = None
 
 
@@ -151,7 +146,6 @@
 
     max_header_bytes: int = 16384
     max_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
 
 
--- a/src/railfold/_internal/forwarding/dialect.py
+++ b/src/railfold/_internal/forwarding/dialect.py
@@ -45,6 +45,7 @@
     :param left_s: how long its client waits from now on.
     :param workspace: who sends it, if that is known.
     :param resume_after: the event after which a stream goes on.
+    :param priority: rank of the request, 0 first; 1 is usual.
     :param urgent: whether a client waits in the middle of its answer.
     """
 
@@ -54,6 +55,7 @@
     left_s: float
     workspace: str | None
     resume_after: int | None
+    priority: int = 1
     urgent: bool = False
 
 
@@ -109,19 +111,13 @@
 
     :param order_count: orders that it has begun in this incarnation.
     :param layers: the layers it holds.
-    :param pace: over 1, it is slower than its kind.
     :param stalled: addresses of backend servers that streams which begin here
         wait for.
     """
 
     order_count: int
     busy: bool
-    running: int
-    waiting: int
-    state_used: int
-    state_total: int
     layers: LayerRange | None
-    pace: float
     stalled: frozenset[str] = frozenset()
 
 
--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -154,6 +154,13 @@
         if self._watch.flowing:
             self._end_attempt("its chain stands still", alive=True)
 
+    @property
+    def _priority(self) -> int:
+        """The request's rank: its workspace's, if that has one, else its route's."""
+        if self._owner is not None and self._owner.priority is not None:
+            return self._owner.priority
+        return self._route.priority
+
     @property
     def _started(self) -> bool:
         return self._kind is not None
@@ -218,6 +225,7 @@
             left_s=max(0.0, self._deadline_s - now_s),
             workspace=self._owner.workspace if self._owner else None,
             resume_after=resume_after,
+            priority=self._priority,
             urgent=self._answer.begun,
         )
         self._kind = None
--- a/src/railfold/_internal/forwarding/http_client.py
+++ b/src/railfold/_internal/forwarding/http_client.py
@@ -75,7 +75,6 @@
         self._done = False
         self._poisoned = False
         self._keep_alive = True
-        self.used = False
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
 
@@ -103,7 +102,6 @@
         self._sink = sink
         self._no_body = method == "HEAD"
         self._done = False
-        self.used = True
         lines = [f"{method} {target} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in headers]
         if body or method not in ("GET", "HEAD"):
--- a/src/railfold/_internal/forwarding/placement.py
+++ b/src/railfold/_internal/forwarding/placement.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable
 
 from railfold._internal.core import LayerRange
+from railfold._internal.decisions.domains import group_by_domain
 from railfold._internal.decisions.engine_directory import DirectoryEntry
 from railfold._internal.decisions.layer_placement import (
     EngineRoom,
@@ -114,7 +115,11 @@
                 self._place(spec, spec.model, now_s)
 
     def _note_appearances(self, now_s: float) -> None:
-        known = {e.server_id for e in self._router.directory if _is_engine(e)}
+        known = {
+            e.server_id
+            for e in self._router.directory
+            if e.registration.is_model_engine
+        }
         if known - self._known:
             self._changed_s = now_s
         self._known = known
@@ -204,11 +209,7 @@
         reconciler = self._reconcilers.setdefault(
             entry.server_id,
             Reconciler(
-                OrderLimits(
-                    lease_s=LEASE_S,
-                    loads_per_s=float(model.loads_at_once),
-                    retry_s=load_s + _READ_BACK_S,
-                )
+                OrderLimits(lease_s=LEASE_S, loads_per_s=float(model.loads_at_once))
             ),
         )
         held = entry.registration.layers
@@ -223,7 +224,7 @@
         )
         match decision:
             case GiveOrder(order=order):
-                reconciler.ordered(now_s)
+                reconciler.ordered(now_s, load_s + _READ_BACK_S)
                 self._ordering.add(entry.server_id)
                 task = self._loop.create_task(self._order(entry, order, load_s))
                 self._tasks.add(task)
@@ -301,19 +302,11 @@
             await asyncio.sleep(_LOOK_S / 2)
 
 
-def _is_engine(entry: DirectoryEntry) -> bool:
-    return bool(entry.registration.accelerator)
-
-
 def _by_domain(
     entries: Iterable[DirectoryEntry], model: EngineModel
 ) -> list[list[DirectoryEntry]]:
-    found: dict[str, list[DirectoryEntry]] = {}
-    for entry in entries:
-        registration = entry.registration
-        if registration.accelerator in model.accelerators:
-            found.setdefault(registration.failure_domain, []).append(entry)
-    return [found[domain] for domain in sorted(found)]
+    known = [e for e in entries if e.registration.accelerator in model.accelerators]
+    return group_by_domain(known, lambda e: e.registration.failure_domain)
 
 
 def _outcome_text(outcome: OrderOutcome) -> str:
--- a/src/railfold/_internal/forwarding/probes.py
+++ b/src/railfold/_internal/forwarding/probes.py
@@ -220,7 +220,7 @@
         return self._is_well(entry, response)
 
     def _probe_call(self, entry: DirectoryEntry) -> EngineCall:
-        if entry.registration.accelerator:
+        if entry.registration.is_model_engine:
             return self._router.dialect.report_call()
         table = self._router.table
         spec = table.services.get(entry.registration.service) if table else None
@@ -232,7 +232,7 @@
         # A plain service that is full refuses its health check like any other
         # request, and yet lives.
         return (
-            bool(entry.registration.accelerator)
+            entry.registration.is_model_engine
             or response.head.status < 500
             or (response.head.status == _BUSY and not entry.registration.draining)
         )
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -11,6 +11,7 @@
 from railfold._internal.core import Chain, LayerRange, Stage
 from railfold._internal.decisions.avoidance import Avoidance
 from railfold._internal.decisions.chain_activity import ChainActivity
+from railfold._internal.decisions.domains import group_by_domain
 from railfold._internal.decisions.engine_directory import (
     DirectoryEntry,
     EngineDirectory,
@@ -172,7 +173,7 @@
         now_s = asyncio.get_running_loop().time()
         best: tuple[float, Chain] | None = None
         error: RequestError | None = None
-        for domain, members in _by_domain(replicas).items():
+        for members in group_by_domain(replicas, lambda r: r.failure_domain):
             # Only the first stage is excluded: the request was sent to it.
             usable = [
                 r
@@ -188,7 +189,7 @@
             cost = self._cost(chain, members)
             first_host = chain.stages[0].host
             cost *= self.activity.slowness(first_host, now_s, bearable_s)
-            if domain == self.failure_domain:
+            if members[0].failure_domain == self.failure_domain:
                 cost *= _LOCAL_FACTOR
             if best is None or cost < best[0]:
                 best = (cost, chain)
@@ -338,13 +339,6 @@
             request.servers_lost(server_ids)
 
 
-def _by_domain(replicas: Iterable[Replica]) -> dict[str, list[Replica]]:
-    found: dict[str, list[Replica]] = {}
-    for replica in replicas:
-        found.setdefault(replica.failure_domain, []).append(replica)
-    return found
-
-
 def _near_first(replicas: list[Replica], domain: str) -> list[Replica]:
     """Return replicas of which those in ``domain`` cost less."""
     return [
--- a/src/railfold/_internal/platform/configuration.py
+++ b/src/railfold/_internal/platform/configuration.py
@@ -32,7 +32,7 @@
 
 
 class _Route(msgspec.Struct, frozen=True):
-    """``slo_ms`` is the latency objective; ``gap_aim_ms`` the same for pauses.
+    """``slo_ms`` is the latency objective.
 
     A route names either one service or, in ``traffic_split``, several.
     """
@@ -49,7 +49,6 @@
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
-    gap_aim_ms: float = 0.0
 
 
 class _Model(msgspec.Struct, frozen=True):
@@ -58,12 +57,11 @@
 
 
 class _Kind(msgspec.Struct, frozen=True):
-    """``pace`` multiplies decode steps, ``read_x`` the reading of prompts."""
+    """``mb`` is its memory; ``pace`` multiplies the time of decode steps."""
 
     name: str
     mb: float
     pace: float = 1.0
-    read_x: float = 1.0
 
 
 class _Usual(msgspec.Struct, frozen=True):
@@ -95,14 +93,12 @@
 class _Service(msgspec.Struct, frozen=True):
     name: str
     health_path: str = "/health"
-    max_conns: int = 64
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct, frozen=True):
     max_header_bytes: int = 16384
     max_body_bytes: int = 4194304
-    header_timeout_ms: float = 3000.0
     idle_timeout_ms: float = 15000.0
 
 
@@ -142,7 +138,6 @@
             limits=ClientLimits(
                 max_header_bytes=document.limits.max_header_bytes,
                 max_body_bytes=document.limits.max_body_bytes,
-                header_timeout_s=document.limits.header_timeout_ms / 1000.0,
                 idle_timeout_s=document.limits.idle_timeout_ms / 1000.0,
             ),
         )
@@ -166,14 +161,13 @@
         max_attempts=route.max_attempts,
         public=route.public,
         resumable=route.resumable,
-        gap_objective_s=route.gap_aim_ms / 1000.0,
     )
 
 
 def _service(service: _Service) -> ServiceSpec:
     engine = service.engine
     model = _model(engine) if engine is not None and engine.layers else None
-    return ServiceSpec(service.name, service.health_path, service.max_conns, model)
+    return ServiceSpec(service.name, service.health_path, model)
 
 
 def _model(engine: _Engine) -> EngineModel:
@@ -191,8 +185,7 @@
         step_s=engine.step_ms / 1000.0,
         tokens_per_event=max(1, engine.stride),
         accelerators={
-            kind.name: Accelerator(kind.mb, kind.pace, kind.read_x)
-            for kind in engine.kinds
+            kind.name: Accelerator(kind.mb, kind.pace) for kind in engine.kinds
         },
     )
 
--- a/src/railfold/_internal/platform/dialect.py
+++ b/src/railfold/_internal/platform/dialect.py
@@ -44,9 +44,13 @@
 _NOT_EXECUTED = "Railfold-Not-Executed"
 _AT_FAULT = "At-Server"
 _LAST_EVENT_ID = "Last-Event-Id"
-# 0 is let in first, 5 is usual.
+# 0 is let in first, 9 last, 5 is usual.
 _ENGINE_PRIORITY = "Railfold-Request-Priority"
-_MOST_URGENT = "0"
+_MOST_URGENT = 0
+_LEAST_URGENT = 9
+# Added to a request's rank, so that the usual rank is the engines' usual one, and
+# none is as urgent as a client that waits in the middle of its answer.
+_RANK_OFFSET = 4
 
 _BEARER = "bearer "
 
@@ -129,9 +133,8 @@
             headers.append((_WORKSPACE, plan.workspace))
         if plan.resume_after is not None:
             headers.append((_LAST_EVENT_ID, str(plan.resume_after)))
-        if plan.urgent:
-            headers.append((_ENGINE_PRIORITY, _MOST_URGENT))
         if plan.chain is not None:
+            headers.append((_ENGINE_PRIORITY, str(_engine_priority(plan))))
             headers.append((_CHAIN, engines.chain_text(plan.chain)))
         return headers
 
@@ -184,6 +187,12 @@
         return OrderRefused(f"it answered {head.status}")
 
 
+def _engine_priority(plan: SendPlan) -> int:
+    if plan.urgent:
+        return _MOST_URGENT
+    return min(_LEAST_URGENT, _RANK_OFFSET + plan.priority)
+
+
 def _number(fields: dict[str, str], name: str) -> int | None:
     text = fields.get(name.lower())
     if text is None or not text.strip().isdigit():
--- a/src/railfold/_internal/platform/engines.py
+++ b/src/railfold/_internal/platform/engines.py
@@ -62,19 +62,11 @@
 
 
 class _Report(msgspec.Struct, frozen=True):
-    """An engine's state; ``kv_used`` and ``kv_total`` count tokens x layers.
-
-    ``seq`` counts the orders that it has begun.
-    """
+    """An engine's state; ``seq`` counts the orders that it has begun."""
 
     seq: int = 0
     busy: bool = False
-    running: int = 0
-    waiting: int = 0
-    kv_used: float = 0
-    kv_total: float = 0
     layers: _Layers | None = None
-    pace: float = 1.0
     stalled: list[_Stalled] = []
 
 
@@ -133,12 +125,7 @@
     return EngineReport(
         order_count=report.seq,
         busy=report.busy,
-        running=report.running,
-        waiting=report.waiting,
-        state_used=int(report.kv_used),
-        state_total=int(report.kv_total),
         layers=_layers(report.layers),
-        pace=report.pace,
         stalled=frozenset(s.address for s in report.stalled),
     )
 
--- a/tests/forwarding/test_requests.py
+++ b/tests/forwarding/test_requests.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import urllib.request
+from typing import Any
 
 import pytest
 
@@ -193,3 +194,22 @@
     text = await asyncio.to_thread(lambda: urllib.request.urlopen(url).read().decode())
     assert "railfold_outcomes_answered_total 1.0" in text
     assert 'railfold_first_event_seconds_bucket{le="+Inf"} 1.0' in text
+
+
+@pytest.mark.parametrize(
+    ("workspace", "route", "engine"), [(None, 1, "5"), (None, 3, "7"), (0, 3, "4")]
+)
+async def test_engines_get_the_rank_of_the_workspace_or_else_of_the_route(
+    deployment: Deployment, workspace: int | None, route: int, engine: str
+) -> None:
+    ranked = [{**fields, "priority": route} for fields in routes()]
+    owner: dict[str, Any] = {"name": "quality", "api_keys": [KEY]}
+    if workspace is not None:
+        owner["priority"] = workspace
+    deployment.store.put(
+        "keyed.op", "config", configuration(2, routes=ranked, tenants=[owner])
+    )
+    await until(lambda: deployment.entry.router.table.version == 2)
+    await deployment.ask("/draft/1", "r-1", events=2)
+    (seen,) = [h for e in deployment.first_engines for h in e.seen]
+    assert seen["Railfold-Request-Priority"] == engine
--- a/tests/lib/models.py
+++ b/tests/lib/models.py
@@ -6,9 +6,9 @@
 
 __all__ = ["FAST", "MIDDLE", "MODEL", "SMALL"]
 
-FAST = Accelerator(36000.0, 3.1, 3.2)
-MIDDLE = Accelerator(21600.0, 16.0, 8.2)
-SMALL = Accelerator(14400.0, 15.0, 15.0)
+FAST = Accelerator(36000.0, 3.1)
+MIDDLE = Accelerator(21600.0, 16.0)
+SMALL = Accelerator(14400.0, 15.0)
 
 MODEL = EngineModel(
     name="inspect",
--- a/tests/unit/test_routing_table.py
+++ b/tests/unit/test_routing_table.py
@@ -33,7 +33,6 @@
         "max_attempts": 2,
         "public": False,
         "resumable": False,
-        "gap_objective_s": 0.0,
         **fields,
     }
     return Route(**values)  # type: ignore[arg-type]
