Soak: check BUDGET and GONE; a handover of layers has a type

Cause: the soak checked neither; _lend nested its search four deep. Change: clients leave some long streams, engines note arrivals and what they made; retries are counted in every window of each service. _Handover names what _lend weighs.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -7,12 +7,18 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from soak.world import World
+from soak.world import BUDGET_RATIO, BUDGET_SLACK, BUDGET_WINDOW_S, World
 from standins.chaining_engine import SEAL
-from tests.lib.forwarding import Connection, Reply, events_of
+from tests.lib.forwarding import (
+    MODEL_SERVICE,
+    PLAIN_SERVICE,
+    Connection,
+    Reply,
+    events_of,
+)
 
 # Rules, by the names of the users' pages.
-MIXED, TWICE, REFUSED, ORDER, LAYERS, DRAIN, RECOVER = (
+MIXED, TWICE, REFUSED, ORDER, LAYERS, DRAIN, RECOVER, BUDGET, GONE = (
     "MIXED",
     "TWICE",
     "REFUSED",
@@ -20,6 +26,8 @@
     "LAYERS",
     "DRAIN",
     "RECOVER",
+    "BUDGET",
+    "GONE",
 )
 
 # An engine that drains gets nothing later than this; the platform says 2 s, and
@@ -28,6 +36,19 @@
 
 _ANSWER_S = 6.0
 
+# A stream whose client left may run on for this long; more than a quarter of those
+# left that do, of this many at least, break the rule.
+_RUN_ON_S = 0.5
+_MOST_RUN_ON_SHARE = 0.25
+_FEWEST_LEFT = 8
+
+# How often a client leaves its stream after the first events.
+_LEAVE_SHARE = 0.08
+
+# Events of a stream that is left: two seconds of them, so that one that runs on
+# shows.
+_LEFT_EVENTS = 200
+
 
 @dataclass
 class Observed:
@@ -38,6 +59,7 @@
     refused_ids: set[str] = field(default_factory=set)
     unsafe_ids: set[str] = field(default_factory=set)
     served_at_s: list[float] = field(default_factory=list)
+    left_at_s: dict[str, float] = field(default_factory=dict)
 
     def violated(self, rule: str, what: str) -> None:
         """Note a broken promise."""
@@ -70,12 +92,18 @@
         request_id = f"{self._name}-{self._number}"
         kind = self._rng.choice(["draft", "draft", "slip", "tray"])
         count = self._rng.randint(3, 60)
+        leaves = kind == "draft" and self._rng.random() < _LEAVE_SHARE
+        if leaves:
+            count = _LEFT_EVENTS
         if kind == "slip":
             self._seen.unsafe_ids.add(request_id)
         try:
             connection = await self._connect()
             options = {"method": "GET", "body": b""} if kind == "tray" else {}
             await connection.send(f"/{kind}/1", request_id, events=count, **options)
+            if leaves:
+                await self._leave(connection, request_id)
+                return
             reply = await asyncio.wait_for(connection.read(), _ANSWER_S)
         except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
             self._seen.outcomes["no answer"] += 1
@@ -85,6 +113,14 @@
         if not reply.whole or reply.headers.get("Connection") == "close":
             self._drop()
 
+    async def _leave(self, connection: Connection, request_id: str) -> None:
+        """Close the connection in the middle of an answer."""
+        await asyncio.wait_for(connection.read_head(), _ANSWER_S)
+        await asyncio.sleep(self._rng.uniform(0.0, 0.1))
+        self._drop()
+        self._seen.left_at_s[request_id] = asyncio.get_running_loop().time()
+        self._seen.outcomes["left"] += 1
+
     async def _connect(self) -> Connection:
         if self._connection is None:
             entry = self._rng.choice(self._world.entries)
@@ -140,3 +176,48 @@
     for request_id in seen.refused_ids & seen.unsafe_ids:
         if runs[request_id]:
             seen.violated(REFUSED, f"{request_id} was refused and ran")
+    _check_budget(world, seen)
+    _check_gone(world, seen)
+
+
+def _check_budget(world: World, seen: Observed) -> None:
+    """Count arrivals beyond the first of each request, in every window."""
+    for service in (MODEL_SERVICE, PLAIN_SERVICE):
+        arrivals = sorted(
+            (a for s in world.servers if s.service == service for a in s.arrivals),
+            key=lambda arrival: arrival.at_s,
+        )
+        known: set[str] = set()
+        first_s: list[float] = []
+        further_s: list[float] = []
+        for arrival in arrivals:
+            is_first = arrival.request_id not in known
+            (first_s if is_first else further_s).append(arrival.at_s)
+            known.add(arrival.request_id)
+        for end_s in further_s:
+            spent = _within(further_s, end_s)
+            # The rule takes the busiest of this window and those before it.
+            asked = max(
+                _within(first_s, end_s - earlier * BUDGET_WINDOW_S)
+                for earlier in (0.0, 0.5, 1.0)
+            )
+            if spent > BUDGET_RATIO * asked + BUDGET_SLACK:
+                seen.violated(BUDGET, f"{service}: {spent} retries, {asked} requests")
+                break
+
+
+def _within(times_s: list[float], end_s: float) -> int:
+    return sum(1 for at_s in times_s if end_s - BUDGET_WINDOW_S < at_s <= end_s)
+
+
+def _check_gone(world: World, seen: Observed) -> None:
+    """Look at streams that were made after their clients had left."""
+    ran_on = [
+        request_id
+        for request_id, left_s in seen.left_at_s.items()
+        for server in world.servers
+        if server.streamed.get(request_id, 0.0) > left_s + _RUN_ON_S
+    ]
+    left = len(seen.left_at_s)
+    if left >= _FEWEST_LEFT and len(ran_on) > _MOST_RUN_ON_SHARE * left:
+        seen.violated(GONE, f"{len(ran_on)} of {left} streams ran on")
--- a/soak/world.py
+++ b/soak/world.py
@@ -26,6 +26,11 @@
     configuration,
 )
 
+# What all entries together may send beyond the first send of each request.
+BUDGET_RATIO = 0.1
+BUDGET_SLACK = 12
+BUDGET_WINDOW_S = 5.0
+
 SETTINGS = """
 node = "{name}"
 ip = "127.0.0.1"
@@ -38,8 +43,9 @@
 [bounds]
 grace_s = 5
 revoke_ms = 4000
-budget_ratio = 0.2
-budget_slack = 400
+budget_ratio = {budget_ratio}
+budget_slack = {budget_slack}
+budget_window_s = {budget_window_s}
 [platform]
 address = "127.0.0.1:{store}"
 parts = 12
@@ -75,6 +81,9 @@
             clients=self.clients,
             ready=self.ready,
             store=self.store_link.listen_port,
+            budget_ratio=BUDGET_RATIO,
+            budget_slack=BUDGET_SLACK,
+            budget_window_s=BUDGET_WINDOW_S,
         )
         (self.folder / f"{self.name}.toml").write_text(text)
 
--- a/src/railfold/_internal/decisions/layer_placement.py
+++ b/src/railfold/_internal/decisions/layer_placement.py
@@ -439,58 +439,74 @@
     return model.state_tokens(engine.accelerator, len(layers))
 
 
+def _room(engine: EngineRoom, model: EngineModel) -> int:
+    """Return the same beside what it holds; an empty engine takes no requests."""
+    return _tokens(engine, engine.held, model) if engine.held else 0
+
+
 def _narrow(engine: EngineRoom, model: EngineModel) -> bool:
-    if engine.held is None:
-        return False
     wanted = _NARROW_ROOM * model.max_sequences * model.mean_tokens
-    return _tokens(engine, engine.held, model) < wanted
+    return engine.held is not None and _room(engine, model) < wanted
 
 
 def _worthwhile(engine: EngineRoom, kept: LayerRange, model: EngineModel) -> bool:
     """Return whether a narrow engine gains enough by holding only ``kept``."""
-    if engine.held is None or not _narrow(engine, model):
-        return False
-    room = _tokens(engine, engine.held, model)
-    return _tokens(engine, kept, model) > _LEAST_GAIN * room
+    gained = _tokens(engine, kept, model) > _LEAST_GAIN * _room(engine, model)
+    return _narrow(engine, model) and gained
+
+
+@dataclass(frozen=True, slots=True)
+class _Handover:
+    """An engine's layers that a helper next to it loads first.
+
+    :param kept: what the engine then needs to hold.
+    :param widened: what the helper then holds.
+    """
+
+    engine: EngineRoom
+    kept: LayerRange
+    helper: EngineRoom
+    widened: LayerRange
+
+    def least_room(self, model: EngineModel) -> int:
+        """Return the room of the less roomy of the two afterwards."""
+        return min(
+            _tokens(self.engine, self.kept, model),
+            _tokens(self.helper, self.widened, model),
+        )
 
 
 def _lend(engines: Sequence[EngineRoom], model: EngineModel) -> dict[str, LayerRange]:
     """Let a neighbour load layers that the narrowest engine then gives up."""
     narrow = [e for e in engines if _narrow(e, model)]
-    narrow.sort(key=lambda e: _tokens(e, e.held, model) if e.held else 0)
-    for engine in narrow:
-        best: tuple[int, str, LayerRange] | None = None
-        for helper in engines:
-            for widened, kept in _handovers(engine, helper):
-                room = min(
-                    _tokens(helper, widened, model), _tokens(engine, kept, model)
-                )
-                if not _worthwhile(engine, kept, model):
-                    continue
-                gains = engine.held and room > _LEAST_GAIN * _tokens(
-                    engine, engine.held, model
-                )
-                if gains and (best is None or room > best[0]):
-                    best = (room, helper.server_id, widened)
-        if best is not None:
-            return {best[1]: best[2]}
+    for engine in sorted(narrow, key=lambda e: _room(e, model)):
+        handovers = [
+            handover
+            for helper in engines
+            for handover in _handovers(engine, helper)
+            if _worthwhile(engine, handover.kept, model)
+            and handover.least_room(model) > _LEAST_GAIN * _room(engine, model)
+        ]
+        if handovers:
+            best = max(handovers, key=lambda handover: handover.least_room(model))
+            return {best.helper.server_id: best.widened}
     return {}
 
 
-def _handovers(
-    engine: EngineRoom, helper: EngineRoom
-) -> Iterable[tuple[LayerRange, LayerRange]]:
-    """Yield what a helper would hold, and what the engine could keep then."""
+def _handovers(engine: EngineRoom, helper: EngineRoom) -> Iterable[_Handover]:
+    """Yield the ways in which a helper next to an engine can take its layers."""
     own, other = engine.held, helper.held
     if own is None or other is None or helper.server_id == engine.server_id:
         return
     for count in range(1, min(_MOST_LENT_LAYERS, len(own) - 1) + 1):
         if other.first < own.first <= other.last + 1 < own.first + count:
             widened = LayerRange(other.first, own.first + count - 1)
-            yield widened, LayerRange(own.first + count, own.last)
+            kept = LayerRange(own.first + count, own.last)
+            yield _Handover(engine, kept, helper, widened)
         if own.last - count < other.first - 1 <= own.last < other.last:
             widened = LayerRange(own.last - count + 1, other.last)
-            yield widened, LayerRange(own.first, own.last - count)
+            kept = LayerRange(own.first, own.last - count)
+            yield _Handover(engine, kept, helper, widened)
 
 
 def _trimmed(held: LayerRange, coverage: Counter[int], size: int) -> LayerRange:
--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -25,10 +25,21 @@
 SEAL = "3e1b.07.5a2"
 
 
+@dataclass(frozen=True)
+class Arrival:
+    """A request that reached a backend server, whatever became of it."""
+
+    request_id: str
+    at_s: float
+
+
 @dataclass
 class Engine:
     """One engine or plain service.
 
+    ``arrivals`` holds all requests sent to it, refused ones too; ``streamed`` when
+    it made each request's last event.
+
     :param mode: ``"ok"``, ``"dead"`` (streams over it stand still, probes get no
         answer), ``"shed"`` (refuses unrun), ``"error"`` (fails what it ran),
         ``"lose"`` (runs, and closes without an answer), ``"foreign"`` (sends
@@ -56,6 +67,8 @@
     stalled: dict[str, str] = field(default_factory=dict)
     problems: list[str] = field(default_factory=list)
     run_at_s: list[float] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    streamed: dict[str, float] = field(default_factory=dict)
     draining_since_s: float | None = None
     told_address: str = ""
     given: list[dict[str, Any]] = field(default_factory=list)
@@ -183,6 +196,8 @@
         engine, headers = self.engine, self.request.headers
         request_id = headers["Railfold-Attempt-Id"]
         engine.seen.append(dict(headers.get_all()))
+        now_s = asyncio.get_running_loop().time()
+        engine.arrivals.append(Arrival(request_id, now_s))
         if headers.get("Railfold-Target-Instance") != engine.server_id:
             self._refuse(421)
             return
@@ -252,6 +267,10 @@
                 await asyncio.sleep(self.engine.event_s)
                 await self._wait_for(members)
                 self.write(f"id: {number}\ndata: token {number}\n\n")
+                now_s = asyncio.get_running_loop().time()
+                self.engine.streamed[self.request.headers["Railfold-Attempt-Id"]] = (
+                    now_s
+                )
                 await self.flush()
             self.finish()
         except StreamClosedError:
