Split the placement of layers: rooms, relief, plans

Change: layer_rooms (engines and what they cover), layer_relief (making room), and the plans; no behaviour changed.

--- a/src/railfold/_internal/decisions/layer_placement.py
+++ b/src/railfold/_internal/decisions/layer_placement.py
@@ -15,12 +15,20 @@
 
 from collections import Counter
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from railfold._internal.core import LayerRange
-from railfold._internal.decisions.routing_table import Accelerator, EngineModel
-
-__all__ = ["EngineRoom", "plan_layers", "uncovered_layers"]
+from railfold._internal.decisions.layer_relief import relieve
+from railfold._internal.decisions.layer_rooms import (
+    CROWDED_ROOM,
+    EngineRoom,
+    coverage,
+    max_layers,
+    uncovered_layers,
+)
+from railfold._internal.decisions.routing_table import EngineModel
+
+__all__ = ["plan_layers"]
 
 # Parts of the memory for a full batch of usual requests that a first plan tries
 # to keep, most first. Half a batch is twice what an evenly loaded domain of the
@@ -35,33 +43,6 @@
 # more engines keep what they hold.
 _MOVED_ROOM = (0.4, 0.2, 0.1, 0.05)
 
-# An engine with less room gives up layers that others hold as well until it has
-# the relieved room, if they are enough to be worth an order.
-_CROWDED_ROOM = 0.5
-_RELIEVED_ROOM = 0.65
-_LEAST_RELIEF_LAYERS = 2
-
-# An engine with less room than this bounds what its whole chain serves: a failure
-# domain of the first sites holds requests of about 0.25 of a full batch at a time. It
-# gives up a single layer too, and a neighbour loads a layer for that, if the less
-# roomy of the two then has more room by the gain. The gain also keeps the two from
-# handing a layer to and fro.
-_NARROW_ROOM = 0.3
-_LEAST_GAIN = 1.5
-_MOST_LENT_LAYERS = 3
-
-
-@dataclass(frozen=True, slots=True)
-class EngineRoom:
-    """An engine that may be given layers.
-
-    :param held: the layers it holds now.
-    """
-
-    server_id: str
-    accelerator: Accelerator
-    held: LayerRange | None
-
 
 def plan_layers(
     engines: Iterable[EngineRoom], model: EngineModel
@@ -80,40 +61,11 @@
     return patched
 
 
-def uncovered_layers(
-    ranges: Iterable[LayerRange | None], layer_count: int
-) -> list[LayerRange]:
-    """Return the runs of layers that are in none of the ranges."""
-    covered = [False] * layer_count
-    for layers in ranges:
-        if layers is not None:
-            for layer in range(layers.first, layers.last + 1):
-                covered[layer] = True
-    gaps: list[LayerRange] = []
-    first: int | None = None
-    for layer in range(layer_count + 1):
-        missing = layer < layer_count and not covered[layer]
-        if missing and first is None:
-            first = layer
-        elif not missing and first is not None:
-            gaps.append(LayerRange(first, layer - 1))
-            first = None
-    return gaps
-
-
-def _max_layers(engine: EngineRoom, model: EngineModel, room: float) -> int:
-    """Return how many layers fit beside the memory for requests."""
-    tokens = room * model.max_sequences * model.mean_tokens
-    per_layer_mb = model.layer_mb + tokens * model.request_mb_per_token
-    most = int(engine.accelerator.memory_mb / per_layer_mb)
-    return min(most, model.layer_count)
-
-
 def _first_plan(
     engines: Sequence[EngineRoom], model: EngineModel
 ) -> dict[str, LayerRange]:
     for room in _WANTED_ROOM:
-        most = [_max_layers(engine, model, room) for engine in engines]
+        most = [max_layers(engine, model, room) for engine in engines]
         if sum(most) >= model.layer_count:
             own = _spread(engines, most, model.layer_count)
             limits = {e.server_id: n for e, n in zip(engines, most, strict=True)}
@@ -150,7 +102,7 @@
     best: tuple[float, dict[str, LayerRange]] | None = None
     for room in _MOVED_ROOM:
         for order in _orders(in_order, model):
-            most = [_max_layers(engine, model, room) for engine in order]
+            most = [max_layers(engine, model, room) for engine in order]
             if sum(most) < model.layer_count:
                 continue
             own = _spread(order, most, model.layer_count)
@@ -265,7 +217,7 @@
             current[server_id] = replace(current[server_id], held=layers)
             changes[server_id] = layers
     _employ_idle(current, changes, model)
-    return changes or _relieve(engines, model) or _lend(engines, model)
+    return changes or relieve(engines, model)
 
 
 def _close(
@@ -274,7 +226,7 @@
     """Return who takes over the layers of a gap."""
     engines = list(engines)
     idle = [e for e in engines if e.held is None]
-    fitting = [e for e in idle if _max_layers(e, model, _CROWDED_ROOM) >= len(gap)]
+    fitting = [e for e in idle if max_layers(e, model, CROWDED_ROOM) >= len(gap)]
     if fitting:
         return {fitting[0].server_id: gap}
     widened = _widen_neighbours(gap, engines, model)
@@ -283,7 +235,7 @@
     spare = _spare_for(gap, engines, model)
     if spare is None:
         return None
-    size = min(len(gap), _max_layers(spare, model, _TAKEOVER_ROOM))
+    size = min(len(gap), max_layers(spare, model, _TAKEOVER_ROOM))
     return {spare.server_id: LayerRange(gap.first, gap.first + size - 1)}
 
 
@@ -305,7 +257,7 @@
 
     def room(engine: EngineRoom) -> int:
         held = len(engine.held) if engine.held else 0
-        return _max_layers(engine, model, kept) - held
+        return max_layers(engine, model, kept) - held
 
     before = [e for e in engines if e.held and e.held.last == gap.first - 1]
     after = [e for e in engines if e.held and e.held.first == gap.last + 1]
@@ -332,26 +284,18 @@
     gap: LayerRange, engines: Sequence[EngineRoom], model: EngineModel
 ) -> EngineRoom | None:
     """Return the engine that can best be moved to a gap."""
-    coverage = _coverage(engines)
-    spares = [e for e in engines if _needless(e, coverage)]
+    held_by = coverage(engines)
+    spares = [e for e in engines if _needless(e, held_by)]
 
     def fits(engine: EngineRoom) -> tuple[bool, int, int]:
-        most = _max_layers(engine, model, _TAKEOVER_ROOM)
+        most = max_layers(engine, model, _TAKEOVER_ROOM)
         held = len(engine.held) if engine.held else 0
         return (most >= len(gap), -held, most)
 
-    able = [e for e in spares if _max_layers(e, model, _TAKEOVER_ROOM) > 0]
+    able = [e for e in spares if max_layers(e, model, _TAKEOVER_ROOM) > 0]
     return max(able, key=fits, default=None)
 
 
-def _coverage(engines: Iterable[EngineRoom]) -> Counter[int]:
-    coverage: Counter[int] = Counter()
-    for engine in engines:
-        if engine.held:
-            coverage.update(range(engine.held.first, engine.held.last + 1))
-    return coverage
-
-
 def _needless(engine: EngineRoom, coverage: Counter[int]) -> bool:
     """Return whether others hold all that this engine holds."""
     if engine.held is None:
@@ -380,12 +324,12 @@
     An engine is relieved of what a copy holds of its range's beginning or end.
     """
     size = min(
-        _max_layers(idle, model, _WANTED_ROOM[0]) or _max_layers(idle, model, 0.0),
+        max_layers(idle, model, _WANTED_ROOM[0]) or max_layers(idle, model, 0.0),
         model.layer_count,
     )
     if size <= 0:
         return None
-    coverage = _coverage(engines)
+    held_by = coverage(engines)
 
     def worth(copy: LayerRange) -> tuple[list[int], int]:
         rooms = sorted(
@@ -393,7 +337,7 @@
             for e in engines
             if e.held
         )
-        copies = sum(coverage[n] for n in range(copy.first, copy.last + 1))
+        copies = sum(held_by[n] for n in range(copy.first, copy.last + 1))
         return (rooms, -copies)
 
     starts = range(model.layer_count - size + 1)
@@ -409,111 +353,3 @@
     if copy.first <= held.last <= copy.last:
         return LayerRange(held.first, copy.first - 1)
     return held
-
-
-def _relieve(
-    engines: Sequence[EngineRoom], model: EngineModel
-) -> dict[str, LayerRange]:
-    """Let the most crowded engine give up layers that others hold."""
-    crowded = [
-        e
-        for e in engines
-        if e.held and len(e.held) > _max_layers(e, model, _CROWDED_ROOM)
-    ]
-    crowded.sort(key=lambda e: model.state_tokens(e.accelerator, len(e.held or ())))
-    coverage = _coverage(engines)
-    for engine in crowded:
-        if engine.held is None:
-            continue
-        kept = _trimmed(
-            engine.held, coverage, _max_layers(engine, model, _RELIEVED_ROOM)
-        )
-        given_up = len(engine.held) - len(kept)
-        if given_up >= _LEAST_RELIEF_LAYERS or _worthwhile(engine, kept, model):
-            return {engine.server_id: kept}
-    return {}
-
-
-def _tokens(engine: EngineRoom, layers: LayerRange, model: EngineModel) -> int:
-    """Return how many tokens of requests an engine has room for beside layers."""
-    return model.state_tokens(engine.accelerator, len(layers))
-
-
-def _room(engine: EngineRoom, model: EngineModel) -> int:
-    """Return the same beside what it holds; an empty engine takes no requests."""
-    return _tokens(engine, engine.held, model) if engine.held else 0
-
-
-def _narrow(engine: EngineRoom, model: EngineModel) -> bool:
-    wanted = _NARROW_ROOM * model.max_sequences * model.mean_tokens
-    return engine.held is not None and _room(engine, model) < wanted
-
-
-def _worthwhile(engine: EngineRoom, kept: LayerRange, model: EngineModel) -> bool:
-    """Return whether a narrow engine gains enough by holding only ``kept``."""
-    gained = _tokens(engine, kept, model) > _LEAST_GAIN * _room(engine, model)
-    return _narrow(engine, model) and gained
-
-
-@dataclass(frozen=True, slots=True)
-class _Handover:
-    """An engine's layers that a helper next to it loads first.
-
-    :param kept: what the engine then needs to hold.
-    :param widened: what the helper then holds.
-    """
-
-    engine: EngineRoom
-    kept: LayerRange
-    helper: EngineRoom
-    widened: LayerRange
-
-    def least_room(self, model: EngineModel) -> int:
-        """Return the room of the less roomy of the two afterwards."""
-        return min(
-            _tokens(self.engine, self.kept, model),
-            _tokens(self.helper, self.widened, model),
-        )
-
-
-def _lend(engines: Sequence[EngineRoom], model: EngineModel) -> dict[str, LayerRange]:
-    """Let a neighbour load layers that the narrowest engine then gives up."""
-    narrow = [e for e in engines if _narrow(e, model)]
-    for engine in sorted(narrow, key=lambda e: _room(e, model)):
-        handovers = [
-            handover
-            for helper in engines
-            for handover in _handovers(engine, helper)
-            if _worthwhile(engine, handover.kept, model)
-            and handover.least_room(model) > _LEAST_GAIN * _room(engine, model)
-        ]
-        if handovers:
-            best = max(handovers, key=lambda handover: handover.least_room(model))
-            return {best.helper.server_id: best.widened}
-    return {}
-
-
-def _handovers(engine: EngineRoom, helper: EngineRoom) -> Iterable[_Handover]:
-    """Yield the ways in which a helper next to an engine can take its layers."""
-    own, other = engine.held, helper.held
-    if own is None or other is None or helper.server_id == engine.server_id:
-        return
-    for count in range(1, min(_MOST_LENT_LAYERS, len(own) - 1) + 1):
-        if other.first < own.first <= other.last + 1 < own.first + count:
-            widened = LayerRange(other.first, own.first + count - 1)
-            kept = LayerRange(own.first + count, own.last)
-            yield _Handover(engine, kept, helper, widened)
-        if own.last - count < other.first - 1 <= own.last < other.last:
-            widened = LayerRange(own.last - count + 1, other.last)
-            kept = LayerRange(own.first, own.last - count)
-            yield _Handover(engine, kept, helper, widened)
-
-
-def _trimmed(held: LayerRange, coverage: Counter[int], size: int) -> LayerRange:
-    """Return a range without layers at its ends that others hold, if over size."""
-    first, last = held.first, held.last
-    while last - first + 1 > size and coverage[last] > 1:
-        last -= 1
-    while last - first + 1 > size and coverage[first] > 1:
-        first += 1
-    return LayerRange(first, last)
--- a/src/railfold/_internal/forwarding/placement.py
+++ b/src/railfold/_internal/forwarding/placement.py
@@ -14,11 +14,8 @@
 from railfold._internal.core import LayerRange
 from railfold._internal.decisions.domains import group_by_domain
 from railfold._internal.decisions.engine_directory import DirectoryEntry
-from railfold._internal.decisions.layer_placement import (
-    EngineRoom,
-    plan_layers,
-    uncovered_layers,
-)
+from railfold._internal.decisions.layer_placement import plan_layers
+from railfold._internal.decisions.layer_rooms import EngineRoom, uncovered_layers
 from railfold._internal.decisions.leadership import Leadership
 from railfold._internal.decisions.orders import (
     GiveOrder,
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -17,7 +17,7 @@
     EngineDirectory,
 )
 from railfold._internal.decisions.freshness import FreshnessLease
-from railfold._internal.decisions.layer_placement import uncovered_layers
+from railfold._internal.decisions.layer_rooms import uncovered_layers
 from railfold._internal.decisions.planner import (
     LinkCosts,
     PlannerWeights,
--- a/tests/unit/test_layer_placement.py
+++ b/tests/unit/test_layer_placement.py
@@ -9,11 +9,8 @@
 from hypothesis import strategies as st
 
 from railfold._internal.core import LayerRange
-from railfold._internal.decisions.layer_placement import (
-    EngineRoom,
-    plan_layers,
-    uncovered_layers,
-)
+from railfold._internal.decisions.layer_placement import plan_layers
+from railfold._internal.decisions.layer_rooms import EngineRoom, uncovered_layers
 from railfold._internal.decisions.routing_table import Accelerator
 from tests.lib.models import FAST, MIDDLE, MODEL, SMALL
 
