--- a/src/railfold/_internal/forwarding/front.py
+++ b/src/railfold/_internal/forwarding/front.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -220,8 +221,9 @@
             listener=listener,
             begin=self.begin,
             begin_by_s=_BEGIN_BY_S,
+            prepare=self._apply_limits,
         )
-        self.set_limits(ClientLimits())
+        self._limits = ClientLimits()
 
     @property
     def open_connections(self) -> int:
@@ -251,10 +253,15 @@
 
     def set_limits(self, limits: ClientLimits) -> None:
         """Bound what clients may send from now on."""
-        params = self._child.server.conn_params
-        params.header_timeout = limits.idle_timeout_s
-        params.max_body_size = limits.max_body_bytes
-        params.max_header_size = limits.max_header_bytes
+        self._limits = limits
+        if self._child.server is not None:
+            self._apply_limits(self._child.server)
+
+    def _apply_limits(self, server: HTTPServer) -> None:
+        # tornado counts the wait for a request's head from the end of the one before.
+        server.conn_params.header_timeout = self._limits.idle_timeout_s
+        server.conn_params.max_body_size = self._limits.max_body_bytes
+        server.conn_params.max_header_size = self._limits.max_header_bytes
 
     async def run(self, ready: asyncio.Event) -> None:
         """Listen and serve until cancelled."""
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -50,8 +50,9 @@
 # keep even load at home, little enough to leave a domain that is twice as busy.
 _LOCAL_FACTOR = 0.75
 
-# A chain whose first events take a larger share of the objective than this is
-# losing: an idle one takes about a tenth, also of the longest prompts a third.
+# A chain whose first events take a larger share of the route's objective than this
+# counts as slow: on an idle chain of the first sites they take a tenth of it, after
+# the longest prompts a third.
 _BEARABLE_SHARE = 0.33
 
 # How long a chain that stood still gets no new work: until probes have told
--- a/src/railfold/_internal/observability/server.py
+++ b/src/railfold/_internal/observability/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from tornado.httpserver import HTTPServer
@@ -29,6 +30,7 @@
     :param begin: connections wait in the kernel's queue until it is set; if it
         isn't given, none wait.
     :param begin_by_s: they wait this long at most.
+    :param prepare: called with each server that is made, before it serves.
     :param options: given to tornado's server.
     """
 
@@ -40,30 +42,40 @@
         listener: socket.socket | None = None,
         begin: asyncio.Event | None = None,
         begin_by_s: float | None = None,
+        prepare: Callable[[HTTPServer], None] | None = None,
         **options: Any,
     ) -> None:
+        self._delegate = delegate
         self._address = address
         self._listener = listener
         self._begin = begin
         self._begin_by_s = begin_by_s
+        self._prepare = prepare
+        self._options = options
         self._sockets: list[socket.socket] = []
-        self.server = HTTPServer(delegate, **options)
+        self.server: HTTPServer | None = None
 
     async def run(self, ready: asyncio.Event) -> None:
         """Listen and serve."""
+        # A server that was stopped can't be used again.
+        server = HTTPServer(self._delegate, **self._options)
+        self.server = server
+        if self._prepare is not None:
+            self._prepare(server)
         self._sockets = self._listen()
         ready.set()
         try:
             await self._wait_to_begin()
-            self.server.add_sockets(self._sockets)
+            server.add_sockets(self._sockets)
             await asyncio.Event().wait()
         finally:
             self.stop_listening()
-            await self.server.close_all_connections()
+            await server.close_all_connections()
 
     def stop_listening(self) -> None:
         """Take no new connections; those that wait are reset unread."""
-        self.server.stop()
+        if self.server is not None:
+            self.server.stop()
         for listener in self._sockets:
             listener.close()
         self._sockets = []
--- a/tests/forwarding/test_starting.py
+++ b/tests/forwarding/test_starting.py
@@ -12,6 +12,8 @@
 
 import pytest
 
+from railfold._internal.core import Address
+from railfold._internal.decisions.routing_table import ClientLimits
 from railfold._internal.errors import ListenError
 from railfold._internal.forwarding import front
 from railfold._internal.forwarding.listeners import Listeners, open_listeners
@@ -127,3 +129,22 @@
         if process.returncode is None:
             process.kill()
         await process.wait()
+
+
+async def test_a_server_that_is_started_anew_listens_with_the_same_limits(
+    deployment: Deployment,
+) -> None:
+    address = Address("127.0.0.1", free_port())
+    server = front.ClientServer(address, deployment.entry)
+    server.set_limits(ClientLimits(max_body_bytes=10))
+    server.begin.set()
+    for _ in range(2):
+        run = asyncio.create_task(server.run(asyncio.Event()))
+        await until(lambda: listening(address.port))
+        reader, writer = await asyncio.open_connection(address.ip, address.port)
+        writer.write(b"POST /draft/1 HTTP/1.1\r\nContent-Length: 11\r\n\r\n")
+        answer = await asyncio.wait_for(reader.read(), 5.0)
+        assert answer == b"" or b" 400 " in answer
+        writer.close()
+        run.cancel()
+        await asyncio.gather(run, return_exceptions=True)
