--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -38,7 +38,8 @@
     """One engine or plain service.
 
     ``arrivals`` holds all requests sent to it, refused ones too; ``streamed`` when
-    it made each request's last event.
+    it made each request's last event; ``paths`` the chains that running requests
+    were ordered onto.
 
     :param mode: ``"ok"``, ``"dead"`` (streams over it stand still, probes get no
         answer), ``"shed"`` (refuses unrun), ``"error"`` (fails what it ran),
@@ -69,6 +70,7 @@
     run_at_s: list[float] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     streamed: dict[str, float] = field(default_factory=dict)
+    paths: dict[str, str] = field(default_factory=dict)
     draining_since_s: float | None = None
     told_address: str = ""
     given: list[dict[str, Any]] = field(default_factory=list)
@@ -158,6 +160,7 @@
         engine, order = self.engine, json.loads(self.request.body)
         engine.given.append(order)
         if order["operation"] == "repath":
+            engine.paths[order["id"]] = order["path"]
             self.set_status(202)
             self.finish({})
             return
@@ -259,13 +262,12 @@
             self._refuse(421)
             return
         self.set_header("Content-Type", "text/event-stream")
-        members = [part.partition("=")[0] for part in chain.split(",")]
         first = int(self.request.headers.get("Last-Event-Id", "0")) + 1
         last = int(self.request.headers["Railfold-Token-Counts"].split(",")[1])
         try:
             for number in range(first, last + 1):
                 await asyncio.sleep(self.engine.event_s)
-                await self._wait_for(members)
+                await self._wait_for(chain)
                 self.write(f"id: {number}\ndata: token {number}\n\n")
                 now_s = asyncio.get_running_loop().time()
                 self.engine.streamed[self.request.headers["Railfold-Attempt-Id"]] = (
@@ -276,14 +278,18 @@
         except StreamClosedError:
             return
 
-    async def _wait_for(self, members: list[str]) -> None:
+    async def _wait_for(self, chain: str) -> None:
         """Stand still while an engine of the chain is dead."""
         request_id = self.request.headers["Railfold-Attempt-Id"]
-        while dead := [m for m in members if self._is_dead(m)]:
-            self.engine.stalled[request_id] = dead[0]
+        while dead := self._first_dead(self.engine.paths.get(request_id, chain)):
+            self.engine.stalled[request_id] = dead
             await asyncio.sleep(0.01)
         self.engine.stalled.pop(request_id, None)
 
+    def _first_dead(self, chain: str) -> str:
+        members = [part.partition("=")[0] for part in chain.split(",")]
+        return next((m for m in members if self._is_dead(m)), "")
+
     def _is_dead(self, address: str) -> bool:
         engine = self.engine.fleet.get(address)
         return engine is None or engine.mode == "dead"
--- a/tests/forwarding/test_failures.py
+++ b/tests/forwarding/test_failures.py
@@ -75,6 +75,23 @@
     assert deployment.entry.metrics.counters["chains.stalled"] >= 1
 
 
+async def test_a_stream_goes_on_over_a_stand_in_without_a_new_attempt(
+    deployment: Deployment,
+) -> None:
+    for zone in ("hall-a", "hall-b"):
+        deployment.add_engine(f"i-{zone}-stand-in", zone, (4, 8))
+    await until(deployment.all_known)
+    connection, first = await begin_stream(deployment, events=80)
+    addresses = first.seen[0]["Railfold-Hop-Count"].split(",")
+    later = deployment.fleet[addresses[1].partition("=")[0]]
+    later.mode = "dead"
+    reply = await rest_of(connection)
+    assert (reply.whole, reply.body) == (True, events_of(80))
+    assert deployment.entry.metrics.counters["streams.rerouted"] == 1
+    assert deployment.entry.metrics.counters["requests.retries"] == 0
+    assert sum(engine.runs["s-1"] for engine in deployment.engines) == 1
+
+
 async def test_a_suspect_engine_gets_work_again_once_it_answers(
     deployment: Deployment,
 ) -> None:
--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -164,6 +164,22 @@
         for server in (*self.engines, *self.plain):
             server.start()
 
+    def add_engine(self, name: str, zone: str, layers: tuple[int, int]) -> Engine:
+        """Start one more engine."""
+        engine = Engine(
+            name,
+            MODEL_SERVICE,
+            zone,
+            self.store,
+            self.fleet,
+            model="inspect",
+            kind="l4",
+            layers=layers,
+        )
+        self.engines.append(engine)
+        engine.start()
+        return engine
+
     def all_known(self) -> bool:
         """Whether the entry knows all backend servers as they are."""
         directory = self.entry.router.directory
