--- a/soak/faults.py
+++ b/soak/faults.py
@@ -99,6 +99,16 @@
     server.mode = "ok"
 
 
+async def all_servers_refuse(world: World, rng: random.Random) -> None:
+    """Let all backend servers refuse for a while, as under too much work."""
+    refusing = [s for s in (*world.engines, *world.plain) if s.mode == "ok"]
+    for server in refusing:
+        server.mode = "shed"
+    await asyncio.sleep(rng.uniform(1.0, 3.0))
+    for server in refusing:
+        server.mode = "ok"
+
+
 async def server_crash(world: World, rng: random.Random) -> None:
     """Crash a backend server; an empty one takes its place."""
     servers = [*world.engines, *world.plain]
@@ -124,6 +134,7 @@
 
 
 FAULTS: dict[str, Fault] = {
+    "all_servers_refuse": all_servers_refuse,
     "configure": configure,
     "entry_kill": entry_kill,
     "entry_pause": entry_pause,
