--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -146,26 +146,17 @@
             for part in range(2):
                 half = LAYERS // 2
                 layers = (part * half, (part + 1) * half) if self.placed else None
-                engine = Engine(
-                    f"i-{zone}-{part}",
-                    MODEL_SERVICE,
-                    zone,
-                    self.store,
-                    self.fleet,
-                    model="inspect",
-                    kind="l4",
-                    layers=layers,
-                )
-                self.engines.append(engine)
+                self.add_engine(f"i-{zone}-{part}", zone, layers)
             service = Engine(
                 f"i-{zone}-plain", PLAIN_SERVICE, zone, self.store, self.fleet
             )
             self.plain.append(service)
-        for server in (*self.engines, *self.plain):
-            server.start()
+            service.start()
 
-    def add_engine(self, name: str, zone: str, layers: tuple[int, int]) -> Engine:
-        """Start one more engine."""
+    def add_engine(
+        self, name: str, zone: str, layers: tuple[int, int] | None
+    ) -> Engine:
+        """Start one more engine; ``layers`` if it holds any."""
         engine = Engine(
             name,
             MODEL_SERVICE,
