A refusal limits an engine instead of closing it

Ruled out: engines out of memory for good (70 to 80 requests ran there, refusals came 2 a second). Change: from a refusal on the engine holds no more than it held then; a request goes there when another one ended, or after the interval that closed it before.

--- a/src/railfold/_internal/decisions/avoidance.py
+++ b/src/railfold/_internal/decisions/avoidance.py
@@ -1,8 +1,10 @@
-"""Keeping work for a moment from backend servers that refuse it.
+"""Limiting what is sent to backend servers that refuse work.
 
-One that is full, is leaving or gave layers up refuses what it is sent, and says
-that it wasn't run. Each such refusal costs a retry, so that after one the server
-is left out of new chains for a while; for longer each time it refuses again.
+One that is full, is leaving or gave layers up refuses what it is sent, and says that
+it wasn't run. Each such refusal costs a retry. A full one goes on serving what it has,
+so that a refusal doesn't close it: from then on it holds no more than it held when it
+refused. A new request goes there when another one has ended, or when some time has
+passed; more time each time it refuses again.
 """
 
 from __future__ import annotations
@@ -11,6 +13,9 @@
 
 __all__ = ["Avoidance"]
 
+# The time after which a server that refused is tried with one request more: first,
+# and at most. Engines' memory is freed by a request every few tens of milliseconds,
+# one that is leaving doesn't come back for seconds.
 _FIRST_S = 0.25
 _MOST_S = 2.0
 
@@ -20,37 +25,72 @@
 
 @dataclass(slots=True)
 class _Refusals:
+    """Refusals of one server, and what they allow.
+
+    :param load: what it held when it refused last.
+    :param request: the load of the request that it refused.
+    :param interval_s: time after which it may hold one such request more.
+    :param shut_until_s: until when it gets nothing, whatever it holds.
+    """
+
     count: int = 0
-    last_s: float = 0.0
-    until_s: float = 0.0
+    last_s: float = float("-inf")
+    load: int = 0
+    request: int = 1
+    interval_s: float = 0.0
+    shut_until_s: float = float("-inf")
+
+    def allowed(self, now_s: float) -> float:
+        """Return what it may hold now."""
+        age_s = now_s - self.last_s
+        if self.count == 0 or age_s > _FORGET_S:
+            return float("inf")
+        return self.load + self.request * age_s / self.interval_s
 
 
 class Avoidance:
-    """Which backend servers to leave out of new chains now."""
+    """Which backend servers to leave out of new chains now.
+
+    Loads are this entry's own, in whatever unit the caller counts them.
+    """
 
     def __init__(self) -> None:
         self._refusals: dict[str, _Refusals] = {}
 
-    def refused(self, server_id: str, now_s: float) -> None:
-        """It refused work; refusals while it is avoided already count once."""
+    def refused(
+        self, server_id: str, now_s: float, load: int = 0, request: int = 1
+    ) -> None:
+        """It refused work; refusals of many requests at once count once.
+
+        :param load: what it holds without the refused request.
+        :param request: the load of that request.
+        """
         refusals = self._refusals.setdefault(server_id, _Refusals())
-        if now_s < refusals.until_s:
+        age_s = now_s - refusals.last_s
+        if refusals.count and age_s < refusals.interval_s:
+            refusals.load = min(refusals.load, load)
             return
-        if now_s - refusals.last_s > _FORGET_S:
+        if age_s > _FORGET_S:
             refusals.count = 0
         refusals.count += 1
         refusals.last_s = now_s
-        refusals.until_s = now_s + min(_MOST_S, _FIRST_S * 2 ** (refusals.count - 1))
+        refusals.load = load
+        refusals.request = max(1, request)
+        refusals.interval_s = min(_MOST_S, _FIRST_S * 2 ** (refusals.count - 1))
 
     def avoid(self, server_id: str, until_s: float) -> None:
-        """Leave it out until then, whatever it refused."""
+        """Leave it out until then, whatever it holds."""
         refusals = self._refusals.setdefault(server_id, _Refusals())
-        refusals.until_s = max(refusals.until_s, until_s)
+        refusals.shut_until_s = max(refusals.shut_until_s, until_s)
 
-    def avoided(self, server_id: str, now_s: float) -> bool:
-        """Return whether to leave it out now."""
+    def avoided(self, server_id: str, now_s: float, load: int = 0) -> bool:
+        """Return whether to leave it out now, holding ``load``."""
         refusals = self._refusals.get(server_id)
-        return refusals is not None and now_s < refusals.until_s
+        if refusals is None:
+            return False
+        if now_s < refusals.shut_until_s:
+            return True
+        return load + refusals.request > refusals.allowed(now_s)
 
     def forget(self, known_ids: set[str]) -> None:
         """Forget all backend servers but these."""
--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -326,7 +326,7 @@
             case NotExecuted(address=address, reason=reason):
                 self._release()
                 self._log_attempt(server_id, reason)
-                self._prober.not_executed(server_id, address)
+                self._prober.not_executed(server_id, address, self._load)
                 self._feed(CallHostRefused(server_id, started=False, reason=reason))
             case ServerFailure():
                 self._answer.keep_failure(gathered)
--- a/src/railfold/_internal/forwarding/probes.py
+++ b/src/railfold/_internal/forwarding/probes.py
@@ -79,17 +79,26 @@
         if server_id not in self._checking:
             self._spawn(self._check_one(server_id))
 
-    def not_executed(self, server_id: str, at_fault: str) -> None:
-        """It refused a request; another may be at fault, by its address."""
-        now_s = self._loop.time()
+    def not_executed(self, server_id: str, at_fault: str, load: int) -> None:
+        """It refused a request; another may be at fault, by its address.
+
+        :param load: what the request would have added to what is held there.
+        """
         if not at_fault:
-            self._router.avoidance.refused(server_id, now_s)
+            entry = self._router.directory.get(server_id)
+            if entry is not None:
+                self._refused(entry, load)
             return
         for entry in self._router.directory:
             if entry.registration.address == at_fault:
-                self._router.avoidance.refused(entry.server_id, now_s)
+                self._refused(entry, load)
                 self.doubt(entry.server_id)
 
+    def _refused(self, entry: DirectoryEntry, load: int) -> None:
+        now_s = self._loop.time()
+        avoidance = self._router.avoidance
+        avoidance.refused(entry.server_id, now_s, entry.own_load, load)
+
     def served(self, server_id: str) -> None:
         """It served a request."""
         self._note(server_id, served=True)
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -180,7 +180,7 @@
                 r
                 for r in members
                 if (r.stage.layers.first > 0 or r.stage.host not in exclude)
-                and not self.avoidance.avoided(r.stage.host, now_s)
+                and not self._avoided(r.stage.host, now_s)
             ]
             try:
                 chain = self._plan(usable, model)
@@ -201,6 +201,11 @@
             )
         return Destination(spec.name, best[1].stages[0], best[1])
 
+    def _avoided(self, server_id: str, now_s: float) -> bool:
+        entry = self.directory.get(server_id)
+        load = entry.own_load if entry is not None else 0
+        return self.avoidance.avoided(server_id, now_s, load)
+
     def replaceable(self, server_ids: Iterable[str]) -> bool:
         """Return whether most of these have a stand-in for all their layers."""
         entries = [e for e in map(self.directory.get, server_ids) if e is not None]
