--- a/src/railfold/_internal/decisions/placement/chain.py
+++ b/src/railfold/_internal/decisions/placement/chain.py
@@ -11,7 +11,11 @@
 from dataclasses import dataclass
 
 from railfold._internal.core import LayerRange
-from railfold._internal.decisions.placement.rooms import EngineRoom, request_room
+from railfold._internal.decisions.placement.rooms import (
+    EngineRoom,
+    max_layers,
+    request_room,
+)
 from railfold._internal.decisions.placement.throughput import (
     room_levels,
     stage_residence_s,
@@ -20,6 +24,10 @@
 
 __all__ = ["PlacedStage", "best_chain", "chain_throughput_rps", "served_now_rps"]
 
+# How many ways to each layer are kept; two are enough where engines' ranges overlap
+# by one neighbour's, the third is for copies.
+_WAYS_KEPT = 3
+
 
 @dataclass(frozen=True, slots=True)
 class PlacedStage:
@@ -91,16 +99,15 @@
     """
     ends = {e.held.last for e in engines if e.held}
     ends |= {e.held.first - 1 for e in engines if e.held}
+    most = {e.accelerator: max_layers(e.accelerator, model, requests) for e in engines}
     reached: dict[int, dict[str, _Reached]] = {0: {"": _Reached(0.0, ())}}
     for layer in range(model.layer_count):
-        ways = reached.get(layer)
-        if ways is None:
-            continue
-        for engine in engines:
-            so_far = _best_without(engine.server_id, ways)
-            if so_far is None:
-                continue
-            for stage in _stages_from(engine, layer, ends, model, requests):
+        ways = _fastest(reached.pop(layer, {}))
+        for engine in engines if ways else ():
+            for stage in _stages_from(engine, layer, ends, most[engine.accelerator]):
+                so_far = _first_without(engine.server_id, ways)
+                if so_far is None:
+                    break
                 added_s = stage_residence_s(
                     engine.accelerator, model, len(stage.layers), requests
                 )
@@ -109,35 +116,30 @@
                 known = at_end.get(engine.server_id)
                 if known is None or way.residence_s < known.residence_s:
                     at_end[engine.server_id] = way
-    whole = reached.get(model.layer_count)
-    if whole is None:
-        return None
-    return list(min(whole.values(), key=lambda way: way.residence_s).stages)
+    whole = _fastest(reached.get(model.layer_count, {}))
+    return list(whole[0].stages) if whole else None
+
 
+def _fastest(ways: dict[str, _Reached]) -> list[_Reached]:
+    """Return the few fastest ways: one has to be left that an engine isn't in."""
+    return sorted(ways.values(), key=lambda way: way.residence_s)[:_WAYS_KEPT]
 
-def _best_without(server_id: str, ways: dict[str, _Reached]) -> _Reached | None:
+
+def _first_without(server_id: str, ways: Sequence[_Reached]) -> _Reached | None:
     """Return the fastest way that an engine isn't part of: it runs one part."""
-    free = [
-        way
-        for way in ways.values()
-        if all(stage.engine.server_id != server_id for stage in way.stages)
-    ]
-    return min(free, key=lambda way: way.residence_s, default=None)
+    for way in ways:
+        if all(stage.engine.server_id != server_id for stage in way.stages):
+            return way
+    return None
 
 
 def _stages_from(
-    engine: EngineRoom,
-    first: int,
-    ends: set[int],
-    model: EngineModel,
-    requests: float,
+    engine: EngineRoom, first: int, ends: set[int], most: int
 ) -> Iterable[PlacedStage]:
-    """Yield what an engine may run from a layer on, with room for the requests."""
+    """Yield what an engine may run from a layer on, ``most`` layers at most."""
     held = engine.held
     if held is None or not held.first <= first <= held.last:
         return
-    for last in sorted(ends.intersection(range(first, held.last + 1))):
-        run = last - first + 1
-        if request_room(engine.accelerator, model, run, run) < requests:
-            return
-        yield PlacedStage(engine, LayerRange(first, last))
+    for last in range(first, min(held.last, first + most - 1) + 1):
+        if last in ends:
+            yield PlacedStage(engine, LayerRange(first, last))
--- a/src/railfold/_internal/decisions/placement/copies.py
+++ b/src/railfold/_internal/decisions/placement/copies.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import replace
 
@@ -13,6 +14,7 @@
 from railfold._internal.decisions.placement.rooms import (
     EngineRoom,
     coverage,
+    covers,
     max_layers,
 )
 from railfold._internal.decisions.placement.throughput import room_levels
@@ -51,13 +53,11 @@
     if size <= 0:
         return None
     held_by = coverage(e.held for e in engines)
-    holders = [e.held for e in engines if e.held]
+    alone = [_held_alone(e.held, held_by) for e in engines if e.held]
 
     def worth(copy: LayerRange) -> tuple[int, int]:
-        counts = held_by + coverage([copy])
         replaceable = sum(
-            all(counts[n] > 1 for n in range(held.first, held.last + 1))
-            for held in holders
+            layers is not None and covers(copy, layers) for layers in alone
         )
         once = sum(held_by[n] == 1 for n in range(copy.first, copy.last + 1))
         return (replaceable, once)
@@ -66,6 +66,12 @@
     return max((LayerRange(n, n + size - 1) for n in starts), key=worth)
 
 
+def _held_alone(held: LayerRange, held_by: Counter[int]) -> LayerRange | None:
+    """Return the part of a range that no other engine holds."""
+    layers = [n for n in range(held.first, held.last + 1) if held_by[n] == 1]
+    return LayerRange(layers[0], layers[-1]) if layers else None
+
+
 def _copy_size(empty: EngineRoom, model: EngineModel) -> int:
     """Return how many layers an engine holds well: enough room, many layers."""
     sizes = [
--- a/src/railfold/_internal/forwarding/placement.py
+++ b/src/railfold/_internal/forwarding/placement.py
@@ -29,6 +29,7 @@
 )
 from railfold._internal.decisions.placement import (
     EngineRoom,
+    domain_throughput_rps,
     new_layers,
     plan_layers,
     uncovered_layers,
@@ -45,7 +46,7 @@
 from railfold._internal.forwarding.leadership import LEASE_S
 from railfold._internal.forwarding.probes import ChainProber
 from railfold._internal.forwarding.router import Router
-from railfold._internal.observability.events import LayersOrdered
+from railfold._internal.observability.events import LayersOrdered, LayersPlanned
 
 __all__ = ["PlacementKeeper"]
 
@@ -179,10 +180,27 @@
         plan = plan_layers(rooms, model, _rounded(needed_rps))
         if plan:
             self._left_as_is.pop(domain, None)
+            self._log_plan(domain, rooms, model, needed_rps, plan)
         else:
             self._left_as_is[domain] = question
         return plan
 
+    def _log_plan(
+        self,
+        domain: str,
+        rooms: tuple[EngineRoom, ...],
+        model: EngineModel,
+        needed_rps: float,
+        plan: dict[str, LayerRange],
+    ) -> None:
+        self._router.metrics.count("layers.planned")
+        served_rps = domain_throughput_rps(rooms, model)
+        changes = {server_id: str(layers) for server_id, layers in plan.items()}
+        event = LayersPlanned(
+            domain, round(served_rps, 1), round(needed_rps, 1), changes
+        )
+        self._router.log.write(event)
+
     def _room(self, entry: DirectoryEntry, model: EngineModel) -> EngineRoom:
         """Return an engine as plans see it.
 
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -18,6 +18,7 @@
     "EngineChanged",
     "Event",
     "LayersOrdered",
+    "LayersPlanned",
     "LeadershipChanged",
     "LinesDropped",
     "LogLine",
@@ -89,6 +90,20 @@
     cause: str
 
 
+class LayersPlanned(msgspec.Struct, frozen=True, tag="layers_planned"):
+    """Layers of a failure domain are to move.
+
+    :param served_rps: requests a second that it is reckoned to serve as it stands.
+    :param needed_rps: how many are wanted of it.
+    :param changes: the layers that each engine is to hold.
+    """
+
+    failure_domain: str
+    served_rps: float
+    needed_rps: float
+    changes: dict[str, str]
+
+
 class LayersOrdered(msgspec.Struct, frozen=True, tag="layers_ordered"):
     """An engine was ordered to hold layers."""
 
@@ -175,6 +190,7 @@
     | EngineChanged
     | LeadershipChanged
     | LayersOrdered
+    | LayersPlanned
     | AttemptStarted
     | AttemptEnded
     | ChainProbed
--- a/tests/forwarding/test_failures.py
+++ b/tests/forwarding/test_failures.py
@@ -272,6 +272,10 @@
     lost.deregister()
     await until(lambda: bool(neighbour.given), 8.0)
     assert neighbour.given[0]["operation"] == "place"
+    (planned,) = [e for e in deployment.log_lines() if e["type"] == "layers_planned"]
+    assert planned["failure_domain"] == lost.zone
+    assert planned["served_rps"] == 0.0
+    assert neighbour.server_id in planned["changes"]
 
 
 async def test_a_fenced_leader_gives_no_more_orders(
