--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -1,7 +1,8 @@
 """Cost of the decisions against the size to design for.
 
-Planning a chain against the number of runners; folding and encoding a
-configuration against the number of workspaces; policies; fair queueing.
+Planning a chain against the number of runners; placing layers against the number of
+engines in a failure domain; folding and encoding a configuration against the number of
+workspaces; policies; fair queueing.
 """
 
 from __future__ import annotations
@@ -10,11 +11,13 @@
 import time
 import tracemalloc
 from collections.abc import Callable
+from dataclasses import replace
 
 from benchmarks.lib import print_table
 from railfold._internal.core import LayerRange, Stage
 from railfold._internal.decisions.configuration import ChangeRecord, Configuration
 from railfold._internal.decisions.fair_queue import FairQueue
+from railfold._internal.decisions.placement import EngineRoom, plan_layers
 from railfold._internal.decisions.planner import (
     LinkCosts,
     PlannerWeights,
@@ -22,8 +25,10 @@
     plan_chain,
 )
 from railfold._internal.decisions.policy import Policy
+from railfold._internal.decisions.routing_table import Accelerator, EngineModel
 
 RUNNERS = (40, 150, 300, 600)
+ENGINES = (10, 20, 40, 60, 200)
 WORKSPACES = (10, 150, 300, 610)
 STAGES = 4
 DOMAINS = 10
@@ -119,6 +124,47 @@
     return configuration, time.perf_counter() - started_s
 
 
+def placed_model() -> EngineModel:
+    """Return a model of 80 layers over two kinds of accelerators."""
+    return EngineModel(
+        name="inspect",
+        layer_count=80,
+        layer_mb=1750.0,
+        request_mb_per_token=0.0115,
+        mean_tokens=926,
+        load_s=14.0,
+        loads_at_once=6,
+        max_sequences=96,
+        accelerators={
+            "fast": Accelerator(36000.0, 3.1, 3.2),
+            "small": Accelerator(21600.0, 16.0, 8.2),
+        },
+        step_s=0.00085,
+        sequence_step_s=0.0000127,
+        prompt_s=0.0031,
+        answer_tokens=154,
+    )
+
+
+def placement_row(count: int) -> list[object]:
+    """Return one row of the placement table: the time of one look, in milliseconds."""
+    model = placed_model()
+    kinds = [
+        model.accelerators["fast" if n % 4 == 0 else "small"] for n in range(count)
+    ]
+    empty = [EngineRoom(f"e{n:03d}", kind, None) for n, kind in enumerate(kinds)]
+    first_us = time_us(lambda: plan_layers(empty, model), 1)
+    plan = plan_layers(empty, model)
+    whole = [replace(e, held=plan.get(e.server_id), busy=True) for e in empty]
+    without_first = [e for e in whole if e.held is None or e.held.first > 0]
+    return [
+        count,
+        first_us / 1000,
+        time_us(lambda: plan_layers(without_first, model, 20.0), 3) / 1000,
+        time_us(lambda: plan_layers(whole, model, 20.0), 3) / 1000,
+    ]
+
+
 def configuration_row(workspaces: int) -> list[object]:
     """Return one row of the configuration table."""
     tracemalloc.start()
@@ -158,6 +204,11 @@
         ["runners", "us"],
         [[runners, plan_cost_us(runners)] for runners in RUNNERS],
     )
+    print_table(
+        "placing layers in one failure domain, ms a look",
+        ["engines", "first plan", "repair", "whole"],
+        [placement_row(engines) for engines in ENGINES],
+    )
     print_table(
         "configuration of 8 pipelines over 600 runners",
         ["workspaces", "records", "fold us", "held KiB", "state KiB", "encode ms"],
