Tests of forwarding wait until the whole entry has started

An entry without sockets opened before it knows the configuration, and is ready, before its child that listens has started; tests connected in between. Ruled out: the product, which opens its sockets first (deploy/system.toml); free ports. Change: the harness waits for the supervisor's own event, then for readiness as before.

--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -104,6 +104,9 @@
         """Start everything and wait until the entry is ready."""
         self.prepare()
         self.run_entry()
+        # Without sockets that were opened before, it knows the configuration before
+        # it listens: on a busy machine tests connected in between.
+        await asyncio.wait_for(self._all_started.wait(), WAIT_S)
         await until(lambda: self.entry.ready())
         await until(self.all_known)
 
@@ -139,7 +142,8 @@
         self.entry = ForwardingEntry(
             self.settings, self._adapter, listeners=listeners, log_fd=self._log_in
         )
-        self._tree = asyncio.create_task(self.entry.tree().run(asyncio.Event()))
+        self._all_started = asyncio.Event()
+        self._tree = asyncio.create_task(self.entry.tree().run(self._all_started))
 
     def _start_engines(self) -> None:
         for zone in ZONES:
