--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -25,7 +25,7 @@
     plan_chain,
 )
 from railfold._internal.decisions.policy import Policy
-from railfold._internal.decisions.routing_table import Accelerator, EngineModel
+from tests.lib.models import FAST, MIDDLE, MODEL
 
 RUNNERS = (40, 150, 300, 600)
 ENGINES = (10, 20, 40, 60, 200)
@@ -124,34 +124,10 @@
     return configuration, time.perf_counter() - started_s
 
 
-def placed_model() -> EngineModel:
-    """Return a model of 80 layers over two kinds of accelerators."""
-    return EngineModel(
-        name="inspect",
-        layer_count=80,
-        layer_mb=1750.0,
-        request_mb_per_token=0.0115,
-        mean_tokens=926,
-        load_s=14.0,
-        loads_at_once=6,
-        max_sequences=96,
-        accelerators={
-            "fast": Accelerator(36000.0, 3.1, 3.2),
-            "small": Accelerator(21600.0, 16.0, 8.2),
-        },
-        step_s=0.00085,
-        sequence_step_s=0.0000127,
-        prompt_s=0.0031,
-        answer_tokens=154,
-    )
-
-
 def placement_row(count: int) -> list[object]:
     """Return one row of the placement table: the time of one look, in milliseconds."""
-    model = placed_model()
-    kinds = [
-        model.accelerators["fast" if n % 4 == 0 else "small"] for n in range(count)
-    ]
+    model = MODEL
+    kinds = [FAST if n % 4 == 0 else MIDDLE for n in range(count)]
     empty = [EngineRoom(f"e{n:03d}", kind, None) for n, kind in enumerate(kinds)]
     first_us = time_us(lambda: plan_layers(empty, model), 1)
     plan = plan_layers(empty, model)
