Logs tell an entry's own lateness from an engine's silence

Cause: the incident's logs could not tell whether the link or the event loop was late, nor whether an engine had been asked at all. Change: size and decoding time of a configuration, how long probes took and how many answered, reads of the store over 0.05 s, histograms of transfers and of the loop's lateness. No decision changes.

--- a/src/railfold/_internal/forwarding/feeds.py
+++ b/src/railfold/_internal/forwarding/feeds.py
@@ -48,6 +48,8 @@
         item: KeyedValue = record.body
         if item.key != self._key or not item.value:
             return
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
         try:
             table = self._decode(item.value)
         except ConfigurationRefusedError as error:
@@ -67,6 +69,8 @@
                 previous.version if previous else 0,
                 len(table.routes),
                 len(table.credentials or ()),
+                len(item.value),
+                round((loop.time() - started_s) * 1000, 1),
             )
         )
         self._on_accepted(table)
--- a/src/railfold/_internal/forwarding/http_client.py
+++ b/src/railfold/_internal/forwarding/http_client.py
@@ -257,10 +257,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Response:
-    """A whole answer."""
+    """A whole answer.
+
+    :param transfer_s: how long it took from its head to its last byte.
+    """
 
     head: ResponseHead
     body: bytes
+    transfer_s: float = 0.0
 
 
 class _Collector:
@@ -269,10 +273,12 @@
     def __init__(self, future: asyncio.Future[Response]) -> None:
         self._future = future
         self._head: ResponseHead | None = None
+        self._head_s = 0.0
         self._parts: list[bytes] = []
 
     def head(self, head: ResponseHead) -> bool:
         self._head = head
+        self._head_s = asyncio.get_running_loop().time()
         return True
 
     def body(self, data: bytes) -> None:
@@ -280,7 +286,9 @@
 
     def end(self) -> None:
         if self._head is not None and not self._future.done():
-            self._future.set_result(Response(self._head, b"".join(self._parts)))
+            transfer_s = asyncio.get_running_loop().time() - self._head_s
+            body = b"".join(self._parts)
+            self._future.set_result(Response(self._head, body, transfer_s))
 
     def lost(self, reason: LostExchange) -> None:
         if not self._future.done():
--- a/src/railfold/_internal/forwarding/probes.py
+++ b/src/railfold/_internal/forwarding/probes.py
@@ -183,6 +183,7 @@
         self, chain: Chain, hosts: tuple[str, ...], request_id: str, silent_s: float
     ) -> bool:
         """Probe some of a chain's backend servers; return whether one is lost."""
+        started_s = self._loop.time()
         answers = await self._all_alive(hosts, _PROBE_TIMEOUT_S)
         if len(hosts) > 1 and not any(answers):
             # Rather this host or the way there is slow than that all died at once.
@@ -192,7 +193,10 @@
             ChainProbed(
                 request_id,
                 round(silent_s * 1000, 1),
+                round((self._loop.time() - started_s) * 1000, 1),
                 len(hosts),
+                sum(answers),
+                [h for h in hosts if self._router.directory.get(h) is None],
                 sorted(lost),
             )
         )
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -350,8 +350,10 @@
     async def _run_upkeep(self, ready: asyncio.Event) -> None:
         ready.set()
         while True:
+            due_s = self._loop.time() + _TICK_S
             await asyncio.sleep(_TICK_S)
             now_s = self._loop.time()
+            self.metrics.timing("loop.late", now_s - due_s)
             self.router.directory.expire(now_s)
             self.router.pool.prune(now_s)
             self._divide_limits(self._leadership.members)
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -71,6 +71,8 @@
     previous: int
     routes: int
     credentials: int
+    size_bytes: int
+    decode_ms: float
 
 
 class EngineChanged(msgspec.Struct, frozen=True, tag="engine_changed"):
@@ -139,11 +141,17 @@
 
 
 class ChainProbed(msgspec.Struct, frozen=True, tag="chain_probed"):
-    """The backend servers of a silent chain were asked whether they live."""
+    """The backend servers of a silent chain were asked whether they live.
+
+    ``took_ms`` beyond the time-out tells that this process itself was held up.
+    """
 
     request_id: str
     silent_ms: float
+    took_ms: float
     asked: int
+    answered: int
+    unlisted: list[str]
     lost: list[str]
 
 
--- a/src/railfold/_internal/platform/store.py
+++ b/src/railfold/_internal/platform/store.py
@@ -128,10 +128,11 @@
         response = await self._calls.call(
             "GET", f"/railfold/log-read?{query}", wait_s=wait_s
         )
-        return _page(response.body, offset)
+        return _page(response, offset)
 
     async def _newest(self, stream: str) -> LogPage:
         records: list[LogRecord] = []
+        transfer_s = 0.0
         after = ""
         while True:
             fields = {"topic": stream, "part": _PARTITION}
@@ -140,12 +141,13 @@
                 fields["after_rev"] = after
             query = urlencode(fields)
             response = await self._calls.call("GET", f"/railfold/log-newest?{query}")
+            transfer_s += response.transfer_s
             page = _decode(response.body, _NewestPage)
             records += [_newest_record(item) for item in page.items]
             if not page.more_pages or not page.items:
                 # The first page's end: what came since is read again.
                 records.sort(key=lambda record: record.offset)
-                return LogPage(records, 0, page.end)
+                return LogPage(records, 0, page.end, transfer_s)
             after = page.items[-1].key
 
 
@@ -154,8 +156,9 @@
     return LogRecord(item.offset, 0.0, KeyedValue(item.key, value))
 
 
-def _page(body: bytes, offset: int) -> LogPage:
+def _page(response: Response, offset: int) -> LogPage:
     """Decode the end, the first kept offset, then records with their lengths."""
+    body = response.body
     if len(body) < _PAGE_HEAD.size:
         raise LogUnavailableError("the store's answer is cut short")
     end, first = _PAGE_HEAD.unpack_from(body)
@@ -169,7 +172,7 @@
         )
         position += length
         offset += 1
-    return LogPage(records, first, end)
+    return LogPage(records, first, end, response.transfer_s)
 
 
 def _keyed(record: bytes) -> KeyedValue:
--- a/src/railfold/_internal/store/follower.py
+++ b/src/railfold/_internal/store/follower.py
@@ -30,6 +30,10 @@
 # How long a follower waits for another one's success before it tries itself.
 _UNREACHABLE_RETRY_S = 2.0
 
+# An answer that takes longer than this from its head to its end has filled the link
+# or came while the event loop was held up: streams of requests wait as long.
+_LONG_TRANSFER_S = 0.05
+
 
 class StreamReader(Protocol):
     """What is done with a followed stream."""
@@ -153,6 +157,7 @@
         sent_s = asyncio.get_running_loop().time()
         page = await self._log.read(self._stream, offset, wait_s)
         self._set_reading(True, None)
+        self._note_transfer(page.transfer_s)
         for record in page.records:
             if record.offset < offset:
                 continue  # The service may repeat records.
@@ -161,6 +166,11 @@
         if whole or not page.records or page.records[-1].offset + 1 >= page.next_offset:
             self._reader.caught_up(page.next_offset, sent_s)
 
+    def _note_transfer(self, transfer_s: float) -> None:
+        self._metrics.timing(f"log.{self._stream}.transfer", transfer_s)
+        if transfer_s > _LONG_TRANSFER_S:
+            logging.info("stream %s: a read took %.3f s", self._stream, transfer_s)
+
     async def _wait_for_turn(self) -> None:
         loop = asyncio.get_running_loop()
         turn_s = self._read_at_s + self.pace.min_interval_s
--- a/src/railfold/_internal/store/records.py
+++ b/src/railfold/_internal/store/records.py
@@ -18,8 +18,12 @@
 
 
 class LogPage(msgspec.Struct, frozen=True):
-    """Records from one read; ``next_offset`` is the stream's end."""
+    """Records from one read; ``next_offset`` is the stream's end.
+
+    ``transfer_s`` is how long the answer took from its head to its last byte.
+    """
 
     records: list[LogRecord]
     first_offset: int
     next_offset: int
+    transfer_s: float = 0.0
