A silent engine is lost only once somebody else was heard

Cause: an entry whose link is full, or whose event loop was held up, hears nobody, and took engines for lost after 50 ms. Ruled out: engines that were silent; all answered, after 0.2 s and more. Change: a look at suspects asks two other engines too. A suspect is lost once one of all those was heard, three times as long after as that took, and not before 50 ms; time in which this process was held up doesn't count; if nobody is heard for 1 s all are lost. Engines asked alone are treated the same. A time-out no longer wins over an answer that was read in the same turn of the loop.

--- a/src/railfold/_internal/forwarding/http_client.py
+++ b/src/railfold/_internal/forwarding/http_client.py
@@ -314,13 +314,15 @@
     """
     future: asyncio.Future[Response] = asyncio.get_running_loop().create_future()
     try:
-        async with asyncio.timeout(timeout_s):
-            connection.send(method, target, headers, body, _Collector(future))
-            return await future
-    except TimeoutError as error:
+        connection.send(method, target, headers, body, _Collector(future))
+        # Unlike a time-out that cancels, this lets an answer count that was read in the
+        # same turn, after the event loop had been held up for longer than the time-out.
+        await asyncio.wait({future}, timeout=timeout_s)
+        if future.done():
+            return future.result()
         raise EngineUnavailableError(
             "an answer didn't come in time", why=f"it took over {timeout_s:g} s"
-        ) from error
+        )
     finally:
         if connection.busy:
             connection.abort()
--- a/src/railfold/_internal/forwarding/probes.py
+++ b/src/railfold/_internal/forwarding/probes.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Coroutine, Iterable
+from collections.abc import Coroutine
 from typing import Any
 
 from absl import logging
@@ -26,19 +26,26 @@
     OrderUnsettled,
 )
 from railfold._internal.forwarding.http_client import Response, connect, fetch
+from railfold._internal.forwarding.liveness import (
+    LONGEST_WAIT_S,
+    LivenessCheck,
+    Verdict,
+)
 from railfold._internal.forwarding.router import Router
 from railfold._internal.forwarding.stream_watch import Silence
 from railfold._internal.observability.events import ChainProbed, EngineChanged
 
 __all__ = ["ChainProber"]
 
-# A live engine answers its report within a few milliseconds, also under load; a
-# connection takes one round trip more.
-_PROBE_TIMEOUT_S = 0.05
+# How long a stream waits for its first engine's word on whom it waits for. A live
+# engine answers its report within a few milliseconds, also under load.
+_REPORT_TIMEOUT_S = 0.05
+
+# How long a suspect backend server is given when it is asked again; nothing waits.
+_RECHECK_TIMEOUT_S = 0.5
 
-# The same once more if none of several answered in time: a process that has a third
-# of a core and is slowed five times takes this long to send and read some ten probes.
-_PATIENT_TIMEOUT_S = 0.25
+# How many others are asked beside suspects, as witnesses that this host can hear.
+_WITNESSES = 2
 
 # How often a suspect backend server is probed: first, and at most.
 _RECHECK_FIRST_S = 0.15
@@ -168,7 +175,7 @@
         dialect = self._router.dialect
         self._router.metrics.count("probes")
         try:
-            response = await self.call(first, dialect.report_call(), _PROBE_TIMEOUT_S)
+            response = await self.call(first, dialect.report_call(), _REPORT_TIMEOUT_S)
             stalled = dialect.decode_report(response.body).stalled
         except EngineError:
             await self._probe_chain(chain, chain.hosts[:1], request_id, silent_s)
@@ -184,35 +191,58 @@
     ) -> bool:
         """Probe some of a chain's backend servers; return whether one is lost."""
         started_s = self._loop.time()
-        answers = await self._all_alive(hosts, _PROBE_TIMEOUT_S)
-        if len(hosts) > 1 and not any(answers):
-            # Rather this host or the way there is slow than that all died at once.
-            answers = await self._all_alive(hosts, _PATIENT_TIMEOUT_S)
-        lost = {h for h, alive in zip(hosts, answers, strict=True) if not alive}
+        verdict = await self._look_at(hosts)
         self._router.log.write(
             ChainProbed(
                 request_id,
                 round(silent_s * 1000, 1),
                 round((self._loop.time() - started_s) * 1000, 1),
                 len(hosts),
-                sum(answers),
+                verdict.answered,
                 [h for h in hosts if self._router.directory.get(h) is None],
-                sorted(lost),
+                sorted(verdict.lost),
             )
         )
+        if verdict.lost:
+            self.pace.found(chain.hosts[0])
+            self._give_up(verdict.lost)
+        return bool(verdict.lost)
+
+    async def _look_at(self, hosts: tuple[str, ...]) -> Verdict:
+        """Find out which of some backend servers are lost."""
+        check = LivenessCheck(lambda host: self._alive(host, LONGEST_WAIT_S))
+        return await check.run(hosts, self._witnesses(frozenset(hosts)))
+
+    def _witnesses(self, suspects: frozenset[str]) -> list[str]:
+        """Return some others that should answer, rather of other failure domains."""
+        directory = self._router.directory
+        domains = {
+            entry.registration.failure_domain
+            for entry in map(directory.get, suspects)
+            if entry is not None
+        }
+        others = [
+            entry
+            for entry in directory
+            if entry.routable
+            and entry.registration.is_model_engine
+            and entry.server_id not in suspects
+        ]
+        self._router.rng.shuffle(others)
+        others.sort(key=lambda e: e.registration.failure_domain in domains)
+        return [entry.server_id for entry in others[:_WITNESSES]]
+
+    def _give_up(self, lost: frozenset[str]) -> None:
         for server_id in lost:
             self.suspect(server_id, "no answer to a probe")
-        if lost:
-            self.pace.found(chain.hosts[0])
-            self._router.report_lost(frozenset(lost))
-        return bool(lost)
+        self._router.report_lost(lost)
 
     async def _check_one(self, server_id: str) -> None:
         self._checking.add(server_id)
         try:
-            if not await self._alive(server_id):
-                self.suspect(server_id, "no answer to a probe")
-                self._router.report_lost(frozenset({server_id}))
+            verdict = await self._look_at((server_id,))
+            if verdict.lost:
+                self._give_up(verdict.lost)
         finally:
             self._checking.discard(server_id)
 
@@ -222,16 +252,13 @@
             entry = self._router.directory.get(server_id)
             if entry is None or entry.suspect_since_s is None:
                 return
-            if await self._alive(server_id):
+            if await self._alive(server_id, _RECHECK_TIMEOUT_S):
                 break
             delay_s = min(_RECHECK_MOST_S, 2 * delay_s)
         self._router.directory.cleared(server_id)
         self._router.log.write(EngineChanged(server_id, "well", "it answers a probe"))
 
-    async def _all_alive(self, hosts: Iterable[str], timeout_s: float) -> list[bool]:
-        return await asyncio.gather(*(self._alive(host, timeout_s) for host in hosts))
-
-    async def _alive(self, server_id: str, timeout_s: float = _PROBE_TIMEOUT_S) -> bool:
+    async def _alive(self, server_id: str, timeout_s: float) -> bool:
         entry = self._router.directory.get(server_id)
         if entry is None:
             return False
@@ -265,7 +292,7 @@
         dialect = self._router.dialect
         self._router.metrics.count("probes")
         try:
-            response = await self.call(entry, dialect.report_call(), _PROBE_TIMEOUT_S)
+            response = await self.call(entry, dialect.report_call(), _REPORT_TIMEOUT_S)
             slowness = dialect.decode_report(response.body).slowness
         except EngineError as error:
             # Whether it lives is found out by what waits for it.
