Tests that fail: an engine that left the list is taken for dead

Two tests: a stream over such an engine is ended without asking it (2 runs instead of 1), and an attempt there isn't counted (3 runs where the route allows 2).

--- a/tests/forwarding/test_own_lateness.py
+++ b/tests/forwarding/test_own_lateness.py
@@ -67,6 +67,15 @@
         engine.event_s, engine.report_delay_s = EVENT_S, 0.0
 
 
+def take_off_the_list(deployment: Deployment, engine: Engine) -> None:
+    """Let the entry read that an engine's registration was removed."""
+    directory = deployment.entry.router.directory
+    directory.remove(engine.server_id, asyncio.get_running_loop().time())
+    # After the store's return a removal counts some time later.
+    directory.expire(float("inf"))
+    assert directory.get(engine.server_id) is None
+
+
 def runs(deployment: Deployment, request_id: str) -> int:
     return sum(engine.runs[request_id] for engine in deployment.engines)
 
@@ -100,6 +109,41 @@
     connection.close()
 
 
+async def test_an_engine_that_left_the_list_and_serves_on_is_asked_too(
+    deployment: Deployment,
+) -> None:
+    connection, first = await begin_stream(deployment)
+    (later,) = [
+        e for e in deployment.engines if e.zone == first.zone and e is not first
+    ]
+    take_off_the_list(deployment, later)
+    await hold_answers_up(deployment, 0.15)
+    assert (await rest_of(connection)).body == events_of(80)
+    assert runs(deployment, "s-1") == 1
+
+
+async def test_an_attempt_counts_though_its_engine_left_the_list(
+    deployment: Deployment,
+) -> None:
+    # The route allows two; one that left the list serves on for seconds.
+    deployment.add_engine("i-third", "hall-a", (0, 4))
+    await until(deployment.all_known)
+    connection, _ = await begin_stream(deployment, events=200)
+    router = deployment.entry.router
+    for _ in range(2):
+        (driver,) = router.active
+        (engine,) = [
+            e
+            for e in deployment.engines
+            if e.server_id == driver._destination.server.host
+        ]
+        take_off_the_list(deployment, engine)
+        router.report_lost(frozenset({engine.server_id}))
+        await asyncio.sleep(0.2)
+    assert runs(deployment, "s-1") == 2
+    connection.close()
+
+
 @pytest.fixture
 def answering_server() -> Iterator[Address]:
     """A server in a thread of its own, which answers though the loop is held up."""
