Tests that fail: a stream is cut on suspicion though it can't go on elsewhere

Two tests: with no other chain, and with no retry left, a stream whose engine stands still for half a second is cut instead of going on.

--- a/tests/forwarding/test_own_lateness.py
+++ b/tests/forwarding/test_own_lateness.py
@@ -144,6 +144,47 @@
     connection.close()
 
 
+async def test_a_stream_with_nowhere_else_to_go_waits_for_its_engine(
+    deployment: Deployment,
+) -> None:
+    connection, first = await begin_stream(deployment)
+    others = [e for e in deployment.engines if e.zone != first.zone]
+    for engine in others:
+        engine.state = "draining"
+        engine.register()
+    await until(deployment.all_known)
+    (later,) = [
+        e for e in deployment.engines if e.zone == first.zone and e is not first
+    ]
+    later.mode = "dead"
+    await until(lambda: bool(suspects(deployment)))
+    await asyncio.sleep(0.3)
+    later.mode = "ok"
+    reply = await rest_of(connection)
+    assert (reply.whole, reply.body) == (True, events_of(80))
+    assert runs(deployment, "s-1") == 1
+
+
+async def test_a_stream_without_a_retry_left_waits_for_its_engine(
+    deployment: Deployment,
+) -> None:
+    connection, first = await begin_stream(deployment)
+    router = deployment.entry.router
+    budget = router.budgets.of("inspect-llm")
+    while budget.spend(asyncio.get_running_loop().time()):
+        pass
+    (later,) = [
+        e for e in deployment.engines if e.zone == first.zone and e is not first
+    ]
+    later.mode = "dead"
+    await until(lambda: bool(suspects(deployment)))
+    await asyncio.sleep(0.3)
+    later.mode = "ok"
+    reply = await rest_of(connection)
+    assert (reply.whole, reply.body) == (True, events_of(80))
+    assert runs(deployment, "s-1") == 1
+
+
 @pytest.fixture
 def answering_server() -> Iterator[Address]:
     """A server in a thread of its own, which answers though the loop is held up."""
