Placement: the room of a chain's stages is reckoned in one place

Twice: chain_throughput_rps and improve._give_up both took the least room of a chain whose engines hold only what they run; served_now_rps and _give_up both took a stage's room beside all that its engine holds. Now: PlacedStage.room and room_now, and least_room over a chain. Both throughputs take sequences, as all callers pass, and no longer copy them.

--- a/src/railfold/_internal/decisions/placement/chain.py
+++ b/src/railfold/_internal/decisions/placement/chain.py
@@ -22,7 +22,13 @@
 )
 from railfold._internal.decisions.routing_table import EngineModel
 
-__all__ = ["PlacedStage", "best_chain", "chain_throughput_rps", "served_now_rps"]
+__all__ = [
+    "PlacedStage",
+    "best_chain",
+    "chain_throughput_rps",
+    "least_room",
+    "served_now_rps",
+]
 
 # How many ways to each layer are kept; two are enough where engines' ranges overlap
 # by one neighbour's, the third is for copies.
@@ -36,26 +42,30 @@
     engine: EngineRoom
     layers: LayerRange
 
+    def room(self, model: EngineModel) -> float:
+        """Return how many usual requests fit if the engine holds only what it runs."""
+        run = len(self.layers)
+        return request_room(self.engine.accelerator, model, run, run)
 
-def chain_throughput_rps(stages: Iterable[PlacedStage], model: EngineModel) -> float:
+    def room_now(self, model: EngineModel) -> float:
+        """Return how many usual requests fit beside all that the engine holds."""
+        held = len(self.engine.held or self.layers)
+        return request_room(self.engine.accelerator, model, held, len(self.layers))
+
+
+def least_room(stages: Iterable[PlacedStage], model: EngineModel) -> float:
+    """Return how many requests a chain takes if its engines hold only what they run."""
+    return min(stage.room(model) for stage in stages)
+
+
+def chain_throughput_rps(stages: Sequence[PlacedStage], model: EngineModel) -> float:
     """Return what a chain serves if its engines hold only what they run."""
-    stages = list(stages)
-    requests = min(
-        request_room(s.engine.accelerator, model, len(s.layers), len(s.layers))
-        for s in stages
-    )
-    return _throughput_rps(stages, model, requests)
+    return _throughput_rps(stages, model, least_room(stages, model))
 
 
-def served_now_rps(stages: Iterable[PlacedStage], model: EngineModel) -> float:
+def served_now_rps(stages: Sequence[PlacedStage], model: EngineModel) -> float:
     """Return what a chain serves beside all that its engines hold."""
-    stages = list(stages)
-    requests = min(
-        request_room(
-            s.engine.accelerator, model, len(s.engine.held or s.layers), len(s.layers)
-        )
-        for s in stages
-    )
+    requests = min(stage.room_now(model) for stage in stages)
     return _throughput_rps(stages, model, requests)
 
 
--- a/src/railfold/_internal/decisions/placement/improve.py
+++ b/src/railfold/_internal/decisions/placement/improve.py
@@ -16,6 +16,7 @@
     PlacedStage,
     best_chain,
     chain_throughput_rps,
+    least_room,
     served_now_rps,
 )
 from railfold._internal.decisions.placement.copies import copies
@@ -68,21 +69,15 @@
     could_rps = chain_throughput_rps(chain, model)
     if served_now_rps(chain, model) * _LEAST_GAIN > could_rps:
         return {}
-    requests = min(
-        request_room(s.engine.accelerator, model, len(s.layers), len(s.layers))
-        for s in chain
-    )
+    requests = least_room(chain, model)
     changes: Changes = {}
     for stage in chain:
-        held = stage.engine.held
-        assert held is not None
-        own = len(stage.layers)
-        room = request_room(stage.engine.accelerator, model, len(held), own)
-        if room < requests:
-            most = max_layers(stage.engine.accelerator, model, requests)
-            changes[stage.engine.server_id] = _trimmed(
-                held, stage.layers, max(own, most)
-            )
+        engine = stage.engine
+        assert engine.held is not None
+        if stage.room_now(model) < requests:
+            most = max_layers(engine.accelerator, model, requests)
+            size = max(len(stage.layers), most)
+            changes[engine.server_id] = _trimmed(engine.held, stage.layers, size)
     return changes
 
 
