Placement: the type of changes is declared once

Thrice: copies, improve and repair each declared Changes; plan.py spelt it out. Now: rooms.py declares it, the others import it. A type only, nothing runs differently. Unit tests (235), ruff format, ruff check and mypy pass.

--- a/src/railfold/_internal/decisions/placement/copies.py
+++ b/src/railfold/_internal/decisions/placement/copies.py
@@ -12,6 +12,7 @@
 
 from railfold._internal.core import LayerRange
 from railfold._internal.decisions.placement.rooms import (
+    Changes,
     EngineRoom,
     coverage,
     covers,
@@ -22,8 +23,6 @@
 
 __all__ = ["copies"]
 
-Changes = dict[str, LayerRange]
-
 # A copy leaves its engine room for this part of a full batch at least, so that it can
 # stand in for an engine of a chain that is busy.
 _LEAST_ROOM = 0.25
--- a/src/railfold/_internal/decisions/placement/improve.py
+++ b/src/railfold/_internal/decisions/placement/improve.py
@@ -21,6 +21,7 @@
 )
 from railfold._internal.decisions.placement.copies import copies
 from railfold._internal.decisions.placement.rooms import (
+    Changes,
     EngineRoom,
     covers,
     is_needless,
@@ -32,7 +33,6 @@
 
 __all__ = ["improve"]
 
-Changes = dict[str, LayerRange]
 Chain = list[PlacedStage]
 
 # A change is worth its loads if the domain then serves this much more: above the
--- a/src/railfold/_internal/decisions/placement/plan.py
+++ b/src/railfold/_internal/decisions/placement/plan.py
@@ -16,6 +16,7 @@
 from railfold._internal.decisions.placement.improve import improve
 from railfold._internal.decisions.placement.repair import repair
 from railfold._internal.decisions.placement.rooms import (
+    Changes,
     EngineRoom,
     max_layers,
     uncovered_layers,
@@ -30,7 +31,7 @@
     engines: Iterable[EngineRoom],
     model: EngineModel,
     needed_rps: float = float("inf"),
-) -> dict[str, LayerRange]:
+) -> Changes:
     """Return the layers that each engine of one failure domain should hold next.
 
     Engines that are left out keep what they hold. Empty if nothing would be better,
@@ -47,9 +48,7 @@
     return improve(ordered, model, needed_rps)
 
 
-def _first_plan(
-    engines: Sequence[EngineRoom], model: EngineModel
-) -> dict[str, LayerRange]:
+def _first_plan(engines: Sequence[EngineRoom], model: EngineModel) -> Changes:
     spread = best_spread(engines, model)
     if spread is None:
         return {}
--- a/src/railfold/_internal/decisions/placement/repair.py
+++ b/src/railfold/_internal/decisions/placement/repair.py
@@ -13,6 +13,7 @@
 
 from railfold._internal.core import LayerRange
 from railfold._internal.decisions.placement.rooms import (
+    Changes,
     EngineRoom,
     covers,
     is_needless,
@@ -30,8 +31,6 @@
 
 __all__ = ["repair"]
 
-Changes = dict[str, LayerRange]
-
 # For how long a repair is reckoned to stand: improvements follow within seconds,
 # step by step, while the domain serves.
 _STANDS_S = 5.0
--- a/src/railfold/_internal/decisions/placement/rooms.py
+++ b/src/railfold/_internal/decisions/placement/rooms.py
@@ -10,6 +10,7 @@
 from railfold._internal.decisions.routing_table import Accelerator, EngineModel
 
 __all__ = [
+    "Changes",
     "EngineRoom",
     "coverage",
     "covers",
@@ -20,6 +21,9 @@
     "uncovered_layers",
 ]
 
+# What engines should hold from now on, by engine; others keep what they hold.
+Changes = dict[str, LayerRange]
+
 # Keeps an engine that is exactly full from counting as overfull.
 _ROUNDING = 1e-9
 
