Placement: reliefs are weighed as they are made; the rate is rounded once

Twice: improve._relieve made all reliefs before it weighed one, and kept the best and its loads beside each other; _domain_plan rounded the needed rate for the question and again for the plan. Now: _relieve takes the best of the reliefs by one key and drops it if it serves less than is wanted. What a relief serves comes first in that key, so that the best one is wanted if any is; of equal ones the first is taken as before. _domain_plan rounds once.

--- a/src/railfold/_internal/decisions/placement/improve.py
+++ b/src/railfold/_internal/decisions/placement/improve.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
@@ -106,21 +107,21 @@
     needed_rps: float,
 ) -> Changes:
     """Return the loads that let the domain serve the most more, if it is worth it."""
+
+    def worth(relief: _Relief) -> tuple[float, int]:
+        served_rps = min(needed_rps, chain_throughput_rps(relief.chain, model))
+        loaded = sum(len(layers) for layers in relief.loads.values())
+        return (served_rps, -loaded)
+
     spares = _spares(engines, chain)
+    reliefs = itertools.chain(
+        _handovers(chain, spares, model), _insertions(chain, spares, model)
+    )
     wanted_rps = min(needed_rps, _LEAST_GAIN * chain_throughput_rps(chain, model))
-    best: tuple[float, int] | None = None
-    loads: Changes = {}
-    for relief in (
-        *_handovers(chain, spares, model),
-        *_insertions(chain, spares, model),
-    ):
-        served_rps = min(needed_rps, chain_throughput_rps(relief.chain, model))
-        if served_rps < wanted_rps:
-            continue
-        value = (served_rps, -sum(len(layers) for layers in relief.loads.values()))
-        if best is None or value > best:
-            best, loads = value, relief.loads
-    return loads
+    best = max(reliefs, key=worth, default=None)
+    if best is None or worth(best)[0] < wanted_rps:
+        return {}
+    return best.loads
 
 
 def _spares(engines: Sequence[EngineRoom], chain: Chain) -> list[EngineRoom]:
--- a/src/railfold/_internal/forwarding/placement.py
+++ b/src/railfold/_internal/forwarding/placement.py
@@ -172,12 +172,13 @@
         self, members: list[DirectoryEntry], model: EngineModel, needed_rps: float
     ) -> dict[str, LayerRange]:
         rooms = tuple(self._room(entry, model) for entry in members)
+        asked_rps = _rounded(needed_rps)
         # Most looks find what the one before found, and a plan takes some 10 ms.
-        question = (model, rooms, _rounded(needed_rps))
+        question = (model, rooms, asked_rps)
         domain = members[0].registration.failure_domain
         if self._left_as_is.get(domain) == question:
             return {}
-        plan = plan_layers(rooms, model, _rounded(needed_rps))
+        plan = plan_layers(rooms, model, asked_rps)
         if plan:
             self._left_as_is.pop(domain, None)
             self._log_plan(domain, rooms, model, needed_rps, plan)
