--- a/src/railfold/_internal/decisions/placement/chain.py
+++ b/src/railfold/_internal/decisions/placement/chain.py
@@ -23,6 +23,7 @@
 from railfold._internal.decisions.routing_table import EngineModel
 
 __all__ = [
+    "PlacedChain",
     "PlacedStage",
     "best_chain",
     "chain_throughput_rps",
@@ -53,6 +54,10 @@
         return request_room(self.engine.accelerator, model, held, len(self.layers))
 
 
+# The stages that a request passes, in order.
+PlacedChain = list[PlacedStage]
+
+
 def least_room(stages: Iterable[PlacedStage], model: EngineModel) -> float:
     """Return how many requests a chain takes if its engines hold only what they run."""
     return min(stage.room(model) for stage in stages)
@@ -79,9 +84,7 @@
     return requests / residence_s
 
 
-def best_chain(
-    engines: Iterable[EngineRoom], model: EngineModel
-) -> list[PlacedStage] | None:
+def best_chain(engines: Iterable[EngineRoom], model: EngineModel) -> PlacedChain | None:
     """Return the chain that could serve most; nothing if layers are missing."""
     placed = [e for e in engines if e.held is not None]
     found = [
@@ -102,7 +105,7 @@
 
 def _fastest_chain(
     engines: Sequence[EngineRoom], model: EngineModel, requests: float
-) -> list[PlacedStage] | None:
+) -> PlacedChain | None:
     """Return the fastest chain whose engines have room for so many requests.
 
     A stage ends where its engine's range does, or where another one's begins.
