Placement: giving one order and reading back its outcome is a module of its own

forwarding/placement.py held both what is planned and in which order engines get it, and how one order is sent, logged and followed: 388 lines. Now layer_orders.py does the second (135 lines), and knows which orders are under way; the keeper asks it (309). Also split off: dropping targets that are reached, making an engine's reconciler, and the log line of an order. _LOOK_S / 2 is _READ_S there, 0.1 s as before.

--- /dev/null
+++ b/src/railfold/_internal/forwarding/layer_orders.py
@@ -0,0 +1,135 @@
+"""Giving engines orders to hold layers, and reading back what became of them.
+
+An order names how many orders the engine has taken before, so that one that arrives
+after a newer one is refused.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Set
+
+from railfold._internal.core import LayerRange
+from railfold._internal.decisions.engine_directory import DirectoryEntry
+from railfold._internal.decisions.leadership import Leadership
+from railfold._internal.decisions.orders import LoadOrder
+from railfold._internal.errors import EngineError
+from railfold._internal.forwarding.dialect import (
+    OrderBegun,
+    OrderFenced,
+    OrderOutcome,
+    OrderRefused,
+    OrderUnsettled,
+)
+from railfold._internal.forwarding.probes import ChainProber
+from railfold._internal.forwarding.router import Router
+from railfold._internal.observability.events import LayersOrdered
+
+__all__ = ["LayerOrders"]
+
+_ORDER_TIMEOUT_S = 0.5
+
+# A registration is read this often while its engine loads: half of the time between
+# two looks at the placement, which give the places of ended loads away.
+_READ_S = 0.1
+
+
+class LayerOrders:
+    """Orders under way, one at an engine."""
+
+    def __init__(
+        self, router: Router, leadership: Leadership, prober: ChainProber
+    ) -> None:
+        self._router = router
+        self._leadership = leadership
+        self._prober = prober
+        self._loop = asyncio.get_running_loop()
+        self._under_way: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def under_way(self) -> Set[str]:
+        """Engines whose order is being sent, or that are loading."""
+        return self._under_way
+
+    def give(self, entry: DirectoryEntry, order: LoadOrder, load_s: float) -> None:
+        """Begin to give an order.
+
+        :param load_s: how long its load takes, undisturbed; it keeps its place among
+            the loads for no longer.
+        """
+        self._under_way.add(entry.server_id)
+        task = self._loop.create_task(self._follow(entry, order, load_s))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _follow(
+        self, entry: DirectoryEntry, order: LoadOrder, load_s: float
+    ) -> None:
+        """Send an order, and keep its place among the loads to its end."""
+        try:
+            outcome = await self._send(entry, order)
+            self._note(entry, order, outcome)
+            match outcome:
+                case OrderBegun():
+                    await self._wait_loaded(entry, order.layers, load_s)
+                case OrderFenced():
+                    self._leadership.fenced(order.fencing)
+                case OrderRefused() | OrderUnsettled():
+                    pass  # The level is looked at again when the order is due.
+        finally:
+            self._under_way.discard(entry.server_id)
+
+    def _note(
+        self, entry: DirectoryEntry, order: LoadOrder, outcome: OrderOutcome
+    ) -> None:
+        held = entry.registration.layers
+        event = LayersOrdered(
+            entry.server_id,
+            str(order.layers),
+            str(held) if held else "none",
+            order.fencing,
+            _outcome_text(outcome),
+        )
+        self._router.metrics.count("orders.given")
+        self._router.log.write(event)
+
+    async def _send(self, entry: DirectoryEntry, order: LoadOrder) -> OrderOutcome:
+        dialect = self._router.dialect
+        try:
+            response = await self._prober.call(
+                entry, dialect.report_call(), _ORDER_TIMEOUT_S
+            )
+            report = dialect.decode_report(response.body)
+            if report.busy:
+                # Another order would begin its work anew.
+                return OrderRefused("it still carries an order out")
+            # The lease is looked at again right before the order leaves.
+            if self._leadership.fencing(self._loop.time()) != order.fencing:
+                return OrderRefused("the lease was lost before the order was sent")
+            call = dialect.place_call(order.layers, order.fencing, report.order_count)
+            response = await self._prober.call(entry, call, _ORDER_TIMEOUT_S)
+        except EngineError as error:
+            return OrderUnsettled(str(error))
+        return dialect.order_outcome(response.head)
+
+    async def _wait_loaded(
+        self, entry: DirectoryEntry, layers: LayerRange, load_s: float
+    ) -> None:
+        """Hold the place among the loads while the engine loads."""
+        due_s = self._loop.time() + load_s
+        # The registration is read by another child.
+        while self._loop.time() < due_s and entry.registration.layers != layers:  # noqa: ASYNC110
+            await asyncio.sleep(_READ_S)
+
+
+def _outcome_text(outcome: OrderOutcome) -> str:
+    match outcome:
+        case OrderBegun():
+            return "begun"
+        case OrderFenced():
+            return "fenced"
+        case OrderRefused(reason=reason):
+            return f"refused: {reason}"
+        case OrderUnsettled(reason=reason):
+            return f"no answer: {reason}"
--- a/src/railfold/_internal/forwarding/placement.py
+++ b/src/railfold/_internal/forwarding/placement.py
@@ -2,15 +2,14 @@
 
 Only the holder of the lease gives orders. What each engine registered decides,
 not which orders were given: an order without an answer may be carried out late,
-and is met by looking again. An order names how many orders the engine has taken
-before, so that one that arrives after a newer one is refused.
+and is met by looking again.
 """
 
 from __future__ import annotations
 
 import asyncio
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from railfold._internal.core import LayerRange
 from railfold._internal.decisions.domains import group_by_domain
@@ -35,18 +34,11 @@
     uncovered_layers,
 )
 from railfold._internal.decisions.routing_table import EngineModel, ServiceSpec
-from railfold._internal.errors import EngineError
-from railfold._internal.forwarding.dialect import (
-    OrderBegun,
-    OrderFenced,
-    OrderOutcome,
-    OrderRefused,
-    OrderUnsettled,
-)
+from railfold._internal.forwarding.layer_orders import LayerOrders
 from railfold._internal.forwarding.leadership import LEASE_S
 from railfold._internal.forwarding.probes import ChainProber
 from railfold._internal.forwarding.router import Router
-from railfold._internal.observability.events import LayersOrdered, LayersPlanned
+from railfold._internal.observability.events import LayersPlanned
 
 __all__ = ["PlacementKeeper"]
 
@@ -55,7 +47,6 @@
 # An engine registers new layers once they are loaded; what it answered with a
 # lag of up to 0.8 s on the first sites.
 _READ_BACK_S = 1.2
-_ORDER_TIMEOUT_S = 0.5
 
 # A plan for engines that are all empty waits until none has appeared for this
 # long: one that is made too early leaves engines without layers of their own.
@@ -100,13 +91,11 @@
         self._first_start = first_start
         self._router = router
         self._leadership = leadership
-        self._prober = prober
+        self._orders = LayerOrders(router, leadership, prober)
         self._loop = asyncio.get_running_loop()
         self._reconcilers: dict[str, Reconciler] = {}
         self._targets: dict[str, LayerRange] = {}
-        self._ordering: set[str] = set()
         self._left_as_is: dict[str, _Question] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
         self._known: set[str] = set()
         self._started_s = self._loop.time()
         self._changed_s = self._loop.time()
@@ -224,15 +213,18 @@
         now_s: float,
     ) -> None:
         by_id = {e.server_id: e for e in entries}
+        self._drop_reached(by_id)
+        for server_id in self._by_urgency(entries, model):
+            if len(self._orders.under_way) >= model.loads_at_once:
+                return
+            if server_id not in self._orders.under_way:
+                self._decide(by_id[server_id], self._targets[server_id], model, now_s)
+
+    def _drop_reached(self, by_id: Mapping[str, DirectoryEntry]) -> None:
         for server_id, target in list(self._targets.items()):
             entry = by_id.get(server_id)
             if entry is not None and entry.registration.layers == target:
                 del self._targets[server_id]
-        for server_id in self._by_urgency(entries, model):
-            if len(self._ordering) >= model.loads_at_once:
-                return
-            if server_id not in self._ordering:
-                self._decide(by_id[server_id], self._targets[server_id], model, now_s)
 
     def _by_urgency(
         self,
@@ -261,14 +253,9 @@
         fencing = self._leadership.fencing(now_s)
         if fencing is None:
             return
-        load_s = self._load_s(entry.registration.layers, layers, model, now_s)
-        reconciler = self._reconcilers.setdefault(
-            entry.server_id,
-            Reconciler(
-                OrderLimits(lease_s=LEASE_S, loads_per_s=float(model.loads_at_once))
-            ),
-        )
         held = entry.registration.layers
+        load_s = self._load_s(held, layers, model, now_s)
+        reconciler = self._reconciler(entry.server_id, model)
         loaded = (model.name, "", held) if held is not None else None
         decision = reconciler.decide(
             (LoadOrder(model.name, "", layers, fencing), 0),
@@ -281,10 +268,7 @@
         match decision:
             case GiveOrder(order=order):
                 reconciler.ordered(now_s, load_s + _READ_BACK_S)
-                self._ordering.add(entry.server_id)
-                task = self._loop.create_task(self._order(entry, order, load_s))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+                self._orders.give(entry, order, load_s)
             case (
                 LevelReached()
                 | WaitForLease()
@@ -294,6 +278,10 @@
             ):
                 pass
 
+    def _reconciler(self, server_id: str, model: EngineModel) -> Reconciler:
+        limits = OrderLimits(lease_s=LEASE_S, loads_per_s=float(model.loads_at_once))
+        return self._reconcilers.setdefault(server_id, Reconciler(limits))
+
     def _load_s(
         self,
         held: LayerRange | None,
@@ -304,64 +292,9 @@
         """Return how long an engine takes to load what it doesn't hold, undisturbed."""
         load_s = model.load_s * new_layers(held, layers) / model.layer_count
         early = now_s - self._started_s < _FIRST_START_S + _SETTLED_MOST_S
-        return (
-            load_s * _FIRST_START_LOAD_SHARE if self._first_start and early else load_s
-        )
-
-    async def _order(
-        self, entry: DirectoryEntry, order: LoadOrder, load_s: float
-    ) -> None:
-        server_id = entry.server_id
-        try:
-            outcome = await self._send(entry, order)
-            held = entry.registration.layers
-            self._router.metrics.count("orders.given")
-            self._router.log.write(
-                LayersOrdered(
-                    server_id,
-                    str(order.layers),
-                    str(held) if held else "none",
-                    order.fencing,
-                    _outcome_text(outcome),
-                )
-            )
-            match outcome:
-                case OrderBegun():
-                    await self._wait_loaded(entry, order.layers, load_s)
-                case OrderFenced():
-                    self._leadership.fenced(order.fencing)
-                case OrderRefused() | OrderUnsettled():
-                    pass  # The level is looked at again when the order is due.
-        finally:
-            self._ordering.discard(server_id)
-
-    async def _send(self, entry: DirectoryEntry, order: LoadOrder) -> OrderOutcome:
-        dialect = self._router.dialect
-        try:
-            response = await self._prober.call(
-                entry, dialect.report_call(), _ORDER_TIMEOUT_S
-            )
-            report = dialect.decode_report(response.body)
-            if report.busy:
-                # Another order would begin its work anew.
-                return OrderRefused("it still carries an order out")
-            # The lease is looked at again right before the order leaves.
-            if self._leadership.fencing(self._loop.time()) != order.fencing:
-                return OrderRefused("the lease was lost before the order was sent")
-            call = dialect.place_call(order.layers, order.fencing, report.order_count)
-            response = await self._prober.call(entry, call, _ORDER_TIMEOUT_S)
-        except EngineError as error:
-            return OrderUnsettled(str(error))
-        return dialect.order_outcome(response.head)
-
-    async def _wait_loaded(
-        self, entry: DirectoryEntry, layers: LayerRange, load_s: float
-    ) -> None:
-        """Hold the place among the loads while the engine loads."""
-        due_s = self._loop.time() + load_s
-        # The registration is read by another child.
-        while self._loop.time() < due_s and entry.registration.layers != layers:  # noqa: ASYNC110
-            await asyncio.sleep(_LOOK_S / 2)
+        if self._first_start and early:
+            return load_s * _FIRST_START_LOAD_SHARE
+        return load_s
 
 
 def _by_domain(
@@ -374,15 +307,3 @@
 def _rounded(per_s: float) -> float:
     """Return the next power of the step from a rate, at least one request a second."""
     return float(_RATE_STEP ** math.ceil(math.log(max(1.0, per_s), _RATE_STEP)))
-
-
-def _outcome_text(outcome: OrderOutcome) -> str:
-    match outcome:
-        case OrderBegun():
-            return "begun"
-        case OrderFenced():
-            return "fenced"
-        case OrderRefused(reason=reason):
-            return f"refused: {reason}"
-        case OrderUnsettled(reason=reason):
-            return f"no answer: {reason}"
