Slow engines: what the time between two looks trades off

Left: _LOOK_S had no line on its source. A comment only; nothing was twice here and nothing runs differently.

--- a/src/railfold/_internal/forwarding/slow_engines.py
+++ b/src/railfold/_internal/forwarding/slow_engines.py
@@ -16,6 +16,8 @@
 
 __all__ = ["SlowEngineWatch"]
 
+# A chain that turns slow is noticed up to this much later; each look goes over all
+# engines and chains that this entry knows.
 _LOOK_S = 0.25
 
 # Pauses this many times longer than reckoned are looked into. The reckoning is within
