Tests that fail: a closed connection and a late one are taken for proof

Two more places where the same cause acts: a probe sent on a kept connection that closes just then counts as a refusal, and a connection that comes up late makes its engine suspect without a probe.

--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -47,6 +47,8 @@
         another request's answer first), ``"surplus"`` (sends a second answer).
     :param runs: how often each request ran here.
     :param pace: how many times longer than usual its steps take, as it tells.
+    :param reports_to_drop: how many calls for its report it answers by closing the
+        connection, as one that was idle for too long.
     """
 
     server_id: str
@@ -60,6 +62,7 @@
     event_s: float = 0.01
     report_delay_s: float = 0.0
     pace: float = 1.0
+    reports_to_drop: int = 0
     mode: str = "ok"
     state: str = "ready"
     port: int = 0
@@ -153,6 +156,11 @@
 class _Report(_Handler):
     async def get(self) -> None:
         engine = self.engine
+        if engine.reports_to_drop > 0:
+            engine.reports_to_drop -= 1
+            self.request.connection.detach().close()
+            self._finished = True
+            return
         await asyncio.sleep(engine.report_delay_s)
         stalled = [{"id": i, "address": a} for i, a in engine.stalled.items()]
         self.finish(
--- a/tests/forwarding/test_own_lateness.py
+++ b/tests/forwarding/test_own_lateness.py
@@ -36,6 +36,7 @@
 import pytest
 
 from railfold._internal.core import Address
+from railfold._internal.forwarding import exchange
 from railfold._internal.forwarding.http_client import connect, fetch
 from standins.chaining_engine import Engine
 from tests.lib.forwarding import Connection, Deployment, Reply, events_of, until
@@ -185,6 +186,29 @@
     assert runs(deployment, "s-1") == 1
 
 
+async def test_an_engine_is_asked_again_when_a_connection_closes(
+    deployment: Deployment,
+) -> None:
+    # A kept connection that was idle for long may close as a probe is sent on it.
+    engine = deployment.engines[0]
+    engine.reports_to_drop = 1
+    deployment.entry._prober.doubt(engine.server_id)
+    await asyncio.sleep(0.2)
+    assert engine.reports_to_drop == 0
+    assert deployment.entry.metrics.counters["servers.suspected"] == 0
+
+
+async def test_connections_that_come_up_late_prove_nothing(
+    deployment: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # As when the event loop was held up for longer than the time-out.
+    monkeypatch.setattr(exchange, "CONNECT_TIMEOUT_S", 0.0)
+    reply = await deployment.ask("/draft/1", "s-1")
+    assert reply.status == 503
+    assert runs(deployment, "s-1") == 0
+    assert suspects(deployment) == []
+
+
 @pytest.fixture
 def answering_server() -> Iterator[Address]:
     """A server in a thread of its own, which answers though the loop is held up."""
