A closed connection and a late one are no proof that an engine is dead

Cause: a probe on a kept connection that closed as it was sent counted as a refusal, and an engine whose connection took over 0.35 s to come up was suspect without a probe. Change: a lost answer is asked for once more over a new connection; an engine to which nothing could be sent is probed like one that broke an answer off.

--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -288,7 +288,7 @@
         server_id = destination.server.host
         self._log_attempt(server_id, reason)
         if error is None:
-            self._prober.suspect(server_id, reason)
+            self._prober.doubt(server_id)
         elif not isinstance(error, ServerLeavingError):
             # Refused for a reason that holds at every backend server.
             self._refuse(error)
--- a/src/railfold/_internal/forwarding/probes.py
+++ b/src/railfold/_internal/forwarding/probes.py
@@ -17,7 +17,7 @@
 from railfold._internal.core import Chain, parse_address
 from railfold._internal.decisions.engine_directory import DirectoryEntry
 from railfold._internal.decisions.probe_pace import ProbePace
-from railfold._internal.errors import EngineError
+from railfold._internal.errors import EngineError, EngineUnavailableError
 from railfold._internal.forwarding.dialect import (
     EngineCall,
     OrderBegun,
@@ -25,7 +25,12 @@
     OrderRefused,
     OrderUnsettled,
 )
-from railfold._internal.forwarding.http_client import Response, connect, fetch
+from railfold._internal.forwarding.http_client import (
+    HttpConnection,
+    Response,
+    connect,
+    fetch,
+)
 from railfold._internal.forwarding.liveness import (
     LONGEST_WAIT_S,
     LivenessCheck,
@@ -76,8 +81,13 @@
 
     # What requests saw
 
-    def suspect(self, server_id: str, cause: str) -> None:
-        """It can't be reached: no new work until a probe finds it well."""
+    def doubt(self, server_id: str) -> None:
+        """It broke off an answer or can't be reached: probe it at once."""
+        if server_id not in self._checking:
+            self._spawn(self._check_one(server_id))
+
+    def _suspect(self, server_id: str, cause: str) -> None:
+        """Give it no new work until a probe finds it well."""
         if not self._router.directory.suspect(server_id, self._loop.time()):
             return
         self._router.metrics.count("servers.suspected")
@@ -85,11 +95,6 @@
         self._router.log.write(EngineChanged(server_id, "suspect", cause))
         self._spawn(self._recheck(server_id, _RECHECK_FIRST_S))
 
-    def doubt(self, server_id: str) -> None:
-        """It broke off an answer: probe it at once."""
-        if server_id not in self._checking:
-            self._spawn(self._check_one(server_id))
-
     def not_executed(self, server_id: str, at_fault: str, load: int) -> None:
         """It refused a request; another may be at fault, by its address.
 
@@ -248,7 +253,7 @@
 
     def _give_up(self, lost: frozenset[str]) -> None:
         for server_id in lost:
-            self.suspect(server_id, "no answer to a probe")
+            self._suspect(server_id, "no answer to a probe")
         self._router.report_lost(lost)
 
     async def _check_one(self, server_id: str) -> None:
@@ -280,13 +285,30 @@
         entry = self._router.directory.get(server_id)
         if entry is None:
             return await self._serves_on(server_id, address, timeout_s)
-        self._router.metrics.count("probes")
+        call = self._probe_call(entry)
         try:
-            response = await self.call(entry, self._probe_call(entry), timeout_s)
+            response = await self._probe(server_id, address, call, timeout_s)
         except EngineError:
             return False
         return self._is_well(entry, response)
 
+    async def _probe(
+        self, server_id: str, address: str, call: EngineCall, timeout_s: float
+    ) -> Response:
+        """Ask once more over a new connection if an answer was lost.
+
+        A kept connection may close as the probe is sent, which says nothing of the
+        backend server.
+
+        :raises EngineUnavailableError: no answer came over the new one either.
+        """
+        self._router.metrics.count("probes")
+        try:
+            return await self._call_at(server_id, address, call, timeout_s)
+        except EngineUnavailableError:
+            connection = await connect(parse_address(address), timeout_s)
+            return await self._call_on(server_id, connection, call, timeout_s)
+
     async def _serves_on(self, server_id: str, address: str, timeout_s: float) -> bool:
         """Ask an engine that isn't registered any more.
 
@@ -296,11 +318,9 @@
         if self._router.directory.at(address) is not None:
             return False  # Another incarnation has taken its place.
         dialect = self._router.dialect
-        self._router.metrics.count("probes")
+        call = dialect.report_call()
         try:
-            response = await self._call_at(
-                server_id, address, dialect.report_call(), timeout_s
-            )
+            response = await self._probe(server_id, address, call, timeout_s)
             report = dialect.decode_report(response.body)
         except EngineError:
             return False
@@ -358,10 +378,19 @@
         connection = pool.take(server_id, self._loop.time())
         if connection is None:
             connection = await connect(parse_address(address), timeout_s)
+        return await self._call_on(server_id, connection, call, timeout_s)
+
+    async def _call_on(
+        self,
+        server_id: str,
+        connection: HttpConnection,
+        call: EngineCall,
+        timeout_s: float,
+    ) -> Response:
         response = await fetch(
             connection, call.method, call.target, call.headers, call.body, timeout_s
         )
-        pool.give_back(server_id, connection, self._loop.time())
+        self._router.pool.give_back(server_id, connection, self._loop.time())
         return response
 
     async def reroute(self, request_id: str, chain: Chain) -> str:
