A process's own lateness isn't taken for the silence of its peers

Cause: time-outs and ages ran on while the process itself neither sent nor read. A probe's 0.2 s began when it was queued, and an agent was given up whether or not any other could make itself heard (own link full). Looks at a link's age, by an entry and by an agent, compared clocks right after a hold-up, before the sockets were read. A dial's time-out ran out during a hold-up, and an agent then takes the peer's host for lost. Ruled out: an answer that lies in the socket when the hold-up ends is taken on Python 3.11 (a test keeps it so). "Not listed any more" is never taken for dead in this path: a linked host goes on serving, and membership loses hosts by link or probe only. Handshakes, dials and appends with the default time-outs (2 and 5 s) need a hold-up of that length. Change: waiting.answer_within lets an answer that is there win, and doesn't count parts of a wait that were held up (bounded); dials, handshakes, appends and probes use it. An agent is silent if it doesn't answer although another agent answered a later probe, or if nobody answers for 0.8 s more; one agent outside the chain is probed along. Silence of a link is counted in looks, so that a hold-up counts as one. A probe is shared per incarnation, not per host. No time constant is changed. Left: curl's own time-outs (engine status 2 s, connections 1 s) still run on in a hold-up of that length.

--- a/src/railfold/_internal/agent/links.py
+++ b/src/railfold/_internal/agent/links.py
@@ -157,9 +157,8 @@
         return "serving" if report.available else "unavailable"
 
     def _drop_lapsed(self) -> None:
-        now_s = asyncio.get_running_loop().time()
         for entry in list(self._entries.values()):
-            silent_s = now_s - entry.link.last_heard_s
+            silent_s = entry.link.unheard_looks() * _TICK_S
             if entry.lease_s and silent_s > entry.lease_s:
                 self._metrics.count("entries.lease_lapsed")
                 logging.warning(
--- a/src/railfold/_internal/entry/agents.py
+++ b/src/railfold/_internal/entry/agents.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 from collections.abc import Callable, Coroutine, Iterable
-from enum import Enum, auto
 from typing import Protocol
 
 from absl import logging
@@ -24,6 +22,7 @@
     MembershipView,
     ProbeUnanswered,
 )
+from railfold._internal.entry.probes import AgentProber, ProbeResult
 from railfold._internal.links.connection import Link, LinkLimits, LinkMessage
 from railfold._internal.links.endpoint import LinkDialer
 from railfold._internal.links.messages import (
@@ -41,9 +40,9 @@
 )
 from railfold._internal.observability.metrics import Metrics
 
-__all__ = ["AgentPool", "ProbeResult", "RequestDriver", "RequestMessage"]
+__all__ = ["AgentPool", "RequestDriver", "RequestMessage"]
 
-_LEASE_INTERVALS = 4.0
+_LEASE_INTERVALS = 4
 _MIN_LEASE_S = 5.0
 
 RequestMessage = (
@@ -56,14 +55,6 @@
 )
 
 
-class ProbeResult(Enum):
-    """What came of a probe."""
-
-    ALIVE = auto()
-    STALLED = auto()
-    SILENT = auto()
-
-
 class RequestDriver(Protocol):
     """One request in flight, as the pool feeds it."""
 
@@ -95,16 +86,14 @@
         self._replica = replica
         self._limits = limits
         self._pace = pace
-        self._probe_timeout_s = probe_timeout_s
         self._metrics = metrics
         self._on_capacity = on_capacity
         self._links: dict[str, Link] = {}
         self._addresses: dict[str, str] = {}
         self._dialers: dict[str, LinkDialer] = {}
         self._drivers: dict[str, RequestDriver] = {}
-        self._nonces = itertools.count(1)
-        self._probes: dict[int, asyncio.Future[bool]] = {}
-        self._probing: dict[str, asyncio.Task[None]] = {}
+        self._prober = AgentProber(probe_timeout_s, metrics, self._probe_message)
+        self._probing: dict[tuple[str, int], asyncio.Task[None]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self.entries = 1
 
@@ -228,9 +217,7 @@
                 case Heartbeat():
                     self._heartbeat(link, message)
                 case ProbeReply(nonce=nonce, stalled=stalled):
-                    future = self._probes.pop(nonce, None)
-                    if future is not None and not future.done():
-                        future.set_result(stalled)
+                    self._prober.answered(nonce, stalled=stalled)
                 case (
                     SequenceRefused()
                     | SequenceFailed()
@@ -276,17 +263,38 @@
         Those that are silent or stalled are marked, so that no new work goes
         there until they report again, and all drivers are told.
         """
-        await asyncio.gather(*(self._probe_host(stage) for stage in stages))
-
-    async def _probe_host(self, stage: Stage) -> None:
+        chain = {_incarnation(stage): stage for stage in stages}
+        begun = [stage for key, stage in chain.items() if key not in self._probing]
+        for stage in begun:
+            self._begin_probe(stage)
+        if begun:
+            self._ask_witness({stage.host for stage in chain.values()})
+        await asyncio.gather(*(asyncio.shield(self._probing[key]) for key in chain))
+
+    def _begin_probe(self, stage: Stage) -> None:
         # Many sequences on one host come overdue together: they share a probe
         # and what follows from it.
-        task = self._probing.get(stage.host)
-        if task is None:
-            task = asyncio.create_task(self._probe_and_mark(stage))
-            self._probing[stage.host] = task
-            task.add_done_callback(lambda _: self._probing.pop(stage.host, None))
-        await asyncio.shield(task)
+        key = _incarnation(stage)
+        task = asyncio.create_task(self._probe_and_mark(stage))
+        self._probing[key] = task
+        task.add_done_callback(lambda _: self._probing.pop(key, None))
+
+    def _ask_witness(self, hosts: set[str]) -> None:
+        # If all of a chain are silent, another agent's answer tells that it isn't
+        # this process that is late: the one heard last, elsewhere if possible. It
+        # is asked after the chain's agents, as the proof requires.
+        members = [m for host in hosts if (m := self.view.get(host)) is not None]
+        domains = {member.failure_domain for member in members}
+        links = [link for host, link in self._links.items() if host not in hosts]
+        if links:
+            witness = max(
+                links,
+                key=lambda x: (x.peer.failure_domain not in domains, x.last_heard_s),
+            )
+            self._spawn(self._ask(witness))
+
+    async def _ask(self, link: Link) -> None:
+        await self._prober.ask(link)
 
     async def _probe_and_mark(self, stage: Stage) -> None:
         result = await self._probe_once(stage)
@@ -300,18 +308,7 @@
         link = self._links.get(stage.host)
         if link is None or link.peer.incarnation != stage.incarnation:
             return ProbeResult.SILENT
-        nonce = next(self._nonces)
-        future = asyncio.get_running_loop().create_future()
-        self._probes[nonce] = future
-        link.send(self._probe_message(nonce))
-        self._metrics.count("probes")
-        try:
-            stalled = await asyncio.wait_for(future, self._probe_timeout_s)
-        except TimeoutError:
-            return ProbeResult.SILENT
-        finally:
-            self._probes.pop(nonce, None)
-        return ProbeResult.STALLED if stalled else ProbeResult.ALIVE
+        return await self._prober.ask(link)
 
     def _probe_message(self, nonce: int) -> Probe:
         interval_s = self._interval_s()
@@ -324,14 +321,13 @@
     async def run(self, ready: asyncio.Event) -> None:
         """Child: renew this entry's leases; drop agents that fell silent."""
         ready.set()
-        loop = asyncio.get_running_loop()
         try:
             while True:
                 interval_s = self._interval_s()
                 await asyncio.sleep(interval_s)
                 for host, link in list(self._links.items()):
                     link.send(self._probe_message(0))
-                    if loop.time() - link.last_heard_s > _LEASE_INTERVALS * interval_s:
+                    if link.unheard_looks() >= _LEASE_INTERVALS:
                         logging.warning("agent %s fell silent", host)
                         link.close()
         finally:
@@ -341,3 +337,7 @@
         dialers = list(self._dialers.values())
         self._dialers.clear()
         await asyncio.gather(*(dialer.stop() for dialer in dialers))
+
+
+def _incarnation(stage: Stage) -> tuple[str, int]:
+    return stage.host, stage.incarnation
--- a/src/railfold/_internal/links/connection.py
+++ b/src/railfold/_internal/links/connection.py
@@ -25,6 +25,7 @@
     decode_frame,
     encode_frame,
 )
+from railfold._internal.waiting import answer_within
 
 __all__ = ["Link", "LinkLimits", "LinkMessage", "LinkPeer", "owner_name"]
 
@@ -80,6 +81,8 @@
         self.peer = LinkPeer("", "", 0, "", "")
         self.peer_version = 0
         self.last_heard_s = 0.0
+        self._looked_at_s = 0.0
+        self._unheard_looks = 0
         self.bytes_sent = 0
         self.bytes_received = 0
 
@@ -98,7 +101,7 @@
         self.send(self._hello)
         timeout_s = self._limits.handshake_timeout_s
         try:
-            frame = await asyncio.wait_for(self._read_frame(), timeout_s)
+            frame = await answer_within(self._read_frame(), timeout_s)
         except LinkProtocolError:
             self.close()
             raise
@@ -195,6 +198,20 @@
         self.bytes_received += _LENGTH.size + length
         return frame
 
+    def unheard_looks(self) -> int:
+        """Look whether the peer was heard; return how many looks in a row found no.
+
+        For the one child that watches this link, at its intervals. Looks are
+        counted and not time, since the first look after a hold-up of the loop may
+        come before the sockets are read: it counts as one, however long it lasted.
+        """
+        if self.last_heard_s > self._looked_at_s:
+            self._looked_at_s = self.last_heard_s
+            self._unheard_looks = 0
+        else:
+            self._unheard_looks += 1
+        return self._unheard_looks
+
     def close(self) -> None:
         """Close the link; safe to call again."""
         self._stream.close()
--- a/src/railfold/_internal/links/endpoint.py
+++ b/src/railfold/_internal/links/endpoint.py
@@ -15,6 +15,7 @@
 from railfold._internal.errors import LinkClosedError, LinkProtocolError
 from railfold._internal.links.connection import Link, LinkLimits
 from railfold._internal.links.messages import Frame, Hello
+from railfold._internal.waiting import answer_within
 
 __all__ = ["LinkDialer", "LinkHandler", "LinkServer", "dial", "serve_link"]
 
@@ -99,7 +100,7 @@
     :raises LinkProtocolError: the peer speaks another protocol.
     """
     try:
-        stream = await asyncio.wait_for(
+        stream = await answer_within(
             TCPClient().connect(
                 address.ip, address.port, max_buffer_size=limits.max_queued_bytes
             ),
--- a/src/railfold/_internal/store/follower.py
+++ b/src/railfold/_internal/store/follower.py
@@ -23,6 +23,7 @@
 )
 from railfold._internal.observability.metrics import Metrics
 from railfold._internal.store.records import LogPage, LogRecord
+from railfold._internal.waiting import answer_within
 
 __all__ = ["SettlingAppender", "StreamFollower", "StreamReader"]
 
@@ -247,7 +248,7 @@
         self._queue.append((write_id, body))
         self._wake.set()
         try:
-            await asyncio.wait_for(future, timeout_s)
+            await answer_within(future, timeout_s)
         except TimeoutError as error:
             raise WriteUnsettledError(
                 "an append wasn't read back in time",
--- a/tests/unit/test_held_up_loop.py
+++ b/tests/unit/test_held_up_loop.py
@@ -1,6 +1,6 @@
-"""An entry that is late itself doesn't take that for the silence of its agents.
+"""A process that is late itself doesn't take that for the silence of its peers.
 
-The agents run on a loop of their own in another thread, so that they answer while
+The peers run on a loop of their own in another thread, so that they answer while
 the loop under test is held up.
 """
 
@@ -14,13 +14,15 @@
 
 import pytest
 
+from railfold._internal.agent.backend import BackendReport
+from railfold._internal.agent.links import AgentLinks
 from railfold._internal.configuration.replica import ConfigurationReplica
-from railfold._internal.core import LayerRange, Stage
+from railfold._internal.core import LayerRange, Stage, parse_address
 from railfold._internal.decisions.heartbeats import HeartbeatPace
 from railfold._internal.decisions.membership import ListedHost
 from railfold._internal.entry.agents import AgentPool
-from railfold._internal.links.connection import Link, LinkLimits
-from railfold._internal.links.endpoint import LinkServer
+from railfold._internal.links.connection import Link, LinkLimits, LinkPeer
+from railfold._internal.links.endpoint import LinkServer, dial
 from railfold._internal.links.messages import (
     Frame,
     Heartbeat,
@@ -29,11 +31,14 @@
     ProbeReply,
 )
 from railfold._internal.observability.metrics import Metrics
+from railfold._internal.waiting import answer_within
 
 pytestmark = pytest.mark.asyncio
 
 LIMITS = LinkLimits()
 LATE_S = 0.3
+INTERVAL_S = 0.05  # Four of them are the silence that ends a link: less than LATE_S.
+AGENT_TICK_S = 0.25  # Between an agent's looks at its links.
 PROBE_TIMEOUT_S = 0.2  # As by default in the settings of an entry.
 STAGE = Stage("a1", "127.0.0.1:1", 7, LayerRange(0, 11))
 
@@ -107,6 +112,22 @@
         self._loop.close()
 
 
+class IdleBackend:
+    """A backend server that an agent has nothing to do with yet."""
+
+    def report(self) -> BackendReport:
+        return BackendReport(available=True, running=0, capacity=8, step_ms=1.0)
+
+    def owned_by(self, owner: str) -> int:
+        return 0
+
+    def stalled(self) -> bool:
+        return False
+
+    def frame(self, link: Link, frame: Frame) -> None:
+        pass
+
+
 class Request:
     """A request in flight, which remembers the hosts it was told are lost."""
 
@@ -147,7 +168,7 @@
         Hello(1, "entry", "e1", 1, "hall-a", "west"),
         ConfigurationReplica(metrics, lambda: None),
         LIMITS,
-        HeartbeatPace(),
+        HeartbeatPace(budget_bytes_per_s=1e9, min_interval_s=INTERVAL_S),
         PROBE_TIMEOUT_S,
         metrics,
         lambda: None,
@@ -200,3 +221,120 @@
     await pool.probe((STAGE,))
     assert standing(pool, "a1") == "serving"
     assert request_in_flight.lost == set()
+
+
+async def test_answer_that_came_during_a_hold_up_counts(
+    running: Agents, pool: AgentPool, request_in_flight: Request
+) -> None:
+    probing = asyncio.create_task(pool.probe((STAGE,)))
+    await until(running.agents["a1"].probed.is_set)
+    time.sleep(LATE_S)  # noqa: ASYNC251 - it is to hold the loop up.
+    await probing
+    assert standing(pool, "a1") == "serving"
+    assert request_in_flight.lost == set()
+
+
+async def test_frozen_agent_is_given_up_while_another_answers(
+    running: Agents, pool: AgentPool, request_in_flight: Request
+) -> None:
+    running.agents["a1"].frozen = True
+    await pool.probe((STAGE,))
+    assert standing(pool, "a1") == "suspect"
+    assert request_in_flight.lost == {"a1"}
+    assert standing(pool, "b1") == "serving"
+
+
+async def test_agents_that_all_stay_silent_are_given_up(
+    running: Agents, pool: AgentPool, request_in_flight: Request
+) -> None:
+    for agent in running.agents.values():
+        agent.frozen = True
+    await pool.probe((STAGE,))
+    assert standing(pool, "a1") == "suspect"
+    assert request_in_flight.lost == {"a1"}
+
+
+async def hold_up_after(sleep_s: float) -> None:
+    """Hold the loop up when a timer set now has ended, before its task wakes."""
+    await asyncio.sleep(sleep_s)
+    time.sleep(LATE_S)  # noqa: ASYNC251 - it is to hold the loop up.
+
+
+async def test_hold_up_beside_an_entrys_look_at_its_links_closes_none(
+    pool: AgentPool, request_in_flight: Request
+) -> None:
+    held_up = asyncio.create_task(hold_up_after(INTERVAL_S))
+    watching = asyncio.create_task(pool.run(asyncio.Event()))
+    await held_up
+    await asyncio.sleep(INTERVAL_S)
+    assert request_in_flight.lost == set()
+    watching.cancel()
+
+
+async def test_hold_up_beside_an_agents_look_at_its_links_closes_none(
+    running: Agents,
+) -> None:
+    links = AgentLinks(ConfigurationReplica(Metrics(), lambda: None), Metrics())
+    links.attach(IdleBackend())  # type: ignore[arg-type]
+    hello = Hello(1, "entry", "e1", 1, "hall-a", "west")
+    link = await dial(parse_address(running.listed[0].address), hello, int, LIMITS)
+    link.peer = LinkPeer("entry", "e2", 1, "hall-a", "west")
+    links.link_up(link)
+    links.frame_received(link, Frame(0, [Probe(1, INTERVAL_S, lease_s=0.4)]))
+    held_up = asyncio.create_task(hold_up_after(AGENT_TICK_S))
+    watching = asyncio.create_task(links.run(asyncio.Event()))
+    await held_up
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert not link.closed
+    watching.cancel()
+    link.close()
+
+
+async def test_hold_up_while_dialling_is_not_taken_for_nobody_there(
+    running: Agents,
+) -> None:
+    hello = Hello(1, "entry", "e1", 1, "hall-a", "west")
+    limits = LinkLimits(handshake_timeout_s=0.2)
+    address = parse_address(running.listed[0].address)
+    for turns in range(1, 6):
+        dialling = asyncio.create_task(dial(address, hello, int, limits))
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        time.sleep(LATE_S)  # noqa: ASYNC251 - it is to hold the loop up.
+        link = await dialling
+        assert link.peer.name == "a1"
+        link.close()
+
+
+async def test_hold_up_at_the_end_of_a_wait_leaves_time_to_read() -> None:
+    arrived = asyncio.Event()
+
+    async def hold_up() -> None:
+        await asyncio.sleep(0.17)
+        time.sleep(LATE_S)  # noqa: ASYNC251 - it is to hold the loop up.
+        arrived.set()
+
+    async def answer() -> str:
+        await arrived.wait()
+        for _ in range(5):  # An answer goes through several turns of the loop.
+            await asyncio.sleep(0)
+        return "answer"
+
+    held_up = asyncio.create_task(hold_up())
+    assert await answer_within(answer(), 0.2) == "answer"
+    assert held_up.done()
+
+
+async def test_a_loop_that_is_always_late_gives_up_too() -> None:
+    async def be_late() -> None:
+        while True:
+            time.sleep(0.03)  # noqa: ASYNC251 - it is to hold the loop up.
+            await asyncio.sleep(0)
+
+    late = asyncio.create_task(be_late())
+    nothing = asyncio.get_running_loop().create_future()
+    with pytest.raises(TimeoutError):
+        await answer_within(nothing, 0.04)
+    assert nothing.cancelled()
+    late.cancel()
