--- a/src/railfold/_internal/forwarding/http_client.py
+++ b/src/railfold/_internal/forwarding/http_client.py
@@ -18,6 +18,7 @@
 from railfold._internal.core import Address
 from railfold._internal.errors import EngineUnavailableError
 from railfold._internal.forwarding.messages import Header, ResponseHead
+from railfold._internal.waiting import answer_within
 
 __all__ = [
     "ExchangeSink",
@@ -244,10 +245,9 @@
     """
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout_s):
-            _, connection = await loop.create_connection(
-                HttpConnection, address.ip, address.port
-            )
+        _, connection = await answer_within(
+            loop.create_connection(HttpConnection, address.ip, address.port), timeout_s
+        )
     except (OSError, TimeoutError) as error:
         raise EngineUnavailableError(
             f"no connection to {address}", why=str(error) or "it took too long"
@@ -315,14 +315,11 @@
     future: asyncio.Future[Response] = asyncio.get_running_loop().create_future()
     try:
         connection.send(method, target, headers, body, _Collector(future))
-        # Unlike a time-out that cancels, this lets an answer count that was read in the
-        # same turn, after the event loop had been held up for longer than the time-out.
-        await asyncio.wait({future}, timeout=timeout_s)
-        if future.done():
-            return future.result()
+        return await answer_within(future, timeout_s)
+    except TimeoutError as error:
         raise EngineUnavailableError(
             "an answer didn't come in time", why=f"it took over {timeout_s:g} s"
-        )
+        ) from error
     finally:
         if connection.busy:
             connection.abort()
