Soak: a large configuration over slow links, and LOST checked

Cause: entries on links of 20 Mbit/s read a configuration with thousands of routes; the read fills the link, streams and answers to probes come late together, and entries take live engines for dead. The soak had no limit of bandwidth and never cut a stream without another fault.

Change: all that is sent towards entries passes one Pipe, first in first out, in chunks of 16 KiB; a sender goes on while its chunk is due within 0.1 s. The fault large_configuration adds 2,000 to 3,000 routes (507 to 761 KB) and limits the pipe for 1.5 s to 20 Mbit/s for each entry (60 Mbit/s for three, as one pipe stands for three links); then the small configuration is published as the next version.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,7 +14,7 @@
 import click
 
 from soak.clients import RECOVER, Client, Observed, check_servers
-from soak.faults import FAULTS, Planned, plan
+from soak.faults import FAULTS, Planned, inject, plan
 from soak.world import World, machine_load
 
 # Served again within this time after the last fault (the sites' recover_s).
@@ -30,9 +30,11 @@
 REGRESSIONS = Path(__file__).with_name("regressions.json")
 
 
-async def run_seed(seed: int, seconds: float, entries: int) -> dict[str, object]:
-    """Run one seed; return its record."""
-    faults = plan(seed, seconds, sorted(FAULTS))
+async def run_seed(
+    seed: int, seconds: float, entries: int, names: list[str]
+) -> dict[str, object]:
+    """Run one seed with faults of these names; return its record."""
+    faults = plan(seed, seconds, names)
     world, seen = World(), Observed()
     await world.start(entries)
     clients = [Client(f"c{n}", world, seen, seed) for n in range(3 * entries)]
@@ -95,7 +97,7 @@
         wait_s = started_s + fault.at_s - asyncio.get_running_loop().time()
         await asyncio.sleep(max(0.0, wait_s))
         rng = random.Random(f"{seed}/{number}")
-        running.append(asyncio.create_task(FAULTS[fault.name](world, rng)))
+        running.append(asyncio.create_task(inject(world, fault.name, rng)))
     await asyncio.gather(*running)
     left_s = started_s + seconds - asyncio.get_running_loop().time()
     await asyncio.sleep(max(0.0, left_s))
@@ -123,11 +125,19 @@
 @click.option("--seconds", default=12.0, help="How long faults come.")
 @click.option("--entries", default=3, help="Entries, each a process.")
 @click.option("--regressions", is_flag=True, help="Also seeds that once failed.")
+@click.option(
+    "--faults", multiple=True, type=click.Choice(sorted(FAULTS)), help="Only these."
+)
 @click.option(
     "--lane", default=0, type=click.IntRange(0, 3), help="Ports: one a soak at a time."
 )
 def main(
-    seeds: str, seconds: float, entries: int, regressions: bool, lane: int
+    seeds: str,
+    seconds: float,
+    entries: int,
+    regressions: bool,
+    faults: tuple[str, ...],
+    lane: int,
 ) -> None:
     """Run seeds one after the other; exit with 1 if a promise was broken."""
     # Ports are dealt out as to test workers, behind the last of those.
@@ -135,9 +145,10 @@
     wanted = _seeds(seeds)
     if regressions and REGRESSIONS.exists():
         wanted += [case["seed"] for case in json.loads(REGRESSIONS.read_text())]
+    names = sorted(faults or FAULTS)
     failed = 0
     for seed in wanted:
-        record = asyncio.run(run_seed(seed, seconds, entries))
+        record = asyncio.run(run_seed(seed, seconds, entries, names))
         failed += bool(record["violations"])
         click.echo(json.dumps(record))
     click.echo(f"{len(wanted) - failed} passed, {failed} failed")
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from soak.faults import HARMLESS_TO_STREAMS
 from soak.world import BUDGET_RATIO, BUDGET_SLACK, BUDGET_WINDOW_S, World
 from standins.chaining_engine import SEAL
 from tests.lib.forwarding import (
@@ -18,7 +19,7 @@
 )
 
 # Rules, by the names of the users' pages.
-MIXED, TWICE, REFUSED, ORDER, LAYERS, DRAIN, RECOVER, BUDGET, GONE = (
+MIXED, TWICE, REFUSED, ORDER, LAYERS, DRAIN, RECOVER, BUDGET, GONE, LOST = (
     "MIXED",
     "TWICE",
     "REFUSED",
@@ -28,6 +29,7 @@
     "RECOVER",
     "BUDGET",
     "GONE",
+    "LOST",
 )
 
 # An engine that drains gets nothing later than this; the platform says 2 s, and
@@ -42,6 +44,9 @@
 _MOST_RUN_ON_SHARE = 0.25
 _FEWEST_LEFT = 8
 
+# A stream may be cut by what another fault left behind for this long.
+_AFTERMATH_S = 4.0
+
 # How often a client leaves its stream after the first events.
 _LEAVE_SHARE = 0.08
 
@@ -90,6 +95,7 @@
     async def _one(self) -> None:
         self._number += 1
         request_id = f"{self._name}-{self._number}"
+        began_s = asyncio.get_running_loop().time()
         kind = self._rng.choice(["draft", "draft", "slip", "tray"])
         count = self._rng.randint(3, 60)
         leaves = kind == "draft" and self._rng.random() < _LEAVE_SHARE
@@ -110,6 +116,8 @@
             self._drop()
             return
         self._judge(kind, request_id, count, reply)
+        if kind == "draft" and reply.status == 200 and not reply.whole:
+            self._judge_cut(request_id, began_s)
         if not reply.whole or reply.headers.get("Connection") == "close":
             self._drop()
 
@@ -156,6 +164,13 @@
         if reply.whole:
             seen.served_at_s.append(asyncio.get_running_loop().time())
 
+    def _judge_cut(self, request_id: str, began_s: float) -> None:
+        """A stream that began may be cut only where a fault may have caused it."""
+        active = self._world.faults_after(began_s - _AFTERMATH_S)
+        if active <= HARMLESS_TO_STREAMS:
+            beside = ", ".join(sorted(active)) or "no fault"
+            self._seen.violated(LOST, f"{request_id} was cut, beside {beside}")
+
 
 def check_servers(world: World, seen: Observed) -> None:
     """Look at what the backend servers saw, once nothing runs any more."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,7 +9,14 @@
 from dataclasses import dataclass
 from typing import Any
 
-from soak.world import World
+from soak.world import Injected, World
+
+# The link of an entry of the smaller kind, and for how long entries have it.
+_SLOW_BPS = 20e6
+_SLOW_S = 1.5
+
+# 0.5 to 0.75 MB of JSON.
+_FURTHER_ROUTES = (2000, 3000)
 
 Fault = Callable[[World, random.Random], Coroutine[Any, Any, None]]
 
@@ -30,6 +37,14 @@
     return [Planned(round(at_s, 2), rng.choice(names)) for at_s in times]
 
 
+async def inject(world: World, name: str, rng: random.Random) -> None:
+    """Inject a fault, and note when it was active."""
+    injected = Injected(name)
+    world.injected.append(injected)
+    await FAULTS[name](world, rng)
+    injected.ended_s = asyncio.get_running_loop().time()
+
+
 async def entry_kill(world: World, rng: random.Random) -> None:
     """Kill an entry."""
     rng.choice(world.entries).signal(signal.SIGKILL)
@@ -133,6 +148,15 @@
     world.configure()
 
 
+async def large_configuration(world: World, rng: random.Random) -> None:
+    """Publish a large configuration while little bandwidth leads to the entries."""
+    world.to_entries.limits_bps.append(_SLOW_BPS)
+    world.configure(further_routes=rng.randint(*_FURTHER_ROUTES))
+    await asyncio.sleep(_SLOW_S)
+    world.to_entries.limits_bps.remove(_SLOW_BPS)
+    world.configure()
+
+
 FAULTS: dict[str, Fault] = {
     "all_servers_refuse": all_servers_refuse,
     "configure": configure,
@@ -140,6 +164,7 @@
     "entry_pause": entry_pause,
     "entry_reload": entry_reload,
     "entry_stop": entry_stop,
+    "large_configuration": large_configuration,
     "link_fault": link_fault,
     "server_crash": server_crash,
     "server_fault": server_fault,
@@ -147,3 +172,8 @@
     "store_fault": store_fault,
     "store_forgets": store_forgets,
 }
+
+# Beside these no stream that began may be cut.
+HARMLESS_TO_STREAMS = frozenset(
+    {"configure", "entry_reload", "large_configuration", "store_forgets"}
+)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -4,8 +4,43 @@
 
 import asyncio
 import contextlib
+import math
 from dataclasses import dataclass, field
 
+_CHUNK_BYTES = 16384
+
+# Chunks that are due within this time are on the way: their senders go on.
+_QUEUED_S = 0.1
+
+# What a chunk takes at least: of callbacks due at one time any may run first.
+_LEAST_S = 1e-6
+
+
+@dataclass
+class Pipe:
+    """What several links share: chunks pass it first in, first out.
+
+    :param hosts: how many hosts it leads to; each adds the same bandwidth.
+    :param limits_bps: of the bandwidth of each host; the lowest counts.
+    """
+
+    hosts: int
+    limits_bps: list[float] = field(default_factory=list)
+    _free_s: float = 0.0
+
+    async def send(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        """Deliver a chunk in its turn; return when the sender may go on.
+
+        :param data: empty for an end, which is waited for.
+        """
+        loop = asyncio.get_running_loop()
+        rate_bps = self.hosts * min(self.limits_bps, default=math.inf)
+        takes_s = max(_LEAST_S, len(data) * 8 / rate_bps)
+        self._free_s = max(self._free_s, loop.time()) + takes_s
+        loop.call_at(self._free_s, _deliver, writer, data)
+        go_on_s = self._free_s - _QUEUED_S if data else self._free_s + _LEAST_S
+        await asyncio.sleep(go_on_s - loop.time())
+
 
 @dataclass
 class Link:
@@ -14,9 +49,11 @@
     :param mode: ``"ok"``, ``"delay"`` (each chunk waits ``delay_s``),
         ``"silent"`` (nothing passes), ``"deaf"`` (nothing comes back) or
         ``"refuse"`` (new connections are closed).
+    :param pipe: what answers pass, also those of other links.
     """
 
     port: int
+    pipe: Pipe
     mode: str = "ok"
     delay_s: float = 0.0
     listen_port: int = 0
@@ -68,14 +105,29 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, answers: bool
     ) -> None:
         with contextlib.suppress(OSError):
-            while data := await reader.read(65536):
+            while data := await reader.read(_CHUNK_BYTES):
                 if self.mode == "delay":
                     await asyncio.sleep(self.delay_s)
                 while self.mode == "silent" or (self.mode == "deaf" and answers):  # noqa: ASYNC110
                     await asyncio.sleep(0.02)
-                writer.write(data)
+                if answers:
+                    await self.pipe.send(writer, data)
+                else:
+                    _deliver(writer, data)
                 await writer.drain()
         # An end is passed on as it is: the far side tells a whole answer by it.
-        with contextlib.suppress(OSError, RuntimeError):
-            if writer.can_write_eof():
-                writer.write_eof()
+        if answers:
+            await self.pipe.send(writer, b"")
+        else:
+            _deliver(writer, b"")
+
+
+def _deliver(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Write a chunk, or an end, unless the connection was reset meanwhile."""
+    if writer.transport.is_closing():
+        return
+    with contextlib.suppress(OSError, RuntimeError):
+        if data:
+            writer.write(data)
+        elif writer.can_write_eof():
+            writer.write_eof()
--- a/soak/world.py
+++ b/soak/world.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import os
 import signal
 import sys
@@ -15,7 +16,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
-from soak.proxy import Link
+from soak.proxy import Link, Pipe
 from standins.chaining_engine import LAYERS, Engine
 from standins.cluster import free_port
 from standins.metadata_store import MetadataStore
@@ -24,6 +25,7 @@
     PLAIN_SERVICE,
     ZONES,
     configuration,
+    routes,
 )
 
 # What all entries together may send beyond the first send of each request.
@@ -119,6 +121,14 @@
             await self._keeper
 
 
+@dataclass
+class Injected:
+    """A fault that was injected, and when it ended if it has."""
+
+    name: str
+    ended_s: float = math.inf
+
+
 @dataclass
 class World:
     """Everything of one run; proxies stand before the store and each engine."""
@@ -131,6 +141,7 @@
     gone: list[Engine] = field(default_factory=list)
     entries: list[Entry] = field(default_factory=list)
     links: dict[str, Link] = field(default_factory=dict)
+    injected: list[Injected] = field(default_factory=list)
     version: int = 1
     store_outages_s: list[float] = field(default_factory=list)
     _count: Counter[str] = field(default_factory=Counter)
@@ -142,6 +153,7 @@
 
     async def start(self, entries: int) -> None:
         """Start all; entries are ready once they answer their balancer."""
+        self.to_entries = Pipe(entries)
         sockets = bind_sockets(0, "127.0.0.1")
         self._store_server = HTTPServer(self.store.application())
         self._store_server.add_sockets(sockets)
@@ -154,7 +166,7 @@
                 self.engines.append(await self._engine(zone, layers))
             self.plain.append(await self._engine(zone, None))
         for number in range(entries):
-            link = Link(store_port)
+            link = Link(store_port, self.to_entries)
             await link.start()
             name = f"entry-{number}"
             self.links[f"store-{name}"] = link
@@ -177,7 +189,7 @@
             layers=layers,
             port=free_port(),
         )
-        link = Link(engine.port)
+        link = Link(engine.port, self.to_entries)
         await link.start()
         self.links[server_id] = link
         engine.told_address = f"127.0.0.1:{link.listen_port}"
@@ -203,10 +215,23 @@
         """Return whether the store, or a link to it, was faulty from then on."""
         return any(at_s >= since_s - 4.0 for at_s in self.store_outages_s)
 
-    def configure(self, **changes: object) -> None:
-        """Publish the next version of the configuration."""
+    def faults_after(self, since_s: float) -> set[str]:
+        """Return the names of faults that were active at some time from then on."""
+        return {fault.name for fault in self.injected if fault.ended_s >= since_s}
+
+    def configure(self, further_routes: int = 0) -> None:
+        """Publish the next version of the configuration.
+
+        :param further_routes: how many routes it has that no client asks for.
+        """
         self.version += 1
-        self.store.put("keyed.op", "config", configuration(self.version, **changes))
+        every = routes()
+        every += [
+            {**every[0], "name": f"further-{n}", "path_prefix": f"/further/{n}/"}
+            for n in range(further_routes)
+        ]
+        document = configuration(self.version, routes=every)
+        self.store.put("keyed.op", "config", document)
 
     async def stop(self) -> None:
         """Stop all that was started."""
