Soak: cases that failed are kept with their faults and length

regressions.json held seeds only; now also which faults they drew from and for how long. They don't repeat exactly: how requests meet faults differs from run to run.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 import time
+from dataclasses import dataclass
 from pathlib import Path
 
 import click
@@ -30,11 +31,28 @@
 REGRESSIONS = Path(__file__).with_name("regressions.json")
 
 
-async def run_seed(
-    seed: int, seconds: float, entries: int, names: list[str]
-) -> dict[str, object]:
-    """Run one seed with faults of these names; return its record."""
-    faults = plan(seed, seconds, names)
+@dataclass(frozen=True)
+class Case:
+    """A seed and what it is run with.
+
+    :param names: the faults that are drawn from.
+    """
+
+    seed: int
+    seconds: float
+    names: tuple[str, ...]
+
+
+def regressions() -> list[Case]:
+    """Return the cases that ever failed, as they were run then."""
+    rows = json.loads(REGRESSIONS.read_text())
+    return [Case(row["seed"], row["seconds"], tuple(row["faults"])) for row in rows]
+
+
+async def run_case(case: Case, entries: int) -> dict[str, object]:
+    """Run one case; return its record."""
+    seed, seconds = case.seed, case.seconds
+    faults = plan(seed, seconds, list(case.names))
     world, seen = World(), Observed()
     await world.start(entries)
     clients = [Client(f"c{n}", world, seen, seed) for n in range(3 * entries)]
@@ -124,7 +142,9 @@
 @click.option("--seeds", default="1", help="One seed, or a range like 1-50.")
 @click.option("--seconds", default=12.0, help="How long faults come.")
 @click.option("--entries", default=3, help="Entries, each a process.")
-@click.option("--regressions", is_flag=True, help="Also seeds that once failed.")
+@click.option(
+    "--regressions", "with_regressions", is_flag=True, help="Also cases that failed."
+)
 @click.option(
     "--faults", multiple=True, type=click.Choice(sorted(FAULTS)), help="Only these."
 )
@@ -135,20 +155,20 @@
     seeds: str,
     seconds: float,
     entries: int,
-    regressions: bool,
+    with_regressions: bool,
     faults: tuple[str, ...],
     lane: int,
 ) -> None:
     """Run seeds one after the other; exit with 1 if a promise was broken."""
     # Ports are dealt out as to test workers, behind the last of those.
     os.environ["PYTEST_XDIST_WORKER"] = f"gw{FIRST_LANE + lane}"
-    wanted = _seeds(seeds)
-    if regressions and REGRESSIONS.exists():
-        wanted += [case["seed"] for case in json.loads(REGRESSIONS.read_text())]
-    names = sorted(faults or FAULTS)
+    names = tuple(sorted(faults or FAULTS))
+    wanted = [Case(seed, seconds, names) for seed in _seeds(seeds)]
+    if with_regressions:
+        wanted += regressions()
     failed = 0
-    for seed in wanted:
-        record = asyncio.run(run_seed(seed, seconds, entries, names))
+    for case in wanted:
+        record = asyncio.run(run_case(case, entries))
         failed += bool(record["violations"])
         click.echo(json.dumps(record))
     click.echo(f"{len(wanted) - failed} passed, {failed} failed")
