An answer that is kept on suspicion shows in the logs

One line for each reason (attempt_kept) and a counter (attempts.kept), so that a stream that waited for a place can be told from one whose engine was believed well.

--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -59,6 +59,7 @@
 from railfold._internal.forwarding.stream_watch import Silence, StreamWatch
 from railfold._internal.observability.events import (
     AttemptEnded,
+    AttemptKept,
     AttemptStarted,
     RequestEnded,
     StreamRerouted,
@@ -120,6 +121,7 @@
         self._cause = ""
         # Why its engine is given up, while its answer waits for another place.
         self._lost = ""
+        self._kept = ""
         self._looking: asyncio.TimerHandle | None = None
         self._place: Destination | None = None
         self._place_due_s = 0.0
@@ -362,7 +364,7 @@
 
     def _pass_events(self, data: bytes) -> None:
         since_s = self._watch.progressed()
-        self._lost = ""
+        self._lost = self._kept = ""
         whole = self._cursor.feed(data) if self._streaming else data
         if whole:
             self._watch.event(since_s)
@@ -401,13 +403,17 @@
         if not self._route.repeatable:
             return
         if self._answer.begun and not self._find_place():
-            if self._lost:
-                self._look_again_later()
+            self._keep(reason)
             return
         self._end_attempt(reason)
 
-    def _look_again_later(self) -> None:
-        if self._looking is None:
+    def _keep(self, reason: str) -> None:
+        """Let the attempt go on; if its engine is lost, look for a place again."""
+        if reason != self._kept:
+            self._kept = reason
+            self._router.metrics.count("attempts.kept")
+            self._log_kept(reason)
+        if self._lost and self._looking is None:
             self._looking = self._loop.call_later(_PLACE_INTERVAL_S, self._look_again)
 
     def _look_again(self) -> None:
@@ -436,7 +442,7 @@
 
     def _release(self) -> Destination | None:
         """Let go of the attempt under way, if there is one."""
-        self._lost = ""
+        self._lost = self._kept = ""
         if self._looking is not None:
             self._looking.cancel()
             self._looking = None
@@ -462,6 +468,20 @@
             )
         )
 
+    def _log_kept(self, cause: str) -> None:
+        destination = self._destination
+        assert destination is not None
+        self._router.log.write(
+            AttemptKept(
+                self._request.request_id,
+                self._attempts,
+                destination.server.host,
+                cause,
+                self._cursor.events,
+                round(self._watch.silent_s * 1000, 1),
+            )
+        )
+
     # Silence
 
     def _watch_chain(self, destination: Destination) -> None:
--- a/src/railfold/_internal/forwarding/probes.py
+++ b/src/railfold/_internal/forwarding/probes.py
@@ -43,8 +43,9 @@
 
 __all__ = ["ChainProber"]
 
-# How long a stream waits for its first engine's word on whom it waits for. A live
-# engine answers its report within a few milliseconds, also under load.
+# How long a stream waits for its first engine's word on whom it waits for; after that
+# the first engine itself is looked at. On an idle way a report takes a few
+# milliseconds.
 _REPORT_TIMEOUT_S = 0.05
 
 # How long a suspect backend server is given when it is asked again; nothing waits.
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "AttemptEnded",
+    "AttemptKept",
     "AttemptStarted",
     "ChainProbed",
     "ConfigurationAccepted",
@@ -140,6 +141,17 @@
     silent_ms: float
 
 
+class AttemptKept(msgspec.Struct, frozen=True, tag="attempt_kept"):
+    """Its engine is given up, but nothing else can finish the answer now."""
+
+    request_id: str
+    attempt: int
+    server_id: str
+    cause: str
+    events: int
+    silent_ms: float
+
+
 class ChainProbed(msgspec.Struct, frozen=True, tag="chain_probed"):
     """The backend servers of a silent chain were asked whether they live.
 
@@ -201,6 +213,7 @@
     | LayersPlanned
     | AttemptStarted
     | AttemptEnded
+    | AttemptKept
     | ChainProbed
     | StreamRerouted
     | RequestEnded
--- a/src/railfold/_internal/operations/request_trace.py
+++ b/src/railfold/_internal/operations/request_trace.py
@@ -9,6 +9,7 @@
 
 from railfold._internal.observability.events import (
     AttemptEnded,
+    AttemptKept,
     AttemptStarted,
     ChainProbed,
     ConfigurationAccepted,
@@ -87,6 +88,7 @@
         case (
             AttemptStarted(request_id=request_id)
             | AttemptEnded(request_id=request_id)
+            | AttemptKept(request_id=request_id)
             | ChainProbed(request_id=request_id)
             | StreamRerouted(request_id=request_id)
             | RequestEnded(request_id=request_id)
@@ -101,7 +103,7 @@
         case AttemptStarted(server_id=server_id, chain=chain):
             stages = {stage.partition(":")[0] for stage in chain.split()}
             return {server_id, *stages}
-        case AttemptEnded(server_id=server_id):
+        case AttemptEnded(server_id=server_id) | AttemptKept(server_id=server_id):
             return {server_id}
         case ChainProbed(lost=lost):
             return set(lost)
