A test for requests that may not run again and whose engine is suspected

The row of mechanisms for it passed without its mechanism (42 others failed as they must): the test that it named no longer reached the place. This one does; without the mechanism it fails (run alone).

--- a/tests/forwarding/test_suspicion.py
+++ b/tests/forwarding/test_suspicion.py
@@ -223,3 +223,17 @@
     refused = await deployment.ask("/tray/1", "t-1", headers=no_tokens)
     assert refused.status == 503
     assert (await rest_of(connection)).status == 200
+
+
+async def test_a_request_that_may_not_run_again_is_left_to_its_engine(
+    deployment: Deployment,
+) -> None:
+    for service in deployment.plain:
+        service.event_s = 0.3
+    connection = await deployment.connect()
+    await connection.send("/slip/1", "u-1")
+    await until(lambda: runs(deployment, "u-1") == 1)
+    (used,) = [p for p in deployment.plain if p.runs["u-1"]]
+    deployment.entry.router.report_lost(frozenset({used.server_id}))
+    assert (await rest_of(connection)).status == 200
+    assert runs(deployment, "u-1") == 1
