Soak: retries are bound by what clients sent, as the rule says

Trace: entries had refused 140 requests to it themselves while the store was away (their attempts ended with 'whether the credential still holds isn't known'), and counted them as first attempts; 45 of the others were then sent twice while all servers refused. The users' rule counts requests that clients sent, whether they arrived or not, so that the case is allowed and the check was wrong: it counted arrivals. It now counts what clients sent to each service.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -65,6 +65,12 @@
     unsafe_ids: set[str] = field(default_factory=set)
     served_at_s: list[float] = field(default_factory=list)
     left_at_s: dict[str, float] = field(default_factory=dict)
+    sent_at_s: dict[str, list[float]] = field(default_factory=dict)
+
+    def sent(self, service: str) -> None:
+        """Note that a client sent a request on a route to a service."""
+        now_s = asyncio.get_running_loop().time()
+        self.sent_at_s.setdefault(service, []).append(now_s)
 
     def violated(self, rule: str, what: str) -> None:
         """Note a broken promise."""
@@ -107,6 +113,7 @@
             connection = await self._connect()
             options = {"method": "GET", "body": b""} if kind == "tray" else {}
             await connection.send(f"/{kind}/1", request_id, events=count, **options)
+            self._seen.sent(MODEL_SERVICE if kind == "draft" else PLAIN_SERVICE)
             if leaves:
                 await self._leave(connection, request_id)
                 return
@@ -196,24 +203,28 @@
 
 
 def _check_budget(world: World, seen: Observed) -> None:
-    """Count arrivals beyond the first of each request, in every window."""
+    """Count arrivals beyond the first of each request, in every window.
+
+    They are bound by the requests that clients sent to the service, whether or not
+    those arrived there: entries refuse some themselves.
+    """
     for service in (MODEL_SERVICE, PLAIN_SERVICE):
         arrivals = sorted(
             (a for s in world.servers if s.service == service for a in s.arrivals),
             key=lambda arrival: arrival.at_s,
         )
         known: set[str] = set()
-        first_s: list[float] = []
+        sent_s = seen.sent_at_s.get(service, [])
         further_s: list[float] = []
         for arrival in arrivals:
-            is_first = arrival.request_id not in known
-            (first_s if is_first else further_s).append(arrival.at_s)
+            if arrival.request_id in known:
+                further_s.append(arrival.at_s)
             known.add(arrival.request_id)
         for end_s in further_s:
             spent = _within(further_s, end_s)
             # The rule takes the busiest of this window and those before it.
             asked = max(
-                _within(first_s, end_s - earlier * BUDGET_WINDOW_S)
+                _within(sent_s, end_s - earlier * BUDGET_WINDOW_S)
                 for earlier in (0.0, 0.5, 1.0)
             )
             if spent > BUDGET_RATIO * asked + BUDGET_SLACK:
