--- a/tests/forwarding/test_own_lateness.py
+++ b/tests/forwarding/test_own_lateness.py
@@ -39,7 +39,9 @@
 from railfold._internal.errors import EngineUnavailableError
 from railfold._internal.forwarding import exchange
 from railfold._internal.forwarding.http_client import HttpConnection, connect, fetch
+from standins.chaining_engine import Engine
 from tests.lib.forwarding import (
+    Connection,
     Deployment,
     begin_stream,
     events_of,
@@ -141,11 +143,10 @@
     connection.close()
 
 
-async def test_a_stream_with_nowhere_else_to_go_waits_for_its_engine(
-    deployment: Deployment,
+async def check_that_it_waits(
+    deployment: Deployment, connection: Connection, first: Engine
 ) -> None:
-    connection, first = await begin_stream(deployment, events=200)
-    await let_others_drain(deployment, first)
+    """Let a later engine stand still; the stream of 200 events must outlast it."""
     later = later_engine(deployment, first)
     later.mode = "dead"
     await until(lambda: bool(suspects(deployment)))
@@ -156,6 +157,14 @@
     assert runs(deployment, "s-1") == 1
 
 
+async def test_a_stream_with_nowhere_else_to_go_waits_for_its_engine(
+    deployment: Deployment,
+) -> None:
+    connection, first = await begin_stream(deployment, events=200)
+    await let_others_drain(deployment, first)
+    await check_that_it_waits(deployment, connection, first)
+
+
 async def test_a_stream_without_a_retry_left_waits_for_its_engine(
     deployment: Deployment,
 ) -> None:
@@ -163,14 +172,7 @@
     entry = deployment.entry
     entry._on_settings(replace(entry._settings, retry_share=0.0, retry_slack=0.0))
     await asyncio.sleep(0.3)
-    later = later_engine(deployment, first)
-    later.mode = "dead"
-    await until(lambda: bool(suspects(deployment)))
-    await asyncio.sleep(0.3)
-    later.mode = "ok"
-    reply = await rest_of(connection)
-    assert (reply.whole, reply.body) == (True, events_of(200))
-    assert runs(deployment, "s-1") == 1
+    await check_that_it_waits(deployment, connection, first)
 
 
 async def test_an_engine_is_asked_again_when_a_connection_closes(
