An incarnation is its id and start; records that mean nothing name no server

Cause: an engine may start again under its id. All that is kept of one went by the id, so that its successor inherited load, slowness and suspicion, a probe that it answered was a sign of life of the dead one, and an order could be given to it.

Ruled out: the address alone (an address is reused), a probe's id (it stays).

Change: registrations, reports, orders' and health answers are told apart by when their sender started; what ran on a former incarnation is lost (goes on elsewhere, or is unknown); an older start that is read late changes nothing. Registrations are checked at the border; one rule for copy and tail.

--- a/src/railfold/_internal/decisions/engine_directory.py
+++ b/src/railfold/_internal/decisions/engine_directory.py
@@ -11,32 +11,47 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from railfold._internal.core import LayerRange, Stage
 from railfold._internal.decisions.planner import Replica
 from railfold._internal.decisions.routing_table import EngineModel
 
-__all__ = ["DirectoryEntry", "EngineDirectory", "Registration"]
+__all__ = [
+    "UNKNOWN_INCARNATION",
+    "DirectoryEntry",
+    "EngineDirectory",
+    "Registration",
+    "RegistrationTaken",
+]
 
 # A backend server that lives has registered again about 2 s after the store is
 # back (the platform's word); the rest is for reading it.
 _RETURN_GRACE_S = 2.3
 
+# Stands in a stage for the start of a backend server that doesn't tell it.
+UNKNOWN_INCARNATION = 0
+
+# Of so many servers that left the start is kept, so that an older registration that is
+# read late doesn't bring one back. Reads under way are some seconds old at most.
+_DEPARTED_KEPT = 4096
+
 
 @dataclass(frozen=True, slots=True)
 class Registration:
     """What a backend server registered of itself.
 
-    :param server_id: names one incarnation of the backend server.
+    :param registered_id: the id that it registers under. A restart may keep it.
     :param address: ``ip:port``.
     :param slots: how many requests it works on at a time.
     :param model: name of the model that ``layers`` are of.
     :param layers: the layers it holds, if it is a model engine that holds any.
     :param accelerator: kind of its accelerator, if it is a model engine.
+    :param started_at_ms: Unix time of its start, which tells its incarnations apart;
+        ``None`` if it doesn't say, and then the id alone names it.
     """
 
-    server_id: str
+    registered_id: str
     service: str
     address: str
     failure_domain: str
@@ -45,6 +60,14 @@
     model: str = ""
     layers: LayerRange | None = None
     accelerator: str = ""
+    started_at_ms: int | None = None
+
+    @property
+    def server_id(self) -> str:
+        """The name of this incarnation, by which all that is known of it is kept."""
+        if self.started_at_ms is None:
+            return self.registered_id
+        return f"{self.registered_id}@{self.started_at_ms}"
 
     @property
     def is_model_engine(self) -> bool:
@@ -54,24 +77,33 @@
 
 @dataclass(slots=True, eq=False)
 class DirectoryEntry:
-    """A backend server as this entry knows it; compared by identity.
+    """One incarnation of a backend server as this entry knows it.
 
+    Compared by identity.
+
+    :param server_id: names the incarnation.
     :param own_load: this entry's own requests there; of a model engine, the
         tokens that they may grow to.
     :param removal_due_s: when a removal that was read counts, if one was.
     :param slowness: how many times longer than usual its steps take, as it last told.
     """
 
+    server_id: str
     registration: Registration
     own_load: int = 0
     slowness: float = 1.0
     suspect_since_s: float | None = None
     removal_due_s: float | None = None
 
-    @property
-    def server_id(self) -> str:
-        """The backend server's id."""
-        return self.registration.server_id
+    def stage(self, layers: LayerRange) -> Stage:
+        """Return it as a stage of a chain."""
+        started_at_ms = self.registration.started_at_ms
+        incarnation = UNKNOWN_INCARNATION if started_at_ms is None else started_at_ms
+        return Stage(self.server_id, self.registration.address, incarnation, layers)
+
+    def is_another(self, started_at_ms: int | None) -> bool:
+        """Return whether somebody who started then is surely another incarnation."""
+        return _differ(self.registration.started_at_ms, started_at_ms)
 
     @property
     def routable(self) -> bool:
@@ -79,69 +111,149 @@
         return self.suspect_since_s is None and not self.registration.draining
 
 
+@dataclass(frozen=True, slots=True)
+class RegistrationTaken:
+    """What became of a registration.
+
+    :param entry: the incarnation that it tells of; none if it is outdated.
+    :param ended: incarnations that surely ended, since another one is in their place.
+    """
+
+    entry: DirectoryEntry | None
+    ended: tuple[str, ...] = ()
+
+
 class EngineDirectory:
-    """All registered backend servers."""
+    """All registered backend servers.
+
+    There is one incarnation of each registered id, and one at each address.
+    """
 
     def __init__(self) -> None:
         self._entries: dict[str, DirectoryEntry] = {}
+        self._by_registered_id: dict[str, DirectoryEntry] = {}
+        self._by_address: dict[str, DirectoryEntry] = {}
+        self._departed_started_at_ms: dict[str, int] = {}
         self._returned_s: float | None = None
 
     def __iter__(self) -> Iterator[DirectoryEntry]:
         return iter(self._entries.values())
 
     def get(self, server_id: str) -> DirectoryEntry | None:
-        """Return a backend server's entry."""
+        """Return an incarnation's entry."""
         return self._entries.get(server_id)
 
+    def registered_as(self, registered_id: str) -> DirectoryEntry | None:
+        """Return the backend server that is registered under an id."""
+        return self._by_registered_id.get(registered_id)
+
     def at(self, address: str) -> DirectoryEntry | None:
         """Return the backend server that is registered at an address."""
-        entries = self._entries.values()
-        return next((e for e in entries if e.registration.address == address), None)
+        return self._by_address.get(address)
 
     def store_returned(self, now_s: float) -> None:
         """The store answers again after an outage."""
         self._returned_s = now_s
 
-    def register(self, registration: Registration) -> DirectoryEntry:
+    def register(self, registration: Registration) -> RegistrationTaken:
         """Take a registration, new or renewed.
 
-        A new incarnation at an address ends the one that was there: a probe of
-        the address would find the dead one well.
+        A new incarnation under an id or at an address ends the one that was there: a
+        probe of the address would find the dead one well. One that started before
+        what is known there was read late, and changes nothing.
         """
-        entry = self._entries.get(registration.server_id)
-        if entry is None:
-            predecessor = self.at(registration.address)
-            if predecessor is not None:
-                del self._entries[predecessor.server_id]
-            entry = DirectoryEntry(registration)
-            self._entries[registration.server_id] = entry
+        known = self.registered_as(registration.registered_id)
+        in_place = self.at(registration.address)
+        if self._is_outdated(registration, known, in_place):
+            return RegistrationTaken(None)
+        if known is not None and not known.is_another(registration.started_at_ms):
+            entry = known
+        else:
+            entry = DirectoryEntry(registration.server_id, registration)
+        in_its_place = {e.server_id: e for e in (known, in_place) if e is not None}
+        ended = [e for e in in_its_place.values() if e is not entry]
+        for predecessor in ended:
+            self._depart(predecessor)
+        self._take(entry, registration)
+        return RegistrationTaken(entry, tuple(e.server_id for e in ended))
+
+    def _is_outdated(
+        self,
+        registration: Registration,
+        known: DirectoryEntry | None,
+        in_place: DirectoryEntry | None,
+    ) -> bool:
+        started_at_ms = registration.started_at_ms
+        departed_ms = self._departed_started_at_ms.get(registration.registered_id)
+        if _before(started_at_ms, departed_ms):
+            return True
+        return any(
+            _before(started_at_ms, entry.registration.started_at_ms)
+            for entry in (known, in_place)
+            if entry is not None
+        )
+
+    def _take(self, entry: DirectoryEntry, registration: Registration) -> None:
+        """Let an entry say what was registered last."""
+        if self._by_address.get(entry.registration.address) is entry:
+            del self._by_address[entry.registration.address]
+        if registration.started_at_ms is None:
+            # The id alone is no word against the incarnation that is known.
+            started_at_ms = entry.registration.started_at_ms
+            registration = replace(registration, started_at_ms=started_at_ms)
         entry.registration = registration
         entry.removal_due_s = None
-        return entry
-
-    def remove(self, server_id: str, now_s: float) -> None:
+        self._entries[entry.server_id] = entry
+        self._by_registered_id[registration.registered_id] = entry
+        self._by_address[registration.address] = entry
+
+    def _depart(self, entry: DirectoryEntry) -> None:
+        registration = entry.registration
+        self._entries.pop(entry.server_id, None)
+        if self._by_registered_id.get(registration.registered_id) is entry:
+            del self._by_registered_id[registration.registered_id]
+        if self._by_address.get(registration.address) is entry:
+            del self._by_address[registration.address]
+        if registration.started_at_ms is not None:
+            departed = self._departed_started_at_ms
+            departed.pop(registration.registered_id, None)
+            departed[registration.registered_id] = registration.started_at_ms
+            if len(departed) > _DEPARTED_KEPT:
+                del departed[next(iter(departed))]
+
+    def remove(self, registered_id: str, now_s: float) -> None:
         """Take the removal of a registration."""
-        entry = self._entries.get(server_id)
+        entry = self.registered_as(registered_id)
         if entry is None:
             return
         due_s = now_s
         if self._returned_s is not None:
             due_s = max(now_s, self._returned_s + _RETURN_GRACE_S)
         if due_s <= now_s:
-            del self._entries[server_id]
+            self._depart(entry)
         elif entry.removal_due_s is None:
             entry.removal_due_s = due_s
 
+    def withdraw(self, registered_id: str) -> None:
+        """Take a record that names no backend server to use any more.
+
+        Unlike a removal after an outage of the store it counts at once: somebody wrote
+        it, nothing lapsed.
+        """
+        entry = self.registered_as(registered_id)
+        if entry is not None:
+            self._depart(entry)
+
     def expire(self, now_s: float) -> list[str]:
         """Drop entries whose removal has come to count; return their ids."""
         due = [
-            entry.server_id
+            entry
             for entry in self._entries.values()
             if entry.removal_due_s is not None and entry.removal_due_s <= now_s
         ]
-        for server_id in due:
-            del self._entries[server_id]
-        return due
+        for entry in due:
+            self._depart(entry)
+        return [entry.server_id for entry in due]
 
     def suspect(self, server_id: str, now_s: float) -> bool:
         """Give it no new work; return whether it got any before."""
@@ -165,7 +277,7 @@
         """Return a plain service's backend servers that may get new work."""
         return [
             Replica(
-                Stage(e.server_id, e.registration.address, 0, LayerRange(0, 0)),
+                e.stage(LayerRange(0, 0)),
                 e.registration.failure_domain,
                 region,
                 in_flight=e.own_load,
@@ -193,12 +305,12 @@
             accelerator = model.accelerators.get(registration.accelerator)
             if not entry.routable or layers is None or accelerator is None:
                 continue
-            if registration.model != model.name:
+            if registration.model != model.name or not model.has_layers(layers):
                 continue
             capacity = max(1, model.state_tokens(accelerator, len(layers)))
             found.append(
                 Replica(
-                    Stage(entry.server_id, registration.address, 0, layers),
+                    entry.stage(layers),
                     registration.failure_domain,
                     region,
                     in_flight=_reckoned_load(entry.own_load, entries, capacity),
@@ -219,3 +331,13 @@
     if own >= capacity:
         return own
     return min(own * entries, capacity - 1)
+
+
+def _differ(one_ms: int | None, other_ms: int | None) -> bool:
+    """Return whether two starts are known, and aren't the same."""
+    return one_ms is not None and other_ms is not None and one_ms != other_ms
+
+
+def _before(one_ms: int | None, other_ms: int | None) -> bool:
+    """Return whether two starts are known, and the first was before the other."""
+    return one_ms is not None and other_ms is not None and one_ms < other_ms
--- a/src/railfold/_internal/decisions/routing_table.py
+++ b/src/railfold/_internal/decisions/routing_table.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum, auto
 
+from railfold._internal.core import LayerRange
 from railfold._internal.errors import (
     NotReadyError,
     UnauthorizedError,
@@ -136,6 +137,10 @@
     prompt_s: float = 0.0
     answer_tokens: int = 200
 
+    def has_layers(self, layers: LayerRange) -> bool:
+        """Return whether the model has all of these layers."""
+        return 0 <= layers.first <= layers.last < self.layer_count
+
     def state_tokens(self, accelerator: Accelerator, layers: int) -> int:
         """Return how many tokens of requests fit beside so many layers."""
         free_mb = accelerator.memory_mb - layers * self.layer_mb
--- a/src/railfold/_internal/forwarding/dialect.py
+++ b/src/railfold/_internal/forwarding/dialect.py
@@ -41,6 +41,7 @@
     """How a request is sent to its backend server.
 
     :param server_id: the one incarnation that may run it.
+    :param registered_id: the id under which that one is registered.
     :param chain: the stages that run it, if it is for a model.
     :param left_s: how long its client waits from now on.
     :param workspace: who sends it, if that is known.
@@ -50,6 +51,7 @@
     """
 
     server_id: str
+    registered_id: str
     address: str
     chain: Chain | None
     left_s: float
@@ -114,6 +116,7 @@
     :param stalled: addresses of backend servers that streams which begin here
         wait for.
     :param slowness: how many times longer than usual its steps take.
+    :param started_at_ms: Unix time of its start, if it tells.
     """
 
     order_count: int
@@ -121,6 +124,7 @@
     layers: LayerRange | None
     stalled: frozenset[str] = frozenset()
     slowness: float = 1.0
+    started_at_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -183,6 +187,9 @@
         :raises EngineError: the body can't be read.
         """
 
+    def decode_started_at_ms(self, body: bytes) -> int | None:
+        """Return when the server that sent a message started, if the message tells."""
+
     def place_call(
         self, layers: LayerRange, fencing: int, order_count: int
     ) -> EngineCall:
--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -157,6 +157,21 @@
         self._lost = "lost " + ", ".join(sorted(lost))
         self._move(self._lost)
 
+    def servers_ended(self, server_ids: frozenset[str]) -> None:
+        """These incarnations surely ended, and all that ran there with them.
+
+        A client whose request may not run again needn't wait for its deadline to be
+        told: no answer can come any more, unless it has begun to.
+        """
+        destination = self._destination
+        if destination is None or self._exchange is None:
+            return
+        on_its_own = not self._route.repeatable and not self._started
+        if on_its_own and destination.server.host in server_ids:
+            self._end_attempt("its backend server has started again")
+            return
+        self.servers_lost(server_ids)
+
     def chain_stalled(self, chain: Chain) -> None:
         """All streams over this chain stand still: go on elsewhere."""
         destination = self._destination
@@ -232,6 +247,7 @@
             self._cursor.resumed()
         plan = SendPlan(
             server_id=destination.server.host,
+            registered_id=router.registered_id(destination.server.host),
             address=destination.server.address,
             chain=destination.chain,
             left_s=max(0.0, self._deadline_s - now_s),
--- a/src/railfold/_internal/forwarding/feeds.py
+++ b/src/railfold/_internal/forwarding/feeds.py
@@ -18,6 +18,13 @@
 
 __all__ = ["ConfigurationFeed", "RegistrationFeed"]
 
+# Records that name no backend server are remembered up to this many, so that a flood
+# of them takes little memory and few log lines.
+_REFUSED_KEPT = 1000
+
+# Of an id that somebody else wrote, so much stands in the logs.
+_ID_SHOWN = 128
+
 # Asks the log for the newest record of each key.
 _SNAPSHOT = -1
 
@@ -103,6 +110,8 @@
         self._on_copy = on_copy
         self._next = _SNAPSHOT
         self._copy: dict[str, Registration] | None = {}
+        # Registered ids whose newest record names no backend server to use.
+        self._refused: set[str] = set()
 
     def next_offset(self) -> int:
         """Return the offset to read from."""
@@ -113,18 +122,17 @@
         self._next = record.offset + 1
         item: KeyedValue = record.body
         if not item.value:
+            self._refused.discard(item.key)
             self._remove(item.key)
             return
         try:
             registration = self._decode(item.key, item.value)
         except RailfoldError as error:
-            self._router.metrics.count("registrations.refused")
-            self._router.log.write(
-                EngineChanged(item.key, "registration refused", str(error))
-            )
+            self._refuse(item.key, error)
             return
+        self._refused.discard(item.key)
         if self._copy is not None:
-            self._copy[registration.server_id] = registration
+            self._copy[registration.registered_id] = registration
         else:
             self._register(registration)
 
@@ -135,9 +143,12 @@
             return
         copy, self._copy = self._copy, None
         now_s = asyncio.get_running_loop().time()
-        gone = [e.server_id for e in self._router.directory if e.server_id not in copy]
-        for server_id in gone:
-            self._remove(server_id)
+        known = [e.registration.registered_id for e in self._router.directory]
+        for registered_id in known:
+            if registered_id in self._refused:
+                self._router.directory.withdraw(registered_id)
+            elif registered_id not in copy:
+                self._remove(registered_id)
         for registration in copy.values():
             self._register(registration)
         self._router.directory.expire(now_s)
@@ -147,29 +158,56 @@
         """History is gone: take a whole copy."""
         self._next = _SNAPSHOT
         self._copy = {}
+        self._refused = set()
         return _SNAPSHOT
 
+    def _refuse(self, registered_id: str, error: RailfoldError) -> None:
+        """Take a record that names no backend server to use.
+
+        The same holds in a whole copy and behind it, so that entries that read it at
+        different times agree.
+        """
+        self._router.metrics.count("registrations.refused")
+        if self._copy is not None:
+            self._copy.pop(registered_id, None)
+        else:
+            self._router.directory.withdraw(registered_id)
+        if registered_id in self._refused or len(self._refused) >= _REFUSED_KEPT:
+            return  # One line a change: whoever writes such records may write many.
+        self._refused.add(registered_id)
+        self._router.log.write(
+            EngineChanged(registered_id[:_ID_SHOWN], "registration refused", str(error))
+        )
+
     def _register(self, registration: Registration) -> None:
-        known = self._router.directory.get(registration.server_id)
+        directory = self._router.directory
+        known = directory.registered_as(registration.registered_id)
         if known is not None and known.registration == registration:
             known.removal_due_s = None
             return
-        self._router.directory.register(registration)
+        taken = directory.register(registration)
+        if taken.entry is None:
+            self._router.metrics.count("registrations.outdated")
+            return
         self._router.log.write(
             EngineChanged(
-                registration.server_id,
+                taken.entry.server_id,
                 "draining" if registration.draining else "serving",
                 "registered",
                 str(registration.layers) if registration.layers else "",
             )
         )
+        if taken.ended:
+            self._router.report_ended(frozenset(taken.ended))
 
-    def _remove(self, server_id: str) -> None:
+    def _remove(self, registered_id: str) -> None:
         if self._copy is not None:
-            self._copy.pop(server_id, None)
-        now_s = asyncio.get_running_loop().time()
-        self._router.directory.remove(server_id, now_s)
+            self._copy.pop(registered_id, None)
+        directory = self._router.directory
+        entry = directory.registered_as(registered_id)
+        directory.remove(registered_id, asyncio.get_running_loop().time())
         state = "removed"
-        if self._router.directory.get(server_id) is not None:
+        if directory.registered_as(registered_id) is not None:
             state = "removal waits"
-        self._router.log.write(EngineChanged(server_id, state, "registration removed"))
+        name = entry.server_id if entry is not None else registered_id[:_ID_SHOWN]
+        self._router.log.write(EngineChanged(name, state, "registration removed"))
--- a/src/railfold/_internal/forwarding/layer_orders.py
+++ b/src/railfold/_internal/forwarding/layer_orders.py
@@ -33,6 +33,9 @@
 # two looks at the placement, which give the places of ended loads away.
 _READ_S = 0.1
 
+# An order is for one incarnation: what its successor says proves nothing of it.
+_ANOTHER_ANSWERED = OrderUnsettled("the engine has started again")
+
 
 class LayerOrders:
     """Orders under way, one at an engine."""
@@ -101,6 +104,8 @@
                 entry, dialect.report_call(), _ORDER_TIMEOUT_S
             )
             report = dialect.decode_report(response.body)
+            if entry.is_another(report.started_at_ms):
+                return _ANOTHER_ANSWERED
             if report.busy:
                 # Another order would begin its work anew.
                 return OrderRefused("it still carries an order out")
@@ -111,6 +116,8 @@
             response = await self._prober.call(entry, call, _ORDER_TIMEOUT_S)
         except EngineError as error:
             return OrderUnsettled(str(error))
+        if entry.is_another(dialect.decode_started_at_ms(response.body)):
+            return _ANOTHER_ANSWERED
         return dialect.order_outcome(response.head)
 
     async def _wait_loaded(
--- a/src/railfold/_internal/forwarding/placement.py
+++ b/src/railfold/_internal/forwarding/placement.py
@@ -134,7 +134,7 @@
 
     def _place(self, spec: ServiceSpec, model: EngineModel, now_s: float) -> None:
         entries = [e for e in self._router.directory.of_service(spec.name)]
-        usable = [e for e in entries if self._usable(e, now_s)]
+        usable = [e for e in entries if self._usable(e, model, now_s)]
         if not any(e.registration.layers for e in usable) and not self._settled(now_s):
             return
         domains = _by_domain(usable, model)
@@ -144,9 +144,12 @@
             self._targets.update(self._domain_plan(members, model, needed_rps))
         self._give(usable, model, now_s)
 
-    def _usable(self, entry: DirectoryEntry, now_s: float) -> bool:
+    def _usable(self, entry: DirectoryEntry, model: EngineModel, now_s: float) -> bool:
         if entry.registration.draining:
             return False
+        held = entry.registration.layers
+        if held is not None and not model.has_layers(held):
+            return False  # It is of another model, or doesn't know what it holds.
         since_s = entry.suspect_since_s
         return since_s is None or now_s - since_s < _GIVEN_UP_S
 
--- a/src/railfold/_internal/forwarding/probes.py
+++ b/src/railfold/_internal/forwarding/probes.py
@@ -16,7 +16,10 @@
 from absl import logging
 
 from railfold._internal.core import Chain, LayerRange, Stage, parse_address
-from railfold._internal.decisions.engine_directory import DirectoryEntry
+from railfold._internal.decisions.engine_directory import (
+    UNKNOWN_INCARNATION,
+    DirectoryEntry,
+)
 from railfold._internal.decisions.probe_pace import ProbePace
 from railfold._internal.errors import EngineError, EngineUnavailableError
 from railfold._internal.forwarding.dialect import (
@@ -200,10 +203,14 @@
             response = await self._call_at(
                 first.host, first.address, call, _REPORT_TIMEOUT_S
             )
-            stalled = self._router.dialect.decode_report(response.body).stalled
+            report = self._router.dialect.decode_report(response.body)
         except EngineError:
             await self._probe_chain(chain, chain.hosts[:1], request_id, silent_s)
             return
+        if _is_another(first, report.started_at_ms):
+            await self._probe_chain(chain, chain.hosts[:1], request_id, silent_s)
+            return
+        stalled = report.stalled
         waited_for = tuple(
             stage.host for stage in chain.stages if stage.address in stalled
         )
@@ -262,10 +269,13 @@
             for entry in map(directory.get, suspects)
             if entry is not None
         }
+        table = self._router.table
+        services = table.services if table is not None else {}
         others = [
             entry
             for entry in directory
             if entry.routable
+            and entry.registration.service in services
             and entry.registration.is_model_engine
             and entry.server_id not in suspects
         ]
@@ -353,10 +363,11 @@
         dialect = self._router.dialect
         try:
             response = await self._probe(stage, dialect.report_call(), timeout_s)
-            held = dialect.decode_report(response.body).layers
+            report = dialect.decode_report(response.body)
         except EngineError:
             return False
-        if held is None:
+        held = report.layers
+        if held is None or _is_another(stage, report.started_at_ms):
             return False
         return held.first <= stage.layers.first and stage.layers.last <= held.last
 
@@ -370,6 +381,9 @@
         return EngineCall("GET", path, headers)
 
     def _is_well(self, entry: DirectoryEntry, response: Response) -> bool:
+        started_at_ms = self._router.dialect.decode_started_at_ms(response.body)
+        if entry.is_another(started_at_ms):
+            return False  # Its successor answers, which knows nothing of its work.
         # A plain service that is full refuses its health check like any other
         # request, and yet lives.
         return (
@@ -384,11 +398,14 @@
         self._router.metrics.count("probes")
         try:
             response = await self.call(entry, dialect.report_call(), _REPORT_TIMEOUT_S)
-            slowness = dialect.decode_report(response.body).slowness
+            report = dialect.decode_report(response.body)
         except EngineError as error:
             # Whether it lives is found out by what waits for it.
             logging.debug("%s doesn't say how slow it is: %s", entry.server_id, error)
             return
+        if entry.is_another(report.started_at_ms):
+            return
+        slowness = report.slowness
         if slowness != entry.slowness:
             state = "slow" if slowness > 1.0 else "serving"
             cause = f"its steps take {slowness:.1f} times as long as usual"
@@ -437,6 +454,9 @@
             response = await self.call(entry, call, _REROUTE_TIMEOUT_S)
         except EngineError as error:
             return error.what
+        started_at_ms = self._router.dialect.decode_started_at_ms(response.body)
+        if entry.is_another(started_at_ms):
+            return "its first backend server has started again"
         match self._router.dialect.order_outcome(response.head):
             case OrderBegun():
                 return ""
@@ -458,7 +478,10 @@
 
 def _stages(entries: Iterable[DirectoryEntry]) -> list[Stage]:
     """Return backend servers as stages of a chain."""
-    registrations = [entry.registration for entry in entries]
-    return [
-        Stage(r.server_id, r.address, 0, r.layers or _NO_LAYERS) for r in registrations
-    ]
+    return [entry.stage(entry.registration.layers or _NO_LAYERS) for entry in entries]
+
+
+def _is_another(stage: Stage, started_at_ms: int | None) -> bool:
+    """Return whether somebody who started then is surely not a chain's stage."""
+    known = stage.incarnation != UNKNOWN_INCARNATION
+    return known and started_at_ms not in (None, stage.incarnation)
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -67,6 +67,9 @@
     def servers_lost(self, server_ids: frozenset[str]) -> None:
         """These backend servers don't answer."""
 
+    def servers_ended(self, server_ids: frozenset[str]) -> None:
+        """These incarnations surely ended, and all that ran there with them."""
+
     def chain_stalled(self, chain: Chain) -> None:
         """All streams over this chain stand still."""
 
@@ -356,6 +359,11 @@
             if entry is not None:
                 entry.own_load = max(0, entry.own_load + load)
 
+    def registered_id(self, server_id: str) -> str:
+        """Return the id that an incarnation is registered under."""
+        entry = self.directory.get(server_id)
+        return entry.registration.registered_id if entry is not None else server_id
+
     def report_lost(self, server_ids: frozenset[str]) -> None:
         """Tell all requests under way of lost backend servers."""
         for server_id in server_ids:
@@ -363,6 +371,14 @@
         for request in list(self.active):
             request.servers_lost(server_ids)
 
+    def report_ended(self, server_ids: frozenset[str]) -> None:
+        """Tell all requests under way of incarnations that surely ended."""
+        self.metrics.count("servers.replaced", len(server_ids))
+        for server_id in server_ids:
+            self.pool.drop(server_id)
+        for request in list(self.active):
+            request.servers_ended(server_ids)
+
 
 def _near_first(replicas: list[Replica], domain: str) -> list[Replica]:
     """Return replicas of which those in ``domain`` cost less."""
--- a/src/railfold/_internal/platform/dialect.py
+++ b/src/railfold/_internal/platform/dialect.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable, Sequence
 
 from railfold._internal.core import Chain, LayerRange
@@ -54,6 +55,10 @@
 
 _BEARER = "bearer "
 
+# Enough for any time in milliseconds or count of tokens. Clients may send what they
+# like, and longer numbers take time to read and to reckon with.
+_WHOLE_NUMBER = re.compile(r"[0-9]{1,12}")
+
 # Set by this process alone; what a client sends under these names is dropped.
 _OWN_HEADERS = frozenset(
     name.lower()
@@ -128,7 +133,7 @@
         """Return the headers that the backend server gets."""
         headers: list[Header] = [("Host", request.host), *request.headers]
         headers.append((_DEADLINE, str(max(1, int(plan.left_s * 1000)))))
-        headers.append((_TARGET, plan.server_id))
+        headers.append((_TARGET, plan.registered_id))
         if plan.workspace is not None:
             headers.append((_WORKSPACE, plan.workspace))
         if plan.resume_after is not None:
@@ -168,6 +173,10 @@
         """Return an engine's report."""
         return engines.decode_report(body)
 
+    def decode_started_at_ms(self, body: bytes) -> int | None:
+        """Return when the server that sent a message started, if the message tells."""
+        return engines.decode_started_at_ms(body)
+
     def place_call(
         self, layers: LayerRange, fencing: int, order_count: int
     ) -> EngineCall:
@@ -194,15 +203,19 @@
 
 
 def _number(fields: dict[str, str], name: str) -> int | None:
-    text = fields.get(name.lower())
-    if text is None or not text.strip().isdigit():
-        return None
-    return int(text)
+    return _whole_number(fields.get(name.lower(), ""))
 
 
 def _size(text: str) -> RequestSize:
     """Return the sizes in ``prompt,answer``."""
-    prompt, _, answer = text.partition(",")
-    if not prompt.strip().isdigit() or not answer.strip().isdigit():
+    prompt_text, _, answer_text = text.partition(",")
+    prompt, answer = _whole_number(prompt_text), _whole_number(answer_text)
+    if prompt is None or answer is None:
         return RequestSize()
-    return RequestSize(int(prompt), int(answer))
+    return RequestSize(prompt, answer)
+
+
+def _whole_number(text: str) -> int | None:
+    """Return the number in a header of a client; ``None`` if it isn't one."""
+    match = _WHOLE_NUMBER.fullmatch(text.strip())
+    return int(match[0]) if match else None
--- a/src/railfold/_internal/platform/engines.py
+++ b/src/railfold/_internal/platform/engines.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import re
+from typing import Annotated, Literal
+
 import msgspec
+from msgspec import UNSET, Meta, UnsetType
 
-from railfold._internal.core import Chain, LayerRange
+from railfold._internal.core import Chain, LayerRange, parse_address
 from railfold._internal.decisions.engine_directory import Registration
 from railfold._internal.errors import EngineError
 from railfold._internal.forwarding.dialect import EngineCall, EngineReport
@@ -13,6 +17,7 @@
     "chain_text",
     "decode_registration",
     "decode_report",
+    "decode_started_at_ms",
     "place_call",
     "report_call",
     "reroute_call",
@@ -22,9 +27,27 @@
 _ORDER_PATH = "/railfold/order"
 _JSON = ("Content-Type", "application/json")
 
+# Others may write registrations too. A live server's takes some 400 bytes; more than
+# this is not one, and is not worth the time to read it.
+_MOST_BYTES = 16 * 1024
+
+# An id goes into a header of every request, as it is.
+_ID = re.compile(r"[!-~]{1,128}")
+
+# Far beyond any model and server there is, and small enough to count through. They
+# keep a figure that means nothing from becoming work or memory inside.
+_MOST_LAYERS = 4096
+_MOST_SLOTS = 1_000_000
+_SLOWEST = 10_000.0
+
+_Name = Annotated[str, Meta(min_length=1, max_length=256)]
+_Count = Annotated[int, Meta(ge=0, le=2**53)]
+_StartedAt = Annotated[int, Meta(ge=1, le=2**53)]
+_LayerNumber = Annotated[int, Meta(ge=0, le=_MOST_LAYERS)]
+
 
 class _Model(msgspec.Struct, frozen=True):
-    name: str
+    name: _Name
     version: int = 1
 
 
@@ -34,25 +57,27 @@
     The second name serves several calls; it holds no version here.
     """
 
-    first: int | None = msgspec.field(default=None, name="from")
-    target_version: int | None = None
+    first: _LayerNumber | None = msgspec.field(default=None, name="from")
+    target_version: _LayerNumber | None = None
     version: int | None = None
 
 
 class _Entry(msgspec.Struct, frozen=True):
     """A registration; its id is the record's key.
 
-    ``kind`` is the accelerator's.
+    ``kind`` is the accelerator's. ``born`` is the Unix time of the server's start, in
+    milliseconds; older platforms don't tell it.
     """
 
-    service: str
+    service: _Name
     address: str
-    zone: str
-    slots: int = 1
-    state: str = "ready"
+    zone: _Name
+    slots: Annotated[int, Meta(ge=1, le=_MOST_SLOTS)]
+    state: Literal["ready", "draining"]
     models: list[_Model] = []
     layers: _Layers | None = None
-    kind: str | None = None
+    kind: _Name | None = None
+    born: _StartedAt | UnsetType = UNSET
 
 
 class _Stalled(msgspec.Struct, frozen=True):
@@ -67,11 +92,18 @@
     ``pace`` is how many times longer than usual its steps take.
     """
 
-    seq: int = 0
-    pace: float = 1.0
+    seq: _Count = 0
+    pace: Annotated[float, Meta(ge=0.0, le=_SLOWEST)] = 1.0
     busy: bool = False
     layers: _Layers | None = None
     stalled: list[_Stalled] = []
+    born: _StartedAt | UnsetType = UNSET
+
+
+class _Incarnation(msgspec.Struct, frozen=True):
+    """What any message of a server tells of the server itself."""
+
+    born: _StartedAt | UnsetType = UNSET
 
 
 class _PlaceOrder(msgspec.Struct, frozen=True):
@@ -93,54 +125,93 @@
 
 _ENTRY_DECODER = msgspec.json.Decoder(_Entry)
 _REPORT_DECODER = msgspec.json.Decoder(_Report)
+_INCARNATION_DECODER = msgspec.json.Decoder(_Incarnation)
 
 
 def decode_registration(key: str, value: bytes) -> Registration:
     """Return a backend server's registration.
 
-    :raises EngineError: it can't be read.
+    :raises EngineError: it can't be read, or says what no backend server can mean.
     """
+    if not _ID.fullmatch(key):
+        raise EngineError("a registration's id can't be used", why=repr(key[:40]))
+    if len(value) > _MOST_BYTES:
+        raise EngineError("a registration is too large", why=f"{len(value)} bytes")
     try:
         entry = _ENTRY_DECODER.decode(value)
-    except msgspec.DecodeError as error:
+        return _registration(key, entry)
+    except ValueError as error:  # Also a decoder's.
         raise EngineError("a registration can't be read", why=str(error)) from error
+
+
+def _registration(key: str, entry: _Entry) -> Registration:
+    """Translate an entry.
+
+    :raises ValueError: its address or layers mean nothing.
+    """
+    address = parse_address(entry.address)
+    if address.port == 0:
+        raise ValueError(f"{entry.address!r} has no port")
     return Registration(
-        server_id=key,
+        registered_id=key,
         service=entry.service,
-        address=entry.address,
+        address=str(address),
         failure_domain=entry.zone,
         slots=entry.slots,
-        draining=entry.state != "ready",
+        draining=entry.state == "draining",
         model=entry.models[0].name if entry.models else "",
         layers=_layers(entry.layers),
         accelerator=entry.kind or "",
+        started_at_ms=_started_at_ms(entry.born),
     )
 
 
 def decode_report(body: bytes) -> EngineReport:
     """Return an engine's report.
 
-    :raises EngineError: it can't be read.
+    :raises EngineError: it can't be read, or says what no engine can mean.
     """
     try:
         report = _REPORT_DECODER.decode(body)
-    except msgspec.DecodeError as error:
+        layers = _layers(report.layers)
+    except ValueError as error:  # Also a decoder's.
         raise EngineError("a report can't be read", why=str(error)) from error
     return EngineReport(
         order_count=report.seq,
         busy=report.busy,
-        layers=_layers(report.layers),
+        layers=layers,
         stalled=frozenset(s.address for s in report.stalled),
         slowness=max(1.0, report.pace),
+        started_at_ms=_started_at_ms(report.born),
     )
 
 
+def decode_started_at_ms(body: bytes) -> int | None:
+    """Return when the server that sent a message started, if the message tells."""
+    try:
+        return _started_at_ms(_INCARNATION_DECODER.decode(body).born)
+    except msgspec.DecodeError:
+        # A plain service's health answer may be any text.
+        return None
+
+
 def _layers(layers: _Layers | None) -> LayerRange | None:
-    if layers is None or layers.first is None or layers.target_version is None:
+    """Translate layers; none is held if the range is empty.
+
+    :raises ValueError: one end is missing, or they are the wrong way round.
+    """
+    if layers is None:
         return None
-    if layers.target_version <= layers.first:
+    first, end = layers.first, layers.target_version
+    if first is None and end is None:
         return None
-    return LayerRange(layers.first, layers.target_version - 1)
+    if first is None or end is None or end < first:
+        raise ValueError("layers without two ends in order")
+    return LayerRange(first, end - 1) if end > first else None
+
+
+def _started_at_ms(born: int | UnsetType) -> int | None:
+    return None if born is UNSET else born
 
 
 def report_call() -> EngineCall:
--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -47,6 +47,8 @@
         another request's answer first), ``"surplus"`` (sends a second answer).
     :param runs: how often each request ran here.
     :param pace: how many times longer than usual its steps take, as it tells.
+    :param born: when it started, in Unix milliseconds, as it tells; ``None`` if it
+        doesn't.
     :param reports_to_drop: how many calls for its report it answers by closing the
         connection, as one that was idle for too long.
     """
@@ -62,6 +64,7 @@
     event_s: float = 0.01
     report_delay_s: float = 0.0
     pace: float = 1.0
+    born: int | None = None
     reports_to_drop: int = 0
     mode: str = "ok"
     state: str = "ready"
@@ -130,7 +133,20 @@
             entry["models"] = [{"name": self.model, "version": 1, "adapters": []}]
             entry["kind"] = self.kind
             entry["layers"] = self.told_layers()
-        self.store.put("keyed.servers", self.server_id, entry)
+        self.store.put("keyed.servers", self.server_id, {**entry, **self.told_start()})
+
+    def told_start(self) -> dict[str, int]:
+        """Return its start as it tells it in all that it says."""
+        return {} if self.born is None else {"born": self.born}
+
+    async def restart(self, born: int) -> None:
+        """Start again under the same id, knowing nothing; clients see a crash."""
+        await self.stop()
+        self.born = born
+        self.orders = 0
+        self.fence = -1
+        self.layers = None
+        self.start()
 
     def told_layers(self) -> dict[str, int] | None:
         """Return the held layers as reports tell them."""
@@ -169,6 +185,7 @@
                 "layers": engine.told_layers(),
                 "stalled": stalled,
                 "pace": engine.pace,
+                **engine.told_start(),
             }
         )
 
@@ -180,7 +197,7 @@
         if order["operation"] == "repath":
             engine.paths[order["id"]] = order["path"]
             self.set_status(202)
-            self.finish({})
+            self.finish(engine.told_start())
             return
         if order["fence_token"] < engine.fence:
             self.set_status(412)
@@ -192,12 +209,12 @@
             engine.layers = (order["from"], order["target_version"])
             engine.register()
             self.set_status(202)
-        self.finish({})
+        self.finish(engine.told_start())
 
 
 class _Health(_Handler):
     def get(self) -> None:
-        self.finish("ok")
+        self.finish(self.engine.told_start() or "ok")
 
 
 class _Request(_Handler):
--- a/tests/forwarding/test_own_lateness.py
+++ b/tests/forwarding/test_own_lateness.py
@@ -116,7 +116,7 @@
     first.layers = (4, 8)
     assert not await prober._serves_on(stage, 0.5)
     first.layers = (0, 4)
-    directory.register(replace(entry.registration, server_id="i-successor"))
+    directory.register(replace(entry.registration, registered_id="i-successor"))
     assert not await prober._serves_on(stage, 0.5)
     connection.close()
 
--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -178,16 +178,16 @@
     def all_known(self) -> bool:
         """Whether the entry knows all backend servers as they are."""
         directory = self.entry.router.directory
-        known = {e.server_id: e.registration for e in directory}
+        known = {e.registration.registered_id: e.registration for e in directory}
         for server in (*self.engines, *self.plain):
             registration = known.get(server.server_id)
             if registration is None:
                 return False
             held = registration.layers
             told = (held.first, held.last + 1) if held else None
-            if told != server.layers or registration.draining != (
-                server.state == "draining"
-            ):
+            if told != server.layers or registration.started_at_ms != server.born:
+                return False
+            if registration.draining != (server.state == "draining"):
                 return False
         return True
 
--- a/tests/unit/test_engine_directory.py
+++ b/tests/unit/test_engine_directory.py
@@ -5,6 +5,8 @@
 from dataclasses import replace
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from railfold._internal.core import LayerRange
 from railfold._internal.decisions.engine_directory import (
@@ -14,7 +16,7 @@
 from tests.lib.models import MODEL
 
 ENGINE = Registration(
-    server_id="i-1",
+    registered_id="i-1",
     service="llm",
     address="10.0.0.1:80",
     failure_domain="hall-a",
@@ -101,3 +103,117 @@
     entry.own_load = 100_000
     (full,) = directory.layer_replicas("llm", MODEL, "west", entries=1)
     assert full.full
+
+
+# Incarnations. A backend server may start again under its id; its start tells which
+# incarnation speaks. Before that was told, an id was one incarnation, so that work on a
+# dead one, its refusals and its slowness passed to its successor.
+
+EARLIER = replace(ENGINE, started_at_ms=1000)
+LATER = replace(ENGINE, started_at_ms=2000, layers=None)
+
+
+def test_a_restart_under_the_same_id_is_another_incarnation() -> None:
+    directory = EngineDirectory()
+    before = directory.register(EARLIER).entry
+    assert before is not None
+    before.own_load, before.slowness = 4000, 3.0
+    directory.suspect(before.server_id, 1.0)
+    taken = directory.register(LATER)
+    assert taken.ended == (before.server_id,)
+    assert taken.entry is directory.registered_as("i-1")
+    assert taken.entry is not None
+    assert (taken.entry.own_load, taken.entry.slowness) == (0, 1.0)
+    assert taken.entry.suspect_since_s is None
+    assert directory.get(before.server_id) is None
+
+
+def test_an_older_incarnation_that_is_read_late_changes_nothing() -> None:
+    directory = EngineDirectory()
+    directory.register(LATER)
+    assert directory.register(EARLIER).entry is None
+    assert [entry.registration for entry in directory] == [LATER]
+
+
+def test_an_older_incarnation_doesnt_come_back_after_a_removal() -> None:
+    directory = EngineDirectory()
+    directory.register(LATER)
+    directory.remove("i-1", 10.0)
+    assert directory.register(EARLIER).entry is None
+    assert directory.register(LATER).entry is not None
+
+
+def test_the_id_alone_names_a_server_that_doesnt_tell_its_start(
+    directory: EngineDirectory,
+) -> None:
+    known = directory.registered_as("i-1")
+    assert directory.register(EARLIER).entry is known
+    assert directory.register(ENGINE).entry is known
+    assert directory.register(LATER).ended == ("i-1",)
+
+
+def test_another_id_at_an_address_ends_the_one_there(
+    directory: EngineDirectory,
+) -> None:
+    taken = directory.register(replace(ENGINE, registered_id="i-2"))
+    assert taken.ended == ("i-1",)
+    assert hosts(directory) == ["i-2"]
+
+
+def test_a_record_that_names_nobody_counts_at_once(directory: EngineDirectory) -> None:
+    directory.store_returned(100.0)
+    directory.withdraw("i-1")
+    assert hosts(directory) == []
+    directory.register(ENGINE)
+    assert hosts(directory) == ["i-1"]
+
+
+STARTS = st.sampled_from([None, 1000, 2000, 3000])
+REGISTERED = st.builds(
+    lambda name, port, start: replace(
+        ENGINE,
+        registered_id=f"i-{name}",
+        address=f"10.0.0.1:{port}",
+        started_at_ms=start,
+    ),
+    st.integers(1, 3),
+    st.integers(1, 3),
+    STARTS,
+)
+STEPS = st.lists(
+    st.tuples(st.just("register"), REGISTERED)
+    | st.tuples(st.sampled_from(["remove", "withdraw"]), REGISTERED)
+    | st.tuples(st.just("outage"), REGISTERED),
+    max_size=30,
+)
+
+
+@given(STEPS)
+def test_one_incarnation_an_id_and_address_in_any_order_of_records(
+    steps: list[tuple[str, Registration]],
+) -> None:
+    directory = EngineDirectory()
+    newest: dict[str, int] = {}
+    for now_s, (step, registration) in enumerate(steps):
+        name = registration.registered_id
+        if step == "register":
+            taken = directory.register(registration)
+            if taken.entry is not None:
+                if registration.started_at_ms is not None:
+                    assert registration.started_at_ms >= newest.get(name, 0)
+                    newest[name] = registration.started_at_ms
+                assert directory.get(taken.entry.server_id) is taken.entry
+            assert all(directory.get(server_id) is None for server_id in taken.ended)
+        elif step == "outage":
+            directory.store_returned(float(now_s))
+        elif step == "remove":
+            directory.remove(name, float(now_s))
+        else:
+            directory.withdraw(name)
+        directory.expire(float(now_s))
+        entries = list(directory)
+        assert len({e.registration.registered_id for e in entries}) == len(entries)
+        assert len({e.registration.address for e in entries}) == len(entries)
+        for entry in entries:
+            assert directory.registered_as(entry.registration.registered_id) is entry
+            assert directory.at(entry.registration.address) is entry
