--- a/src/railfold/_internal/decisions/placement/rooms.py
+++ b/src/railfold/_internal/decisions/placement/rooms.py
@@ -48,11 +48,15 @@
 def uncovered_layers(
     ranges: Iterable[LayerRange | None], layer_count: int
 ) -> list[LayerRange]:
-    """Return the runs of layers that are in none of the ranges."""
+    """Return the runs of layers that are in none of the ranges.
+
+    Ranges may reach beyond the model: what engines register is their own word.
+    """
     covered = [False] * layer_count
     for layers in ranges:
         if layers is not None:
-            for layer in range(layers.first, layers.last + 1):
+            end = min(layers.last + 1, layer_count)
+            for layer in range(max(0, layers.first), end):
                 covered[layer] = True
     gaps: list[LayerRange] = []
     first: int | None = None
--- a/src/railfold/_internal/platform/configuration.py
+++ b/src/railfold/_internal/platform/configuration.py
@@ -152,7 +152,7 @@
                 idle_timeout_s=document.limits.idle_timeout_ms / 1000.0,
             ),
         )
-    except (msgspec.DecodeError, KeyError) as error:
+    except (ValueError, LookupError, ArithmeticError) as error:  # Also a decoder's.
         raise ConfigurationRefusedError("the configuration", [str(error)]) from error
 
 
--- a/src/railfold/_internal/platform/store.py
+++ b/src/railfold/_internal/platform/store.py
@@ -142,17 +142,25 @@
             query = urlencode(fields)
             response = await self._calls.call("GET", f"/railfold/log-newest?{query}")
             transfer_s += response.transfer_s
-            page = _decode(response.body, _NewestPage)
+            # A key that isn't UTF-8 must not hide the records beside it.
+            text = response.body.decode("utf-8", "replace")
+            page = _decode(text, _NewestPage)
             records += [_newest_record(item) for item in page.items]
-            if not page.more_pages or not page.items:
+            last = page.items[-1].key if page.items else after
+            if not page.more_pages or last == after:
                 # The first page's end: what came since is read again.
                 records.sort(key=lambda record: record.offset)
                 return LogPage(records, 0, page.end, transfer_s)
-            after = page.items[-1].key
+            after = last
 
 
 def _newest_record(item: _NewestItem) -> LogRecord:
-    value = base64.b64decode(item.value) if item.value else b""
+    try:
+        value = base64.b64decode(item.value, validate=True) if item.value else b""
+    except ValueError as error:
+        raise LogUnavailableError(
+            "a record in the store's answer isn't base64", why=str(error)
+        ) from error
     return LogRecord(item.offset, 0.0, KeyedValue(item.key, value))
 
 
@@ -167,22 +175,26 @@
     while position + _LENGTH.size <= len(body):
         (length,) = _LENGTH.unpack_from(body, position)
         position += _LENGTH.size
-        records.append(
-            LogRecord(offset, 0.0, _keyed(body[position : position + length]))
-        )
+        if position + length > len(body):
+            raise LogUnavailableError("a record in the store's answer is cut short")
+        record = body[position : position + length]
+        records.append(LogRecord(offset, 0.0, _keyed(record)))
         position += length
         offset += 1
     return LogPage(records, first, end, response.transfer_s)
 
 
 def _keyed(record: bytes) -> KeyedValue:
-    """Decode a key's length, the key and the value."""
+    """Decode a key's length, the key and the value.
+
+    A key that isn't text is kept recognizable: it is of no use, and its reader says so.
+    """
     key_length = record[0] if record else 0
     key = record[1 : 1 + key_length].decode("utf-8", "replace")
     return KeyedValue(key, record[1 + key_length :])
 
 
-def _decode(body: bytes, form: type[T]) -> T:
+def _decode(body: bytes | str, form: type[T]) -> T:
     try:
         return msgspec.json.decode(body, type=form)
     except msgspec.DecodeError as error:
