Parts of the retries follow from what the store deals, at any number of entries

Cause: how many entries there are was reckoned from 144 partitions. Above 144 entries most are dealt none, and each then took one of 25 parts: at 383 three times the whole after a restart of all (reckoned). Entries cut off from the store kept their part while the others divided the whole anew.

Ruled out: log-owners (a call more for each entry, and no more exact).

Change: 400 partitions at least; a part shrinks at once, grows after two windows, and is given up when the store has not heard its holder for a window and the lapse; none while nothing is known. Half of the slack is kept for answers that have begun.

Tests: test_fleet_size, with a property test over kills, cuts, stops, freezes.

--- /dev/null
+++ b/src/railfold/_internal/decisions/fleet_size.py
@@ -0,0 +1,105 @@
+"""How many entries share a limit, as each of them reckons it by itself.
+
+The store deals partitions out evenly among the entries, so that an entry's share of
+them tells how many there are. What an entry may spend of a common limit in any window
+is its part. Parts add up to the whole in every window though entries come and go: a
+part that shrinks does so at once, one that grows does so only when all that entries
+which have left may have spent lies outside the window, and an entry that the store no
+longer hears gives its part up before others take it. Equal parts of a fixed number
+would be too large for some fleets: with 25 for all that don't know theirs, 383 entries
+could spend three times the whole (reckoned).
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+__all__ = ["Deal", "FleetSize"]
+
+# While a deal is new, partitions move from one member to another and some are with
+# nobody. Members renew every 0.75 s, and have all done so once after this time.
+_SETTLED_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Deal:
+    """What one member was dealt.
+
+    :param generation: rises with every change of members.
+    :param own: partitions that this member holds.
+    :param all: partitions that there are.
+    """
+
+    generation: int
+    own: int
+    all: int
+
+    @property
+    def members(self) -> int:
+        """How many members there are; at least so many if this one holds nothing."""
+        return max(1, round(self.all / max(1, self.own)))
+
+
+@dataclass(frozen=True, slots=True)
+class _Reckoned:
+    at_s: float
+    members: int
+
+
+class FleetSize:
+    """The number of entries, and this one's part of what all may do.
+
+    Times are on the monotonic clock.
+
+    :param window_s: any window of this length must hold no more than the whole.
+    :param lapse_s: how long after its last renewal the store counts a member.
+    """
+
+    def __init__(self, window_s: float, lapse_s: float) -> None:
+        self._window_s = window_s
+        self._lapse_s = lapse_s
+        self._deal: Deal | None = None
+        self._dealt_s = 0.0
+        self._renewed_s = 0.0
+        self._reckoned: deque[_Reckoned] = deque()
+        self._first_members: int | None = None
+
+    def dealt(self, deal: Deal, sent_s: float) -> None:
+        """Take what a renewal that was sent at ``sent_s`` was answered with."""
+        if self._deal is None or deal.generation != self._deal.generation:
+            self._dealt_s = sent_s
+        self._deal = deal
+        self._renewed_s = sent_s
+        if sent_s - self._dealt_s >= _SETTLED_S:
+            self._note(deal.members, sent_s)
+        elif deal.own:
+            # All that a process that has just started can go by.
+            self._first_members = deal.members
+
+    def _note(self, members: int, now_s: float) -> None:
+        if self._reckoned and self._reckoned[-1].members == members:
+            return
+        self._reckoned.append(_Reckoned(now_s, members))
+
+    @property
+    def members(self) -> int | None:
+        """How many entries there are, if anything is known of it."""
+        return self._reckoned[-1].members if self._reckoned else self._first_members
+
+    def part(self, now_s: float) -> float:
+        """Return which part of the whole this entry may spend in a window now.
+
+        The most entries of two windows count. One that the store doesn't hear any more
+        goes on for a window after it has lapsed there; when the others take its part,
+        another window later, all that it spent lies outside.
+        """
+        unheard_s = now_s - self._renewed_s
+        if self.members is None or unheard_s >= self._lapse_s + self._window_s:
+            return 0.0
+        if not self._reckoned:
+            return 1.0 / self.members
+        since_s = now_s - 2 * self._window_s
+        while len(self._reckoned) > 1 and self._reckoned[1].at_s <= since_s:
+            self._reckoned.popleft()
+        return 1.0 / max(reckoned.members for reckoned in self._reckoned)
--- a/src/railfold/_internal/decisions/leadership.py
+++ b/src/railfold/_internal/decisions/leadership.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from railfold._internal.decisions.fleet_size import Deal
+
 __all__ = ["Leadership", "LeaseGrant"]
 
 # Clocks of holder and granter may run apart, and an order is under way for a
@@ -17,12 +19,12 @@
 
     :param holding: whether the lease is the caller's.
     :param fencing: rises with every change of holder.
-    :param members: about how many processes ask for the lease, if it is known.
+    :param deal: what tells how many processes ask for the lease, if it is known.
     """
 
     holding: bool
     fencing: int
-    members: int | None = None
+    deal: Deal | None = None
 
 
 @dataclass(slots=True)
@@ -59,11 +61,6 @@
             return None
         return grant.fencing
 
-    @property
-    def members(self) -> int | None:
-        """About how many processes ask for the lease, if it is known."""
-        return self._grant.members if self._grant else None
-
     @property
     def newest_fencing(self) -> int:
         """The newest token that was heard of."""
--- a/src/railfold/_internal/decisions/retry_budget.py
+++ b/src/railfold/_internal/decisions/retry_budget.py
@@ -8,6 +8,12 @@
 __all__ = ["RetryBudget", "RetryBudgets", "RetryLimits", "jittered_retry_after_s"]
 
 
+# Of the retries beyond the share of first attempts, this part is kept for answers that
+# have begun. Without a retry such an answer is cut in its middle; a request that
+# hasn't begun is told that it wasn't run, and comes back.
+_KEPT_FOR_BEGUN = 0.5
+
+
 @dataclass(frozen=True, slots=True)
 class RetryLimits:
     """How many retries are allowed in any window of time.
@@ -40,16 +46,20 @@
         self._first_attempts_s.append(now_s)
         self._forget(now_s)
 
-    def allows(self, now_s: float) -> bool:
-        """Return whether there is a retry to be taken."""
+    def allows(self, now_s: float, *, begun: bool = True) -> bool:
+        """Return whether there is a retry to be taken.
+
+        :param begun: whether it is for an answer that its client already reads.
+        """
         self._forget(now_s)
         limits = self.limits
-        allowed = limits.slack + limits.share * len(self._first_attempts_s)
+        slack = limits.slack if begun else limits.slack * (1.0 - _KEPT_FOR_BEGUN)
+        allowed = slack + limits.share * len(self._first_attempts_s)
         return len(self._retries_s) + 1 <= allowed
 
-    def spend(self, now_s: float) -> bool:
+    def spend(self, now_s: float, *, begun: bool = True) -> bool:
         """Take one retry from the budget; return whether it was there."""
-        if not self.allows(now_s):
+        if not self.allows(now_s, begun=begun):
             return False
         self._retries_s.append(now_s)
         return True
--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -217,7 +217,7 @@
         budget = router.budgets.of(destination.service)
         if not is_retry:
             budget.earn(self._loop.time())
-        elif budget.spend(self._loop.time()):
+        elif budget.spend(self._loop.time(), begun=self._answer.begun):
             router.metrics.count("requests.retries")
         else:
             router.metrics.count("requests.retry_budget_empty")
--- a/src/railfold/_internal/forwarding/leadership.py
+++ b/src/railfold/_internal/forwarding/leadership.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Protocol
 
+from railfold._internal.decisions.fleet_size import Deal
 from railfold._internal.decisions.leadership import Leadership, LeaseGrant
 from railfold._internal.errors import LogUnavailableError
 from railfold._internal.observability.decision_log import DecisionLog
@@ -38,7 +40,11 @@
 
 
 class LeadershipKeeper:
-    """Child that renews the lease."""
+    """Child that renews the lease.
+
+    :param on_deal: takes what a renewal tells of the number of members, and when the
+        renewal was sent.
+    """
 
     def __init__(
         self,
@@ -47,9 +53,11 @@
         client: LeaseClient,
         log: DecisionLog,
         metrics: Metrics,
+        on_deal: Callable[[Deal, float], None],
     ) -> None:
         self._holder = holder
         self._leadership = leadership
+        self._on_deal = on_deal
         self._client = client
         self._log = log
         self._metrics = metrics
@@ -72,7 +80,8 @@
             # The follower of the configuration tells of the store's outages.
             self._metrics.count("lease.renewals_failed")
             return _RETRY_S
-        self._metrics.gauge("entries", grant.members or 0)
+        if grant.deal is not None:
+            self._on_deal(grant.deal, sent_s)
         is_new = grant.fencing != self._leadership.newest_fencing
         if self._leadership.renewed(grant, sent_s):
             self._log.write(
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -8,6 +8,7 @@
 
 from railfold import __version__
 from railfold._internal.decisions.engine_directory import EngineDirectory
+from railfold._internal.decisions.fleet_size import Deal, FleetSize
 from railfold._internal.decisions.freshness import FreshnessLease
 from railfold._internal.decisions.leadership import Leadership
 from railfold._internal.decisions.retry_budget import (
@@ -83,17 +84,12 @@
 # Kept from the grace time, to close what is left and end.
 _EXIT_S = 0.4
 
-# Retries that all entries may make beyond their share are divided by how many
-# entries there are: until that is known by this many, and never by fewer than
-# a deployment has when the balancer knows more than the store does.
-_UNKNOWN_ENTRIES = 25
-_FEWEST_ENTRIES = 4
-# The rest is for entries that the store's group doesn't count, as those that were
-# cut off from it.
+# Of the retries that all entries may make, entries that run take this share, each its
+# part (:class:`FleetSize`); one that doesn't know its part yet has none.
 _RETRY_SAFETY = 0.8
 
-# What a process that was started again allows itself until all that it may have
-# sent before lies outside the window: with the share above, all stay within the
+# What a process that was started again allows itself of its part until all that it may
+# have sent before lies outside the window: with the share above, all stay within the
 # limits though every entry had spent its part and was killed.
 _RESTARTED_SHARE = 0.25
 
@@ -120,6 +116,7 @@
         self._loop = asyncio.get_running_loop()
         self._draining = False
         self._started_s = self._loop.time()
+        self._fleet = FleetSize(settings.retry_window_s, LEASE_S)
         self.metrics = Metrics()
         self.log = DecisionLog(settings.name, log_fd)
         self.router = Router(
@@ -127,7 +124,7 @@
             directory=EngineDirectory(),
             pool=ConnectionPool(),
             lease=FreshnessLease(settings.credential_lease_s),
-            budgets=RetryBudgets(self._retry_limits(_UNKNOWN_ENTRIES)),
+            budgets=RetryBudgets(self._retry_limits()),
             metrics=self.metrics,
             log=self.log,
             failure_domain=settings.failure_domain,
@@ -142,6 +139,7 @@
             adapter.new_lease_client(_PLACEMENT_DUTY),
             self.log,
             self.metrics,
+            self._on_deal,
         )
         self._placement = PlacementKeeper(
             self.router,
@@ -356,7 +354,7 @@
             self.metrics.timing("loop.late", now_s - due_s)
             self.router.directory.expire(now_s)
             self.router.pool.prune(now_s)
-            self._divide_limits(self._leadership.members)
+            self._divide_limits()
             known = {entry.server_id for entry in self.router.directory}
             self.router.activity.forget(known)
             self.router.avoidance.forget(known)
@@ -376,18 +374,24 @@
             return _CALM_PACE  # No client waits for the first placement yet.
         return _EAGER_PACE if self.router.chain_missing() else _CALM_PACE
 
-    def _divide_limits(self, entries: int | None) -> None:
+    def _on_deal(self, deal: Deal, sent_s: float) -> None:
+        self._fleet.dealt(deal, sent_s)
+        members = self._fleet.members
+        if members is not None:
+            self.router.entries = members
+        self.metrics.gauge("entries", members or 0)
+        self._divide_limits()
+
+    def _divide_limits(self) -> None:
         """Take this entry's part of what all entries may do."""
-        if entries is not None:
-            self.router.entries = entries
-        limits = self._retry_limits(entries or _UNKNOWN_ENTRIES)
-        self.router.budgets.set_limits(limits)
+        self.router.budgets.set_limits(self._retry_limits())
 
-    def _retry_limits(self, entries: int) -> RetryLimits:
+    def _retry_limits(self) -> RetryLimits:
         """Return this entry's part of the retries that all may make."""
         settings = self._settings
-        slack = settings.retry_slack * _RETRY_SAFETY / max(entries, _FEWEST_ENTRIES)
-        age_s = self._loop.time() - self._started_s
+        now_s = self._loop.time()
+        slack = settings.retry_slack * _RETRY_SAFETY * self._fleet.part(now_s)
+        age_s = now_s - self._started_s
         if not settings.first_start and age_s < settings.retry_window_s:
             # What this process's predecessor has sent is still in the window.
             slack *= _RESTARTED_SHARE
--- a/src/railfold/_internal/platform/store.py
+++ b/src/railfold/_internal/platform/store.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import base64
+import math
 import struct
 from typing import TypeVar
 from urllib.parse import urlencode
@@ -13,6 +14,7 @@
 import msgspec
 
 from railfold._internal.core import Address
+from railfold._internal.decisions.fleet_size import Deal
 from railfold._internal.decisions.leadership import LeaseGrant
 from railfold._internal.errors import (
     EngineError,
@@ -37,9 +39,10 @@
 # All streams of the system have one partition that is used: the first.
 _PARTITION = 0
 
-# Topics of the lease's group: enough partitions for a share of each of some
-# dozens of members.
-_TOPICS = 6
+# So many partitions are dealt out among the members of the lease's group: one at least
+# for each of the 380 daemons that the users plan for, so that each one's share tells
+# how many there are. More of them make every renewal larger.
+_LEAST_PARTITIONS = 400
 
 _PAGE_HEAD = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
@@ -207,15 +210,16 @@
     """A lease made of a group: who is dealt the first partition holds it.
 
     Partitions are dealt out evenly, so that a member's share tells how many
-    members there are. The group's generation rises with every change of its
-    members, and so is the fencing token.
+    members there are (:class:`Deal`). The group's generation rises with every
+    change of its members, and so is the fencing token.
     """
 
     def __init__(self, address: Address, duty: str, partitions: int) -> None:
-        self._partitions = partitions
+        topics = math.ceil(_LEAST_PARTITIONS / partitions)
+        self._partitions = topics * partitions
         self._calls = _StoreCalls(address)
         self._group = f"railfold-{duty}"
-        self._topics = [f"railfold-{duty}-{n}" for n in range(_TOPICS)]
+        self._topics = [f"railfold-{duty}-{n}" for n in range(topics)]
         self._generation = 0
 
     async def renew(self, holder: str, duration_s: float) -> LeaseGrant:
@@ -237,12 +241,8 @@
         self._generation = joined.generation
         lease_row = (self._topics[0], _PARTITION)
         holding = any(row[:2] == lease_row for row in joined.parts)
-        return LeaseGrant(holding, joined.generation, self._members(joined))
-
-    def _members(self, joined: _Joined) -> int | None:
-        """Reckon the members from the share of partitions that were dealt here."""
-        own = len(joined.parts)
-        return max(1, round(_TOPICS * self._partitions / own)) if own else None
+        deal = Deal(joined.generation, len(joined.parts), self._partitions)
+        return LeaseGrant(holding, joined.generation, deal)
 
     async def release(self, holder: str) -> None:
         """Give the lease back.
--- /dev/null
+++ b/tests/unit/test_fleet_size.py
@@ -0,0 +1,193 @@
+"""How many entries there are, and that their parts of a limit never exceed the whole.
+
+The number was reckoned from 144 partitions: above 144 entries most were dealt none, and
+each of those took one of 25 parts. Entries cut off from the store kept their part while
+the others divided the whole anew.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from railfold._internal.core import Address
+from railfold._internal.decisions.fleet_size import Deal, FleetSize
+from railfold._internal.decisions.retry_budget import RetryBudget, RetryLimits
+from railfold._internal.forwarding import process
+from railfold._internal.platform.store import GroupLease
+
+WINDOW_S = 10.0
+LAPSE_S = 2.4
+PARTITIONS = 408
+
+
+@pytest.fixture
+def fleet() -> FleetSize:
+    return FleetSize(WINDOW_S, LAPSE_S)
+
+
+def settle(fleet: FleetSize, generation: int, own: int, now_s: float) -> float:
+    """Let a deal stand until it counts; return when it does."""
+    for _ in range(4):
+        fleet.dealt(Deal(generation, own, PARTITIONS), now_s)
+        now_s += 0.75
+    return now_s
+
+
+@pytest.mark.parametrize(("own", "members"), [(408, 1), (6, 68), (1, 408), (0, 408)])
+def test_a_share_tells_how_many_there_are(
+    fleet: FleetSize, own: int, members: int
+) -> None:
+    settle(fleet, 1, own, 0.0)
+    assert fleet.members == members
+
+
+@pytest.mark.parametrize("partitions", [1, 12, 24, 500])
+def test_each_of_380_entries_is_dealt_a_partition(partitions: int) -> None:
+    lease = GroupLease(Address("127.0.0.1", 1), "placement", partitions)
+    assert lease._partitions >= 380
+    assert len(lease._topics) == -(-400 // partitions)
+
+
+def test_nothing_may_be_spent_before_anything_is_known(fleet: FleetSize) -> None:
+    assert fleet.members is None
+    assert fleet.part(0.0) == 0.0
+
+
+def test_partitions_that_move_dont_count_as_a_larger_fleet(fleet: FleetSize) -> None:
+    now_s = settle(fleet, 1, 82, 0.0)
+    fleet.dealt(Deal(2, 0, PARTITIONS), now_s)
+    assert fleet.members == 5
+    assert fleet.part(now_s) == 1 / 5
+
+
+def test_a_part_grows_once_what_others_spent_is_outside_the_window(
+    fleet: FleetSize,
+) -> None:
+    now_s = settle(fleet, 1, 41, 0.0)
+    now_s = settle(fleet, 2, 82, now_s)
+    assert fleet.members == 5
+    assert fleet.part(now_s) == 1 / 10
+    later_s = now_s + 2 * WINDOW_S
+    fleet.dealt(Deal(2, 82, PARTITIONS), later_s)
+    assert fleet.part(later_s) == 1 / 5
+
+
+def test_one_that_isnt_heard_gives_its_part_up_before_others_take_it(
+    fleet: FleetSize,
+) -> None:
+    now_s = settle(fleet, 1, 82, 0.0)
+    assert fleet.part(now_s + WINDOW_S) == 1 / 5
+    assert fleet.part(now_s + WINDOW_S + LAPSE_S) == 0.0
+
+
+STEP_S = 0.25
+WHOLE = 320.0
+
+
+@dataclass
+class Member:
+    """An entry of the simulated fleet."""
+
+    fleet: FleetSize = field(default_factory=lambda: FleetSize(WINDOW_S, LAPSE_S))
+    budget: RetryBudget = field(
+        default_factory=lambda: RetryBudget(RetryLimits(0.0, 0.0, WINDOW_S))
+    )
+    started_s: float = 0.0
+    first_start: bool = True
+    renew_s: float = 0.0
+    cut_until_s: float = 0.0
+    down_until_s: float = 0.0
+
+
+@dataclass
+class Store:
+    """Deals partitions evenly among the members that it heard of late."""
+
+    heard_s: dict[int, float] = field(default_factory=dict)
+    generation: int = 0
+
+    def join(self, name: int, now_s: float) -> Deal:
+        known = set(self.heard_s)
+        live = {n: at for n, at in self.heard_s.items() if now_s - at < LAPSE_S}
+        self.heard_s = {**live, name: now_s}
+        self.generation += set(self.heard_s) != known
+        members = sorted(self.heard_s)
+        own = len(range(members.index(name), PARTITIONS, len(members)))
+        return Deal(self.generation, own, PARTITIONS)
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.integers(0, 200),
+        st.sampled_from(["cut", "kill", "stop", "freeze"]),
+        st.sets(st.integers(0, 7), min_size=1),
+        st.sampled_from([0.5, 2.0, 5.0, 15.0]),
+    ),
+    max_size=6,
+)
+SPENDERS = st.lists(
+    st.tuples(st.integers(0, 240), st.sets(st.integers(0, 7))), max_size=12
+)
+
+
+@settings(max_examples=60, deadline=None)
+@given(EVENTS, SPENDERS, st.integers(4, 8))
+def test_parts_add_up_to_no_more_than_the_whole_in_any_window(
+    events: list[tuple[int, str, set[int], float]],
+    spenders: list[tuple[int, set[int]]],
+    size: int,
+) -> None:
+    store = Store()
+    members = {name: Member() for name in range(size)}
+    spent: list[tuple[float, int]] = []
+    # Each entry has known its part for a while when the first event comes.
+    for step in range(-40, 260):
+        now_s = 100.0 + step * STEP_S
+        for at, kind, names, for_s in events:
+            if at == step:
+                for name in names & set(members):
+                    strike(members, name, kind, now_s, for_s)
+        for name, member in members.items():
+            if now_s >= max(member.renew_s, member.cut_until_s, member.down_until_s):
+                member.fleet.dealt(store.join(name, now_s), now_s)
+                member.renew_s = now_s + 0.75
+        for at, names in spenders:
+            if at == step:
+                for name in names & set(members):
+                    spent.append((now_s, spend_all(members[name], now_s)))
+    for end_s, _ in spent:
+        in_window = [n for at_s, n in spent if end_s - WINDOW_S < at_s <= end_s]
+        assert sum(in_window) <= WHOLE
+
+
+def strike(
+    members: dict[int, Member], name: int, kind: str, now_s: float, for_s: float
+) -> None:
+    member = members[name]
+    if kind == "cut":
+        member.cut_until_s = now_s + for_s
+    elif kind == "freeze":
+        member.down_until_s = now_s + for_s
+    else:
+        back_s = now_s + for_s
+        members[name] = Member(
+            started_s=back_s, first_start=False, renew_s=back_s, down_until_s=back_s
+        )
+
+
+def spend_all(member: Member, now_s: float) -> int:
+    """Spend all that an entry is allowed now."""
+    if now_s < member.down_until_s:
+        return 0
+    slack = WHOLE * process._RETRY_SAFETY * member.fleet.part(now_s)
+    if not member.first_start and now_s - member.started_s < WINDOW_S:
+        slack *= process._RESTARTED_SHARE
+    member.budget.limits = RetryLimits(0.0, slack, WINDOW_S)
+    count = 0
+    while member.budget.spend(now_s):
+        count += 1
+    return count
