--- a/src/railfold/_internal/forwarding/slow_engines.py
+++ b/src/railfold/_internal/forwarding/slow_engines.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Iterator
+from dataclasses import dataclass
 
 from railfold._internal.decisions.engine_directory import DirectoryEntry
 from railfold._internal.forwarding.probes import ChainProber
@@ -24,8 +25,19 @@
 # a fifth on the users' engines.
 _LATE_RATIO = 1.5
 
-# The same engine is asked no more often. A slow one is asked until it isn't any more.
+# The same engine is asked no more often. A slow one is asked until it isn't any more;
+# one that says that it isn't, while its chain stays late, is asked half as often after
+# each time: the chain is late for another reason, as a full engine or a slow link.
 _ASK_AGAIN_S = 1.0
+_ASK_AGAIN_MOST_S = 16.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Asked:
+    """When an engine was asked, and for how long it isn't asked again."""
+
+    at_s: float
+    interval_s: float
 
 
 class SlowEngineWatch:
@@ -35,7 +47,7 @@
         self._router = router
         self._prober = prober
         self._loop = asyncio.get_running_loop()
-        self._asked_s: dict[str, float] = {}
+        self._asked: dict[str, _Asked] = {}
 
     async def run(self, ready: asyncio.Event) -> None:
         """Look until cancelled."""
@@ -47,12 +59,19 @@
     async def _look(self) -> None:
         now_s = self._loop.time()
         due = {e.server_id: e for e in self._suspects(now_s) if self._is_due(e, now_s)}
-        for server_id in due:
-            self._asked_s[server_id] = now_s
         await asyncio.gather(*map(self._prober.ask_slowness, due.values()))
+        for entry in due.values():
+            self._note(entry, now_s)
         known = {entry.server_id for entry in self._router.directory}
-        for server_id in set(self._asked_s) - known:
-            del self._asked_s[server_id]
+        for server_id in set(self._asked) - known:
+            del self._asked[server_id]
+
+    def _note(self, entry: DirectoryEntry, now_s: float) -> None:
+        before = self._asked.get(entry.server_id)
+        interval_s = _ASK_AGAIN_S
+        if before is not None and entry.slowness == 1.0:
+            interval_s = min(_ASK_AGAIN_MOST_S, 2 * before.interval_s)
+        self._asked[entry.server_id] = _Asked(now_s, interval_s)
 
     def _suspects(self, now_s: float) -> Iterator[DirectoryEntry]:
         directory = self._router.directory
@@ -64,5 +83,5 @@
     def _is_due(self, entry: DirectoryEntry, now_s: float) -> bool:
         if not entry.registration.is_model_engine:
             return False
-        asked_s = self._asked_s.get(entry.server_id)
-        return asked_s is None or now_s - asked_s >= _ASK_AGAIN_S
+        asked = self._asked.get(entry.server_id)
+        return asked is None or now_s - asked.at_s >= asked.interval_s
