--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -64,10 +64,13 @@
 _MAX_BACKOFF_S = 0.6
 
 # Engines renew their registrations all the time, and each read costs: they are
-# read in batches, which still tells of a leaving engine well within the 2 s that
-# it serves on. The one that places layers, and all while a chain is missing,
-# read them more often: they wait for what engines have loaded.
-_CALM_PACE = FollowerPace(1.4, min_interval_s=1.4, max_backoff_s=_MAX_BACKOFF_S)
+# read in batches, as rarely as still tells of a leaving engine well within the time
+# that it serves on. This part of that time leaves the rest for a read that fails and
+# the next one.
+_CALM_SHARE = 0.7
+
+# The one that places layers, and all while a chain is missing, read them more often:
+# they wait for what engines have loaded.
 _EAGER_PACE = FollowerPace(1.4, min_interval_s=0.8, max_backoff_s=_MAX_BACKOFF_S)
 _LEADING_PACE = FollowerPace(1.4, min_interval_s=0.3, max_backoff_s=_MAX_BACKOFF_S)
 
@@ -371,8 +374,12 @@
             return _LEADING_PACE
         starting = now_s - self._started_s < _FIRST_START_S
         if self._settings.first_start and starting:
-            return _CALM_PACE  # No client waits for the first placement yet.
-        return _EAGER_PACE if self.router.chain_missing() else _CALM_PACE
+            return self._calm_pace()  # No client waits for the first placement yet.
+        return _EAGER_PACE if self.router.chain_missing() else self._calm_pace()
+
+    def _calm_pace(self) -> FollowerPace:
+        interval_s = _CALM_SHARE * self._settings.drain_notice_s
+        return FollowerPace(interval_s, interval_s, _MAX_BACKOFF_S)
 
     def _on_deal(self, deal: Deal, sent_s: float) -> None:
         self._fleet.dealt(deal, sent_s)
--- a/src/railfold/_internal/forwarding/settings.py
+++ b/src/railfold/_internal/forwarding/settings.py
@@ -19,6 +19,8 @@
     :param credential_lease_s: how long credentials may be used after the store
         was last known to allow them.
     :param grace_s: time between the order to stop and the kill.
+    :param drain_notice_s: how long after a backend server has registered that it
+        leaves new work may still reach it.
     :param retry_share: retries as a share of first sends that all entries
         together may make.
     :param retry_slack: retries beyond that share that all entries together may
@@ -34,6 +36,7 @@
     metrics: Address | None
     credential_lease_s: float
     grace_s: float
+    drain_notice_s: float
     retry_share: float
     retry_slack: float
     retry_window_s: float
--- a/src/railfold/_internal/platform/settings.py
+++ b/src/railfold/_internal/platform/settings.py
@@ -37,6 +37,8 @@
 class _Bounds(msgspec.Struct, frozen=True):
     """Bounds of the rules that are in force.
 
+    ``drain_ms``: how long after a backend server has registered that it leaves new work
+    may still reach it.
     ``revoke_ms``: how long after its removal a credential may still be used.
     ``budget_ratio`` and ``budget_slack``: what all entries may send beyond the
     first send of each request, as a share and a number, in any window of
@@ -44,6 +46,7 @@
     """
 
     grace_s: float = 8.0
+    drain_ms: float = 2000.0
     revoke_ms: float = 5000.0
     budget_ratio: float = 0.1
     budget_slack: float = 10.0
@@ -134,6 +137,7 @@
             metrics=self._metrics(document.ip),
             credential_lease_s=bounds.revoke_ms / 1000.0,
             grace_s=bounds.grace_s,
+            drain_notice_s=bounds.drain_ms / 1000.0,
             retry_share=bounds.budget_ratio,
             retry_slack=bounds.budget_slack,
             retry_window_s=bounds.budget_window_s,
--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -128,6 +128,7 @@
             metrics=Address("127.0.0.1", free_port()),
             credential_lease_s=self.lease_s,
             grace_s=4.0,
+            drain_notice_s=2.0,
             retry_share=0.2,
             # Also a quarter of one of many parts, as right after a start, is plenty.
             retry_slack=4000.0,
