--- a/src/railfold/_internal/forwarding/probes.py
+++ b/src/railfold/_internal/forwarding/probes.py
@@ -51,6 +51,10 @@
 # milliseconds.
 _REPORT_TIMEOUT_S = 0.05
 
+# A probe of a look outlasts the look, which gives it up: one that timed out by itself
+# would read as a refusal, and with nobody heard all would count as lost.
+_LOOK_TIMEOUT_S = 2 * LONGEST_WAIT_S
+
 # How long a suspect backend server is given when it is asked again; nothing waits.
 _RECHECK_TIMEOUT_S = 0.5
 
@@ -250,7 +254,7 @@
         started_s = self._loop.time()
         near, far = self._witnesses({stage.host for stage in suspects})
         stages = {stage.host: stage for stage in (*suspects, *near, *far)}
-        check = LivenessCheck(lambda host: self._alive(stages[host], LONGEST_WAIT_S))
+        check = LivenessCheck(lambda host: self._alive(stages[host], _LOOK_TIMEOUT_S))
         verdict = await check.run(
             [stage.host for stage in suspects],
             [stage.host for stage in near],
--- a/tests/forwarding/test_suspicion.py
+++ b/tests/forwarding/test_suspicion.py
@@ -16,6 +16,7 @@
 from railfold._internal.errors import EngineUnavailableError, NoCapacityError
 from railfold._internal.forwarding import exchange
 from railfold._internal.forwarding.http_client import HttpConnection
+from railfold._internal.forwarding.liveness import Verdict
 from railfold._internal.forwarding.router import Destination, Router
 from railfold._internal.forwarding.stream_watch import Silence
 from standins import chaining_engine
@@ -237,3 +238,31 @@
     deployment.entry.router.report_lost(frozenset({used.server_id}))
     assert (await rest_of(connection)).status == 200
     assert runs(deployment, "u-1") == 1
+
+
+async def test_engines_that_nobody_answers_for_are_unheard_and_not_lost(
+    deployment: Deployment,
+) -> None:
+    """A host whose link is dead hears nobody.
+
+    Probes timed out after the same second as the look that waits for them. Looks that
+    ended just behind them took the time-outs for refusals: one in three, by chance.
+    """
+    for server in (*deployment.engines, *deployment.plain):
+        server.mode = "dead"
+    prober = deployment.entry._prober
+    engine = next(
+        e for e in deployment.entry.router.directory if e.registration.is_model_engine
+    )
+    assert engine.registration.layers is not None
+    stage = engine.stage(engine.registration.layers)
+
+    async def look_after(delay_s: float) -> Verdict:
+        await asyncio.sleep(delay_s)
+        return await prober._look_at([stage])
+
+    # A look goes on in parts of 12.5 ms: these end at moments all over such a part.
+    looks = [look_after(0.0015 * n) for n in range(10)]
+    verdicts = await asyncio.gather(*looks)
+    assert {verdict.lost for verdict in verdicts} == {frozenset()}
+    assert {verdict.unheard for verdict in verdicts} == {frozenset({engine.server_id})}
