A look whose last turn comes late gives no verdict where nobody was heard

Ruled out: connections closed under the probes (none was; all hung).

Change: without anybody heard there is no bound for 'lost' at all.

--- a/src/railfold/_internal/forwarding/liveness.py
+++ b/src/railfold/_internal/forwarding/liveness.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass
 
@@ -129,14 +130,18 @@
     def _patience_s(
         self, nearby: list[_Asking], elsewhere: list[_Asking], started_s: float
     ) -> float:
-        """Return how long a silent suspect is given, by who else was heard."""
+        """Return how long a silent suspect is given, by who else was heard.
+
+        For ever if nobody was: the look itself ends then, without a verdict. A bound a
+        little beyond its end would be reached by an event loop that runs late.
+        """
         near_s = _first_answer_s(nearby)
         if near_s is not None:
             return max(_ANSWER_S, _ROUND_TRIPS * (near_s - started_s))
         far_s = _first_answer_s(elsewhere)
         if far_s is not None:
             return max(_FAR_ANSWER_S, _ROUND_TRIPS * (far_s - started_s))
-        return LONGEST_WAIT_S + _PART_S
+        return math.inf
 
     async def _wait(self, pending: list[_Asking]) -> bool:
         """Wait a little for an answer; return whether this process was held up."""
