Chains are left to chance as far as an entry sees nothing of their load

Change: a domain's chain is drawn in proportion to its throughput where all entries could fill it by one request each, and is the cheapest one where an entry sees the load; between the two by how many entries there are for the room of a chain. A kept connection counts four times there.

--- /dev/null
+++ b/src/railfold/_internal/decisions/chain_choice.py
@@ -0,0 +1,70 @@
+"""Which of several failure domains' chains a request takes.
+
+Where an entry sees enough of the load, the cheapest chain is the best one. Where it
+doesn't, all entries find the same chain the cheapest, and send there together: after a
+power cut of 68 entries, with 400 clients coming back within half a second, one of some
+twenty first engines got a fifth of all requests, and half of them were refused for
+want of room there (measured). So the less an entry sees, the more the choice is left to
+chance, weighted by what each chain can serve. A kept connection counts more then too:
+it keeps an entry with the engines that chance gave it.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+__all__ = ["ChainOption", "blindness", "choose_option"]
+
+# How many times as likely an entry that sees nothing stays with an engine that a kept
+# connection leads to. Entries have several such engines, so that a slow one loses.
+_STAYING = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class ChainOption:
+    """A chain that a request could take.
+
+    :param cost: time of a token there at the load that is known, in any unit; less if
+        the chain is preferred for another reason.
+    :param room: how many usual requests fit on it at a time.
+    :param connected: whether a kept connection leads to its first engine.
+    """
+
+    cost: float
+    room: float
+    connected: bool
+
+
+def blindness(rooms: Sequence[float], entries: int) -> float:
+    """Return how little an entry knows of the load, from 0 to 1.
+
+    1 if every entry could fill a chain together with the others by one request each,
+    before any of them sees it.
+    """
+    if not rooms:
+        return 0.0
+    mean_room = max(1.0, sum(rooms) / len(rooms))
+    return min(1.0, (entries - 1) / mean_room)
+
+
+def choose_option(
+    options: Sequence[ChainOption], entries: int, rng: random.Random
+) -> int:
+    """Return the index of the chain to take.
+
+    An entry that sees all takes the cheapest. One that sees nothing takes each by a
+    chance in proportion to its room over its cost, which is its throughput.
+    """
+    blind = blindness([option.room for option in options], entries)
+
+    def key(index: int) -> float:
+        option = options[index]
+        weight = max(1.0, option.room) * (_STAYING if option.connected else 1.0)
+        # The least of such keys is a draw in proportion to weights (Gumbel's trick).
+        chance = -math.log(-math.log(max(1e-12, rng.random())) + 1e-12)
+        return math.log(max(1e-9, option.cost)) - blind * (math.log(weight) + chance)
+
+    return min(range(len(options)), key=key)
--- a/src/railfold/_internal/decisions/engine_directory.py
+++ b/src/railfold/_internal/decisions/engine_directory.py
@@ -15,7 +15,6 @@
 
 from railfold._internal.core import LayerRange, Stage
 from railfold._internal.decisions.planner import Replica
-from railfold._internal.decisions.reckoned_load import reckoned_share
 from railfold._internal.decisions.routing_table import EngineModel
 
 __all__ = [
@@ -299,25 +298,7 @@
 
         :param entries: how many entries there are.
         """
-        placed = self._placed(service, model)
-        own_tokens = sum(engine.entry.own_load for engine in placed)
-        all_tokens = sum(engine.capacity for engine in placed)
-        mean_share = entries * own_tokens / max(1, all_tokens)
-        return [
-            Replica(
-                engine.entry.stage(engine.layers),
-                engine.entry.registration.failure_domain,
-                region,
-                in_flight=_reckoned_load(engine, model, entries, mean_share),
-                capacity=engine.capacity,
-                step_ms=engine.step_ms,
-            )
-            for engine in placed
-        ]
-
-    def _placed(self, service: str, model: EngineModel) -> list[_PlacedEngine]:
-        """Return a model's engines that hold layers and may get work."""
-        placed = []
+        found = []
         for entry in self.of_service(service):
             registration = entry.registration
             layers = registration.layers
@@ -327,36 +308,29 @@
             if registration.model != model.name or not model.has_layers(layers):
                 continue
             capacity = max(1, model.state_tokens(accelerator, len(layers)))
-            step_ms = accelerator.step_factor * len(layers) * entry.slowness
-            placed.append(_PlacedEngine(entry, layers, capacity, step_ms))
-        return placed
-
-
-@dataclass(frozen=True, slots=True)
-class _PlacedEngine:
-    """An engine with layers; ``capacity`` is in tokens of requests."""
-
-    entry: DirectoryEntry
-    layers: LayerRange
-    capacity: int
-    step_ms: float
+            found.append(
+                Replica(
+                    entry.stage(layers),
+                    registration.failure_domain,
+                    region,
+                    in_flight=_reckoned_load(entry.own_load, entries, capacity),
+                    capacity=capacity,
+                    step_ms=accelerator.step_factor * len(layers) * entry.slowness,
+                )
+            )
+        return found
 
 
-def _reckoned_load(
-    engine: _PlacedEngine, model: EngineModel, entries: int, mean_share: float
-) -> int:
+def _reckoned_load(own: int, entries: int, capacity: int) -> int:
     """Return the load of all entries, reckoned from one entry's own.
 
-    Good enough to choose by. Only one's own load makes a backend server full: whether
-    others' does is known better there, and it refuses.
+    Entries take about like shares of all requests, which is good enough to
+    choose by. Only one's own load makes a backend server full: whether others'
+    does is known better there, and it refuses.
     """
-    own, capacity = engine.entry.own_load, engine.capacity
-    if entries == 1 or own >= capacity:
+    if own >= capacity:
         return own
-    share = reckoned_share(
-        entries * own / capacity, entries * model.mean_tokens / capacity, mean_share
-    )
-    return min(max(own, int(share * capacity)), capacity - 1)
+    return min(own * entries, capacity - 1)
 
 
 def _differ(one_ms: int | None, other_ms: int | None) -> bool:
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -12,6 +12,11 @@
 from railfold._internal.decisions.arrival_rate import ArrivalRates
 from railfold._internal.decisions.avoidance import Avoidance
 from railfold._internal.decisions.chain_activity import ChainActivity
+from railfold._internal.decisions.chain_choice import (
+    ChainOption,
+    blindness,
+    choose_option,
+)
 from railfold._internal.decisions.domains import group_by_domain
 from railfold._internal.decisions.engine_directory import (
     DirectoryEntry,
@@ -56,6 +61,11 @@
 # More than the jitter between equal engines, far less than a difference in load.
 _CONNECTED_FACTOR = 0.9
 
+# Engines' costs are spread by up to this part where an entry sees nothing of their
+# load: as much as a half full one costs more than an idle one of its kind would, so
+# that entries don't all choose the same path through a failure domain.
+_BLIND_JITTER = 0.5
+
 # A chain whose first events take a larger share of the route's objective than this
 # counts as slow: on an idle chain of the first sites they take a tenth of it, after
 # the longest prompts a third.
@@ -184,41 +194,64 @@
             spec.name, model, self.region, self.entries
         )
         now_s = asyncio.get_running_loop().time()
-        best: tuple[float, Chain] | None = None
+        domains = group_by_domain(replicas, lambda r: r.failure_domain)
+        rooms = [_typical_room(members, model) for members in domains]
+        blind = blindness(rooms, self.entries)
+        chains: list[Chain] = []
+        options: list[ChainOption] = []
         error: RequestError | None = None
-        for members in group_by_domain(replicas, lambda r: r.failure_domain):
+        for members in domains:
             # Only the first stage is excluded: the request was sent to it.
             usable = [
-                self._preferred_if_connected(r, now_s)
+                self._preferred_if_connected(r, now_s, blind)
                 for r in members
                 if (r.stage.layers.first > 0 or r.stage.host not in exclude)
                 and not self._avoided(r.stage.host, now_s)
             ]
             try:
-                chain = self._plan(usable, model)
+                chain = self._plan(usable, model, blind)
             except NoCapacityError as found:
                 error = found
                 continue
-            cost = self._cost(chain, usable)
-            first_host = chain.stages[0].host
-            cost *= self.activity.slowness(first_host, now_s, bearable_s)
-            if members[0].failure_domain == self.failure_domain:
-                cost *= _LOCAL_FACTOR
-            if best is None or cost < best[0]:
-                best = (cost, chain)
-        if best is None:
+            chains.append(chain)
+            options.append(self._option(chain, usable, model, now_s, bearable_s))
+        if not chains:
             raise error or NoCapacityError(
                 "no backend server holds layers of the model",
                 hint="come back after Retry-After",
             )
-        return Destination(spec.name, best[1].stages[0], best[1])
+        chain = chains[choose_option(options, self.entries, self.rng)]
+        return Destination(spec.name, chain.stages[0], chain)
 
-    def _preferred_if_connected(self, replica: Replica, now_s: float) -> Replica:
+    def _option(
+        self,
+        chain: Chain,
+        replicas: list[Replica],
+        model: EngineModel,
+        now_s: float,
+        bearable_s: float,
+    ) -> ChainOption:
+        """Return what speaks for and against a failure domain's best chain."""
+        by_host = {r.stage.host: r for r in replicas}
+        stages = [by_host[stage.host] for stage in chain.stages]
+        first_host = chain.stages[0].host
+        cost = self._cost(chain, stages)
+        cost *= self.activity.slowness(first_host, now_s, bearable_s)
+        if stages[0].failure_domain == self.failure_domain:
+            cost *= _LOCAL_FACTOR
+        room = min(stage.capacity for stage in stages) / model.mean_tokens
+        connected = self.pool.has_idle(first_host, now_s)
+        return ChainOption(cost, min(room, float(model.max_sequences)), connected)
+
+    def _preferred_if_connected(
+        self, replica: Replica, now_s: float, blind: float
+    ) -> Replica:
         """Let an engine count as cheaper that a kept connection leads to."""
         first = replica.stage.layers.first == 0
         if not first or not self.pool.has_idle(replica.stage.host, now_s):
             return replica
-        return replace(replica, step_ms=_CONNECTED_FACTOR * replica.step_ms)
+        factor = _CONNECTED_FACTOR * (1.0 - blind / 2)
+        return replace(replica, step_ms=factor * replica.step_ms)
 
     def arriving_rps(self, service: str) -> float:
         """Return how many requests a second arrive, reckoned over all entries.
@@ -285,19 +318,22 @@
             and (r.stage.layers.first > 0 or r.stage.host == first.host)
         ]
         try:
-            found = self._plan(usable, model)
+            found = self._plan(usable, model, blind=0.0)
         except NoCapacityError:
             return None
         return found if found.stages[0] == first else None
 
-    def _plan(self, replicas: Iterable[Replica], model: EngineModel) -> Chain:
+    def _plan(
+        self, replicas: Iterable[Replica], model: EngineModel, blind: float
+    ) -> Chain:
+        jitter = max(self.weights.jitter, _BLIND_JITTER * blind)
         return plan_chain(
             replicas,
             model.layer_count,
             exclude=frozenset(),
             prefer=(),
             costs=self.costs,
-            weights=self.weights,
+            weights=replace(self.weights, jitter=jitter),
             rng=self.rng,
             partial=True,
         )
@@ -318,7 +354,9 @@
         model = self._model_of(chain)
         if model is None:
             return 0.0
-        requests = self._requests_on(chain, model)
+        first = self.directory.get(chain.stages[0].host)
+        own_load = first.own_load if first is not None else 0
+        requests = min(own_load * self.entries / model.mean_tokens, model.max_sequences)
         token_s = 0.0
         for stage in chain.stages:
             entry = self.directory.get(stage.host)
@@ -331,18 +369,6 @@
                 token_s += stage_token_s(accelerator, model, layers, requests)
         return model.tokens_per_event * token_s
 
-    def _requests_on(self, chain: Chain, model: EngineModel) -> float:
-        """Return how many requests are in flight at a chain's beginning."""
-        first = chain.stages[0].host
-        entry = self.directory.get(first)
-        if entry is None:
-            return 0.0
-        replicas = self.directory.layer_replicas(
-            entry.registration.service, model, self.region, self.entries
-        )
-        tokens = next((r.in_flight for r in replicas if r.stage.host == first), 0)
-        return min(tokens / model.mean_tokens, float(model.max_sequences))
-
     def _cost(self, chain: Chain, replicas: Iterable[Replica]) -> float:
         by_host = {r.stage.host: r for r in replicas}
         cost = 0.0
@@ -415,3 +441,9 @@
         )
         for r in replicas
     ]
+
+
+def _typical_room(replicas: list[Replica], model: EngineModel) -> float:
+    """Return how many usual requests fit on an engine in the middle of a domain's."""
+    capacities = sorted(replica.capacity for replica in replicas)
+    return capacities[len(capacities) // 2] / model.mean_tokens
