Calls to engines' own interfaces are a module of their own

probes.py was 530 lines: asking engines and judging them in one class. No change of behaviour; one place now makes and decodes the call for a report outside orders (it stood three times).

--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -530,7 +530,7 @@
         other = self._router.reroute(chain, lost)
         outcome = "there is no other chain"
         if other is not None:
-            outcome = await self._prober.reroute(self._request.request_id, other)
+            outcome = await self._prober.calls.reroute(self._request.request_id, other)
         if self._exchange is not exchange or self._destination is None:
             return  # The attempt ended meanwhile.
         self._router.log.write(
--- a/src/railfold/_internal/forwarding/layer_orders.py
+++ b/src/railfold/_internal/forwarding/layer_orders.py
@@ -21,7 +21,7 @@
     OrderRefused,
     OrderUnsettled,
 )
-from railfold._internal.forwarding.probes import ChainProber
+from railfold._internal.forwarding.engine_calls import EngineCalls
 from railfold._internal.forwarding.router import Router
 from railfold._internal.observability.events import LayersOrdered
 
@@ -41,11 +41,11 @@
     """Orders under way, one at an engine."""
 
     def __init__(
-        self, router: Router, leadership: Leadership, prober: ChainProber
+        self, router: Router, leadership: Leadership, calls: EngineCalls
     ) -> None:
         self._router = router
         self._leadership = leadership
-        self._prober = prober
+        self._calls = calls
         self._loop = asyncio.get_running_loop()
         self._under_way: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -100,7 +100,7 @@
     async def _send(self, entry: DirectoryEntry, order: LoadOrder) -> OrderOutcome:
         dialect = self._router.dialect
         try:
-            response = await self._prober.call(
+            response = await self._calls.call(
                 entry, dialect.report_call(), _ORDER_TIMEOUT_S
             )
             report = dialect.decode_report(response.body)
@@ -113,7 +113,7 @@
             if self._leadership.fencing(self._loop.time()) != order.fencing:
                 return OrderRefused("the lease was lost before the order was sent")
             call = dialect.place_call(order.layers, order.fencing, report.order_count)
-            response = await self._prober.call(entry, call, _ORDER_TIMEOUT_S)
+            response = await self._calls.call(entry, call, _ORDER_TIMEOUT_S)
         except EngineError as error:
             return OrderUnsettled(str(error))
         if entry.is_another(dialect.decode_started_at_ms(response.body)):
--- a/src/railfold/_internal/forwarding/placement.py
+++ b/src/railfold/_internal/forwarding/placement.py
@@ -34,9 +34,9 @@
     uncovered_layers,
 )
 from railfold._internal.decisions.routing_table import EngineModel, ServiceSpec
+from railfold._internal.forwarding.engine_calls import EngineCalls
 from railfold._internal.forwarding.layer_orders import LayerOrders
 from railfold._internal.forwarding.leadership import LEASE_S
-from railfold._internal.forwarding.probes import ChainProber
 from railfold._internal.forwarding.router import Router
 from railfold._internal.observability.events import LayersPlanned
 
@@ -84,14 +84,14 @@
         self,
         router: Router,
         leadership: Leadership,
-        prober: ChainProber,
+        calls: EngineCalls,
         *,
         first_start: bool,
     ) -> None:
         self._first_start = first_start
         self._router = router
         self._leadership = leadership
-        self._orders = LayerOrders(router, leadership, prober)
+        self._orders = LayerOrders(router, leadership, calls)
         self._loop = asyncio.get_running_loop()
         self._reconcilers: dict[str, Reconciler] = {}
         self._targets: dict[str, LayerRange] = {}
--- a/src/railfold/_internal/forwarding/probes.py
+++ b/src/railfold/_internal/forwarding/probes.py
@@ -10,32 +10,20 @@
 import asyncio
 import contextlib
 from collections import deque
-from collections.abc import Callable, Coroutine, Iterable, Set
+from collections.abc import Callable, Coroutine, Set
 from dataclasses import replace
 from typing import Any
 
 from absl import logging
 
-from railfold._internal.core import Chain, LayerRange, Stage, parse_address
-from railfold._internal.decisions.engine_directory import (
-    UNKNOWN_INCARNATION,
-    DirectoryEntry,
-)
-from railfold._internal.decisions.placement import covers
+from railfold._internal.core import Chain, Stage
+from railfold._internal.decisions.engine_directory import DirectoryEntry
 from railfold._internal.decisions.probe_pace import ProbePace
-from railfold._internal.errors import EngineError, EngineUnavailableError
-from railfold._internal.forwarding.dialect import (
-    EngineCall,
-    OrderBegun,
-    OrderFenced,
-    OrderRefused,
-    OrderUnsettled,
-)
-from railfold._internal.forwarding.http_client import (
-    HttpConnection,
-    Response,
-    connect,
-    fetch,
+from railfold._internal.errors import EngineError
+from railfold._internal.forwarding.engine_calls import (
+    EngineCalls,
+    is_another,
+    stages_of,
 )
 from railfold._internal.forwarding.liveness import (
     LONGEST_WAIT_S,
@@ -48,11 +36,6 @@
 
 __all__ = ["ChainProber"]
 
-# How long a stream waits for its first engine's word on whom it waits for; after that
-# the first engine itself is looked at. On an idle way a report takes a few
-# milliseconds.
-_REPORT_TIMEOUT_S = 0.05
-
 # A probe of a look outlasts the look, which gives it up: one that timed out by itself
 # would read as a refusal, and with nobody heard all would count as lost.
 _LOOK_TIMEOUT_S = 2 * LONGEST_WAIT_S
@@ -64,15 +47,10 @@
 # as witnesses that this host can hear: one may be dead too.
 _WITNESSES = 2
 
-# Of a plain service.
-_NO_LAYERS = LayerRange(0, 0)
-
 # How often a suspect backend server is probed: first, and at most.
 _RECHECK_FIRST_S = 0.15
 _RECHECK_MOST_S = 1.5
 
-_REROUTE_TIMEOUT_S = 0.3
-
 # A backend server that fails this many of its last answers gets no more work
 # for a while, as long as most others of its service are in use.
 _OUTCOMES_KEPT = 8
@@ -80,14 +58,16 @@
 _EJECTION_S = 2.0
 _MOST_EJECTED_SHARE = 0.34
 
-_BUSY = 503
-
 
 class ChainProber:
-    """Probes backend servers and marks those that are lost."""
+    """Probes backend servers and marks those that are lost.
+
+    :param calls: asks them.
+    """
 
-    def __init__(self, router: Router) -> None:
+    def __init__(self, router: Router, calls: EngineCalls) -> None:
         self._router = router
+        self.calls = calls
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
         self.pace = ProbePace()
@@ -204,17 +184,12 @@
 
     async def _ask_first(self, chain: Chain, request_id: str, silent_s: float) -> None:
         first = chain.stages[0]
-        call = self._router.dialect.report_call()
-        self._router.metrics.count("probes")
         try:
-            response = await self._call_at(
-                first.host, first.address, call, _REPORT_TIMEOUT_S
-            )
-            report = self._router.dialect.decode_report(response.body)
+            report = await self.calls.report(first)
         except EngineError:
             await self._probe_chain(chain, chain.hosts[:1], request_id, silent_s)
             return
-        if _is_another(first, report.started_at_ms):
+        if is_another(first, report.started_at_ms):
             await self._probe_chain(chain, chain.hosts[:1], request_id, silent_s)
             return
         stalled = report.stalled
@@ -257,7 +232,9 @@
         started_s = self._loop.time()
         near, far = self._witnesses({stage.host for stage in suspects})
         stages = {stage.host: stage for stage in (*suspects, *near, *far)}
-        check = LivenessCheck(lambda host: self._alive(stages[host], _LOOK_TIMEOUT_S))
+        check = LivenessCheck(
+            lambda host: self.calls.alive(stages[host], _LOOK_TIMEOUT_S)
+        )
         verdict = await check.run(
             [stage.host for stage in suspects],
             [stage.host for stage in near],
@@ -289,7 +266,7 @@
         self._router.rng.shuffle(others)
         near = [e for e in others if e.registration.failure_domain in domains]
         far = [e for e in others if e.registration.failure_domain not in domains]
-        return _stages(near[:_WITNESSES]), _stages(far[:_WITNESSES])
+        return stages_of(near[:_WITNESSES]), stages_of(far[:_WITNESSES])
 
     def _suspect_all(self, server_ids: frozenset[str]) -> None:
         for server_id in server_ids:
@@ -307,7 +284,7 @@
             return  # Nothing new goes there.
         self._checking.add(server_id)
         try:
-            verdict = await self._look_at(_stages([entry]))
+            verdict = await self._look_at(stages_of([entry]))
             self._suspect_all(verdict.unheard)
             if verdict.lost:
                 on_lost(verdict.lost)
@@ -326,7 +303,7 @@
         server_id = entry.server_id
         self._checking.add(server_id)
         try:
-            serves = await self._serves(entry, _RECHECK_TIMEOUT_S)
+            serves = await self.calls.serves(entry, _RECHECK_TIMEOUT_S)
         except EngineError:
             serves = None
         finally:
@@ -336,26 +313,6 @@
         elif not serves:
             self._suspect(server_id, "it doesn't hold what it registered")
 
-    async def _serves(self, entry: DirectoryEntry, timeout_s: float) -> bool:
-        """Return whether it is well and holds the layers that it registered.
-
-        :raises EngineError: it doesn't answer.
-        """
-        (stage,) = _stages([entry])
-        response = await self._probe(stage, self._probe_call(entry), timeout_s)
-        return self._is_well(entry, response) and self._holds_layers(entry, response)
-
-    def _holds_layers(self, entry: DirectoryEntry, response: Response) -> bool:
-        registered = entry.registration.layers
-        if not entry.registration.is_model_engine or registered is None:
-            return True
-        try:
-            report = self._router.dialect.decode_report(response.body)
-        except EngineError as error:
-            logging.debug("a report of %s: %s", entry.server_id, error)
-            return True  # It says nothing against it.
-        return covers(report.layers, registered)
-
     async def _recheck(self, server_id: str, delay_s: float) -> None:
         while True:
             await asyncio.sleep(delay_s)
@@ -363,157 +320,12 @@
             if entry is None or entry.suspect_since_s is None:
                 return
             with contextlib.suppress(EngineError):
-                if await self._serves(entry, _RECHECK_TIMEOUT_S):
+                if await self.calls.serves(entry, _RECHECK_TIMEOUT_S):
                     break
             delay_s = min(_RECHECK_MOST_S, 2 * delay_s)
         self._router.directory.cleared(server_id)
         self._router.log.write(EngineChanged(server_id, "well", "it answers a probe"))
 
-    async def _alive(self, stage: Stage, timeout_s: float) -> bool:
-        entry = self._router.directory.get(stage.host)
-        if entry is None:
-            return await self._serves_on(stage, timeout_s)
-        call = self._probe_call(entry)
-        try:
-            response = await self._probe(stage, call, timeout_s)
-        except EngineError:
-            return False
-        return self._is_well(entry, response)
-
-    async def _probe(
-        self, stage: Stage, call: EngineCall, timeout_s: float
-    ) -> Response:
-        """Ask once more over a new connection if the answer was cut off.
-
-        A kept connection may close as the probe is sent, which says nothing of the
-        backend server.
-
-        :raises EngineUnavailableError: no answer came in time, or none over the new
-            connection either.
-        """
-        self._router.metrics.count("probes")
-        try:
-            return await self._call_at(stage.host, stage.address, call, timeout_s)
-        except EngineUnavailableError as error:
-            if isinstance(error.__cause__, TimeoutError):
-                raise
-            connection = await connect(parse_address(stage.address), timeout_s)
-            return await self._call_on(stage.host, connection, call, timeout_s)
-
-    async def _serves_on(self, stage: Stage, timeout_s: float) -> bool:
-        """Ask an engine that isn't registered any more.
-
-        One that leaves takes itself off the list and finishes what runs there for
-        seconds. Another incarnation at its address is registered, or holds other
-        layers or none yet.
-        """
-        if self._router.directory.at(stage.address) is not None:
-            return False
-        dialect = self._router.dialect
-        try:
-            response = await self._probe(stage, dialect.report_call(), timeout_s)
-            report = dialect.decode_report(response.body)
-        except EngineError:
-            return False
-        held = report.layers
-        if held is None or _is_another(stage, report.started_at_ms):
-            return False
-        return held.first <= stage.layers.first and stage.layers.last <= held.last
-
-    def _probe_call(self, entry: DirectoryEntry) -> EngineCall:
-        if entry.registration.is_model_engine:
-            return self._router.dialect.report_call()
-        table = self._router.table
-        spec = table.services.get(entry.registration.service) if table else None
-        path = spec.health_path if spec else "/"
-        headers = (("Host", entry.registration.address),)
-        return EngineCall("GET", path, headers)
-
-    def _is_well(self, entry: DirectoryEntry, response: Response) -> bool:
-        started_at_ms = self._router.dialect.decode_started_at_ms(response.body)
-        if entry.is_another(started_at_ms):
-            return False  # Its successor answers, which knows nothing of its work.
-        # A plain service that is full refuses its health check like any other
-        # request, and yet lives.
-        return (
-            entry.registration.is_model_engine
-            or response.head.status < 500
-            or (response.head.status == _BUSY and not entry.registration.draining)
-        )
-
-    async def ask_slowness(self, entry: DirectoryEntry) -> None:
-        """Ask an engine how slow it is, and note it."""
-        dialect = self._router.dialect
-        self._router.metrics.count("probes")
-        try:
-            response = await self.call(entry, dialect.report_call(), _REPORT_TIMEOUT_S)
-            report = dialect.decode_report(response.body)
-        except EngineError as error:
-            # Whether it lives is found out by what waits for it.
-            logging.debug("%s doesn't say how slow it is: %s", entry.server_id, error)
-            return
-        if entry.is_another(report.started_at_ms):
-            return
-        slowness = report.slowness
-        if slowness != entry.slowness:
-            state = "slow" if slowness > 1.0 else "serving"
-            cause = f"its steps take {slowness:.1f} times as long as usual"
-            self._router.log.write(EngineChanged(entry.server_id, state, cause))
-        entry.slowness = slowness
-
-    async def call(
-        self, entry: DirectoryEntry, call: EngineCall, timeout_s: float
-    ) -> Response:
-        """Make one call to a backend server.
-
-        :raises EngineUnavailableError: no answer came in time.
-        """
-        address = entry.registration.address
-        return await self._call_at(entry.server_id, address, call, timeout_s)
-
-    async def _call_at(
-        self, server_id: str, address: str, call: EngineCall, timeout_s: float
-    ) -> Response:
-        pool = self._router.pool
-        connection = pool.take(server_id, self._loop.time())
-        if connection is None:
-            connection = await connect(parse_address(address), timeout_s)
-        return await self._call_on(server_id, connection, call, timeout_s)
-
-    async def _call_on(
-        self,
-        server_id: str,
-        connection: HttpConnection,
-        call: EngineCall,
-        timeout_s: float,
-    ) -> Response:
-        response = await fetch(
-            connection, call.method, call.target, call.headers, call.body, timeout_s
-        )
-        self._router.pool.give_back(server_id, connection, self._loop.time())
-        return response
-
-    async def reroute(self, request_id: str, chain: Chain) -> str:
-        """Order a running request onto another chain; return why not, if so."""
-        entry = self._router.directory.get(chain.stages[0].host)
-        if entry is None:
-            return "its first backend server is gone"
-        call = self._router.dialect.reroute_call(request_id, chain)
-        try:
-            response = await self.call(entry, call, _REROUTE_TIMEOUT_S)
-        except EngineError as error:
-            return error.what
-        started_at_ms = self._router.dialect.decode_started_at_ms(response.body)
-        if entry.is_another(started_at_ms):
-            return "its first backend server has started again"
-        match self._router.dialect.order_outcome(response.head):
-            case OrderBegun():
-                return ""
-            case OrderRefused(reason=reason) | OrderUnsettled(reason=reason):
-                return reason
-            case OrderFenced():
-                return "fenced"
-
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = self._loop.create_task(work)
         self._tasks.add(task)
@@ -523,14 +335,3 @@
         self._tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
             logging.error("a probe failed unexpectedly: %r", error)
-
-
-def _stages(entries: Iterable[DirectoryEntry]) -> list[Stage]:
-    """Return backend servers as stages of a chain."""
-    return [entry.stage(entry.registration.layers or _NO_LAYERS) for entry in entries]
-
-
-def _is_another(stage: Stage, started_at_ms: int | None) -> bool:
-    """Return whether somebody who started then is surely not a chain's stage."""
-    known = stage.incarnation != UNKNOWN_INCARNATION
-    return known and started_at_ms not in (None, stage.incarnation)
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -20,6 +20,7 @@
 from railfold._internal.errors import LogUnavailableError, RequestError
 from railfold._internal.forwarding.adapter import PlatformAdapter
 from railfold._internal.forwarding.driver import RequestDriver
+from railfold._internal.forwarding.engine_calls import EngineCalls
 from railfold._internal.forwarding.feeds import ConfigurationFeed, RegistrationFeed
 from railfold._internal.forwarding.front import ClientExchange, ClientServer
 from railfold._internal.forwarding.leadership import LEASE_S, LeadershipKeeper
@@ -139,7 +140,8 @@
             region=settings.region,
             rng=random.Random(),
         )
-        self._prober = ChainProber(self.router)
+        calls = EngineCalls(self.router)
+        self._prober = ChainProber(self.router, calls)
         self._leadership = Leadership(LEASE_S)
         self._leadership_keeper = LeadershipKeeper(
             settings.name,
@@ -152,10 +154,10 @@
         self._placement = PlacementKeeper(
             self.router,
             self._leadership,
-            self._prober,
+            calls,
             first_start=settings.first_start,
         )
-        self._slow_engines = SlowEngineWatch(self.router, self._prober)
+        self._slow_engines = SlowEngineWatch(self.router, calls)
         self._clients = ClientServer(
             settings.clients, self, listeners.clients if listeners else None
         )
--- a/src/railfold/_internal/forwarding/slow_engines.py
+++ b/src/railfold/_internal/forwarding/slow_engines.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from railfold._internal.decisions.engine_directory import DirectoryEntry
-from railfold._internal.forwarding.probes import ChainProber
+from railfold._internal.forwarding.engine_calls import EngineCalls
 from railfold._internal.forwarding.router import Router
 
 __all__ = ["SlowEngineWatch"]
@@ -43,9 +43,9 @@
 class SlowEngineWatch:
     """Asks the engines of slow chains, and slow engines, how slow they are."""
 
-    def __init__(self, router: Router, prober: ChainProber) -> None:
+    def __init__(self, router: Router, calls: EngineCalls) -> None:
         self._router = router
-        self._prober = prober
+        self._calls = calls
         self._loop = asyncio.get_running_loop()
         self._asked: dict[str, _Asked] = {}
 
@@ -59,7 +59,7 @@
     async def _look(self) -> None:
         now_s = self._loop.time()
         due = {e.server_id: e for e in self._suspects(now_s) if self._is_due(e, now_s)}
-        await asyncio.gather(*map(self._prober.ask_slowness, due.values()))
+        await asyncio.gather(*map(self._calls.ask_slowness, due.values()))
         for entry in due.values():
             self._note(entry, now_s)
         known = {entry.server_id for entry in self._router.directory}
--- a/tests/forwarding/test_incarnations.py
+++ b/tests/forwarding/test_incarnations.py
@@ -114,7 +114,7 @@
     engine = dated.engines[0]
     entry = entry_of(dated, engine)
     engine.born, engine.pace = SECOND_START, 8.0
-    await dated.entry._prober.ask_slowness(entry)
+    await dated.entry._prober.calls.ask_slowness(entry)
     assert entry.slowness == 1.0
 
 
@@ -139,6 +139,6 @@
     directory = dated.entry.router.directory
     await until(lambda: directory.registered_as(engine.server_id) is None)
     prober = dated.entry._prober
-    assert await prober._serves_on(stage, 0.5)
+    assert await prober.calls.serves_on(stage, 0.5)
     engine.born = SECOND_START
-    assert not await prober._serves_on(stage, 0.5)
+    assert not await prober.calls.serves_on(stage, 0.5)
--- a/tests/forwarding/test_own_lateness.py
+++ b/tests/forwarding/test_own_lateness.py
@@ -112,12 +112,12 @@
     entry = directory.get(first.server_id)
     assert entry is not None
     take_off_the_list(deployment, first)
-    assert await prober._serves_on(stage, 0.5)
+    assert await prober.calls.serves_on(stage, 0.5)
     first.layers = (4, 8)
-    assert not await prober._serves_on(stage, 0.5)
+    assert not await prober.calls.serves_on(stage, 0.5)
     first.layers = (0, 4)
     directory.register(replace(entry.registration, registered_id="i-successor"))
-    assert not await prober._serves_on(stage, 0.5)
+    assert not await prober.calls.serves_on(stage, 0.5)
     connection.close()
 
 
