An engine at fault that doesn't answer is looked at before it gets work again

It was asked alone for 0.5 s, while a refusal keeps requests away for 0.25 s only: a second wave went there.

Change: it is given 50 ms alone, then looked at with witnesses.

--- a/src/railfold/_internal/forwarding/probes.py
+++ b/src/railfold/_internal/forwarding/probes.py
@@ -43,6 +43,10 @@
 # How long a suspect backend server is given when it is asked again; nothing waits.
 _RECHECK_TIMEOUT_S = 0.5
 
+# How long an engine that is named as the one at fault is given alone. After that it is
+# looked at with witnesses; new requests keep away from it for 0.25 s by the refusal.
+_AT_FAULT_TIMEOUT_S = 0.05
+
 # How many others are asked beside suspects, in their failure domains and elsewhere,
 # as witnesses that this host can hear: one may be dead too.
 _WITNESSES = 2
@@ -303,7 +307,7 @@
         server_id = entry.server_id
         self._checking.add(server_id)
         try:
-            serves = await self.calls.serves(entry, _RECHECK_TIMEOUT_S)
+            serves = await self.calls.serves(entry, _AT_FAULT_TIMEOUT_S)
         except EngineError:
             serves = None
         finally:
