--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import signal
 from collections.abc import Callable, Coroutine
@@ -130,6 +131,52 @@
     await world.restart(rng.choice(servers))
 
 
+async def server_starts_again(world: World, rng: random.Random) -> None:
+    """Crash a backend server; it is back at once, under its id and address."""
+    await world.restart_under_its_id(rng.choice([*world.engines, *world.plain]))
+
+
+async def odd_records(world: World, rng: random.Random) -> None:
+    """Write registrations that name no backend server, as another writer may.
+
+    Some stand in place of a live server's own, which that one writes again.
+    """
+    registrations = world.store.topic("keyed.servers")
+    server = rng.choice([*world.engines, *world.plain])
+    for key in (server.server_id, "i-odd", "i odd", "i-\u00e9"):
+        registrations.append(key, odd_record(rng, server.address))
+    await asyncio.sleep(rng.uniform(0.2, 1.5))
+    if world.runs(server):
+        server.register()
+
+
+def odd_record(rng: random.Random, address: str) -> bytes:
+    """Return bytes that a reader may take for a registration."""
+    entry = {
+        "service": "inspect-llm",
+        "address": address,
+        "zone": "hall-a",
+        "slots": 8,
+        "state": "ready",
+        "models": [{"name": "inspect"}],
+        "kind": "l4",
+        "layers": {"from": 0, "target_version": 8},
+        "born": 1,
+    }
+    odd = [
+        {"layers": {"from": -4, "target_version": 4000}},
+        {"layers": {"from": 0, "target_version": 10**9}},
+        {"address": "127.0.0.1:99999"},
+        {"address": ""},
+        {"slots": 0},
+        {"state": "elsewhere"},
+        {"born": "yesterday"},
+        {"models": "inspect"},
+    ]
+    whole = json.dumps({**entry, **rng.choice(odd)}).encode()
+    return rng.choice([whole, whole, whole[:40], b"\xff\xfe", b"[]"])
+
+
 async def server_leaves(world: World, rng: random.Random) -> None:
     """Let a backend server drain; then an empty one takes its place."""
     server = rng.choice([*world.engines, *world.plain])
@@ -166,14 +213,22 @@
     "entry_stop": entry_stop,
     "large_configuration": large_configuration,
     "link_fault": link_fault,
+    "odd_records": odd_records,
     "server_crash": server_crash,
     "server_fault": server_fault,
     "server_leaves": server_leaves,
+    "server_starts_again": server_starts_again,
     "store_fault": store_fault,
     "store_forgets": store_forgets,
 }
 
 # Beside these no stream that began may be cut.
 HARMLESS_TO_STREAMS = frozenset(
-    {"configure", "entry_reload", "large_configuration", "store_forgets"}
+    {
+        "configure",
+        "entry_reload",
+        "large_configuration",
+        "odd_records",
+        "store_forgets",
+    }
 )
--- a/soak/world.py
+++ b/soak/world.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 import tempfile
+import time
 from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -188,6 +189,7 @@
             kind="l4" if is_model else "",
             layers=layers,
             port=free_port(),
+            born=unix_time_ms(),
         )
         link = Link(engine.port, self.to_entries)
         await link.start()
@@ -211,6 +213,17 @@
         group.append(empty)
         return empty
 
+    async def restart_under_its_id(self, engine: Engine) -> None:
+        """Crash a backend server, and start it again at its address and id."""
+        engine.mode = "ok"
+        await engine.stop()
+        if self.runs(engine):
+            engine.start_again(unix_time_ms())
+
+    def runs(self, engine: Engine) -> bool:
+        """Return whether a backend server wasn't replaced by another one."""
+        return engine in self.engines or engine in self.plain
+
     def store_was_out_after(self, since_s: float) -> bool:
         """Return whether the store, or a link to it, was faulty from then on."""
         return any(at_s >= since_s - 4.0 for at_s in self.store_outages_s)
@@ -245,6 +258,11 @@
             await asyncio.wait_for(self._store_server.close_all_connections(), 2.0)
 
 
+def unix_time_ms() -> int:
+    """Return the time of day as servers tell their start."""
+    return time.time_ns() // 1_000_000
+
+
 def machine_load() -> float:
     """Return the load average of the last minute, for the record of a run."""
     return os.getloadavg()[0]
--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -140,9 +140,14 @@
         return {} if self.born is None else {"born": self.born}
 
     async def restart(self, born: int) -> None:
-        """Start again under the same id, knowing nothing; clients see a crash."""
+        """Crash, and start again under the same id."""
         await self.stop()
+        self.start_again(born)
+
+    def start_again(self, born: int) -> None:
+        """Start under the same id, knowing nothing of before."""
         self.born = born
+        self.state = "ready"
         self.orders = 0
         self.fence = -1
         self.layers = None
