Starts of different ids aren't compared; words of the read-through

Cause, by reading: an engine that takes over an address and whose host's clock is behind looked older than its predecessor there and was passed over for as long as that one stood. Test: failed before.

--- a/src/railfold/_internal/decisions/chain_choice.py
+++ b/src/railfold/_internal/decisions/chain_choice.py
@@ -4,9 +4,9 @@
 doesn't, all entries find the same chain the cheapest, and send there together: after a
 power cut of 68 entries, with 400 clients coming back within half a second, one of some
 twenty first engines got a fifth of all requests, and most of those were refused for
-want of room on its chain (measured). So the less an entry sees, the more the choice is left to
-chance, weighted by what each chain can serve. A kept connection counts more then too:
-it keeps an entry with the engines that chance gave it.
+want of room on its chain (measured). So the less an entry sees, the more the choice is
+left to chance, weighted by what each chain can serve. A kept connection counts more
+then too: it keeps an entry with the engines that chance gave it.
 """
 
 from __future__ import annotations
--- a/src/railfold/_internal/decisions/engine_directory.py
+++ b/src/railfold/_internal/decisions/engine_directory.py
@@ -160,11 +160,12 @@
 
         A new incarnation under an id or at an address ends the one that was there: a
         probe of the address would find the dead one well. One that started before
-        what is known there was read late, and changes nothing.
+        what is known under its id was read late, and changes nothing. Starts of
+        different ids aren't compared: their clocks may differ.
         """
         known = self.registered_as(registration.registered_id)
         in_place = self.at(registration.address)
-        if self._is_outdated(registration, known, in_place):
+        if self._is_outdated(registration, known):
             return RegistrationTaken(None)
         if known is not None and not known.is_another(registration.started_at_ms):
             entry = known
@@ -178,20 +179,12 @@
         return RegistrationTaken(entry, tuple(e.server_id for e in ended))
 
     def _is_outdated(
-        self,
-        registration: Registration,
-        known: DirectoryEntry | None,
-        in_place: DirectoryEntry | None,
+        self, registration: Registration, known: DirectoryEntry | None
     ) -> bool:
         started_at_ms = registration.started_at_ms
         departed_ms = self._departed_started_at_ms.get(registration.registered_id)
-        if _before(started_at_ms, departed_ms):
-            return True
-        return any(
-            _before(started_at_ms, entry.registration.started_at_ms)
-            for entry in (known, in_place)
-            if entry is not None
-        )
+        known_ms = known.registration.started_at_ms if known is not None else None
+        return _before(started_at_ms, departed_ms) or _before(started_at_ms, known_ms)
 
     def _take(self, entry: DirectoryEntry, registration: Registration) -> None:
         """Let an entry say what was registered last."""
--- a/src/railfold/_internal/decisions/fleet_size.py
+++ b/src/railfold/_internal/decisions/fleet_size.py
@@ -28,17 +28,17 @@
 
     :param generation: rises with every change of members.
     :param own: partitions that this member holds.
-    :param all: partitions that there are.
+    :param total: partitions that there are.
     """
 
     generation: int
     own: int
-    all: int
+    total: int
 
     @property
     def members(self) -> int:
         """How many members there are; at least so many if this one holds nothing."""
-        return max(1, round(self.all / max(1, self.own)))
+        return max(1, round(self.total / max(1, self.own)))
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/railfold/_internal/forwarding/engine_calls.py
+++ b/src/railfold/_internal/forwarding/engine_calls.py
@@ -91,6 +91,10 @@
         return covers(report.layers, registered)
 
     async def alive(self, stage: Stage, timeout_s: float) -> bool:
+        """Return whether the incarnation that a stage stands for answers and is well.
+
+        One that isn't registered any more may serve on.
+        """
         entry = self._router.directory.get(stage.host)
         if entry is None:
             return await self.serves_on(stage, timeout_s)
--- a/tests/unit/test_engine_directory.py
+++ b/tests/unit/test_engine_directory.py
@@ -160,6 +160,15 @@
     assert hosts(directory) == ["i-2"]
 
 
+def test_starts_of_different_ids_at_an_address_arent_compared() -> None:
+    """The clock of a host that an address passes to may be behind."""
+    directory = EngineDirectory()
+    directory.register(LATER)
+    taken = directory.register(replace(EARLIER, registered_id="i-2"))
+    assert taken.entry is not None
+    assert taken.ended == (LATER.server_id,)
+
+
 def test_a_record_that_names_nobody_counts_at_once(directory: EngineDirectory) -> None:
     directory.store_returned(100.0)
     directory.withdraw("i-1")
