--- a/src/railfold/_internal/platform/engines.py
+++ b/src/railfold/_internal/platform/engines.py
@@ -31,8 +31,8 @@
 # this is not one, and is not worth the time to read it.
 _MOST_BYTES = 16 * 1024
 
-# An id goes into a header of every request, as it is.
-_ID = re.compile(r"[!-~]{1,128}")
+# Ids and addresses go into headers of every request, as they are.
+_HEADER_TEXT = re.compile(r"[!-~]{1,128}")
 
 # Far beyond any model and server there is, and small enough to count through. They
 # keep a figure that means nothing from becoming work or memory inside.
@@ -133,7 +133,7 @@
 
     :raises EngineError: it can't be read, or says what no backend server can mean.
     """
-    if not _ID.fullmatch(key):
+    if not _HEADER_TEXT.fullmatch(key):
         raise EngineError("a registration's id can't be used", why=repr(key[:40]))
     if len(value) > _MOST_BYTES:
         raise EngineError("a registration is too large", why=f"{len(value)} bytes")
@@ -150,8 +150,8 @@
     :raises ValueError: its address or layers mean nothing.
     """
     address = parse_address(entry.address)
-    if address.port == 0:
-        raise ValueError(f"{entry.address!r} has no port")
+    if address.port == 0 or not _HEADER_TEXT.fullmatch(entry.address):
+        raise ValueError(f"{entry.address!r} can't be connected to")
     return Registration(
         registered_id=key,
         service=entry.service,
--- a/tests/unit/test_registrations.py
+++ b/tests/unit/test_registrations.py
@@ -54,6 +54,7 @@
     ("service", [MISSING, None, "", 5, ["llm"], "x" * 300]),
     ("address", [MISSING, None, "", 7, "10.1.64.9", "10.1.64.9:", "10.1.64.9:99999"]),
     ("address", ["host:80", "10.1.64.9:0", "10.1.64.9:-1", "10.1.64.9:8²", ":80"]),
+    ("address", ["[fe80::1%a\r\nX: 1]:80", "[fe80::1%é]:80"]),
     ("zone", [MISSING, None, "", 3]),
     ("slots", [MISSING, None, 0, -1, "96", 96.0, True, 10**30]),
     ("state", [MISSING, None, "", "READY", "starting", 1]),
