--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -20,6 +20,7 @@
 from railfold._internal.errors import LogUnavailableError, RequestError
 from railfold._internal.forwarding.adapter import PlatformAdapter
 from railfold._internal.forwarding.driver import RequestDriver
+from railfold._internal.forwarding.engine_calls import EngineCalls
 from railfold._internal.forwarding.feeds import ConfigurationFeed, RegistrationFeed
 from railfold._internal.forwarding.front import ClientExchange, ClientServer
 from railfold._internal.forwarding.leadership import LEASE_S, LeadershipKeeper
@@ -96,6 +97,10 @@
 # part (:class:`FleetSize`); one that doesn't know its part yet has none.
 _RETRY_SAFETY = 0.8
 
+# The share of first attempts needs no division: each entry counts its own. The rest is
+# for windows that begin and end elsewhere than this entry's.
+_SHARE_SAFETY = 0.95
+
 # What a process that was started again allows itself of its part until all that it may
 # have sent before lies outside the window: with the share above, all stay within the
 # limits though every entry had spent its part and was killed.
@@ -127,19 +132,21 @@
         self._fleet = FleetSize(settings.retry_window_s, LEASE_S)
         self.metrics = Metrics()
         self.log = DecisionLog(settings.name, log_fd)
+        rng = random.Random()
         self.router = Router(
             dialect=adapter.dialect,
             directory=EngineDirectory(),
             pool=ConnectionPool(),
             lease=FreshnessLease(settings.credential_lease_s),
-            budgets=RetryBudgets(self._retry_limits()),
+            budgets=RetryBudgets(self._retry_limits(), rng.random()),
             metrics=self.metrics,
             log=self.log,
             failure_domain=settings.failure_domain,
             region=settings.region,
-            rng=random.Random(),
+            rng=rng,
         )
-        self._prober = ChainProber(self.router)
+        calls = EngineCalls(self.router)
+        self._prober = ChainProber(self.router, calls)
         self._leadership = Leadership(LEASE_S)
         self._leadership_keeper = LeadershipKeeper(
             settings.name,
@@ -152,10 +159,10 @@
         self._placement = PlacementKeeper(
             self.router,
             self._leadership,
-            self._prober,
+            calls,
             first_start=settings.first_start,
         )
-        self._slow_engines = SlowEngineWatch(self.router, self._prober)
+        self._slow_engines = SlowEngineWatch(self.router, calls)
         self._clients = ClientServer(
             settings.clients, self, listeners.clients if listeners else None
         )
@@ -408,7 +415,7 @@
             # What this process's predecessor has sent is still in the window.
             slack *= _RESTARTED_SHARE
         return RetryLimits(
-            settings.retry_share * _RETRY_SAFETY, slack, settings.retry_window_s
+            settings.retry_share * _SHARE_SAFETY, slack, settings.retry_window_s
         )
 
     async def drain(self) -> None:
