--- a/tests/forwarding/test_incarnations.py
+++ b/tests/forwarding/test_incarnations.py
@@ -56,20 +56,14 @@
     assert reply.whole
 
 
-async def test_an_answer_of_its_successor_is_no_sign_of_life(dated: Deployment) -> None:
-    engine = dated.engines[0]
-    engine.born = SECOND_START  # Its registration isn't read yet.
-    before = entry_of(dated, engine)
-    dated.entry._prober.doubt(before.server_id)
-    await until(lambda: before.suspect_since_s is not None)
-
-
-async def test_a_health_answer_of_a_successor_is_no_sign_of_life_either(
-    dated: Deployment,
+@pytest.mark.parametrize("kind", ["engines", "plain"])
+async def test_an_answer_of_its_successor_is_no_sign_of_life(
+    dated: Deployment, kind: str
 ) -> None:
-    service = dated.plain[0]
-    service.born = SECOND_START
-    before = entry_of(dated, service)
+    """Neither an engine's report nor a plain service's health answer."""
+    server: Engine = getattr(dated, kind)[0]
+    server.born = SECOND_START  # Its registration isn't read yet.
+    before = entry_of(dated, server)
     dated.entry._prober.doubt(before.server_id)
     await until(lambda: before.suspect_since_s is not None)
 
