--- a/src/railfold/_internal/forwarding/probes.py
+++ b/src/railfold/_internal/forwarding/probes.py
@@ -49,10 +49,10 @@
 
 # An engine that says that it doesn't hold the layers asked of it was started again, or
 # gave them up, and refuses all that is sent there, each time at the cost of a retry: 31
-# attempts in a second at one engine of a deployment of 68 entries (measured). It is left
-# out until it registers anew, which takes a heartbeat and a read of the registrations.
-# It isn't suspect: its layers would be placed elsewhere, although it may have just
-# loaded them.
+# attempts in a second at one engine of a deployment of 68 entries (measured). It is
+# left out until it registers anew, which takes a heartbeat and a read of the
+# registrations. It isn't suspect: its layers would be placed elsewhere, although it may
+# have just loaded them.
 _MISPLACED_S = 3.0
 
 # How many others are asked beside suspects, in their failure domains and elsewhere,
