--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -225,6 +225,10 @@
         router = self._router
         place, self._place = self._place, None
         try:
+            if self._broke_off:
+                self._quarantine.check_repeat(
+                    self._request, self._owner, on_trial=self._on_trial
+                )
             destination = place or router.choose(self._route, exclude)
         except RequestError as found:
             self._refuse(found)
@@ -311,6 +315,7 @@
         if not self._answer.begun:
             self._router.require_fresh(self._route)
         self._router.check_permission(self._route, request.path, request.credential)
+        self._quarantine.check(request, self._owner, on_trial=self._on_trial)
         destination = self._destination
         entry = destination and self._router.directory.get(destination.server.host)
         if not entry or entry.registration.draining:
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -320,7 +320,7 @@
             table = require_table(router.table)
             route = table.find(request.host, request.path)
             owner = table.authorize(route, request.credential)
-            on_trial = False
+            on_trial = self._peering.quarantine.admit(request, route, owner)
         except RequestError as error:
             self._refuse(exchange, request_id, error, now_s)
             return
