--- a/src/railfold/_internal/forwarding/crash_watch.py
+++ b/src/railfold/_internal/forwarding/crash_watch.py
@@ -79,10 +79,11 @@
         """A run broke off; whether its servers ended is known before or after."""
         if not run.had_just_begun:
             return
-        self._runs.append(run)
         for server_id in run.server_ids:
             if server_id in self._ended_s:
                 self._on_crash(server_id, [run])
+                return
+        self._runs.append(run)
 
     def server_ended(self, server_id: str, now_s: float) -> None:
         """A server surely ended, and not as planned."""
@@ -91,8 +92,14 @@
         self._forget(now_s)
         self._ended_s[server_id] = now_s
         runs = [run for run in self._runs if server_id in run.server_ids]
-        if runs:
-            self._on_crash(server_id, runs)
+        if not runs:
+            return
+        # A run ends once: what ends another server of its chain later didn't end it.
+        self._runs = deque(
+            (run for run in self._runs if server_id not in run.server_ids),
+            maxlen=_RUNS_KEPT,
+        )
+        self._on_crash(server_id, runs)
 
     def _forget(self, now_s: float) -> None:
         since_s = now_s - _CONFIRMED_WITHIN_S
--- /dev/null
+++ b/tests/unit/test_peers.py
@@ -0,0 +1,234 @@
+"""Entries that tell each other news: who is told, and what is refused."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from railfold._internal.core import Address
+from railfold._internal.decisions.peers import MessageMemory, Peer, PeerView
+from railfold._internal.errors import PeerMessageError
+from railfold._internal.forwarding.peer_messages import (
+    MOST_CRASHES_TOLD,
+    ContentCleared,
+    CrashesTold,
+    CrashTold,
+    EntryStarted,
+    Envelope,
+    PeerMessageCodec,
+    TrialBegun,
+)
+from railfold._internal.forwarding.shared_records import (
+    decode_entry,
+    decode_hold,
+    decode_key,
+)
+
+NOW_S = 1_764_000_000.0
+DIGEST = "0" * 32
+
+
+def peer(name: str, started_at_ms: int = 1) -> Peer:
+    return Peer(name, Address("10.0.0.1", 7355), started_at_ms)
+
+
+def view_of(size: int) -> PeerView:
+    view = PeerView(peer("entry-0"))
+    for number in range(1, size):
+        view.join(peer(f"entry-{number}"))
+    return view
+
+
+@pytest.mark.parametrize("size", [1, 2, 9])
+def test_a_few_are_all_told_directly(size: int) -> None:
+    view = view_of(size)
+    assert len(view.draw(random.Random(1), ())) == size - 1
+    assert not view.relays
+
+
+@pytest.mark.parametrize(
+    ("size", "lost"), [(21, 0.0), (68, 0.0), (380, 0.0), (380, 0.05)]
+)
+def test_news_reaches_nearly_all_of_many(size: int, lost: float) -> None:
+    """With datagrams lost, in 200 spreads each; who misses one hears the next."""
+    rng = random.Random(7)
+    names = [f"entry-{n}" for n in range(size)]
+    missed = longest = most_sent = 0
+    for _ in range(200):
+        rounds = {names[0]: 0}
+        waiting = deque([names[0]])
+        while waiting:
+            teller = waiting.popleft()
+            others = [n for n in names if n != teller]
+            told = rng.sample(others, 8)
+            most_sent = max(most_sent, len(told))
+            for name in told:
+                if name not in rounds and rng.random() >= lost:
+                    rounds[name] = rounds[teller] + 1
+                    waiting.append(name)
+        missed += size - len(rounds)
+        longest = max(longest, *rounds.values())
+    assert missed / (200 * size) < 0.001
+    assert longest <= 6
+    assert most_sent == 8
+
+
+def test_a_later_start_replaces_an_earlier_one_and_not_the_other_way_round() -> None:
+    view = view_of(1)
+    assert view.join(peer("entry-5", 20))
+    assert not view.join(peer("entry-5", 20))
+    assert not view.join(peer("entry-5", 10))
+    assert view.join(peer("entry-5", 30))
+    view.replace([peer("entry-5", 20), peer("entry-6")])
+    starts = {p.name: p.started_at_ms for p in view.draw(random.Random(1), ())}
+    assert starts == {"entry-5": 30, "entry-6": 1}
+
+
+def test_an_entry_that_left_the_list_is_told_no_more() -> None:
+    view = view_of(4)
+    view.replace([peer("entry-1")])
+    assert [p.name for p in view.draw(random.Random(1), ())] == ["entry-1"]
+
+
+def test_nobody_tells_itself_nor_whom_it_has_it_from() -> None:
+    view = view_of(4)
+    assert not view.join(peer("entry-0", 99))
+    told = {p.name for p in view.draw(random.Random(1), ("entry-2",))}
+    assert told == {"entry-1", "entry-3"}
+
+
+def test_messages_that_were_taken_are_known_in_bounded_memory() -> None:
+    memory = MessageMemory()
+    assert memory.is_new(b"1")
+    assert not memory.is_new(b"1")
+    for number in range(10_000):
+        memory.is_new(number.to_bytes(8))
+    assert len(memory._known) <= 4096
+
+
+@pytest.fixture
+def codec() -> PeerMessageCodec:
+    return PeerMessageCodec(b"k" * 32)
+
+
+CRASHES = CrashesTold(
+    DIGEST,
+    "llm",
+    "draft",
+    "quality",
+    [CrashTold("i-" + "7" * 40, 10, 5, "v" * 30, 2**40)] * MOST_CRASHES_TOLD,
+)
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        CRASHES,
+        ContentCleared(DIGEST, 10),
+        TrialBegun(DIGEST),
+        EntryStarted("entry-1", "10.0.0.1:7355", 1),
+    ],
+)
+def test_each_message_survives_its_way(
+    codec: PeerMessageCodec, message: object
+) -> None:
+    envelope = Envelope("entry-1", b"8 bytes.", int(NOW_S * 1000), message)  # type: ignore[arg-type]
+    assert codec.decode(codec.encode(envelope), NOW_S) == envelope
+
+
+def test_a_wrong_key_isnt_heard(codec: PeerMessageCodec) -> None:
+    envelope = Envelope("entry-1", b"8 bytes.", int(NOW_S * 1000), TrialBegun(DIGEST))
+    forged = PeerMessageCodec(b"x" * 32).encode(envelope)
+    with pytest.raises(PeerMessageError, match="authentication"):
+        codec.decode(forged, NOW_S)
+
+
+def test_a_recorded_message_that_comes_again_later_isnt_heard(
+    codec: PeerMessageCodec,
+) -> None:
+    envelope = Envelope("entry-1", b"8 bytes.", int(NOW_S * 1000), TrialBegun(DIGEST))
+    datagram = codec.encode(envelope)
+    codec.decode(datagram, NOW_S + 5.0)
+    with pytest.raises(PeerMessageError, match="too old"):
+        codec.decode(datagram, NOW_S + 60.0)
+
+
+ODD_MESSAGES = [
+    {"type": "crashes", "digest": DIGEST, "service": "", "route": "", "workspace": ""},
+    {"type": "crashes", "digest": "x", "service": "s", "route": "", "workspace": ""},
+    {"type": "trial", "digest": "Z" * 32},
+    {"type": "cleared", "digest": DIGEST, "ago_ms": -1},
+    {"type": "cleared", "digest": DIGEST, "ago_ms": 10**12},
+    {"type": "entry", "name": "n" * 200, "address": "a", "started_at_ms": 1},
+    {"type": "unknown to this version"},
+    {},
+    5,
+]
+
+
+@pytest.mark.parametrize("message", ODD_MESSAGES)
+def test_odd_messages_are_refused(codec: PeerMessageCodec, message: object) -> None:
+    body = msgspec.msgpack.encode(
+        {
+            "sender": "entry-1",
+            "message_id": b"8 bytes.",
+            "sent_unix_ms": int(NOW_S * 1000),
+            "message": message,
+        }
+    )
+    with pytest.raises(PeerMessageError):
+        codec.decode(codec._code(body) + body, NOW_S)
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.binary(max_size=2000))
+def test_any_bytes_are_refused_and_raise_nothing_else(data: bytes) -> None:
+    codec = PeerMessageCodec(b"k" * 32)
+    for datagram in (data, codec._code(data) + data):
+        with pytest.raises(PeerMessageError):
+            codec.decode(datagram, NOW_S)
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.binary(max_size=200))
+def test_any_record_is_refused_and_raises_nothing_else(value: bytes) -> None:
+    for decode in (decode_hold, decode_key, lambda v: decode_entry("e", v, 0.0)):
+        with pytest.raises(PeerMessageError):
+            decode(value)
+
+
+@pytest.mark.parametrize(
+    ("decode", "value"),
+    [
+        (decode_key, b'{"key":"c2hvcnQ="}'),
+        (decode_key, b'{"key":"no base64 at all!"}'),
+        (
+            lambda value: decode_entry("entry-1", value, 0.0),
+            b'{"address":"nowhere","started_at_ms":1,"written_at_unix_ms":1}',
+        ),
+        (
+            decode_hold,
+            b'{"service":"","route":"","workspace":"","held_at_unix_ms":1,"holds":1,'
+            b'"crashes":[]}',
+        ),
+        (
+            decode_hold,
+            b'{"service":"s","route":"","workspace":"","held_at_unix_ms":1,"holds":0,'
+            b'"crashes":[]}',
+        ),
+    ],
+)
+def test_odd_records_are_refused(decode: object, value: bytes) -> None:
+    with pytest.raises(PeerMessageError):
+        decode(value)  # type: ignore[operator]
+
+
+def test_a_row_of_an_entry_that_is_gone_for_good_is_passed_over() -> None:
+    row = b'{"address":"10.0.0.1:7355","started_at_ms":1,"written_at_unix_ms":5000}'
+    assert decode_entry("entry-1", row, oldest_unix_s=4.0) == peer("entry-1")
+    assert decode_entry("entry-1", row, oldest_unix_s=6.0) is None
--- /dev/null
+++ b/tests/unit/test_quarantine.py
@@ -0,0 +1,259 @@
+"""Which requests are held back, and which never are.
+
+Clients of innocent requests were never to be turned away for good; a request that ends
+its servers was to be stopped after few of them.
+"""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from railfold._internal.decisions.quarantine import (
+    _CONTENTS_KEPT,
+    _FORGET_S,
+    _HOLD_S,
+    _TRIAL_S,
+    Content,
+    Crash,
+    Quarantine,
+    QuarantineChange,
+    QuarantineState,
+    Standing,
+)
+
+POISON = Content("p" * 32, "llm", "draft", "quality")
+OTHER = Content("q" * 32, "llm", "draft", "quality")
+
+
+@pytest.fixture
+def quarantine() -> Quarantine:
+    return Quarantine()
+
+
+def crash(number: int, ended_s: float, ran_s: float = 0.1, **fields: object) -> Crash:
+    return Crash(f"i-{number}", ended_s - ran_s, ended_s, **fields)  # type: ignore[arg-type]
+
+
+def see(
+    quarantine: Quarantine, content: Content, *crashes: Crash
+) -> list[QuarantineChange]:
+    now_s = max(c.ended_s for c in crashes)
+    return quarantine.crashed({content: crashes}, now_s)
+
+
+def states(changes: list[QuarantineChange]) -> list[QuarantineState]:
+    return [change.state for change in changes]
+
+
+def hold(quarantine: Quarantine, content: Content = POISON, at_s: float = 1.0) -> None:
+    for number in range(3):
+        see(quarantine, content, crash(number, at_s + 0.2 * number))
+    assert quarantine.standing(content.digest, at_s + 1.0) is Standing.HELD
+
+
+def test_the_third_server_that_ends_holds_a_request_back(
+    quarantine: Quarantine,
+) -> None:
+    for number in range(2):
+        see(quarantine, POISON, crash(number, 1.0 + number))
+        assert quarantine.standing(POISON.digest, 2.0) is Standing.FREE
+    changes = see(quarantine, POISON, crash(2, 3.0))
+    assert states(changes) == [QuarantineState.SUSPECTED, QuarantineState.HELD_BACK]
+    assert quarantine.standing(POISON.digest, 3.0) is Standing.HELD
+    assert quarantine.standing(OTHER.digest, 3.0) is Standing.FREE
+
+
+def test_one_that_was_sent_to_many_at_once_is_held_back_as_well(
+    quarantine: Quarantine,
+) -> None:
+    """Its client doesn't wait for one attempt to fail before it sends the next."""
+    for number in range(3):
+        see(quarantine, POISON, crash(number, 1.0 + 0.05 * number, ran_s=0.3))
+    assert quarantine.standing(POISON.digest, 2.0) is Standing.HELD
+
+
+def test_the_loss_of_a_rack_is_one_crash(quarantine: Quarantine) -> None:
+    see(quarantine, OTHER, *(crash(n, 1.0 + 0.004 * n) for n in range(7)))
+    assert quarantine.standing(OTHER.digest, 2.0) is Standing.FREE
+
+
+def test_a_content_that_many_send_needs_crashes_one_after_the_other(
+    quarantine: Quarantine,
+) -> None:
+    """It runs everywhere at any time, also where servers end for other reasons."""
+    quarantine.ran_well(OTHER.digest, 0.5)
+    see(quarantine, OTHER, *(crash(n, 1.0 + 0.05 * n, ran_s=0.4) for n in range(6)))
+    assert quarantine.standing(OTHER.digest, 2.0) is Standing.FREE
+    see(quarantine, OTHER, crash(10, 3.0), crash(11, 4.0))
+    assert quarantine.standing(OTHER.digest, 4.0) is Standing.HELD
+
+
+def test_a_run_to_a_good_end_clears_a_request(quarantine: Quarantine) -> None:
+    see(quarantine, OTHER, crash(0, 1.0), crash(1, 2.0))
+    assert states(quarantine.ran_well(OTHER.digest, 2.5)) == [QuarantineState.CLEARED]
+    see(quarantine, OTHER, crash(2, 3.0), crash(3, 4.0))
+    assert quarantine.standing(OTHER.digest, 4.0) is Standing.FREE
+
+
+def test_a_good_end_that_is_told_late_lets_a_request_go(quarantine: Quarantine) -> None:
+    hold(quarantine)
+    assert states(quarantine.ran_well(POISON.digest, 1.3)) == [QuarantineState.CLEARED]
+    assert quarantine.standing(POISON.digest, 2.0) is Standing.FREE
+    # What ended before that, and is told later still, changes nothing.
+    see(quarantine, POISON, crash(7, 1.1), crash(8, 1.2))
+    assert quarantine.standing(POISON.digest, 2.0) is Standing.FREE
+
+
+def test_a_stream_is_cleared_only_beyond_the_step_that_ends_its_servers(
+    quarantine: Quarantine,
+) -> None:
+    """It moves well up to event 80, and ends whoever runs the next one."""
+    for number in range(3):
+        see(quarantine, POISON, crash(number, 1.0 + number, after_event=80))
+        assert quarantine.ran_well(POISON.digest, 1.5 + number, last_event=60) == []
+    assert quarantine.standing(POISON.digest, 4.0) is Standing.HELD
+    assert quarantine.ran_well(POISON.digest, 4.0, last_event=81) != []
+
+
+def test_what_runs_beside_it_is_explained_by_it(quarantine: Quarantine) -> None:
+    """An innocent request goes from server to server together with another one."""
+    for number in range(2):
+        both = {POISON: [crash(number, 1.0 + number)]}
+        both[OTHER] = [crash(number, 1.0 + number)]
+        quarantine.crashed(both, 2.0)
+    see(quarantine, POISON, crash(5, 3.0))
+    assert quarantine.standing(POISON.digest, 3.0) is Standing.HELD
+    see(quarantine, OTHER, crash(6, 4.0), crash(7, 5.0))
+    assert quarantine.standing(OTHER.digest, 5.0) is Standing.FREE
+
+
+def test_the_wrong_one_of_two_is_let_go_when_the_other_is_found(
+    quarantine: Quarantine,
+) -> None:
+    """Both were at the same three servers, and the innocent one was judged first."""
+    hold(quarantine, OTHER)
+    for number in range(3):
+        see(quarantine, POISON, crash(number, 1.0 + 0.2 * number))
+    assert quarantine.standing(POISON.digest, 2.0) is Standing.FREE
+    changes = see(quarantine, POISON, *(crash(n, 2.0 + 0.2 * n) for n in range(10, 13)))
+    assert states(changes)[-1] is QuarantineState.CLEARED
+    assert quarantine.standing(OTHER.digest, 3.0) is Standing.FREE
+    assert quarantine.standing(POISON.digest, 3.0) is Standing.HELD
+
+
+def test_it_is_tried_again_by_one_at_a_time(quarantine: Quarantine) -> None:
+    hold(quarantine)
+    later_s = 2.0 + _HOLD_S
+    assert quarantine.standing(POISON.digest, later_s) is Standing.MAY_BE_TRIED
+    quarantine.begin_trial(POISON.digest, later_s)
+    assert quarantine.standing(POISON.digest, later_s + 1.0) is Standing.HELD
+    beyond_s = later_s + _TRIAL_S + 1.0
+    assert quarantine.standing(POISON.digest, beyond_s) is Standing.MAY_BE_TRIED
+
+
+def test_a_trial_that_ends_a_server_holds_it_back_for_twice_as_long(
+    quarantine: Quarantine,
+) -> None:
+    hold(quarantine)
+    later_s = 2.0 + _HOLD_S
+    quarantine.begin_trial(POISON.digest, later_s)
+    changes = see(quarantine, POISON, crash(9, later_s + 0.2))
+    assert states(changes) == [QuarantineState.HELD_BACK]
+    assert quarantine.standing(POISON.digest, later_s + 1.5 * _HOLD_S) is Standing.HELD
+    twice_s = later_s + 2.1 * _HOLD_S
+    assert quarantine.standing(POISON.digest, twice_s) is Standing.MAY_BE_TRIED
+
+
+def test_a_trial_that_runs_well_lets_it_go(quarantine: Quarantine) -> None:
+    hold(quarantine)
+    later_s = 2.0 + _HOLD_S
+    quarantine.begin_trial(POISON.digest, later_s)
+    quarantine.ran_well(POISON.digest, later_s + 2.0)
+    assert quarantine.standing(POISON.digest, later_s + 2.0) is Standing.FREE
+    assert len(quarantine) == 0
+
+
+def test_new_software_on_all_servers_lets_it_go(quarantine: Quarantine) -> None:
+    for number in range(3):
+        see(quarantine, POISON, crash(number, 1.0 + number, version="v1"))
+    held = Standing.HELD
+    for present in (frozenset({"v1"}), frozenset({"v1", "v2"}), frozenset[str]()):
+        quarantine.lift_for_versions("llm", present, 5.0)
+        assert quarantine.standing(POISON.digest, 5.0) is held
+    quarantine.lift_for_versions("another", frozenset({"v2"}), 5.0)
+    assert quarantine.standing(POISON.digest, 5.0) is held
+    changes = quarantine.lift_for_versions("llm", frozenset({"v2"}), 5.0)
+    assert states(changes) == [QuarantineState.LIFTED]
+
+
+def test_a_server_that_hasnt_ended_counts_no_more(quarantine: Quarantine) -> None:
+    """Another entry was wrong, or lied."""
+    hold(quarantine)
+    assert states(quarantine.strike_out("i-1")) == [QuarantineState.CLEARED]
+    assert quarantine.standing(POISON.digest, 2.0) is Standing.FREE
+
+
+def test_another_entrys_record_holds_it_back_for_the_rest_of_its_time(
+    quarantine: Quarantine,
+) -> None:
+    crashes = [crash(n, -50.0 + n) for n in range(3)]
+    quarantine.restore(POISON, crashes, held_s=-47.0, holds=1)
+    assert quarantine.standing(POISON.digest, 1.0) is Standing.HELD
+    almost_s = _HOLD_S - 48.0
+    assert quarantine.standing(POISON.digest, almost_s) is Standing.HELD
+    assert quarantine.standing(POISON.digest, almost_s + 2) is Standing.MAY_BE_TRIED
+
+
+def test_suspicions_are_forgotten(quarantine: Quarantine) -> None:
+    see(quarantine, OTHER, crash(0, 1.0), crash(1, 2.0))
+    quarantine.expire(3.0 + _FORGET_S)
+    assert len(quarantine) == 0
+    see(quarantine, OTHER, crash(0, 1.0), crash(3, 5.0 + _FORGET_S))
+    assert quarantine.standing(OTHER.digest, 5.0 + _FORGET_S) is Standing.FREE
+
+
+def test_a_million_different_requests_take_bounded_memory_and_hide_nothing(
+    quarantine: Quarantine,
+) -> None:
+    hold(quarantine)
+    for number in range(3 * _CONTENTS_KEPT):
+        content = Content(f"{number:032x}", "llm", "draft", "quality")
+        see(quarantine, content, crash(1000 + number, 2.0 + number / 100.0))
+    assert len(quarantine) <= _CONTENTS_KEPT
+    assert quarantine.standing(POISON.digest, 40.0) is Standing.HELD
+
+
+CRASHES = st.lists(
+    st.builds(
+        lambda n, at, ran: crash(n, at / 50.0, ran / 50.0),
+        st.integers(0, 9),
+        st.integers(0, 100),
+        st.integers(0, 20),
+    ),
+    min_size=1,
+    max_size=10,
+    unique_by=lambda c: c.server_id,
+)
+
+
+@settings(max_examples=200, deadline=None)
+@given(CRASHES, st.randoms(use_true_random=False))
+def test_entries_agree_in_whatever_order_and_parts_they_hear(
+    crashes: list[Crash], rng: random.Random
+) -> None:
+    verdicts = set()
+    for _ in range(4):
+        told = [c for c in crashes for _ in range(rng.randint(1, 2))]
+        rng.shuffle(told)
+        entry = Quarantine()
+        for found in told:
+            entry.crashed({POISON: [found]}, 3.0)
+        near = entry.is_near_limit(POISON.digest)
+        verdicts.add((entry.standing(POISON.digest, 3.0), near))
+    held = [v for v in verdicts if v[0] is Standing.HELD]
+    # Once held back it stays so, also where a part that came later counts as none.
+    assert len(verdicts) == 1 or held
