--- a/src/railfold/_internal/commands/agent.py
+++ b/src/railfold/_internal/commands/agent.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from pathlib import Path
 
 import click
 
+from railfold._internal import clock
 from railfold._internal.agent.process import run_agent
 from railfold._internal.errors import SettingsError
 from railfold._internal.settings.models import AgentSettings, load_settings
@@ -21,4 +21,4 @@
     loaded = load_settings(settings)
     if not isinstance(loaded, AgentSettings):
         raise SettingsError(str(settings), ["role: must be 'agent' for this command"])
-    asyncio.run(run_agent(loaded))
+    clock.run(run_agent(loaded))
--- a/src/railfold/_internal/commands/entry.py
+++ b/src/railfold/_internal/commands/entry.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from pathlib import Path
 
 import click
 
+from railfold._internal import clock
 from railfold._internal.entry.process import run_entry
 from railfold._internal.errors import SettingsError
 from railfold._internal.settings.models import EntrySettings, load_settings
@@ -21,4 +21,4 @@
     loaded = load_settings(settings)
     if not isinstance(loaded, EntrySettings):
         raise SettingsError(str(settings), ["role: must be 'entry' for this command"])
-    asyncio.run(run_entry(loaded))
+    clock.run(run_entry(loaded))
--- a/src/railfold/_internal/commands/forward.py
+++ b/src/railfold/_internal/commands/forward.py
@@ -55,9 +55,9 @@
     listeners = open_listeners(loaded.forwarding)
 
     # Not before the sockets listen: this is most of a start's time.
-    import asyncio
+    from railfold._internal import clock
 
-    asyncio.run(_run(source, loaded, listeners))
+    clock.run(_run(source, loaded, listeners))
 
 
 async def _run(
--- a/src/railfold/_internal/errors.py
+++ b/src/railfold/_internal/errors.py
@@ -21,6 +21,7 @@
     "EngineUnavailableError",
     "HeadersTooLargeError",
     "InvalidRequestError",
+    "LeaseLostError",
     "LineageError",
     "LinkClosedError",
     "LinkProtocolError",
@@ -265,6 +266,12 @@
     code = "engine_unavailable"
 
 
+class LeaseLostError(EngineError):
+    """The lease under which an order was to be given doesn't hold any more."""
+
+    code = "lease_lost"
+
+
 class LogUnavailableError(RailfoldError):
     """The platform's log can't be reached or refuses."""
 
--- a/src/railfold/_internal/forwarding/dialect.py
+++ b/src/railfold/_internal/forwarding/dialect.py
@@ -43,7 +43,7 @@
     :param server_id: the one incarnation that may run it.
     :param registered_id: the id under which that one is registered.
     :param chain: the stages that run it, if it is for a model.
-    :param left_s: how long its client waits from now on.
+    :param deadline_s: until when its client waits.
     :param workspace: who sends it, if that is known.
     :param resume_after: the event after which a stream goes on.
     :param priority: rank of the request, 0 first; 1 is usual.
@@ -54,12 +54,16 @@
     registered_id: str
     address: str
     chain: Chain | None
-    left_s: float
+    deadline_s: float
     workspace: str | None
     resume_after: int | None
     priority: int = 1
     urgent: bool = False
 
+    def left_s(self, now_s: float) -> float:
+        """Return how long its client waits from now on."""
+        return max(0.0, self.deadline_s - now_s)
+
 
 @dataclass(frozen=True, slots=True)
 class ServedAnswer:
@@ -173,9 +177,9 @@
         """
 
     def forward_headers(
-        self, request: ClientRequest, plan: SendPlan
+        self, request: ClientRequest, plan: SendPlan, now_s: float
     ) -> Sequence[Header]:
-        """Return the headers that the backend server gets."""
+        """Return the headers that the backend server gets if it is sent now."""
 
     def classify(self, head: ResponseHead, request_id: str) -> AnswerKind:
         """Return what an answer's head says."""
--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -37,6 +37,7 @@
     RouteKind,
 )
 from railfold._internal.errors import (
+    DeadlineExpiredError,
     OverloadedError,
     RailfoldError,
     RequestError,
@@ -272,7 +273,7 @@
             registered_id=router.registered_id(destination.server.host),
             address=destination.server.address,
             chain=destination.chain,
-            left_s=max(0.0, self._deadline_s - now_s),
+            deadline_s=self._deadline_s,
             workspace=self._owner.workspace if self._owner else None,
             resume_after=resume_after,
             priority=self._priority,
@@ -298,7 +299,7 @@
                 _chain_text(plan.chain),
                 self._version,
                 _finite_ms(router.lease.age_s(now_s)),
-                round(plan.left_s * 1000),
+                round(plan.left_s(now_s) * 1000),
                 resume_after,
             )
         )
@@ -312,6 +313,8 @@
         go on although the store is away.
         """
         request = self._request
+        if self._loop.time() >= self._deadline_s:
+            raise DeadlineExpiredError("its client doesn't wait any more")
         if not self._answer.begun:
             self._router.require_fresh(self._route)
         self._router.check_permission(self._route, request.path, request.credential)
--- a/src/railfold/_internal/forwarding/engine_calls.py
+++ b/src/railfold/_internal/forwarding/engine_calls.py
@@ -165,22 +165,39 @@
         entry.slowness = slowness
 
     async def call(
-        self, entry: DirectoryEntry, call: EngineCall, timeout_s: float
+        self,
+        entry: DirectoryEntry,
+        call: EngineCall,
+        timeout_s: float,
+        check: Callable[[], None] | None = None,
     ) -> Response:
         """Make one call to a backend server.
 
+        :param check: called right before it is sent, once there is a connection: what
+            it raises leaves it unsent.
         :raises EngineUnavailableError: no answer came in time.
         """
         address = entry.registration.address
-        return await self._call_at(entry.server_id, address, call, timeout_s)
+        return await self._call_at(entry.server_id, address, call, timeout_s, check)
 
     async def _call_at(
-        self, server_id: str, address: str, call: EngineCall, timeout_s: float
+        self,
+        server_id: str,
+        address: str,
+        call: EngineCall,
+        timeout_s: float,
+        check: Callable[[], None] | None = None,
     ) -> Response:
         pool = self._router.pool
         connection = pool.take(server_id, self._loop.time())
         if connection is None:
             connection = await self._connect(server_id, address, timeout_s)
+        if check is not None:
+            try:
+                check()
+            except EngineError:
+                pool.give_back(server_id, connection, self._loop.time())
+                raise
         return await self._call_on(server_id, connection, call, timeout_s)
 
     async def _connect(
--- a/src/railfold/_internal/forwarding/exchange.py
+++ b/src/railfold/_internal/forwarding/exchange.py
@@ -134,7 +134,11 @@
             self._pool.give_back(self._plan.server_id, connection, self._loop.time())
             self._listener.attempt_unsent(error.what, error)
             return
-        headers = self._dialect.forward_headers(self._request, self._plan)
+        # The time left is told as it is now: opening a connection takes time, and the
+        # host may have been suspended meanwhile.
+        headers = self._dialect.forward_headers(
+            self._request, self._plan, self._loop.time()
+        )
         self._connection = connection
         connection.send(
             self._request.method,
--- a/src/railfold/_internal/forwarding/layer_orders.py
+++ b/src/railfold/_internal/forwarding/layer_orders.py
@@ -13,7 +13,7 @@
 from railfold._internal.decisions.engine_directory import DirectoryEntry
 from railfold._internal.decisions.leadership import Leadership
 from railfold._internal.decisions.orders import LoadOrder
-from railfold._internal.errors import EngineError
+from railfold._internal.errors import EngineError, LeaseLostError
 from railfold._internal.forwarding.dialect import (
     OrderBegun,
     OrderFenced,
@@ -109,17 +109,27 @@
             if report.busy:
                 # Another order would begin its work anew.
                 return OrderRefused("it still carries an order out")
-            # The lease is looked at again right before the order leaves.
-            if self._leadership.fencing(self._loop.time()) != order.fencing:
-                return OrderRefused("the lease was lost before the order was sent")
             call = dialect.place_call(order.layers, order.fencing, report.order_count)
-            response = await self._calls.call(entry, call, _ORDER_TIMEOUT_S)
+            response = await self._calls.call(
+                entry, call, _ORDER_TIMEOUT_S, lambda: self._require_lease(order)
+            )
+        except LeaseLostError as error:
+            return OrderRefused(error.what)
         except EngineError as error:
             return OrderUnsettled(str(error))
         if entry.is_another(dialect.decode_started_at_ms(response.body)):
             return _ANOTHER_ANSWERED
         return dialect.order_outcome(response.head)
 
+    def _require_lease(self, order: LoadOrder) -> None:
+        """Look at the lease once more, right before the order leaves.
+
+        Reading the report and opening a connection take time, and the host may have
+        been suspended meanwhile: another may place layers by now.
+        """
+        if self._leadership.fencing(self._loop.time()) != order.fencing:
+            raise LeaseLostError("the lease was lost before the order was sent")
+
     async def _wait_loaded(
         self, entry: DirectoryEntry, layers: LayerRange, load_s: float
     ) -> None:
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 
 from railfold import __version__
+from railfold._internal import clock
 from railfold._internal.decisions.engine_directory import EngineDirectory
 from railfold._internal.decisions.fleet_size import Deal, FleetSize
 from railfold._internal.decisions.freshness import FreshnessLease
@@ -40,6 +41,7 @@
 from railfold._internal.observability.events import (
     DependencyLost,
     DependencyRegained,
+    ProcessResumed,
     ProcessStarted,
     ProcessStopping,
     RequestEnded,
@@ -386,7 +388,24 @@
 
     # Upkeep and the end
 
+    def _on_resumed(self, suspended_s: float) -> None:
+        """Let go of what can't be relied on after the host was suspended.
+
+        Leases and ages are reckoned by a clock that went on meanwhile. Connections that
+        rested for longer than their servers keep them must not be met by a request.
+        """
+        now_s = self._loop.time()
+        self.metrics.count("process.resumed")
+        self.router.pool.prune(now_s)
+        self._divide_limits()
+        leading = self._leadership.fencing(now_s) is not None
+        in_flight = len(self.router.active)
+        event = ProcessResumed(round(suspended_s * 1000, 1), in_flight, leading)
+        self.log.write(event)
+
     async def _run_upkeep(self, ready: asyncio.Event) -> None:
+        if isinstance(self._loop, clock.EventLoop):
+            self._loop.call_when_resumed(self._on_resumed)
         ready.set()
         while True:
             due_s = self._loop.time() + _TICK_S
--- a/src/railfold/_internal/observability/decision_log.py
+++ b/src/railfold/_internal/observability/decision_log.py
@@ -9,11 +9,11 @@
 
 import asyncio
 import os
-import time
 from collections import deque
 
 import msgspec
 
+from railfold._internal import clock
 from railfold._internal.observability.events import Event, LinesDropped, LogLine
 
 __all__ = ["DecisionLog"]
@@ -41,11 +41,13 @@
         self._dropped = 0
         self._skipped = 0
         self._allowance = _ROUTINE_LINES_PER_S
-        self._allowance_at_s = time.monotonic()
+        self._allowance_at_s = clock.now_s()
 
     def write(self, event: Event) -> None:
         """Log an event."""
-        line = self._encoder.encode(LogLine(round(time.time(), 3), self._host, event))
+        line = self._encoder.encode(
+            LogLine(round(clock.unix_time_s(), 3), self._host, event)
+        )
         if self._buffered_bytes + len(line) > _BUFFER_BYTES:
             self._dropped += 1
             return
@@ -54,7 +56,7 @@
 
     def write_routine(self, event: Event) -> None:
         """Log an event that explains no failure, unless there are many."""
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         earned = (now_s - self._allowance_at_s) * _ROUTINE_LINES_PER_S
         self._allowance = min(_ROUTINE_LINES_PER_S, self._allowance + earned)
         self._allowance_at_s = now_s
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -23,6 +23,7 @@
     "LeadershipChanged",
     "LinesDropped",
     "LogLine",
+    "ProcessResumed",
     "ProcessStarted",
     "ProcessStopping",
     "QuarantineChanged",
@@ -48,6 +49,14 @@
     in_flight: int
 
 
+class ProcessResumed(msgspec.Struct, frozen=True, tag="process_resumed"):
+    """The host was suspended, and goes on."""
+
+    suspended_ms: float
+    in_flight: int
+    leading: bool
+
+
 class SettingsReloaded(msgspec.Struct, frozen=True, tag="settings_reloaded"):
     """The settings file was read again."""
 
@@ -241,6 +250,7 @@
 Event = (
     ProcessStarted
     | ProcessStopping
+    | ProcessResumed
     | SettingsReloaded
     | DependencyLost
     | DependencyRegained
--- a/src/railfold/_internal/platform/dialect.py
+++ b/src/railfold/_internal/platform/dialect.py
@@ -128,11 +128,11 @@
         )
 
     def forward_headers(
-        self, request: ClientRequest, plan: SendPlan
+        self, request: ClientRequest, plan: SendPlan, now_s: float
     ) -> Sequence[Header]:
         """Return the headers that the backend server gets."""
         headers: list[Header] = [("Host", request.host), *request.headers]
-        headers.append((_DEADLINE, str(max(1, int(plan.left_s * 1000)))))
+        headers.append((_DEADLINE, str(max(1, int(plan.left_s(now_s) * 1000)))))
         headers.append((_TARGET, plan.registered_id))
         if plan.workspace is not None:
             headers.append((_WORKSPACE, plan.workspace))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from tests.lib.hosts import Host, new_host
+
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 # More than this and the list is no exception any more.
@@ -39,6 +41,12 @@
     return KnownFailure(*fields)
 
 
+@pytest.fixture
+def host(monkeypatch: pytest.MonkeyPatch) -> Host:
+    """The host of the test's process, which can be suspended."""
+    return new_host(monkeypatch)
+
+
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Let listed tests fail an assertion; one that passes must come off the list."""
     by_id = {item.nodeid: item for item in items}
