--- a/src/railfold/_internal/cli/main.py
+++ b/src/railfold/_internal/cli/main.py
@@ -25,6 +25,8 @@
     "entry": "entry",
     "explain": "status",
     "forward": "forward",
+    "held": "held",
+    "lift": "held",
     "publish": "publish",
     "routes": "status",
     "settle": "publish",
@@ -88,5 +90,6 @@
     "process_unreachable": 8,
     "version_not_in_force": 9,
     "request_not_logged": 10,
+    "request_not_held": 12,
     "listen_failed": 11,
 }
--- a/src/railfold/_internal/errors.py
+++ b/src/railfold/_internal/errors.py
@@ -38,6 +38,7 @@
     "RecordsExpiredError",
     "RepeatedCrashesError",
     "RequestError",
+    "RequestNotHeldError",
     "RequestNotLoggedError",
     "RequestTimeoutError",
     "ServerLeavingError",
@@ -218,6 +219,12 @@
     code = "server_leaving"
 
 
+class RequestNotHeldError(RailfoldError):
+    """No request of a content is held back."""
+
+    code = "request_not_held"
+
+
 class RequestNotLoggedError(RailfoldError):
     """No log line is about a request."""
 
--- a/src/railfold/_internal/forwarding/peer_keeper.py
+++ b/src/railfold/_internal/forwarding/peer_keeper.py
@@ -61,6 +61,9 @@
         self._on_listed = on_listed
         self._backoff = Backoff(max_s=_MAX_BACKOFF_S)
         self._written_s: float | None = None
+        self._has_read = False
+        self._may_tell = False
+        self._has_told = False
         self._leaving = False
 
     async def run(self, ready: asyncio.Event) -> None:
@@ -81,7 +84,6 @@
     async def _look(self) -> None:
         """Write before reading: of two that start together one sees the other."""
         now_s = asyncio.get_running_loop().time()
-        is_start = self._written_s is None
         if not self._leaving and self._is_due(now_s):
             own = self._view.own
             value = encode_entry(own, clock.unix_time_s())
@@ -92,9 +94,21 @@
         self._view.replace(row for row in rows if row is not None)
         self._on_listed(len(self._view) + 1)
         self._metrics.gauge("peers.known", len(self._view))
-        if is_start:
-            own = self._view.own
-            self._tell(EntryStarted(own.name, str(own.address), own.started_at_ms))
+        self._has_read = True
+        self._announce()
+
+    def may_tell(self) -> None:
+        """The others understand from now on what this entry tells."""
+        self._may_tell = True
+        self._announce()
+
+    def _announce(self) -> None:
+        """Tell the others once that this entry has started."""
+        if self._has_told or not (self._may_tell and self._has_read):
+            return
+        self._has_told = True
+        own = self._view.own
+        self._tell(EntryStarted(own.name, str(own.address), own.started_at_ms))
 
     def _is_due(self, now_s: float) -> bool:
         return self._written_s is None or now_s - self._written_s >= _WRITE_S
--- a/src/railfold/_internal/forwarding/peering.py
+++ b/src/railfold/_internal/forwarding/peering.py
@@ -126,6 +126,8 @@
         self.quarantine.set_key(key)
         if self._channel is not None:
             self._channel.set_key(key)
+        if self._keeper is not None:
+            self._keeper.may_tell()
 
     def _tell(self, message: PeerMessage) -> None:
         if self._channel is not None:
--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -96,6 +96,11 @@
         """The address that it registers: its own, or a proxy's before it."""
         return self.told_address or f"127.0.0.1:{self.port}"
 
+    @property
+    def runs_now(self) -> bool:
+        """Whether it listens."""
+        return self._server is not None
+
     def start(self) -> None:
         """Listen and register."""
         sockets = bind_sockets(self.port, "127.0.0.1")
