--- a/soak/clients.py
+++ b/soak/clients.py
@@ -7,7 +7,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from soak.faults import HARMLESS_TO_STREAMS
+from soak.faults import ENTRIES_IN_TOUCH, HARMLESS_TO_STREAMS, POISON_ID
 from soak.world import BUDGET_RATIO, BUDGET_SLACK, BUDGET_WINDOW_S, World
 from standins.chaining_engine import SEAL
 from tests.lib.forwarding import (
@@ -19,7 +19,7 @@
 )
 
 # Rules, by the names of the users' pages.
-MIXED, TWICE, REFUSED, ORDER, LAYERS, DRAIN, RECOVER, BUDGET, GONE, LOST = (
+MIXED, TWICE, REFUSED, ORDER, LAYERS, DRAIN, RECOVER, BUDGET, GONE, LOST, DENIED = (
     "MIXED",
     "TWICE",
     "REFUSED",
@@ -30,6 +30,7 @@
     "BUDGET",
     "GONE",
     "LOST",
+    "DENIED",
 )
 
 # An engine that drains gets nothing later than this; the platform says 2 s, and
@@ -38,6 +39,11 @@
 
 _ANSWER_S = 6.0
 
+# What ended three servers is known everywhere after this time, and is sent no more than
+# so often from then on.
+_CONTACT_S = 3.0
+_MOST_LATE_SENDS = 3
+
 # A stream whose client left may run on for this long; more than a quarter of those
 # left that do, of this many at least, break the rule.
 _RUN_ON_S = 0.5
@@ -155,6 +161,8 @@
         seen.outcomes[f"{reply.status}{'' if reply.whole else ' cut'}"] += 1
         if reply.status == 503:
             seen.refused_ids.add(request_id)
+        if b"repeated_crashes" in reply.body:
+            seen.violated(DENIED, f"{request_id} was held back, and ends no server")
         if reply.status != 200:
             return
         if reply.headers.get("Railfold-Response-Seal") != SEAL:
@@ -198,10 +206,31 @@
     for request_id in seen.refused_ids & seen.unsafe_ids:
         if runs[request_id]:
             seen.violated(REFUSED, f"{request_id} was refused and ran")
+    _check_poison(world, seen)
     _check_budget(world, seen)
     _check_gone(world, seen)
 
 
+def _check_poison(world: World, seen: Observed) -> None:
+    """Count how often a request that ended three servers was sent on after that."""
+    if len(world.poisoned_s) < 3:
+        return
+    since_s = sorted(world.poisoned_s)[2]
+    if not world.faults_after(since_s - _AFTERMATH_S) <= ENTRIES_IN_TOUCH:
+        return
+    late = [
+        arrival
+        for server in world.servers
+        for arrival in server.arrivals
+        if arrival.request_id.startswith(POISON_ID)
+        and arrival.at_s > since_s + _CONTACT_S
+    ]
+    if len(late) > _MOST_LATE_SENDS:
+        seen.violated(
+            BUDGET, f"a request that ends its servers: {len(late)} late sends"
+        )
+
+
 def _check_budget(world: World, seen: Observed) -> None:
     """Count arrivals beyond the first of each request, in every window.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import random
 import signal
@@ -11,6 +12,8 @@
 from typing import Any
 
 from soak.world import Injected, World
+from tests.lib.crashes import POISON_BODY
+from tests.lib.forwarding import Connection
 
 # The link of an entry of the smaller kind, and for how long entries have it.
 _SLOW_BPS = 20e6
@@ -19,6 +22,14 @@
 # 0.5 to 0.75 MB of JSON.
 _FURTHER_ROUTES = (2000, 3000)
 
+# A client that doesn't wait: 4 s of it, and how long it reads each answer.
+_POISON_SENDS = 27
+_POISON_INTERVAL_S = 0.15
+_POISON_READ_S = 3.0
+
+# How the ids of its requests begin.
+POISON_ID = "poison-"
+
 Fault = Callable[[World, random.Random], Coroutine[Any, Any, None]]
 
 
@@ -66,6 +77,18 @@
     entry.signal(signal.SIGCONT)
 
 
+async def entry_long_pause(world: World, rng: random.Random) -> None:
+    """Freeze an entry for longer than any lease or bound that it holds.
+
+    A suspended host's would be the same to others; its own steady clock would stand.
+    """
+    entry = rng.choice(world.entries)
+    entry.signal(signal.SIGSTOP)
+    world.store_outages_s.append(asyncio.get_running_loop().time())
+    await asyncio.sleep(rng.uniform(4.5, 7.0))
+    entry.signal(signal.SIGCONT)
+
+
 async def entry_reload(world: World, rng: random.Random) -> None:
     """Change an entry's settings file and tell it."""
     entry = rng.choice(world.entries)
@@ -190,6 +213,32 @@
         await world.restart(server)
 
 
+async def poison_request(world: World, rng: random.Random) -> None:
+    """Send a request that ends who runs it again and again, at any entry."""
+    world.poison()
+    path = rng.choice(["/draft/1", "/tray/1", "/slip/1"])
+    tasks = []
+    for number in range(_POISON_SENDS):
+        entry = rng.choice(world.entries)
+        tasks.append(asyncio.create_task(_send_poison(entry.clients, path, number)))
+        await asyncio.sleep(_POISON_INTERVAL_S)
+    await asyncio.gather(*tasks)
+
+
+async def _send_poison(port: int, path: str, number: int) -> None:
+    """Send it once; whatever comes of it, its client does it again."""
+    request_id = f"{POISON_ID}{port}-{number}-{path}"
+    with contextlib.suppress(OSError, asyncio.IncompleteReadError, ValueError):
+        async with asyncio.timeout(_POISON_READ_S):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            connection = Connection(reader, writer)
+            try:
+                await connection.send(path, request_id, body=POISON_BODY, events=50)
+                await connection.read()
+            finally:
+                connection.close()
+
+
 async def configure(world: World, rng: random.Random) -> None:
     """Publish a new version of the configuration."""
     world.configure()
@@ -208,12 +257,14 @@
     "all_servers_refuse": all_servers_refuse,
     "configure": configure,
     "entry_kill": entry_kill,
+    "entry_long_pause": entry_long_pause,
     "entry_pause": entry_pause,
     "entry_reload": entry_reload,
     "entry_stop": entry_stop,
     "large_configuration": large_configuration,
     "link_fault": link_fault,
     "odd_records": odd_records,
+    "poison_request": poison_request,
     "server_crash": server_crash,
     "server_fault": server_fault,
     "server_leaves": server_leaves,
@@ -222,6 +273,23 @@
     "store_forgets": store_forgets,
 }
 
+# Beside these all entries reach each other and the store, or one that doesn't is
+# started again and reads what the others know.
+ENTRIES_IN_TOUCH = frozenset(
+    {
+        "all_servers_refuse",
+        "configure",
+        "entry_reload",
+        "large_configuration",
+        "odd_records",
+        "poison_request",
+        "server_crash",
+        "server_fault",
+        "server_leaves",
+        "server_starts_again",
+    }
+)
+
 # Beside these no stream that began may be cut.
 HARMLESS_TO_STREAMS = frozenset(
     {
--- a/soak/world.py
+++ b/soak/world.py
@@ -21,6 +21,7 @@
 from standins.chaining_engine import LAYERS, Engine
 from standins.cluster import free_port
 from standins.metadata_store import MetadataStore
+from tests.lib.crashes import POISON_BODY
 from tests.lib.forwarding import (
     MODEL_SERVICE,
     PLAIN_SERVICE,
@@ -34,12 +35,16 @@
 BUDGET_SLACK = 12
 BUDGET_WINDOW_S = 5.0
 
+# A backend server that a request has ended is back after this time.
+_BACK_S = 1.5
+
 SETTINGS = """
 node = "{name}"
 ip = "127.0.0.1"
 zone = "{zone}"
 region = "west"
 bootstrap = false
+port_range = [{peers}, {peers}]
 [listen]
 front = "127.0.0.1:{clients}"
 ready = "127.0.0.1:{ready}"
@@ -65,6 +70,7 @@
     folder: Path
     clients: int = 0
     ready: int = 0
+    peers: int = 0
     process: asyncio.subprocess.Process | None = None
     ends: list[int] = field(default_factory=list)
     stopping: bool = False
@@ -72,7 +78,7 @@
 
     async def start(self) -> None:
         """Write the settings and keep the process running."""
-        self.clients, self.ready = free_port(), free_port()
+        self.clients, self.ready, self.peers = free_port(), free_port(), free_port()
         self.write_settings()
         self._keeper = asyncio.create_task(self._keep())
 
@@ -83,6 +89,7 @@
             zone=self.zone,
             clients=self.clients,
             ready=self.ready,
+            peers=self.peers,
             store=self.store_link.listen_port,
             budget_ratio=BUDGET_RATIO,
             budget_slack=BUDGET_SLACK,
@@ -145,6 +152,9 @@
     injected: list[Injected] = field(default_factory=list)
     version: int = 1
     store_outages_s: list[float] = field(default_factory=list)
+    crash_body: bytes | None = None
+    poisoned_s: list[float] = field(default_factory=list)
+    _replacements: set[asyncio.Task[None]] = field(default_factory=set)
     _count: Counter[str] = field(default_factory=Counter)
 
     @property
@@ -195,9 +205,31 @@
         await link.start()
         self.links[server_id] = link
         engine.told_address = f"127.0.0.1:{link.listen_port}"
+        self._arm(engine)
         engine.start()
         return engine
 
+    def poison(self) -> None:
+        """Let all backend servers crash on one body, now and when they start."""
+        self.crash_body = POISON_BODY
+        for server in (*self.engines, *self.plain):
+            self._arm(server)
+
+    def _arm(self, server: Engine) -> None:
+        server.crash_body = self.crash_body
+        server.on_crash = self._crashed
+
+    def _crashed(self, server: Engine) -> None:
+        self.poisoned_s.append(asyncio.get_running_loop().time())
+        task = asyncio.get_running_loop().create_task(self._replace(server))
+        self._replacements.add(task)
+        task.add_done_callback(self._replacements.discard)
+
+    async def _replace(self, server: Engine) -> None:
+        await asyncio.sleep(_BACK_S)
+        if self.runs(server):
+            await self.restart(server)
+
     async def restart(self, engine: Engine) -> Engine:
         """Crash a backend server; an empty one takes its place."""
         group = self.engines if engine in self.engines else self.plain
@@ -248,6 +280,8 @@
 
     async def stop(self) -> None:
         """Stop all that was started."""
+        for task in self._replacements:
+            task.cancel()
         await asyncio.gather(*(entry.stop() for entry in self.entries))
         for server in (*self.engines, *self.plain):
             await server.stop()
