--- a/soak/clients.py
+++ b/soak/clients.py
@@ -212,23 +212,26 @@
 
 
 def _check_poison(world: World, seen: Observed) -> None:
-    """Count how often a request that ended three servers was sent on after that."""
-    if len(world.poisoned_s) < 3:
-        return
-    since_s = sorted(world.poisoned_s)[2]
-    if not world.faults_after(since_s - _AFTERMATH_S) <= ENTRIES_IN_TOUCH:
-        return
-    late = [
-        arrival
-        for server in world.servers
-        for arrival in server.arrivals
-        if arrival.request_id.startswith(POISON_ID)
-        and arrival.at_s > since_s + _CONTACT_S
-    ]
-    if len(late) > _MOST_LATE_SENDS:
-        seen.violated(
-            BUDGET, f"a request that ends its servers: {len(late)} late sends"
-        )
+    """Count how often a request that ended three servers was sent on after that.
+
+    One path is one request: their callers and bodies are the same.
+    """
+    for path, ended_s in world.poisoned_s.items():
+        if len(ended_s) < 3:
+            continue
+        since_s = sorted(ended_s)[2]
+        if not world.faults_after(since_s - _AFTERMATH_S) <= ENTRIES_IN_TOUCH:
+            continue
+        late = [
+            arrival
+            for server in world.servers
+            for arrival in server.arrivals
+            if arrival.request_id.startswith(POISON_ID)
+            and arrival.request_id.endswith(path)
+            and arrival.at_s > since_s + _CONTACT_S
+        ]
+        if len(late) > _MOST_LATE_SENDS:
+            seen.violated(BUDGET, f"{path} ends its servers: {len(late)} late sends")
 
 
 def _check_budget(world: World, seen: Observed) -> None:
--- a/soak/world.py
+++ b/soak/world.py
@@ -153,7 +153,7 @@
     version: int = 1
     store_outages_s: list[float] = field(default_factory=list)
     crash_body: bytes | None = None
-    poisoned_s: list[float] = field(default_factory=list)
+    poisoned_s: dict[str, list[float]] = field(default_factory=dict)
     _replacements: set[asyncio.Task[None]] = field(default_factory=set)
     _count: Counter[str] = field(default_factory=Counter)
 
@@ -220,7 +220,8 @@
         server.on_crash = self._crashed
 
     def _crashed(self, server: Engine) -> None:
-        self.poisoned_s.append(asyncio.get_running_loop().time())
+        now_s = asyncio.get_running_loop().time()
+        self.poisoned_s.setdefault(server.crashed_by, []).append(now_s)
         task = asyncio.get_running_loop().create_task(self._replace(server))
         self._replacements.add(task)
         task.add_done_callback(self._replacements.discard)
--- a/src/railfold/_internal/decisions/quarantine.py
+++ b/src/railfold/_internal/decisions/quarantine.py
@@ -123,6 +123,11 @@
     version: str = ""
     after_event: int = 0
 
+    @property
+    def order(self) -> tuple[float, float, int]:
+        """By when it ended, the first one first."""
+        return (self.ended_s, self.began_s, self.after_event)
+
 
 @dataclass(frozen=True, slots=True)
 class QuarantineChange:
@@ -169,13 +174,25 @@
     @property
     def newest_crashes(self) -> tuple[Crash, ...]:
         """The crashes, oldest first."""
-        return tuple(sorted(self.crashes.values(), key=lambda c: c.ended_s))
+        return tuple(
+            sorted(self.crashes.values(), key=lambda c: (c.order, c.server_id))
+        )
 
     @property
     def versions(self) -> frozenset[str]:
         """The software and models that ended under it."""
         return frozenset(crash.version for crash in self.crashes.values())
 
+    def take(self, crash: Crash) -> None:
+        """Join a crash: of several runs at one server, the one that was cut off first.
+
+        The others were sent there when it had ended.
+        """
+        known = self.crashes.get(crash.server_id)
+        # The rest only makes the choice the same everywhere.
+        if known is None or crash.order < known.order:
+            self.crashes[crash.server_id] = crash
+
     def trim(self) -> None:
         """Keep the newest crashes only."""
         for crash in self.newest_crashes[:-_CRASHES_KEPT]:
@@ -247,23 +264,20 @@
         now_s: float,
         changes: list[QuarantineChange],
     ) -> _Record | None:
-        well_s = self.well_s(content.digest)
-        known = self._records.get(content.digest)
-        held = known.crashes if known is not None else {}
-        new = [
-            crash
-            for crash in crashes
-            if crash.server_id not in held
-            and crash.ended_s > well_s
-            and crash.ended_s > now_s - _FORGET_S
-        ]
-        if not new:
+        since_s = max(self.well_s(content.digest), now_s - _FORGET_S)
+        recent = [crash for crash in crashes if crash.ended_s > since_s]
+        if not recent:
             return None
-        record = self._records.setdefault(content.digest, _Record(content))
-        record.crashes.update((crash.server_id, crash) for crash in new)
+        record = self._records.get(content.digest) or _Record(content)
+        before = dict(record.crashes)
+        for crash in recent:
+            record.take(crash)
         record.trim()
+        if record.crashes == before:
+            return None
+        self._records[content.digest] = record
         record.last_s = max(record.last_s, now_s)
-        if record.held_s is None:
+        if record.held_s is None and record.crashes.keys() != before.keys():
             changes.append(self._change(record, QuarantineState.SUSPECTED, ""))
         return record
 
@@ -422,7 +436,8 @@
         record = self._records.setdefault(content.digest, _Record(content))
         if record.held_s is not None and record.holds >= holds:
             return []
-        record.crashes.update((crash.server_id, crash) for crash in crashes)
+        for crash in crashes:
+            record.take(crash)
         record.trim()
         record.holds = holds
         record.held_s = held_s
--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -51,7 +51,8 @@
     :param born: when it started, in Unix milliseconds, as it tells; ``None`` if it
         doesn't.
     :param crash_body: a request with this body ends it ``crash_after_s`` after it has
-        begun to run there, whatever else runs; ``on_crash`` is called then.
+        begun to run there, whatever else runs; ``on_crash`` is called then, and
+        ``crashed_by`` is its path.
     :param reports_to_drop: how many calls for its report it answers by closing the
         connection, as one that was idle for too long.
     """
@@ -72,6 +73,7 @@
     crash_body: bytes | None = None
     crash_after_s: float = 0.08
     on_crash: Callable[[Engine], None] | None = None
+    crashed_by: str = ""
     mode: str = "ok"
     state: str = "ready"
     port: int = 0
@@ -300,6 +302,7 @@
             await self.flush()
         await asyncio.sleep(self.engine.crash_after_s)
         self._finished = True
+        self.engine.crashed_by = self.request.path
         self.engine.crash()
 
     @property
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -227,6 +227,16 @@
     assert quarantine.standing(POISON.digest, 40.0) is Standing.HELD
 
 
+def test_of_several_runs_at_a_server_the_first_that_was_cut_counts(
+    quarantine: Quarantine,
+) -> None:
+    """The others came when it had ended, maybe as the next one did."""
+    see(quarantine, POISON, crash(0, 1.100, ran_s=0.006), crash(1, 1.090))
+    assert not quarantine.is_near_limit(POISON.digest)
+    see(quarantine, POISON, crash(0, 1.000))
+    assert quarantine.is_near_limit(POISON.digest)
+
+
 CRASHES = st.lists(
     st.builds(
         lambda n, at, ran: crash(n, at / 50.0, ran / 50.0),
@@ -236,7 +246,6 @@
     ),
     min_size=1,
     max_size=10,
-    unique_by=lambda c: c.server_id,
 )
 
 
@@ -246,6 +255,7 @@
     crashes: list[Crash], rng: random.Random
 ) -> None:
     verdicts = set()
+    known = set()
     for _ in range(4):
         told = [c for c in crashes for _ in range(rng.randint(1, 2))]
         rng.shuffle(told)
@@ -253,7 +263,9 @@
         for found in told:
             entry.crashed({POISON: [found]}, 3.0)
         near = entry.is_near_limit(POISON.digest)
+        known.add(entry.crashes_of(POISON.digest))
         verdicts.add((entry.standing(POISON.digest, 3.0), near))
+    assert len(known) == 1
     held = [v for v in verdicts if v[0] is Standing.HELD]
     # Once held back it stays so, also where a part that came later counts as none.
     assert len(verdicts) == 1 or held
