--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -4,15 +4,7 @@
 
 import asyncio
 
-from railfold._internal.core import (
-    Answered,
-    Chain,
-    Failed,
-    NotRun,
-    Outcome,
-    Unknown,
-    outcome_name,
-)
+from railfold._internal.core import Chain, Outcome
 from railfold._internal.decisions.calls import (
     CallAction,
     CallAnswered,
@@ -57,16 +49,10 @@
 from railfold._internal.forwarding.front import ClientExchange
 from railfold._internal.forwarding.messages import ClientRequest, ResponseHead
 from railfold._internal.forwarding.probes import ChainProber
+from railfold._internal.forwarding.request_log import RequestLog
 from railfold._internal.forwarding.request_quarantine import RequestQuarantine
 from railfold._internal.forwarding.router import Destination, Router
 from railfold._internal.forwarding.stream_watch import Silence, StreamWatch
-from railfold._internal.observability.events import (
-    AttemptEnded,
-    AttemptKept,
-    AttemptStarted,
-    RequestEnded,
-    StreamRerouted,
-)
 
 __all__ = ["RequestDriver"]
 
@@ -111,7 +97,7 @@
         self._prober = prober
         self._quarantine = quarantine
         self._on_trial = on_trial
-        self._version = version
+        self._log = RequestLog(request, route, owner, router, version)
         self._loop = asyncio.get_running_loop()
         self._lifecycle = CallLifecycle(
             repeatable=route.repeatable,
@@ -295,18 +281,7 @@
             self._check,
             repeatable=self._route.repeatable,
         )
-        router.log.write_routine(
-            AttemptStarted(
-                self._request.request_id,
-                self._attempts,
-                plan.server_id,
-                _chain_text(plan.chain),
-                self._version,
-                _finite_ms(router.lease.age_s(now_s)),
-                round(plan.left_s(now_s) * 1000),
-                resume_after,
-            )
-        )
+        self._log.attempt_started(self._attempts, plan, resume_after)
         self._exchange.start()
         self._watch_chain(destination)
 
@@ -532,30 +507,19 @@
         return destination
 
     def _log_attempt(self, server_id: str, cause: str) -> None:
-        self._router.metrics.count("attempts.ended_early")
-        self._router.log.write(
-            AttemptEnded(
-                self._request.request_id,
-                self._attempts,
-                server_id,
-                cause,
-                self._cursor.events,
-                round(self._watch.silent_s * 1000, 1),
-            )
+        self._log.attempt_ended(
+            self._attempts, server_id, cause, self._cursor.events, self._watch.silent_s
         )
 
     def _log_kept(self, cause: str) -> None:
         destination = self._destination
         assert destination is not None
-        self._router.log.write(
-            AttemptKept(
-                self._request.request_id,
-                self._attempts,
-                destination.server.host,
-                cause,
-                self._cursor.events,
-                round(self._watch.silent_s * 1000, 1),
-            )
+        self._log.attempt_kept(
+            self._attempts,
+            destination.server.host,
+            cause,
+            self._cursor.events,
+            self._watch.silent_s,
         )
 
     # Silence
@@ -593,9 +557,7 @@
             outcome = await self._prober.calls.reroute(self._request.request_id, other)
         if self._exchange is not exchange or self._destination is None:
             return  # The attempt ended meanwhile.
-        self._router.log.write(
-            StreamRerouted(self._request.request_id, _chain_text(other), outcome)
-        )
+        self._log.rerouted(other, outcome)
         if other is None or outcome:
             if self._watch.progress_s < ordered_s:  # Else it moves, by itself or late.
                 self._lost = f"not rerouted: {outcome}"
@@ -616,57 +578,15 @@
         self._release()
         self._router.active.discard(self)
         status = self._answer.conclude(outcome)
-        self._count_outcome(outcome, status)
-
-    def _cause_of(self, outcome: Outcome) -> str:
-        match outcome:
-            case Answered():
-                return ""
-            case NotRun(error=error) | Failed(error=error) | Unknown(error=error):
-                return self._cause or str(error)
-
-    def _count_outcome(self, outcome: Outcome, status: int) -> None:
-        router = self._router
-        now_s = self._loop.time()
-        name = outcome_name(outcome)
-        router.metrics.count(f"outcomes.{name}")
-        duration_s = now_s - self._request.received_s
-        router.metrics.timing("request", duration_s)
-        first_s = 0.0
-        if self._watch.first_event_s is not None:
-            first_s = self._watch.first_event_s - self._request.received_s
-            router.metrics.timing("first_event", first_s)
-        event = RequestEnded(
-            request_id=self._request.request_id,
-            outcome=name,
-            status=status,
-            cause=self._cause_of(outcome),
-            route=self._route.name,
-            workspace=self._owner.workspace if self._owner else "",
-            attempts=self._attempts,
-            duration_ms=round(duration_s * 1000, 1),
-            first_event_ms=round(first_s * 1000, 1),
-            longest_pause_ms=round(self._watch.longest_pause_s * 1000, 1),
-            events=self._cursor.events,
-            configuration_version=self._version,
-            retry_after_ms=round((getattr(outcome, "retry_after_s", 0) or 0) * 1000),
+        self._log.request_ended(
+            outcome,
+            status,
+            self._cause,
+            self._attempts,
+            self._cursor.events,
+            self._watch,
         )
-        if isinstance(outcome, Answered):
-            router.log.write_routine(event)
-        else:
-            router.log.write(event)
-
-
-def _chain_text(chain: Chain | None) -> str:
-    """Return a chain as it stands in logs."""
-    if chain is None:
-        return ""
-    return " ".join(f"{stage.host}:{stage.layers}" for stage in chain.stages)
 
 
 def _holds_events(head: ResponseHead) -> bool:
     return head.get("Content-Type").startswith("text/event-stream")
-
-
-def _finite_ms(seconds: float) -> float:
-    return round(min(seconds, 1e6) * 1000, 1)
--- /dev/null
+++ b/src/railfold/_internal/forwarding/request_log.py
@@ -0,0 +1,159 @@
+"""What the log and the metrics say of one request."""
+
+from __future__ import annotations
+
+import asyncio
+
+from railfold._internal.core import (
+    Answered,
+    Chain,
+    Failed,
+    NotRun,
+    Outcome,
+    Unknown,
+    outcome_name,
+)
+from railfold._internal.decisions.routing_table import CredentialOwner, Route
+from railfold._internal.forwarding.dialect import SendPlan
+from railfold._internal.forwarding.messages import ClientRequest
+from railfold._internal.forwarding.router import Router
+from railfold._internal.forwarding.stream_watch import StreamWatch
+from railfold._internal.observability.events import (
+    AttemptEnded,
+    AttemptKept,
+    AttemptStarted,
+    RequestEnded,
+    StreamRerouted,
+)
+
+__all__ = ["RequestLog"]
+
+
+class RequestLog:
+    """Tells of one request's attempts and its end.
+
+    :param version: of the configuration that it was admitted under.
+    """
+
+    def __init__(
+        self,
+        request: ClientRequest,
+        route: Route,
+        owner: CredentialOwner | None,
+        router: Router,
+        version: int,
+    ) -> None:
+        self._request = request
+        self._route = route
+        self._owner = owner
+        self._router = router
+        self._version = version
+        self._loop = asyncio.get_running_loop()
+
+    def attempt_started(
+        self, attempt: int, plan: SendPlan, resume_after: int | None
+    ) -> None:
+        """It is sent to a backend server."""
+        now_s = self._loop.time()
+        self._router.log.write_routine(
+            AttemptStarted(
+                self._request.request_id,
+                attempt,
+                plan.server_id,
+                _chain_text(plan.chain),
+                self._version,
+                _finite_ms(self._router.lease.age_s(now_s)),
+                round(plan.left_s(now_s) * 1000),
+                resume_after,
+            )
+        )
+
+    def attempt_ended(
+        self, attempt: int, server_id: str, cause: str, events: int, silent_s: float
+    ) -> None:
+        """An attempt ended without the answer that was wanted."""
+        self._router.metrics.count("attempts.ended_early")
+        event = AttemptEnded(
+            self._request.request_id, attempt, server_id, cause, events, _ms(silent_s)
+        )
+        self._router.log.write(event)
+
+    def attempt_kept(
+        self, attempt: int, server_id: str, cause: str, events: int, silent_s: float
+    ) -> None:
+        """Its backend server is given up, but nothing else can finish the answer."""
+        event = AttemptKept(
+            self._request.request_id, attempt, server_id, cause, events, _ms(silent_s)
+        )
+        self._router.log.write(event)
+
+    def rerouted(self, chain: Chain | None, outcome: str) -> None:
+        """It was ordered to go on over another chain, if there is one."""
+        event = StreamRerouted(self._request.request_id, _chain_text(chain), outcome)
+        self._router.log.write(event)
+
+    def request_ended(
+        self,
+        outcome: Outcome,
+        status: int,
+        cause: str,
+        attempts: int,
+        events: int,
+        watch: StreamWatch,
+    ) -> None:
+        """It got its final answer.
+
+        :param cause: why it was given up, as far as its driver knows.
+        """
+        metrics = self._router.metrics
+        name = outcome_name(outcome)
+        metrics.count(f"outcomes.{name}")
+        received_s = self._request.received_s
+        duration_s = self._loop.time() - received_s
+        metrics.timing("request", duration_s)
+        first_s = 0.0
+        if watch.first_event_s is not None:
+            first_s = watch.first_event_s - received_s
+            metrics.timing("first_event", first_s)
+        event = RequestEnded(
+            request_id=self._request.request_id,
+            outcome=name,
+            status=status,
+            cause=_cause_of(outcome, cause),
+            route=self._route.name,
+            workspace=self._owner.workspace if self._owner else "",
+            attempts=attempts,
+            duration_ms=_ms(duration_s),
+            first_event_ms=_ms(first_s),
+            longest_pause_ms=_ms(watch.longest_pause_s),
+            events=events,
+            configuration_version=self._version,
+            retry_after_ms=round((getattr(outcome, "retry_after_s", 0) or 0) * 1000),
+        )
+        if isinstance(outcome, Answered):
+            self._router.log.write_routine(event)
+        else:
+            self._router.log.write(event)
+
+
+def _cause_of(outcome: Outcome, cause: str) -> str:
+    match outcome:
+        case Answered():
+            return ""
+        case NotRun(error=error) | Failed(error=error) | Unknown(error=error):
+            return cause or str(error)
+
+
+def _chain_text(chain: Chain | None) -> str:
+    """Return a chain as it stands in logs."""
+    if chain is None:
+        return ""
+    return " ".join(f"{stage.host}:{stage.layers}" for stage in chain.stages)
+
+
+def _ms(seconds: float) -> float:
+    return round(seconds * 1000, 1)
+
+
+def _finite_ms(seconds: float) -> float:
+    return _ms(min(seconds, 1e6))
