--- a/src/railfold/_internal/platform/engines.py
+++ b/src/railfold/_internal/platform/engines.py
@@ -66,8 +66,10 @@
 class _Entry(msgspec.Struct, frozen=True):
     """A registration; its id is the record's key.
 
-    ``kind`` is the accelerator's. ``born`` is the Unix time of the server's start, in
-    milliseconds; older platforms don't tell it.
+    ``kind`` is the accelerator's. ``cold_left_ms``, ``stage`` and ``seq`` aren't used,
+    but a record in which they are of another type is none of a backend server.
+    ``born`` is the Unix time of the server's start, in milliseconds; older platforms
+    don't tell it.
     """
 
     service: _Name
@@ -79,6 +81,9 @@
     layers: _Layers | None = None
     kind: _Name | None = None
     version: _Version = ""
+    cold_left_ms: Annotated[float, Meta(ge=0.0)] = 0.0
+    stage: _Name | None = None
+    seq: _Count = 0
     born: _StartedAt | UnsetType = UNSET
 
 
