--- a/src/railfold/_internal/decisions/domains.py
+++ b/src/railfold/_internal/decisions/domains.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+import zlib
+from collections.abc import Callable, Iterable, Sequence
 from typing import TypeVar
 
-__all__ = ["group_by_domain"]
+__all__ = ["group_by_domain", "in_groups"]
 
 T = TypeVar("T")
 
+# Layers of so many engines are placed together at most, on average. A plan takes 16 to
+# 27 ms for 60 of them, and 0.2 to 1.6 s for 600 (measured on a whole core), while the
+# lease under which it is made lasts 2.4 s. A whole chain takes 8 to 14 engines.
+_MOST_TOGETHER = 60
+
 
 def group_by_domain(items: Iterable[T], domain_of: Callable[[T], str]) -> list[list[T]]:
     """Return the items of each failure domain, in the order of their names."""
@@ -16,3 +22,18 @@
     for item in items:
         found.setdefault(domain_of(item), []).append(item)
     return [found[domain] for domain in sorted(found)]
+
+
+def in_groups(items: Sequence[T], id_of: Callable[[T], str]) -> list[list[T]]:
+    """Return items in groups of bounded size, all in one if they are few.
+
+    An item's group follows from its id and from the number of groups, which doubles, so
+    that items that come and go leave the others where they are.
+    """
+    count = 1
+    while len(items) > count * _MOST_TOGETHER:
+        count *= 2
+    groups: list[list[T]] = [[] for _ in range(count)]
+    for item in items:
+        groups[zlib.crc32(id_of(item).encode()) % count].append(item)
+    return [group for group in groups if group]
--- a/src/railfold/_internal/forwarding/placement.py
+++ b/src/railfold/_internal/forwarding/placement.py
@@ -10,9 +10,10 @@
 import asyncio
 import math
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 
 from railfold._internal.core import LayerRange
-from railfold._internal.decisions.domains import group_by_domain
+from railfold._internal.decisions.domains import group_by_domain, in_groups
 from railfold._internal.decisions.engine_directory import DirectoryEntry
 from railfold._internal.decisions.leadership import Leadership
 from railfold._internal.decisions.orders import (
@@ -73,10 +74,18 @@
 # a request more or less arrives.
 _RATE_STEP = 1.25
 
-# What a plan for a failure domain depends on.
+# What a plan for a group of engines depends on.
 _Question = tuple[EngineModel, tuple[EngineRoom, ...], float]
 
 
+@dataclass(frozen=True, slots=True)
+class _Group:
+    """Engines of a failure domain whose layers are placed together."""
+
+    failure_domain: str
+    number: int
+
+
 class PlacementKeeper:
     """Keeps every model's layers placed."""
 
@@ -95,7 +104,7 @@
         self._loop = asyncio.get_running_loop()
         self._reconcilers: dict[str, Reconciler] = {}
         self._targets: dict[str, LayerRange] = {}
-        self._left_as_is: dict[str, _Question] = {}
+        self._left_as_is: dict[_Group, _Question] = {}
         self._known: set[str] = set()
         self._started_s = self._loop.time()
         self._changed_s = self._loop.time()
@@ -104,10 +113,10 @@
         """Look at the placement until cancelled."""
         ready.set()
         while True:
-            self._look()
+            await self._look()
             await asyncio.sleep(_LOOK_S)
 
-    def _look(self) -> None:
+    async def _look(self) -> None:
         now_s = self._loop.time()
         table = self._router.table
         self._note_appearances(now_s)
@@ -117,7 +126,7 @@
             return
         for spec in table.model_services():
             if spec.model is not None:
-                self._place(spec, spec.model, now_s)
+                await self._place(spec, spec.model, now_s)
 
     def _note_appearances(self, now_s: float) -> None:
         known = {
@@ -132,17 +141,26 @@
             del self._reconcilers[gone]
             self._targets.pop(gone, None)
 
-    def _place(self, spec: ServiceSpec, model: EngineModel, now_s: float) -> None:
+    async def _place(self, spec: ServiceSpec, model: EngineModel, now_s: float) -> None:
         entries = [e for e in self._router.directory.of_service(spec.name)]
         usable = [e for e in entries if self._usable(e, model, now_s)]
         if not any(e.registration.layers for e in usable) and not self._settled(now_s):
             return
-        domains = _by_domain(usable, model)
+        groups = [
+            group
+            for members in _by_domain(usable, model)
+            for group in enumerate(in_groups(members, lambda e: e.server_id))
+        ]
         arriving_rps = self._router.arriving_rps(spec.name)
-        needed_rps = _HEADROOM * arriving_rps / max(1, len(domains))
-        for members in domains:
-            self._targets.update(self._domain_plan(members, model, needed_rps))
-        self._give(usable, model, now_s)
+        needed_rps = _HEADROOM * arriving_rps / max(1, len(groups))
+        for number, members in groups:
+            plan = self._group_plan(number, members, model, needed_rps)
+            self._targets.update(plan)
+            if plan:
+                # Whatever is due runs in between: a plan takes some 10 ms, and there
+                # may be many at once.
+                await asyncio.sleep(0)
+        self._give(usable, model, self._loop.time())
 
     def _usable(self, entry: DirectoryEntry, model: EngineModel, now_s: float) -> bool:
         if entry.registration.draining:
@@ -160,22 +178,27 @@
             return True
         return now_s - self._started_s >= _SETTLED_MOST_S
 
-    def _domain_plan(
-        self, members: list[DirectoryEntry], model: EngineModel, needed_rps: float
+    def _group_plan(
+        self,
+        number: int,
+        members: list[DirectoryEntry],
+        model: EngineModel,
+        needed_rps: float,
     ) -> dict[str, LayerRange]:
         rooms = tuple(self._room(entry, model) for entry in members)
         asked_rps = _rounded(needed_rps)
         # Most looks find what the one before found, and a plan takes some 10 ms.
         question = (model, rooms, asked_rps)
         domain = members[0].registration.failure_domain
-        if self._left_as_is.get(domain) == question:
+        group = _Group(domain, number)
+        if self._left_as_is.get(group) == question:
             return {}
         plan = plan_layers(rooms, model, asked_rps)
         if plan:
-            self._left_as_is.pop(domain, None)
+            self._left_as_is.pop(group, None)
             self._log_plan(domain, rooms, model, needed_rps, plan)
         else:
-            self._left_as_is[domain] = question
+            self._left_as_is[group] = question
         return plan
 
     def _log_plan(
