--- a/src/railfold/_internal/clock.py
+++ b/src/railfold/_internal/clock.py
@@ -19,6 +19,8 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
+from absl import logging
+
 __all__ = ["EventLoop", "new_event_loop", "now_s", "run", "unix_time_s"]
 
 T = TypeVar("T")
@@ -55,9 +57,16 @@
         suspended_s = now_s() - _steady_s()
         since_s, self._suspended_s = suspended_s - self._suspended_s, suspended_s
         if since_s > _LEAST_SUSPENSION_S and self.on_resumed is not None:
-            self.on_resumed(since_s)
+            self._tell(self.on_resumed, since_s)
         return found
 
+    def _tell(self, on_resumed: Callable[[float], None], since_s: float) -> None:
+        """Call back; an error here would end the loop."""
+        try:
+            on_resumed(since_s)
+        except Exception:
+            logging.exception("the look after a suspension failed")
+
 
 class EventLoop(asyncio.SelectorEventLoop):
     """An event loop whose time goes on while the host is suspended."""
--- a/src/railfold/_internal/forwarding/crash_watch.py
+++ b/src/railfold/_internal/forwarding/crash_watch.py
@@ -11,11 +11,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from railfold._internal.decisions.quarantine import Crash
-from railfold._internal.decisions.routing_table import CredentialOwner, Route
-from railfold._internal.forwarding.messages import ClientRequest
+from railfold._internal.decisions.quarantine import Content, Crash
 
-__all__ = ["CLEARED_AFTER_S", "CrashWatch", "EndedRun"]
+__all__ = ["CLEARED_AFTER_S", "CrashWatch", "EndedRun", "RunFigures"]
 
 # Whoever brought events for longer than this, or waited longer for the first one, isn't
 # what ended its server: servers ended 0.03 to 0.13 s after they had begun to run such a
@@ -34,34 +32,48 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EndedRun:
-    """A request's run that broke off.
+class RunFigures:
+    """A run of a request that broke off.
 
     :param server_ids: the backend servers that worked on it.
+    :param began_s: when it was sent to the first of them.
     :param moved_s: for how long it had brought events.
     :param after_event: the event after which it had resumed a stream; 0 if it hadn't.
     """
 
-    request: ClientRequest
-    route: Route
-    owner: CredentialOwner | None
     service: str
     server_ids: tuple[str, ...]
     began_s: float
-    ended_s: float
     moved_s: float
     after_event: int
 
+
+@dataclass(frozen=True, slots=True)
+class EndedRun:
+    """What is kept of such a run: not the request itself, which may be large."""
+
+    content: Content
+    figures: RunFigures
+    ended_s: float
+
+    @property
+    def server_ids(self) -> tuple[str, ...]:
+        """The backend servers that worked on it."""
+        return self.figures.server_ids
+
     @property
     def had_just_begun(self) -> bool:
         """Whether it may be what ended its server."""
-        if self.moved_s > 0.0:
-            return self.moved_s < CLEARED_AFTER_S
-        return self.ended_s - self.began_s < _LONGEST_WAIT_S
+        if self.figures.moved_s > 0.0:
+            return self.figures.moved_s < CLEARED_AFTER_S
+        return self.ended_s - self.figures.began_s < _LONGEST_WAIT_S
 
     def crash(self, server_id: str, version: str) -> Crash:
         """Return the run as part of a server's end."""
-        return Crash(server_id, self.began_s, self.ended_s, version, self.after_event)
+        figures = self.figures
+        return Crash(
+            server_id, figures.began_s, self.ended_s, version, figures.after_event
+        )
 
 
 class CrashWatch:
--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -36,7 +36,7 @@
     ServerLeavingError,
 )
 from railfold._internal.forwarding.client_answer import ClientAnswer, GatheredAnswer
-from railfold._internal.forwarding.crash_watch import CLEARED_AFTER_S, EndedRun
+from railfold._internal.forwarding.crash_watch import CLEARED_AFTER_S, RunFigures
 from railfold._internal.forwarding.dialect import (
     AnswerKind,
     NotExecuted,
@@ -332,19 +332,14 @@
         destination = self._destination
         assert destination is not None
         self._broke_off = True
-        self._quarantine.run_ended(
-            EndedRun(
-                self._request,
-                self._route,
-                self._owner,
-                destination.service,
-                destination.server_ids,
-                self._sent_s,
-                self._loop.time(),
-                self._watch.moved_s,
-                self._resumed_after,
-            )
+        figures = RunFigures(
+            destination.service,
+            destination.server_ids,
+            self._sent_s,
+            self._watch.moved_s,
+            self._resumed_after,
         )
+        self._quarantine.run_ended(self._request, self._route, self._owner, figures)
 
     def answer_head(self, kind: AnswerKind, head: ResponseHead) -> None:
         """The head of an answer came."""
--- a/src/railfold/_internal/forwarding/peer_channel.py
+++ b/src/railfold/_internal/forwarding/peer_channel.py
@@ -28,6 +28,9 @@
 __all__ = ["PeerChannel"]
 
 _PURPOSE = b"peers"
+
+# Another process may hold the port for as long as it takes to end.
+_OPEN_AGAIN_S = 5.0
 _MESSAGE_ID_BYTES = 8
 
 
@@ -62,18 +65,31 @@
 
     async def run(self, ready: asyncio.Event) -> None:
         """Listen until cancelled."""
-        loop = asyncio.get_running_loop()
-        transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(self._address.ip, self._address.port)
-        )
-        self._transport = transport
         ready.set()
+        transport = await self._open()
+        self._transport = transport
         try:
             await asyncio.Event().wait()
         finally:
             self._transport = None
             transport.close()
 
+    async def _open(self) -> asyncio.DatagramTransport:
+        """Open the socket; an entry without it serves, and the store tells it."""
+        loop = asyncio.get_running_loop()
+        local = (self._address.ip, self._address.port)
+        while True:
+            try:
+                transport, _ = await loop.create_datagram_endpoint(
+                    lambda: self, local_addr=local
+                )
+            except OSError as error:
+                self._metrics.count("peers.unreachable")
+                logging.warning("%s can't be opened: %s", self._address, error)
+                await asyncio.sleep(_OPEN_AGAIN_S)
+            else:
+                return transport
+
     def tell(self, message: PeerMessage) -> None:
         """Tell other entries something, which they pass on."""
         self._tell(message, self._view.draw(self._rng, ()), direct=False)
--- a/src/railfold/_internal/forwarding/peer_keeper.py
+++ b/src/railfold/_internal/forwarding/peer_keeper.py
@@ -132,6 +132,8 @@
             return
         self._view.join(Peer(message.name, address, message.started_at_ms))
         self._metrics.gauge("peers.known", len(self._view))
+        if self._has_read:
+            self._on_listed(len(self._view) + 1)
 
     async def leave(self) -> None:
         """Take this entry's row away: it ends as planned."""
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -473,8 +473,9 @@
         self._draining = True
         self._clients.draining = True
         self.log.write(ProcessStopping("told to stop", len(self.router.active)))
+        # The store may not answer; the rest of the stop doesn't wait for it.
+        leaving = self._loop.create_task(self._peering.leave())
         await self._leadership_keeper.release()
-        await self._peering.leave()
         end_s = started_s + self._settings.grace_s - _EXIT_S
         await asyncio.sleep(_LEAVE_BALANCER_S)
         self._clients.stop_accepting()
@@ -486,6 +487,7 @@
         for exchange, driver in list(self._drivers.items()):
             exchange.abort()
             driver.client_gone()
+        leaving.cancel()
         self.log.flush()
 
 
--- /dev/null
+++ b/src/railfold/_internal/forwarding/quarantine_records.py
@@ -0,0 +1,158 @@
+"""Writing what is held back into the store, for entries that start later.
+
+The entry that saw it writes the record; if that one dies before, another does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Iterable
+
+from absl import logging
+
+from railfold._internal import clock
+from railfold._internal.decisions.quarantine import QuarantineChange, QuarantineState
+from railfold._internal.errors import LogUnavailableError
+from railfold._internal.forwarding.adapter import WritableLog
+from railfold._internal.forwarding.content_digest import ContentDigests
+from railfold._internal.forwarding.router import Router
+from railfold._internal.forwarding.shared_records import (
+    KEY_NAME,
+    HoldRecord,
+    RecordedCrash,
+    encode_hold,
+    encode_key,
+)
+
+__all__ = ["QuarantineRecords"]
+
+# Who learns from others that a content is held back waits so long, and up to as much
+# again, for the record of the one that saw it; then it writes the record itself.
+_WAIT_S = 1.0
+_AGAIN_S = 2.0
+
+# Entries that start together each wait up to this long for another's key.
+_KEY_WAIT_S = 0.5
+_KEY_BYTES = 32
+
+
+class QuarantineRecords:
+    """Which records are to be written or removed, and doing so.
+
+    :param log: a client of the store's log.
+    :param digests: know whether there is a key yet.
+    """
+
+    def __init__(
+        self, log: WritableLog, stream: str, router: Router, digests: ContentDigests
+    ) -> None:
+        self._log = log
+        self._stream = stream
+        self._router = router
+        self._digests = digests
+        self._loop = asyncio.get_running_loop()
+        # When a content's record is to be written, if it isn't there by then.
+        self._due_s: dict[str, float] = {}
+        self._removals: set[str] = set()
+        self._key_missing_at: int | None = None
+
+    def changed(self, change: QuarantineChange, *, from_peer: bool) -> None:
+        """What is believed of a content has changed."""
+        digest = change.content.digest
+        match change.state:
+            case QuarantineState.HELD_BACK:
+                wait_s = 0.0
+                if from_peer:
+                    wait_s = _WAIT_S * (1.0 + self._router.rng.random())
+                self._due_s[digest] = self._loop.time() + wait_s
+                self._removals.discard(digest)
+            case QuarantineState.CLEARED | QuarantineState.LIFTED:
+                self._due_s.pop(digest, None)
+                if change.was_held and not from_peer:
+                    self._removals.add(digest)
+            case QuarantineState.SUSPECTED | QuarantineState.ON_TRIAL:
+                pass
+
+    def found(self, digest: str) -> None:
+        """The store holds a content's record."""
+        self._due_s.pop(digest, None)
+
+    def gone(self, digest: str) -> None:
+        """The store doesn't hold it any more."""
+        self._due_s.pop(digest, None)
+        self._removals.discard(digest)
+
+    def key_missing(self, next_offset: int) -> None:
+        """The store holds no key yet; its stream ends at this offset."""
+        if not self._digests.ready:
+            self._key_missing_at = next_offset
+
+    async def write(self, held: Iterable[QuarantineChange]) -> None:
+        """Write what is due.
+
+        :param held: what is held back now.
+        """
+        now_s = self._loop.time()
+        known = {change.content.digest: change for change in held}
+        due = [digest for digest, due_s in self._due_s.items() if due_s <= now_s]
+        try:
+            if self._key_missing_at is not None:
+                await self._make_key(self._key_missing_at)
+            for digest in due:
+                await self._write_one(digest, known.get(digest))
+            for digest in list(self._removals):
+                await self._log.put(self._stream, digest, b"")
+                self._removals.discard(digest)
+        except LogUnavailableError as error:
+            self._router.metrics.count("quarantine.write_failures")
+            logging.info("a record isn't written yet: %s", error)
+            await asyncio.sleep(_AGAIN_S)
+
+    async def _write_one(self, digest: str, change: QuarantineChange | None) -> None:
+        self._due_s.pop(digest, None)
+        if change is None:
+            return  # It isn't held back any more.
+        try:
+            await self._log.put(self._stream, digest, encode_hold(_record(change)))
+        except LogUnavailableError:
+            self._due_s.setdefault(digest, self._loop.time() + _AGAIN_S)
+            raise
+
+    async def _make_key(self, next_offset: int) -> None:
+        """Leave a key in the store, unless another entry does."""
+        await asyncio.sleep(_KEY_WAIT_S * self._router.rng.random())
+        self._key_missing_at = None
+        if self._digests.ready:
+            return
+        key = encode_key(secrets.token_bytes(_KEY_BYTES))
+        try:
+            await self._log.put(self._stream, KEY_NAME, key, expected_end=next_offset)
+        except LogUnavailableError:
+            self._key_missing_at = next_offset
+            raise
+
+
+def _record(change: QuarantineChange) -> HoldRecord:
+    offset_s = clock.unix_time_s() - asyncio.get_running_loop().time()
+    return HoldRecord(
+        change.content.service,
+        change.content.route,
+        change.content.workspace,
+        _unix_ms(change.held_s, offset_s),
+        change.holds,
+        [
+            RecordedCrash(
+                crash.server_id,
+                _unix_ms(crash.began_s, offset_s),
+                _unix_ms(crash.ended_s, offset_s),
+                crash.version,
+                crash.after_event,
+            )
+            for crash in change.crashes
+        ],
+    )
+
+
+def _unix_ms(at_s: float, offset_s: float) -> int:
+    return max(0, int((at_s + offset_s) * 1000))
--- a/src/railfold/_internal/forwarding/request_quarantine.py
+++ b/src/railfold/_internal/forwarding/request_quarantine.py
@@ -9,12 +9,9 @@
 from __future__ import annotations
 
 import asyncio
-import secrets
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
-from absl import logging
-
 from railfold._internal import clock
 from railfold._internal.decisions.engine_directory import DirectoryEntry
 from railfold._internal.decisions.quarantine import (
@@ -22,14 +19,17 @@
     Crash,
     Quarantine,
     QuarantineChange,
-    QuarantineState,
     Standing,
 )
 from railfold._internal.decisions.routing_table import CredentialOwner, Route
-from railfold._internal.errors import LogUnavailableError, RepeatedCrashesError
+from railfold._internal.errors import RepeatedCrashesError
 from railfold._internal.forwarding.adapter import WritableLog
 from railfold._internal.forwarding.content_digest import ContentDigests
-from railfold._internal.forwarding.crash_watch import CrashWatch, EndedRun
+from railfold._internal.forwarding.crash_watch import (
+    CrashWatch,
+    EndedRun,
+    RunFigures,
+)
 from railfold._internal.forwarding.messages import ClientRequest
 from railfold._internal.forwarding.peer_messages import (
     MOST_CRASHES_TOLD,
@@ -39,14 +39,9 @@
     PeerMessage,
     TrialBegun,
 )
+from railfold._internal.forwarding.quarantine_records import QuarantineRecords
 from railfold._internal.forwarding.router import Router
-from railfold._internal.forwarding.shared_records import (
-    KEY_NAME,
-    HoldRecord,
-    RecordedCrash,
-    encode_hold,
-    encode_key,
-)
+from railfold._internal.forwarding.shared_records import HoldRecord
 from railfold._internal.observability.events import QuarantineChanged, ServerCrashed
 
 __all__ = ["RequestQuarantine"]
@@ -57,21 +52,12 @@
 # after 3.6 s without a heartbeat, and are read every 2.8 s at the least.
 _CONTRADICTED_S = 10.0
 
-# Who learns from others that a content is held back waits so long, and up to as much
-# again, for the record of the one that saw it; then it writes the record itself.
-_RECORD_WAIT_S = 1.0
-_RECORD_AGAIN_S = 2.0
-
 # A content that ran well here within this time is vouched for when others suspect it;
 # within so short a time that it isn't held back for long, and by few of many entries.
 _VOUCHED_S = 60.0
 _VOUCH_WITHIN_S = 0.1
 _VOUCH_AGAIN_S = 1.0
 
-# Entries that start together each wait up to this long for another's key.
-_KEY_WAIT_S = 0.5
-_KEY_BYTES = 32
-
 # Servers whose ids and versions are remembered, also after they are gone.
 _SERVERS_KEPT = 4096
 
@@ -95,23 +81,18 @@
         tell: Callable[[PeerMessage], None],
     ) -> None:
         self._router = router
-        self._log = log
-        self._stream = stream
         self._tell = tell
         self._loop = asyncio.get_running_loop()
         self._digests = ContentDigests()
         self._quarantine = Quarantine()
         self._watch = CrashWatch(self._on_crash)
+        self._records = QuarantineRecords(log, stream, router, self._digests)
         # Versions by server, also of those that are gone.
         self._versions: OrderedDict[str, str] = OrderedDict()
         # Servers that others say have ended, and when that was told.
         self._told_s: dict[str, float] = {}
-        # When a content's record is to be written, if it isn't there by then.
-        self._record_due_s: dict[str, float] = {}
-        self._removal_due: set[str] = set()
         # When this or another entry told last that a content runs well.
         self._vouched_s: dict[str, float] = {}
-        self._key_missing_at: int | None = None
 
     def set_key(self, shared_key: bytes) -> None:
         """Take the key that all entries share; nothing is recognized before."""
@@ -191,10 +172,23 @@
 
     # What becomes of runs and servers
 
-    def run_ended(self, run: EndedRun) -> None:
+    def run_ended(
+        self,
+        request: ClientRequest,
+        route: Route,
+        owner: CredentialOwner | None,
+        figures: RunFigures,
+    ) -> None:
         """A run broke off."""
-        if self._digests.ready:
-            self._watch.run_ended(run)
+        if not self._digests.ready:
+            return
+        content = Content(
+            self._digests.of(request, owner),
+            figures.service,
+            route.name,
+            owner.workspace if owner is not None else "",
+        )
+        self._watch.run_ended(EndedRun(content, figures, self._loop.time()))
 
     def ran_well(
         self,
@@ -231,14 +225,8 @@
         now_s = self._loop.time()
         version = self._version_of(server_id)
         seen: dict[Content, list[Crash]] = {}
-        for run in sorted(runs, key=lambda run: -run.began_s)[:_CONTENTS_TOLD]:
-            content = Content(
-                self._digests.of(run.request, run.owner),
-                run.service,
-                run.route.name,
-                run.owner.workspace if run.owner is not None else "",
-            )
-            seen.setdefault(content, []).append(run.crash(server_id, version))
+        for run in sorted(runs, key=lambda run: -run.figures.began_s)[:_CONTENTS_TOLD]:
+            seen.setdefault(run.content, []).append(run.crash(server_id, version))
         self._router.metrics.count("servers.crashed")
         self._router.log.write(
             ServerCrashed(
@@ -342,19 +330,17 @@
             record.holds,
         )
         self._take(changes, from_peer=True)
-        self._record_due_s.pop(digest, None)
+        self._records.found(digest)
 
     def record_removed(self, digest: str) -> None:
         """A content's record was taken from the store: by an entry or the operator."""
         reason = "its record was removed"
         self._take(self._quarantine.lift(digest, self._loop.time(), reason))
-        self._record_due_s.pop(digest, None)
-        self._removal_due.discard(digest)
+        self._records.gone(digest)
 
     def key_missing(self, next_offset: int) -> None:
         """The store holds no key yet; it ends at this offset."""
-        if not self._digests.ready:
-            self._key_missing_at = next_offset
+        self._records.key_missing(next_offset)
 
     # Upkeep
 
@@ -364,7 +350,7 @@
         while True:
             await asyncio.sleep(_LOOK_S)
             self._look()
-            await self._write_records()
+            await self._records.write(self._quarantine.held)
 
     def _look(self) -> None:
         now_s = self._loop.time()
@@ -413,20 +399,7 @@
         now_s = self._loop.time()
         for change in changes:
             self._log_change(change, now_s, from_peer=from_peer)
-            digest = change.content.digest
-            match change.state:
-                case QuarantineState.HELD_BACK:
-                    wait_s = 0.0
-                    if from_peer:
-                        wait_s = _RECORD_WAIT_S * (1.0 + self._router.rng.random())
-                    self._record_due_s[digest] = now_s + wait_s
-                    self._removal_due.discard(digest)
-                case QuarantineState.CLEARED | QuarantineState.LIFTED:
-                    self._record_due_s.pop(digest, None)
-                    if change.was_held and not from_peer:
-                        self._removal_due.add(digest)
-                case QuarantineState.SUSPECTED | QuarantineState.ON_TRIAL:
-                    pass
+            self._records.changed(change, from_peer=from_peer)
 
     def _log_change(
         self, change: QuarantineChange, now_s: float, *, from_peer: bool
@@ -449,74 +422,6 @@
             )
         )
 
-    # Records
-
-    async def _write_records(self) -> None:
-        now_s = self._loop.time()
-        due = [d for d, due_s in self._record_due_s.items() if due_s <= now_s]
-        try:
-            if self._key_missing_at is not None:
-                await self._make_key(self._key_missing_at)
-            for digest in due:
-                await self._write_record(digest)
-            for digest in list(self._removal_due):
-                await self._log.put(self._stream, digest, b"")
-                self._removal_due.discard(digest)
-        except LogUnavailableError as error:
-            self._router.metrics.count("quarantine.write_failures")
-            logging.info("a record isn't written yet: %s", error)
-            await asyncio.sleep(_RECORD_AGAIN_S)
-
-    async def _write_record(self, digest: str) -> None:
-        held = {change.content.digest: change for change in self._quarantine.held}
-        change = held.get(digest)
-        self._record_due_s.pop(digest, None)
-        if change is None:
-            return
-        try:
-            await self._log.put(self._stream, digest, encode_hold(_record(change)))
-        except LogUnavailableError:
-            self._record_due_s.setdefault(digest, self._loop.time() + _RECORD_AGAIN_S)
-            raise
-
-    async def _make_key(self, next_offset: int) -> None:
-        """Leave a key in the store, unless another entry does."""
-        await asyncio.sleep(_KEY_WAIT_S * self._router.rng.random())
-        self._key_missing_at = None
-        if self._digests.ready:
-            return
-        key = encode_key(secrets.token_bytes(_KEY_BYTES))
-        try:
-            await self._log.put(self._stream, KEY_NAME, key, expected_end=next_offset)
-        except LogUnavailableError:
-            self._key_missing_at = next_offset
-            raise
-
-
-def _record(change: QuarantineChange) -> HoldRecord:
-    offset_s = clock.unix_time_s() - asyncio.get_running_loop().time()
-    return HoldRecord(
-        change.content.service,
-        change.content.route,
-        change.content.workspace,
-        _unix_ms(change.held_s, offset_s),
-        change.holds,
-        [
-            RecordedCrash(
-                crash.server_id,
-                _unix_ms(crash.began_s, offset_s),
-                _unix_ms(crash.ended_s, offset_s),
-                crash.version,
-                crash.after_event,
-            )
-            for crash in change.crashes
-        ],
-    )
-
-
-def _unix_ms(at_s: float, offset_s: float) -> int:
-    return max(0, int((at_s + offset_s) * 1000))
-
 
 def _age_ms(now_s: float, at_s: float) -> int:
     return max(0, int((now_s - at_s) * 1000))
--- a/tests/unit/test_crash_watch.py
+++ b/tests/unit/test_crash_watch.py
@@ -4,18 +4,16 @@
 
 import pytest
 
-from railfold._internal.decisions.routing_table import (
-    CredentialOwner,
-    Route,
-    RouteKind,
-)
+from railfold._internal.decisions.quarantine import Content
+from railfold._internal.decisions.routing_table import CredentialOwner
 from railfold._internal.forwarding.content_digest import ContentDigests
-from railfold._internal.forwarding.crash_watch import CrashWatch, EndedRun
+from railfold._internal.forwarding.crash_watch import (
+    CrashWatch,
+    EndedRun,
+    RunFigures,
+)
 from railfold._internal.forwarding.messages import ClientRequest, RequestSize
 
-ROUTE = Route(
-    "draft", "h", "/draft/", RouteKind.STREAM, (), 4.0, 0.5, 1, 2, False, True
-)
 OWNER = CredentialOwner("quality", None)
 
 Seen = list[tuple[str, list[str]]]
@@ -40,15 +38,12 @@
     return ClientRequest(**fields)  # type: ignore[arg-type]
 
 
-def run(name: str, *servers: str, **changes: object) -> EndedRun:
-    fields: dict[str, object] = {
-        "began_s": 1.0,
-        "ended_s": 1.2,
-        "moved_s": 0.0,
-        "after_event": 0,
-        **changes,
-    }
-    return EndedRun(request(name), ROUTE, OWNER, "llm", servers, **fields)  # type: ignore[arg-type]
+def run(name: str, *servers: str, **changes: float) -> EndedRun:
+    content = Content(name, "llm", "draft", "quality")
+    figures = RunFigures(
+        "llm", servers, began_s=1.0, moved_s=changes.get("moved_s", 0.0), after_event=0
+    )
+    return EndedRun(content, figures, changes.get("ended_s", 1.2))
 
 
 @pytest.fixture
@@ -59,7 +54,7 @@
 @pytest.fixture
 def watch(seen: Seen) -> CrashWatch:
     def on_crash(server_id: str, runs: list[EndedRun]) -> None:
-        seen.append((server_id, [run.request.request_id for run in runs]))
+        seen.append((server_id, [run.content.digest for run in runs]))
 
     return CrashWatch(on_crash)
 
