--- a/src/railfold/_internal/decisions/quarantine.py
+++ b/src/railfold/_internal/decisions/quarantine.py
@@ -26,6 +26,7 @@
 from enum import Enum
 
 __all__ = [
+    "UNKNOWN_VERSION",
     "Content",
     "Crash",
     "Quarantine",
@@ -34,6 +35,9 @@
     "Standing",
 ]
 
+# Of a server that ended before its registration was read, or doesn't tell it.
+UNKNOWN_VERSION = ""
+
 
 # So many servers may end under a request before it is held back. Two are as many as a
 # single attempt of a client may cost with its entry's own retry, and as an innocent
@@ -120,7 +124,7 @@
     server_id: str
     began_s: float
     ended_s: float
-    version: str = ""
+    version: str = UNKNOWN_VERSION
     after_event: int = 0
 
     @property
@@ -392,6 +396,7 @@
             and record.content.service == service
             and versions
             and versions.isdisjoint(record.versions)
+            and UNKNOWN_VERSION not in record.versions
         ]
         reason = "all backend servers run another version"
         return [
--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -110,7 +110,7 @@
         self._resumed_after = 0
         # Whether the attempt before broke off, which may be a server's end.
         self._broke_off = False
-        # Whether the request was told of as one that runs well.
+        # Whether the attempt under way was told of as one that runs well.
         self._runs_well = False
         # What the attempt under way adds to its servers' load, see Router.count.
         self._load = 1
@@ -250,7 +250,7 @@
         now_s = self._loop.time()
         self._attempts += 1
         self._sent_s = now_s
-        self._broke_off = False
+        self._broke_off = self._runs_well = False
         resume_after = self._cursor.last_id
         self._resumed_after = resume_after or 0
         if self._attempts > 1:
--- a/src/railfold/_internal/forwarding/request_quarantine.py
+++ b/src/railfold/_internal/forwarding/request_quarantine.py
@@ -15,6 +15,7 @@
 from railfold._internal import clock
 from railfold._internal.decisions.engine_directory import DirectoryEntry
 from railfold._internal.decisions.quarantine import (
+    UNKNOWN_VERSION,
     Content,
     Crash,
     Quarantine,
@@ -61,7 +62,7 @@
 # Servers whose ids and versions are remembered, also after they are gone.
 _SERVERS_KEPT = 4096
 
-# So many contents are told of when a server ends: those that began there last.
+# So many contents are told of when a server ends, a datagram each.
 _CONTENTS_TOLD = 8
 
 
@@ -225,7 +226,7 @@
         now_s = self._loop.time()
         version = self._version_of(server_id)
         seen: dict[Content, list[Crash]] = {}
-        for run in sorted(runs, key=lambda run: -run.figures.began_s)[:_CONTENTS_TOLD]:
+        for run in runs:
             seen.setdefault(run.content, []).append(run.crash(server_id, version))
         self._router.metrics.count("servers.crashed")
         self._router.log.write(
@@ -237,14 +238,27 @@
             )
         )
         self._take(self._quarantine.crashed(seen, now_s))
-        for content in seen:
+        for content in self._most_suspicious(runs):
             self._tell_crashes(content, now_s)
 
+    def _most_suspicious(self, runs: list[EndedRun]) -> list[Content]:
+        """Return which contents to tell of: those that ended servers before come first.
+
+        Then those without an event, and those that began last.
+        """
+
+        def suspicion(run: EndedRun) -> tuple[int, bool, float]:
+            known = len(self._quarantine.crashes_of(run.content.digest))
+            return (known, run.figures.moved_s == 0.0, run.figures.began_s)
+
+        ordered = sorted(runs, key=suspicion, reverse=True)
+        return list(dict.fromkeys(run.content for run in ordered))[:_CONTENTS_TOLD]
+
     def _version_of(self, server_id: str) -> str:
         entry = self._router.directory.get(server_id)
         if entry is not None:
             return entry.registration.version
-        return self._versions.get(server_id, "")
+        return self._versions.get(server_id, UNKNOWN_VERSION)
 
     def _tell_crashes(self, content: Content, now_s: float) -> None:
         crashes = self._quarantine.crashes_of(content.digest)[-MOST_CRASHES_TOLD:]
--- a/tests/forwarding/test_repeated_crashes.py
+++ b/tests/forwarding/test_repeated_crashes.py
@@ -27,7 +27,9 @@
 from click.testing import CliRunner
 
 from railfold._internal.cli.main import cli
+from railfold._internal.decisions.quarantine import Content
 from railfold._internal.forwarding import request_quarantine
+from railfold._internal.forwarding.crash_watch import EndedRun, RunFigures
 from railfold._internal.forwarding.peer_messages import CrashesTold, CrashTold
 from standins.chaining_engine import Engine
 from tests.lib.crashes import POISON_BODY, CrashingFleet, Sender, play
@@ -285,3 +287,27 @@
     await until(lambda: bool(held_at(entry)))
     await until(lambda: not held_at(entry))
     assert entry.metrics.counters["peers.contradicted"] > 0
+
+
+async def test_of_many_that_had_begun_the_most_suspicious_are_told(
+    two_entries: Deployment,
+) -> None:
+    """An entry may have begun more there than it tells of."""
+    await recognizing(two_entries)
+    quarantine = two_entries.entry._peering.quarantine
+    now_s = asyncio.get_running_loop().time()
+    old = Content("f" * 32, "llm", "draft", "quality")
+    quarantine._on_crash("gone-1", [ended_run(old, now_s - 1.0)])
+    runs = [ended_run(old, now_s - 0.9)]
+    for number in range(30):
+        content = Content(f"{number:032x}", "llm", "draft", "quality")
+        runs.append(ended_run(content, now_s - 0.1))
+    quarantine._on_crash("gone-2", runs)
+    other = two_entries.entries[1]._peering.quarantine._quarantine
+    await until(lambda: len(other.crashes_of(old.digest)) == 2)
+    assert len(other) <= 9
+
+
+def ended_run(content: Content, began_s: float) -> EndedRun:
+    figures = RunFigures("llm", ("gone",), began_s, moved_s=0.0, after_event=0)
+    return EndedRun(content, figures, began_s + 0.05)
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -190,6 +190,14 @@
     assert states(changes) == [QuarantineState.LIFTED]
 
 
+def test_what_ended_unknown_software_isnt_let_go_for_the_known(
+    quarantine: Quarantine,
+) -> None:
+    """Its servers ended before their registrations were read."""
+    hold(quarantine)
+    assert quarantine.lift_for_versions("llm", frozenset({"v1"}), 5.0) == []
+
+
 def test_a_server_that_hasnt_ended_counts_no_more(quarantine: Quarantine) -> None:
     """Another entry was wrong, or lied."""
     hold(quarantine)
