Which content ends its servers is told by trials, not by counting alone

Cause: an innocent content that many clients send is under every server that another one ends. After three ends whichever was judged first was held back for ten minutes, and what ended under it counted for no other one, so that the request at fault went on. Beside it, a server that comes back under its id before its registration tells of its new start could end again unseen. Change: after three ends a content is on probation. Its requests run one at a time, the others get 503 with when to come back, under a second. It is held back if it never ran well, ran at one server after the other and nothing else was under all of them, or once its trial ends a server; that lets go of what was doubted for the same servers. What may end its server goes to a chain whose first engine can be replaced, else to the one with the least room, never to the last one. Test ports are looked at for datagrams as well.

--- a/src/railfold/_internal/decisions/chain_choice.py
+++ b/src/railfold/_internal/decisions/chain_choice.py
@@ -16,7 +16,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-__all__ = ["ChainOption", "blindness", "choose_option"]
+__all__ = ["ChainOption", "blindness", "choose_option", "choose_sparing"]
 
 # How many times as likely an entry that sees nothing stays with an engine that a kept
 # connection leads to. Entries have several such engines, so that a slow one loses.
@@ -32,12 +32,15 @@
     :param room: how many usual requests fit on it at a time.
     :param connected: whether a kept connection leads to its first engine.
     :param sure: whether none of its engines may have left.
+    :param first_replaceable: whether others in its failure domain hold what its first
+        engine holds.
     """
 
     cost: float
     room: float
     connected: bool
     sure: bool = True
+    first_replaceable: bool = False
 
 
 def blindness(rooms: Sequence[float], entries: int) -> float:
@@ -74,3 +77,19 @@
         return math.log(max(1e-9, option.cost)) - blind * (math.log(weight) + chance)
 
     return min(candidates, key=key)
+
+
+def choose_sparing(options: Sequence[ChainOption]) -> int | None:
+    """Return the index of the chain that a request takes which may end its engine.
+
+    One whose first engine others can replace; else the one with the least room; none if
+    it is the last one, so that the others are still served. Without this a request that
+    ended two engines took the first engine of the third failure domain of three, 0.46 s
+    after the first, and nobody was served for 2 s (seen).
+    """
+    replaceable = [i for i, option in enumerate(options) if option.first_replaceable]
+    if replaceable:
+        return min(replaceable, key=lambda index: options[index].cost)
+    if len(options) < 2:
+        return None
+    return min(range(len(options)), key=lambda index: options[index].room)
--- a/src/railfold/_internal/decisions/engine_directory.py
+++ b/src/railfold/_internal/decisions/engine_directory.py
@@ -30,9 +30,9 @@
 # back (the platform's word); the rest is for reading it.
 _RETURN_GRACE_S = 2.3
 
-# Of a service's servers so many may be left out of new work while it isn't known whether
-# they left or their registrations lapsed with the store: the others' load rises by half
-# at most. Where more are missing, the store has lost them.
+# Of a service's servers so many may be left out of new work while it isn't known
+# whether they left or their registrations lapsed with the store: the others' load rises
+# by half at most. Where more are missing, the store has lost them.
 _MISSING_SHARE = 1.0 / 3.0
 
 # Stands in a stage for the start of a backend server that doesn't tell it.
--- /dev/null
+++ b/src/railfold/_internal/decisions/quarantine/quarantine.py
@@ -0,0 +1,518 @@
+"""Telling which of the contents under suspicion ends its servers.
+
+A request is recognized by its content (a digest): each attempt of a client has an id
+of its own and may come to any entry. What entries saw is a set of crashes for each
+content, which they exchange and join: the same set leads to the same verdict
+everywhere, in whatever order its parts arrive, and a lost part comes with the next one.
+
+Most that runs where a backend server ends is innocent. So a crash counts
+
+- only for requests that had just begun there (the caller sees to that);
+- once, if several servers end at the same moment, as with a rack;
+- for a content that ran well shortly before, as one that many clients send does, only
+  if the run began after the crash counted before: whatever ends many servers within a
+  second ends runs of such a content at each of them;
+- only if no other content that is proved to end servers was under the same server.
+
+After three of them a content is on probation: its requests run one at a time, and the
+others wait for under a second. Probation ends
+
+- with a hold at once, if the content never ran well, ran at one server after the other,
+  and no other one was under all of them: nothing else explains them all;
+- with a hold, if its trial ends a server. That proves it, and lets go of all that were
+  doubted or held back for the same servers;
+- when it runs well, or its trial outlasts the time that a crash takes.
+
+A content that only shared its servers with the one that ends them runs well as soon as
+the two run apart, and so isn't held back. By counting alone whichever of the two was
+judged first was: a popular harmless request was refused until its hold ended, and the
+other one ended 20 servers in 8 s (played with four engines and one entry).
+
+One that is held back is tried again after a time that doubles, by one entry at a time.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable, Mapping
+
+from railfold._internal.decisions.quarantine.contents import (
+    UNKNOWN_VERSION,
+    Content,
+    Crash,
+    QuarantineChange,
+    QuarantineState,
+    Standing,
+)
+from railfold._internal.decisions.quarantine.record import SKEW_S, ContentRecord
+
+__all__ = ["Quarantine"]
+
+# So many servers may end under a request before it is on probation. Two are as many as
+# a single attempt of a client may cost with its entry's own retry, and as an innocent
+# request meets that goes from one failing server to the next.
+_CRASHES_TO_DOUBT = 3
+
+# What else ran where a server ended is known to all entries by then: each sees its own
+# connections end at the same time, finds the server gone one round trip later, and
+# tells the others within milliseconds.
+_SETTLE_S = 0.1
+
+# One that ends its server does so 0.03 to 0.32 s after it was sent there (measured).
+# For so long other contents' trials wait, and requests of the same content until it
+# has surely gone on for longer; no longer than a client takes for a pause.
+_TRIAL_ALONE_S = 0.35
+_PROBATION_TRIAL_S = 0.8
+
+# The trial of one that was held back: it has ended well or badly after this time; a
+# client may also have left.
+_TRIAL_S = 30.0
+
+# Crashes further back than this say nothing of a request that comes now.
+_FORGET_S = 600.0
+
+# So many trials that end their server prove it of a content that ran well before: one
+# of them may be due to another content that nobody suspects yet.
+_PROOFS_IF_WELL = 2
+
+# Bounds of memory: contents, some 2 KB each at most, and when others ran well.
+_CONTENTS_KEPT = 1000
+_WELL_KEPT = 4096
+
+
+class Quarantine:
+    """Contents under suspicion and those that are held back.
+
+    Times are on the monotonic clock of this process.
+    """
+
+    def __init__(self) -> None:
+        self._records: dict[str, ContentRecord] = {}
+        # When contents ran well, or were let go, last: crashes before that count no
+        # more, however late they are told.
+        self._well_s: OrderedDict[str, float] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    @property
+    def held(self) -> list[QuarantineChange]:
+        """What is held back now, or awaits its trial."""
+        return [
+            record.changed(QuarantineState.HELD_BACK, "")
+            for record in self._records.values()
+            if record.held_s is not None
+        ]
+
+    def crashes_of(self, digest: str) -> tuple[Crash, ...]:
+        """Return the crashes that are known of a content, oldest first."""
+        record = self._records.get(digest)
+        return record.newest_crashes if record is not None else ()
+
+    def is_near_limit(self, digest: str) -> bool:
+        """Return whether a content is doubted, or would be with one crash more."""
+        record = self._records.get(digest)
+        if record is None:
+            return False
+        return record.doubted or len(self._counted(record)) + 1 >= _CRASHES_TO_DOUBT
+
+    # What was seen
+
+    def crashed(
+        self, seen: Mapping[Content, Iterable[Crash]], now_s: float
+    ) -> list[QuarantineChange]:
+        """Join crashes to what is known; return what changed.
+
+        :param seen: crashes by content; those of one server belong together, so that
+            each is judged by what all of them were under.
+        """
+        changes: list[QuarantineChange] = []
+        touched = [
+            record
+            for content, crashes in seen.items()
+            if (record := self._join(content, crashes, now_s, changes)) is not None
+        ]
+        for record in touched:
+            changes += self._judge(record, now_s)
+        self._bound()
+        return changes
+
+    def _join(
+        self,
+        content: Content,
+        crashes: Iterable[Crash],
+        now_s: float,
+        changes: list[QuarantineChange],
+    ) -> ContentRecord | None:
+        since_s = max(self.well_s(content.digest), now_s - _FORGET_S)
+        recent = [crash for crash in crashes if crash.ended_s > since_s]
+        if not recent:
+            return None
+        record = self._records.get(content.digest) or ContentRecord(content)
+        before = dict(record.crashes)
+        for crash in recent:
+            record.take(crash)
+        record.trim()
+        if record.crashes == before:
+            return None
+        self._records[content.digest] = record
+        record.last_s = max(record.last_s, now_s)
+        if record.held_s is None and record.crashes.keys() != before.keys():
+            changes.append(record.changed(QuarantineState.SUSPECTED, ""))
+        return record
+
+    # The verdict
+
+    def _judge(self, record: ContentRecord, now_s: float) -> list[QuarantineChange]:
+        if record.held_s is not None:
+            return self._judge_held(record, now_s)
+        if len(self._counted(record)) < _CRASHES_TO_DOUBT:
+            return []
+        if record.probation_s is not None:
+            if record.crashes_on_trial:
+                record.trial_until_s = min(record.trial_until_s, now_s)
+            return []
+        changes = self._reopen_covered(record, now_s)
+        record.probation_s = now_s
+        reason = "servers ended under it, one after the other"
+        changes.append(record.changed(QuarantineState.ON_PROBATION, reason))
+        return changes
+
+    def _judge_held(
+        self, record: ContentRecord, now_s: float
+    ) -> list[QuarantineChange]:
+        """Hold a content back again if its trial ended a server."""
+        since_s = record.held_until_s - SKEW_S
+        under_trial = [c for c in record.crashes.values() if c.began_s >= since_s]
+        if not under_trial:
+            return []
+        record.proofs.update(crash.server_id for crash in under_trial)
+        return self._prove(record, now_s)
+
+    def _reopen_covered(
+        self, record: ContentRecord, now_s: float
+    ) -> list[QuarantineChange]:
+        """Put on probation what is held back for servers that this one explains too.
+
+        Its news came late, or by another entry. Which of the two it is shows when they
+        run apart.
+        """
+        if self._ever_ran_well(record):
+            return []
+        changes: list[QuarantineChange] = []
+        for other in self._records.values():
+            if other is record or other.held_s is None or other.proofs:
+                continue
+            if other.crashes.keys() <= record.crashes.keys():
+                reason = f"content {record.content.digest} was there each time too"
+                changes.append(other.changed(QuarantineState.CLEARED, reason))
+                other.held_s = None
+                other.probation_s = now_s
+                changes.append(other.changed(QuarantineState.ON_PROBATION, reason))
+        return changes
+
+    def settle(self, now_s: float, digest: str | None = None) -> list[QuarantineChange]:
+        """Judge contents on probation of which all has been heard.
+
+        :param digest: only this one; by default all.
+        :return: what changed.
+        """
+        if digest is None:
+            records = list(self._records.values())
+        else:
+            records = [r for r in (self._records.get(digest),) if r is not None]
+        changes: list[QuarantineChange] = []
+        for record in records:
+            if record.probation_s is not None and now_s >= self._settled_s(record):
+                changes += self._settle(record, now_s)
+        return changes
+
+    def _settled_s(self, record: ContentRecord) -> float:
+        """Return when all has been heard of what is known of a content now."""
+        return record.last_s + _SETTLE_S
+
+    def _settle(self, record: ContentRecord, now_s: float) -> list[QuarantineChange]:
+        if self._is_proved(record):
+            return self._prove(record, now_s)
+        if record.crashes_on_trial or now_s < record.trial_until_s:
+            return []
+        if record.was_tried:
+            record.probation_s = None  # Its trial outlasted the time of a crash.
+            return []
+        if not self._stands_alone(record):
+            return []
+        reason = "nothing else was under all servers that ended"
+        return self._hold(record, now_s, reason)
+
+    def _is_proved(self, record: ContentRecord) -> bool:
+        """Return whether enough trials of a content ended their server.
+
+        One is enough for a content that never ran well. It says nothing if another
+        content was under that server which was under others that ended too.
+        """
+        others = [other for other in self._records.values() if other is not record]
+        for server_id in record.crashes_on_trial:
+            also_there = [o for o in others if server_id in o.crashes]
+            if all(len(o.crashes) == 1 for o in also_there):
+                record.proofs.add(server_id)
+        if not record.proofs:
+            return False
+        needed = _PROOFS_IF_WELL if self._ever_ran_well(record) else 1
+        return len(record.proofs) >= needed
+
+    def _prove(self, record: ContentRecord, now_s: float) -> list[QuarantineChange]:
+        """Hold a content back, and let go of all whose crashes it explains."""
+        changes = self._hold(record, now_s, "a server ended under its trial")
+        for other in list(self._records.values()):
+            proved = other.held_s is not None and other.proofs
+            if other is record or proved or not other.doubted:
+                continue
+            if len(self._counted(other)) >= _CRASHES_TO_DOUBT:
+                continue
+            reason = f"content {record.content.digest} explains its crashes"
+            changes.append(other.changed(QuarantineState.CLEARED, reason))
+            self._start_anew(other)
+        return changes
+
+    def _stands_alone(self, record: ContentRecord) -> bool:
+        """Return whether nothing else explains a content's crashes.
+
+        It ran at one server after the other, and no other content that never ran well
+        was under all of them. Those that ended under one that is held back don't count.
+        """
+        if self._ever_ran_well(record) or record.ran_side_by_side:
+            return False
+        servers = {crash.server_id for crash in self._counted(record, proved=False)}
+        if len(servers) < _CRASHES_TO_DOUBT:
+            return False
+        return not any(
+            servers <= other.crashes.keys()
+            for other in self._records.values()
+            if other is not record and not self._ever_ran_well(other)
+        )
+
+    def _ever_ran_well(self, record: ContentRecord) -> bool:
+        return record.content.digest in self._well_s
+
+    def _hold(
+        self, record: ContentRecord, now_s: float, reason: str
+    ) -> list[QuarantineChange]:
+        record.holds += 1
+        record.held_s = now_s
+        record.probation_s = None
+        record.trial_until_s = float("-inf")
+        return [record.changed(QuarantineState.HELD_BACK, reason)]
+
+    def _counted(self, record: ContentRecord, *, proved: bool = True) -> list[Crash]:
+        """Return the crashes that count.
+
+        :param proved: whether only those explain them that are proved to end servers,
+            or all that are held back.
+        """
+        explained = {
+            server_id
+            for other in self._records.values()
+            if other is not record and other.held_s is not None
+            if other.proofs or not proved
+            for server_id in other.crashes
+        }
+        return record.counted(explained, self.well_s(record.content.digest))
+
+    # What speaks for a content
+
+    def well_s(self, digest: str) -> float:
+        """Return when a content ran well last, or was let go; long ago if never."""
+        return self._well_s.get(digest, float("-inf"))
+
+    def ran_well(
+        self, digest: str, at_s: float, last_event: int | None = None
+    ) -> list[QuarantineChange]:
+        """A run came to a good end, or brought events for longer than a crash takes.
+
+        :param at_s: when; another entry may have told it later.
+        :param last_event: the last event that it has brought, if it isn't at its end:
+            a stream that is resumed right before the step that ends its server is well
+            only once it is beyond that step.
+        """
+        record = self._records.get(digest)
+        if record is not None and last_event is not None:
+            latest = max((c.after_event for c in record.crashes.values()), default=0)
+            if last_event <= latest:
+                return []
+        if at_s > self.well_s(digest):
+            self._note_well(digest, at_s)
+        if record is None:
+            return []
+        return self._let_go(record, at_s, QuarantineState.CLEARED, "it ran well")
+
+    def lift(self, digest: str, now_s: float, reason: str) -> list[QuarantineChange]:
+        """Let a content run again."""
+        record = self._records.get(digest)
+        if record is None or record.held_s is None:
+            return []
+        self._note_well(digest, now_s)
+        return self._let_go(record, now_s, QuarantineState.LIFTED, reason)
+
+    def lift_for_versions(
+        self, service: str, versions: frozenset[str], now_s: float
+    ) -> list[QuarantineChange]:
+        """Let contents run again of which none of the present versions ended under.
+
+        :param versions: of the service's backend servers that may get work now.
+        """
+        due = [
+            record
+            for record in self._records.values()
+            if record.held_s is not None
+            and record.content.service == service
+            and versions
+            and versions.isdisjoint(record.versions)
+            and UNKNOWN_VERSION not in record.versions
+        ]
+        reason = "all backend servers run another version"
+        return [
+            change
+            for record in due
+            for change in self.lift(record.content.digest, now_s, reason)
+        ]
+
+    def _let_go(
+        self, record: ContentRecord, at_s: float, state: QuarantineState, reason: str
+    ) -> list[QuarantineChange]:
+        """Forget crashes before a time, and what followed from them only."""
+        change = record.changed(state, reason)
+        later = {k: c for k, c in record.crashes.items() if c.ended_s > at_s}
+        if not later:
+            del self._records[record.content.digest]
+            return [change]
+        record.crashes = later
+        if not record.doubted or len(self._counted(record)) >= _CRASHES_TO_DOUBT:
+            return []
+        self._start_anew(record)
+        return [change]
+
+    def _start_anew(self, record: ContentRecord) -> None:
+        """Let a content run, and keep only the crashes that are known of it."""
+        digest = record.content.digest
+        self._records[digest] = ContentRecord(
+            record.content, record.crashes, last_s=record.last_s
+        )
+
+    def _note_well(self, digest: str, at_s: float) -> None:
+        self._well_s[digest] = at_s
+        self._well_s.move_to_end(digest)
+        while len(self._well_s) > _WELL_KEPT:
+            self._well_s.popitem(last=False)
+
+    # Holding back
+
+    def restore(
+        self, content: Content, crashes: Iterable[Crash], held_s: float, holds: int
+    ) -> list[QuarantineChange]:
+        """Take a hold that another entry has recorded.
+
+        :param held_s: when it was held back, on this process's clock.
+        """
+        if self.well_s(content.digest) >= held_s:
+            return []
+        record = self._records.setdefault(content.digest, ContentRecord(content))
+        if record.held_s is not None and record.holds >= holds:
+            return []
+        for crash in crashes:
+            record.take(crash)
+        record.trim()
+        record.holds = holds
+        record.held_s = held_s
+        record.probation_s = None
+        record.last_s = max(record.last_s, held_s)
+        change = record.changed(QuarantineState.HELD_BACK, "another entry's record")
+        self._bound()
+        return [change]
+
+    def standing(self, digest: str, now_s: float) -> Standing:
+        """Return what may be done with a request of this content now."""
+        record = self._records.get(digest)
+        if record is None:
+            return Standing.FREE
+        if record.held_s is not None:
+            held = now_s < record.held_until_s or now_s < record.trial_until_s
+            return Standing.HELD if held else Standing.MAY_BE_TRIED
+        if record.probation_s is None:
+            return Standing.FREE
+        if now_s < self._wait_until_s(record):
+            return Standing.WAITS
+        return Standing.MAY_BE_TRIED
+
+    def wait_s(self, digest: str, now_s: float) -> float:
+        """Return after which time a request that waits may be tried, under a second."""
+        record = self._records.get(digest)
+        if record is None or record.probation_s is None:
+            return 0.0
+        return max(0.0, self._wait_until_s(record) - now_s)
+
+    def _wait_until_s(self, record: ContentRecord) -> float:
+        """Return until when requests of a content on probation wait.
+
+        Trials of a service's contents come one after the other, so that two of them
+        don't meet at one server; but none waits for another one for long.
+        """
+        until_s = max(self._settled_s(record), record.trial_until_s)
+        for other in self._records.values():
+            if other is record or other.probation_s is None:
+                continue
+            if other.content.service != record.content.service:
+                continue
+            alone_until_s = other.trial_began_s + _TRIAL_ALONE_S
+            until_s = max(until_s, min(alone_until_s, other.trial_until_s))
+        return until_s
+
+    def begin_trial(self, digest: str, now_s: float) -> list[QuarantineChange]:
+        """Let one request of a content through; others wait for what comes of it."""
+        record = self._records.get(digest)
+        if record is None:
+            return []
+        if record.held_s is not None:
+            wait_s, reason = _TRIAL_S, "its time has passed"
+        elif record.probation_s is not None:
+            wait_s, reason = _PROBATION_TRIAL_S, "it is on probation"
+        else:
+            return []
+        record.trial_began_s = now_s
+        record.trial_until_s = now_s + wait_s
+        return [record.changed(QuarantineState.ON_TRIAL, reason)]
+
+    def strike_out(self, server_id: str) -> list[QuarantineChange]:
+        """A backend server hasn't ended: what was told of its crash was wrong."""
+        changes: list[QuarantineChange] = []
+        for record in list(self._records.values()):
+            if record.crashes.pop(server_id, None) is None:
+                continue
+            record.proofs.discard(server_id)
+            wrongly = len(self._counted(record)) < _CRASHES_TO_DOUBT
+            if not record.crashes or (record.doubted and wrongly):
+                del self._records[record.content.digest]
+                reason = f"server {server_id} hasn't ended"
+                changes.append(record.changed(QuarantineState.CLEARED, reason))
+        return changes
+
+    def expire(self, now_s: float) -> None:
+        """Forget suspicions that no crash has renewed."""
+        due = [
+            digest
+            for digest, record in self._records.items()
+            if record.held_s is None and record.last_s < now_s - _FORGET_S
+        ]
+        for digest in due:
+            del self._records[digest]
+
+    def _bound(self) -> None:
+        """Forget those that few servers ended under, the longest ago, if too many."""
+        excess = len(self._records) - _CONTENTS_KEPT
+        if excess <= 0:
+            return
+        by_weight = sorted(
+            self._records.values(),
+            key=lambda r: (r.held_s is not None, len(r.crashes), r.last_s),
+        )
+        for record in by_weight[:excess]:
+            del self._records[record.content.digest]
--- a/src/railfold/_internal/errors.py
+++ b/src/railfold/_internal/errors.py
@@ -255,6 +255,12 @@
     code = "repeated_crashes"
 
 
+class RequestOnTrialError(RequestError):
+    """Whether requests with the same content end their servers is being tried."""
+
+    code = "request_on_trial"
+
+
 class PeerMessageError(RailfoldError):
     """What another entry is said to have sent can't be read or isn't from one."""
 
--- a/src/railfold/_internal/forwarding/crash_watch.py
+++ b/src/railfold/_internal/forwarding/crash_watch.py
@@ -13,7 +13,7 @@
 
 from railfold._internal.decisions.quarantine import Content, Crash
 
-__all__ = ["CLEARED_AFTER_S", "CrashWatch", "EndedRun", "RunFigures"]
+__all__ = ["CLEARED_AFTER_S", "CrashWatch", "EndedRun", "RunFigures", "told_name"]
 
 # Whoever brought events for longer than this, or waited longer for the first one, isn't
 # what ended its server: servers ended 0.03 to 0.13 s after they had begun to run such a
@@ -26,6 +26,14 @@
 # registration lapses after 3.6 s without a heartbeat, and is read every few seconds.
 _CONFIRMED_WITHIN_S = 10.0
 
+# A server that answers this long after its end has started again: what it had sent
+# before is read by then. It may be back under its id before its registration tells a
+# later start, and end again: 8 of 20 ends went unseen without this (played).
+_BACK_AFTER_S = 0.3
+
+# Stands in such a start's name between what its registration tells and their number.
+_RETURN_MARK = "+"
+
 # Runs that broke off and servers that ended, remembered for that time.
 _RUNS_KEPT = 512
 _ENDED_KEPT = 512
@@ -76,6 +84,11 @@
         )
 
 
+def told_name(name: str) -> str:
+    """Return the name that a server's registration tells, of any start under it."""
+    return name.partition(_RETURN_MARK)[0]
+
+
 class CrashWatch:
     """Matches runs that broke off with servers that ended.
 
@@ -86,6 +99,8 @@
         self._on_crash = on_crash
         self._runs: deque[EndedRun] = deque(maxlen=_RUNS_KEPT)
         self._ended_s: OrderedDict[str, float] = OrderedDict()
+        # How often servers were found well again under the name of their last start.
+        self._returns: OrderedDict[str, int] = OrderedDict()
 
     def run_ended(self, run: EndedRun) -> None:
         """A run broke off; whether its servers ended is known before or after."""
@@ -93,7 +108,7 @@
             return
         for server_id in run.server_ids:
             if server_id in self._ended_s:
-                self._on_crash(server_id, [run])
+                self._on_crash(self._name(server_id), [run])
                 return
         self._runs.append(run)
 
@@ -111,7 +126,22 @@
             (run for run in self._runs if server_id not in run.server_ids),
             maxlen=_RUNS_KEPT,
         )
-        self._on_crash(server_id, runs)
+        self._on_crash(self._name(server_id), runs)
+
+    def server_answered(self, server_id: str, now_s: float) -> None:
+        """A server answers: if it had ended, it has started again."""
+        ended_s = self._ended_s.get(server_id)
+        if ended_s is None or now_s < ended_s + _BACK_AFTER_S:
+            return
+        del self._ended_s[server_id]
+        self._returns[server_id] = self._returns.pop(server_id, 0) + 1
+        if len(self._returns) > _ENDED_KEPT:
+            self._returns.popitem(last=False)
+
+    def _name(self, server_id: str) -> str:
+        """Return what an incarnation is known by, also if its start isn't told."""
+        returns = self._returns.get(server_id, 0)
+        return f"{server_id}{_RETURN_MARK}{returns}" if returns else server_id
 
     def _forget(self, now_s: float) -> None:
         since_s = now_s - _CONFIRMED_WITHIN_S
--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -217,7 +217,8 @@
                 self._quarantine.check_repeat(
                     self._request, self._owner, on_trial=self._on_trial
                 )
-            destination = place or router.choose(self._route, exclude)
+            sparing = self._quarantine.may_end_servers(self._request, self._owner)
+            destination = place or router.choose(self._route, exclude, sparing=sparing)
         except RequestError as found:
             self._refuse(found)
             return
--- a/src/railfold/_internal/forwarding/probes.py
+++ b/src/railfold/_internal/forwarding/probes.py
@@ -83,6 +83,8 @@
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
         self.pace = ProbePace()
+        # Called with each backend server that was found well.
+        self.on_well: Callable[[str], None] = lambda server_id: None
         self._checking: set[str] = set()
         self._outcomes: dict[str, deque[bool]] = {}
 
@@ -139,6 +141,7 @@
 
     def served(self, server_id: str) -> None:
         """It served a request."""
+        self.on_well(server_id)
         self._note(server_id, served=True)
 
     def failed(self, server_id: str) -> None:
@@ -334,6 +337,7 @@
                 break
             delay_s = min(_RECHECK_MOST_S, 2 * delay_s)
         self._router.directory.cleared(server_id)
+        self.on_well(server_id)
         self._router.log.write(EngineChanged(server_id, "well", "it answers a probe"))
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -175,6 +175,7 @@
             on_listed=self._on_listed,
         )
         calls.on_refused = self._peering.quarantine.server_refused
+        self._prober.on_well = self._peering.quarantine.server_answered
         self._clients = ClientServer(
             settings.clients, self, listeners.clients if listeners else None
         )
--- a/src/railfold/_internal/forwarding/request_quarantine.py
+++ b/src/railfold/_internal/forwarding/request_quarantine.py
@@ -23,13 +23,14 @@
     Standing,
 )
 from railfold._internal.decisions.routing_table import CredentialOwner, Route
-from railfold._internal.errors import RepeatedCrashesError
+from railfold._internal.errors import RepeatedCrashesError, RequestOnTrialError
 from railfold._internal.forwarding.adapter import WritableLog
 from railfold._internal.forwarding.content_digest import ContentDigests
 from railfold._internal.forwarding.crash_watch import (
     CrashWatch,
     EndedRun,
     RunFigures,
+    told_name,
 )
 from railfold._internal.forwarding.messages import ClientRequest
 from railfold._internal.forwarding.peer_messages import (
@@ -112,16 +113,19 @@
         """Look at a request that has come; return whether it is tried as an exception.
 
         :raises RepeatedCrashesError: it is held back.
+        :raises RequestOnTrialError: another request with its content is on trial.
         """
         if not self._watching:
             return False
         digest = self._digests.of(request, owner)
         now_s = self._loop.time()
-        match self._quarantine.standing(digest, now_s):
+        match self._standing(digest, now_s):
             case Standing.FREE:
                 return False
             case Standing.HELD:
                 raise self._refusal(digest)
+            case Standing.WAITS:
+                raise self._wait(digest, now_s)
             case Standing.MAY_BE_TRIED:
                 self._take(self._quarantine.begin_trial(digest, now_s))
                 self._tell(TrialBegun(digest))
@@ -133,12 +137,32 @@
         """Look at a request right before it is sent.
 
         :raises RepeatedCrashesError: it is held back meanwhile.
+        :raises RequestOnTrialError: it would have to wait for another one's trial.
         """
         if not self._watching or on_trial:
             return
         digest = self._digests.of(request, owner)
-        if self._quarantine.standing(digest, self._loop.time()) is not Standing.FREE:
-            raise self._refusal(digest)
+        now_s = self._loop.time()
+        match self._standing(digest, now_s):
+            case Standing.FREE:
+                return
+            case Standing.WAITS | Standing.MAY_BE_TRIED:
+                raise self._wait(digest, now_s)
+            case Standing.HELD:
+                raise self._refusal(digest)
+
+    def _standing(self, digest: str, now_s: float) -> Standing:
+        self._take(self._quarantine.settle(now_s, digest))
+        return self._quarantine.standing(digest, now_s)
+
+    def _wait(self, digest: str, now_s: float) -> RequestOnTrialError:
+        self._router.metrics.count("quarantine.waited")
+        wait_s = self._quarantine.wait_s(digest, now_s)
+        return RequestOnTrialError(
+            "another request with the same path, caller and body is on trial",
+            why=f"servers ended under content {digest}; {wait_s:.1f} s are left",
+            hint="come back after Retry-After",
+        )
 
     def check_repeat(
         self, request: ClientRequest, owner: CredentialOwner | None, *, on_trial: bool
@@ -157,6 +181,18 @@
             raise self._refusal(digest)
         self.check(request, owner, on_trial=on_trial)
 
+    def may_end_servers(
+        self, request: ClientRequest, owner: CredentialOwner | None
+    ) -> bool:
+        """Return whether servers ended one after the other under a request's content.
+
+        After one end, most of what was there is innocent.
+        """
+        if not self._watching:
+            return False
+        digest = self._digests.of(request, owner)
+        return self._quarantine.is_near_limit(digest)
+
     def _refusal(self, digest: str) -> RepeatedCrashesError:
         self._router.metrics.count("quarantine.refused")
         crashes = self._quarantine.crashes_of(digest)
@@ -217,6 +253,10 @@
         if entry is None or not entry.registration.draining:
             self._watch.server_ended(server_id, self._loop.time())
 
+    def server_answered(self, server_id: str) -> None:
+        """A backend server answers, so that it runs."""
+        self._watch.server_answered(server_id, self._loop.time())
+
     def server_departed(self, entry: DirectoryEntry) -> None:
         """A backend server's registration lapsed, or another took its place."""
         if not entry.registration.draining:
@@ -255,10 +295,11 @@
         return list(dict.fromkeys(run.content for run in ordered))[:_CONTENTS_TOLD]
 
     def _version_of(self, server_id: str) -> str:
-        entry = self._router.directory.get(server_id)
+        name = told_name(server_id)
+        entry = self._router.directory.get(name)
         if entry is not None:
             return entry.registration.version
-        return self._versions.get(server_id, UNKNOWN_VERSION)
+        return self._versions.get(name, UNKNOWN_VERSION)
 
     def _tell_crashes(self, content: Content, now_s: float) -> None:
         crashes = self._quarantine.crashes_of(content.digest)[-MOST_CRASHES_TOLD:]
@@ -372,6 +413,7 @@
             self.server_departed(entry)
         self._note_servers()
         self._strike_out(now_s)
+        self._take(self._quarantine.settle(now_s))
         self._lift_for_versions(now_s)
         self._quarantine.expire(now_s)
         since_s = now_s - _VOUCH_AGAIN_S
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -17,6 +17,7 @@
     ChainOption,
     blindness,
     choose_option,
+    choose_sparing,
 )
 from railfold._internal.decisions.domains import group_by_domain
 from railfold._internal.decisions.engine_directory import (
@@ -44,6 +45,7 @@
     ConfigurationStaleError,
     NoCapacityError,
     RequestError,
+    RequestOnTrialError,
     UnknownTargetError,
 )
 from railfold._internal.forwarding.dialect import Dialect
@@ -152,10 +154,13 @@
                 hint="come back after Retry-After",
             )
 
-    def choose(self, route: Route, exclude: frozenset[str]) -> Destination:
+    def choose(
+        self, route: Route, exclude: frozenset[str], *, sparing: bool = False
+    ) -> Destination:
         """Return where a request of a route goes now.
 
         :param exclude: backend servers that it must not be sent to.
+        :param sparing: whether it may end its server, so that it doesn't get the last.
         :raises RequestError: there is no such place.
         """
         spec = self._service(route)
@@ -163,7 +168,7 @@
             self.arrivals.arrived(spec.name, asyncio.get_running_loop().time())
         if spec.model is not None:
             bearable_s = _BEARABLE_SHARE * route.objective_s
-            return self._choose_chain(spec, spec.model, exclude, bearable_s)
+            return self._choose_chain(spec, spec.model, exclude, bearable_s, sparing)
         doubtful = self.directory.doubtful(spec.name)
         replicas = _near_first(
             self.directory.replicas(spec.name, self.region), self.failure_domain
@@ -171,6 +176,8 @@
         left_out = exclude | doubtful
         if all(replica.stage.host in left_out for replica in replicas):
             left_out = exclude
+        if sparing and len(replicas) == 1:
+            raise _last_one_error()
         chosen = choose_host(
             replicas, exclude=left_out, weights=self.weights, rng=self.rng
         )
@@ -194,6 +201,7 @@
         model: EngineModel,
         exclude: frozenset[str],
         bearable_s: float,
+        sparing: bool,
     ) -> Destination:
         replicas = self.directory.layer_replicas(
             spec.name, model, self.region, self.entries
@@ -221,13 +229,24 @@
                 continue
             chains.append(chain)
             option = self._option(chain, usable, model, now_s, bearable_s)
-            options.append(replace(option, sure=doubtful.isdisjoint(chain.hosts)))
+            option = replace(option, sure=doubtful.isdisjoint(chain.hosts))
+            if sparing:
+                first = self.directory.get(chain.stages[0].host)
+                replaceable = first is not None and self._has_stand_in(first)
+                option = replace(option, first_replaceable=replaceable)
+            options.append(option)
         if not chains:
             raise error or NoCapacityError(
                 "no backend server holds layers of the model",
                 hint="come back after Retry-After",
             )
-        chain = chains[choose_option(options, self.entries, self.rng)]
+        if sparing:
+            index = choose_sparing(options)
+        else:
+            index = choose_option(options, self.entries, self.rng)
+        if index is None:
+            raise _last_one_error()
+        chain = chains[index]
         return Destination(spec.name, chain.stages[0], chain)
 
     def _plan_of_sure(
@@ -446,6 +465,13 @@
             request.servers_ended(server_ids)
 
 
+def _last_one_error() -> RequestOnTrialError:
+    return RequestOnTrialError(
+        "backend servers ended under this request, and only one is left",
+        hint="come back after Retry-After",
+    )
+
+
 def _near_first(replicas: list[Replica], domain: str) -> list[Replica]:
     """Return replicas of which those in ``domain`` cost less."""
     return [
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -101,18 +101,28 @@
     worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw8").removeprefix("gw"))
     first = FIRST_PORT + worker * PORTS_PER_WORKER
     for port in itertools.cycle(range(first, first + PORTS_PER_WORKER)):
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            with contextlib.suppress(OSError):
-                probe.bind(("127.0.0.1", port))
-                yield port
+        if _is_free(port):
+            yield port
+
+
+def _is_free(port: int) -> bool:
+    """Return whether nobody takes connections or datagrams there."""
+    datagrams = socket.socket(type=socket.SOCK_DGRAM)
+    with socket.socket() as probe, datagrams:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+            datagrams.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 _FREE_PORTS = _free_ports()
 
 
 def free_port() -> int:
-    """Return a port on loopback that nobody listens on, nor another test worker."""
+    """Return a port on loopback that nobody uses, nor another test worker."""
     return next(_FREE_PORTS)
 
 
--- /dev/null
+++ b/tests/forwarding/test_crashes_beside_popular.py
@@ -0,0 +1,57 @@
+"""Which of two requests is held back where one of them ends its servers.
+
+What users saw: a popular harmless request was refused for minutes, while the request
+that ended its servers went on.
+
+The order of events: one client sends a request again and again that ends each server
+that runs it; another sends the same harmless request ten times a second, so that it
+runs at each of these servers as well. After three ends the harmless one is held back.
+What ended there is explained by it then, so that the other one isn't.
+
+The evidence: with two failure domains (four engines, two plain servers, back 1.5 s
+after their end at their address under their id) 20 servers ended in 8 s, and the
+popular request was answered with 502 from 0.7 s to the end. Here four of twelve plays
+failed so.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+import pytest
+
+from tests.lib.crashes import play_beside_popular
+from tests.lib.forwarding import Deployment
+
+# What one entry has seen reaches all others within this time.
+CONTACT_S = 3.0
+MOST_LATE_CRASHES = 3
+LONGEST_REFUSED_S = 1.0
+PLAYED_S = 9.0
+
+STREAM, SAFE, UNSAFE = "/draft/1", "/tray/1", "/slip/1"
+
+
+@pytest.fixture(params=[1, 2])
+async def entries(request: pytest.FixtureRequest) -> AsyncIterator[Deployment]:
+    deployment = Deployment(entry_count=request.param)
+    await deployment.start()
+    yield deployment
+    await deployment.stop()
+
+
+@pytest.mark.parametrize(
+    ("path", "after_s"), [(STREAM, 0.0), (SAFE, 0.3), (UNSAFE, 0.3)]
+)
+@pytest.mark.parametrize("same_id", [True, False], ids=["same-id", "new-id"])
+async def test_the_one_that_ends_its_servers_is_held_back_and_no_other(
+    entries: Deployment, path: str, after_s: float, same_id: bool
+) -> None:
+    outcome = await play_beside_popular(
+        entries, path, PLAYED_S, same_id=same_id, after_s=after_s
+    )
+    popular, single = outcome.others
+    assert outcome.late_crashes(CONTACT_S) <= MOST_LATE_CRASHES
+    assert popular.longest_refused_s <= LONGEST_REFUSED_S
+    assert single.longest_refused_s <= LONGEST_REFUSED_S
+    assert outcome.others_served(last_s=PLAYED_S - 5.0) >= 0.95
--- a/tests/unit/test_chain_choice.py
+++ b/tests/unit/test_chain_choice.py
@@ -17,6 +17,7 @@
     ChainOption,
     blindness,
     choose_option,
+    choose_sparing,
 )
 
 # Of five failure domains: time of a token and room. The fastest has not the most room.
@@ -164,3 +165,24 @@
     ]
     found = {choose_option(options, 1000, rng) for _ in range(300)}
     assert found == chosen
+
+
+def test_what_may_end_its_engine_goes_where_the_engine_can_be_replaced() -> None:
+    options = [
+        ChainOption(10.0, 50.0, connected=True),
+        ChainOption(30.0, 90.0, connected=False, first_replaceable=True),
+        ChainOption(20.0, 90.0, connected=False, first_replaceable=True),
+    ]
+    assert choose_sparing(options) == 2
+
+
+def test_what_may_end_its_engine_takes_the_chain_that_serves_the_least() -> None:
+    options = [
+        ChainOption(10.0, 50.0, connected=True),
+        ChainOption(20.0, 30.0, connected=False),
+    ]
+    assert choose_sparing(options) == 1
+
+
+def test_what_may_end_its_engine_doesnt_get_the_last_chain() -> None:
+    assert choose_sparing([ChainOption(10.0, 50.0, connected=True)]) is None
--- a/tests/unit/test_crash_watch.py
+++ b/tests/unit/test_crash_watch.py
@@ -166,3 +166,21 @@
     other = ContentDigests()
     other.set_key(b"x" * 32)
     assert other.of(request("r"), OWNER) != digest()
+
+
+def test_a_server_that_is_back_under_its_id_may_end_again(
+    watch: CrashWatch, seen: Seen
+) -> None:
+    """Plain servers get work before their registration tells of their new start.
+
+    What users saw: 8 of 20 ends of such servers counted for nothing, so that the
+    request that ended them went on.
+    """
+    watch.run_ended(run("a", "i-1"))
+    watch.server_ended("i-1", 1.3)
+    watch.server_answered("i-1", 1.4)  # It had sent that before.
+    watch.server_ended("i-1", 1.5)
+    watch.server_answered("i-1", 2.9)
+    watch.run_ended(run("a", "i-1", ended_s=3.1))
+    watch.server_ended("i-1", 3.2)
+    assert seen == [("i-1", ["a"]), ("i-1+1", ["a"])]
