A store that comes back from an older copy: epochs of its log

Cause: nothing read the header that tells it. Offsets, the group's generations and conditions were taken for those of one history. Change: the epoch is read from every answer. A reader whose log went back starts anew from a whole copy; answers of an older epoch are passed over. Fencing tokens are made of epoch and generation; the first grant of a new epoch isn't acted on. Reads prove credentials again 2.3 s after the return, and only once the newest configuration that is known was read. Servers that the copy lacks stay for those 2.3 s; servers that were seen to leave stay away until they are written again, or outlast a lapse. Who holds the common key, what is held back or a row of the entries' list writes it again at once.

--- a/src/railfold/_internal/decisions/engine_directory.py
+++ b/src/railfold/_internal/decisions/engine_directory.py
@@ -10,11 +10,12 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
 from railfold._internal.core import LayerRange, Stage
+from railfold._internal.decisions.log_epoch import RETURN_S
 from railfold._internal.decisions.planner import Replica
 from railfold._internal.decisions.routing_table import EngineModel
 
@@ -26,10 +27,6 @@
     "RegistrationTaken",
 ]
 
-# A backend server that lives has registered again about 2 s after the store is
-# back (the platform's word); the rest is for reading it.
-_RETURN_GRACE_S = 2.3
-
 # Of a service's servers so many may be left out of new work while it isn't known
 # whether they left or their registrations lapsed with the store: the others' load rises
 # by half at most. Where more are missing, the store has lost them.
@@ -147,6 +144,7 @@
         self._by_registered_id: dict[str, DirectoryEntry] = {}
         self._by_address: dict[str, DirectoryEntry] = {}
         self._departed_started_at_ms: dict[str, int] = {}
+        self._left_ids: OrderedDict[str, None] = OrderedDict()
         self._returned_s: float | None = None
         self._departed: deque[DirectoryEntry] = deque(maxlen=_DEPARTED_KEPT)
 
@@ -217,6 +215,10 @@
     def _depart(self, entry: DirectoryEntry) -> None:
         registration = entry.registration
         self._departed.append(entry)
+        self._left_ids.pop(entry.server_id, None)
+        self._left_ids[entry.server_id] = None
+        if len(self._left_ids) > _DEPARTED_KEPT:
+            self._left_ids.popitem(last=False)
         self._entries.pop(entry.server_id, None)
         if self._by_registered_id.get(registration.registered_id) is entry:
             del self._by_registered_id[registration.registered_id]
@@ -229,6 +231,13 @@
             if len(departed) > _DEPARTED_KEPT:
                 del departed[next(iter(departed))]
 
+    def has_left(self, registration: Registration) -> bool:
+        """Return whether this incarnation was seen to leave."""
+        known = self.registered_as(registration.registered_id)
+        if known is not None and not known.is_another(registration.started_at_ms):
+            return known.registration.draining
+        return registration.server_id in self._left_ids
+
     def take_departed(self) -> list[DirectoryEntry]:
         """Return those that have left since the last call, as they were known."""
         departed = list(self._departed)
@@ -242,7 +251,7 @@
             return
         due_s = now_s
         if self._returned_s is not None:
-            due_s = max(now_s, self._returned_s + _RETURN_GRACE_S)
+            due_s = max(now_s, self._returned_s + RETURN_S)
         if due_s <= now_s:
             self._depart(entry)
         elif entry.removal_due_s is None:
--- a/src/railfold/_internal/decisions/freshness.py
+++ b/src/railfold/_internal/decisions/freshness.py
@@ -20,9 +20,19 @@
 
     duration_s: float
     _renewed_s: float | None = None
+    _counts_from_s: float = float("-inf")
+
+    def hold_off(self, until_s: float) -> None:
+        """Calls that are sent before then prove nothing: the store may lack something.
+
+        What was proved before holds for the rest of its time.
+        """
+        self._counts_from_s = max(self._counts_from_s, until_s)
 
     def renew(self, sent_s: float) -> None:
         """A call that was sent at ``sent_s`` got a sound answer."""
+        if sent_s < self._counts_from_s:
+            return
         if self._renewed_s is None or sent_s > self._renewed_s:
             self._renewed_s = sent_s
 
--- a/src/railfold/_internal/decisions/leadership.py
+++ b/src/railfold/_internal/decisions/leadership.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from railfold._internal.decisions.fleet_size import Deal
 
@@ -20,11 +20,13 @@
     :param holding: whether the lease is the caller's.
     :param fencing: rises with every change of holder.
     :param deal: what tells how many processes ask for the lease, if it is known.
+    :param epoch: of the granter's log, which rises when that goes back.
     """
 
     holding: bool
     fencing: int
     deal: Deal | None = None
+    epoch: int = 0
 
 
 @dataclass(slots=True)
@@ -48,6 +50,11 @@
         self._renewed_s = sent_s
         return before is None or before.holding != grant.holding
 
+    def revoke(self) -> None:
+        """The granter forgot what it granted, and may grant the lease to another."""
+        if self._grant is not None:
+            self._grant = replace(self._grant, holding=False)
+
     def fenced(self, fencing: int) -> None:
         """An order with this token was refused: another has a higher one."""
         self._fenced_at = max(self._fenced_at, fencing)
--- a/src/railfold/_internal/forwarding/content_digest.py
+++ b/src/railfold/_internal/forwarding/content_digest.py
@@ -32,6 +32,7 @@
 
     def __init__(self) -> None:
         self._key: bytes | None = None
+        self.shared_key: bytes | None = None
 
     @property
     def ready(self) -> bool:
@@ -40,6 +41,7 @@
 
     def set_key(self, shared_key: bytes) -> None:
         """Take the key that all entries share."""
+        self.shared_key = shared_key
         self._key = derived_key(shared_key, _PURPOSE)
 
     def of(self, request: ClientRequest, owner: CredentialOwner | None) -> str:
--- a/src/railfold/_internal/forwarding/feeds.py
+++ b/src/railfold/_internal/forwarding/feeds.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from absl import logging
 
@@ -40,6 +41,10 @@
 # Asks the log for the newest record of each key.
 _SNAPSHOT = -1
 
+# A registration that nobody renews has lapsed by then: after three heartbeats, and at
+# most about two seconds more after the store was away.
+_LAPSED_S = 6.0
+
 
 class ConfigurationFeed:
     """Reads the configuration: the newest version wins, and none goes back."""
@@ -56,6 +61,8 @@
         self._decode = decode
         self._on_accepted = on_accepted
         self._next = _SNAPSHOT
+        # The newest version that was read since the stream was read anew.
+        self._read_version = 0
 
     def next_offset(self) -> int:
         """Return the offset to read from."""
@@ -77,6 +84,7 @@
                 EngineChanged("", "configuration refused", str(error))
             )
             return
+        self._read_version = max(self._read_version, table.version)
         previous = self._router.table
         if previous is not None and table.version <= previous.version:
             return
@@ -95,13 +103,20 @@
         self._on_accepted(table)
 
     def caught_up(self, next_offset: int, sent_s: float) -> None:
-        """All that was in force when the read was sent is known."""
+        """All that was in force when the read was sent is known.
+
+        Unless the log went back, and holds an older configuration than is known: what
+        else it lacks isn't known either.
+        """
         self._next = next_offset
-        self._router.lease.renew(sent_s)
+        table = self._router.table
+        if table is None or self._read_version >= table.version:
+            self._router.lease.renew(sent_s)
 
     def expired(self, first_offset: int) -> int:
         """History is gone: take the newest record of each key."""
         self._next = _SNAPSHOT
+        self._read_version = 0
         return _SNAPSHOT
 
 
@@ -124,6 +139,11 @@
         self._copy: dict[str, Registration] | None = {}
         # Registered ids whose newest record names no backend server to use.
         self._refused: set[str] = set()
+        # Whether the next whole copy is of before what was known last.
+        self._went_back = False
+        # What such a copy holds of servers that were seen to leave.
+        self._left: dict[str, Registration] = {}
+        self._left_due_s = 0.0
 
     def next_offset(self) -> int:
         """Return the offset to read from."""
@@ -133,6 +153,7 @@
         """Take one record."""
         self._next = record.offset + 1
         item: KeyedValue = record.body
+        self._left.pop(item.key, None)
         if not item.value:
             self._refused.discard(item.key)
             self._remove(item.key)
@@ -151,10 +172,13 @@
     def caught_up(self, next_offset: int, sent_s: float) -> None:
         """All registrations there are have been given."""
         self._next = next_offset
+        now_s = asyncio.get_running_loop().time()
         if self._copy is None:
+            self._take_left(now_s)
             return
         copy, self._copy = self._copy, None
-        now_s = asyncio.get_running_loop().time()
+        if self._went_back:
+            self._pass_over_left(copy, now_s)
         known = [e.registration.registered_id for e in self._router.directory]
         for registered_id in known:
             if registered_id in self._refused:
@@ -173,6 +197,34 @@
         self._refused = set()
         return _SNAPSHOT
 
+    def log_went_back(self) -> None:
+        """The log came back from an older copy; the next whole copy is of that."""
+        self._went_back = True
+
+    def _pass_over_left(self, copy: dict[str, Registration], now_s: float) -> None:
+        """Pass over servers of an older copy that were seen to leave since.
+
+        One that does live is taken once it is written again, or if its registration
+        hasn't lapsed by the time at which that of a dead one has.
+        """
+        self._went_back = False
+        directory = self._router.directory
+        self._left = {i: r for i, r in copy.items() if directory.has_left(r)}
+        self._left_due_s = now_s + _LAPSED_S
+        for registered_id in self._left:
+            if directory.registered_as(registered_id) is None:
+                del copy[registered_id]
+            else:
+                copy[registered_id] = replace(copy[registered_id], draining=True)
+
+    def _take_left(self, now_s: float) -> None:
+        if not self._left or now_s < self._left_due_s:
+            return
+        left, self._left = self._left, {}
+        for registered_id, registration in left.items():
+            if self._router.directory.registered_as(registered_id) is None:
+                self._register(registration)
+
     def _refuse(self, registered_id: str, error: RailfoldError) -> None:
         """Take a record that names no backend server to use.
 
@@ -283,4 +335,5 @@
     def expired(self, first_offset: int) -> int:
         """History is gone: take the newest record of each key."""
         self._next = _SNAPSHOT
+        self._has_key = False
         return _SNAPSHOT
--- a/src/railfold/_internal/forwarding/leadership.py
+++ b/src/railfold/_internal/forwarding/leadership.py
@@ -44,6 +44,7 @@
 
     :param on_deal: takes what a renewal tells of the number of members, and when the
         renewal was sent.
+    :param on_epoch: takes the epoch of the store's log that an answer tells.
     """
 
     def __init__(
@@ -54,10 +55,12 @@
         log: DecisionLog,
         metrics: Metrics,
         on_deal: Callable[[Deal, float], None],
+        on_epoch: Callable[[int], None],
     ) -> None:
         self._holder = holder
         self._leadership = leadership
         self._on_deal = on_deal
+        self._on_epoch = on_epoch
         self._client = client
         self._log = log
         self._metrics = metrics
@@ -80,6 +83,7 @@
             # The follower of the configuration tells of the store's outages.
             self._metrics.count("lease.renewals_failed")
             return _RETRY_S
+        self._on_epoch(grant.epoch)
         if grant.deal is not None:
             self._on_deal(grant.deal, sent_s)
         is_new = grant.fencing != self._leadership.newest_fencing
--- a/src/railfold/_internal/forwarding/peer_keeper.py
+++ b/src/railfold/_internal/forwarding/peer_keeper.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 
@@ -65,6 +66,9 @@
         self._may_tell = False
         self._has_told = False
         self._leaving = False
+        self._due = asyncio.Event()
+        # Until then the list may lack entries that are there.
+        self._incomplete_until_s = float("-inf")
 
     async def run(self, ready: asyncio.Event) -> None:
         """Write and read until cancelled."""
@@ -79,10 +83,18 @@
                 failures += 1
                 delay_s = self._backoff.delay_s(failures)
                 logging.info("the entries' list can't be read: %s", error)
-            await asyncio.sleep(delay_s)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._due.wait(), delay_s)
+
+    def log_went_back(self) -> None:
+        """The store may have lost rows of the list: write this entry's own again."""
+        self._written_s = None
+        self._incomplete_until_s = asyncio.get_running_loop().time() + _READ_S
+        self._due.set()
 
     async def _look(self) -> None:
         """Write before reading: of two that start together one sees the other."""
+        self._due.clear()
         now_s = asyncio.get_running_loop().time()
         if not self._leaving and self._is_due(now_s):
             own = self._view.own
@@ -91,7 +103,12 @@
             self._written_s = now_s
         page = await self._log.read(self._stream, _SNAPSHOT, 0.0)
         rows = [self._row(record.body) for record in page.records]
-        self._view.replace(row for row in rows if row is not None)
+        found = [row for row in rows if row is not None]
+        if now_s < self._incomplete_until_s:
+            for row in found:
+                self._view.join(row)
+        else:
+            self._view.replace(found)
         self._on_listed(len(self._view) + 1)
         self._metrics.gauge("peers.known", len(self._view))
         self._has_read = True
--- a/src/railfold/_internal/forwarding/peering.py
+++ b/src/railfold/_internal/forwarding/peering.py
@@ -62,13 +62,18 @@
         reachable: asyncio.Event,
         on_known: Callable[[], None],
         on_listed: Callable[[int], None],
+        on_epoch: Callable[[int], None],
     ) -> None:
         self._given_key = settings.peer_key
         self._channel: PeerChannel | None = None
         self._keeper: PeerKeeper | None = None
         self._arrivals: ArrivalExchange | None = None
         self.quarantine = RequestQuarantine(
-            router, adapter.new_log(), adapter.quarantine_stream, self._tell
+            router,
+            adapter.new_log(),
+            adapter.quarantine_stream,
+            self._tell,
+            keeps_key=settings.peer_key is None,
         )
         if settings.peers is not None:
             started_at_ms = int(clock.unix_time_s() * 1000)
@@ -97,6 +102,7 @@
             router.metrics,
             FollowerPace(_WAIT_S, _INTERVAL_S, _MAX_BACKOFF_S),
             reachable=reachable,
+            on_epoch=on_epoch,
         )
 
     def children(self) -> list[ChildSpec]:
@@ -113,6 +119,12 @@
             found.append(ChildSpec("arrivals", self._arrivals.run))
         return found
 
+    def log_went_back(self) -> None:
+        """The store may have lost what entries wrote of late."""
+        self.quarantine.log_went_back()
+        if self._keeper is not None:
+            self._keeper.log_went_back()
+
     async def leave(self) -> None:
         """The entry ends as planned."""
         if self._keeper is not None:
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -12,6 +12,7 @@
 from railfold._internal.decisions.fleet_size import Deal, FleetSize
 from railfold._internal.decisions.freshness import FreshnessLease
 from railfold._internal.decisions.leadership import Leadership
+from railfold._internal.decisions.log_epoch import RETURN_S, LogEpoch
 from railfold._internal.decisions.retry_budget import (
     RetryBudgets,
     RetryLimits,
@@ -45,6 +46,7 @@
     ProcessStarted,
     ProcessStopping,
     RequestEnded,
+    StoreWentBack,
 )
 from railfold._internal.observability.metrics import Metrics
 from railfold._internal.observability.server import HttpServerChild
@@ -157,6 +159,7 @@
             self.log,
             self.metrics,
             self._on_deal,
+            self._on_epoch,
         )
         self._placement = PlacementKeeper(
             self.router,
@@ -173,6 +176,7 @@
             self._store_reachable,
             on_known=self._on_quarantine,
             on_listed=self._on_listed,
+            on_epoch=self._on_epoch,
         )
         calls.on_refused = self._peering.quarantine.server_refused
         self._prober.on_well = self._peering.quarantine.server_answered
@@ -187,6 +191,10 @@
         self._drivers: dict[ClientExchange, RequestDriver] = {}
         self._registrations_known = False
         self._quarantine_known = False
+        self._epoch = LogEpoch()
+        self._registration_feed = RegistrationFeed(
+            self.router, adapter.decode_registration, self._on_copy
+        )
         self._registrations = self._registration_follower()
 
     def tree(self) -> Supervisor:
@@ -231,20 +239,19 @@
             ),
             on_lost=self._on_store_lost,
             on_regained=self._on_store_regained,
+            on_epoch=self._on_epoch,
         )
 
     def _registration_follower(self) -> StreamFollower:
-        feed = RegistrationFeed(
-            self.router, self._adapter.decode_registration, self._on_copy
-        )
         return StreamFollower(
             self._adapter.new_log(),
             self._adapter.registrations_stream,
-            feed,
+            self._registration_feed,
             self.metrics,
             _EAGER_PACE,
             on_regained=self._on_registrations_regained,
             reachable=self._store_reachable,
+            on_epoch=self._on_epoch,
         )
 
     def _readiness_answer(self, path: str) -> SmallAnswer:
@@ -305,6 +312,23 @@
     def _on_registrations_regained(self) -> None:
         self.router.directory.store_returned(self._loop.time())
 
+    def _on_epoch(self, epoch: int) -> None:
+        """Take the store's epoch; let go of what doesn't hold after it went back.
+
+        It may lack a configuration that took credentials away, servers that live, and
+        all that entries wrote of late, until it is written again.
+        """
+        if not self._epoch.observe(epoch):
+            return
+        now_s = self._loop.time()
+        self.metrics.count("store.went_back")
+        self.log.write(StoreWentBack(epoch))
+        self.router.lease.hold_off(now_s + RETURN_S)
+        self.router.directory.store_returned(now_s)
+        self._leadership.revoke()
+        self._registration_feed.log_went_back()
+        self._peering.log_went_back()
+
     # Clients' requests
 
     def request(
--- a/src/railfold/_internal/forwarding/quarantine_records.py
+++ b/src/railfold/_internal/forwarding/quarantine_records.py
@@ -32,6 +32,10 @@
 _WAIT_S = 1.0
 _AGAIN_S = 2.0
 
+# After the store went back, its records are read within about this time; what isn't
+# among them is written again, by one entry after the other.
+_REWRITE_S = 0.5
+
 # Entries that start together each wait up to this long for another's key.
 _KEY_WAIT_S = 0.5
 _KEY_BYTES = 32
@@ -42,11 +46,19 @@
 
     :param log: a client of the store's log.
     :param digests: know whether there is a key yet.
+    :param keeps_key: whether the common key is kept in the store.
     """
 
     def __init__(
-        self, log: WritableLog, stream: str, router: Router, digests: ContentDigests
+        self,
+        log: WritableLog,
+        stream: str,
+        router: Router,
+        digests: ContentDigests,
+        *,
+        keeps_key: bool,
     ) -> None:
+        self._keeps_key = keeps_key
         self._log = log
         self._stream = stream
         self._router = router
@@ -84,10 +96,17 @@
         self._removals.discard(digest)
 
     def key_missing(self, next_offset: int) -> None:
-        """The store holds no key yet; its stream ends at this offset."""
-        if not self._digests.ready:
+        """The store holds no key, or not any more; its stream ends at this offset."""
+        if self._keeps_key:
             self._key_missing_at = next_offset
 
+    def log_went_back(self, held: Iterable[QuarantineChange]) -> None:
+        """The store may have lost records: write again all that it doesn't show."""
+        now_s = self._loop.time()
+        for change in held:
+            due_s = now_s + _REWRITE_S * (1.0 + self._router.rng.random())
+            self._due_s.setdefault(change.content.digest, due_s)
+
     async def write(self, held: Iterable[QuarantineChange]) -> None:
         """Write what is due.
 
@@ -120,12 +139,16 @@
             raise
 
     async def _make_key(self, next_offset: int) -> None:
-        """Leave a key in the store, unless another entry does."""
-        await asyncio.sleep(_KEY_WAIT_S * self._router.rng.random())
+        """Leave a key in the store, unless another entry does.
+
+        Whoever knows the one that the store has lost writes that again at once.
+        """
+        known = self._digests.shared_key
+        if known is None:
+            await asyncio.sleep(_KEY_WAIT_S * (1.0 + self._router.rng.random()) / 2)
+            known = self._digests.shared_key
         self._key_missing_at = None
-        if self._digests.ready:
-            return
-        key = encode_key(secrets.token_bytes(_KEY_BYTES))
+        key = encode_key(known or secrets.token_bytes(_KEY_BYTES))
         try:
             await self._log.put(self._stream, KEY_NAME, key, expected_end=next_offset)
         except LogUnavailableError:
--- a/src/railfold/_internal/forwarding/request_quarantine.py
+++ b/src/railfold/_internal/forwarding/request_quarantine.py
@@ -73,6 +73,8 @@
     :param log: a client of the store's log, to write records.
     :param stream: the stream of records.
     :param tell: tells the other entries something.
+    :param keeps_key: whether the entries' common key is kept in the store; not if the
+        settings give it.
     """
 
     def __init__(
@@ -81,6 +83,8 @@
         log: WritableLog,
         stream: str,
         tell: Callable[[PeerMessage], None],
+        *,
+        keeps_key: bool = True,
     ) -> None:
         self._router = router
         self._tell = tell
@@ -88,7 +92,9 @@
         self._digests = ContentDigests()
         self._quarantine = Quarantine()
         self._watch = CrashWatch(self._on_crash)
-        self._records = QuarantineRecords(log, stream, router, self._digests)
+        self._records = QuarantineRecords(
+            log, stream, router, self._digests, keeps_key=keeps_key
+        )
         # Versions by server, also of those that are gone.
         self._versions: OrderedDict[str, str] = OrderedDict()
         # Servers that others say have ended, and when that was told.
@@ -397,6 +403,10 @@
         """The store holds no key yet; it ends at this offset."""
         self._records.key_missing(next_offset)
 
+    def log_went_back(self) -> None:
+        """The store may have lost what was recorded."""
+        self._records.log_went_back(self._quarantine.held)
+
     # Upkeep
 
     async def run(self, ready: asyncio.Event) -> None:
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -30,6 +30,7 @@
     "RequestEnded",
     "ServerCrashed",
     "SettingsReloaded",
+    "StoreWentBack",
     "StreamRerouted",
 ]
 
@@ -76,6 +77,12 @@
     dependency: str
 
 
+class StoreWentBack(msgspec.Struct, frozen=True, tag="store_went_back"):
+    """It came back from an older copy, and lost what it had acknowledged since."""
+
+    epoch: int
+
+
 class ConfigurationAccepted(msgspec.Struct, frozen=True, tag="configuration_accepted"):
     """A newer configuration is in force in this process."""
 
@@ -256,6 +263,7 @@
     | SettingsReloaded
     | DependencyLost
     | DependencyRegained
+    | StoreWentBack
     | ConfigurationAccepted
     | EngineChanged
     | LeadershipChanged
--- a/src/railfold/_internal/platform/store.py
+++ b/src/railfold/_internal/platform/store.py
@@ -16,6 +16,7 @@
 from railfold._internal.core import Address
 from railfold._internal.decisions.fleet_size import Deal
 from railfold._internal.decisions.leadership import LeaseGrant
+from railfold._internal.decisions.log_epoch import fencing_token
 from railfold._internal.errors import (
     EngineError,
     LogUnavailableError,
@@ -37,9 +38,15 @@
 _GONE = 410
 _ENDS_ELSEWHERE = 412
 
+# Rises by one whenever the store comes back from an older copy.
+_EPOCH_HEADER = "Store-Era"
+
 _JSON = "application/json"
 _RAW = "application/octet-stream"
 
+# Far beyond what it can reach by rising one by one; a token keeps it beside others.
+_MOST_EPOCH = 2**16
+
 # All streams of the system have one partition that is used: the first.
 _PARTITION = 0
 
@@ -175,6 +182,7 @@
         records: list[LogRecord] = []
         transfer_s = 0.0
         after = ""
+        epoch: int | None = None
         while True:
             fields = {"topic": stream, "part": _PARTITION}
             if after:
@@ -183,6 +191,9 @@
             query = urlencode(fields)
             response = await self._calls.call("GET", f"/railfold/log-newest?{query}")
             transfer_s += response.transfer_s
+            if epoch not in (None, _epoch_of(response)):
+                raise LogUnavailableError("the store went back while it was read")
+            epoch = _epoch_of(response)
             # A key that isn't UTF-8 must not hide the records beside it.
             text = response.body.decode("utf-8", "replace")
             page = _decode(text, _NewestPage)
@@ -191,7 +202,7 @@
             if not page.more_pages or last == after:
                 # The first page's end: what came since is read again.
                 records.sort(key=lambda record: record.offset)
-                return LogPage(records, 0, page.end, transfer_s)
+                return LogPage(records, 0, page.end, transfer_s, epoch)
             after = last
 
 
@@ -222,7 +233,18 @@
         records.append(LogRecord(offset, 0.0, _keyed(record)))
         position += length
         offset += 1
-    return LogPage(records, first, end, response.transfer_s)
+    return LogPage(records, first, end, response.transfer_s, _epoch_of(response))
+
+
+def _epoch_of(response: Response) -> int:
+    """Return the epoch that an answer tells; 0 for a store that tells none.
+
+    :raises LogUnavailableError: it can't be read.
+    """
+    text = response.head.get(_EPOCH_HEADER, "0")
+    if not (text.isascii() and text.isdigit()) or int(text) > _MOST_EPOCH:
+        raise LogUnavailableError("the store's epoch can't be read", why=text[:40])
+    return int(text)
 
 
 def _keyed(record: bytes) -> KeyedValue:
@@ -249,7 +271,8 @@
 
     Partitions are dealt out evenly, so that a member's share tells how many
     members there are (:class:`Deal`). The group's generation rises with every
-    change of its members, and so is the fencing token.
+    change of its members. It falls when the store comes back from an older copy, so
+    that the fencing token is made of the store's epoch and the generation.
     """
 
     def __init__(self, address: Address, duty: str, partitions: int) -> None:
@@ -259,6 +282,7 @@
         self._group = f"railfold-{duty}"
         self._topics = [f"railfold-{duty}-{n}" for n in range(topics)]
         self._generation = 0
+        self._epoch = 0
 
     async def renew(self, holder: str, duration_s: float) -> LeaseGrant:
         """Ask for the lease, or keep it.
@@ -275,12 +299,20 @@
             }
         )
         response = await self._calls.call("POST", "/railfold/log-join", body)
+        epoch = _epoch_of(response)
+        if epoch < self._epoch:
+            raise LogUnavailableError("an answer of the store's older epoch")
         joined = _decode(response.body, _Joined)
-        self._generation = joined.generation
+        # This answer is to a generation of another history: what it deals is taken
+        # once it was asked for with the present one.
+        same_history = epoch == self._epoch or self._generation == 0
+        self._epoch = epoch
+        self._generation = joined.generation if same_history else 0
         lease_row = (self._topics[0], _PARTITION)
         holding = any(row[:2] == lease_row for row in joined.parts)
-        deal = Deal(joined.generation, len(joined.parts), self._partitions)
-        return LeaseGrant(holding, joined.generation, deal)
+        token = fencing_token(epoch, joined.generation)
+        deal = Deal(token, len(joined.parts), self._partitions)
+        return LeaseGrant(holding and same_history, token, deal, epoch)
 
     async def release(self, holder: str) -> None:
         """Give the lease back.
--- a/src/railfold/_internal/store/follower.py
+++ b/src/railfold/_internal/store/follower.py
@@ -97,6 +97,8 @@
     :param reachable: set while another follower's reads of the same log succeed;
         after a failure this one waits for it, so that an outage isn't probed by
         all.
+    :param on_epoch: called with the log's epoch when it is known and whenever it has
+        changed, before records of it are given to the reader.
     """
 
     def __init__(
@@ -109,9 +111,12 @@
         on_lost: Callable[[LogUnavailableError], None] | None = None,
         on_regained: Callable[[], None] | None = None,
         reachable: asyncio.Event | None = None,
+        on_epoch: Callable[[int], None] | None = None,
     ) -> None:
         self._log = log
         self._stream = stream
+        self._on_epoch = on_epoch
+        self._epoch: int | None = None
         self._reader = reader
         self._metrics = metrics
         self.pace = pace
@@ -157,8 +162,13 @@
         await self._wait_for_turn()
         sent_s = asyncio.get_running_loop().time()
         page = await self._log.read(self._stream, offset, wait_s)
+        is_same_history = self._note_epoch(page.epoch)
         self._set_reading(True, None)
         self._note_transfer(page.transfer_s)
+        if not is_same_history and offset >= 0:
+            # Offsets were given out again: what stands there may be other records.
+            self._resume_at = self._reader.expired(page.first_offset)
+            return
         for record in page.records:
             if record.offset < offset:
                 continue  # The service may repeat records.
@@ -167,6 +177,24 @@
         if whole or not page.records or page.records[-1].offset + 1 >= page.next_offset:
             self._reader.caught_up(page.next_offset, sent_s)
 
+    def _note_epoch(self, epoch: int) -> bool:
+        """Return whether an answer is of the history that was read before.
+
+        :raises LogUnavailableError: it is of an older one.
+        """
+        known, self._epoch = self._epoch, epoch
+        if known == epoch:
+            return True
+        if known is not None and epoch < known:
+            self._epoch = known
+            raise LogUnavailableError("an answer of the log's older epoch")
+        if known is not None:
+            self._metrics.count(f"log.{self._stream}.went_back")
+            logging.warning("stream %s: the log went back", self._stream)
+        if self._on_epoch is not None:
+            self._on_epoch(epoch)
+        return known is None
+
     def _note_transfer(self, transfer_s: float) -> None:
         self._metrics.timing(f"log.{self._stream}.transfer", transfer_s)
         if transfer_s > _LONG_TRANSFER_S:
--- a/src/railfold/_internal/store/records.py
+++ b/src/railfold/_internal/store/records.py
@@ -21,9 +21,11 @@
     """Records from one read; ``next_offset`` is the stream's end.
 
     ``transfer_s`` is how long the answer took from its head to its last byte.
+    ``epoch`` rises whenever the log comes back from an older copy.
     """
 
     records: list[LogRecord]
     first_offset: int
     next_offset: int
     transfer_s: float = 0.0
+    epoch: int = 0
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -3,7 +3,8 @@
 Topics whose names begin with ``keyed.`` keep the newest record of each key.
 Faults are attributes: ``mode`` is ``"ok"``, ``"out"`` (answers 503), ``"silent"``
 (no answer) or ``"reset"`` (closes the connection); ``turned_away`` holds the
-members whose joins get no answer.
+members whose joins get no answer. :meth:`MetadataStore.go_back` lets it come back
+from an older copy: what was written since is gone, and its era rises by one.
 """
 
 from __future__ import annotations
@@ -14,7 +15,7 @@
 import json
 import struct
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from tornado.web import Application, RequestHandler
@@ -91,6 +92,14 @@
         return mine if not behind or behind == [member] else []
 
 
+@dataclass
+class StoreCopy:
+    """What a store held at some time."""
+
+    topics: dict[str, Topic]
+    groups: dict[str, Group]
+
+
 @dataclass
 class MetadataStore:
     """What the store holds, and its faults."""
@@ -100,6 +109,7 @@
     mode: str = "ok"
     turned_away: set[str] = field(default_factory=set)
     calls: int = 0
+    era: int = 0
 
     def topic(self, name: str) -> Topic:
         """Return a topic, made at its first use."""
@@ -110,6 +120,29 @@
         value = b"" if document is None else json.dumps(document).encode()
         self.topic(topic).append(key, value)
 
+    def copy(self) -> StoreCopy:
+        """Return what it holds now."""
+        topics = {
+            name: Topic(topic.first, list(topic.records), dict(topic.newest))
+            for name, topic in self.topics.items()
+        }
+        groups = {
+            name: replace(
+                group, heard_s=dict(group.heard_s), confirmed=dict(group.confirmed)
+            )
+            for name, group in self.groups.items()
+        }
+        return StoreCopy(topics, groups)
+
+    def go_back(self, copy: StoreCopy) -> None:
+        """Come back from a copy; calls that wait are answered from it."""
+        waiting = [topic.grown for topic in self.topics.values()]
+        self.topics = copy.topics
+        self.groups = copy.groups
+        self.era += 1
+        for grown in waiting:
+            grown.set()
+
     def application(self) -> Application:
         """Return the HTTP application."""
         arguments = {"store": self}
@@ -131,8 +164,13 @@
 
     async def prepare(self) -> None:
         self.store.calls += 1
+        self.tell_era()
         await self.fault()
 
+    def tell_era(self) -> None:
+        """Say which of its histories the answer is of."""
+        self.set_header("Store-Era", str(self.store.era))
+
     async def fault(self) -> None:
         """Do what the mode says."""
         match self.store.mode:
@@ -157,7 +195,9 @@
             await self.fault()
             if self._finished:
                 return
-        if start < topic.first:
+            self.tell_era()
+            topic = self.store.topic(self.get_query_argument("topic"))
+        if not topic.first <= start <= topic.end:
             self.set_status(410)
             self.finish({"first": topic.first})
             return
--- a/tests/unit/test_suspension.py
+++ b/tests/unit/test_suspension.py
@@ -150,6 +150,7 @@
             DecisionLog("entry-1"),
             Metrics(),
             lambda deal, sent_s: None,
+            lambda epoch: None,
         )
         await keeper._renew()
         return leadership.fencing(asyncio.get_running_loop().time())
