Streams that never bring an event are told apart from popular ones

Change: a crash tells whether the run was a stream without an event. Such runs need no trial though they ran side by side; what had brought events explains them not.

--- a/src/railfold/_internal/decisions/quarantine/contents.py
+++ b/src/railfold/_internal/decisions/quarantine/contents.py
@@ -64,6 +64,7 @@
     :param ended_s: when it was cut off there.
     :param version: of the software and the model that ran there.
     :param after_event: the event after which the run resumed a stream; 0 if it didn't.
+    :param silent: whether it was a stream that had brought no event.
     """
 
     server_id: str
@@ -71,6 +72,7 @@
     ended_s: float
     version: str = UNKNOWN_VERSION
     after_event: int = 0
+    silent: bool = False
 
     @property
     def order(self) -> tuple[float, float, int]:
--- a/src/railfold/_internal/decisions/quarantine/quarantine.py
+++ b/src/railfold/_internal/decisions/quarantine/quarantine.py
@@ -17,8 +17,8 @@
 After three of them a content is on probation: its requests run one at a time, and the
 others wait for under a second. Probation ends
 
-- with a hold at once, if the content never ran well, ran at one server after the other,
-  and no other one was under all of them: nothing else explains them all;
+- with a hold at once, if the content never ran well, ran at one server after the other
+  or never brought an event, and no other one of that kind was under all of them;
 - with a hold, if its trial ends a server. That proves it, and lets go of all that were
   doubted or held back for the same servers;
 - when it runs well.
@@ -275,10 +275,14 @@
     def _stands_alone(self, record: ContentRecord) -> bool:
         """Return whether nothing else explains a content's crashes.
 
-        It ran at one server after the other, and no other content that never ran well
-        was under all of them. Those that ended under one that is held back don't count.
+        It ran at one server after the other, or never brought an event, and no other
+        content of that kind was under all of them. Those that ended under one that is
+        held back don't count. Innocent streams that many clients send run side by side,
+        and have mostly brought events when their servers end.
         """
-        if self._ever_ran_well(record) or record.ran_side_by_side:
+        if self._ever_ran_well(record):
+            return False
+        if record.ran_side_by_side and not record.always_silent:
             return False
         servers = {crash.server_id for crash in self._counted(record, proved=False)}
         if len(servers) < _CRASHES_TO_DOUBT:
@@ -287,6 +291,7 @@
             servers <= other.crashes.keys()
             for other in self._records.values()
             if other is not record and not self._ever_ran_well(other)
+            if other.always_silent or not record.always_silent
         )
 
     def _ever_ran_well(self, record: ContentRecord) -> bool:
--- a/src/railfold/_internal/decisions/quarantine/record.py
+++ b/src/railfold/_internal/decisions/quarantine/record.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Set
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import pairwise
 
 from railfold._internal.decisions.quarantine.contents import (
@@ -96,8 +96,10 @@
         if known is not None and abs(crash.began_s - known.began_s) > SKEW_S:
             self.several_at_once = True
         # The rest only makes the choice the same everywhere.
-        if known is None or crash.order < known.order:
-            self.crashes[crash.server_id] = crash
+        first = crash if known is None or crash.order < known.order else known
+        # One that had brought events tells of the content what the others don't.
+        silent = crash.silent and (known is None or known.silent)
+        self.crashes[crash.server_id] = replace(first, silent=silent)
 
     def trim(self) -> None:
         """Keep the newest crashes only."""
@@ -121,6 +123,11 @@
             for earlier, later in pairwise(crashes)
         )
 
+    @property
+    def always_silent(self) -> bool:
+        """Whether each of its runs was a stream that ended before its first event."""
+        return all(crash.silent for crash in self.crashes.values())
+
     @property
     def crashes_on_trial(self) -> frozenset[str]:
         """The servers that ended under its trials since it is on probation."""
--- a/src/railfold/_internal/forwarding/crash_watch.py
+++ b/src/railfold/_internal/forwarding/crash_watch.py
@@ -47,6 +47,7 @@
     :param began_s: when it was sent to the first of them.
     :param moved_s: for how long it had brought events.
     :param after_event: the event after which it had resumed a stream; 0 if it hadn't.
+    :param streams: whether it was to bring events.
     """
 
     service: str
@@ -54,6 +55,7 @@
     began_s: float
     moved_s: float
     after_event: int
+    streams: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,7 +82,12 @@
         """Return the run as part of a server's end."""
         figures = self.figures
         return Crash(
-            server_id, figures.began_s, self.ended_s, version, figures.after_event
+            server_id,
+            figures.began_s,
+            self.ended_s,
+            version,
+            figures.after_event,
+            silent=figures.streams and figures.moved_s == 0.0,
         )
 
 
--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -339,6 +339,7 @@
             self._sent_s,
             self._watch.moved_s,
             self._resumed_after,
+            streams=self._route.kind is RouteKind.STREAM,
         )
         self._quarantine.run_ended(self._request, self._route, self._owner, figures)
 
--- a/src/railfold/_internal/forwarding/peer_messages.py
+++ b/src/railfold/_internal/forwarding/peer_messages.py
@@ -61,6 +61,7 @@
     ended_ago_ms: _AgeMs
     version: _Text = ""
     after_event: _EventNumber = 0
+    silent: bool = False
 
 
 class CrashesTold(msgspec.Struct, frozen=True, tag="crashes"):
--- a/src/railfold/_internal/forwarding/request_quarantine.py
+++ b/src/railfold/_internal/forwarding/request_quarantine.py
@@ -318,6 +318,7 @@
                 _age_ms(now_s, crash.ended_s),
                 crash.version,
                 crash.after_event,
+                crash.silent,
             )
             for crash in crashes
         ]
@@ -342,6 +343,7 @@
                 now_s - told.ended_ago_ms / 1000.0,
                 told.version,
                 told.after_event,
+                told.silent,
             )
             for told in message.crashes
         ]
--- a/tests/lib/crash_draws.py
+++ b/tests/lib/crash_draws.py
@@ -26,6 +26,9 @@
 VOUCHED_S = 60.0
 RETRIES = 1
 
+# A stream's first event, as long as nothing waits.
+FIRST_EVENT_S = 0.06
+
 
 @dataclass(frozen=True)
 class Draw:
@@ -62,6 +65,7 @@
     began_s: float
     tries: int
     on_trial: bool
+    first_event_s: float
     over: bool = False
 
 
@@ -182,7 +186,11 @@
         if on_trial:
             quarantine.begin_trial(digest, self.now_s)
             self._tell(entry, lambda q: q.begin_trial(digest, self.now_s))
-        run = Run(client.content, entry, self.now_s, tries, on_trial)
+        first_event_s = self.now_s + FIRST_EVENT_S
+        first_event_s += self.rng.uniform(0.0, self.draw.queue_s)
+        if client.deadly:
+            first_event_s = float("inf")
+        run = Run(client.content, entry, self.now_s, tries, on_trial, first_event_s)
         server = self.rng.choice(up)
         server.runs.append(run)
         if client.deadly:
@@ -240,7 +248,8 @@
     ) -> None:
         seen: dict[Content, list[Crash]] = {}
         for run in runs:
-            crash = Crash(server_id, run.began_s, ended_s, "v1")
+            silent = ended_s < run.first_event_s
+            crash = Crash(server_id, run.began_s, ended_s, "v1", silent=silent)
             seen.setdefault(run.content, []).append(crash)
         quarantine = self._quarantines[entry]
         quarantine.crashed(seen, self.now_s)
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -240,6 +240,19 @@
     return True
 
 
+def test_a_stream_that_never_brings_an_event_needs_no_trial(
+    quarantine: Quarantine,
+) -> None:
+    """Several clients may send what ends its servers, before the first event."""
+    for number in range(3):
+        at_s = 1.0 + 0.05 * number
+        ended = crash(number, at_s, ran_s=0.3, silent=True)
+        beside = crash(number, at_s, ran_s=0.2, silent=False)
+        quarantine.crashed({POISON: [ended], OTHER: [beside]}, at_s)
+    assert standing(quarantine, POISON, 1.3) is Standing.HELD
+    assert standing(quarantine, OTHER, 1.3) is Standing.MAY_BE_TRIED
+
+
 def test_a_trial_that_ends_its_server_late_counts(quarantine: Quarantine) -> None:
     for number in range(3):
         see(quarantine, POISON, crash(number, 1.0 + 0.05 * number, ran_s=0.3))
--- a/tests/unit/test_quarantine_draws.py
+++ b/tests/unit/test_quarantine_draws.py
@@ -53,7 +53,7 @@
 
 # Two or four servers, most of them down all the time, and two or three contents that
 # end them: an innocent run hardly comes to its end before the verdict.
-OPEN = [25, 37, 52, 134, 266, 390, 428]
+OPEN = [37, 52, 194, 379, 402, 428]
 
 
 def late(seeds: Iterable[int]) -> dict[int, int]:
