--- a/src/railfold/_internal/decisions/peers.py
+++ b/src/railfold/_internal/decisions/peers.py
@@ -53,6 +53,11 @@
     def __len__(self) -> int:
         return len(self._peers)
 
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Their names."""
+        return tuple(self._peers)
+
     def get(self, name: str) -> Peer | None:
         """Return an entry, if it is known."""
         return self._peers.get(name)
--- a/src/railfold/_internal/forwarding/peer_channel.py
+++ b/src/railfold/_internal/forwarding/peer_channel.py
@@ -9,7 +9,7 @@
 import asyncio
 import random
 import secrets
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from absl import logging
 
@@ -90,6 +90,11 @@
             else:
                 return transport
 
+    @property
+    def peers(self) -> Sequence[str]:
+        """The other entries' names, if they can be told anything now."""
+        return self._view.names if self._codec is not None else ()
+
     def tell(self, message: PeerMessage) -> None:
         """Tell other entries something, which they pass on."""
         self._tell(message, self._view.draw(self._rng, ()), direct=False)
--- a/src/railfold/_internal/forwarding/peer_messages.py
+++ b/src/railfold/_internal/forwarding/peer_messages.py
@@ -26,6 +26,8 @@
     "PeerMessage",
     "PeerMessageCodec",
     "PlacementLed",
+    "ProofAsked",
+    "ProofTold",
     "TrialBegun",
 ]
 
@@ -108,6 +110,26 @@
     per_s: Annotated[dict[_Name, _Rate], Meta(max_length=_MOST_SERVICES_TOLD)]
 
 
+class ProofAsked(msgspec.Struct, frozen=True, tag="proof?"):
+    """The sender asks which configuration the receiver knows to be in force.
+
+    :param question: stands in the answer.
+    """
+
+    name: _Name
+    question: Annotated[int, Meta(ge=0, le=2**32)]
+
+
+class ProofTold(msgspec.Struct, frozen=True, tag="proof"):
+    """The answer: the newest version, of which history, as of how long ago."""
+
+    name: _Name
+    question: Annotated[int, Meta(ge=0, le=2**32)]
+    version: Annotated[int, Meta(ge=0, le=2**62)]
+    epoch: Annotated[int, Meta(ge=0, le=2**32)]
+    age_ms: _AgeMs
+
+
 PeerMessage = (
     CrashesTold
     | ContentCleared
@@ -115,6 +137,8 @@
     | EntryStarted
     | PlacementLed
     | ArrivalsTold
+    | ProofAsked
+    | ProofTold
 )
 
 
--- a/src/railfold/_internal/forwarding/peering.py
+++ b/src/railfold/_internal/forwarding/peering.py
@@ -25,8 +25,11 @@
     EntryStarted,
     PeerMessage,
     PlacementLed,
+    ProofAsked,
+    ProofTold,
     TrialBegun,
 )
+from railfold._internal.forwarding.proof_keeper import ProofKeeper
 from railfold._internal.forwarding.request_quarantine import RequestQuarantine
 from railfold._internal.forwarding.router import Router
 from railfold._internal.forwarding.settings import ForwardingSettings
@@ -63,7 +66,9 @@
         on_known: Callable[[], None],
         on_listed: Callable[[int], None],
         on_epoch: Callable[[int], None],
+        proofs: ProofKeeper,
     ) -> None:
+        self._proofs = proofs
         self._given_key = settings.peer_key
         self._channel: PeerChannel | None = None
         self._keeper: PeerKeeper | None = None
@@ -81,6 +86,7 @@
             self._channel = PeerChannel(
                 settings.peers, view, router.metrics, router.rng, self._on_message
             )
+            proofs.use(self._channel)
             self._keeper = PeerKeeper(
                 view,
                 adapter.new_log(),
@@ -159,6 +165,10 @@
             case PlacementLed():
                 if self._arrivals is not None:
                     self._arrivals.led(message)
+            case ProofAsked():
+                self._proofs.asked(message)
+            case ProofTold():
+                self._proofs.told(message)
             case ArrivalsTold():
                 if self._arrivals is not None:
                     self._arrivals.told(message)
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -32,6 +32,7 @@
 from railfold._internal.forwarding.placement import PlacementKeeper
 from railfold._internal.forwarding.pool import ConnectionPool
 from railfold._internal.forwarding.probes import ChainProber
+from railfold._internal.forwarding.proof_keeper import ProofKeeper
 from railfold._internal.forwarding.reload import SettingsWatcher
 from railfold._internal.forwarding.replies import error_reply, status_of
 from railfold._internal.forwarding.router import Router
@@ -62,10 +63,10 @@
 
 _PLACEMENT_DUTY = "placement"
 
-# A read that waits proves the configuration's freshness from when it was sent.
-# This part of the credential lease leaves more than the 0.6 of it for which
-# requests are owed service after the store is lost.
-_WAIT_SHARE = 0.37
+# A read of the configuration is answered as soon as there is a newer one. That the one
+# that is known is in force is proved beside it (:class:`ProofKeeper`); with reads of
+# 1.85 s that were to prove it too, half of an entry's calls to the store were these.
+_CONFIGURATION_WAIT_S = 10.0
 
 _MAX_BACKOFF_S = 0.6
 
@@ -168,6 +169,24 @@
             first_start=settings.first_start,
         )
         self._slow_engines = SlowEngineWatch(self.router, calls)
+        self._epoch = LogEpoch()
+        self._configuration_feed = ConfigurationFeed(
+            self.router,
+            adapter.configuration_key,
+            adapter.decode_configuration,
+            self._on_configuration,
+        )
+        self._proofs = ProofKeeper(
+            settings.name,
+            self.router,
+            adapter.new_log(),
+            adapter.configuration_stream,
+            self._configuration_feed,
+            self._epoch,
+            self._on_epoch,
+            self._on_proof_failure,
+        )
+        self._configuration = self._configuration_follower()
         self._peering = Peering(
             settings,
             adapter,
@@ -177,6 +196,7 @@
             on_known=self._on_quarantine,
             on_listed=self._on_listed,
             on_epoch=self._on_epoch,
+            proofs=self._proofs,
         )
         calls.on_refused = self._peering.quarantine.server_refused
         self._prober.on_well = self._peering.quarantine.server_answered
@@ -191,7 +211,6 @@
         self._drivers: dict[ClientExchange, RequestDriver] = {}
         self._registrations_known = False
         self._quarantine_known = False
-        self._epoch = LogEpoch()
         self._registration_feed = RegistrationFeed(
             self.router, adapter.decode_registration, self._on_copy
         )
@@ -202,7 +221,8 @@
         settings = self._settings
         children = [
             ChildSpec("log", self.log.run),
-            ChildSpec("configuration", self._configuration_follower().run),
+            ChildSpec("configuration", self._configuration.run),
+            ChildSpec("proofs", self._proofs.run),
             ChildSpec("registrations", self._registrations.run),
             ChildSpec("leadership", self._leadership_keeper.run),
             ChildSpec("placement", self._placement.run),
@@ -221,19 +241,13 @@
         return Supervisor("forwarding", children)
 
     def _configuration_follower(self) -> StreamFollower:
-        feed = ConfigurationFeed(
-            self.router,
-            self._adapter.configuration_key,
-            self._adapter.decode_configuration,
-            self._on_configuration,
-        )
         return StreamFollower(
             self._adapter.new_log(),
             self._adapter.configuration_stream,
-            feed,
+            self._configuration_feed,
             self.metrics,
             FollowerPace(
-                wait_s=_WAIT_SHARE * self._settings.credential_lease_s,
+                wait_s=_CONFIGURATION_WAIT_S,
                 min_interval_s=_CONFIGURATION_INTERVAL_S,
                 max_backoff_s=_MAX_BACKOFF_S,
             ),
@@ -301,6 +315,10 @@
         if self.router.table is not None and known:
             self._clients.begin.set()
 
+    def _on_proof_failure(self) -> None:
+        """Find out at once whether the store is lost: another read may wait on it."""
+        self._configuration.give_up_waiting()
+
     def _on_store_lost(self, error: LogUnavailableError) -> None:
         self._store_reachable.clear()
         self.log.write(DependencyLost("store", str(error)))
--- /dev/null
+++ b/src/railfold/_internal/forwarding/proof_keeper.py
@@ -0,0 +1,171 @@
+"""Child that keeps the proof fresh that this entry's configuration is in force.
+
+Its follower's read of the configuration waits for a change, and proves nothing until it
+ends. So the proof comes from short reads beside it, few of them, and from other entries
+that have read (:class:`ProofExchange`).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Callable
+
+from railfold._internal.decisions.log_epoch import LogEpoch
+from railfold._internal.decisions.proof_exchange import (
+    AskPeers,
+    ProofExchange,
+    ReadStore,
+    Wait,
+)
+from railfold._internal.errors import LogUnavailableError
+from railfold._internal.forwarding.feeds import ConfigurationFeed
+from railfold._internal.forwarding.peer_channel import PeerChannel
+from railfold._internal.forwarding.peer_messages import ProofAsked, ProofTold
+from railfold._internal.forwarding.router import Router
+from railfold._internal.store.follower import ReadableLog
+
+__all__ = ["ProofKeeper"]
+
+_LOOK_S = 0.1
+
+# After a read that failed the next one waits, so that an outage isn't probed by all.
+_AGAIN_S = 0.6
+
+# Questions whose answers may still come.
+_QUESTIONS_KEPT = 16
+
+
+class ProofKeeper:
+    """Asks other entries and the store, and answers other entries.
+
+    :param log: a client of the store's log, beside the follower's.
+    :param feed: takes what the follower's read hasn't brought yet.
+    :param on_epoch: takes the epoch of the store's log that is read or told.
+    :param on_failure: called when the store doesn't answer.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        router: Router,
+        log: ReadableLog,
+        stream: str,
+        feed: ConfigurationFeed,
+        epoch: LogEpoch,
+        on_epoch: Callable[[int], None],
+        on_failure: Callable[[], None],
+    ) -> None:
+        self._on_failure = on_failure
+        self._name = name
+        self._router = router
+        self._log = log
+        self._stream = stream
+        self._feed = feed
+        self._epoch = epoch
+        self._on_epoch = on_epoch
+        self._loop = asyncio.get_running_loop()
+        self._exchange = ProofExchange(router.lease.duration_s, router.rng)
+        self._channel: PeerChannel | None = None
+        self._questions: dict[int, float] = {}
+        self._behind = False
+
+    def use(self, channel: PeerChannel) -> None:
+        """Ask over this channel from now on."""
+        self._channel = channel
+
+    async def run(self, ready: asyncio.Event) -> None:
+        """Keep the proof fresh until cancelled."""
+        ready.set()
+        while True:
+            delay_s = _LOOK_S
+            if self._router.table is not None:
+                delay_s = await self._look()
+            await asyncio.sleep(delay_s)
+
+    async def _look(self) -> float:
+        now_s = self._loop.time()
+        self._exchange.lease_s = self._router.lease.duration_s
+        if self._behind:
+            self._behind = False
+            return await self._read()
+        peers = self._channel.peers if self._channel is not None else ()
+        match self._exchange.step(now_s, self._router.lease.age_s(now_s), peers):
+            case Wait():
+                pass
+            case ReadStore():
+                return await self._read()
+            case AskPeers(names=names):
+                self._ask(names, now_s)
+        return _LOOK_S
+
+    async def _read(self) -> float:
+        """Read what has come since the follower's last read, without waiting."""
+        sent_s = self._loop.time()
+        self._router.metrics.count("proofs.read")
+        offset = self._feed.next_offset()
+        if offset < 0:
+            return _LOOK_S  # The follower takes a whole copy first.
+        try:
+            page = await self._log.read(self._stream, offset, 0.0)
+        except LogUnavailableError:
+            self._on_failure()
+            self._router.metrics.count("proofs.read_failures")
+            return _AGAIN_S
+        self._on_epoch(page.epoch)
+        if page.epoch != self._epoch.newest or offset != self._feed.next_offset():
+            return _LOOK_S  # The follower reads anew, or has read on meanwhile.
+        for record in page.records:
+            self._feed.record(record)
+        if offset + len(page.records) >= page.next_offset:
+            self._feed.caught_up(page.next_offset, sent_s)
+        return _LOOK_S
+
+    # Other entries
+
+    def _ask(self, names: tuple[str, ...], now_s: float) -> None:
+        assert self._channel is not None
+        question = secrets.randbits(32)
+        self._questions[question] = now_s
+        while len(self._questions) > _QUESTIONS_KEPT:
+            del self._questions[next(iter(self._questions))]
+        self._router.metrics.count("proofs.asked")
+        for name in names:
+            self._channel.tell_one(name, ProofAsked(self._name, question))
+
+    def asked(self, message: ProofAsked) -> None:
+        """Another entry asks what this one has read, and how long ago."""
+        now_s = self._loop.time()
+        table, lease = self._router.table, self._router.lease
+        known = table is not None and lease.valid(now_s) and self._channel is not None
+        if not known or not self._exchange.asked(now_s):
+            return
+        assert table is not None
+        assert self._channel is not None
+        age_ms = int(lease.age_s(now_s) * 1000) + 1
+        epoch = self._epoch.newest or 0
+        told = ProofTold(self._name, message.question, table.version, epoch, age_ms)
+        self._channel.tell_one(message.name, told)
+
+    def told(self, message: ProofTold) -> None:
+        """Another entry answers.
+
+        Its proof is one for this entry too if this one knows at least that version of
+        the configuration, of the same history. Else this entry reads by itself: what it
+        knows isn't in force any more.
+        """
+        asked_s = self._questions.get(message.question)
+        table = self._router.table
+        if asked_s is None or table is None:
+            return
+        self._on_epoch(message.epoch)
+        if message.epoch != self._epoch.newest:
+            return
+        if message.version > table.version:
+            self._router.metrics.count("proofs.behind")
+            self._behind = True
+            return
+        now_s = self._loop.time()
+        proved_s = asked_s - message.age_ms / 1000.0
+        self._exchange.answered(message.name, now_s, now_s - proved_s)
+        self._router.lease.renew(proved_s)
--- a/src/railfold/_internal/store/follower.py
+++ b/src/railfold/_internal/store/follower.py
@@ -125,6 +125,7 @@
         self._reachable = reachable
         self._backoff = Backoff(max_s=pace.max_backoff_s)
         self._read_at_s = 0.0
+        self._waiting: asyncio.Future[LogPage] | None = None
         self._reading = False
         self._resume_at = -1
 
@@ -161,7 +162,7 @@
         wait_s = self.pace.wait_s if wait else 0.0
         await self._wait_for_turn()
         sent_s = asyncio.get_running_loop().time()
-        page = await self._log.read(self._stream, offset, wait_s)
+        page = await self._read(offset, wait_s)
         is_same_history = self._note_epoch(page.epoch)
         self._set_reading(True, None)
         self._note_transfer(page.transfer_s)
@@ -177,6 +178,24 @@
         if whole or not page.records or page.records[-1].offset + 1 >= page.next_offset:
             self._reader.caught_up(page.next_offset, sent_s)
 
+    async def _read(self, offset: int, wait_s: float) -> LogPage:
+        read = asyncio.ensure_future(self._log.read(self._stream, offset, wait_s))
+        self._waiting = read if wait_s > 0.0 else None
+        try:
+            return await read
+        except asyncio.CancelledError:
+            if self._waiting is None and wait_s > 0.0:
+                raise LogUnavailableError("a read that waited was given up") from None
+            raise
+        finally:
+            self._waiting = None
+
+    def give_up_waiting(self) -> None:
+        """The log doesn't answer others: a read that waits isn't waited for."""
+        waiting, self._waiting = self._waiting, None
+        if waiting is not None:
+            waiting.cancel()
+
     def _note_epoch(self, epoch: int) -> bool:
         """Return whether an answer is of the history that was read before.
 
