--- a/src/railfold/_internal/decisions/proof_exchange.py
+++ b/src/railfold/_internal/decisions/proof_exchange.py
@@ -42,8 +42,9 @@
 # A question that isn't answered by then is lost: peers answer within milliseconds.
 _ANSWER_S = 0.25
 
-# One that didn't answer, or whose proof was old, isn't asked again for this time.
-_PASSED_OVER_S = 2.0
+# One that didn't answer, or whose proof was old, isn't asked again for this share of
+# the lease, unless all others were passed over as well.
+_PASSED_OVER_SHARE = 0.4
 
 # Whoever was asked so often in the last second reads for others too.
 _ASKED_WITHIN_S = 1.0
@@ -100,6 +101,8 @@
         self._question_s = float("-inf")
         self._unanswered = ""
         self._answered_s = float("-inf")
+        self._heard_s = float("-inf")
+        self._heard_proof_s = float("-inf")
         self._passed_over_s: dict[str, float] = {}
 
     def _draw_jitter(self) -> None:
@@ -111,23 +114,31 @@
         :param age_s: how old this entry's proof is.
         :param peers: the other entries' names.
         """
+        asked = self._ask(now_s, age_s, peers)
+        if asked is not None:
+            return AskPeer(asked)
         if age_s >= self._read_share(now_s) * self._jitter * self.lease_s:
             self._draw_jitter()
             return ReadStore()
-        if now_s < self._question_s + _ANSWER_S and self._unanswered:
-            return Wait()
-        self._pass_over(self._unanswered, now_s)
-        if self._is_asked_often(now_s):
-            return Wait()  # It reads, and has nothing to ask.
-        too_soon = now_s < self._question_s + _ASK_INTERVAL_S
-        if too_soon or age_s < _ASK_SHARE * self.lease_s:
-            return Wait()
+        return Wait()
+
+    def _ask(self, now_s: float, age_s: float, peers: Sequence[str]) -> str | None:
+        """Return whom to ask now, if anybody."""
+        # Whoever is asked reads, and has nothing to ask, unless it can't.
+        reads = self._is_asked_often(now_s)
+        asks_from_share = 2 * _READ_IF_ASKED_SHARE if reads else _ASK_SHARE
+        if age_s < asks_from_share * self.lease_s:
+            return None
+        if self._unanswered and now_s >= self._question_s + _ANSWER_S:
+            self._pass_over(self._unanswered, now_s)
+        if now_s < self._question_s + _ASK_INTERVAL_S:
+            return None
+        self._forget_passed_over(now_s)
         asked = self._next_to_ask(peers)
-        if asked is None:
-            return Wait()
-        self._question_s = now_s
-        self._unanswered = asked
-        return AskPeer(asked)
+        if asked is not None:
+            self._question_s = now_s
+            self._unanswered = asked
+        return asked
 
     def _next_to_ask(self, peers: Sequence[str]) -> str | None:
         """Return the first other one of this entry's group, or of all."""
@@ -135,17 +146,22 @@
         groups = max(1, round(len(names) / _GROUP))
         first = names.index(self._name) % groups
         ordered = [*names[first::groups], *names]
-        left = (n for n in ordered if n not in (self._name, *self._passed_over_s))
-        return next(left, None)
+        others = [name for name in ordered if name != self._name]
+        if not others:
+            return None
+        # The first that wasn't passed over; of those that were, the one longest ago.
+        never_s = float("-inf")
+        return min(others, key=lambda name: self._passed_over_s.get(name, never_s))
 
     def _pass_over(self, name: str, now_s: float) -> None:
         """Ask others than this one for some time."""
-        if name:
-            self._passed_over_s[name] = now_s + _PASSED_OVER_S
-            self._unanswered = ""
+        self._passed_over_s[name] = now_s + _PASSED_OVER_SHARE * self.lease_s
+        self._unanswered = ""
+
+    def _forget_passed_over(self, now_s: float) -> None:
         over = [n for n, until_s in self._passed_over_s.items() if until_s <= now_s]
-        for known in over:
-            del self._passed_over_s[known]
+        for name in over:
+            del self._passed_over_s[name]
 
     def _read_share(self, now_s: float) -> float:
         if self._is_asked_often(now_s):
@@ -170,7 +186,19 @@
         """Another entry told how old its proof is, counted from the question."""
         if name == self._unanswered:
             self._unanswered = ""
+        self._heard_s = now_s
+        self._heard_proof_s = max(self._heard_proof_s, now_s - age_s)
         if age_s > _READ_IF_ANSWERED_SHARE * self.lease_s:
             self._pass_over(name, now_s)
             return
         self._answered_s = now_s
+
+    def others_have_proof(self, now_s: float) -> bool:
+        """Return whether others can tell that credentials hold, while this one can't.
+
+        If others were heard of late, by what they told. If not, this one is cut off,
+        and others probably aren't.
+        """
+        if now_s - self._heard_s > _ANSWERED_WITHIN_S:
+            return True
+        return now_s - self._heard_proof_s < self.lease_s
--- /dev/null
+++ b/src/railfold/_internal/decisions/return_time.py
@@ -0,0 +1,95 @@
+"""When a caller whose request was refused should come back.
+
+Too late is lost service: the balancer leads a new connection to another entry, which
+may serve at once. Too early is a second refusal, and many of them are a herd. So it is
+the cause that decides, and who can do something about it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = [
+    "AloneWithoutProof",
+    "NoRoom",
+    "NobodyHasProof",
+    "OnTrial",
+    "ReturnCause",
+    "Starting",
+    "return_after_s",
+]
+
+# What another entry serves now: long enough for a new connection, and spread over the
+# time in which one entry's clients come by themselves.
+_ELSEWHERE_S = 0.05
+
+# An entry that starts knows its first configuration after about so long (measured:
+# 0.4 s on the smallest hosts, from the moment at which it takes connections).
+_START_S = 0.25
+
+# Room for one request comes and goes with the end of others, each 0.5 to 2 s long.
+_ROOM_S = 0.5
+
+# While nobody has a proof, clients are asked back after as long as it has lasted, so
+# that an outage of seconds isn't met by the same clients ten times; and not so late
+# that its end is missed.
+_OUTAGE_LEAST_S = 0.3
+_OUTAGE_MOST_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class AloneWithoutProof:
+    """The entry can't tell whether credentials hold, while others can."""
+
+
+@dataclass(frozen=True, slots=True)
+class NobodyHasProof:
+    """No entry can tell.
+
+    :param lapsed_s: for how long this one can't.
+    """
+
+    lapsed_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Starting:
+    """The entry doesn't know its first configuration yet."""
+
+
+@dataclass(frozen=True, slots=True)
+class OnTrial:
+    """Another request with the same content is on trial.
+
+    :param left_s: until the next one may be tried.
+    """
+
+    left_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class NoRoom:
+    """No backend server has room, or no more retries are allowed."""
+
+
+ReturnCause = AloneWithoutProof | NobodyHasProof | Starting | OnTrial | NoRoom
+
+
+def return_after_s(cause: ReturnCause, random_unit: float) -> float:
+    """Return after how many seconds a refused caller should come back.
+
+    :param random_unit: a random number from 0 to 1, so that refused callers don't come
+        back together.
+    """
+    match cause:
+        case AloneWithoutProof():
+            base_s = _ELSEWHERE_S
+        case NobodyHasProof(lapsed_s=lapsed_s):
+            base_s = min(_OUTAGE_MOST_S, max(_OUTAGE_LEAST_S, lapsed_s))
+        case Starting():
+            base_s = _START_S
+        case OnTrial(left_s=left_s):
+            return round(left_s + _ELSEWHERE_S * (0.5 + random_unit), 2)
+        case NoRoom():
+            base_s = _ROOM_S
+    return round(base_s * (0.5 + random_unit), 2)
--- a/src/railfold/_internal/errors.py
+++ b/src/railfold/_internal/errors.py
@@ -256,10 +256,19 @@
 
 
 class RequestOnTrialError(RequestError):
-    """Whether requests with the same content end their servers is being tried."""
+    """Whether requests with the same content end their servers is being tried.
+
+    :param left_s: until the next one may be tried, in seconds.
+    """
 
     code = "request_on_trial"
 
+    def __init__(
+        self, what: str, *, left_s: float, why: str = "", hint: str = ""
+    ) -> None:
+        self.left_s = left_s
+        super().__init__(what, why=why, hint=hint)
+
 
 class PeerMessageError(RailfoldError):
     """What another entry is said to have sent can't be read or isn't from one."""
--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -22,7 +22,6 @@
     SendCall,
 )
 from railfold._internal.decisions.event_cursor import EventCursor
-from railfold._internal.decisions.retry_budget import jittered_retry_after_s
 from railfold._internal.decisions.routing_table import (
     CredentialOwner,
     Route,
@@ -239,10 +238,7 @@
 
     def _refuse(self, error: RailfoldError) -> None:
         self._cause = str(error)
-        self._feed(NoHost(error, self._retry_after_s()))
-
-    def _retry_after_s(self) -> float:
-        return jittered_retry_after_s(1.0, self._router.rng.random())
+        self._feed(NoHost(error, self._router.return_after_s(error)))
 
     def _send(self) -> None:
         destination = self._destination
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -16,7 +16,6 @@
 from railfold._internal.decisions.retry_budget import (
     RetryBudgets,
     RetryLimits,
-    jittered_retry_after_s,
 )
 from railfold._internal.decisions.routing_table import RoutingTable, require_table
 from railfold._internal.errors import LogUnavailableError, RequestError
@@ -186,6 +185,7 @@
             self._on_epoch,
             self._on_proof_failure,
         )
+        self.router.others_have_proof = self._proofs.others_have_proof
         self._configuration = self._configuration_follower()
         self._peering = Peering(
             settings,
@@ -401,7 +401,7 @@
         now_s: float,
     ) -> None:
         """Answer a request that goes to no backend server."""
-        retry_after_s = jittered_retry_after_s(1.0, self.router.rng.random())
+        retry_after_s = self.router.return_after_s(error)
         status = status_of(error, not_run=True)
         self.metrics.count(f"refused.{error.code}")
         self.log.write(
--- a/src/railfold/_internal/forwarding/proof_keeper.py
+++ b/src/railfold/_internal/forwarding/proof_keeper.py
@@ -32,6 +32,9 @@
 # After a read that failed the next one waits, so that an outage isn't probed by all.
 _AGAIN_S = 0.6
 
+# An older proof isn't told; younger ones tell that nobody has a better one.
+_OLDEST_S = 60.0
+
 # Questions whose answers may still come.
 _QUESTIONS_KEPT = 16
 
@@ -69,6 +72,7 @@
         self._channel: PeerChannel | None = None
         self._questions: dict[int, float] = {}
         self._behind = False
+        self._read_due_s = float("-inf")
 
     def use(self, channel: PeerChannel) -> None:
         """Ask over this channel from now on."""
@@ -78,48 +82,49 @@
         """Keep the proof fresh until cancelled."""
         ready.set()
         while True:
-            delay_s = _LOOK_S
             if self._router.table is not None:
-                delay_s = await self._look()
-            await asyncio.sleep(delay_s)
+                await self._look()
+            await asyncio.sleep(_LOOK_S)
 
-    async def _look(self) -> float:
+    async def _look(self) -> None:
         now_s = self._loop.time()
         self._exchange.lease_s = self._router.lease.duration_s
-        if self._behind:
+        may_read = now_s >= self._read_due_s
+        if self._behind and may_read:
             self._behind = False
-            return await self._read()
+            await self._read()
+            return
         peers = self._channel.peers if self._channel is not None else ()
         match self._exchange.step(now_s, self._router.lease.age_s(now_s), peers):
             case Wait():
                 pass
             case ReadStore():
-                return await self._read()
+                if may_read:
+                    await self._read()
             case AskPeer(name=name):
                 self._ask(name, now_s)
-        return _LOOK_S
 
-    async def _read(self) -> float:
+    async def _read(self) -> None:
         """Read what has come since the follower's last read, without waiting."""
         sent_s = self._loop.time()
         self._router.metrics.count("proofs.read")
         offset = self._feed.next_offset()
         if offset < 0:
-            return _LOOK_S  # The follower takes a whole copy first.
+            return  # The follower takes a whole copy first.
         try:
             page = await self._log.read(self._stream, offset, 0.0)
         except LogUnavailableError:
             self._on_failure()
             self._router.metrics.count("proofs.read_failures")
-            return _AGAIN_S
+            self._read_due_s = self._loop.time() + _AGAIN_S
+            return
         self._on_epoch(page.epoch)
         if page.epoch != self._epoch.newest or offset != self._feed.next_offset():
-            return _LOOK_S  # The follower reads anew, or has read on meanwhile.
+            return  # The follower reads anew, or has read on meanwhile.
         for record in page.records:
             self._feed.record(record)
         if offset + len(page.records) >= page.next_offset:
             self._feed.caught_up(page.next_offset, sent_s)
-        return _LOOK_S
 
     # Other entries
 
@@ -136,12 +141,13 @@
         """Another entry asks what this one has read, and how long ago."""
         now_s = self._loop.time()
         table, lease = self._router.table, self._router.lease
-        known = table is not None and lease.valid(now_s) and self._channel is not None
+        age_s = lease.age_s(now_s)
+        known = table is not None and age_s < _OLDEST_S and self._channel is not None
         if not known or not self._exchange.asked(now_s):
             return
         assert table is not None
         assert self._channel is not None
-        age_ms = int(lease.age_s(now_s) * 1000) + 1
+        age_ms = int(age_s * 1000) + 1
         epoch = self._epoch.newest or 0
         told = ProofTold(self._name, message.question, table.version, epoch, age_ms)
         self._channel.tell_one(message.name, told)
@@ -160,11 +166,16 @@
         self._on_epoch(message.epoch)
         if message.epoch != self._epoch.newest:
             return
+        now_s = self._loop.time()
+        proved_s = asked_s - message.age_ms / 1000.0
+        self._exchange.answered(message.name, now_s, now_s - proved_s)
         if message.version > table.version:
             self._router.metrics.count("proofs.behind")
             self._behind = True
             return
-        now_s = self._loop.time()
-        proved_s = asked_s - message.age_ms / 1000.0
-        self._exchange.answered(message.name, now_s, now_s - proved_s)
         self._router.lease.renew(proved_s)
+
+    def others_have_proof(self, now_s: float) -> bool:
+        """Return whether others can tell that credentials hold."""
+        alone = self._channel is None or not self._channel.peers
+        return not alone and self._exchange.others_have_proof(now_s)
--- a/src/railfold/_internal/forwarding/request_quarantine.py
+++ b/src/railfold/_internal/forwarding/request_quarantine.py
@@ -166,6 +166,7 @@
         wait_s = self._quarantine.wait_s(digest, now_s)
         return RequestOnTrialError(
             "another request with the same path, caller and body is on trial",
+            left_s=wait_s,
             why=f"servers ended under content {digest}; {wait_s:.1f} s are left",
             hint="come back after Retry-After",
         )
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from typing import Protocol
 
@@ -34,6 +34,15 @@
     plan_chain,
 )
 from railfold._internal.decisions.retry_budget import RetryBudgets
+from railfold._internal.decisions.return_time import (
+    AloneWithoutProof,
+    NobodyHasProof,
+    NoRoom,
+    OnTrial,
+    ReturnCause,
+    Starting,
+    return_after_s,
+)
 from railfold._internal.decisions.routing_table import (
     EngineModel,
     Route,
@@ -44,6 +53,8 @@
 from railfold._internal.errors import (
     ConfigurationStaleError,
     NoCapacityError,
+    NotReadyError,
+    RailfoldError,
     RequestError,
     RequestOnTrialError,
     UnknownTargetError,
@@ -74,6 +85,10 @@
 # the longest prompts a third.
 _BEARABLE_SHARE = 0.33
 
+# When others may be there again beside the only backend server that is left: layers are
+# loaded in 0.6 s, a server starts again in a second or two.
+_LAST_ONE_S = 0.6
+
 # How long a chain that stood still gets no new work: until probes have told
 # which of its backend servers is dead.
 _AVOID_S = 0.3
@@ -122,6 +137,8 @@
     rng: random.Random
     table: RoutingTable | None = None
     entries: int = 1
+    # Whether other entries can tell that credentials hold while this one can't.
+    others_have_proof: Callable[[float], bool] = field(default=lambda now_s: False)
     active: set[ActiveRequest] = field(default_factory=set)
     activity: ChainActivity = field(default_factory=ChainActivity)
     avoidance: Avoidance = field(default_factory=Avoidance)
@@ -139,6 +156,25 @@
         newest = table.find(route.host, path)
         table.authorize(newest, credential)
 
+    def return_after_s(self, error: RailfoldError) -> float:
+        """Return after how many seconds the caller of a refused request comes back."""
+        return return_after_s(self._return_cause(error), self.rng.random())
+
+    def _return_cause(self, error: RailfoldError) -> ReturnCause:
+        now_s = asyncio.get_running_loop().time()
+        match error:
+            case ConfigurationStaleError():
+                if self.others_have_proof(now_s):
+                    return AloneWithoutProof()
+                lapsed_s = self.lease.age_s(now_s) - self.lease.duration_s
+                return NobodyHasProof(lapsed_s)
+            case NotReadyError():
+                return Starting()
+            case RequestOnTrialError(left_s=left_s):
+                return OnTrial(left_s)
+            case _:
+                return NoRoom()
+
     def require_fresh(self, route: Route) -> None:
         """Refuse if what is known of credentials is too old.
 
@@ -468,6 +504,7 @@
 def _last_one_error() -> RequestOnTrialError:
     return RequestOnTrialError(
         "backend servers ended under this request, and only one is left",
+        left_s=_LAST_ONE_S,
         hint="come back after Retry-After",
     )
 
--- /dev/null
+++ b/tests/unit/test_return_time.py
@@ -0,0 +1,59 @@
+"""When refused callers come back, and whom they meet then."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from railfold._internal.decisions.return_time import (
+    AloneWithoutProof,
+    NobodyHasProof,
+    NoRoom,
+    OnTrial,
+    ReturnCause,
+    Starting,
+    return_after_s,
+)
+
+OBJECTIVE_S = 0.5
+
+
+def returns(cause: ReturnCause, count: int = 400) -> list[float]:
+    rng = random.Random(1)
+    return sorted(return_after_s(cause, rng.random()) for _ in range(count))
+
+
+def test_where_another_entry_serves_its_callers_lose_little_time() -> None:
+    """They came back after 0.25 to 0.75 s, most of them late for 0.5 s."""
+    assert returns(AloneWithoutProof())[-1] <= 0.2 * OBJECTIVE_S
+
+
+def test_while_nobody_can_tell_callers_ask_less_and_less_often() -> None:
+    means = [
+        sum(returns(NobodyHasProof(lapsed_s))) / 400 for lapsed_s in (0.1, 0.6, 5.0)
+    ]
+    assert means == sorted(means)
+    assert means[0] == pytest.approx(0.3, abs=0.02)
+    assert means[2] == pytest.approx(1.0, abs=0.05)
+
+
+def test_an_entry_that_starts_is_met_when_it_serves() -> None:
+    assert returns(Starting())[0] > 0.1
+    assert returns(Starting())[-1] < OBJECTIVE_S
+
+
+@pytest.mark.parametrize("cause", [NoRoom(), NobodyHasProof(2.0)])
+def test_callers_of_a_full_fleet_dont_come_back_together(cause: ReturnCause) -> None:
+    """400 that are refused at once meet room for one in five within each 50 ms."""
+    back_s = returns(cause)
+    for first in range(20):
+        since_s = first * 0.05
+        together = sum(1 for at_s in back_s if since_s <= at_s < since_s + 0.05)
+        assert together <= 400 / 5
+
+
+def test_who_waits_for_a_trial_comes_right_after_it() -> None:
+    back_s = returns(OnTrial(0.4))
+    assert back_s[0] > 0.4
+    assert back_s[-1] < 0.5
