--- a/soak/faults.py
+++ b/soak/faults.py
@@ -110,6 +110,20 @@
         topic.forget()
 
 
+async def store_goes_back(world: World, rng: random.Random) -> None:
+    """Let the store come back from a copy, and others write again what it lost."""
+    copy = world.store.copy()
+    await asyncio.sleep(rng.uniform(0.3, 2.5))
+    world.store.mode = "out"
+    world.store_outages_s.append(asyncio.get_running_loop().time())
+    await asyncio.sleep(rng.uniform(0.1, 1.0))
+    world.store.go_back(copy)
+    world.store.mode = "ok"
+    await asyncio.sleep(rng.uniform(0.2, 1.5))
+    world.write_again()
+    world.store_outages_s.append(asyncio.get_running_loop().time())
+
+
 async def link_fault(world: World, rng: random.Random) -> None:
     """Delay, silence, cut one way or refuse one link, or reset it."""
     name = rng.choice(sorted(world.links))
@@ -271,6 +285,7 @@
     "server_starts_again": server_starts_again,
     "store_fault": store_fault,
     "store_forgets": store_forgets,
+    "store_goes_back": store_goes_back,
 }
 
 # Beside these all entries reach each other and the store, or one that doesn't is
--- a/soak/world.py
+++ b/soak/world.py
@@ -169,7 +169,8 @@
         self._store_server = HTTPServer(self.store.application())
         self._store_server.add_sockets(sockets)
         store_port = sockets[0].getsockname()[1]
-        self.store.put("keyed.op", "config", configuration(self.version))
+        self.document = configuration(self.version)
+        self.store.put("keyed.op", "config", self.document)
         half = LAYERS // 2
         for zone in ZONES:
             for part in range(2):
@@ -276,8 +277,17 @@
             {**every[0], "name": f"further-{n}", "path_prefix": f"/further/{n}/"}
             for n in range(further_routes)
         ]
-        document = configuration(self.version, routes=every)
-        self.store.put("keyed.op", "config", document)
+        self.document = configuration(self.version, routes=every)
+        self.store.put("keyed.op", "config", self.document)
+
+    def write_again(self) -> None:
+        """Write what the operator and the servers had written; the store lost it."""
+        self.store.put("keyed.op", "config", self.document)
+        servers = {s.server_id: s for s in (*self.engines, *self.plain)}
+        for name in set(self.store.topic("keyed.servers").newest) - servers.keys():
+            self.store.put("keyed.servers", name, None)
+        for server in servers.values():
+            server.register()
 
     async def stop(self) -> None:
         """Stop all that was started."""
--- a/src/railfold/_internal/decisions/freshness.py
+++ b/src/railfold/_internal/decisions/freshness.py
@@ -29,6 +29,10 @@
         """
         self._counts_from_s = max(self._counts_from_s, until_s)
 
+    def revoke(self) -> None:
+        """What was taken for a proof isn't one."""
+        self._renewed_s = None
+
     def renew(self, sent_s: float) -> None:
         """A call that was sent at ``sent_s`` got a sound answer."""
         if sent_s < self._counts_from_s:
--- a/src/railfold/_internal/forwarding/feeds.py
+++ b/src/railfold/_internal/forwarding/feeds.py
@@ -63,6 +63,8 @@
         self._next = _SNAPSHOT
         # The newest version that was read since the stream was read anew.
         self._read_version = 0
+        # The newest that another entry has read.
+        self.version_elsewhere = 0
 
     def next_offset(self) -> int:
         """Return the offset to read from."""
@@ -109,10 +111,16 @@
         else it lacks isn't known either.
         """
         self._next = next_offset
-        table = self._router.table
-        if table is None or self._read_version >= table.version:
+        if not self.lacks_newest:
             self._router.lease.renew(sent_s)
 
+    @property
+    def lacks_newest(self) -> bool:
+        """Whether this or another entry knows a newer configuration than was read."""
+        table = self._router.table
+        known = table.version if table is not None else 0
+        return self._read_version < max(known, self.version_elsewhere)
+
     def expired(self, first_offset: int) -> int:
         """History is gone: take the newest record of each key."""
         self._next = _SNAPSHOT
--- a/src/railfold/_internal/forwarding/peer_messages.py
+++ b/src/railfold/_internal/forwarding/peer_messages.py
@@ -114,10 +114,13 @@
     """The sender asks which configuration the receiver knows to be in force.
 
     :param question: stands in the answer.
+    :param version: the newest that the sender knows, of this history of the store.
     """
 
     name: _Name
     question: Annotated[int, Meta(ge=0, le=2**32)]
+    version: Annotated[int, Meta(ge=0, le=2**62)]
+    epoch: Annotated[int, Meta(ge=0, le=2**32)]
 
 
 class ProofTold(msgspec.Struct, frozen=True, tag="proof"):
--- a/src/railfold/_internal/forwarding/proof_keeper.py
+++ b/src/railfold/_internal/forwarding/proof_keeper.py
@@ -92,7 +92,10 @@
         may_read = now_s >= self._read_due_s
         if self._behind and may_read:
             self._behind = False
-            await self._read()
+            if await self._read() and self._feed.lacks_newest:
+                # The store answers, and doesn't hold what another entry has read from
+                # it: it went back right before this entry started.
+                self._router.lease.revoke()
             return
         peers = self._channel.peers if self._channel is not None else ()
         match self._exchange.step(now_s, self._router.lease.age_s(now_s), peers):
@@ -104,27 +107,32 @@
             case AskPeer(name=name):
                 self._ask(name, now_s)
 
-    async def _read(self) -> None:
-        """Read what has come since the follower's last read, without waiting."""
+    async def _read(self) -> bool:
+        """Read what has come since the follower's last read, without waiting.
+
+        :return: whether all was read.
+        """
         sent_s = self._loop.time()
         self._router.metrics.count("proofs.read")
         offset = self._feed.next_offset()
         if offset < 0:
-            return  # The follower takes a whole copy first.
+            return False  # The follower takes a whole copy first.
         try:
             page = await self._log.read(self._stream, offset, 0.0)
         except LogUnavailableError:
             self._on_failure()
             self._router.metrics.count("proofs.read_failures")
             self._read_due_s = self._loop.time() + _AGAIN_S
-            return
+            return False
         self._on_epoch(page.epoch)
         if page.epoch != self._epoch.newest or offset != self._feed.next_offset():
-            return  # The follower reads anew, or has read on meanwhile.
+            return False  # The follower reads anew, or has read on meanwhile.
         for record in page.records:
             self._feed.record(record)
-        if offset + len(page.records) >= page.next_offset:
+        whole = offset + len(page.records) >= page.next_offset
+        if whole:
             self._feed.caught_up(page.next_offset, sent_s)
+        return whole
 
     # Other entries
 
@@ -135,11 +143,18 @@
         while len(self._questions) > _QUESTIONS_KEPT:
             del self._questions[next(iter(self._questions))]
         self._router.metrics.count("proofs.asked")
-        self._channel.tell_one(name, ProofAsked(self._name, question))
+        table = self._router.table
+        version = table.version if table is not None else 0
+        epoch = self._epoch.newest or 0
+        asked = ProofAsked(self._name, question, version, epoch)
+        self._channel.tell_one(name, asked)
 
     def asked(self, message: ProofAsked) -> None:
         """Another entry asks what this one has read, and how long ago."""
         now_s = self._loop.time()
+        self._on_epoch(message.epoch)
+        if message.epoch == self._epoch.newest:
+            self._note_version(message.version)
         table, lease = self._router.table, self._router.lease
         age_s = lease.age_s(now_s)
         known = table is not None and age_s < _OLDEST_S and self._channel is not None
@@ -155,9 +170,10 @@
     def told(self, message: ProofTold) -> None:
         """Another entry answers.
 
-        Its proof is one for this entry too if this one knows at least that version of
-        the configuration, of the same history. Else this entry reads by itself: what it
-        knows isn't in force any more.
+        Its proof is one for this entry too if both know the same configuration, of the
+        same history. If the other one knows a newer one, this entry reads by itself:
+        what it knows isn't in force any more. If the other one knows an older one, it
+        may have read that from a store that went back.
         """
         asked_s = self._questions.get(message.question)
         table = self._router.table
@@ -169,11 +185,17 @@
         now_s = self._loop.time()
         proved_s = asked_s - message.age_ms / 1000.0
         self._exchange.answered(message.name, now_s, now_s - proved_s)
-        if message.version > table.version:
+        self._note_version(message.version)
+        if message.version == table.version:
+            self._router.lease.renew(proved_s)
+
+    def _note_version(self, version: int) -> None:
+        """Take which configuration another entry knows, of the same history."""
+        table = self._router.table
+        if table is not None and version > table.version:
             self._router.metrics.count("proofs.behind")
+            self._feed.version_elsewhere = version
             self._behind = True
-            return
-        self._router.lease.renew(proved_s)
 
     def others_have_proof(self, now_s: float) -> bool:
         """Return whether others can tell that credentials hold."""
--- a/tests/forwarding/test_store_goes_back.py
+++ b/tests/forwarding/test_store_goes_back.py
@@ -233,3 +233,29 @@
     after = await lease.renew("a", 1.0)
     assert after.holding
     assert after.fencing > before.fencing
+
+
+async def test_an_entry_that_starts_on_an_older_copy_doesnt_serve_on_it(
+    long_lease: Deployment,
+) -> None:
+    """Another entry knows the newer one, and tells it."""
+    deployment = long_lease
+    copy = deployment.store.copy()
+    tenants = [{"name": "quality", "api_keys": ["another"], "priority": 1}]
+    deployment.store.put("keyed.op", "config", configuration(2, tenants=tenants))
+    router = deployment.entry.router
+    await until(lambda: router.table is not None and router.table.version == 2)
+    await until(lambda: deployment.entry.recognizes_requests)
+    await lose_store(deployment)
+    await come_back(deployment, copy)
+    deployment._settings.append(deployment._entry_settings(1))
+    deployment.entry_count = 2
+    deployment.run_entry(number=1)
+    started = deployment.entries[1]
+    loop = asyncio.get_running_loop()
+    await until(lambda: started.metrics.counters["proofs.behind"] > 0)
+    await until(lambda: not started.router.lease.valid(loop.time()), 1.0)
+    deployment.store.put("keyed.op", "config", configuration(2, tenants=tenants))
+    await until(lambda: started.router.lease.valid(loop.time()))
+    assert started.router.table is not None
+    assert started.router.table.version == 2
