--- a/src/railfold/_internal/decisions/quarantine/quarantine.py
+++ b/src/railfold/_internal/decisions/quarantine/quarantine.py
@@ -33,7 +33,6 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 
 from railfold._internal.decisions.quarantine.contents import (
@@ -44,15 +43,14 @@
     QuarantineState,
     Standing,
 )
+from railfold._internal.decisions.quarantine.evidence import (
+    CRASHES_TO_DOUBT,
+    Evidence,
+)
 from railfold._internal.decisions.quarantine.record import SKEW_S, ContentRecord
 
 __all__ = ["Quarantine"]
 
-# So many servers may end under a request before it is on probation. Two are as many as
-# a single attempt of a client may cost with its entry's own retry, and as an innocent
-# request meets that goes from one failing server to the next.
-_CRASHES_TO_DOUBT = 3
-
 # What else ran where a server ended is known to all entries by then: each sees its own
 # connections end at the same time, finds the server gone one round trip later, and
 # tells the others within milliseconds.
@@ -74,14 +72,6 @@
 # Crashes further back than this say nothing of a request that comes now.
 _FORGET_S = 600.0
 
-# So many trials that end their server prove it of a content that ran well before: one
-# of them may be due to another content that nobody suspects yet.
-_PROOFS_IF_WELL = 2.0
-
-# Bounds of memory: contents, some 2 KB each at most, and when others ran well.
-_CONTENTS_KEPT = 1000
-_WELL_KEPT = 4096
-
 
 class Quarantine:
     """Contents under suspicion and those that are held back.
@@ -90,10 +80,8 @@
     """
 
     def __init__(self) -> None:
-        self._records: dict[str, ContentRecord] = {}
-        # When contents ran well, or were let go, last: crashes before that count no
-        # more, however late they are told.
-        self._well_s: OrderedDict[str, float] = OrderedDict()
+        self._evidence = Evidence()
+        self._records = self._evidence.records
 
     def __len__(self) -> int:
         return len(self._records)
@@ -117,7 +105,10 @@
         record = self._records.get(digest)
         if record is None:
             return False
-        return record.doubted or len(self._counted(record)) + 1 >= _CRASHES_TO_DOUBT
+        return (
+            record.doubted
+            or len(self._evidence.counted(record)) + 1 >= CRASHES_TO_DOUBT
+        )
 
     # What was seen
 
@@ -137,7 +128,7 @@
         ]
         for record in touched:
             changes += self._judge(record, now_s)
-        self._bound()
+        self._evidence.bound()
         return changes
 
     def _join(
@@ -169,7 +160,7 @@
     def _judge(self, record: ContentRecord, now_s: float) -> list[QuarantineChange]:
         if record.held_s is not None:
             return self._judge_held(record, now_s)
-        if len(self._counted(record)) < _CRASHES_TO_DOUBT:
+        if not self._evidence.gives_doubt(record):
             return []
         if record.probation_s is not None:
             if record.crashes_on_trial:
@@ -200,11 +191,11 @@
         Its news came late, or by another entry. Which of the two it is shows when they
         run apart.
         """
-        if self._ever_ran_well(record):
+        if self._evidence.ever_ran_well(record):
             return []
         changes: list[QuarantineChange] = []
-        for other in self._records.values():
-            if other is record or other.held_s is None or other.proofs:
+        for other in self._evidence.others(record):
+            if other.held_s is None or other.proofs:
                 continue
             if other.crashes.keys() <= record.crashes.keys():
                 reason = f"content {record.content.digest} was there each time too"
@@ -235,68 +226,27 @@
         return record.last_s + _SETTLE_S
 
     def _settle(self, record: ContentRecord, now_s: float) -> list[QuarantineChange]:
-        if self._is_proved(record):
+        if self._evidence.proves(record):
             return self._prove(record, now_s)
-        if record.trials > 0 or not self._stands_alone(record):
+        if record.trials > 0 or not self._evidence.leaves_only(record):
             return []
         reason = "nothing else was under all servers that ended"
         return self._hold(record, now_s, reason)
 
-    def _is_proved(self, record: ContentRecord) -> bool:
-        """Return whether enough trials of a content ended their server.
-
-        One is enough for a content that never ran well. One under whose server
-        another content was that is doubted too says nothing; half as much, if
-        another one was there under which another server has ended.
-        """
-        others = [other for other in self._records.values() if other is not record]
-        for server_id in record.crashes_on_trial:
-            also_there = [o for o in others if server_id in o.crashes]
-            if not any(o.doubted for o in also_there):
-                ends = max((len(o.crashes) for o in also_there), default=0)
-                record.proofs[server_id] = 1.0 if ends <= 1 else 0.5
-        needed = _PROOFS_IF_WELL if self._ever_ran_well(record) else 1.0
-        return bool(record.proofs) and sum(record.proofs.values()) >= needed
-
     def _prove(self, record: ContentRecord, now_s: float) -> list[QuarantineChange]:
         """Hold a content back, and let go of all whose crashes it explains."""
         changes = self._hold(record, now_s, "a server ended under its trial")
-        for other in list(self._records.values()):
+        for other in list(self._evidence.others(record)):
             proved = other.held_s is not None and other.proofs
-            if other is record or proved or not other.doubted:
+            if proved or not other.doubted:
                 continue
-            if len(self._counted(other)) >= _CRASHES_TO_DOUBT:
+            if self._evidence.gives_doubt(other):
                 continue
             reason = f"content {record.content.digest} explains its crashes"
             changes.append(other.changed(QuarantineState.CLEARED, reason))
             self._start_anew(other)
         return changes
 
-    def _stands_alone(self, record: ContentRecord) -> bool:
-        """Return whether nothing else explains a content's crashes.
-
-        It ran at one server after the other, or never brought an event, and no other
-        content of that kind was under all of them. Those that ended under one that is
-        held back don't count. Innocent streams that many clients send run side by side,
-        and have mostly brought events when their servers end.
-        """
-        if self._ever_ran_well(record):
-            return False
-        if record.ran_side_by_side and not record.always_silent:
-            return False
-        servers = {crash.server_id for crash in self._counted(record, proved=False)}
-        if len(servers) < _CRASHES_TO_DOUBT:
-            return False
-        return not any(
-            servers <= other.crashes.keys()
-            for other in self._records.values()
-            if other is not record and not self._ever_ran_well(other)
-            if other.always_silent or not record.always_silent
-        )
-
-    def _ever_ran_well(self, record: ContentRecord) -> bool:
-        return record.content.digest in self._well_s
-
     def _hold(
         self, record: ContentRecord, now_s: float, reason: str
     ) -> list[QuarantineChange]:
@@ -306,26 +256,11 @@
         record.trial_until_s = float("-inf")
         return [record.changed(QuarantineState.HELD_BACK, reason)]
 
-    def _counted(self, record: ContentRecord, *, proved: bool = True) -> list[Crash]:
-        """Return the crashes that count.
-
-        :param proved: whether only those explain them that are proved to end servers,
-            or all that are held back.
-        """
-        explained = {
-            server_id
-            for other in self._records.values()
-            if other is not record and other.held_s is not None
-            if other.proofs or not proved
-            for server_id in other.crashes
-        }
-        return record.counted(explained, self.well_s(record.content.digest))
-
     # What speaks for a content
 
     def well_s(self, digest: str) -> float:
         """Return when a content ran well last, or was let go; long ago if never."""
-        return self._well_s.get(digest, float("-inf"))
+        return self._evidence.well_s(digest)
 
     def ran_well(
         self, digest: str, at_s: float, last_event: int | None = None
@@ -343,7 +278,7 @@
             if last_event <= latest:
                 return []
         if at_s > self.well_s(digest):
-            self._note_well(digest, at_s)
+            self._evidence.note_well(digest, at_s)
         if record is None:
             return []
         return self._let_go(record, at_s, QuarantineState.CLEARED, "it ran well")
@@ -353,7 +288,7 @@
         record = self._records.get(digest)
         if record is None or record.held_s is None:
             return []
-        self._note_well(digest, now_s)
+        self._evidence.note_well(digest, now_s)
         return self._let_go(record, now_s, QuarantineState.LIFTED, reason)
 
     def lift_for_versions(
@@ -389,7 +324,7 @@
             del self._records[record.content.digest]
             return [change]
         record.crashes = later
-        if not record.doubted or len(self._counted(record)) >= _CRASHES_TO_DOUBT:
+        if not record.doubted or self._evidence.gives_doubt(record):
             return []
         self._start_anew(record)
         return [change]
@@ -401,12 +336,6 @@
             record.content, record.crashes, last_s=record.last_s
         )
 
-    def _note_well(self, digest: str, at_s: float) -> None:
-        self._well_s[digest] = at_s
-        self._well_s.move_to_end(digest)
-        while len(self._well_s) > _WELL_KEPT:
-            self._well_s.popitem(last=False)
-
     # Holding back
 
     def restore(
@@ -429,7 +358,7 @@
         record.probation_s = None
         record.last_s = max(record.last_s, held_s)
         change = record.changed(QuarantineState.HELD_BACK, "another entry's record")
-        self._bound()
+        self._evidence.bound()
         return [change]
 
     def standing(self, digest: str, now_s: float) -> Standing:
@@ -460,8 +389,8 @@
         don't meet at one server; but none waits for another one for long.
         """
         until_s = max(self._settled_s(record), record.trial_until_s)
-        for other in self._records.values():
-            if other is record or other.probation_s is None:
+        for other in self._evidence.others(record):
+            if other.probation_s is None:
                 continue
             if other.content.service != record.content.service:
                 continue
@@ -489,7 +418,7 @@
             if record.crashes.pop(server_id, None) is None:
                 continue
             record.proofs.pop(server_id, None)
-            wrongly = len(self._counted(record)) < _CRASHES_TO_DOUBT
+            wrongly = not self._evidence.gives_doubt(record)
             if not record.crashes or (record.doubted and wrongly):
                 del self._records[record.content.digest]
                 reason = f"server {server_id} hasn't ended"
@@ -505,15 +434,3 @@
         ]
         for digest in due:
             del self._records[digest]
-
-    def _bound(self) -> None:
-        """Forget those that few servers ended under, the longest ago, if too many."""
-        excess = len(self._records) - _CONTENTS_KEPT
-        if excess <= 0:
-            return
-        by_weight = sorted(
-            self._records.values(),
-            key=lambda r: (r.held_s is not None, len(r.crashes), r.last_s),
-        )
-        for record in by_weight[:excess]:
-            del self._records[record.content.digest]
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -20,8 +20,8 @@
     QuarantineState,
     Standing,
 )
+from railfold._internal.decisions.quarantine.evidence import CONTENTS_KEPT
 from railfold._internal.decisions.quarantine.quarantine import (
-    _CONTENTS_KEPT,
     _FORGET_S,
     _SETTLE_S,
     _TRIAL_S,
@@ -345,10 +345,10 @@
     quarantine: Quarantine,
 ) -> None:
     hold(quarantine)
-    for number in range(3 * _CONTENTS_KEPT):
+    for number in range(3 * CONTENTS_KEPT):
         content = Content(f"{number:032x}", "llm", "draft", "quality")
         see(quarantine, content, crash(1000 + number, 2.0 + number / 100.0))
-    assert len(quarantine) <= _CONTENTS_KEPT
+    assert len(quarantine) <= CONTENTS_KEPT
     assert standing(quarantine, POISON, 40.0) is Standing.HELD
 
 
