--- a/src/railfold/_internal/store/follower.py
+++ b/src/railfold/_internal/store/follower.py
@@ -184,9 +184,10 @@
         try:
             return await read
         except asyncio.CancelledError:
-            if self._waiting is None and wait_s > 0.0:
-                raise LogUnavailableError("a read that waited was given up") from None
-            raise
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise  # Not the read alone: this child ends.
+            raise LogUnavailableError("a read that waited was given up") from None
         finally:
             self._waiting = None
 
--- a/tests/unit/test_log_epoch.py
+++ b/tests/unit/test_log_epoch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass, field
 
 import pytest
@@ -149,3 +150,32 @@
     assert not lease.valid(15.1)
     lease.renew(14.1)
     assert lease.age_s(14.1) == 0.0
+
+
+class SilentLog(Log):
+    """A log that answers no read that waits."""
+
+    async def read(self, stream: str, offset: int, wait_s: float) -> LogPage:
+        if wait_s > 0.0:
+            await asyncio.Event().wait()
+        return await super().read(stream, offset, wait_s)
+
+
+async def test_a_read_that_waits_on_a_silent_log_can_be_given_up() -> None:
+    """Another read has found that the log doesn't answer."""
+    log, reader = SilentLog([("a", 1)]), Reader()
+    lost: list[LogUnavailableError] = []
+    follower = StreamFollower(
+        log, "stream", reader, Metrics(), FollowerPace(wait_s=9.0), on_lost=lost.append
+    )
+    child = asyncio.ensure_future(follower.run(asyncio.Event()))
+    while follower._waiting is None:
+        await asyncio.sleep(0)
+    follower.give_up_waiting()
+    while not lost:
+        await asyncio.sleep(0)
+    while follower._waiting is None:
+        await asyncio.sleep(0.01)
+    child.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await child
