--- a/tests/unit/test_log_epoch.py
+++ b/tests/unit/test_log_epoch.py
@@ -16,6 +16,7 @@
 from railfold._internal.observability.metrics import Metrics
 from railfold._internal.store.follower import FollowerPace, StreamFollower
 from railfold._internal.store.records import LogPage, LogRecord
+from tests.lib.forwarding import until
 from tests.lib.properties import examples
 
 
@@ -169,13 +170,10 @@
         log, "stream", reader, Metrics(), FollowerPace(wait_s=9.0), on_lost=lost.append
     )
     child = asyncio.ensure_future(follower.run(asyncio.Event()))
-    while follower._waiting is None:
-        await asyncio.sleep(0)
+    await until(lambda: follower._waiting is not None)
     follower.give_up_waiting()
-    while not lost:
-        await asyncio.sleep(0)
-    while follower._waiting is None:
-        await asyncio.sleep(0.01)
+    await until(lambda: bool(lost))
+    await until(lambda: follower._waiting is not None)
     child.cancel()
     with pytest.raises(asyncio.CancelledError):
         await child
