--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -58,6 +58,14 @@
     return quarantine.standing(content.digest, now_s)
 
 
+def end_servers_under_both(quarantine: Quarantine) -> None:
+    """Let three servers end under two contents."""
+    for number in range(3):
+        at_s = 1.0 + 0.2 * number
+        both = {content: [crash(number, at_s)] for content in (OTHER, POISON)}
+        quarantine.crashed(both, at_s)
+
+
 def end_trial_badly(
     quarantine: Quarantine, content: Content, number: int, at_s: float
 ) -> None:
@@ -165,10 +173,7 @@
 
 
 def test_what_ran_beside_a_proved_one_isnt_doubted(quarantine: Quarantine) -> None:
-    for number in range(3):
-        at_s = 1.0 + 0.2 * number
-        both = {c: [crash(number, at_s)] for c in (OTHER, POISON)}
-        quarantine.crashed(both, at_s)
+    end_servers_under_both(quarantine)
     end_trial_badly(quarantine, POISON, 3, 1.6)
     assert standing(quarantine, POISON, 1.9) is Standing.HELD
     see(quarantine, OTHER, crash(6, 4.0), crash(7, 5.0))
@@ -179,10 +184,7 @@
     quarantine: Quarantine,
 ) -> None:
     """By counting, whichever was judged first was held back, for ten minutes."""
-    for number in range(3):
-        at_s = 1.0 + 0.2 * number
-        both = {c: [crash(number, at_s)] for c in (OTHER, POISON)}
-        quarantine.crashed(both, at_s)
+    end_servers_under_both(quarantine)
     assert standing(quarantine, OTHER, 1.6) is Standing.MAY_BE_TRIED
     quarantine.begin_trial(OTHER.digest, 1.6)
     # Not both at a time: they might meet again.
@@ -196,10 +198,7 @@
 def test_the_trial_that_ends_a_server_lets_the_other_one_go(
     quarantine: Quarantine,
 ) -> None:
-    for number in range(3):
-        at_s = 1.0 + 0.2 * number
-        both = {c: [crash(number, at_s)] for c in (OTHER, POISON)}
-        quarantine.crashed(both, at_s)
+    end_servers_under_both(quarantine)
     end_trial_badly(quarantine, POISON, 3, 1.6)
     changes = quarantine.settle(1.9)
     assert QuarantineState.CLEARED in states(changes)
