--- a/src/railfold/_internal/entry/generate.py
+++ b/src/railfold/_internal/entry/generate.py
@@ -35,10 +35,8 @@
     TombstoneReplied,
 )
 from railfold._internal.decisions.planner import LinkCosts, PlannerWeights, plan_chain
-from railfold._internal.decisions.retry_budget import (
-    RetryBudget,
-    jittered_retry_after_s,
-)
+from railfold._internal.decisions.retry_budget import RetryBudget
+from railfold._internal.decisions.return_time import NoRoom, return_after_s
 from railfold._internal.entry.agents import AgentPool, RequestMessage
 from railfold._internal.errors import NoCapacityError, OverloadedError
 from railfold._internal.links.messages import (
@@ -178,7 +176,7 @@
 
     def _plan(self, action: PlanChain) -> None:
         context = self._context
-        retry_after_s = jittered_retry_after_s(1.0, context.rng.random())
+        retry_after_s = return_after_s(NoRoom(), context.rng.random())
         if action.is_retry:
             context.metrics.count("generate.retries")
             self._count_own(-1)
--- a/src/railfold/_internal/forwarding/quarantine_records.py
+++ b/src/railfold/_internal/forwarding/quarantine_records.py
@@ -83,7 +83,11 @@
                 self._due_s.pop(digest, None)
                 if change.was_held and not from_peer:
                     self._removals.add(digest)
-            case QuarantineState.SUSPECTED | QuarantineState.ON_TRIAL:
+            case (
+                QuarantineState.SUSPECTED
+                | QuarantineState.ON_PROBATION
+                | QuarantineState.ON_TRIAL
+            ):
                 pass
 
     def found(self, digest: str) -> None:
@@ -146,8 +150,9 @@
         known = self._digests.shared_key
         if known is None:
             await asyncio.sleep(_KEY_WAIT_S * (1.0 + self._router.rng.random()) / 2)
-            known = self._digests.shared_key
         self._key_missing_at = None
+        if known is None and self._digests.ready:
+            return  # Another entry's was read meanwhile.
         key = encode_key(known or secrets.token_bytes(_KEY_BYTES))
         try:
             await self._log.put(self._stream, KEY_NAME, key, expected_end=next_offset)
