--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures: a deployment with a forwarding entry."""
+"""Fixtures: a deployment with forwarding entries."""
 
 from __future__ import annotations
 
@@ -6,22 +6,25 @@
 
 import pytest
 
-from tests.lib.forwarding import Deployment
+from tests.lib.forwarding import Deployment, running
 
 
 @pytest.fixture
 async def deployment() -> AsyncIterator[Deployment]:
     """Two failure domains, each with a whole chain and a plain service."""
-    running = Deployment()
-    await running.start()
-    yield running
-    await running.stop()
+    async for started in running(Deployment()):
+        yield started
 
 
 @pytest.fixture
 async def empty_deployment() -> AsyncIterator[Deployment]:
     """The same, but no engine holds any layers."""
-    running = Deployment(placed=False)
-    await running.start()
-    yield running
-    await running.stop()
+    async for started in running(Deployment(placed=False)):
+        yield started
+
+
+@pytest.fixture
+async def two_entries() -> AsyncIterator[Deployment]:
+    """The first one with two entries."""
+    async for started in running(Deployment(entry_count=2)):
+        yield started
--- a/tests/forwarding/test_crashes_beside_popular.py
+++ b/tests/forwarding/test_crashes_beside_popular.py
@@ -21,7 +21,7 @@
 import pytest
 
 from tests.lib.crashes import play_beside_popular
-from tests.lib.forwarding import Deployment
+from tests.lib.forwarding import Deployment, running
 
 # What one entry has seen reaches all others within this time.
 CONTACT_S = 3.0
@@ -34,10 +34,8 @@
 
 @pytest.fixture(params=[1, 2])
 async def entries(request: pytest.FixtureRequest) -> AsyncIterator[Deployment]:
-    deployment = Deployment(entry_count=request.param)
-    await deployment.start()
-    yield deployment
-    await deployment.stop()
+    async for deployment in running(Deployment(entry_count=request.param)):
+        yield deployment
 
 
 @pytest.mark.parametrize(
--- a/tests/forwarding/test_proofs_from_peers.py
+++ b/tests/forwarding/test_proofs_from_peers.py
@@ -7,23 +7,29 @@
 
 import pytest
 
-from railfold._internal.errors import LogUnavailableError
+from railfold._internal.decisions.routing_table import RoutingTable
+from railfold._internal.errors import ConfigurationRefusedError, LogUnavailableError
 from railfold._internal.forwarding.peer_messages import ProofTold
 from railfold._internal.forwarding.process import ForwardingEntry
 from railfold._internal.store.records import LogPage
-from tests.lib.forwarding import Connection, Deployment, Reply, configuration, until
+from tests.lib.forwarding import (
+    Connection,
+    Deployment,
+    Reply,
+    configuration,
+    running,
+    until,
+)
 
 LEASE_S = 1.5
 
 
 @pytest.fixture
 async def two_entries() -> AsyncIterator[Deployment]:
-    deployment = Deployment(entry_count=2, lease_s=LEASE_S)
-    await deployment.start()
-    channels = [entry._peering._channel for entry in deployment.entries]
-    await until(lambda: all(channel and channel.peers for channel in channels))
-    yield deployment
-    await deployment.stop()
+    async for deployment in running(Deployment(entry_count=2, lease_s=LEASE_S)):
+        channels = [entry._peering._channel for entry in deployment.entries]
+        await until(lambda: all(channel and channel.peers for channel in channels))  # noqa: B023
+        yield deployment
 
 
 def turn_away(entry: ForwardingEntry) -> None:
@@ -114,3 +120,20 @@
     turn_away(entry)
     two_entries.store.go_back(two_entries.store.copy())
     await until(lambda: entry.metrics.counters["store.went_back"] > 0)
+
+
+async def test_an_entry_that_stays_behind_reads_the_store_no_more_often(
+    two_entries: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It refuses what the others accept, and each question told it of the newer one."""
+    entry = two_entries.entry
+
+    def refuse(value: bytes) -> RoutingTable:
+        raise ConfigurationRefusedError("config", ["of a later software"])
+
+    monkeypatch.setattr(entry._configuration_feed, "_decode", refuse)
+    two_entries.store.put("keyed.op", "config", configuration(2))
+    await until(lambda: entry.metrics.counters["proofs.behind"] > 0)
+    before = entry.metrics.counters["proofs.read"]
+    await asyncio.sleep(3.0)
+    assert entry.metrics.counters["proofs.read"] - before <= 6
--- a/tests/forwarding/test_repeated_crashes.py
+++ b/tests/forwarding/test_repeated_crashes.py
@@ -33,7 +33,7 @@
 from railfold._internal.forwarding.peer_messages import CrashesTold, CrashTold
 from standins.chaining_engine import Engine
 from tests.lib.crashes import POISON_BODY, CrashingFleet, Sender, play
-from tests.lib.forwarding import Deployment, Reply, until
+from tests.lib.forwarding import Deployment, Reply, running, until
 
 # What one entry has seen reaches all others within this time.
 CONTACT_S = 3.0
@@ -46,18 +46,6 @@
 STREAM, SAFE, UNSAFE = "/draft/1", "/tray/1", "/slip/1"
 
 
-async def running(deployment: Deployment) -> AsyncIterator[Deployment]:
-    await deployment.start()
-    yield deployment
-    await deployment.stop()
-
-
-@pytest.fixture
-async def two_entries() -> AsyncIterator[Deployment]:
-    async for deployment in running(Deployment(entry_count=2)):
-        yield deployment
-
-
 @pytest.fixture
 async def four_entries() -> AsyncIterator[Deployment]:
     async for deployment in running(Deployment(entry_count=4)):
--- a/tests/forwarding/test_store_goes_back.py
+++ b/tests/forwarding/test_store_goes_back.py
@@ -18,7 +18,7 @@
 from railfold._internal.forwarding.shared_records import KEY_NAME
 from railfold._internal.platform.store import GroupLease
 from standins.metadata_store import PARTITIONS, StoreCopy
-from tests.lib.forwarding import KEY, Deployment, configuration, until
+from tests.lib.forwarding import KEY, Deployment, configuration, running, until
 
 QUARANTINE = "keyed.railfold-quarantine"
 ENTRIES = "keyed.railfold-entries"
@@ -26,26 +26,14 @@
 
 @pytest.fixture
 async def short_lease() -> AsyncIterator[Deployment]:
-    deployment = Deployment(lease_s=1.0)
-    await deployment.start()
-    yield deployment
-    await deployment.stop()
+    async for deployment in running(Deployment(lease_s=1.0)):
+        yield deployment
 
 
 @pytest.fixture
 async def long_lease() -> AsyncIterator[Deployment]:
-    deployment = Deployment(lease_s=10.0)
-    await deployment.start()
-    yield deployment
-    await deployment.stop()
-
-
-@pytest.fixture
-async def two_entries() -> AsyncIterator[Deployment]:
-    deployment = Deployment(entry_count=2)
-    await deployment.start()
-    yield deployment
-    await deployment.stop()
+    async for deployment in running(Deployment(lease_s=10.0)):
+        yield deployment
 
 
 async def lose_store(deployment: Deployment) -> None:
--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -269,6 +270,13 @@
         return [e for e in self.engines if e.layers and e.layers[0] == 0]
 
 
+async def running(deployment: Deployment) -> AsyncIterator[Deployment]:
+    """Start a deployment, and stop it when whoever uses it is done."""
+    await deployment.start()
+    yield deployment
+    await deployment.stop()
+
+
 @dataclass
 class Connection:
     """A client's connection."""
