--- a/src/railfold/_internal/forwarding/proof_keeper.py
+++ b/src/railfold/_internal/forwarding/proof_keeper.py
@@ -29,8 +29,8 @@
 
 _LOOK_S = 0.1
 
-# After a read that failed, or didn't bring what others know, the next one waits, so that
-# an outage isn't probed by all.
+# After a read that failed, or didn't bring what others know, the next one waits, so
+# that an outage isn't probed by all.
 _AGAIN_S = 0.6
 
 # An older proof isn't told; younger ones tell that nobody has a better one.
@@ -96,7 +96,7 @@
             if await self._read() and self._feed.lacks_newest:
                 # The store answers, and doesn't hold what another entry has read from
                 # it: it went back right before this entry started. Or this one refuses
-                # what is there: each question would lead to a read, 7 a second (played).
+                # what is there: each question would lead to a read, 7 a second.
                 self._router.lease.revoke()
                 self._read_due_s = self._loop.time() + _AGAIN_S
             return
