Sight: a line and metrics for rate limits that backend servers name

Cause of the blindness: no line and no metric told that a server had named a limit, so that the hypotheses of the incident couldn't be told apart from logs. Change: the header is decoded in the platform's adapter (odd values are one decision: no word, one warning), which word holds is a pure part with tests, and the first, changed and ended limit each get a line (rate_limit_changed); sends to a server with a limit in force are counted. Nothing is decided by it yet. The stand-in names a limit.

--- a/src/railfold/_internal/forwarding/dialect.py
+++ b/src/railfold/_internal/forwarding/dialect.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from railfold._internal.core import Chain, LayerRange
+from railfold._internal.decisions.rate_limits.words import RateLimitWord
 from railfold._internal.forwarding.messages import (
     ClientRequest,
     Header,
@@ -184,6 +185,9 @@
     def classify(self, head: ResponseHead, request_id: str) -> AnswerKind:
         """Return what an answer's head says."""
 
+    def rate_limit(self, head: ResponseHead) -> RateLimitWord:
+        """Return what an answer's head says of the rate that its server takes."""
+
     def report_call(self) -> EngineCall:
         """Return the call that asks an engine for its report."""
 
--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -278,6 +278,7 @@
             self._check,
             repeatable=self._route.repeatable,
         )
+        router.limits.sent(destination.server_ids)
         self._log.attempt_started(self._attempts, plan, resume_after)
         self._exchange.start()
         self._watch_chain(destination)
@@ -342,6 +343,10 @@
     def answer_head(self, kind: AnswerKind, head: ResponseHead) -> None:
         """The head of an answer came."""
         self._kind = kind
+        destination = self._destination
+        if destination is not None:
+            server_id = destination.server.host
+            self._router.limits.heard(server_id, head, self._sent_s)
         is_stream = self._route.kind is RouteKind.STREAM and _holds_events(head)
         if isinstance(kind, ServedAnswer) and is_stream:
             self._streaming = True
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -489,7 +489,7 @@
         self._fleet.dealt(deal, sent_s)
         members = self._fleet.members
         if members is not None:
-            self.router.entries = members
+            self.router.entries = self.router.limits.members = members
         self.metrics.gauge("entries", members or 0)
         self._divide_limits()
 
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -61,6 +61,7 @@
 )
 from railfold._internal.forwarding.dialect import Dialect
 from railfold._internal.forwarding.pool import ConnectionPool
+from railfold._internal.forwarding.rate_limits import RateLimits
 from railfold._internal.observability.decision_log import DecisionLog
 from railfold._internal.observability.metrics import Metrics
 
@@ -146,6 +147,11 @@
     fleet_arrivals: FleetArrivals = field(default_factory=FleetArrivals)
     costs: LinkCosts = field(default_factory=LinkCosts)
     weights: PlannerWeights = field(default_factory=PlannerWeights)
+    limits: RateLimits = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Build what is made of the other parts."""
+        self.limits = RateLimits(self.dialect, self.metrics, self.log)
 
     def check_permission(self, route: Route, path: str, credential: str) -> None:
         """Look at the newest configuration right before a request is sent.
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -27,6 +27,7 @@
     "ProcessStarted",
     "ProcessStopping",
     "QuarantineChanged",
+    "RateLimitChanged",
     "RequestEnded",
     "ServerCrashed",
     "SettingsReloaded",
@@ -231,6 +232,25 @@
     retry_in_ms: float
 
 
+class RateLimitChanged(msgspec.Struct, frozen=True, tag="rate_limit_changed"):
+    """What is known of the rate that a backend server takes from all entries changed.
+
+    :param state: named, ended, lapsed or unreadable.
+    :param per_s: requests a second that it takes; nothing if it names no limit.
+    :param source: whether this entry heard it from the server, or from another entry.
+    :param entries: how many entries there are, as far as this one knows.
+    :param own_per_s: what this entry may hand out of it to itself and others.
+    """
+
+    server_id: str
+    state: str
+    cause: str
+    per_s: float | None
+    source: str
+    entries: int
+    own_per_s: float
+
+
 class RequestEnded(msgspec.Struct, frozen=True, tag="request_ended"):
     """A request got its final answer."""
 
@@ -276,6 +296,7 @@
     | StreamRerouted
     | ServerCrashed
     | QuarantineChanged
+    | RateLimitChanged
     | RequestEnded
     | LinesDropped
 )
--- a/src/railfold/_internal/platform/dialect.py
+++ b/src/railfold/_internal/platform/dialect.py
@@ -6,6 +6,12 @@
 from collections.abc import Iterable, Sequence
 
 from railfold._internal.core import Chain, LayerRange
+from railfold._internal.decisions.rate_limits.words import (
+    NoRateLimit,
+    RateLimitNamed,
+    RateLimitWord,
+    UnreadableRateLimit,
+)
 from railfold._internal.errors import InvalidRequestError
 from railfold._internal.forwarding.dialect import (
     AnswerKind,
@@ -45,6 +51,8 @@
 _NOT_EXECUTED = "Railfold-Not-Executed"
 _AT_FAULT = "At-Server"
 _LAST_EVENT_ID = "Last-Event-Id"
+# Requests a second that a server in need takes from all entries together.
+_RATE_LIMIT = "Server-Limit"
 # 0 is let in first, 9 last, 5 is usual.
 _ENGINE_PRIORITY = "Railfold-Request-Priority"
 _MOST_URGENT = 0
@@ -59,6 +67,12 @@
 # like, and longer numbers take time to read and to reckon with.
 _WHOLE_NUMBER = re.compile(r"[0-9]{1,12}")
 
+# A rate in requests a second. Signs, exponents, words and longer numbers mean nothing.
+_RATE = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
+
+# Of a text that can't be read so much is told in logs.
+_TEXT_TOLD = 40
+
 # Set by this process alone; what a client sends under these names is dropped.
 _OWN_HEADERS = frozenset(
     name.lower()
@@ -166,6 +180,21 @@
             return ServerFailure()
         return ServedAnswer()
 
+    def rate_limit(self, head: ResponseHead) -> RateLimitWord:
+        """Return what an answer's head says of the rate that its server takes.
+
+        Two fields contradict each other or add nothing: neither is read.
+        """
+        name = _RATE_LIMIT.lower()
+        values = [v.strip() for n, v in head.headers if n.lower() == name]
+        match values:
+            case []:
+                return NoRateLimit()
+            case [text] if _RATE.fullmatch(text):
+                return RateLimitNamed(float(text))
+            case _:
+                return UnreadableRateLimit(", ".join(values)[:_TEXT_TOLD])
+
     def report_call(self) -> EngineCall:
         """Return the call that asks an engine for its report."""
         return engines.report_call()
--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -53,6 +53,8 @@
     :param crash_body: a request with this body ends it ``crash_after_s`` after it has
         begun to run there, whatever else runs; ``on_crash`` is called then, and
         ``crashed_by`` is its path.
+    :param rate_limit: what it names as the requests a second that it takes, in the
+        heads of answers to requests; it serves all the same.
     :param reports_to_drop: how many calls for its report it answers by closing the
         connection, as one that was idle for too long.
     """
@@ -70,6 +72,7 @@
     pace: float = 1.0
     born: int | None = None
     reports_to_drop: int = 0
+    rate_limit: str | None = None
     crash_body: bytes | None = None
     crash_after_s: float = 0.08
     on_crash: Callable[[Engine], None] | None = None
@@ -249,7 +252,9 @@
 
 class _Request(_Handler):
     async def prepare(self) -> None:
-        """Streams of a dead engine stand still; all else is up to the mode."""
+        """Name a limit; streams of a dead engine stand still."""
+        if self.engine.rate_limit is not None:
+            self.set_header("Server-Limit", self.engine.rate_limit)
 
     def on_connection_close(self) -> None:
         self.engine.cancelled.append(self.request.headers["Railfold-Attempt-Id"])
--- /dev/null
+++ b/tests/unit/test_advertised_limits.py
@@ -0,0 +1,119 @@
+"""Which rate limit of a backend server holds, by its newest word."""
+
+from __future__ import annotations
+
+import pytest
+
+from railfold._internal.decisions.rate_limits import (
+    AdvertisedLimits,
+    LimitEnded,
+    LimitLapsed,
+    LimitNamed,
+    LimitUnreadable,
+    NoRateLimit,
+    RateLimitNamed,
+    UnreadableRateLimit,
+)
+
+SERVER = "i-1@5"
+
+
+@pytest.fixture
+def limits() -> AdvertisedLimits:
+    """A server has named a limit of 2 a second at 10 s."""
+    limits = AdvertisedLimits()
+    assert limits.heard(SERVER, RateLimitNamed(2.0), 9.8, 10.0) == LimitNamed(2.0)
+    return limits
+
+
+def test_the_first_answer_that_names_one_counts(limits: AdvertisedLimits) -> None:
+    assert limits.per_s(SERVER) == 2.0
+    assert limits.in_force == [SERVER]
+
+
+def test_it_falls_and_rises_with_the_newest_word(limits: AdvertisedLimits) -> None:
+    assert limits.heard(SERVER, RateLimitNamed(0.0), 10.1, 10.2) == LimitNamed(0.0)
+    assert limits.heard(SERVER, RateLimitNamed(0.0), 10.2, 10.3) is None
+    assert limits.heard(SERVER, RateLimitNamed(5.0), 10.3, 10.4) == LimitNamed(5.0)
+    assert limits.per_s(SERVER) == 5.0
+
+
+def test_an_answer_that_names_none_ends_it(limits: AdvertisedLimits) -> None:
+    assert limits.heard(SERVER, NoRateLimit(), 10.1, 10.2) == LimitEnded()
+    assert limits.per_s(SERVER) is None
+
+
+def test_a_long_answer_that_was_asked_for_before_doesnt_end_it(
+    limits: AdvertisedLimits,
+) -> None:
+    assert limits.heard(SERVER, NoRateLimit(), 9.9, 12.0) is None
+    assert limits.per_s(SERVER) == 2.0
+
+
+def test_nor_does_one_asked_for_before_its_end_name_it_anew(
+    limits: AdvertisedLimits,
+) -> None:
+    limits.heard(SERVER, NoRateLimit(), 10.1, 10.2)
+    assert limits.heard(SERVER, RateLimitNamed(2.0), 10.15, 12.0) is None
+    assert limits.heard(SERVER, RateLimitNamed(2.0), 10.3, 12.0) == LimitNamed(2.0)
+
+
+def test_what_is_no_rate_changes_nothing_and_is_told_once(
+    limits: AdvertisedLimits,
+) -> None:
+    word = UnreadableRateLimit("nan")
+    assert limits.heard(SERVER, word, 10.1, 10.2) == LimitUnreadable("nan")
+    assert limits.heard(SERVER, word, 10.2, 10.3) is None
+    assert limits.per_s(SERVER) == 2.0
+    assert limits.heard("i-2", word, 10.2, 10.3) == LimitUnreadable("nan")
+    assert limits.per_s("i-2") is None
+
+
+def test_another_incarnation_has_none(limits: AdvertisedLimits) -> None:
+    assert limits.per_s("i-1@6") is None
+    limits.forget({"i-1@6"}, 11.0)
+    assert not limits
+
+
+def test_of_others_words_and_own_ones_the_newest_counts(
+    limits: AdvertisedLimits,
+) -> None:
+    assert limits.told(SERVER, None, 9.9) is None
+    assert limits.told(SERVER, 3.0, 10.5) == LimitNamed(3.0)
+    assert limits.told(SERVER, None, 11.0) == LimitEnded()
+    assert limits.told("i-9", None, 11.0) is None
+
+
+def test_a_server_gets_its_usual_share_back_step_by_step(
+    limits: AdvertisedLimits,
+) -> None:
+    limits.heard(SERVER, NoRateLimit(), 20.0, 20.1)
+    shares = [limits.share(SERVER, 20.1 + at_s) for at_s in (0.0, 1.0, 2.0, 6.0)]
+    assert shares == sorted(shares)
+    assert shares[0] == 0.0
+    assert 0.1 < shares[1] < 0.5
+    assert shares[-1] == 1.0
+
+
+def test_what_nobody_confirms_lapses(limits: AdvertisedLimits) -> None:
+    assert limits.lapse(13.0, 1) == {}
+    (lapsed,) = limits.lapse(15.0, 1).values()
+    assert isinstance(lapsed, LimitLapsed)
+    assert limits.per_s(SERVER) is None
+
+
+def test_where_many_could_try_it_lapses_later(limits: AdvertisedLimits) -> None:
+    """Each of 21 entries that are cut off from each other tries once in 10 s."""
+    assert limits.lapse(15.0, 21) == {}
+    assert limits.lapse(21.0, 21) != {}
+    limits.heard(SERVER, RateLimitNamed(2.0), 30.0, 30.0)
+    assert limits.lapse(59.0, 380) == {}
+    assert limits.lapse(61.0, 380) != {}
+
+
+def test_limits_that_ended_long_ago_are_forgotten(limits: AdvertisedLimits) -> None:
+    limits.heard(SERVER, NoRateLimit(), 20.0, 20.1)
+    limits.forget({SERVER}, 21.0)
+    assert limits
+    limits.forget({SERVER}, 60.0)
+    assert not limits
