--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -324,6 +324,10 @@
     async def read(self) -> Reply:
         """Read an answer to its end or to the connection's."""
         status, headers = await self.read_head()
+        return await self.read_body(status, headers)
+
+    async def read_body(self, status: int, headers: dict[str, str]) -> Reply:
+        """Read what follows an answer's head."""
         if "Content-Length" in headers:
             body = await self.reader.readexactly(int(headers["Content-Length"]))
             return Reply(status, headers, body, whole=True)
