--- a/soak/clients.py
+++ b/soak/clients.py
@@ -17,9 +17,23 @@
     Reply,
     events_of,
 )
+from tests.lib.limits import WINDOW_S, allowed
 
 # Rules, by the names of the users' pages.
-MIXED, TWICE, REFUSED, ORDER, LAYERS, DRAIN, RECOVER, BUDGET, GONE, LOST, DENIED = (
+(
+    MIXED,
+    TWICE,
+    REFUSED,
+    ORDER,
+    LAYERS,
+    DRAIN,
+    RECOVER,
+    BUDGET,
+    GONE,
+    LOST,
+    DENIED,
+    LIMIT,
+) = (
     "MIXED",
     "TWICE",
     "REFUSED",
@@ -31,6 +45,7 @@
     "GONE",
     "LOST",
     "DENIED",
+    "LIMIT",
 )
 
 # An engine that drains gets nothing later than this; the platform says 2 s, and
@@ -44,6 +59,9 @@
 _CONTACT_S = 3.0
 _MOST_LATE_SENDS = 3
 
+# A limit that a server names is known at all entries after this time, with demand.
+_ALL_TOLD_S = 1.0
+
 # A stream whose client left may run on for this long; more than a quarter of those
 # left that do, of this many at least, break the rule.
 _RUN_ON_S = 0.5
@@ -72,6 +90,7 @@
     served_at_s: list[float] = field(default_factory=list)
     left_at_s: dict[str, float] = field(default_factory=dict)
     sent_at_s: dict[str, list[float]] = field(default_factory=dict)
+    entry_of: dict[str, str] = field(default_factory=dict)
 
     def sent(self, service: str) -> None:
         """Note that a client sent a request on a route to a service."""
@@ -92,6 +111,7 @@
         self._seen = seen
         self._rng = random.Random(f"{seed}/{name}")
         self._connection: Connection | None = None
+        self._entry = ""
         self._number = 0
         self.stopping = False
 
@@ -117,6 +137,7 @@
             self._seen.unsafe_ids.add(request_id)
         try:
             connection = await self._connect()
+            self._seen.entry_of[request_id] = self._entry
             options = {"method": "GET", "body": b""} if kind == "tray" else {}
             await connection.send(f"/{kind}/1", request_id, events=count, **options)
             self._seen.sent(MODEL_SERVICE if kind == "draft" else PLAIN_SERVICE)
@@ -145,6 +166,7 @@
     async def _connect(self) -> Connection:
         if self._connection is None:
             entry = self._rng.choice(self._world.entries)
+            self._entry = entry.name
             reader, writer = await asyncio.wait_for(
                 asyncio.open_connection("127.0.0.1", entry.clients), 1.0
             )
@@ -206,11 +228,40 @@
     for request_id in seen.refused_ids & seen.unsafe_ids:
         if runs[request_id]:
             seen.violated(REFUSED, f"{request_id} was refused and ran")
+    _check_limits(world, seen)
     _check_poison(world, seen)
     _check_budget(world, seen)
     _check_gone(world, seen)
 
 
+def _check_limits(world: World, seen: Observed) -> None:
+    """Count what servers with a rate limit got from all undisturbed entries.
+
+    Whatever any of them was told, the others know a moment later. What a faulty link
+    holds up arrives together.
+    """
+    if any(fault.name == "link_fault" for fault in world.injected):
+        return
+    for number, named in enumerate(world.limits_named):
+        if named.text is None:
+            continue
+        later = world.limits_named[number + 1 :]
+        ends_s = [other.from_s for other in later if other.server is named.server]
+        counted = [
+            arrival.at_s
+            for arrival in named.server.arrivals
+            if named.from_s + _ALL_TOLD_S <= arrival.at_s < min(ends_s, default=0.0)
+            and seen.entry_of.get(arrival.request_id, "") not in world.disturbed
+        ]
+        most = max(
+            (sum(1 for at_s in counted if s - WINDOW_S < at_s <= s) for s in counted),
+            default=0,
+        )
+        if most > allowed(float(named.text)):
+            server_id = named.server.server_id
+            seen.violated(LIMIT, f"{server_id} takes {named.text} a second: {most}")
+
+
 def _check_poison(world: World, seen: Observed) -> None:
     """Count how often a request that ended three servers was sent on after that.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from soak.world import Injected, World
+from standins.chaining_engine import Engine
 from tests.lib.crashes import POISON_BODY
 from tests.lib.forwarding import Connection
 
@@ -27,6 +28,9 @@
 _POISON_INTERVAL_S = 0.15
 _POISON_READ_S = 3.0
 
+# What servers in need take, in requests a second; small next to what clients send.
+_LIMITS = ("0", "0.5", "1.4", "2.5", "6", "20")
+
 # How the ids of its requests begin.
 POISON_ID = "poison-"
 
@@ -59,17 +63,17 @@
 
 async def entry_kill(world: World, rng: random.Random) -> None:
     """Kill an entry."""
-    rng.choice(world.entries).signal(signal.SIGKILL)
+    world.disturb(rng.choice(world.entries)).signal(signal.SIGKILL)
 
 
 async def entry_stop(world: World, rng: random.Random) -> None:
     """Tell an entry to stop, as for planned work."""
-    rng.choice(world.entries).signal(signal.SIGTERM)
+    world.disturb(rng.choice(world.entries)).signal(signal.SIGTERM)
 
 
 async def entry_pause(world: World, rng: random.Random) -> None:
     """Freeze an entry, and wake it."""
-    entry = rng.choice(world.entries)
+    entry = world.disturb(rng.choice(world.entries))
     entry.signal(signal.SIGSTOP)
     # What a frozen entry had taken before may leave when it wakes.
     world.store_outages_s.append(asyncio.get_running_loop().time())
@@ -82,7 +86,7 @@
 
     A suspended host's would be the same to others; its own steady clock would stand.
     """
-    entry = rng.choice(world.entries)
+    entry = world.disturb(rng.choice(world.entries))
     entry.signal(signal.SIGSTOP)
     world.store_outages_s.append(asyncio.get_running_loop().time())
     await asyncio.sleep(rng.uniform(4.5, 7.0))
@@ -162,6 +166,21 @@
         server.mode = "ok"
 
 
+async def server_limits(world: World, rng: random.Random) -> None:
+    """Let servers name rate limits, name other ones, and none any more."""
+    servers = [*world.engines, *world.plain]
+    chosen = rng.sample(servers, rng.randint(1, len(servers)))
+    tasks = [_name_limits(world, server, rng) for server in chosen]
+    await asyncio.gather(*tasks)
+
+
+async def _name_limits(world: World, server: Engine, rng: random.Random) -> None:
+    for _ in range(rng.randint(1, 3)):
+        world.name_limit(server, rng.choice(_LIMITS))
+        await asyncio.sleep(rng.uniform(0.5, 5.0))
+    world.name_limit(server, None)
+
+
 async def server_crash(world: World, rng: random.Random) -> None:
     """Crash a backend server; an empty one takes its place."""
     servers = [*world.engines, *world.plain]
@@ -282,6 +301,7 @@
     "server_crash": server_crash,
     "server_fault": server_fault,
     "server_leaves": server_leaves,
+    "server_limits": server_limits,
     "server_starts_again": server_starts_again,
     "store_fault": store_fault,
     "store_forgets": store_forgets,
@@ -301,6 +321,7 @@
         "server_crash",
         "server_fault",
         "server_leaves",
+        "server_limits",
         "server_starts_again",
     }
 )
--- a/soak/world.py
+++ b/soak/world.py
@@ -137,6 +137,15 @@
     ended_s: float = math.inf
 
 
+@dataclass(frozen=True)
+class LimitNamed:
+    """A backend server names this rate limit from a time on; ``None`` if none."""
+
+    server: Engine
+    text: str | None
+    from_s: float
+
+
 @dataclass
 class World:
     """Everything of one run; proxies stand before the store and each engine."""
@@ -154,6 +163,8 @@
     store_outages_s: list[float] = field(default_factory=list)
     crash_body: bytes | None = None
     poisoned_s: dict[str, list[float]] = field(default_factory=dict)
+    limits_named: list[LimitNamed] = field(default_factory=list)
+    disturbed: set[str] = field(default_factory=set)
     _replacements: set[asyncio.Task[None]] = field(default_factory=set)
     _count: Counter[str] = field(default_factory=Counter)
 
@@ -253,6 +264,18 @@
         await engine.stop()
         if self.runs(engine):
             engine.start_again(unix_time_ms())
+            self.name_limit(engine, None)
+
+    def name_limit(self, server: Engine, text: str | None) -> None:
+        """Let a backend server name a rate limit from now on, or none."""
+        now_s = asyncio.get_running_loop().time()
+        server.rate_limit = text
+        self.limits_named.append(LimitNamed(server, text, now_s))
+
+    def disturb(self, entry: Entry) -> Entry:
+        """Note that an entry is killed, stopped or frozen in this run."""
+        self.disturbed.add(entry.name)
+        return entry
 
     def runs(self, engine: Engine) -> bool:
         """Return whether a backend server wasn't replaced by another one."""
--- a/src/railfold/_internal/forwarding/dialect.py
+++ b/src/railfold/_internal/forwarding/dialect.py
@@ -185,6 +185,9 @@
     def classify(self, head: ResponseHead, request_id: str) -> AnswerKind:
         """Return what an answer's head says."""
 
+    def unknown_headers(self, head: ResponseHead) -> Sequence[str]:
+        """Return names of the platform's own headers that the adapter doesn't know."""
+
     def rate_limit(self, head: ResponseHead) -> RateLimitWord:
         """Return what an answer's head says of the rate that its server takes."""
 
--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -393,8 +393,10 @@
         self._kind = kind
         destination = self._destination
         if destination is not None:
-            server_id = destination.server.host
-            self._router.limits.heard(server_id, kind, head, self._sent_s)
+            router, server_id = self._router, destination.server.host
+            router.limits.heard(server_id, kind, head, self._sent_s)
+            unknown = router.dialect.unknown_headers(head)
+            router.unknown_headers.note(server_id, unknown)
         is_stream = self._route.kind is RouteKind.STREAM and _holds_events(head)
         if isinstance(kind, ServedAnswer) and is_stream:
             self._streaming = True
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -64,6 +64,7 @@
 from railfold._internal.forwarding.dialect import Dialect
 from railfold._internal.forwarding.pool import ConnectionPool
 from railfold._internal.forwarding.rate_limits import RateLimits
+from railfold._internal.forwarding.unknown_headers import UnknownHeaders
 from railfold._internal.observability.decision_log import DecisionLog
 from railfold._internal.observability.metrics import Metrics
 
@@ -154,9 +155,11 @@
     costs: LinkCosts = field(default_factory=LinkCosts)
     weights: PlannerWeights = field(default_factory=PlannerWeights)
     limits: RateLimits = field(init=False)
+    unknown_headers: UnknownHeaders = field(init=False)
 
     def __post_init__(self) -> None:
         """Build what is made of the other parts."""
+        self.unknown_headers = UnknownHeaders(self.metrics)
         self.limits = RateLimits(self.dialect, self.metrics, self.log, self.rng)
 
     def check_permission(self, route: Route, path: str, credential: str) -> None:
--- /dev/null
+++ b/src/railfold/_internal/forwarding/unknown_headers.py
@@ -0,0 +1,37 @@
+"""Telling of headers in backend servers' answers that nothing here reads.
+
+A server may state a bound under a name that this version doesn't know. Such a name gets
+one line, so that it is found in the logs before it is found in what goes wrong.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from absl import logging
+
+from railfold._internal.observability.metrics import Metrics
+
+__all__ = ["UnknownHeaders"]
+
+# Servers that make names up must not fill logs or memory.
+_NAMES_KEPT = 32
+
+
+class UnknownHeaders:
+    """Tells once of each name."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self._told: set[str] = set()
+
+    def note(self, server_id: str, names: Iterable[str]) -> None:
+        """Take the unknown names of an answer."""
+        for name in names:
+            self._metrics.count("answers.unknown_headers")
+            if name in self._told or len(self._told) >= _NAMES_KEPT:
+                continue
+            self._told.add(name)
+            logging.warning(
+                "%s answers with a header that isn't known: %r", server_id, name
+            )
--- a/src/railfold/_internal/platform/dialect.py
+++ b/src/railfold/_internal/platform/dialect.py
@@ -35,7 +35,7 @@
     ResponseHead,
 )
 from railfold._internal.forwarding.replies import connection_headers
-from railfold._internal.platform import engines
+from railfold._internal.platform import answer_headers, engines
 
 __all__ = ["PlatformDialect"]
 
@@ -180,6 +180,10 @@
             return ServerFailure()
         return ServedAnswer()
 
+    def unknown_headers(self, head: ResponseHead) -> Sequence[str]:
+        """Return names of the platform's own headers that aren't known here."""
+        return answer_headers.unlisted(head.headers)
+
     def rate_limit(self, head: ResponseHead) -> RateLimitWord:
         """Return what an answer's head says of the rate that its server takes.
 
--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -176,6 +176,7 @@
         """Start under the same id, knowing nothing of before."""
         self.born = born
         self.state = "ready"
+        self.rate_limit = None
         self.orders = 0
         self.fence = -1
         self.layers = None
--- a/tests/unit/test_advertised_limits.py
+++ b/tests/unit/test_advertised_limits.py
@@ -117,3 +117,10 @@
     assert limits
     limits.forget({SERVER}, 60.0)
     assert not limits
+
+
+def test_a_wrong_word_of_another_entry_ends_with_the_servers_own_next_one() -> None:
+    limits = AdvertisedLimits()
+    assert limits.told("i-2", 0.0, 10.0) == LimitNamed(0.0)
+    assert limits.heard("i-2", NoRateLimit(), 11.0, 11.1) == LimitEnded()
+    assert limits.told("i-2", 0.0, 10.5) is None
--- a/tests/unit/test_return_time.py
+++ b/tests/unit/test_return_time.py
@@ -11,6 +11,7 @@
     NobodyHasProof,
     NoRoom,
     OnTrial,
+    RateLimited,
     ReturnCause,
     Starting,
     return_after_s,
@@ -57,3 +58,16 @@
     back_s = returns(OnTrial(0.4))
     assert back_s[0] > 0.4
     assert back_s[-1] < 0.5
+
+
+@pytest.mark.parametrize("left_s", [0.0, 0.2, 0.7])
+def test_who_lacks_a_permit_comes_when_there_may_be_one(left_s: float) -> None:
+    back_s = returns(RateLimited(left_s))
+    assert back_s[0] >= left_s
+    assert back_s[0] > 0.0
+    assert len(set(back_s)) > 5
+
+
+def test_servers_that_take_nothing_for_long_are_asked_again_soon() -> None:
+    """They may be well by then; 17 s were told where one request in 5 s is taken."""
+    assert returns(RateLimited(30.0))[-1] <= 2.0
