A limit that lapsed at one entry is named anew by another's last word

Found by reading: an entry at which a limit had lapsed counted the lapse as a word of the server, refused the older word that a question brought, and granted permits without a bound; and that an answer names no rate was told anew four times a second, since what stood for it was forgotten at each look. Each has a test that failed before.

--- a/src/railfold/_internal/decisions/rate_limits/advertised.py
+++ b/src/railfold/_internal/decisions/rate_limits/advertised.py
@@ -84,7 +84,6 @@
     per_s: float | None
     changed_s: float
     word_s: float
-    unreadable_told: bool = False
 
 
 class AdvertisedLimits:
@@ -95,6 +94,7 @@
 
     def __init__(self) -> None:
         self._known: dict[str, _Advertised] = {}
+        self._unreadable: set[str] = set()
 
     def __bool__(self) -> bool:
         """Whether anything is known of any server."""
@@ -123,12 +123,9 @@
                     return None
                 return self._ended(known, now_s)
             case UnreadableRateLimit(text=text):
-                if known is None:
-                    known = _Advertised(None, float("-inf"), float("-inf"))
-                    self._known[server_id] = known
-                if known.unreadable_told:
+                if server_id in self._unreadable:
                     return None
-                known.unreadable_told = True
+                self._unreadable.add(server_id)
                 return LimitUnreadable(text)
 
     def _named(
@@ -138,7 +135,7 @@
         if known is None:
             self._known[server_id] = _Advertised(per_s, given_s, given_s)
             return LimitNamed(per_s)
-        if known.per_s is None and sent_s <= known.word_s:
+        if known.per_s is None and sent_s < known.word_s:
             return None
         known.word_s = max(known.word_s, given_s)
         if known.per_s == per_s:
@@ -160,7 +157,7 @@
         :param per_s: the rate that the server takes; ``None`` if it names none.
         """
         known = self._known.get(server_id)
-        if known is not None and given_s <= known.word_s:
+        if known is not None and given_s < known.word_s:
             return None
         if per_s is not None:
             return self._named(server_id, per_s, given_s, given_s)
@@ -192,12 +189,15 @@
                 continue
             unconfirmed_s = now_s - known.word_s
             if unconfirmed_s > _lapse_s(known.per_s, entries):
-                self._ended(known, now_s)
+                # The server gave no word: another entry's last one names it anew.
+                known.per_s = None
+                known.changed_s = now_s
                 lapsed[server_id] = LimitLapsed(unconfirmed_s)
         return lapsed
 
     def forget(self, known_ids: set[str], now_s: float) -> None:
         """Forget servers that are gone, and limits that ended long ago."""
+        self._unreadable &= known_ids
         for server_id, known in list(self._known.items()):
             over = known.per_s is None and now_s - known.changed_s > _MOST_LAPSE_S
             if server_id not in known_ids or over:
--- a/tests/unit/test_advertised_limits.py
+++ b/tests/unit/test_advertised_limits.py
@@ -111,6 +111,23 @@
     assert limits.lapse(61.0, 380) != {}
 
 
+def test_another_entry_that_still_holds_it_names_a_lapsed_one_anew(
+    limits: AdvertisedLimits,
+) -> None:
+    """Else the one where it lapsed would hand out permits without a bound."""
+    limits.lapse(15.0, 1)
+    assert limits.told(SERVER, 2.0, 10.0) == LimitNamed(2.0)
+
+
+def test_what_is_no_rate_is_told_once_for_as_long_as_its_server_lives() -> None:
+    limits = AdvertisedLimits()
+    word = UnreadableRateLimit("nan")
+    assert limits.heard(SERVER, word, 10.1, 10.2) is not None
+    limits.forget({SERVER}, 50.0)
+    assert limits.heard(SERVER, word, 50.1, 50.2) is None
+    assert limits.share(SERVER, 50.2) == 1.0
+
+
 def test_limits_that_ended_long_ago_are_forgotten(limits: AdvertisedLimits) -> None:
     limits.heard(SERVER, NoRateLimit(), 20.0, 20.1)
     limits.forget({SERVER}, 21.0)
