Comments tell reasons, not how they were measured

Comments and doc strings only, of 19 modules; the syntax trees without doc strings are the same as before (checked).

--- a/src/railfold/_internal/decisions/arrival_rate.py
+++ b/src/railfold/_internal/decisions/arrival_rate.py
@@ -61,12 +61,10 @@
     """Arrivals at all entries, from what they tell.
 
     Entries don't get like shares: clients come to those of their own failure domain,
-    and domains have different numbers of them. Reckoned from one entry's own arrivals
-    times the number of entries, the load of five entries in three domains came out at
-    0.8 to 1.7 times what it was, by which of them reckoned. For the larger figure
-    failure domains that had lost an engine were spread anew, with up to six engines of
-    one instead of two without their layers for two seconds (measured, eight runs of a
-    day: 0.46 of the users' worth where four engines moved, 0.61 to 0.66 else).
+    and domains have different numbers of them. One entry's own arrivals times the
+    number of entries may be far from the sum; a figure that is too large lets more
+    engines of a failure domain move at a time than needed, all without their layers
+    meanwhile.
     """
 
     def __init__(self) -> None:
--- a/src/railfold/_internal/decisions/chain_choice.py
+++ b/src/railfold/_internal/decisions/chain_choice.py
@@ -1,10 +1,9 @@
 """Which of several failure domains' chains a request takes.
 
 Where an entry sees enough of the load, the cheapest chain is the best one. Where it
-doesn't, all entries find the same chain the cheapest, and send there together: after a
-power cut of 68 entries, with 400 clients coming back within half a second, one of some
-twenty first engines got a fifth of all requests, and most of those were refused for
-want of room on its chain (measured). So the less an entry sees, the more the choice is
+doesn't, all entries find the same chain the cheapest, and send there together, more
+than it has room for: most of all after a power cut, when all clients come back at the
+same time. So the less an entry sees, the more the choice is
 left to chance, weighted by what each chain can serve. A kept connection counts more
 then too: it keeps an entry with the engines that chance gave it.
 """
@@ -83,9 +82,8 @@
     """Return the index of the chain that a request takes which may end its engine.
 
     One whose first engine others can replace; else the one with the least room; none if
-    it is the last one, so that the others are still served. Without this a request that
-    ended two engines took the first engine of the third failure domain of three, 0.46 s
-    after the first, and nobody was served for 2 s (seen).
+    it is the last one, so that the others are still served: a request that has ended
+    two engines would else take the first engine of the last failure domain too.
     """
     replaceable = [i for i, option in enumerate(options) if option.first_replaceable]
     if replaceable:
--- a/src/railfold/_internal/decisions/domains.py
+++ b/src/railfold/_internal/decisions/domains.py
@@ -10,9 +10,9 @@
 
 T = TypeVar("T")
 
-# Layers of so many engines are placed together at most, on average. A plan takes 16 to
-# 27 ms for 60 of them, and 0.2 to 1.6 s for 600 (measured on a whole core), while the
-# lease under which it is made lasts 2.4 s. A whole chain takes 8 to 14 engines.
+# Layers of so many engines are placed together at most, on average: the time of a plan
+# grows faster than their number, and must stay well within the lease under which it is
+# made. A whole chain takes 8 to 14 engines.
 _MOST_TOGETHER = 60
 
 
--- a/src/railfold/_internal/decisions/engine_directory.py
+++ b/src/railfold/_internal/decisions/engine_directory.py
@@ -300,9 +300,9 @@
         """Return those servers that new work should avoid since they may have left.
 
         One entry alone may have been without the store, and then a server that is
-        missing has left: it got new work for 2.3 s more without this (seen on a day in
-        which one entry was turned away for 6 s). If the store was out for all, most
-        registrations have lapsed, and none of them is avoided.
+        missing has left: without this it would get new work until its removal counts.
+        If the store was out for all, most registrations have lapsed, and none of them
+        is avoided.
         """
         routable = [e for e in self.of_service(service) if e.routable]
         missing = [e for e in routable if e.missing]
--- a/src/railfold/_internal/decisions/fleet_size.py
+++ b/src/railfold/_internal/decisions/fleet_size.py
@@ -12,7 +12,7 @@
   doesn't know how many there were before, nor what its predecessor has spent.
 
 Equal parts of a fixed number would be too large for some fleets: with 25 for all that
-don't know theirs, 383 entries could spend three times the whole (reckoned).
+don't know theirs, 383 entries could spend three times the whole.
 """
 
 from __future__ import annotations
@@ -26,9 +26,10 @@
 # nobody. Members renew every 0.75 s, and have all done so once after this time.
 _SETTLED_S = 1.0
 
-# Shares of five members of 240 partitions are 40 and 50 (measured); one that is further
-# from an even one is of another number of members. Parts by a list that is wrong by
-# less add up to no more than 1.25 of what is divided, which is 0.8 of a limit.
+# The store's shares are uneven: of 240 partitions five members hold 40 or 50 each. One
+# that is further from an even one is of another number of members. Parts by a list that
+# is wrong by less add up to no more than 1.25 of what is divided, which is 0.8 of a
+# limit.
 _UNEVEN_SHARE = 0.2
 
 # The share of its part that an entry has which has just come. Together they have no
--- a/src/railfold/_internal/decisions/heartbeats.py
+++ b/src/railfold/_internal/decisions/heartbeats.py
@@ -17,7 +17,7 @@
 
     :param budget_bytes_per_s: what heartbeats may cost this entry.
     :param heartbeat_bytes: one heartbeat and the probe that renews the entry's
-        lease: 247 bytes of payload, measured, and 52 bytes of headers for each
+        lease: 247 bytes of payload, and 52 bytes of headers for each
         of four packets.
     """
 
--- a/src/railfold/_internal/decisions/peers.py
+++ b/src/railfold/_internal/decisions/peers.py
@@ -2,10 +2,9 @@
 
 News spread as rumours: who learns something tells some others, drawn by chance, and
 each of those passes it on once. Up to nine entries tell all others directly. With 380,
-three rounds reach all but some 0.03 % of them (reckoned: e^-8 are told by nobody), and
-each sends eight datagrams a piece of news, whatever their number; telling all directly
-would take 379 of one of them. Who misses one learns it with the next, or from the
-store.
+three rounds reach all but some 0.03 % of them (e^-8 are told by nobody), and each sends
+eight datagrams a piece of news, whatever their number; telling all directly would take
+379 of one of them. Who misses one learns it with the next, or from the store.
 """
 
 from __future__ import annotations
--- a/src/railfold/_internal/decisions/placement/throughput.py
+++ b/src/railfold/_internal/decisions/placement/throughput.py
@@ -25,7 +25,7 @@
 ]
 
 # What each stage adds to the time of a token beside its share of the step: the way
-# there, as measured at light load on engines of 8, 9, 13 and 14 stages a chain.
+# there, at light load.
 STAGE_DELAY_S = 0.00015
 
 # Numbers of requests in flight that are looked at, each this part of the one before:
--- a/src/railfold/_internal/decisions/proof_exchange.py
+++ b/src/railfold/_internal/decisions/proof_exchange.py
@@ -12,8 +12,7 @@
 asked within a quarter of a second, and reads then. An entry that hears nobody reads
 alone, as often as without peers.
 
-Played: 21 entries read 2.8 times a second all together. Where each asked peers drawn
-by chance, all came to be asked by some, and read 19 times a second.
+If each asked peers drawn by chance, all would be asked by some, and all would read.
 """
 
 from __future__ import annotations
--- a/src/railfold/_internal/decisions/quarantine/quarantine.py
+++ b/src/railfold/_internal/decisions/quarantine/quarantine.py
@@ -25,8 +25,8 @@
 
 A content that only shared its servers with the one that ends them runs well as soon as
 the two run apart, and so isn't held back. By counting alone whichever of the two was
-judged first was: a popular harmless request was refused until its hold ended, and the
-other one ended 20 servers in 8 s (played with four engines and one entry).
+judged first would be: a popular harmless request would be refused until its hold ends,
+while the other one went on.
 
 One that is held back is tried again after a time that doubles, by one entry at a time.
 """
@@ -56,10 +56,10 @@
 # tells the others within milliseconds.
 _SETTLE_S = 0.1
 
-# One that ends its server does so 0.03 to 0.32 s after it was sent there (measured).
+# One that ends its server does so within a third of a second after it was sent there.
 # For so long other contents' trials wait, and requests of the same content somewhat
 # longer, yet no longer than a client takes for a pause. Where engines queue requests a
-# trial begins late, 1.2 s after it was sent (seen): of several whose end isn't known
+# trial may begin a second after it was sent: of several whose end isn't known
 # each makes the others wait for twice as long, up to 3.2 s.
 _TRIAL_ALONE_S = 0.35
 _PROBATION_TRIAL_S = 0.8
--- a/src/railfold/_internal/decisions/retry_budget.py
+++ b/src/railfold/_internal/decisions/retry_budget.py
@@ -36,8 +36,8 @@
     filled by first attempts would allow the slack once, not in each window.
 
     :param rounding: added to what is allowed, below 1. Of many processes with small
-        parts each would lose half a retry to whole numbers: 34 of 480 for 68 entries
-        (reckoned). Drawn by chance for each, their sum is what the parts add up to.
+        parts each would lose half a retry to whole numbers. Drawn by chance for each,
+        their sum is what the parts add up to.
     """
 
     def __init__(self, limits: RetryLimits, rounding: float = 0.0) -> None:
--- a/src/railfold/_internal/decisions/return_time.py
+++ b/src/railfold/_internal/decisions/return_time.py
@@ -24,8 +24,8 @@
 # time in which one entry's clients come by themselves.
 _ELSEWHERE_S = 0.05
 
-# An entry that starts knows its first configuration after about so long (measured:
-# 0.4 s on the smallest hosts, from the moment at which it takes connections).
+# An entry that starts knows its first configuration after about so long; on the
+# smallest hosts somewhat later.
 _START_S = 0.25
 
 # Room for one request comes and goes with the end of others, each 0.5 to 2 s long.
--- a/src/railfold/_internal/forwarding/content_digest.py
+++ b/src/railfold/_internal/forwarding/content_digest.py
@@ -2,9 +2,8 @@
 
 Path, caller and body name its content; headers that clients change at will don't. Only
 a keyed hash of them leaves the process: bodies and credentials are in no log, record or
-message. Hashing takes 6 us for a request of 2 KB (measured, one core) and is done once
-or twice a request. A megabyte would take 1.4 ms, 4 ms on the smallest entries, in which
-no stream moves; so of a large body only its length, its beginning and its end count.
+message. No stream moves while a large body is hashed, so that only its length, its
+beginning and its end count.
 """
 
 from __future__ import annotations
--- a/src/railfold/_internal/forwarding/crash_watch.py
+++ b/src/railfold/_internal/forwarding/crash_watch.py
@@ -16,9 +16,8 @@
 __all__ = ["CLEARED_AFTER_S", "CrashWatch", "EndedRun", "RunFigures", "told_name"]
 
 # Whoever brought events for longer than this, or waited longer for the first one, isn't
-# what ended its server: servers ended 0.03 to 0.13 s after they had begun to run such a
-# request, and 0.32 s at most after it was sent there (measured on a day with 44 such
-# crashes). The wait leaves room for an engine that queues requests for seconds.
+# what ended its server: a request that ends servers does so within tenths of a second.
+# The wait leaves room for an engine that queues requests for seconds.
 CLEARED_AFTER_S = 1.0
 _LONGEST_WAIT_S = 5.0
 
@@ -28,7 +27,7 @@
 
 # A server that answers this long after its end has started again: what it had sent
 # before is read by then. It may be back under its id before its registration tells a
-# later start, and end again: 8 of 20 ends went unseen without this (played).
+# later start, and end again, which would go unseen without this.
 _BACK_AFTER_S = 0.3
 
 # Stands in such a start's name between what its registration tells and their number.
--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -68,8 +68,8 @@
 # long, is taken elsewhere: clients leave after 2 s or more.
 _ABANDON_SILENT_S = 1.3
 
-# How often a place is looked for that an answer can go on at. A look takes 0.7 ms of a
-# whole core with three failure domains of 20 engines each, measured.
+# How often a place is looked for that an answer can go on at: a look plans chains in
+# all failure domains.
 _PLACE_INTERVAL_S = 0.1
 
 # How often a request is denied a permit of a server with a limit before it is refused.
@@ -495,9 +495,7 @@
 
         That is so for a request that may not run again, and for an answer that has
         begun and couldn't go on elsewhere now. Its engine may send again, and its
-        client leaves when it likes; nothing mends an answer that was cut. Measured on
-        two days with crashes: 27 answers cut by their entry without this and with
-        live engines taken for lost, 1 with both mended.
+        client leaves when it likes; nothing mends an answer that was cut.
         """
         if not self._route.repeatable:
             return
--- a/src/railfold/_internal/forwarding/liveness.py
+++ b/src/railfold/_internal/forwarding/liveness.py
@@ -1,11 +1,10 @@
 """Telling a dead backend server from a host that can't hear it.
 
 Silence alone proves nothing: this host's own link may be full, or its event loop held
-up, so that answers which were sent in time wait unread. Measured on hosts with 20
-Mbit/s that read a configuration of 0.6 to 1.1 MB: all answers take 0.2 s and more, for
-half a second. So other backend servers are asked at the same time, as witnesses: one
-that stays silent is lost only once somebody else was heard, and this process ran on
-time since.
+up, so that answers which were sent in time wait unread: a host with little bandwidth
+that reads a large configuration gets all answers late, for half a second. So other
+backend servers are asked at the same time, as witnesses: one that stays silent is lost
+only once somebody else was heard, and this process ran on time since.
 """
 
 from __future__ import annotations
@@ -27,8 +26,8 @@
 
 # What the first answer took tells how long a round trip takes now. Over a kept
 # connection it is one; one that has to be opened first takes two, and the queue on the
-# way may grow meanwhile. Measured with 30 ms after the first answer instead: 128 live
-# engines counted as lost in two runs of 30 s.
+# way may grow meanwhile: a fixed time after the first answer lets live engines count as
+# lost.
 _ROUND_TRIPS = 3.0
 
 # The wait goes on in parts, so that a hold-up of the event loop shows whenever it
--- a/src/railfold/_internal/forwarding/pool.py
+++ b/src/railfold/_internal/forwarding/pool.py
@@ -8,8 +8,7 @@
 
 __all__ = ["ConnectionPool"]
 
-# A server that announces nothing keeps an idle connection at least this long;
-# measured on the first sites, where none closed one sooner.
+# A server that announces nothing keeps an idle connection at least this long.
 _IDLE_LIMIT_S = 4.0
 
 # A server closes an idle connection at the time it announced; a request must
--- a/src/railfold/_internal/forwarding/probes.py
+++ b/src/railfold/_internal/forwarding/probes.py
@@ -48,9 +48,8 @@
 _AT_FAULT_TIMEOUT_S = 0.05
 
 # An engine that says that it doesn't hold the layers asked of it was started again, or
-# gave them up, and refuses all that is sent there, each time at the cost of a retry: 31
-# attempts in a second at one engine of a deployment of 68 entries (measured). It is
-# left out until it registers anew, which takes a heartbeat and a read of the
+# gave them up, and refuses all that is sent there, each time at the cost of a retry. It
+# is left out until it registers anew, which takes a heartbeat and a read of the
 # registrations. It isn't suspect: its layers would be placed elsewhere, although it may
 # have just loaded them.
 _MISPLACED_S = 3.0
@@ -313,8 +312,7 @@
         """Find out whether an engine behind the first one of a chain lives.
 
         Most that refuse are full. Asking one alone is enough, unless it doesn't answer:
-        with witnesses each refusal cost five connections, 1,200 refusals a day on a
-        deployment of 68 entries (measured).
+        with witnesses each refusal would cost five connections.
         """
         server_id = entry.server_id
         (stage,) = stages_of([entry])
--- a/src/railfold/_internal/platform/store.py
+++ b/src/railfold/_internal/platform/store.py
@@ -51,8 +51,7 @@
 _PARTITION = 0
 
 # The store deals out the partitions of no more topics than this to a group, and passes
-# over the others without a word (measured: of 34 topics of 12 partitions five members
-# had 240 partitions together). One's share of them tells how many members there are.
+# over the others without a word. One's share of them tells how many members there are.
 # All that it deals are asked for; where there are more entries than partitions, their
 # own list tells how many there are.
 _MOST_TOPICS = 20
