--- a/src/railfold/_internal/decisions/rate_limits/__init__.py
+++ b/src/railfold/_internal/decisions/rate_limits/__init__.py
@@ -3,10 +3,7 @@
 from railfold._internal.decisions.rate_limits.advertised import (
     AdvertisedLimits,
     LimitChange,
-    LimitEnded,
     LimitLapsed,
-    LimitNamed,
-    LimitUnreadable,
 )
 from railfold._internal.decisions.rate_limits.holders import (
     Fleet,
@@ -38,10 +35,7 @@
     "Fleet",
     "Holders",
     "LimitChange",
-    "LimitEnded",
     "LimitLapsed",
-    "LimitNamed",
-    "LimitUnreadable",
     "NoRateLimit",
     "PermitDenied",
     "PermitGranted",
--- a/src/railfold/_internal/decisions/rate_limits/advertised.py
+++ b/src/railfold/_internal/decisions/rate_limits/advertised.py
@@ -25,10 +25,7 @@
 __all__ = [
     "AdvertisedLimits",
     "LimitChange",
-    "LimitEnded",
     "LimitLapsed",
-    "LimitNamed",
-    "LimitUnreadable",
 ]
 
 # How long after the end of its limit a server's share of new work grows to the usual.
@@ -43,18 +40,6 @@
 _PERMITS_UNCONFIRMED = 3.0
 
 
-@dataclass(frozen=True, slots=True)
-class LimitNamed:
-    """A server's limit is new, or another one than before."""
-
-    per_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class LimitEnded:
-    """A server names no limit any more."""
-
-
 @dataclass(frozen=True, slots=True)
 class LimitLapsed:
     """Nobody has confirmed a server's limit for long."""
@@ -62,14 +47,8 @@
     unconfirmed_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class LimitUnreadable:
-    """A server names something that is no rate; what is known stays as it is."""
-
-    text: str
-
-
-LimitChange = LimitNamed | LimitEnded | LimitLapsed | LimitUnreadable
+# What changed: the word that made it known, or that none came.
+LimitChange = RateLimitWord | LimitLapsed
 
 
 @dataclass(slots=True)
@@ -113,7 +92,10 @@
     def heard(
         self, server_id: str, word: RateLimitWord, sent_s: float, now_s: float
     ) -> LimitChange | None:
-        """Take what the head of an answer said, to a request sent at ``sent_s``."""
+        """Take what the head of an answer said, to a request sent at ``sent_s``.
+
+        :return: the word, if it changes what is known.
+        """
         known = self._known.get(server_id)
         match word:
             case RateLimitNamed(per_s=per_s):
@@ -122,11 +104,11 @@
                 if known is None or known.per_s is None or sent_s <= known.word_s:
                     return None
                 return self._ended(known, now_s)
-            case UnreadableRateLimit(text=text):
+            case UnreadableRateLimit():
                 if server_id in self._unreadable:
                     return None
                 self._unreadable.add(server_id)
-                return LimitUnreadable(text)
+                return word
 
     def _named(
         self, server_id: str, per_s: float, sent_s: float, given_s: float
@@ -134,7 +116,7 @@
         known = self._known.get(server_id)
         if known is None:
             self._known[server_id] = _Advertised(per_s, given_s, given_s)
-            return LimitNamed(per_s)
+            return RateLimitNamed(per_s)
         if known.per_s is None and sent_s < known.word_s:
             return None
         known.word_s = max(known.word_s, given_s)
@@ -142,12 +124,12 @@
             return None
         known.per_s = per_s
         known.changed_s = given_s
-        return LimitNamed(per_s)
+        return RateLimitNamed(per_s)
 
     def _ended(self, known: _Advertised, given_s: float) -> LimitChange:
         known.per_s = None
         known.changed_s = known.word_s = given_s
-        return LimitEnded()
+        return NoRateLimit()
 
     def told(
         self, server_id: str, per_s: float | None, given_s: float
@@ -155,6 +137,7 @@
         """Take another entry's word, given to it by the server at ``given_s``.
 
         :param per_s: the rate that the server takes; ``None`` if it names none.
+        :return: the word, if it changes what is known.
         """
         known = self._known.get(server_id)
         if known is not None and given_s < known.word_s:
--- a/src/railfold/_internal/forwarding/rate_limits.py
+++ b/src/railfold/_internal/forwarding/rate_limits.py
@@ -18,15 +18,14 @@
     AskHolder,
     Fleet,
     LimitChange,
-    LimitEnded,
     LimitLapsed,
-    LimitNamed,
-    LimitUnreadable,
     NoRateLimit,
     PermitDenied,
     PermitGranted,
     PermitOutcome,
     PermitSharing,
+    RateLimitNamed,
+    UnreadableRateLimit,
 )
 from railfold._internal.errors import RateLimitedError
 from railfold._internal.forwarding.dialect import AnswerKind, Dialect, NotExecuted
@@ -112,7 +111,7 @@
         self._note(server_id, change, _OWN_WORD)
         due_s = self._told_s.get(server_id, float("-inf")) + _TELL_AGAIN_S
         holds = self._limits.per_s(server_id) is not None
-        is_news = isinstance(change, LimitNamed | LimitEnded)
+        is_news = isinstance(change, RateLimitNamed | NoRateLimit)
         if is_news or (holds and now_s >= due_s):
             self._tell(server_id, now_s)
 
@@ -149,16 +148,16 @@
         match change:
             case None:
                 return
-            case LimitNamed():
+            case RateLimitNamed():
                 state, cause = "named", "its answers name a limit"
-            case LimitEnded():
+            case NoRateLimit():
                 state, cause = "ended", "its answers name no limit any more"
             case LimitLapsed(unconfirmed_s=unconfirmed_s):
                 state, cause = (
                     "lapsed",
                     f"nobody confirmed it for {unconfirmed_s:.1f} s",
                 )
-            case LimitUnreadable(text=text):
+            case UnreadableRateLimit(text=text):
                 state, cause = "unreadable", f"its answers name {text!r}"
                 logging.warning("%s names a limit that is no rate: %r", server_id, text)
         per_s = self._limits.per_s(server_id)
--- a/tests/unit/test_advertised_limits.py
+++ b/tests/unit/test_advertised_limits.py
@@ -6,10 +6,7 @@
 
 from railfold._internal.decisions.rate_limits import (
     AdvertisedLimits,
-    LimitEnded,
     LimitLapsed,
-    LimitNamed,
-    LimitUnreadable,
     NoRateLimit,
     RateLimitNamed,
     UnreadableRateLimit,
@@ -22,7 +19,7 @@
 def limits() -> AdvertisedLimits:
     """A server has named a limit of 2 a second at 10 s."""
     limits = AdvertisedLimits()
-    assert limits.heard(SERVER, RateLimitNamed(2.0), 9.8, 10.0) == LimitNamed(2.0)
+    assert limits.heard(SERVER, RateLimitNamed(2.0), 9.8, 10.0) == RateLimitNamed(2.0)
     return limits
 
 
@@ -32,14 +29,14 @@
 
 
 def test_it_falls_and_rises_with_the_newest_word(limits: AdvertisedLimits) -> None:
-    assert limits.heard(SERVER, RateLimitNamed(0.0), 10.1, 10.2) == LimitNamed(0.0)
+    assert limits.heard(SERVER, RateLimitNamed(0.0), 10.1, 10.2) == RateLimitNamed(0.0)
     assert limits.heard(SERVER, RateLimitNamed(0.0), 10.2, 10.3) is None
-    assert limits.heard(SERVER, RateLimitNamed(5.0), 10.3, 10.4) == LimitNamed(5.0)
+    assert limits.heard(SERVER, RateLimitNamed(5.0), 10.3, 10.4) == RateLimitNamed(5.0)
     assert limits.per_s(SERVER) == 5.0
 
 
 def test_an_answer_that_names_none_ends_it(limits: AdvertisedLimits) -> None:
-    assert limits.heard(SERVER, NoRateLimit(), 10.1, 10.2) == LimitEnded()
+    assert limits.heard(SERVER, NoRateLimit(), 10.1, 10.2) == NoRateLimit()
     assert limits.per_s(SERVER) is None
 
 
@@ -55,17 +52,17 @@
 ) -> None:
     limits.heard(SERVER, NoRateLimit(), 10.1, 10.2)
     assert limits.heard(SERVER, RateLimitNamed(2.0), 10.15, 12.0) is None
-    assert limits.heard(SERVER, RateLimitNamed(2.0), 10.3, 12.0) == LimitNamed(2.0)
+    assert limits.heard(SERVER, RateLimitNamed(2.0), 10.3, 12.0) == RateLimitNamed(2.0)
 
 
 def test_what_is_no_rate_changes_nothing_and_is_told_once(
     limits: AdvertisedLimits,
 ) -> None:
     word = UnreadableRateLimit("nan")
-    assert limits.heard(SERVER, word, 10.1, 10.2) == LimitUnreadable("nan")
+    assert limits.heard(SERVER, word, 10.1, 10.2) == UnreadableRateLimit("nan")
     assert limits.heard(SERVER, word, 10.2, 10.3) is None
     assert limits.per_s(SERVER) == 2.0
-    assert limits.heard("i-2", word, 10.2, 10.3) == LimitUnreadable("nan")
+    assert limits.heard("i-2", word, 10.2, 10.3) == UnreadableRateLimit("nan")
     assert limits.per_s("i-2") is None
 
 
@@ -79,8 +76,8 @@
     limits: AdvertisedLimits,
 ) -> None:
     assert limits.told(SERVER, None, 9.9) is None
-    assert limits.told(SERVER, 3.0, 10.5) == LimitNamed(3.0)
-    assert limits.told(SERVER, None, 11.0) == LimitEnded()
+    assert limits.told(SERVER, 3.0, 10.5) == RateLimitNamed(3.0)
+    assert limits.told(SERVER, None, 11.0) == NoRateLimit()
     assert limits.told("i-9", None, 11.0) is None
 
 
@@ -116,7 +113,7 @@
 ) -> None:
     """Else the one where it lapsed would hand out permits without a bound."""
     limits.lapse(15.0, 1)
-    assert limits.told(SERVER, 2.0, 10.0) == LimitNamed(2.0)
+    assert limits.told(SERVER, 2.0, 10.0) == RateLimitNamed(2.0)
 
 
 def test_what_is_no_rate_is_told_once_for_as_long_as_its_server_lives() -> None:
@@ -138,6 +135,6 @@
 
 def test_a_wrong_word_of_another_entry_ends_with_the_servers_own_next_one() -> None:
     limits = AdvertisedLimits()
-    assert limits.told("i-2", 0.0, 10.0) == LimitNamed(0.0)
-    assert limits.heard("i-2", NoRateLimit(), 11.0, 11.1) == LimitEnded()
+    assert limits.told("i-2", 0.0, 10.0) == RateLimitNamed(0.0)
+    assert limits.heard("i-2", NoRateLimit(), 11.0, 11.1) == NoRateLimit()
     assert limits.told("i-2", 0.0, 10.5) is None
