--- /dev/null
+++ b/src/railfold/_internal/forwarding/destination_search.py
@@ -0,0 +1,181 @@
+"""Finding where a request's next attempt goes, and whether it may be sent there.
+
+It may be if its content isn't held back, if a server with a rate limit has a permit for
+it, and if the retry budget has one more where it was sent before.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+from railfold._internal.decisions.rate_limits import (
+    PermitDenied,
+    PermitGranted,
+    permit_patience_s,
+)
+from railfold._internal.decisions.routing_table import CredentialOwner, Route
+from railfold._internal.errors import OverloadedError, RailfoldError, RequestError
+from railfold._internal.forwarding.messages import ClientRequest
+from railfold._internal.forwarding.request_quarantine import RequestQuarantine
+from railfold._internal.forwarding.router import Destination, Router
+
+__all__ = ["PLACE_INTERVAL_S", "DestinationSearch", "SearchListener"]
+
+# How often a place is looked for that an answer can go on at: a look plans chains in
+# all failure domains.
+PLACE_INTERVAL_S = 0.1
+
+# How often a request is denied a permit of a server with a limit before it is refused.
+# Each denial leaves one server out, and all take some milliseconds.
+_MOST_DENIED = 4
+
+
+class SearchListener(Protocol):
+    """Takes what comes of a search."""
+
+    def destination_found(self, destination: Destination) -> None:
+        """The request may be sent there now."""
+
+    def destination_refused(self, error: RailfoldError) -> None:
+        """There is no such place."""
+
+
+class DestinationSearch:
+    """Finds the places of one request's attempts, one after the other.
+
+    :param priority: the request's rank, 0 first.
+    :param on_trial: whether it was let through to see whether it ends its servers.
+    """
+
+    def __init__(
+        self,
+        request: ClientRequest,
+        route: Route,
+        owner: CredentialOwner | None,
+        router: Router,
+        quarantine: RequestQuarantine,
+        listener: SearchListener,
+        priority: int,
+        *,
+        on_trial: bool,
+    ) -> None:
+        self._request = request
+        self._route = route
+        self._owner = owner
+        self._router = router
+        self._quarantine = quarantine
+        self._listener = listener
+        self._priority = priority
+        self._on_trial = on_trial
+        self._loop = asyncio.get_running_loop()
+        self._reserved: Destination | None = None
+        self._reserve_due_s = 0.0
+        self._permit: asyncio.Task[None] | None = None
+        self._denied = 0
+
+    def search(
+        self,
+        exclude: frozenset[str],
+        *,
+        is_retry: bool,
+        broke_off: bool,
+        begun: bool,
+    ) -> None:
+        """Look for a place; the listener is told of it, perhaps later.
+
+        :param exclude: backend servers that the request must not be sent to.
+        :param broke_off: whether the attempt before broke off.
+        :param begun: whether the client has a part of the answer.
+        """
+        router = self._router
+        place, self._reserved = self._reserved, None
+        try:
+            if broke_off:
+                self._quarantine.check_repeat(
+                    self._request, self._owner, on_trial=self._on_trial
+                )
+            sparing = self._quarantine.may_end_servers(self._request, self._owner)
+            destination = place or router.choose(
+                self._route,
+                exclude,
+                sparing=sparing,
+                patience_s=self._patience_s(begun=begun),
+            )
+        except RequestError as found:
+            self._listener.destination_refused(found)
+            return
+        if not router.limits.limited(destination.server_ids):
+            self._go_to(destination, is_retry=is_retry, begun=begun)
+            return
+        waiting = self._await_permit(
+            destination, exclude, is_retry=is_retry, begun=begun
+        )
+        self._permit = self._loop.create_task(waiting)
+
+    def _patience_s(self, *, begun: bool) -> float:
+        """Return how long the request may wait for a permit."""
+        random_unit = self._router.rng.random()
+        return permit_patience_s(
+            self._route.objective_s, self._priority, random_unit, begun=begun
+        )
+
+    async def _await_permit(
+        self,
+        destination: Destination,
+        exclude: frozenset[str],
+        *,
+        is_retry: bool,
+        begun: bool,
+    ) -> None:
+        """Get a permit of a server with a limit, or look for another place."""
+        limits = self._router.limits
+        outcome = await limits.acquire(destination.server_ids, destination.patience_s)
+        self._permit = None
+        match outcome:
+            case PermitGranted():
+                self._go_to(destination, is_retry=is_retry, begun=begun)
+            case PermitDenied() if self._denied < _MOST_DENIED:
+                self._denied += 1
+                self.search(exclude, is_retry=is_retry, broke_off=False, begun=begun)
+            case PermitDenied(wait_s=wait_s):
+                error = limits.refusal(destination.server_ids, wait_s)
+                self._listener.destination_refused(error)
+
+    def _go_to(self, destination: Destination, *, is_retry: bool, begun: bool) -> None:
+        """Go there, if the request is a first attempt or a retry is allowed."""
+        router = self._router
+        budget = router.budgets.of(destination.service)
+        if not is_retry:
+            budget.earn(self._loop.time())
+        elif budget.spend(self._loop.time(), begun=begun):
+            router.metrics.count("requests.retries")
+        else:
+            router.metrics.count("requests.retry_budget_empty")
+            error = OverloadedError(
+                "no retry is allowed now", why="the retry budget is spent"
+            )
+            self._listener.destination_refused(error)
+            return
+        self._listener.destination_found(destination)
+
+    def reserve(self, exclude: frozenset[str]) -> bool:
+        """Reserve a place for the next search; return whether there is one."""
+        now_s = self._loop.time()
+        if now_s < self._reserve_due_s:
+            return False
+        self._reserve_due_s = now_s + PLACE_INTERVAL_S
+        try:
+            place = self._router.choose(self._route, exclude)
+        except RequestError:
+            return False
+        if not self._router.budgets.of(place.service).allows(now_s):
+            return False
+        self._reserved = place
+        return True
+
+    def cancel(self) -> None:
+        """End a search that waits."""
+        if self._permit is not None:
+            self._permit.cancel()
+            self._permit = None
--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/driver.py
@@ -22,11 +22,6 @@
     SendCall,
 )
 from railfold._internal.decisions.event_cursor import EventCursor
-from railfold._internal.decisions.rate_limits import (
-    PermitDenied,
-    PermitGranted,
-    permit_patience_s,
-)
 from railfold._internal.decisions.routing_table import (
     CredentialOwner,
     Route,
@@ -34,13 +29,16 @@
 )
 from railfold._internal.errors import (
     DeadlineExpiredError,
-    OverloadedError,
     RailfoldError,
     RequestError,
     ServerLeavingError,
 )
 from railfold._internal.forwarding.client_answer import ClientAnswer, GatheredAnswer
 from railfold._internal.forwarding.crash_watch import CLEARED_AFTER_S, RunFigures
+from railfold._internal.forwarding.destination_search import (
+    PLACE_INTERVAL_S,
+    DestinationSearch,
+)
 from railfold._internal.forwarding.dialect import (
     AnswerKind,
     NotExecuted,
@@ -68,14 +66,6 @@
 # long, is taken elsewhere: clients leave after 2 s or more.
 _ABANDON_SILENT_S = 1.3
 
-# How often a place is looked for that an answer can go on at: a look plans chains in
-# all failure domains.
-_PLACE_INTERVAL_S = 0.1
-
-# How often a request is denied a permit of a server with a limit before it is refused.
-# Each denial leaves one server out, and all take some milliseconds.
-_MOST_DENIED = 4
-
 # Answers of plain calls are gathered up to this size, so that one that breaks
 # off can be repeated; a larger one is passed on as it comes.
 _GATHER_BYTES = 256 * 1024
@@ -132,10 +122,16 @@
         self._lost = ""
         self._kept = ""
         self._looking: asyncio.TimerHandle | None = None
-        self._place: Destination | None = None
-        self._place_due_s = 0.0
-        self._permit: asyncio.Task[None] | None = None
-        self._denied = 0
+        self._search = DestinationSearch(
+            request,
+            route,
+            owner,
+            router,
+            quarantine,
+            self,
+            self._priority,
+            on_trial=on_trial,
+        )
         self._deadline_s = request.received_s + route.timeout_s
         if request.deadline_s is not None:
             self._deadline_s = min(self._deadline_s, request.deadline_s)
@@ -213,78 +209,26 @@
         for action in actions:
             match action:
                 case ChooseHost(exclude=exclude, is_retry=is_retry):
-                    self._choose(exclude, is_retry=is_retry)
+                    self._search.search(
+                        exclude,
+                        is_retry=is_retry,
+                        broke_off=self._broke_off,
+                        begun=self._answer.begun,
+                    )
                 case SendCall():
                     self._send()
                 case FinishCall(outcome=outcome):
                     self._finish(outcome)
 
-    def _choose(self, exclude: frozenset[str], *, is_retry: bool) -> None:
-        router = self._router
-        place, self._place = self._place, None
-        try:
-            if self._broke_off:
-                self._quarantine.check_repeat(
-                    self._request, self._owner, on_trial=self._on_trial
-                )
-            sparing = self._quarantine.may_end_servers(self._request, self._owner)
-            destination = place or router.choose(
-                self._route, exclude, sparing=sparing, patience_s=self._patience_s
-            )
-        except RequestError as found:
-            self._refuse(found)
-            return
-        if router.limits.limited(destination.server_ids):
-            self._permit = self._loop.create_task(
-                self._await_permit(destination, exclude, is_retry=is_retry)
-            )
-            return
-        self._go_to(destination, is_retry=is_retry)
-
-    @property
-    def _patience_s(self) -> float:
-        """How long the request may wait for a permit of a server with a limit."""
-        return permit_patience_s(
-            self._route.objective_s,
-            self._priority,
-            self._router.rng.random(),
-            begun=self._answer.begun,
-        )
-
-    async def _await_permit(
-        self, destination: Destination, exclude: frozenset[str], *, is_retry: bool
-    ) -> None:
-        """Get a permit of a server with a limit, or look for another place."""
-        limits = self._router.limits
-        outcome = await limits.acquire(destination.server_ids, destination.patience_s)
-        self._permit = None
-        match outcome:
-            case PermitGranted():
-                self._go_to(destination, is_retry=is_retry)
-            case PermitDenied() if self._denied < _MOST_DENIED:
-                self._denied += 1
-                self._choose(exclude, is_retry=is_retry)
-            case PermitDenied(wait_s=wait_s):
-                self._refuse(limits.refusal(destination.server_ids, wait_s))
-
-    def _go_to(self, destination: Destination, *, is_retry: bool) -> None:
-        """Send there, if the request is a first attempt or a retry is allowed."""
-        router = self._router
-        budget = router.budgets.of(destination.service)
-        if not is_retry:
-            budget.earn(self._loop.time())
-        elif budget.spend(self._loop.time(), begun=self._answer.begun):
-            router.metrics.count("requests.retries")
-        else:
-            router.metrics.count("requests.retry_budget_empty")
-            error = OverloadedError(
-                "no retry is allowed now", why="the retry budget is spent"
-            )
-            self._refuse(error)
-            return
+    def destination_found(self, destination: Destination) -> None:
+        """The next attempt may be sent there now."""
         self._destination = destination
         self._feed(CallHostChosen(destination.server.host))
 
+    def destination_refused(self, error: RailfoldError) -> None:
+        """There is no place for a next attempt."""
+        self._refuse(error)
+
     def _refuse(self, error: RailfoldError) -> None:
         self._cause = str(error)
         self._feed(NoHost(error, self._router.return_after_s(error)))
@@ -511,7 +455,7 @@
             self._router.metrics.count("attempts.kept")
             self._log_kept(reason)
         if self._lost and self._looking is None:
-            self._looking = self._loop.call_later(_PLACE_INTERVAL_S, self._look_again)
+            self._looking = self._loop.call_later(PLACE_INTERVAL_S, self._look_again)
 
     def _look_again(self) -> None:
         """Look for a place for an answer whose engine is lost."""
@@ -521,27 +465,14 @@
 
     def _find_place(self) -> bool:
         """Reserve another place for the stream; return whether there is one."""
-        now_s = self._loop.time()
-        if not self._streaming or now_s < self._place_due_s:
+        if not self._streaming:
             return False
-        self._place_due_s = now_s + _PLACE_INTERVAL_S
         exclude = self._lifecycle.excluded_after_loss()
-        if exclude is None:
-            return False
-        try:
-            place = self._router.choose(self._route, exclude)
-        except RequestError:
-            return False
-        if not self._router.budgets.of(place.service).allows(now_s):
-            return False
-        self._place = place
-        return True
+        return exclude is not None and self._search.reserve(exclude)
 
     def _release(self) -> Destination | None:
         """Let go of the attempt under way, if there is one."""
-        if self._permit is not None:
-            self._permit.cancel()
-            self._permit = None
+        self._search.cancel()
         self._lost = self._kept = ""
         if self._looking is not None:
             self._looking.cancel()
