--- a/src/railfold/_internal/commands/held.py
+++ b/src/railfold/_internal/commands/held.py
@@ -10,7 +10,7 @@
 from railfold._internal import clock
 from railfold._internal.cli.options import as_json, print_json, run
 from railfold._internal.errors import PeerMessageError, RequestNotHeldError
-from railfold._internal.forwarding.shared_records import (
+from railfold._internal.forwarding.store.shared_records import (
     KEY_NAME,
     HoldRecord,
     decode_hold,
--- a/src/railfold/_internal/forwarding/adapter.py
+++ b/src/railfold/_internal/forwarding/adapter.py
@@ -8,7 +8,7 @@
 from railfold._internal.decisions.engine_directory import Registration
 from railfold._internal.decisions.routing_table import RoutingTable
 from railfold._internal.forwarding.dialect import Dialect
-from railfold._internal.forwarding.leadership import LeaseClient
+from railfold._internal.forwarding.store.leadership import LeaseClient
 from railfold._internal.store.follower import ReadableLog
 
 __all__ = ["KeyedValue", "PlatformAdapter", "WritableLog"]
--- /dev/null
+++ b/src/railfold/_internal/forwarding/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Other entries: what is told and asked between them."""
--- a/src/railfold/_internal/forwarding/arrival_exchange.py
+++ b/src/railfold/_internal/forwarding/peers/arrival_exchange.py
@@ -9,8 +9,8 @@
 import asyncio
 
 from railfold._internal.decisions.leadership import Leadership
-from railfold._internal.forwarding.peer_channel import PeerChannel
-from railfold._internal.forwarding.peer_messages import ArrivalsTold, PlacementLed
+from railfold._internal.forwarding.peers.peer_channel import PeerChannel
+from railfold._internal.forwarding.peers.peer_messages import ArrivalsTold, PlacementLed
 from railfold._internal.forwarding.router import Router
 
 __all__ = ["ArrivalExchange"]
--- a/src/railfold/_internal/forwarding/peer_channel.py
+++ b/src/railfold/_internal/forwarding/peers/peer_channel.py
@@ -17,12 +17,12 @@
 from railfold._internal.core import Address
 from railfold._internal.decisions.peers import MessageMemory, Peer, PeerView
 from railfold._internal.errors import PeerMessageError
-from railfold._internal.forwarding.content_digest import derived_key
-from railfold._internal.forwarding.peer_messages import (
+from railfold._internal.forwarding.peers.peer_messages import (
     Envelope,
     PeerMessage,
     PeerMessageCodec,
 )
+from railfold._internal.forwarding.quarantine.content_digest import derived_key
 from railfold._internal.observability.metrics import Metrics
 
 __all__ = ["PeerChannel"]
--- a/src/railfold/_internal/forwarding/peer_keeper.py
+++ b/src/railfold/_internal/forwarding/peers/peer_keeper.py
@@ -15,8 +15,11 @@
 from railfold._internal.decisions.peers import Peer, PeerView
 from railfold._internal.errors import LogUnavailableError, PeerMessageError
 from railfold._internal.forwarding.adapter import KeyedValue, WritableLog
-from railfold._internal.forwarding.peer_messages import EntryStarted, PeerMessage
-from railfold._internal.forwarding.shared_records import decode_entry, encode_entry
+from railfold._internal.forwarding.peers.peer_messages import EntryStarted, PeerMessage
+from railfold._internal.forwarding.store.shared_records import (
+    decode_entry,
+    encode_entry,
+)
 from railfold._internal.observability.metrics import Metrics
 
 __all__ = ["PeerKeeper"]
--- a/src/railfold/_internal/forwarding/peering.py
+++ b/src/railfold/_internal/forwarding/peers/peering.py
@@ -14,11 +14,10 @@
 from railfold._internal.decisions.leadership import Leadership
 from railfold._internal.decisions.peers import Peer, PeerView
 from railfold._internal.forwarding.adapter import PlatformAdapter
-from railfold._internal.forwarding.arrival_exchange import ArrivalExchange
-from railfold._internal.forwarding.feeds import QuarantineFeed
-from railfold._internal.forwarding.peer_channel import PeerChannel
-from railfold._internal.forwarding.peer_keeper import PeerKeeper
-from railfold._internal.forwarding.peer_messages import (
+from railfold._internal.forwarding.peers.arrival_exchange import ArrivalExchange
+from railfold._internal.forwarding.peers.peer_channel import PeerChannel
+from railfold._internal.forwarding.peers.peer_keeper import PeerKeeper
+from railfold._internal.forwarding.peers.peer_messages import (
     ArrivalsTold,
     ContentCleared,
     CrashesTold,
@@ -32,10 +31,13 @@
     RateLimitTold,
     TrialBegun,
 )
-from railfold._internal.forwarding.proof_keeper import ProofKeeper
-from railfold._internal.forwarding.request_quarantine import RequestQuarantine
+from railfold._internal.forwarding.peers.proof_keeper import ProofKeeper
+from railfold._internal.forwarding.quarantine.request_quarantine import (
+    RequestQuarantine,
+)
 from railfold._internal.forwarding.router import Router
 from railfold._internal.forwarding.settings import ForwardingSettings
+from railfold._internal.forwarding.store.feeds import QuarantineFeed
 from railfold._internal.store.follower import FollowerPace, StreamFollower
 from railfold._internal.supervision.supervisor import ChildSpec
 
--- a/src/railfold/_internal/forwarding/proof_keeper.py
+++ b/src/railfold/_internal/forwarding/peers/proof_keeper.py
@@ -19,10 +19,10 @@
     Wait,
 )
 from railfold._internal.errors import LogUnavailableError
-from railfold._internal.forwarding.feeds import ConfigurationFeed
-from railfold._internal.forwarding.peer_channel import PeerChannel
-from railfold._internal.forwarding.peer_messages import ProofAsked, ProofTold
+from railfold._internal.forwarding.peers.peer_channel import PeerChannel
+from railfold._internal.forwarding.peers.peer_messages import ProofAsked, ProofTold
 from railfold._internal.forwarding.router import Router
+from railfold._internal.forwarding.store.feeds import ConfigurationFeed
 from railfold._internal.store.follower import ReadableLog
 
 __all__ = ["ProofKeeper"]
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -20,24 +20,27 @@
 from railfold._internal.decisions.routing_table import RoutingTable, require_table
 from railfold._internal.errors import LogUnavailableError, RequestError
 from railfold._internal.forwarding.adapter import PlatformAdapter
-from railfold._internal.forwarding.driver import RequestDriver
-from railfold._internal.forwarding.engine_calls import EngineCalls
-from railfold._internal.forwarding.feeds import ConfigurationFeed, RegistrationFeed
-from railfold._internal.forwarding.front import ClientExchange, ClientServer
-from railfold._internal.forwarding.leadership import LEASE_S, LeadershipKeeper
 from railfold._internal.forwarding.listeners import Listeners
 from railfold._internal.forwarding.messages import Header
-from railfold._internal.forwarding.peering import Peering
-from railfold._internal.forwarding.placement import PlacementKeeper
-from railfold._internal.forwarding.pool import ConnectionPool
-from railfold._internal.forwarding.probes import ChainProber
-from railfold._internal.forwarding.proof_keeper import ProofKeeper
+from railfold._internal.forwarding.peers.peering import Peering
+from railfold._internal.forwarding.peers.proof_keeper import ProofKeeper
 from railfold._internal.forwarding.reload import SettingsWatcher
-from railfold._internal.forwarding.replies import error_reply, status_of
+from railfold._internal.forwarding.requests.driver import RequestDriver
+from railfold._internal.forwarding.requests.front import ClientExchange, ClientServer
+from railfold._internal.forwarding.requests.replies import error_reply, status_of
 from railfold._internal.forwarding.router import Router
+from railfold._internal.forwarding.servers.engine_calls import EngineCalls
+from railfold._internal.forwarding.servers.placement import PlacementKeeper
+from railfold._internal.forwarding.servers.pool import ConnectionPool
+from railfold._internal.forwarding.servers.probes import ChainProber
+from railfold._internal.forwarding.servers.slow_engines import SlowEngineWatch
 from railfold._internal.forwarding.settings import ForwardingSettings
 from railfold._internal.forwarding.settings_source import SettingsSource
-from railfold._internal.forwarding.slow_engines import SlowEngineWatch
+from railfold._internal.forwarding.store.feeds import (
+    ConfigurationFeed,
+    RegistrationFeed,
+)
+from railfold._internal.forwarding.store.leadership import LEASE_S, LeadershipKeeper
 from railfold._internal.observability.decision_log import DecisionLog
 from railfold._internal.observability.events import (
     DependencyLost,
--- /dev/null
+++ b/src/railfold/_internal/forwarding/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that end their servers: recognized, told of, and held back."""
--- a/src/railfold/_internal/forwarding/quarantine_records.py
+++ b/src/railfold/_internal/forwarding/quarantine/quarantine_records.py
@@ -15,9 +15,9 @@
 from railfold._internal.decisions.quarantine import QuarantineChange, QuarantineState
 from railfold._internal.errors import LogUnavailableError
 from railfold._internal.forwarding.adapter import WritableLog
-from railfold._internal.forwarding.content_digest import ContentDigests
+from railfold._internal.forwarding.quarantine.content_digest import ContentDigests
 from railfold._internal.forwarding.router import Router
-from railfold._internal.forwarding.shared_records import (
+from railfold._internal.forwarding.store.shared_records import (
     KEY_NAME,
     HoldRecord,
     RecordedCrash,
--- a/src/railfold/_internal/forwarding/request_quarantine.py
+++ b/src/railfold/_internal/forwarding/quarantine/request_quarantine.py
@@ -25,15 +25,8 @@
 from railfold._internal.decisions.routing_table import CredentialOwner, Route
 from railfold._internal.errors import RepeatedCrashesError, RequestOnTrialError
 from railfold._internal.forwarding.adapter import WritableLog
-from railfold._internal.forwarding.content_digest import ContentDigests
-from railfold._internal.forwarding.crash_watch import (
-    CrashWatch,
-    EndedRun,
-    RunFigures,
-    told_name,
-)
 from railfold._internal.forwarding.messages import ClientRequest
-from railfold._internal.forwarding.peer_messages import (
+from railfold._internal.forwarding.peers.peer_messages import (
     MOST_CRASHES_TOLD,
     ContentCleared,
     CrashesTold,
@@ -41,9 +34,18 @@
     PeerMessage,
     TrialBegun,
 )
-from railfold._internal.forwarding.quarantine_records import QuarantineRecords
+from railfold._internal.forwarding.quarantine.content_digest import ContentDigests
+from railfold._internal.forwarding.quarantine.crash_watch import (
+    CrashWatch,
+    EndedRun,
+    RunFigures,
+    told_name,
+)
+from railfold._internal.forwarding.quarantine.quarantine_records import (
+    QuarantineRecords,
+)
 from railfold._internal.forwarding.router import Router
-from railfold._internal.forwarding.shared_records import HoldRecord
+from railfold._internal.forwarding.store.shared_records import HoldRecord
 from railfold._internal.observability.events import QuarantineChanged, ServerCrashed
 
 __all__ = ["RequestQuarantine"]
--- /dev/null
+++ b/src/railfold/_internal/forwarding/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Clients' requests: taken, sent through their attempts, and answered."""
--- a/src/railfold/_internal/forwarding/client_answer.py
+++ b/src/railfold/_internal/forwarding/requests/client_answer.py
@@ -6,9 +6,9 @@
 
 from railfold._internal.core import Answered, Failed, NotRun, Outcome, Unknown
 from railfold._internal.errors import RailfoldError
-from railfold._internal.forwarding.front import ClientExchange
 from railfold._internal.forwarding.messages import ResponseHead
-from railfold._internal.forwarding.replies import (
+from railfold._internal.forwarding.requests.front import ClientExchange
+from railfold._internal.forwarding.requests.replies import (
     end_to_end_headers,
     error_reply,
     status_of,
--- a/src/railfold/_internal/forwarding/destination_search.py
+++ b/src/railfold/_internal/forwarding/requests/destination_search.py
@@ -17,7 +17,9 @@
 from railfold._internal.decisions.routing_table import CredentialOwner, Route
 from railfold._internal.errors import OverloadedError, RailfoldError, RequestError
 from railfold._internal.forwarding.messages import ClientRequest
-from railfold._internal.forwarding.request_quarantine import RequestQuarantine
+from railfold._internal.forwarding.quarantine.request_quarantine import (
+    RequestQuarantine,
+)
 from railfold._internal.forwarding.router import Destination, Router
 
 __all__ = ["PLACE_INTERVAL_S", "DestinationSearch", "SearchListener"]
--- a/src/railfold/_internal/forwarding/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -33,12 +33,6 @@
     RequestError,
     ServerLeavingError,
 )
-from railfold._internal.forwarding.client_answer import ClientAnswer, GatheredAnswer
-from railfold._internal.forwarding.crash_watch import CLEARED_AFTER_S, RunFigures
-from railfold._internal.forwarding.destination_search import (
-    PLACE_INTERVAL_S,
-    DestinationSearch,
-)
 from railfold._internal.forwarding.dialect import (
     AnswerKind,
     NotExecuted,
@@ -47,14 +41,28 @@
     ServerFailure,
     UnusableAnswer,
 )
-from railfold._internal.forwarding.exchange import EngineExchange
-from railfold._internal.forwarding.front import ClientExchange
 from railfold._internal.forwarding.messages import ClientRequest, ResponseHead
-from railfold._internal.forwarding.probes import ChainProber
-from railfold._internal.forwarding.request_log import RequestLog
-from railfold._internal.forwarding.request_quarantine import RequestQuarantine
+from railfold._internal.forwarding.quarantine.crash_watch import (
+    CLEARED_AFTER_S,
+    RunFigures,
+)
+from railfold._internal.forwarding.quarantine.request_quarantine import (
+    RequestQuarantine,
+)
+from railfold._internal.forwarding.requests.client_answer import (
+    ClientAnswer,
+    GatheredAnswer,
+)
+from railfold._internal.forwarding.requests.destination_search import (
+    PLACE_INTERVAL_S,
+    DestinationSearch,
+)
+from railfold._internal.forwarding.requests.exchange import EngineExchange
+from railfold._internal.forwarding.requests.front import ClientExchange
+from railfold._internal.forwarding.requests.request_log import RequestLog
+from railfold._internal.forwarding.requests.stream_watch import Silence, StreamWatch
 from railfold._internal.forwarding.router import Destination, Router
-from railfold._internal.forwarding.stream_watch import Silence, StreamWatch
+from railfold._internal.forwarding.servers.probes import ChainProber
 
 __all__ = ["RequestDriver"]
 
--- a/src/railfold/_internal/forwarding/exchange.py
+++ b/src/railfold/_internal/forwarding/requests/exchange.py
@@ -14,13 +14,13 @@
     ForeignAnswer,
     SendPlan,
 )
-from railfold._internal.forwarding.http_client import (
+from railfold._internal.forwarding.messages import ClientRequest, ResponseHead
+from railfold._internal.forwarding.servers.http_client import (
     HttpConnection,
     LostExchange,
     connect,
 )
-from railfold._internal.forwarding.messages import ClientRequest, ResponseHead
-from railfold._internal.forwarding.pool import ConnectionPool
+from railfold._internal.forwarding.servers.pool import ConnectionPool
 
 __all__ = ["EngineExchange", "ExchangeListener"]
 
--- a/src/railfold/_internal/forwarding/request_log.py
+++ b/src/railfold/_internal/forwarding/requests/request_log.py
@@ -16,8 +16,8 @@
 from railfold._internal.decisions.routing_table import CredentialOwner, Route
 from railfold._internal.forwarding.dialect import SendPlan
 from railfold._internal.forwarding.messages import ClientRequest
+from railfold._internal.forwarding.requests.stream_watch import StreamWatch
 from railfold._internal.forwarding.router import Router
-from railfold._internal.forwarding.stream_watch import StreamWatch
 from railfold._internal.observability.events import (
     AttemptEnded,
     AttemptKept,
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -62,9 +62,9 @@
     UnknownTargetError,
 )
 from railfold._internal.forwarding.dialect import Dialect
-from railfold._internal.forwarding.pool import ConnectionPool
-from railfold._internal.forwarding.rate_limits import RateLimits
-from railfold._internal.forwarding.unknown_headers import UnknownHeaders
+from railfold._internal.forwarding.servers.pool import ConnectionPool
+from railfold._internal.forwarding.servers.rate_limits import RateLimits
+from railfold._internal.forwarding.servers.unknown_headers import UnknownHeaders
 from railfold._internal.observability.decision_log import DecisionLog
 from railfold._internal.observability.metrics import Metrics
 
--- /dev/null
+++ b/src/railfold/_internal/forwarding/servers/__init__.py
@@ -0,0 +1,1 @@
+"""Backend servers: connections, health, limits, and the layers they hold."""
--- a/src/railfold/_internal/forwarding/engine_calls.py
+++ b/src/railfold/_internal/forwarding/servers/engine_calls.py
@@ -26,13 +26,13 @@
     OrderRefused,
     OrderUnsettled,
 )
-from railfold._internal.forwarding.http_client import (
+from railfold._internal.forwarding.router import Router
+from railfold._internal.forwarding.servers.http_client import (
     HttpConnection,
     Response,
     connect,
     fetch,
 )
-from railfold._internal.forwarding.router import Router
 from railfold._internal.observability.events import EngineChanged
 
 __all__ = ["EngineCalls", "is_another", "stages_of"]
--- a/src/railfold/_internal/forwarding/kept_connection.py
+++ b/src/railfold/_internal/forwarding/servers/kept_connection.py
@@ -7,13 +7,13 @@
 
 from railfold._internal.core import Address
 from railfold._internal.errors import EngineUnavailableError
-from railfold._internal.forwarding.http_client import (
+from railfold._internal.forwarding.messages import Header
+from railfold._internal.forwarding.servers.http_client import (
     HttpConnection,
     Response,
     connect,
     fetch,
 )
-from railfold._internal.forwarding.messages import Header
 
 __all__ = ["KeptConnection"]
 
--- a/src/railfold/_internal/forwarding/layer_orders.py
+++ b/src/railfold/_internal/forwarding/servers/layer_orders.py
@@ -21,8 +21,8 @@
     OrderRefused,
     OrderUnsettled,
 )
-from railfold._internal.forwarding.engine_calls import EngineCalls
 from railfold._internal.forwarding.router import Router
+from railfold._internal.forwarding.servers.engine_calls import EngineCalls
 from railfold._internal.observability.events import LayersOrdered
 
 __all__ = ["LayerOrders"]
--- a/src/railfold/_internal/forwarding/placement.py
+++ b/src/railfold/_internal/forwarding/servers/placement.py
@@ -35,10 +35,10 @@
     uncovered_layers,
 )
 from railfold._internal.decisions.routing_table import EngineModel, ServiceSpec
-from railfold._internal.forwarding.engine_calls import EngineCalls
-from railfold._internal.forwarding.layer_orders import LayerOrders
-from railfold._internal.forwarding.leadership import LEASE_S
 from railfold._internal.forwarding.router import Router
+from railfold._internal.forwarding.servers.engine_calls import EngineCalls
+from railfold._internal.forwarding.servers.layer_orders import LayerOrders
+from railfold._internal.forwarding.store.leadership import LEASE_S
 from railfold._internal.observability.events import LayersPlanned
 
 __all__ = ["PlacementKeeper"]
--- a/src/railfold/_internal/forwarding/pool.py
+++ b/src/railfold/_internal/forwarding/servers/pool.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 
-from railfold._internal.forwarding.http_client import HttpConnection
+from railfold._internal.forwarding.servers.http_client import HttpConnection
 
 __all__ = ["ConnectionPool"]
 
--- a/src/railfold/_internal/forwarding/probes.py
+++ b/src/railfold/_internal/forwarding/servers/probes.py
@@ -20,18 +20,18 @@
 from railfold._internal.decisions.probe_pace import ProbePace
 from railfold._internal.errors import EngineError
 from railfold._internal.forwarding.dialect import NotExecuted
-from railfold._internal.forwarding.engine_calls import (
+from railfold._internal.forwarding.requests.stream_watch import Silence
+from railfold._internal.forwarding.router import Router
+from railfold._internal.forwarding.servers.engine_calls import (
     EngineCalls,
     is_another,
     stages_of,
 )
-from railfold._internal.forwarding.liveness import (
+from railfold._internal.forwarding.servers.liveness import (
     LONGEST_WAIT_S,
     LivenessCheck,
     Verdict,
 )
-from railfold._internal.forwarding.router import Router
-from railfold._internal.forwarding.stream_watch import Silence
 from railfold._internal.observability.events import ChainProbed, EngineChanged
 
 __all__ = ["ChainProber"]
--- a/src/railfold/_internal/forwarding/rate_limits.py
+++ b/src/railfold/_internal/forwarding/servers/rate_limits.py
@@ -30,8 +30,8 @@
 from railfold._internal.errors import RateLimitedError
 from railfold._internal.forwarding.dialect import AnswerKind, Dialect, NotExecuted
 from railfold._internal.forwarding.messages import ResponseHead
-from railfold._internal.forwarding.peer_channel import PeerChannel
-from railfold._internal.forwarding.peer_messages import (
+from railfold._internal.forwarding.peers.peer_channel import PeerChannel
+from railfold._internal.forwarding.peers.peer_messages import (
     PermitAsked,
     PermitTold,
     RateLimitTold,
--- a/src/railfold/_internal/forwarding/slow_engines.py
+++ b/src/railfold/_internal/forwarding/servers/slow_engines.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass
 
 from railfold._internal.decisions.engine_directory import DirectoryEntry
-from railfold._internal.forwarding.engine_calls import EngineCalls
 from railfold._internal.forwarding.router import Router
+from railfold._internal.forwarding.servers.engine_calls import EngineCalls
 
 __all__ = ["SlowEngineWatch"]
 
--- /dev/null
+++ b/src/railfold/_internal/forwarding/store/__init__.py
@@ -0,0 +1,1 @@
+"""What the platform's store holds: read, leased and written."""
--- a/src/railfold/_internal/forwarding/feeds.py
+++ b/src/railfold/_internal/forwarding/store/feeds.py
@@ -16,9 +16,11 @@
     RailfoldError,
 )
 from railfold._internal.forwarding.adapter import KeyedValue
-from railfold._internal.forwarding.request_quarantine import RequestQuarantine
+from railfold._internal.forwarding.quarantine.request_quarantine import (
+    RequestQuarantine,
+)
 from railfold._internal.forwarding.router import Router
-from railfold._internal.forwarding.shared_records import (
+from railfold._internal.forwarding.store.shared_records import (
     KEY_NAME,
     decode_hold,
     decode_key,
--- a/src/railfold/_internal/platform/dialect.py
+++ b/src/railfold/_internal/platform/dialect.py
@@ -34,7 +34,7 @@
     RequestSize,
     ResponseHead,
 )
-from railfold._internal.forwarding.replies import connection_headers
+from railfold._internal.forwarding.requests.replies import connection_headers
 from railfold._internal.platform import answer_headers, engines
 
 __all__ = ["PlatformDialect"]
--- a/src/railfold/_internal/platform/store.py
+++ b/src/railfold/_internal/platform/store.py
@@ -23,9 +23,9 @@
     RecordsExpiredError,
 )
 from railfold._internal.forwarding.adapter import KeyedValue
-from railfold._internal.forwarding.http_client import Response
-from railfold._internal.forwarding.kept_connection import KeptConnection
 from railfold._internal.forwarding.messages import Header
+from railfold._internal.forwarding.servers.http_client import Response
+from railfold._internal.forwarding.servers.kept_connection import KeptConnection
 from railfold._internal.store.records import LogPage, LogRecord
 
 __all__ = ["GroupLease", "KeyedLog"]
--- a/tests/forwarding/test_failures.py
+++ b/tests/forwarding/test_failures.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from railfold._internal.forwarding import placement
-from railfold._internal.forwarding.stream_watch import Silence
+from railfold._internal.forwarding.requests.stream_watch import Silence
+from railfold._internal.forwarding.servers import placement
 from standins.chaining_engine import Engine
 from tests.lib.forwarding import (
     Deployment,
--- a/tests/forwarding/test_own_lateness.py
+++ b/tests/forwarding/test_own_lateness.py
@@ -37,8 +37,12 @@
 
 from railfold._internal.core import Address
 from railfold._internal.errors import EngineUnavailableError
-from railfold._internal.forwarding import exchange
-from railfold._internal.forwarding.http_client import HttpConnection, connect, fetch
+from railfold._internal.forwarding.requests import exchange
+from railfold._internal.forwarding.servers.http_client import (
+    HttpConnection,
+    connect,
+    fetch,
+)
 from standins.chaining_engine import Engine
 from tests.lib.forwarding import (
     Connection,
--- a/tests/forwarding/test_proofs_from_peers.py
+++ b/tests/forwarding/test_proofs_from_peers.py
@@ -9,7 +9,7 @@
 
 from railfold._internal.decisions.routing_table import RoutingTable
 from railfold._internal.errors import ConfigurationRefusedError, LogUnavailableError
-from railfold._internal.forwarding.peer_messages import ProofTold
+from railfold._internal.forwarding.peers.peer_messages import ProofTold
 from railfold._internal.forwarding.process import ForwardingEntry
 from railfold._internal.store.records import LogPage
 from tests.lib.forwarding import (
--- a/tests/forwarding/test_repeated_crashes.py
+++ b/tests/forwarding/test_repeated_crashes.py
@@ -28,9 +28,9 @@
 
 from railfold._internal.cli.main import cli
 from railfold._internal.decisions.quarantine import Content
-from railfold._internal.forwarding import request_quarantine
-from railfold._internal.forwarding.crash_watch import EndedRun, RunFigures
-from railfold._internal.forwarding.peer_messages import CrashesTold, CrashTold
+from railfold._internal.forwarding.peers.peer_messages import CrashesTold, CrashTold
+from railfold._internal.forwarding.quarantine import request_quarantine
+from railfold._internal.forwarding.quarantine.crash_watch import EndedRun, RunFigures
 from standins.chaining_engine import Engine
 from tests.lib.crashes import POISON_BODY, CrashingFleet, Sender, play
 from tests.lib.forwarding import Deployment, Reply, running, until
--- a/tests/forwarding/test_starting.py
+++ b/tests/forwarding/test_starting.py
@@ -15,8 +15,8 @@
 from railfold._internal.core import Address
 from railfold._internal.decisions.routing_table import ClientLimits
 from railfold._internal.errors import ListenError
-from railfold._internal.forwarding import front
 from railfold._internal.forwarding.listeners import Listeners, open_listeners
+from railfold._internal.forwarding.requests import front
 from standins.cluster import free_port
 from tests.lib.forwarding import Deployment, events_of, until
 
--- a/tests/forwarding/test_store_goes_back.py
+++ b/tests/forwarding/test_store_goes_back.py
@@ -15,7 +15,7 @@
 from railfold._internal.core import Address
 from railfold._internal.decisions.log_epoch import RETURN_S
 from railfold._internal.decisions.quarantine import Content, Crash
-from railfold._internal.forwarding.shared_records import KEY_NAME
+from railfold._internal.forwarding.store.shared_records import KEY_NAME
 from railfold._internal.platform.store import GroupLease
 from standins.metadata_store import PARTITIONS, StoreCopy
 from tests.lib.forwarding import KEY, Deployment, configuration, running, until
--- a/tests/forwarding/test_suspended_hosts.py
+++ b/tests/forwarding/test_suspended_hosts.py
@@ -16,9 +16,10 @@
 
 from railfold._internal import clock
 from railfold._internal.core import Address
-from railfold._internal.forwarding import engine_calls, exchange
-from railfold._internal.forwarding.http_client import HttpConnection, connect
-from railfold._internal.forwarding.pool import ConnectionPool
+from railfold._internal.forwarding.requests import exchange
+from railfold._internal.forwarding.servers import engine_calls
+from railfold._internal.forwarding.servers.http_client import HttpConnection, connect
+from railfold._internal.forwarding.servers.pool import ConnectionPool
 from tests.lib.forwarding import Deployment, Reply, until
 from tests.lib.hosts import Host
 
--- a/tests/forwarding/test_suspicion.py
+++ b/tests/forwarding/test_suspicion.py
@@ -14,11 +14,11 @@
 
 from railfold._internal.core import Address, Chain
 from railfold._internal.errors import EngineUnavailableError, NoCapacityError
-from railfold._internal.forwarding import exchange
-from railfold._internal.forwarding.http_client import HttpConnection
-from railfold._internal.forwarding.liveness import Verdict
+from railfold._internal.forwarding.requests import exchange
+from railfold._internal.forwarding.requests.stream_watch import Silence
 from railfold._internal.forwarding.router import Destination, Router
-from railfold._internal.forwarding.stream_watch import Silence
+from railfold._internal.forwarding.servers.http_client import HttpConnection
+from railfold._internal.forwarding.servers.liveness import Verdict
 from standins import chaining_engine
 from tests.lib.forwarding import (
     PLAIN_SERVICE,
--- a/tests/unit/test_answer_headers.py
+++ b/tests/unit/test_answer_headers.py
@@ -9,7 +9,7 @@
 from absl import logging
 
 from railfold._internal.forwarding.messages import ResponseHead
-from railfold._internal.forwarding.unknown_headers import UnknownHeaders
+from railfold._internal.forwarding.servers.unknown_headers import UnknownHeaders
 from railfold._internal.observability.metrics import Metrics
 from railfold._internal.platform.answer_headers import READ, UNREAD
 from railfold._internal.platform.dialect import PlatformDialect
--- a/tests/unit/test_crash_watch.py
+++ b/tests/unit/test_crash_watch.py
@@ -6,13 +6,13 @@
 
 from railfold._internal.decisions.quarantine import Content
 from railfold._internal.decisions.routing_table import CredentialOwner
-from railfold._internal.forwarding.content_digest import ContentDigests
-from railfold._internal.forwarding.crash_watch import (
+from railfold._internal.forwarding.messages import ClientRequest, RequestSize
+from railfold._internal.forwarding.quarantine.content_digest import ContentDigests
+from railfold._internal.forwarding.quarantine.crash_watch import (
     CrashWatch,
     EndedRun,
     RunFigures,
 )
-from railfold._internal.forwarding.messages import ClientRequest, RequestSize
 
 OWNER = CredentialOwner("quality", None)
 
--- a/tests/unit/test_liveness.py
+++ b/tests/unit/test_liveness.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from railfold._internal.forwarding.liveness import LivenessCheck, Verdict
+from railfold._internal.forwarding.servers.liveness import LivenessCheck, Verdict
 
 pytestmark = [pytest.mark.asyncio, pytest.mark.looptime]
 
--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -13,7 +13,7 @@
 from railfold._internal.core import Address
 from railfold._internal.decisions.peers import MessageMemory, Peer, PeerView
 from railfold._internal.errors import PeerMessageError
-from railfold._internal.forwarding.peer_messages import (
+from railfold._internal.forwarding.peers.peer_messages import (
     MOST_CRASHES_TOLD,
     ArrivalsTold,
     ContentCleared,
@@ -28,7 +28,7 @@
     RateLimitTold,
     TrialBegun,
 )
-from railfold._internal.forwarding.shared_records import (
+from railfold._internal.forwarding.store.shared_records import (
     decode_entry,
     decode_hold,
     decode_key,
--- a/tests/unit/test_registration_feed.py
+++ b/tests/unit/test_registration_feed.py
@@ -21,9 +21,9 @@
 from railfold._internal.decisions.freshness import FreshnessLease
 from railfold._internal.decisions.retry_budget import RetryBudgets, RetryLimits
 from railfold._internal.forwarding.adapter import KeyedValue
-from railfold._internal.forwarding.feeds import RegistrationFeed
-from railfold._internal.forwarding.pool import ConnectionPool
 from railfold._internal.forwarding.router import Router
+from railfold._internal.forwarding.servers.pool import ConnectionPool
+from railfold._internal.forwarding.store.feeds import RegistrationFeed
 from railfold._internal.observability.decision_log import DecisionLog
 from railfold._internal.observability.metrics import Metrics
 from railfold._internal.platform.adapter import UsersPlatform
--- a/tests/unit/test_stream_watch.py
+++ b/tests/unit/test_stream_watch.py
@@ -7,7 +7,7 @@
 import pytest
 
 from railfold._internal.decisions.chain_activity import ChainActivity, ChainKey
-from railfold._internal.forwarding.stream_watch import Silence, StreamWatch
+from railfold._internal.forwarding.requests.stream_watch import Silence, StreamWatch
 
 pytestmark = [pytest.mark.asyncio, pytest.mark.looptime]
 
--- a/tests/unit/test_suspension.py
+++ b/tests/unit/test_suspension.py
@@ -17,7 +17,7 @@
 from railfold._internal import clock
 from railfold._internal.commands import forward
 from railfold._internal.decisions.leadership import Leadership, LeaseGrant
-from railfold._internal.forwarding.leadership import LEASE_S, LeadershipKeeper
+from railfold._internal.forwarding.store.leadership import LEASE_S, LeadershipKeeper
 from railfold._internal.observability.decision_log import DecisionLog
 from railfold._internal.observability.metrics import Metrics
 from standins.cluster import free_port
