--- a/src/railfold/_internal/decisions/rate_limits/holders.py
+++ b/src/railfold/_internal/decisions/rate_limits/holders.py
@@ -19,7 +19,7 @@
 # nothing for permits of two holders that meet in one window.
 _USED_SHARE = 0.95
 
-# Where a server takes nothing at all, one request in so many seconds finds out whether
+# Requests a second where a server takes nothing at all: somebody has to find out whether
 # that is still so.
 _LEAST_PER_S = 0.2
 
--- a/src/railfold/_internal/decisions/rate_limits/sharing.py
+++ b/src/railfold/_internal/decisions/rate_limits/sharing.py
@@ -34,8 +34,8 @@
 # Of the entries that were told to wait, about so many ask for the next permit.
 _ASK_FOR_EACH = 3.0
 
-# Nobody is told to wait for longer, so that a limit that changes is heard; where
-# entries are many, for so long that a holder isn't asked more often than this.
+# Nobody is told to wait for longer, so that a limit that changes is heard. Where
+# entries are many they wait for so long that a holder isn't asked more often than this.
 _MOST_WAIT_S = 1.0
 _MOST_ASKS_PER_S = 60.0
 
@@ -55,7 +55,7 @@
     """What this entry hands out for one server, and what it knows of other holders.
 
     :param denied: how many were told to wait since the last permit.
-    :param due_s: when each other holder may be asked.
+    :param due_s: when it is worth to ask each holder again, also this entry itself.
     :param fleet: what ``holders`` was reckoned for, as was ``per_s``.
     """
 
