--- a/src/railfold/_internal/decisions/rate_limits/holders.py
+++ b/src/railfold/_internal/decisions/rate_limits/holders.py
@@ -19,8 +19,8 @@
 # nothing for permits of two holders that meet in one window.
 _USED_SHARE = 0.95
 
-# Requests a second where a server takes nothing at all: somebody has to find out whether
-# that is still so.
+# Requests a second where a server takes nothing at all: somebody has to find out when
+# that is over.
 _LEAST_PER_S = 0.2
 
 # Holders beside one for each request a second, and at least: if one is lost, others go
