Read once more: a method that only passed on, and what a play's entries never used

Cause: the driver's split left _refuse behind destination_refused, one calling the other, and the draws of limits carried a time and an argument that nothing read.

--- a/src/railfold/_internal/forwarding/requests/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -235,9 +235,6 @@
 
     def destination_refused(self, error: RailfoldError) -> None:
         """There is no place for a next attempt."""
-        self._refuse(error)
-
-    def _refuse(self, error: RailfoldError) -> None:
         self._cause = str(error)
         self._feed(NoHost(error, self._router.return_after_s(error)))
 
@@ -314,7 +311,7 @@
             self._prober.unreachable(server_id)
         elif not isinstance(error, ServerLeavingError):
             # Refused for a reason that holds at every backend server.
-            self._refuse(error)
+            self.destination_refused(error)
             return
         self._feed(CallHostRefused(server_id, started=False, reason=reason))
 
--- a/tests/lib/limit_draws.py
+++ b/tests/lib/limit_draws.py
@@ -100,7 +100,6 @@
         self.limits = AdvertisedLimits()
         self.sharing = PermitSharing(self.play.rng)
         self.tell_due_s = float("-inf")
-        self.closed_until_s = 0.0
 
     @property
     def fleet(self) -> Fleet:
@@ -109,9 +108,9 @@
 
     def want(self) -> None:
         """Have a request that would go to the server."""
-        self._look_for_permit(set(), self.play.now_s)
+        self._look_for_permit(set())
 
-    def _look_for_permit(self, asked: set[str], began_s: float) -> None:
+    def _look_for_permit(self, asked: set[str]) -> None:
         play = self.play
         per_s = self.limits.per_s(SERVER)
         if per_s is None:
@@ -124,9 +123,9 @@
             case PermitGranted():
                 play.send(self)
             case AskHolder(name=name) if name not in asked:
-                self._ask(name, {*asked, name}, began_s)
+                self._ask(name, {*asked, name})
 
-    def _ask(self, name: str, asked: set[str], began_s: float) -> None:
+    def _ask(self, name: str, asked: set[str]) -> None:
         play = self.play
         holder = play.by_name[name]
         answered = False
@@ -144,14 +143,14 @@
                 play.send(self)
             else:
                 self.sharing.denied(SERVER, name, outcome.wait_s, play.now_s)
-                self._look_for_permit(asked, began_s)
+                self._look_for_permit(asked)
 
         def late() -> None:
             nonlocal answered
             if not answered:
                 answered = True
                 self.sharing.unanswered(SERVER, name, play.now_s)
-                self._look_for_permit(asked, began_s)
+                self._look_for_permit(asked)
 
         play.pass_on(self, holder, at_holder)
         play.at(play.now_s + _WAIT_S, late)
@@ -198,7 +197,7 @@
         super().forget()
         self.schedule = PermitSchedule(self.play.now_s)
 
-    def _look_for_permit(self, asked: set[str], began_s: float) -> None:
+    def _look_for_permit(self, asked: set[str]) -> None:
         per_s = self.limits.per_s(SERVER)
         play = self.play
         if per_s is not None:
