Log and count Retry-After of backend servers

The hypotheses of the incident couldn't be told apart: a refusal's line says 503, and neither who asked for how long nor what was sent there meanwhile. The adapter reads the header (seconds, dates by the server's own clock, several fields), server_backoff_changed says when a backoff starts and ends, and backoffs.sends_during counts requests sent before its end. Nothing decides by it yet.

--- a/src/railfold/_internal/forwarding/dialect.py
+++ b/src/railfold/_internal/forwarding/dialect.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from railfold._internal.core import Chain, LayerRange
+from railfold._internal.decisions.load_shedding import RetryAfterHeader
 from railfold._internal.decisions.rate_limits.words import RateLimitWord
 from railfold._internal.forwarding.messages import (
     ClientRequest,
@@ -191,6 +192,9 @@
     def rate_limit(self, head: ResponseHead) -> RateLimitWord:
         """Return what an answer's head says of the rate that its server takes."""
 
+    def retry_after(self, head: ResponseHead) -> RetryAfterHeader:
+        """Return for how long an answer's head asks to send nothing."""
+
     def report_call(self) -> EngineCall:
         """Return the call that asks an engine for its report."""
 
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -470,6 +470,7 @@
             self.router.avoidance.forget(known)
             self._prober.pace.forget(known)
             self.router.limits.upkeep(known, now_s)
+            self.router.backoffs.upkeep(known, now_s)
             self._registrations.pace = self._registration_pace(now_s)
             self._forget_finished()
             self._clients.forget_closed()
--- a/src/railfold/_internal/forwarding/requests/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -293,10 +293,12 @@
             self._router.require_fresh(self._route)
         self._router.check_permission(self._route, request.path, request.credential)
         self._quarantine.check(request, self._owner, on_trial=self._on_trial)
-        destination = self._destination
-        entry = destination and self._router.directory.get(destination.server.host)
-        if not entry or entry.registration.draining:
+        assert self._destination is not None
+        server_id = self._destination.server.host
+        entry = self._router.directory.get(server_id)
+        if entry is None or entry.registration.draining:
             raise ServerLeavingError("the backend server is leaving")
+        self._router.backoffs.record_send(server_id)
 
     # What comes of an attempt
 
@@ -344,6 +346,7 @@
         if destination is not None:
             router, server_id = self._router, destination.server.host
             router.limits.heard(server_id, kind, head, self._sent_s)
+            router.backoffs.record_response(server_id, head, "a request")
             unknown = router.dialect.unknown_headers(head)
             router.unknown_headers.note(server_id, unknown)
         is_stream = self._route.kind is RouteKind.STREAM and _holds_events(head)
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -62,6 +62,7 @@
     UnknownTargetError,
 )
 from railfold._internal.forwarding.dialect import Dialect
+from railfold._internal.forwarding.servers.backoffs import ServerBackoffs
 from railfold._internal.forwarding.servers.pool import ConnectionPool
 from railfold._internal.forwarding.servers.rate_limits import RateLimits
 from railfold._internal.forwarding.servers.unknown_headers import UnknownHeaders
@@ -155,12 +156,14 @@
     costs: LinkCosts = field(default_factory=LinkCosts)
     weights: PlannerWeights = field(default_factory=PlannerWeights)
     limits: RateLimits = field(init=False)
+    backoffs: ServerBackoffs = field(init=False)
     unknown_headers: UnknownHeaders = field(init=False)
 
     def __post_init__(self) -> None:
         """Build what is made of the other parts."""
         self.unknown_headers = UnknownHeaders(self.metrics)
         self.limits = RateLimits(self.dialect, self.metrics, self.log, self.rng)
+        self.backoffs = ServerBackoffs(self.dialect, self.metrics, self.log)
 
     def check_permission(self, route: Route, path: str, credential: str) -> None:
         """Look at the newest configuration right before a request is sent.
--- a/src/railfold/_internal/forwarding/servers/engine_calls.py
+++ b/src/railfold/_internal/forwarding/servers/engine_calls.py
@@ -222,6 +222,7 @@
         )
         self._router.pool.give_back(server_id, connection, self._loop.time())
         self._router.limits.heard_beside(server_id, response.head)
+        self._router.backoffs.record_response(server_id, response.head, "a call")
         return response
 
     async def reroute(self, request_id: str, chain: Chain) -> str:
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -29,6 +29,7 @@
     "QuarantineChanged",
     "RateLimitChanged",
     "RequestEnded",
+    "ServerBackoffChanged",
     "ServerCrashed",
     "SettingsReloaded",
     "StoreWentBack",
@@ -251,6 +252,25 @@
     own_per_s: float
 
 
+class ServerBackoffChanged(msgspec.Struct, frozen=True, tag="server_backoff_changed"):
+    """A backend server asked this entry not to send for a time, or that time ended.
+
+    :param state: started or ended.
+    :param source: what the server answered when it asked.
+    :param backoff_s: how long it asked for; at its end, how long it lasted.
+    :param requests: answers that asked for it.
+    :param sends: requests that this entry sent there meanwhile.
+    """
+
+    server_id: str
+    state: str
+    cause: str
+    source: str
+    backoff_s: float
+    requests: int
+    sends: int
+
+
 class RequestEnded(msgspec.Struct, frozen=True, tag="request_ended"):
     """A request got its final answer."""
 
@@ -297,6 +317,7 @@
     | ServerCrashed
     | QuarantineChanged
     | RateLimitChanged
+    | ServerBackoffChanged
     | RequestEnded
     | LinesDropped
 )
--- a/src/railfold/_internal/platform/dialect.py
+++ b/src/railfold/_internal/platform/dialect.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Sequence
 
 from railfold._internal.core import Chain, LayerRange
+from railfold._internal.decisions.load_shedding import RetryAfterHeader
 from railfold._internal.decisions.rate_limits.words import (
     NoRateLimit,
     RateLimitNamed,
@@ -35,7 +36,7 @@
     ResponseHead,
 )
 from railfold._internal.forwarding.requests.replies import connection_headers
-from railfold._internal.platform import answer_headers, engines
+from railfold._internal.platform import answer_headers, engines, retry_after
 
 __all__ = ["PlatformDialect"]
 
@@ -199,6 +200,10 @@
             case _:
                 return UnreadableRateLimit(", ".join(values)[:_TEXT_TOLD])
 
+    def retry_after(self, head: ResponseHead) -> RetryAfterHeader:
+        """Return for how long an answer's head asks to send nothing."""
+        return retry_after.retry_after(head)
+
     def report_call(self) -> EngineCall:
         """Return the call that asks an engine for its report."""
         return engines.report_call()
--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -55,6 +55,8 @@
         ``crashed_by`` is its path.
     :param rate_limit: what it names as the requests a second that it takes, in the
         heads of answers to requests; it serves all the same.
+    :param retry_after: value of Retry-After in its refusals in mode ``"shed"``.
+    :param shed: its refusals with Retry-After.
     :param reports_to_drop: how many calls for its report it answers by closing the
         connection, as one that was idle for too long.
     """
@@ -73,6 +75,8 @@
     born: int | None = None
     reports_to_drop: int = 0
     rate_limit: str | None = None
+    retry_after: str | None = None
+    shed: list[Arrival] = field(default_factory=list)
     crash_body: bytes | None = None
     crash_after_s: float = 0.08
     on_crash: Callable[[Engine], None] | None = None
@@ -176,7 +180,7 @@
         """Start under the same id, knowing nothing of before."""
         self.born = born
         self.state = "ready"
-        self.rate_limit = None
+        self.rate_limit = self.retry_after = None
         self.orders = 0
         self.fence = -1
         self.layers = None
@@ -248,6 +252,10 @@
 
 class _Health(_Handler):
     def get(self) -> None:
+        if self.engine.mode == "shed" and self.engine.retry_after is not None:
+            # A health check waits for a slot, or is refused, as a request is.
+            self.set_header("Retry-After", self.engine.retry_after)
+            self.set_status(503)
         self.finish(self.engine.told_start() or "ok")
 
 
@@ -276,6 +284,9 @@
             self._refuse(421)
             return
         if engine.mode == "shed":
+            if engine.retry_after is not None:
+                self.set_header("Retry-After", engine.retry_after)
+                engine.shed.append(Arrival(request_id, now_s))
             self._refuse(503)
             return
         if engine.mode == "dead":
--- a/tests/lib/limits.py
+++ b/tests/lib/limits.py
@@ -141,7 +141,7 @@
         arrival.at_s
         for arrival in server.arrivals
         if arrival.at_s
-        >= told.get(_entry_of(arrival.request_id), float("inf")) + TOLD_BEFORE_S
+        >= told.get(entry_of(arrival.request_id), float("inf")) + TOLD_BEFORE_S
     )
     ends_s = [at_s for at_s in counted if named_s + CONTACT_S <= at_s <= until_s]
     ends_s.append(min(until_s, named_s + CONTACT_S))
@@ -151,7 +151,8 @@
     )
 
 
-def _entry_of(request_id: str) -> int:
+def entry_of(request_id: str) -> int:
+    """Return the number of the entry that a request of a load was sent to."""
     return int(request_id.split("-")[0].removeprefix("e"))
 
 
