Move the choice of eligible servers into one decision

Plain services and chains combined rate limits, pauses and slow starts by hand, each in its own order, and the refusal reckoned them once more. decisions/eligibility answers for a server and a role (replica, first stage, later stage) whether it may serve, or why not; both paths ask it, and a refusal reads the bars that were met.

--- a/src/railfold/_internal/forwarding/requests/destination_search.py
+++ b/src/railfold/_internal/forwarding/requests/destination_search.py
@@ -102,7 +102,7 @@
                 self._route,
                 exclude,
                 sparing=sparing,
-                patience_s=self._patience_s(begun=begun),
+                max_wait_s=self._max_wait_s(begun=begun),
             )
         except RequestError as found:
             self._listener.destination_refused(found)
@@ -115,7 +115,7 @@
         )
         self._permit = self._loop.create_task(waiting)
 
-    def _patience_s(self, *, begun: bool) -> float:
+    def _max_wait_s(self, *, begun: bool) -> float:
         """Return how long the request may wait for a permit."""
         random_unit = self._router.rng.random()
         return permit_patience_s(
@@ -132,7 +132,7 @@
     ) -> None:
         """Get a permit of a server with a limit, or look for another place."""
         limits = self._router.limits
-        outcome = await limits.acquire(destination.server_ids, destination.patience_s)
+        outcome = await limits.acquire(destination.server_ids, destination.max_wait_s)
         self._permit = None
         match outcome:
             case PermitGranted():
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -20,6 +20,14 @@
     choose_sparing,
 )
 from railfold._internal.decisions.domains import group_by_domain
+from railfold._internal.decisions.eligibility import (
+    Bar,
+    RateLimited,
+    Role,
+    ServerEligibility,
+    SlowStart,
+    Terms,
+)
 from railfold._internal.decisions.engine_directory import (
     DirectoryEntry,
     EngineDirectory,
@@ -39,11 +47,11 @@
     NobodyHasProof,
     NoRoom,
     OnTrial,
-    RateLimited,
     ReturnCause,
     Starting,
     return_after_s,
 )
+from railfold._internal.decisions.return_time import RateLimited as ReturnAtPermit
 from railfold._internal.decisions.routing_table import (
     EngineModel,
     Route,
@@ -116,13 +124,13 @@
 class Destination:
     """Where a request may go; ``server`` is the one that it is sent to.
 
-    :param patience_s: how long it may wait there for a permit of a server with a limit.
+    :param max_wait_s: how long it may wait there for a permit of a rate limited server.
     """
 
     service: str
     server: Stage
     chain: Chain | None
-    patience_s: float = 0.0
+    max_wait_s: float = 0.0
 
     @property
     def server_ids(self) -> tuple[str, ...]:
@@ -157,6 +165,7 @@
     weights: PlannerWeights = field(default_factory=PlannerWeights)
     limits: RateLimits = field(init=False)
     backoffs: ServerBackoffs = field(init=False)
+    eligibility: ServerEligibility = field(init=False)
     unknown_headers: UnknownHeaders = field(init=False)
 
     def __post_init__(self) -> None:
@@ -164,6 +173,12 @@
         self.unknown_headers = UnknownHeaders(self.metrics)
         self.limits = RateLimits(self.dialect, self.metrics, self.log, self.rng)
         self.backoffs = ServerBackoffs(self.dialect, self.metrics, self.log)
+        self.eligibility = ServerEligibility(
+            self.directory,
+            self.avoidance,
+            self.limits.wait_s,
+            self.limits.is_starting_slowly,
+        )
 
     def check_permission(self, route: Route, path: str, credential: str) -> None:
         """Look at the newest configuration right before a request is sent.
@@ -191,7 +206,7 @@
             case RequestOnTrialError(left_s=left_s):
                 return OnTrial(left_s)
             case RateLimitedError(left_s=left_s):
-                return RateLimited(left_s)
+                return ReturnAtPermit(left_s)
             case _:
                 return NoRoom()
 
@@ -216,7 +231,7 @@
         exclude: frozenset[str],
         *,
         sparing: bool = False,
-        patience_s: float = 0.0,
+        max_wait_s: float = 0.0,
     ) -> Destination:
         """Return where a request of a route goes now.
 
@@ -225,86 +240,85 @@
 
         :param exclude: backend servers that it must not be sent to.
         :param sparing: whether it may end its server, so that it doesn't get the last.
-        :param patience_s: how long it may wait for a permit.
+        :param max_wait_s: how long it may wait for a permit.
         :raises RequestError: there is no such place.
         """
         spec = self._service(route)
         if not exclude:
             self.arrivals.arrived(spec.name, asyncio.get_running_loop().time())
-        spared = self._left_out(spec, 0.0, spare=True)
+        strict = Terms()
         try:
-            return self._choose_at(spec, route, exclude, spared, sparing=sparing)
+            return self._choose_at(spec, route, exclude, strict, sparing=sparing)
         except NoCapacityError:
-            if not spared:
+            if not any(map(_may_relax, strict.bars.values())):
                 raise
-        closed = self._left_out(spec, patience_s, spare=False)
+        relaxed = Terms(max_wait_s=max_wait_s, relaxed=True)
         try:
-            found = self._choose_at(spec, route, exclude, closed, sparing=sparing)
+            found = self._choose_at(spec, route, exclude, relaxed, sparing=sparing)
         except NoCapacityError as error:
-            left_s = self._permit_due_s(spec, route, exclude, closed)
-            if left_s is None:
+            refusal = self._refusal(spec, route, exclude, relaxed)
+            if refusal is None:
                 raise
-            raise self.limits.refusal(closed, left_s) from error
-        return replace(found, patience_s=patience_s)
-
-    def _left_out(
-        self, spec: ServiceSpec, patience_s: float, *, spare: bool
-    ) -> frozenset[str]:
-        """Return the servers of a service that their limits leave out now."""
-        if not self.limits.known:
-            return frozenset()
-        servers = [entry.server_id for entry in self.directory.of_service(spec.name)]
-        return self.limits.left_out(servers, patience_s, spare=spare)
-
-    def _permit_due_s(
+            raise refusal from error
+        return replace(found, max_wait_s=max_wait_s)
+
+    def _refusal(
         self,
         spec: ServiceSpec,
         route: Route,
         exclude: frozenset[str],
-        closed: frozenset[str],
-    ) -> float | None:
-        """Return when the permit is due that a request lacks; none if it lacks more.
+        terms: Terms,
+    ) -> RequestError | None:
+        """Return why a request is refused that only lacks the end of some bars.
 
-        :param closed: servers whose limits leave them out.
+        :param terms: with the bars that it met.
         """
+        unbarred = Terms(relaxed=True, ignores_ends=True)
         try:
-            place = self._choose_at(spec, route, exclude, frozenset(), sparing=False)
+            place = self._choose_at(spec, route, exclude, unbarred, sparing=False)
         except NoCapacityError:
             return None
-        waits_s = [self.limits.wait_s(s) for s in place.server_ids if s in closed]
-        return max(waits_s, default=None)
+        now_s = asyncio.get_running_loop().time()
+        met = [terms.bars[s] for s in place.server_ids if s in terms.bars]
+        ends_s = [bar.until_s for bar in met if isinstance(bar, RateLimited)]
+        if not ends_s:
+            return None
+        limited = [s for s, bar in terms.bars.items() if isinstance(bar, RateLimited)]
+        return self.limits.refusal(limited, max(ends_s) - now_s)
 
     def _choose_at(
         self,
         spec: ServiceSpec,
         route: Route,
         exclude: frozenset[str],
-        closed: frozenset[str],
+        terms: Terms,
         *,
         sparing: bool,
     ) -> Destination:
-        """Return a place without servers that take nothing now.
+        """Return a place among the servers that are eligible.
 
         :param exclude: servers that the request must not be sent to.
-        :param closed: servers that must not work on it either.
         """
         if spec.model is not None:
             bearable_s = _BEARABLE_SHARE * route.objective_s
             return self._choose_chain(
-                spec, spec.model, exclude, closed, bearable_s, sparing
+                spec, spec.model, exclude, terms, bearable_s, sparing
             )
-        exclude = exclude | closed
+        now_s = asyncio.get_running_loop().time()
         doubtful = self.directory.doubtful(spec.name)
-        replicas = _near_first(
-            self.directory.replicas(spec.name, self.region), self.failure_domain
-        )
-        left_out = exclude | doubtful
-        if all(replica.stage.host in left_out for replica in replicas):
-            left_out = exclude
-        if sparing and len(replicas) == 1:
+        registered = self.directory.replicas(spec.name, self.region)
+        replicas = [
+            r
+            for r in _near_first(registered, self.failure_domain)
+            if r.stage.host not in exclude
+            and self.eligibility.allows(r.stage.host, Role.REPLICA, now_s, terms)
+        ]
+        if all(replica.stage.host in doubtful for replica in replicas):
+            doubtful = frozenset()
+        if sparing and len(registered) == 1:
             raise _last_one_error()
         chosen = choose_host(
-            replicas, exclude=left_out, weights=self.weights, rng=self.rng
+            replicas, exclude=doubtful, weights=self.weights, rng=self.rng
         )
         return Destination(spec.name, chosen.stage, None)
 
@@ -325,7 +339,7 @@
         spec: ServiceSpec,
         model: EngineModel,
         exclude: frozenset[str],
-        closed: frozenset[str],
+        terms: Terms,
         bearable_s: float,
         sparing: bool,
     ) -> Destination:
@@ -346,8 +360,7 @@
                 self._preferred_if_connected(r, now_s, blind)
                 for r in members
                 if (r.stage.layers.first > 0 or r.stage.host not in exclude)
-                and r.stage.host not in closed
-                and not self._avoided(r.stage.host, now_s)
+                and self.eligibility.allows(r.stage.host, _role(r), now_s, terms)
             ]
             try:
                 chain = self._plan_of_sure(usable, model, blind, doubtful)
@@ -426,11 +439,6 @@
         own_per_s = self.arrivals.per_s(service, now_s)
         return self.fleet_arrivals.total_per_s(service, own_per_s, self.entries, now_s)
 
-    def _avoided(self, server_id: str, now_s: float) -> bool:
-        entry = self.directory.get(server_id)
-        load = entry.own_load if entry is not None else 0
-        return self.avoidance.avoided(server_id, now_s, load)
-
     def replaceable(self, server_ids: Iterable[str]) -> bool:
         """Return whether most of these have a stand-in for all their layers."""
         entries = [e for e in map(self.directory.get, server_ids) if e is not None]
@@ -600,6 +608,15 @@
     )
 
 
+def _may_relax(bar: Bar) -> bool:
+    """Return whether a request may go there after all, if no other server can."""
+    return isinstance(bar, RateLimited | SlowStart)
+
+
+def _role(replica: Replica) -> Role:
+    return Role.LATER_STAGE if replica.stage.layers.first > 0 else Role.FIRST_STAGE
+
+
 def _near_first(replicas: list[Replica], domain: str) -> list[Replica]:
     """Return replicas of which those in ``domain`` cost less."""
     return [
--- a/src/railfold/_internal/forwarding/servers/rate_limits.py
+++ b/src/railfold/_internal/forwarding/servers/rate_limits.py
@@ -196,31 +196,12 @@
 
     # Where requests may go
 
-    @property
-    def known(self) -> bool:
-        """Whether any server names a limit, or did so of late."""
-        return bool(self._limits)
-
     def limited(self, server_ids: Iterable[str]) -> list[str]:
         """Return those servers whose limits are in force."""
         return [s for s in server_ids if self._limits.per_s(s) is not None]
 
-    def left_out(
-        self, server_ids: Iterable[str], patience_s: float, *, spare: bool
-    ) -> frozenset[str]:
-        """Return those servers that a request shouldn't go to now.
-
-        :param patience_s: how long it may wait for a permit.
-        :param spare: whether servers whose limit has just ended get less than usual.
-        """
-        now_s = _now_s()
-        return frozenset(
-            s
-            for s in server_ids
-            if self.wait_s(s) > patience_s or (spare and self._is_spared(s, now_s))
-        )
-
-    def _is_spared(self, server_id: str, now_s: float) -> bool:
+    def is_starting_slowly(self, server_id: str, now_s: float) -> bool:
+        """Draw whether a server whose limit has just ended is left out once."""
         share = self._limits.share(server_id, now_s)
         return share < 1.0 and self._rng.random() >= share
 
