Honour Retry-After of backend servers

What callers saw: nothing in the record, since others served; where all servers of a kind shed load, each was refused with Retry-After 0.25 to 0.75 s and came back up to eight times within the servers' 3 s. What operators saw: a server that had asked an entry for 3 s got 3 and 4 requests from it in that time (2 are allowed).

Cause: nothing read the header. After a refusal an entry guessed a pause (0.25 to 2 s, none for plain services), and choice, send and the caller's Retry-After each knew a part. Evidence: in the record the sends are first attempts, 0.4 to 2 s apart, to the server whose refusal came before; own stand-ins show 62 and 24 requests within one backoff (one entry, three entries). Ruled out: attribution to another server (no refusal named one), a choice before the refusal's arrival (sends followed it by 0.4 s and more).

Change: RequestedBackoffs holds what each incarnation asked for. It is a bar in the one decision of eligibility, for direct sends only, and is asked again right before the bytes leave; what isn't sent then costs no retry. A server that says the time gets no guessed pause. If all servers of a kind back this entry off, a request is refused at once with the earliest end, spread, or sent to another entry while most others may send; entries announce when they can't. Health checks of plain servers and polls for slowness wait as well; reports and orders to engines don't, streams depend on them.

--- a/src/railfold/_internal/decisions/calls.py
+++ b/src/railfold/_internal/decisions/calls.py
@@ -39,6 +39,7 @@
     "CallLifecycle",
     "CallLimits",
     "CallRegister",
+    "CallUnsent",
     "ChooseHost",
     "FinishCall",
     "NoHost",
@@ -77,6 +78,14 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class CallUnsent:
+    """Nothing was sent, since the host takes no calls any more; others may."""
+
+    host: str
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class CallHostLost:
     """The host is dead, replaced or unreachable, or broke its answer off.
@@ -103,6 +112,7 @@
     | NoHost
     | CallAnswered
     | CallHostRefused
+    | CallUnsent
     | CallHostLost
     | CallDeadlinePassed
     | CallCallerGone
@@ -212,6 +222,9 @@
             case CallHostRefused(host=host, started=started, reason=reason):
                 error = NoCapacityError(f"host {host} gave no answer", why=reason)
                 return self._retry(host, error, may_have_run=started)
+            case CallUnsent(host=host, reason=reason):
+                error = NoCapacityError(f"host {host} takes no call", why=reason)
+                return self._choose_another(host, error)
             case CallHostLost(host=host):
                 lost = EngineUnavailableError(
                     f"host {host} was lost while it had the call"
@@ -247,6 +260,16 @@
         self._phase = _Phase.CHOOSING
         return [ChooseHost(frozenset(self._excluded), is_retry=True)]
 
+    def _choose_another(self, host: str, error: RailfoldError) -> list[CallAction]:
+        """Choose again; a retry is only what follows a call that was sent."""
+        if self._phase is not _Phase.SENT or host != self._host:
+            return []
+        if self._spent(self._runs):
+            return self._give_up(error, _RETRY_AFTER_S)
+        self._phase = _Phase.CHOOSING
+        excluded = frozenset(self._excluded)
+        return [ChooseHost(excluded, is_retry=bool(excluded))]
+
     def _abandon(self, error: RailfoldError) -> list[CallAction]:
         self._may_have_run = self._may_have_run or self._phase is _Phase.SENT
         return self._give_up(error, _RETRY_AFTER_S)
--- a/src/railfold/_internal/decisions/eligibility.py
+++ b/src/railfold/_internal/decisions/eligibility.py
@@ -1,7 +1,7 @@
 """Whether a backend server may be sent a request now, and if not, until when.
 
-One decision for plain services and for stages of chains. It asks what is known of the
-server: a permit that is due, an own pause after refusals, a slow start after a limit.
+One decision for plain services and for stages of chains, asked when a server is chosen
+and again right before a request is sent: it may have waited for a connection.
 """
 
 from __future__ import annotations
@@ -12,9 +12,16 @@
 
 from railfold._internal.decisions.avoidance import Avoidance
 from railfold._internal.decisions.engine_directory import EngineDirectory
+from railfold._internal.decisions.load_shedding import (
+    BackingOff,
+    HalfOpen,
+    RequestedBackoffs,
+)
 
 __all__ = [
     "Bar",
+    "EndingBar",
+    "NotServing",
     "Paused",
     "RateLimited",
     "Role",
@@ -44,6 +51,11 @@
     until_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class NotServing:
+    """It is gone, leaving or suspect."""
+
+
 @dataclass(frozen=True, slots=True)
 class Paused:
     """It refused work, and holds as much as it held then."""
@@ -54,7 +66,8 @@
     """It gets a part of its usual requests, and this isn't one of them."""
 
 
-Bar = RateLimited | Paused | SlowStart
+Bar = BackingOff | HalfOpen | RateLimited | NotServing | Paused | SlowStart
+EndingBar = BackingOff | HalfOpen | RateLimited
 
 
 @dataclass(slots=True)
@@ -62,7 +75,8 @@
     """What one request accepts, and what bars it met.
 
     :param max_wait_s: how long it may wait for a permit.
-    :param relaxed: whether servers in slow start serve too, since no others can.
+    :param relaxed: whether servers serve too that get less than usual, since no others
+        can: those in slow start, and paused ones of a plain service.
     :param ignores_ends: whether bars that end by themselves don't count.
     :param bars: the bars met, by server.
     """
@@ -86,11 +100,13 @@
         self,
         directory: EngineDirectory,
         avoidance: Avoidance,
+        backoffs: RequestedBackoffs,
         permit_wait_s: Callable[[str], float],
         starts_slowly: Callable[[str, float], bool],
     ) -> None:
         self._directory = directory
         self._avoidance = avoidance
+        self._backoffs = backoffs
         self._permit_wait_s = permit_wait_s
         self._starts_slowly = starts_slowly
 
@@ -105,6 +121,10 @@
     def _bar(
         self, server_id: str, role: Role, now_s: float, terms: Terms
     ) -> Bar | None:
+        if role.is_direct and not terms.ignores_ends:
+            backoff = self._backoffs.bar(server_id, now_s)
+            if backoff is not None:
+                return backoff
         wait_s = self._permit_wait_s(server_id)
         if wait_s > terms.max_wait_s and not terms.ignores_ends:
             return RateLimited(now_s + wait_s)
@@ -114,6 +134,16 @@
             return SlowStart()
         return None
 
+    def bar_of_send(self, server_id: str, now_s: float) -> Bar | None:
+        """Return what has come up since a server was chosen.
+
+        Its permit is taken by then, and its load counts the request.
+        """
+        entry = self._directory.get(server_id)
+        if entry is None or not entry.routable:
+            return NotServing()
+        return self._backoffs.bar(server_id, now_s)
+
     def _is_paused(self, server_id: str, now_s: float) -> bool:
         entry = self._directory.get(server_id)
         load = entry.own_load if entry is not None else 0
--- a/src/railfold/_internal/decisions/load_shedding/__init__.py
+++ b/src/railfold/_internal/decisions/load_shedding/__init__.py
@@ -1,5 +1,6 @@
 """Backend servers that shed load and say for how long, by Retry-After."""
 
+from railfold._internal.decisions.load_shedding.fleet import BarredEntries
 from railfold._internal.decisions.load_shedding.headers import (
     NoRetryAfter,
     RetryAfter,
@@ -7,15 +8,22 @@
     UnreadableRetryAfter,
 )
 from railfold._internal.decisions.load_shedding.requested import (
-    BackoffRequest,
+    BackingOff,
+    BackoffBar,
+    HalfOpen,
     RequestedBackoffs,
+    ServerBackoff,
 )
 
 __all__ = [
-    "BackoffRequest",
+    "BackingOff",
+    "BackoffBar",
+    "BarredEntries",
+    "HalfOpen",
     "NoRetryAfter",
     "RequestedBackoffs",
     "RetryAfter",
     "RetryAfterHeader",
+    "ServerBackoff",
     "UnreadableRetryAfter",
 ]
--- a/src/railfold/_internal/decisions/load_shedding/requested.py
+++ b/src/railfold/_internal/decisions/load_shedding/requested.py
@@ -3,38 +3,94 @@
 A server that sheds load answers 503 and may add Retry-After. That holds for the entry
 that it answers; other entries may send to it. Each such answer counts from its arrival,
 and the longest one holds. Only a new incarnation, which has another id, ends it early.
+
+After its end the server is half-open: it gets one request. If that one is served, the
+server's share of requests grows to the usual (slow start).
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-__all__ = ["BackoffRequest", "RequestedBackoffs"]
+from railfold._internal.decisions.slow_start import usual_share
+
+__all__ = ["BackingOff", "BackoffBar", "HalfOpen", "RequestedBackoffs", "ServerBackoff"]
 
 # A server that asks for longer is tried again after this time: more is more likely a
 # mistake than a wish, and nothing else would end it.
 _MAX_BACKOFF_S = 3600.0
 
+# The first request after the end is waited for this long before another one may go.
+_TRIAL_TIMEOUT_S = 1.0
+
+# When others are told to ask again while it is under way: most are served sooner.
+_TRIAL_USUAL_S = 0.2
+
+# How long the share of a server that serves again grows to the usual.
+_SLOW_START_S = 2.0
+
+# A backoff that no request followed is forgotten after this time.
+_FORGET_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class BackingOff:
+    """The server wants nothing before ``until_s``."""
+
+    until_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class HalfOpen:
+    """One request finds out whether it serves again, until about ``until_s``."""
+
+    until_s: float
+
+
+BackoffBar = BackingOff | HalfOpen
+
 
 @dataclass(slots=True)
-class BackoffRequest:
-    """What one server asked for.
+class ServerBackoff:
+    """What one server asked for, and what came of it.
 
-    :param started_s: when the first answer of an unbroken series came.
     :param until_s: when the backoff ends.
     :param requests: answers that asked for it.
-    :param sends: requests that were sent to it meanwhile.
+    :param sends: requests that were sent to it before the end.
+    :param trial: id of the first request after the end, while it is under way.
+    :param served_s: when the server was first known to serve again.
+    :param ended: whether its end was reported, or that it serves again.
     """
 
     started_s: float
     until_s: float
     requests: int = 1
     sends: int = 0
+    trial: str | None = None
+    trial_s: float = 0.0
+    served_s: float | None = None
+    ended: bool = False
 
     def active(self, now_s: float) -> bool:
         """Return whether the server still wants nothing."""
         return now_s < self.until_s
 
+    def bar(self, now_s: float) -> BackoffBar | None:
+        """Return what keeps requests from the server now."""
+        if self.active(now_s):
+            return BackingOff(self.until_s)
+        if self.served_s is not None or self.trial is None:
+            return None
+        if now_s - self.trial_s >= _TRIAL_TIMEOUT_S:
+            return None
+        return HalfOpen(max(now_s, self.trial_s + _TRIAL_USUAL_S))
+
+    def is_over(self, now_s: float) -> bool:
+        """Return whether nothing follows from it any more."""
+        if self.served_s is not None:
+            return now_s - self.served_s >= _SLOW_START_S
+        return now_s - max(self.until_s, self.trial_s) >= _FORGET_S
+
 
 class RequestedBackoffs:
     """The backoffs that servers asked this entry for, by incarnation.
@@ -43,11 +99,11 @@
     """
 
     def __init__(self) -> None:
-        self._requests: dict[str, BackoffRequest] = {}
+        self._backoffs: dict[str, ServerBackoff] = {}
 
     def __bool__(self) -> bool:
         """Whether any server asked for one of late."""
-        return bool(self._requests)
+        return bool(self._backoffs)
 
     def requested(self, server_id: str, delay_s: float, now_s: float) -> bool:
         """Take an answer that asks for ``delay_s``; return whether it starts a backoff.
@@ -55,38 +111,77 @@
         One of 0 s asks for nothing.
         """
         until_s = now_s + min(delay_s, _MAX_BACKOFF_S)
-        request = self._requests.get(server_id)
+        backoff = self._backoffs.get(server_id)
         if until_s <= now_s:
             return False
-        if request is None or not request.active(now_s):
-            self._requests[server_id] = BackoffRequest(now_s, until_s)
+        if backoff is None or not backoff.active(now_s):
+            self._backoffs[server_id] = ServerBackoff(now_s, until_s)
             return True
-        request.until_s = max(request.until_s, until_s)
-        request.requests += 1
+        backoff.until_s = max(backoff.until_s, until_s)
+        backoff.requests += 1
         return False
 
-    def get(self, server_id: str) -> BackoffRequest | None:
+    def get(self, server_id: str) -> ServerBackoff | None:
         """Return what a server asked for last."""
-        return self._requests.get(server_id)
+        return self._backoffs.get(server_id)
+
+    def bar(self, server_id: str, now_s: float) -> BackoffBar | None:
+        """Return what keeps this entry from sending to a server now."""
+        backoff = self._backoffs.get(server_id)
+        return backoff.bar(now_s) if backoff is not None else None
 
     def active(self, now_s: float) -> list[str]:
         """Return the servers that want nothing now."""
-        return [s for s, request in self._requests.items() if request.active(now_s)]
-
-    def sent(self, server_id: str, now_s: float) -> None:
-        """Count a request that is sent to a server."""
-        request = self._requests.get(server_id)
-        if request is not None and request.active(now_s):
-            request.sends += 1
-
-    def take_ended(self, now_s: float) -> dict[str, BackoffRequest]:
-        """Return the backoffs that have ended, and forget them."""
-        ended = {s: r for s, r in self._requests.items() if not r.active(now_s)}
-        for server_id in ended:
-            del self._requests[server_id]
+        return [s for s, backoff in self._backoffs.items() if backoff.active(now_s)]
+
+    def sent(self, server_id: str, request_id: str, now_s: float) -> None:
+        """Take that a request is sent to a server now."""
+        backoff = self._backoffs.get(server_id)
+        if backoff is None:
+            return
+        if backoff.active(now_s):
+            backoff.sends += 1
+        elif backoff.served_s is None:
+            backoff.trial, backoff.trial_s = request_id, now_s
+
+    def served(self, server_id: str, request_id: str, now_s: float) -> bool:
+        """Take that a server worked on a request; return whether it serves again.
+
+        Only the request that was sent after the end of the backoff proves that.
+        """
+        backoff = self._backoffs.get(server_id)
+        if backoff is None or backoff.trial != request_id or backoff.active(now_s):
+            return False
+        backoff.trial, backoff.served_s = None, now_s
+        backoff.ended = True
+        return True
+
+    def attempt_ended(self, server_id: str, request_id: str) -> None:
+        """Take that a request at a server ended; if unserved, another one may go."""
+        backoff = self._backoffs.get(server_id)
+        if backoff is not None and backoff.trial == request_id:
+            backoff.trial = None
+
+    def share(self, server_id: str, now_s: float) -> float:
+        """Return which share of its usual requests a server gets."""
+        backoff = self._backoffs.get(server_id)
+        if backoff is None or backoff.served_s is None:
+            return 1.0
+        return usual_share(backoff.served_s, now_s, _SLOW_START_S)
+
+    def take_ended(self, now_s: float) -> dict[str, ServerBackoff]:
+        """Return the backoffs that have ended since the last call."""
+        ended = {
+            server_id: backoff
+            for server_id, backoff in self._backoffs.items()
+            if not backoff.ended and not backoff.active(now_s)
+        }
+        for backoff in ended.values():
+            backoff.ended = True
         return ended
 
-    def forget(self, known_ids: set[str]) -> None:
-        """Forget servers that are gone."""
-        for server_id in set(self._requests) - known_ids:
-            del self._requests[server_id]
+    def forget(self, known_ids: set[str], now_s: float) -> None:
+        """Forget servers that are gone, and backoffs that nothing follows from."""
+        for server_id, backoff in list(self._backoffs.items()):
+            if server_id not in known_ids or backoff.is_over(now_s):
+                del self._backoffs[server_id]
--- a/src/railfold/_internal/decisions/planner.py
+++ b/src/railfold/_internal/decisions/planner.py
@@ -11,12 +11,19 @@
 
 import random
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from railfold._internal.core import Chain, LayerRange, Stage
 from railfold._internal.errors import NoCapacityError
 
-__all__ = ["LinkCosts", "PlannerWeights", "Replica", "choose_host", "plan_chain"]
+__all__ = [
+    "LinkCosts",
+    "PlannerWeights",
+    "Replica",
+    "choose_host",
+    "plan_chain",
+    "without_first_layer",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +47,15 @@
         return self.in_flight >= self.capacity
 
 
+def without_first_layer(replica: Replica) -> Replica:
+    """Return a replica of at least two layers as one that no chain can begin at."""
+    stage = replica.stage
+    layers = LayerRange(stage.layers.first + 1, stage.layers.last)
+    step_ms = replica.step_ms * len(layers) / len(stage.layers)
+    later = Stage(stage.host, stage.address, stage.incarnation, layers)
+    return replace(replica, stage=later, step_ms=step_ms)
+
+
 @dataclass(frozen=True, slots=True)
 class _Path:
     """A chain's beginning; ``end`` is the replica that it ends at."""
--- a/src/railfold/_internal/decisions/rate_limits/advertised.py
+++ b/src/railfold/_internal/decisions/rate_limits/advertised.py
@@ -21,6 +21,7 @@
     RateLimitWord,
     UnreadableRateLimit,
 )
+from railfold._internal.decisions.slow_start import usual_share
 
 __all__ = [
     "AdvertisedLimits",
@@ -158,7 +159,7 @@
         known = self._known.get(server_id)
         if known is None or known.per_s is not None:
             return 1.0
-        return max(0.0, min(1.0, (now_s - known.changed_s) / _RECOVERY_S))
+        return usual_share(known.changed_s, now_s, _RECOVERY_S)
 
     def lapse(self, now_s: float, entries: int) -> dict[str, LimitLapsed]:
         """Let limits lapse that nobody confirms; return which.
--- a/src/railfold/_internal/decisions/return_time.py
+++ b/src/railfold/_internal/decisions/return_time.py
@@ -16,6 +16,7 @@
     "OnTrial",
     "RateLimited",
     "ReturnCause",
+    "ServersBackingOff",
     "Starting",
     "return_after_s",
 ]
@@ -37,6 +38,11 @@
 _OUTAGE_LEAST_S = 0.3
 _OUTAGE_MOST_S = 1.0
 
+# Servers that shed load take requests again one by one: those who were refused come
+# back over this time, or over this part of the time that they waited.
+_MIN_SPREAD_S = 0.25
+_SPREAD_SHARE = 0.5
+
 
 @dataclass(frozen=True, slots=True)
 class AloneWithoutProof:
@@ -78,13 +84,31 @@
     left_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ServersBackingOff:
+    """All servers that could serve it asked this entry to send nothing for a time.
+
+    :param left_s: until the first of them takes requests again.
+    :param others_serve: whether most other entries can send to one of them.
+    """
+
+    left_s: float
+    others_serve: bool
+
+
 @dataclass(frozen=True, slots=True)
 class NoRoom:
     """No backend server has room, or no more retries are allowed."""
 
 
 ReturnCause = (
-    AloneWithoutProof | NobodyHasProof | Starting | OnTrial | RateLimited | NoRoom
+    AloneWithoutProof
+    | NobodyHasProof
+    | Starting
+    | OnTrial
+    | RateLimited
+    | ServersBackingOff
+    | NoRoom
 )
 
 
@@ -108,6 +132,11 @@
             # how long servers are in need.
             left_s = min(_OUTAGE_MOST_S, max(_ELSEWHERE_S, left_s))
             return round(left_s * (1.0 + random_unit), 2)
+        case ServersBackingOff(others_serve=True):
+            base_s = _ELSEWHERE_S
+        case ServersBackingOff(left_s=left_s):
+            spread_s = max(_MIN_SPREAD_S, left_s * _SPREAD_SHARE)
+            return round(left_s + spread_s * random_unit, 2)
         case NoRoom():
             base_s = _ROOM_S
     return round(base_s * (0.5 + random_unit), 2)
--- a/src/railfold/_internal/errors.py
+++ b/src/railfold/_internal/errors.py
@@ -42,7 +42,6 @@
     "RequestNotHeldError",
     "RequestNotLoggedError",
     "RequestTimeoutError",
-    "ServerLeavingError",
     "SettingsError",
     "SupervisorFailedError",
     "UnauthorizedError",
@@ -214,12 +213,6 @@
     code = "configuration_stale"
 
 
-class ServerLeavingError(RequestError):
-    """The backend server that was chosen takes no new work any more."""
-
-    code = "server_leaving"
-
-
 class RequestNotHeldError(RailfoldError):
     """No request of a content is held back."""
 
@@ -286,6 +279,32 @@
         super().__init__(what, why=why, hint=hint)
 
 
+class ServersBackingOffError(RequestError):
+    """All backend servers that could serve asked this entry to send nothing for a time.
+
+    :param left_s: until the first of them takes requests again, in seconds.
+    :param service: theirs.
+    """
+
+    code = "servers_backing_off"
+
+    def __init__(
+        self, what: str, *, left_s: float, service: str, why: str = "", hint: str = ""
+    ) -> None:
+        self.left_s = left_s
+        self.service = service
+        super().__init__(what, why=why, hint=hint)
+
+
+class ServerNotEligibleError(RequestError):
+    """The backend server that was chosen takes no request any more.
+
+    Nothing was sent, and another server may serve.
+    """
+
+    code = "server_not_eligible"
+
+
 class PeerMessageError(RailfoldError):
     """What another entry is said to have sent can't be read or isn't from one."""
 
--- a/src/railfold/_internal/forwarding/peers/peer_messages.py
+++ b/src/railfold/_internal/forwarding/peers/peer_messages.py
@@ -19,6 +19,7 @@
 __all__ = [
     "MOST_CRASHES_TOLD",
     "ArrivalsTold",
+    "BackoffNotice",
     "ContentCleared",
     "CrashTold",
     "CrashesTold",
@@ -172,6 +173,14 @@
     wait_ms: _AgeMs
 
 
+class BackoffNotice(msgspec.Struct, frozen=True, tag="backoff"):
+    """All servers of a service asked the sender to send nothing for ``left_ms``."""
+
+    name: _Name
+    service: _Name
+    left_ms: _AgeMs
+
+
 PeerMessage = (
     CrashesTold
     | ContentCleared
@@ -184,6 +193,7 @@
     | RateLimitTold
     | PermitAsked
     | PermitTold
+    | BackoffNotice
 )
 
 
--- a/src/railfold/_internal/forwarding/peers/peering.py
+++ b/src/railfold/_internal/forwarding/peers/peering.py
@@ -19,6 +19,7 @@
 from railfold._internal.forwarding.peers.peer_keeper import PeerKeeper
 from railfold._internal.forwarding.peers.peer_messages import (
     ArrivalsTold,
+    BackoffNotice,
     ContentCleared,
     CrashesTold,
     EntryStarted,
@@ -75,6 +76,7 @@
     ) -> None:
         self._proofs = proofs
         self._limits = router.limits
+        self._backoffs = router.backoffs
         self._given_key = settings.peer_key
         self._channel: PeerChannel | None = None
         self._keeper: PeerKeeper | None = None
@@ -94,6 +96,7 @@
             )
             proofs.use(self._channel)
             router.limits.use(settings.name, self._channel)
+            router.backoffs.use(settings.name, self._channel)
             self._keeper = PeerKeeper(
                 view,
                 adapter.new_log(),
@@ -166,22 +169,30 @@
                 self.quarantine.content_cleared(message)
             case TrialBegun():
                 self.quarantine.trial_begun(message)
+            case RateLimitTold():
+                self._limits.told(message)
+            case PermitAsked():
+                self._limits.permit_asked(message)
+            case PermitTold():
+                self._limits.permit_told(message)
+            case BackoffNotice():
+                self._backoffs.record_notice(message)
+            case _:
+                self._on_message_of_entries(message)
+
+    def _on_message_of_entries(self, message: PeerMessage) -> None:
+        """Take what an entry says of itself."""
+        match message:
             case EntryStarted():
                 if self._keeper is not None:
                     self._keeper.started(message)
             case PlacementLed():
                 if self._arrivals is not None:
                     self._arrivals.led(message)
+            case ArrivalsTold():
+                if self._arrivals is not None:
+                    self._arrivals.told(message)
             case ProofAsked():
                 self._proofs.asked(message)
             case ProofTold():
                 self._proofs.told(message)
-            case RateLimitTold():
-                self._limits.told(message)
-            case PermitAsked():
-                self._limits.permit_asked(message)
-            case PermitTold():
-                self._limits.permit_told(message)
-            case ArrivalsTold():
-                if self._arrivals is not None:
-                    self._arrivals.told(message)
--- a/src/railfold/_internal/forwarding/requests/destination_search.py
+++ b/src/railfold/_internal/forwarding/requests/destination_search.py
@@ -75,6 +75,9 @@
         self._reserve_due_s = 0.0
         self._permit: asyncio.Task[None] | None = None
         self._denied = 0
+        self._is_new = True
+        # A request allows a part of a retry once, however often it is placed.
+        self._earned = False
 
     def search(
         self,
@@ -92,6 +95,7 @@
         """
         router = self._router
         place, self._reserved = self._reserved, None
+        is_new, self._is_new = self._is_new, False
         try:
             if broke_off:
                 self._quarantine.check_repeat(
@@ -101,6 +105,7 @@
             destination = place or router.choose(
                 self._route,
                 exclude,
+                is_new=is_new,
                 sparing=sparing,
                 max_wait_s=self._max_wait_s(begun=begun),
             )
@@ -149,7 +154,9 @@
         router = self._router
         budget = router.budgets.of(destination.service)
         if not is_retry:
-            budget.earn(self._loop.time())
+            if not self._earned:
+                budget.earn(self._loop.time())
+            self._earned = True
         elif budget.spend(self._loop.time(), begun=begun):
             router.metrics.count("requests.retries")
         else:
--- a/src/railfold/_internal/forwarding/requests/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -16,6 +16,7 @@
     CallHostRefused,
     CallLifecycle,
     CallLimits,
+    CallUnsent,
     ChooseHost,
     FinishCall,
     NoHost,
@@ -31,7 +32,7 @@
     DeadlineExpiredError,
     RailfoldError,
     RequestError,
-    ServerLeavingError,
+    ServerNotEligibleError,
 )
 from railfold._internal.forwarding.dialect import (
     AnswerKind,
@@ -118,6 +119,8 @@
         self._broke_off = False
         # Whether the attempt under way was told of as one that runs well.
         self._runs_well = False
+        # Whether its answer asks for a backoff.
+        self._backed_off = False
         # What the attempt under way adds to its servers' load, see Router.count.
         self._load = 1
         self._kind: AnswerKind | None = None
@@ -245,7 +248,7 @@
         now_s = self._loop.time()
         self._attempts += 1
         self._sent_s = now_s
-        self._broke_off = self._runs_well = False
+        self._broke_off = self._runs_well = self._backed_off = False
         resume_after = self._cursor.last_id
         self._resumed_after = resume_after or 0
         if self._attempts > 1:
@@ -295,10 +298,14 @@
         self._quarantine.check(request, self._owner, on_trial=self._on_trial)
         assert self._destination is not None
         server_id = self._destination.server.host
-        entry = self._router.directory.get(server_id)
-        if entry is None or entry.registration.draining:
-            raise ServerLeavingError("the backend server is leaving")
-        self._router.backoffs.record_send(server_id)
+        router = self._router
+        bar = router.eligibility.bar_of_send(server_id, self._loop.time())
+        if bar is not None:
+            router.metrics.count("attempts.not_eligible")
+            raise ServerNotEligibleError(
+                f"server {server_id} takes no request now", why=type(bar).__name__
+            )
+        router.backoffs.record_send(server_id, request.request_id)
 
     # What comes of an attempt
 
@@ -311,7 +318,10 @@
         self._log_attempt(server_id, reason)
         if error is None:
             self._prober.unreachable(server_id)
-        elif not isinstance(error, ServerLeavingError):
+        elif isinstance(error, ServerNotEligibleError):
+            self._feed(CallUnsent(server_id, reason))
+            return
+        else:
             # Refused for a reason that holds at every backend server.
             self.destination_refused(error)
             return
@@ -346,7 +356,11 @@
         if destination is not None:
             router, server_id = self._router, destination.server.host
             router.limits.heard(server_id, kind, head, self._sent_s)
-            router.backoffs.record_response(server_id, head, "a request")
+            self._backed_off = router.backoffs.record_response(
+                server_id, head, "a request"
+            )
+            if not isinstance(kind, NotExecuted):
+                router.backoffs.record_served(server_id, self._request.request_id)
             unknown = router.dialect.unknown_headers(head)
             router.unknown_headers.note(server_id, unknown)
         is_stream = self._route.kind is RouteKind.STREAM and _holds_events(head)
@@ -379,7 +393,9 @@
             case NotExecuted(reason=reason) as refusal:
                 self._release()
                 self._log_attempt(server_id, reason)
-                self._prober.not_executed(server_id, refusal, self._load)
+                self._prober.not_executed(
+                    server_id, refusal, self._load, backed_off=self._backed_off
+                )
                 self._feed(CallHostRefused(server_id, started=False, reason=reason))
             case ServerFailure():
                 self._answer.keep_failure(gathered)
@@ -491,6 +507,9 @@
             exchange.cancel()
         if destination is not None:
             self._router.count(destination, -self._load)
+            self._router.backoffs.attempt_ended(
+                destination.server.host, self._request.request_id
+            )
         self._watch.closed()
         return destination
 
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -22,6 +22,7 @@
 from railfold._internal.decisions.domains import group_by_domain
 from railfold._internal.decisions.eligibility import (
     Bar,
+    EndingBar,
     RateLimited,
     Role,
     ServerEligibility,
@@ -33,6 +34,7 @@
     EngineDirectory,
 )
 from railfold._internal.decisions.freshness import FreshnessLease
+from railfold._internal.decisions.load_shedding import BackingOff, HalfOpen
 from railfold._internal.decisions.placement import stage_token_s, uncovered_layers
 from railfold._internal.decisions.planner import (
     LinkCosts,
@@ -40,6 +42,7 @@
     Replica,
     choose_host,
     plan_chain,
+    without_first_layer,
 )
 from railfold._internal.decisions.retry_budget import RetryBudgets
 from railfold._internal.decisions.return_time import (
@@ -48,6 +51,7 @@
     NoRoom,
     OnTrial,
     ReturnCause,
+    ServersBackingOff,
     Starting,
     return_after_s,
 )
@@ -67,6 +71,7 @@
     RateLimitedError,
     RequestError,
     RequestOnTrialError,
+    ServersBackingOffError,
     UnknownTargetError,
 )
 from railfold._internal.forwarding.dialect import Dialect
@@ -172,14 +177,20 @@
         """Build what is made of the other parts."""
         self.unknown_headers = UnknownHeaders(self.metrics)
         self.limits = RateLimits(self.dialect, self.metrics, self.log, self.rng)
-        self.backoffs = ServerBackoffs(self.dialect, self.metrics, self.log)
+        self.backoffs = ServerBackoffs(self.dialect, self.metrics, self.log, self.rng)
         self.eligibility = ServerEligibility(
             self.directory,
             self.avoidance,
+            self.backoffs.requested,
             self.limits.wait_s,
-            self.limits.is_starting_slowly,
+            self._is_starting_slowly,
         )
 
+    def _is_starting_slowly(self, server_id: str, now_s: float) -> bool:
+        return self.limits.is_starting_slowly(
+            server_id, now_s
+        ) or self.backoffs.is_starting_slowly(server_id)
+
     def check_permission(self, route: Route, path: str, credential: str) -> None:
         """Look at the newest configuration right before a request is sent.
 
@@ -207,6 +218,8 @@
                 return OnTrial(left_s)
             case RateLimitedError(left_s=left_s):
                 return ReturnAtPermit(left_s)
+            case ServersBackingOffError(left_s=left_s, service=service):
+                return ServersBackingOff(left_s, self.backoffs.others_serve(service))
             case _:
                 return NoRoom()
 
@@ -230,6 +243,7 @@
         route: Route,
         exclude: frozenset[str],
         *,
+        is_new: bool = False,
         sparing: bool = False,
         max_wait_s: float = 0.0,
     ) -> Destination:
@@ -239,12 +253,13 @@
         can serve, the request goes there if it can wait for the next permit.
 
         :param exclude: backend servers that it must not be sent to.
+        :param is_new: whether a place is looked for the first time.
         :param sparing: whether it may end its server, so that it doesn't get the last.
         :param max_wait_s: how long it may wait for a permit.
         :raises RequestError: there is no such place.
         """
         spec = self._service(route)
-        if not exclude:
+        if is_new:
             self.arrivals.arrived(spec.name, asyncio.get_running_loop().time())
         strict = Terms()
         try:
@@ -279,12 +294,17 @@
         except NoCapacityError:
             return None
         now_s = asyncio.get_running_loop().time()
-        met = [terms.bars[s] for s in place.server_ids if s in terms.bars]
-        ends_s = [bar.until_s for bar in met if isinstance(bar, RateLimited)]
-        if not ends_s:
+        ending = {s: b for s, b in terms.bars.items() if isinstance(b, EndingBar)}
+        if not ending:
             return None
-        limited = [s for s, bar in terms.bars.items() if isinstance(bar, RateLimited)]
-        return self.limits.refusal(limited, max(ends_s) - now_s)
+        met_s = [ending[s].until_s for s in place.server_ids if s in ending]
+        left_s = max(met_s, default=now_s) - now_s
+        backoffs = {s: b for s, b in ending.items() if not isinstance(b, RateLimited)}
+        if not backoffs:
+            return self.limits.refusal(ending, left_s)
+        first_s = min(bar.until_s for bar in backoffs.values())
+        left_s = min(first_s - now_s, left_s) if met_s else first_s - now_s
+        return self.backoffs.refusal(spec.name, backoffs, left_s)
 
     def _choose_at(
         self,
@@ -355,12 +375,11 @@
         options: list[ChainOption] = []
         error: RequestError | None = None
         for members in domains:
-            # Only the first stage is excluded: the request was sent to it.
+            eligible = (self._eligible(r, exclude, now_s, terms) for r in members)
             usable = [
                 self._preferred_if_connected(r, now_s, blind)
-                for r in members
-                if (r.stage.layers.first > 0 or r.stage.host not in exclude)
-                and self.eligibility.allows(r.stage.host, _role(r), now_s, terms)
+                for r in eligible
+                if r is not None
             ]
             try:
                 chain = self._plan_of_sure(usable, model, blind, doubtful)
@@ -389,6 +408,27 @@
         chain = chains[index]
         return Destination(spec.name, chain.stages[0], chain)
 
+    def _eligible(
+        self, replica: Replica, exclude: frozenset[str], now_s: float, terms: Terms
+    ) -> Replica | None:
+        """Return what a chain may use of a replica, if anything.
+
+        :param exclude: servers that the request was sent to, which only counts against
+            first stages.
+        """
+        server_id = replica.stage.host
+        if replica.stage.layers.first > 0:
+            allowed = self.eligibility.allows(server_id, Role.LATER_STAGE, now_s, terms)
+            return replica if allowed else None
+        if self.eligibility.allows(server_id, Role.FIRST_STAGE, now_s, terms):
+            return replica if server_id not in exclude else None
+        backs_off = isinstance(terms.bars[server_id], BackingOff | HalfOpen)
+        if not backs_off or len(replica.stage.layers) < 2:
+            return None
+        # It wants no requests from this entry; those of other engines may pass it.
+        allowed = self.eligibility.allows(server_id, Role.LATER_STAGE, now_s, terms)
+        return without_first_layer(replica) if allowed else None
+
     def _plan_of_sure(
         self,
         replicas: list[Replica],
@@ -610,11 +650,7 @@
 
 def _may_relax(bar: Bar) -> bool:
     """Return whether a request may go there after all, if no other server can."""
-    return isinstance(bar, RateLimited | SlowStart)
-
-
-def _role(replica: Replica) -> Role:
-    return Role.LATER_STAGE if replica.stage.layers.first > 0 else Role.FIRST_STAGE
+    return isinstance(bar, RateLimited | SlowStart | BackingOff | HalfOpen)
 
 
 def _near_first(replicas: list[Replica], domain: str) -> list[Replica]:
--- a/src/railfold/_internal/forwarding/servers/probes.py
+++ b/src/railfold/_internal/forwarding/servers/probes.py
@@ -114,19 +114,24 @@
         self._router.log.write(EngineChanged(server_id, "suspect", cause))
         self._spawn(self._recheck(server_id, _RECHECK_FIRST_S))
 
-    def not_executed(self, server_id: str, refusal: NotExecuted, load: int) -> None:
+    def not_executed(
+        self, server_id: str, refusal: NotExecuted, load: int, *, backed_off: bool
+    ) -> None:
         """It refused a request; another may be at fault, by its address.
 
         :param load: what the request would have added to what is held there.
+        :param backed_off: whether it said for how long it wants no requests, so that no
+            pause has to be guessed.
         """
         if not refusal.address:
             entry = self._router.directory.get(server_id)
-            if entry is not None:
+            if entry is not None and not backed_off:
                 self._refused(entry, load)
             return
         entry = self._router.directory.at(refusal.address)
         if entry is not None:
-            self._refused(entry, load)
+            if entry.server_id != server_id or not backed_off:
+                self._refused(entry, load)
             if refusal.misplaced:
                 until_s = self._loop.time() + _MISPLACED_S
                 self._router.avoidance.avoid(entry.server_id, until_s)
@@ -299,6 +304,8 @@
         entry = self._router.directory.get(server_id)
         if entry is None:
             return  # Nothing new goes there.
+        if self._no_check_s(entry) > 0.0:
+            return  # Nor does it before its backoff ends.
         self._checking.add(server_id)
         try:
             verdict = await self._look_at(stages_of([entry]))
@@ -324,20 +331,33 @@
         if not alive:
             self.doubt(server_id)
 
-    async def _recheck(self, server_id: str, delay_s: float) -> None:
+    async def _recheck(self, server_id: str, interval_s: float) -> None:
+        delay_s = interval_s
         while True:
             await asyncio.sleep(delay_s)
             entry = self._router.directory.get(server_id)
             if entry is None or entry.suspect_since_s is None:
                 return
+            delay_s = self._no_check_s(entry)
+            if delay_s > 0.0:
+                continue
             (stage,) = stages_of([entry])
             if await self.calls.alive(stage, _RECHECK_TIMEOUT_S):
                 break
-            delay_s = min(_RECHECK_MOST_S, 2 * delay_s)
+            interval_s = delay_s = min(_RECHECK_MOST_S, 2 * interval_s)
         self._router.directory.cleared(server_id)
         self.on_well(server_id)
         self._router.log.write(EngineChanged(server_id, "well", "it answers a probe"))
 
+    def _no_check_s(self, entry: DirectoryEntry) -> float:
+        """Return for how long a server gets no health check.
+
+        A plain server's waits for a slot like a request, which it asked not to get.
+        """
+        if entry.registration.is_model_engine:
+            return 0.0
+        return self._router.backoffs.left_s(entry.server_id)
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = self._loop.create_task(work)
         self._tasks.add(task)
--- a/src/railfold/_internal/forwarding/servers/slow_engines.py
+++ b/src/railfold/_internal/forwarding/servers/slow_engines.py
@@ -83,5 +83,7 @@
     def _is_due(self, entry: DirectoryEntry, now_s: float) -> bool:
         if not entry.registration.is_model_engine:
             return False
+        if self._router.backoffs.left_s(entry.server_id) > 0.0:
+            return False  # It wants nothing that can wait.
         asked = self._asked.get(entry.server_id)
         return asked is None or now_s - asked.at_s >= asked.interval_s
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -253,10 +253,10 @@
 
 
 class ServerBackoffChanged(msgspec.Struct, frozen=True, tag="server_backoff_changed"):
-    """A backend server asked this entry not to send for a time, or that time ended.
+    """A backend server asked this entry to send nothing for a time, or what followed.
 
-    :param state: started or ended.
-    :param source: what the server answered when it asked.
+    :param state: started, ended, or recovered once it has served a request since.
+    :param source: what the server answered, or the clock.
     :param backoff_s: how long it asked for; at its end, how long it lasted.
     :param requests: answers that asked for it.
     :param sends: requests that this entry sent there meanwhile.
--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -56,6 +56,8 @@
     :param rate_limit: what it names as the requests a second that it takes, in the
         heads of answers to requests; it serves all the same.
     :param retry_after: value of Retry-After in its refusals in mode ``"shed"``.
+    :param sheds_only: how ids of the requests begin that it refuses in that mode.
+    :param blames: the address that those refusals name as the one at fault.
     :param shed: its refusals with Retry-After.
     :param reports_to_drop: how many calls for its report it answers by closing the
         connection, as one that was idle for too long.
@@ -76,6 +78,8 @@
     reports_to_drop: int = 0
     rate_limit: str | None = None
     retry_after: str | None = None
+    sheds_only: str = ""
+    blames: str = ""
     shed: list[Arrival] = field(default_factory=list)
     crash_body: bytes | None = None
     crash_after_s: float = 0.08
@@ -283,10 +287,12 @@
         if headers.get("Railfold-Target-Instance") != engine.server_id:
             self._refuse(421)
             return
-        if engine.mode == "shed":
+        if engine.mode == "shed" and request_id.startswith(engine.sheds_only):
             if engine.retry_after is not None:
                 self.set_header("Retry-After", engine.retry_after)
                 engine.shed.append(Arrival(request_id, now_s))
+            if engine.blames:
+                self.set_header("At-Server", engine.blames)
             self._refuse(503)
             return
         if engine.mode == "dead":
--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -240,14 +240,15 @@
 
     def log_lines(self) -> list[dict[str, Any]]:
         """Return the log lines written since the last call."""
-        self.entry.log.flush()
         os.set_blocking(self._log_out, False)
         data = b""
-        try:
-            while chunk := os.read(self._log_out, 65536):
-                data += chunk
-        except BlockingIOError:
-            pass
+        while True:
+            # A pipe holds less than a few seconds of lines.
+            self.entry.log.flush()
+            try:
+                data += os.read(self._log_out, 65536)
+            except BlockingIOError:
+                break
         return [json.loads(line)["event"] for line in data.splitlines()]
 
     async def connect(self, number: int = 0) -> Connection:
--- a/tests/unit/test_return_time.py
+++ b/tests/unit/test_return_time.py
@@ -13,6 +13,7 @@
     OnTrial,
     RateLimited,
     ReturnCause,
+    ServersBackingOff,
     Starting,
     return_after_s,
 )
@@ -71,3 +72,17 @@
 def test_servers_that_take_nothing_for_long_are_asked_again_soon() -> None:
     """They may be well by then; 17 s were told where one request in 5 s is taken."""
     assert returns(RateLimited(30.0))[-1] <= 2.0
+
+
+@pytest.mark.parametrize("left_s", [0.1, 1.0, 3.0])
+def test_who_is_refused_by_backoffs_comes_after_the_first_ends(left_s: float) -> None:
+    """They came back after 0.25 to 0.75 s, eight times within 3 s."""
+    back_s = returns(ServersBackingOff(left_s, others_serve=False))
+    assert back_s[0] >= left_s
+    assert back_s[-1] - back_s[0] >= 0.2
+    assert back_s[-1] <= 1.5 * left_s + 0.3
+
+
+def test_where_other_entries_may_send_clients_ask_those_at_once() -> None:
+    back_s = returns(ServersBackingOff(3.0, others_serve=True))
+    assert back_s[-1] <= 0.2 * OBJECTIVE_S
