--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -59,6 +59,7 @@
     :param sheds_only: how ids of the requests begin that it refuses in that mode.
     :param blames: the address that those refusals name as the one at fault.
     :param shed: its refusals with Retry-After.
+    :param leaving: whether all its answers say that it leaves; it serves all the same.
     :param reports_to_drop: how many calls for its report it answers by closing the
         connection, as one that was idle for too long.
     """
@@ -76,6 +77,7 @@
     pace: float = 1.0
     born: int | None = None
     reports_to_drop: int = 0
+    leaving: bool = False
     rate_limit: str | None = None
     retry_after: str | None = None
     sheds_only: str = ""
@@ -184,6 +186,7 @@
         """Start under the same id, knowing nothing of before."""
         self.born = born
         self.state = "ready"
+        self.leaving = False
         self.rate_limit = self.retry_after = None
         self.orders = 0
         self.fence = -1
@@ -207,9 +210,15 @@
         self.engine = engine
 
     async def prepare(self) -> None:
+        self.say_if_leaving()
         if self.engine.mode == "dead":
             await asyncio.Event().wait()
 
+    def say_if_leaving(self) -> None:
+        """Set the header that a leaving server sets in all its answers."""
+        if self.engine.leaving:
+            self.set_header("Server-Leaving", "1")
+
 
 class _Report(_Handler):
     async def get(self) -> None:
@@ -266,6 +275,7 @@
 class _Request(_Handler):
     async def prepare(self) -> None:
         """Name a limit; streams of a dead engine stand still."""
+        self.say_if_leaving()
         if self.engine.rate_limit is not None:
             self.set_header("Server-Limit", self.engine.rate_limit)
 
