Give a server no new work once its answers say that it leaves

Its registration may never say draining, or be read late while the store is away.

Cause: nothing read Server-Leaving; the class is that of Retry-After and of rate limits, a statement of a server that no code reads. Ruled out: a registration that was read too late (the stand-in's stays ready).

Change: one module reads what servers say in the heads of their answers (limits, backoffs, leaving), to requests and to the entry's own calls. A server that says it leaves counts as draining for routing, placement and quarantine from then on, whatever it registers and also if its registration lapses and returns; running streams go on. An entry that hears it first tells the others, so that a later stage that answers no requests is left out everywhere. Another incarnation gets new work.

--- a/src/railfold/_internal/decisions/engine_directory.py
+++ b/src/railfold/_internal/decisions/engine_directory.py
@@ -89,6 +89,7 @@
     :param server_id: names the incarnation.
     :param own_load: this entry's own requests there; of a model engine, the
         tokens that they may grow to.
+    :param says_leaving: whether its answers say that it leaves, whatever it registers.
     :param removal_due_s: when a removal that was read counts, if one was.
     :param slowness: how many times longer than usual its steps take, as it last told.
     """
@@ -98,6 +99,7 @@
     own_load: int = 0
     slowness: float = 1.0
     suspect_since_s: float | None = None
+    says_leaving: bool = False
     removal_due_s: float | None = None
 
     def stage(self, layers: LayerRange) -> Stage:
@@ -110,10 +112,15 @@
         """Return whether somebody who started then is surely another incarnation."""
         return _differ(self.registration.started_at_ms, started_at_ms)
 
+    @property
+    def draining(self) -> bool:
+        """Whether it takes no new work before its end."""
+        return self.registration.draining or self.says_leaving
+
     @property
     def routable(self) -> bool:
         """Whether new work may go there."""
-        return self.suspect_since_s is None and not self.registration.draining
+        return self.suspect_since_s is None and not self.draining
 
     @property
     def missing(self) -> bool:
@@ -144,6 +151,8 @@
         self._by_registered_id: dict[str, DirectoryEntry] = {}
         self._by_address: dict[str, DirectoryEntry] = {}
         self._departed_started_at_ms: dict[str, int] = {}
+        # Kept beyond their entries: a registration that lapsed may return unchanged.
+        self._leaving_ids: OrderedDict[str, None] = OrderedDict()
         self._left_ids: OrderedDict[str, None] = OrderedDict()
         self._returned_s: float | None = None
         self._departed: deque[DirectoryEntry] = deque(maxlen=_DEPARTED_KEPT)
@@ -207,6 +216,7 @@
             started_at_ms = entry.registration.started_at_ms
             registration = replace(registration, started_at_ms=started_at_ms)
         entry.registration = registration
+        entry.says_leaving = entry.server_id in self._leaving_ids
         entry.removal_due_s = None
         self._entries[entry.server_id] = entry
         self._by_registered_id[registration.registered_id] = entry
@@ -235,9 +245,24 @@
         """Return whether this incarnation was seen to leave."""
         known = self.registered_as(registration.registered_id)
         if known is not None and not known.is_another(registration.started_at_ms):
-            return known.registration.draining
+            return known.draining
         return registration.server_id in self._left_ids
 
+    def mark_leaving(self, server_id: str) -> bool:
+        """Take that an incarnation's answers say that it leaves; return if that is new.
+
+        Nothing takes it back: only another incarnation gets new work.
+        """
+        if server_id in self._leaving_ids:
+            return False
+        self._leaving_ids[server_id] = None
+        if len(self._leaving_ids) > _DEPARTED_KEPT:
+            self._leaving_ids.popitem(last=False)
+        entry = self._entries.get(server_id)
+        if entry is not None:
+            entry.says_leaving = True
+        return True
+
     def take_departed(self) -> list[DirectoryEntry]:
         """Return those that have left since the last call, as they were known."""
         departed = list(self._departed)
--- a/src/railfold/_internal/forwarding/dialect.py
+++ b/src/railfold/_internal/forwarding/dialect.py
@@ -195,6 +195,9 @@
     def retry_after(self, head: ResponseHead) -> RetryAfterHeader:
         """Return for how long an answer's head asks to send nothing."""
 
+    def says_leaving(self, head: ResponseHead) -> bool:
+        """Return whether an answer's head says that its server leaves."""
+
     def report_call(self) -> EngineCall:
         """Return the call that asks an engine for its report."""
 
--- a/src/railfold/_internal/forwarding/peers/peer_messages.py
+++ b/src/railfold/_internal/forwarding/peers/peer_messages.py
@@ -24,6 +24,7 @@
     "CrashTold",
     "CrashesTold",
     "EntryStarted",
+    "LeavingNotice",
     "PeerMessage",
     "PeerMessageCodec",
     "PermitAsked",
@@ -181,6 +182,12 @@
     left_ms: _AgeMs
 
 
+class LeavingNotice(msgspec.Struct, frozen=True, tag="leaving"):
+    """A backend server's answers to the sender say that it leaves."""
+
+    server_id: _Name
+
+
 PeerMessage = (
     CrashesTold
     | ContentCleared
@@ -194,6 +201,7 @@
     | PermitAsked
     | PermitTold
     | BackoffNotice
+    | LeavingNotice
 )
 
 
--- a/src/railfold/_internal/forwarding/peers/peering.py
+++ b/src/railfold/_internal/forwarding/peers/peering.py
@@ -23,6 +23,7 @@
     ContentCleared,
     CrashesTold,
     EntryStarted,
+    LeavingNotice,
     PeerMessage,
     PermitAsked,
     PermitTold,
@@ -77,6 +78,7 @@
         self._proofs = proofs
         self._limits = router.limits
         self._backoffs = router.backoffs
+        self._statements = router.statements
         self._given_key = settings.peer_key
         self._channel: PeerChannel | None = None
         self._keeper: PeerKeeper | None = None
@@ -97,6 +99,7 @@
             proofs.use(self._channel)
             router.limits.use(settings.name, self._channel)
             router.backoffs.use(settings.name, self._channel)
+            router.statements.use(self._channel)
             self._keeper = PeerKeeper(
                 view,
                 adapter.new_log(),
@@ -177,6 +180,8 @@
                 self._limits.permit_told(message)
             case BackoffNotice():
                 self._backoffs.record_notice(message)
+            case LeavingNotice():
+                self._statements.record_leaving_notice(message)
             case _:
                 self._on_message_of_entries(message)
 
--- a/src/railfold/_internal/forwarding/quarantine/request_quarantine.py
+++ b/src/railfold/_internal/forwarding/quarantine/request_quarantine.py
@@ -259,7 +259,7 @@
     def server_refused(self, server_id: str) -> None:
         """A backend server's address refuses connections."""
         entry = self._router.directory.get(server_id)
-        if entry is None or not entry.registration.draining:
+        if entry is None or not entry.draining:
             self._watch.server_ended(server_id, self._loop.time())
 
     def server_answered(self, server_id: str) -> None:
@@ -268,7 +268,7 @@
 
     def server_departed(self, entry: DirectoryEntry) -> None:
         """A backend server's registration lapsed, or another took its place."""
-        if not entry.registration.draining:
+        if not entry.draining:
             self._watch.server_ended(entry.server_id, self._loop.time())
 
     def _on_crash(self, server_id: str, runs: list[EndedRun]) -> None:
--- a/src/railfold/_internal/forwarding/requests/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -354,15 +354,13 @@
         self._kind = kind
         destination = self._destination
         if destination is not None:
-            router, server_id = self._router, destination.server.host
-            router.limits.heard(server_id, kind, head, self._sent_s)
-            self._backed_off = router.backoffs.record_response(
-                server_id, head, "a request"
+            self._backed_off = self._router.statements.record_answer(
+                destination.server.host,
+                kind,
+                head,
+                self._request.request_id,
+                self._sent_s,
             )
-            if not isinstance(kind, NotExecuted):
-                router.backoffs.record_served(server_id, self._request.request_id)
-            unknown = router.dialect.unknown_headers(head)
-            router.unknown_headers.note(server_id, unknown)
         is_stream = self._route.kind is RouteKind.STREAM and _holds_events(head)
         if isinstance(kind, ServedAnswer) and is_stream:
             self._streaming = True
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -78,7 +78,7 @@
 from railfold._internal.forwarding.servers.backoffs import ServerBackoffs
 from railfold._internal.forwarding.servers.pool import ConnectionPool
 from railfold._internal.forwarding.servers.rate_limits import RateLimits
-from railfold._internal.forwarding.servers.unknown_headers import UnknownHeaders
+from railfold._internal.forwarding.servers.statements import ServerStatements
 from railfold._internal.observability.decision_log import DecisionLog
 from railfold._internal.observability.metrics import Metrics
 
@@ -171,13 +171,20 @@
     limits: RateLimits = field(init=False)
     backoffs: ServerBackoffs = field(init=False)
     eligibility: ServerEligibility = field(init=False)
-    unknown_headers: UnknownHeaders = field(init=False)
+    statements: ServerStatements = field(init=False)
 
     def __post_init__(self) -> None:
         """Build what is made of the other parts."""
-        self.unknown_headers = UnknownHeaders(self.metrics)
         self.limits = RateLimits(self.dialect, self.metrics, self.log, self.rng)
         self.backoffs = ServerBackoffs(self.dialect, self.metrics, self.log, self.rng)
+        self.statements = ServerStatements(
+            self.dialect,
+            self.directory,
+            self.limits,
+            self.backoffs,
+            self.metrics,
+            self.log,
+        )
         self.eligibility = ServerEligibility(
             self.directory,
             self.avoidance,
--- a/src/railfold/_internal/forwarding/servers/engine_calls.py
+++ b/src/railfold/_internal/forwarding/servers/engine_calls.py
@@ -144,7 +144,7 @@
         return (
             entry.registration.is_model_engine
             or response.head.status < 500
-            or (response.head.status == _BUSY and not entry.registration.draining)
+            or (response.head.status == _BUSY and not entry.draining)
         )
 
     async def ask_slowness(self, entry: DirectoryEntry) -> None:
@@ -221,8 +221,7 @@
             connection, call.method, call.target, call.headers, call.body, timeout_s
         )
         self._router.pool.give_back(server_id, connection, self._loop.time())
-        self._router.limits.heard_beside(server_id, response.head)
-        self._router.backoffs.record_response(server_id, response.head, "a call")
+        self._router.statements.record_call_answer(server_id, response.head)
         return response
 
     async def reroute(self, request_id: str, chain: Chain) -> str:
--- a/src/railfold/_internal/forwarding/servers/placement.py
+++ b/src/railfold/_internal/forwarding/servers/placement.py
@@ -163,7 +163,7 @@
         self._give(usable, model, self._loop.time())
 
     def _usable(self, entry: DirectoryEntry, model: EngineModel, now_s: float) -> bool:
-        if entry.registration.draining:
+        if entry.draining:
             return False
         held = entry.registration.layers
         if held is not None and not model.has_layers(held):
--- a/src/railfold/_internal/forwarding/store/feeds.py
+++ b/src/railfold/_internal/forwarding/store/feeds.py
@@ -267,7 +267,7 @@
         self._router.log.write(
             EngineChanged(
                 taken.entry.server_id,
-                "draining" if registration.draining else "serving",
+                "draining" if taken.entry.draining else "serving",
                 "registered",
                 str(registration.layers) if registration.layers else "",
             )
--- a/src/railfold/_internal/platform/answer_headers.py
+++ b/src/railfold/_internal/platform/answer_headers.py
@@ -19,6 +19,7 @@
         "railfold-attempt-id",
         "railfold-not-executed",
         "railfold-response-seal",
+        "server-leaving",
         "server-limit",
     }
 )
--- a/src/railfold/_internal/platform/dialect.py
+++ b/src/railfold/_internal/platform/dialect.py
@@ -54,6 +54,8 @@
 _LAST_EVENT_ID = "Last-Event-Id"
 # Requests a second that a server in need takes from all entries together.
 _RATE_LIMIT = "Server-Limit"
+_LEAVING = "Server-Leaving"
+_IS_LEAVING = "1"
 # 0 is let in first, 9 last, 5 is usual.
 _ENGINE_PRIORITY = "Railfold-Request-Priority"
 _MOST_URGENT = 0
@@ -204,6 +206,10 @@
         """Return for how long an answer's head asks to send nothing."""
         return retry_after.retry_after(head)
 
+    def says_leaving(self, head: ResponseHead) -> bool:
+        """Return whether an answer's head says that its server leaves."""
+        return head.get(_LEAVING).strip() == _IS_LEAVING
+
     def report_call(self) -> EngineCall:
         """Return the call that asks an engine for its report."""
         return engines.report_call()
--- a/tests/forwarding/test_server_backoff.py
+++ b/tests/forwarding/test_server_backoff.py
@@ -9,14 +9,13 @@
 import pytest
 
 from railfold._internal.core import Address
-from railfold._internal.forwarding.process import ForwardingEntry
 from railfold._internal.forwarding.requests import exchange
 from railfold._internal.forwarding.servers.engine_calls import stages_of
 from railfold._internal.forwarding.servers.http_client import HttpConnection, connect
 from standins.chaining_engine import LAYERS, Engine
 from tests.lib.backoffs import MAX_DURING, most_during_backoff, play_shedding
 from tests.lib.forwarding import ZONES, Deployment, later_engine, running, until
-from tests.lib.limits import OBJECTIVE_S, Load, knows_others
+from tests.lib.limits import OBJECTIVE_S, Load, all_known
 
 STREAM, SAFE, UNSAFE = "/draft/1", "/tray/1", "/slip/1"
 ROUTES = (STREAM, SAFE, UNSAFE)
@@ -71,11 +70,6 @@
     assert deployment.entry.metrics.counters["requests.retries"] <= sends
 
 
-def all_known(entries: list[ForwardingEntry]) -> bool:
-    """Return whether all entries can tell each other anything."""
-    return all(map(knows_others, entries))
-
-
 async def test_a_client_is_sent_to_another_entry_that_may_send() -> None:
     async for deployment in running(Deployment(entry_count=3)):
         entries = deployment.entries
--- a/tests/forwarding/test_server_leaving.py
+++ b/tests/forwarding/test_server_leaving.py
@@ -3,11 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 
+from railfold._internal.forwarding.servers.engine_calls import stages_of
 from standins.chaining_engine import Engine
-from tests.lib.forwarding import Deployment, running
-from tests.lib.limits import Load, entry_of
+from tests.lib.forwarding import (
+    Deployment,
+    begin_stream,
+    events_of,
+    later_engine,
+    rest_of,
+    running,
+    take_off_the_list,
+    until,
+)
+from tests.lib.limits import Load, all_known, entry_of
 
 STREAM, SAFE, UNSAFE = "/draft/1", "/tray/1", "/slip/1"
 ROUTES = (STREAM, SAFE, UNSAFE)
@@ -59,3 +70,83 @@
         and request.sent_s
         > told_s.get(entry_of(request.request_id), float("inf")) + DRAIN_S
     ]
+
+
+async def test_its_running_streams_go_on(deployment: Deployment) -> None:
+    connection, engine = await begin_stream(deployment, events=100)
+    engine.leaving = True
+    for number in range(12):
+        assert (await deployment.ask(STREAM, f"n-{number}")).status == 200
+    assert len(engine.arrivals) <= 2
+    reply = await rest_of(connection)
+    assert (reply.whole, reply.body) == (True, events_of(100))
+    assert not engine.cancelled
+
+
+async def test_it_gets_none_while_the_store_is_away(deployment: Deployment) -> None:
+    server = deployment.plain[0]
+    deployment.store.mode = "out"
+    server.leaving = True
+    for number in range(12):
+        assert (await deployment.ask(SAFE, f"c-{number}")).status == 200
+    assert len(server.arrivals) <= 1
+
+
+async def test_a_registration_that_says_ready_doesnt_take_it_back(
+    deployment: Deployment,
+) -> None:
+    server = deployment.plain[0]
+    server.leaving = True
+    directory = deployment.entry.router.directory
+    while not server.arrivals:
+        await deployment.ask(SAFE, "c-1")
+    server.register()
+    take_off_the_list(deployment, server)
+    server.store.put("keyed.servers", "i-other", None)
+    server.register()
+    await until(lambda: directory.get(server.server_id) is not None)
+    for number in range(12):
+        assert (await deployment.ask(SAFE, f"d-{number}")).status == 200
+    assert len(server.arrivals) == 1
+
+
+async def test_another_incarnation_gets_new_requests(deployment: Deployment) -> None:
+    server, other = deployment.plain
+    other.state = "draining"
+    other.register()
+    server.born = 5_000
+    server.register()
+    await until(deployment.all_known)
+    server.leaving = True
+    assert (await deployment.ask(SAFE, "c-1")).status == 200
+    assert (await deployment.ask(SAFE, "c-2")).status == 503
+    await server.restart(born=6_000)
+    await until(deployment.all_known)
+    assert (await deployment.ask(SAFE, "c-3")).status == 200
+
+
+async def test_entries_that_dont_talk_to_a_later_stage_hear_that_it_leaves(
+    two_entries: Deployment,
+) -> None:
+    """Only answers to reports tell it, which one entry asks for."""
+    deployment = two_entries
+    entries = deployment.entries
+    await until(functools.partial(all_known, entries))
+    first = deployment.first_engines[0]
+    later = later_engine(deployment, first)
+    later.leaving = True
+    asking, hearing = (entry.router.directory.get(later.server_id) for entry in entries)
+    assert asking is not None
+    assert hearing is not None
+    await entries[0]._prober.calls.report(*stages_of([asking]))
+    assert not asking.routable
+    await until(lambda: not hearing.routable)
+    for number in range(12):
+        assert (await deployment.ask(STREAM, f"s-{number}")).status == 200
+    chains = [seen["Railfold-Hop-Count"] for e in deployment.engines for seen in e.seen]
+    assert len(chains) == 12
+    assert not any(later.address in chain for chain in chains)
+    lines = deployment.log_lines()
+    changes = [e for e in lines if e["type"] == "engine_changed"]
+    said = [e["server_id"] for e in changes if "say that it leaves" in e["cause"]]
+    assert set(said) == {later.server_id}
--- a/tests/lib/limits.py
+++ b/tests/lib/limits.py
@@ -196,7 +196,7 @@
 
     :param limited: what servers name, by their ids.
     """
-    await until(lambda: all(map(knows_others, deployment.entries)))
+    await until(lambda: all_known(deployment.entries))
     loop = asyncio.get_running_loop()
     servers = [*deployment.engines, *deployment.plain]
     sending = loop.create_task(load.send(before_s + for_s + after_s))
@@ -219,3 +219,8 @@
     recognizes = entry.recognizes_requests  # type: ignore[attr-defined]
     members = gauges.get("entries")
     return recognizes and gauges.get("peers.known", -1.0) + 1 >= (members or 0)
+
+
+def all_known(entries: Sequence[object]) -> bool:
+    """Return whether all entries can tell each other anything."""
+    return all(map(knows_others, entries))
--- a/tests/unit/test_answer_headers.py
+++ b/tests/unit/test_answer_headers.py
@@ -23,6 +23,7 @@
     "Railfold-Not-Executed": "read: the request wasn't run",
     "Railfold-Response-Seal": "read: the answer is a server's",
     "Railfold-Weight-Versions": "not read: passed on with the answer",
+    "Server-Leaving": "read: the server leaves",
     "Server-Limit": "read: the rate that a server takes",
 }
 
