--- a/soak/clients.py
+++ b/soak/clients.py
@@ -10,6 +10,7 @@
 from soak.faults import ENTRIES_IN_TOUCH, HARMLESS_TO_STREAMS, POISON_ID
 from soak.world import BUDGET_RATIO, BUDGET_SLACK, BUDGET_WINDOW_S, World
 from standins.chaining_engine import SEAL
+from tests.lib.backoffs import MAX_DURING, most_during_backoff
 from tests.lib.forwarding import (
     MODEL_SERVICE,
     PLAIN_SERVICE,
@@ -62,6 +63,9 @@
 # A limit that a server names is known at all entries after this time, with demand.
 _ALL_TOLD_S = 1.0
 
+# A server's first answer after it began to leave takes no longer.
+_ANSWERED_S = 0.5
+
 # A stream whose client left may run on for this long; more than a quarter of those
 # left that do, of this many at least, break the rule.
 _RUN_ON_S = 0.5
@@ -229,6 +233,8 @@
         if runs[request_id]:
             seen.violated(REFUSED, f"{request_id} was refused and ran")
     _check_limits(world, seen)
+    _check_backoffs(world, seen)
+    _check_leaving(world, seen)
     _check_poison(world, seen)
     _check_budget(world, seen)
     _check_gone(world, seen)
@@ -262,6 +268,43 @@
             seen.violated(LIMIT, f"{server_id} takes {named.text} a second: {most}")
 
 
+def _check_backoffs(world: World, seen: Observed) -> None:
+    """Count what servers got from one entry before their Retry-After was over.
+
+    What a faulty link holds up arrives later than it was sent.
+    """
+    if any(fault.name == "link_fault" for fault in world.injected):
+        return
+    for server in world.servers:
+        most = most_during_backoff(server, lambda i: _undisturbed(world, seen, i))
+        if most > MAX_DURING:
+            seen.violated(BUDGET, f"{server.server_id} backs off and got {most}")
+
+
+def _undisturbed(world: World, seen: Observed, request_id: str) -> str | None:
+    """Return the entry that a request was sent to, if nothing was done to it."""
+    entry = seen.entry_of.get(request_id)
+    return None if entry in world.disturbed else entry
+
+
+def _check_leaving(world: World, seen: Observed) -> None:
+    """Look for requests to servers whose answers have said that they leave."""
+    if any(fault.name == "link_fault" for fault in world.injected):
+        return
+    for server in world.servers:
+        since_s = server.leaving_since_s
+        if since_s is None:
+            continue
+        first_s: dict[str, float] = {}
+        for arrival in server.arrivals:
+            entry = _undisturbed(world, seen, arrival.request_id)
+            if entry is None or arrival.at_s < since_s:
+                continue
+            told_s = first_s.setdefault(entry, arrival.at_s)
+            if arrival.at_s > told_s + _ANSWERED_S + DRAIN_S:
+                seen.violated(DRAIN, f"{server.server_id} got a request from {entry}")
+
+
 def _check_poison(world: World, seen: Observed) -> None:
     """Count how often a request that ended three servers was sent on after that.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -31,6 +31,9 @@
 # What servers in need take, in requests a second; small next to what clients send.
 _LIMITS = ("0", "0.5", "1.4", "2.5", "6", "20")
 
+# What servers that shed load ask for, in seconds.
+_RETRY_AFTERS = ("0", "0.3", "1", "1.5", "3", "6")
+
 # How the ids of its requests begin.
 POISON_ID = "poison-"
 
@@ -181,6 +184,33 @@
     world.name_limit(server, None)
 
 
+async def servers_shed(world: World, rng: random.Random) -> None:
+    """Let servers refuse for a while, and say for how long they want nothing."""
+    servers = [*world.engines, *world.plain]
+    chosen = rng.sample(servers, rng.randint(1, len(servers)))
+    await asyncio.gather(*(_shed(server, rng) for server in chosen))
+
+
+async def _shed(server: Engine, rng: random.Random) -> None:
+    for _ in range(rng.randint(1, 3)):
+        server.mode, server.retry_after = "shed", rng.choice(_RETRY_AFTERS)
+        await asyncio.sleep(rng.uniform(0.3, 3.0))
+        server.mode, server.retry_after = "ok", None
+        await asyncio.sleep(rng.uniform(0.1, 2.0))
+
+
+async def server_says_leaving(world: World, rng: random.Random) -> None:
+    """Let a server leave that only its answers tell of."""
+    server = rng.choice([*world.engines, *world.plain])
+    if server.leaving or server.state == "draining":
+        return
+    server.leaving = True
+    server.leaving_since_s = asyncio.get_running_loop().time()
+    await asyncio.sleep(rng.uniform(3.0, 6.0))
+    if world.runs(server):
+        await world.restart(server)
+
+
 async def server_crash(world: World, rng: random.Random) -> None:
     """Crash a backend server; an empty one takes its place."""
     servers = [*world.engines, *world.plain]
@@ -302,7 +332,9 @@
     "server_fault": server_fault,
     "server_leaves": server_leaves,
     "server_limits": server_limits,
+    "server_says_leaving": server_says_leaving,
     "server_starts_again": server_starts_again,
+    "servers_shed": servers_shed,
     "store_fault": store_fault,
     "store_forgets": store_forgets,
     "store_goes_back": store_goes_back,
@@ -322,7 +354,9 @@
         "server_fault",
         "server_leaves",
         "server_limits",
+        "server_says_leaving",
         "server_starts_again",
+        "servers_shed",
     }
 )
 
--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -34,6 +34,15 @@
     at_s: float
 
 
+@dataclass(frozen=True)
+class Refusal:
+    """A request that was refused with Retry-After."""
+
+    request_id: str
+    at_s: float
+    retry_after: str
+
+
 @dataclass
 class Engine:
     """One engine or plain service.
@@ -82,7 +91,7 @@
     retry_after: str | None = None
     sheds_only: str = ""
     blames: str = ""
-    shed: list[Arrival] = field(default_factory=list)
+    shed: list[Refusal] = field(default_factory=list)
     crash_body: bytes | None = None
     crash_after_s: float = 0.08
     on_crash: Callable[[Engine], None] | None = None
@@ -102,6 +111,7 @@
     streamed: dict[str, float] = field(default_factory=dict)
     paths: dict[str, str] = field(default_factory=dict)
     draining_since_s: float | None = None
+    leaving_since_s: float | None = None
     told_address: str = ""
     given: list[dict[str, Any]] = field(default_factory=list)
     _server: HTTPServer | None = None
@@ -187,6 +197,8 @@
         self.born = born
         self.state = "ready"
         self.leaving = False
+        self.leaving_since_s = None
+        self.shed.clear()
         self.rate_limit = self.retry_after = None
         self.orders = 0
         self.fence = -1
@@ -300,7 +312,7 @@
         if engine.mode == "shed" and request_id.startswith(engine.sheds_only):
             if engine.retry_after is not None:
                 self.set_header("Retry-After", engine.retry_after)
-                engine.shed.append(Arrival(request_id, now_s))
+                engine.shed.append(Refusal(request_id, now_s, engine.retry_after))
             if engine.blames:
                 self.set_header("At-Server", engine.blames)
             self._refuse(503)
--- a/tests/forwarding/test_server_backoff.py
+++ b/tests/forwarding/test_server_backoff.py
@@ -37,7 +37,7 @@
         load = Load(deployment, path, PER_S, rng=random.Random(3))
         outcome = await play_shedding(deployment, load, [server], "3")
         assert server.shed
-        assert most_during_backoff(server, 3.0) <= MAX_DURING
+        assert most_during_backoff(server) <= MAX_DURING
         assert outcome.served_share(outcome.shed_s, outcome.ended_s) >= 0.95
 
 
@@ -55,7 +55,7 @@
     load = Load(deployment, path, PER_S, rng=random.Random(4))
     outcome = await play_shedding(deployment, load, servers, "3", for_s=4.0)
     for server in servers:
-        assert most_during_backoff(server, 3.0) <= MAX_DURING
+        assert most_during_backoff(server) <= MAX_DURING
     known_s = outcome.shed_s + 0.5
     refused = load.since(known_s, outcome.ended_s - 1.5)
     replies = [r.reply for r in refused if r.reply is not None]
--- a/tests/lib/backoffs.py
+++ b/tests/lib/backoffs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from standins.chaining_engine import Engine
@@ -16,16 +16,24 @@
 MAX_DURING = 2
 
 
-def most_during_backoff(server: Engine, delay_s: float) -> int:
-    """Return the most requests from one entry within the backoff of one refusal."""
+def most_during_backoff(
+    server: Engine, entry_of: Callable[[str], object] = entry_of
+) -> int:
+    """Return the most requests from one entry within the backoff of one refusal.
+
+    :param entry_of: returns the entry that a request was sent to; nothing if it doesn't
+        count.
+    """
     most = 0
+    arrived = [(entry_of(a.request_id), a.at_s) for a in server.arrivals]
     for refusal in server.shed:
         entry = entry_of(refusal.request_id)
-        first_s, end_s = refusal.at_s + EXCUSED_S, refusal.at_s + delay_s
+        if entry is None:
+            continue
+        first_s = refusal.at_s + EXCUSED_S
+        end_s = refusal.at_s + float(refusal.retry_after)
         during = [
-            arrival
-            for arrival in server.arrivals
-            if entry_of(arrival.request_id) == entry and first_s <= arrival.at_s < end_s
+            1 for other, at_s in arrived if other == entry and first_s <= at_s < end_s
         ]
         most = max(most, len(during))
     return most
