--- a/tests/lib/crash_draws.py
+++ b/tests/lib/crash_draws.py
@@ -39,6 +39,7 @@
     :param interval_s: how often a popular one is sent.
     :param run_s: how long an innocent run takes.
     :param queue_s: how long a server lets requests wait at most before it runs them.
+    :param streams: whether runs bring events.
     :param others_ends: servers that end for another reason.
     :param singles_per_s: innocent contents that are sent once each.
     :param lost: share of news between entries that is lost; as much is repeated.
@@ -55,6 +56,7 @@
     singles_per_s: float = 0.0
     lost: float = 0.1
     queue_s: float = 0.0
+    streams: bool = True
     for_s: float = 10.0
 
 
@@ -260,7 +262,7 @@
     ) -> None:
         seen: dict[Content, list[Crash]] = {}
         for run in runs:
-            silent = ended_s < run.first_event_s
+            silent = self.draw.streams and ended_s < run.first_event_s
             crash = Crash(server_id, run.began_s, ended_s, "v1", silent=silent)
             seen.setdefault(run.content, []).append(crash)
         quarantine = self._quarantines[entry]
--- a/tests/unit/test_quarantine_draws.py
+++ b/tests/unit/test_quarantine_draws.py
@@ -56,14 +56,19 @@
 OPEN = [37, 52, 194, 379, 402, 428]
 
 
-# Seeds outside of those in which an innocent content was held back, or one that ends its
-# servers went on.
+# Seeds outside of those with the same fault, or in which a content ended too many
+# servers late.
 FAILED = [
     *(10060, 10090, 10152, 10244, 10325, 10569, 10621, 10625),
     *(10660, 10767, 10989, 11214, 11325, 11681, 11964, 11989),
 ]
 
 
+# Of 20,000 plays: half of the news is lost, servers end for other reasons under several
+# trials, or two contents that end servers are always together.
+RARE = [303594, 303982, 305078, 306091, 310034, 317206]
+
+
 def late(seeds: Iterable[int]) -> dict[int, int]:
     """Return the plays in which a content ended more servers late than asked for."""
     found = {seed: most_late_ends(seed) for seed in seeds}
@@ -92,6 +97,17 @@
     assert (late(FAILED), held(FAILED)) == ({}, {})
 
 
+def test_no_play_of_two_thousand_others_fails() -> None:
+    fresh = range(300_000, 302_000)
+    assert (late(fresh), held(fresh)) == ({}, {})
+
+
+def test_innocent_content_is_held_back_where_news_is_lost_or_servers_end_by_chance() -> (
+    None
+):
+    assert (late(RARE), held(RARE)) == ({}, {})
+
+
 def test_a_popular_content_beside_one_that_ends_its_servers() -> None:
     """Both are under all servers that end, from the first moment on."""
     for seed in range(50):
