--- a/tests/unit/test_quarantine_draws.py
+++ b/tests/unit/test_quarantine_draws.py
@@ -102,9 +102,7 @@
     assert (late(fresh), held(fresh)) == ({}, {})
 
 
-def test_innocent_content_is_held_back_where_news_is_lost_or_servers_end_by_chance() -> (
-    None
-):
+def test_innocent_content_is_held_back_where_news_is_lost() -> None:
     assert (late(RARE), held(RARE)) == ({}, {})
 
 
