--- /dev/null
+++ b/tests/unit/test_server_statements.py
@@ -0,0 +1,86 @@
+"""Each name that servers or the platform send is read, or its reason stands.
+
+Rate limits, Retry-After and leaving each went unread until servers got what they had
+said that they don't want.
+"""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from railfold._internal.platform import configuration, engines
+from railfold._internal.platform.answer_headers import READ, UNREAD
+
+ROOT = Path(__file__).parent.parent.parent
+TABLE = ROOT / "docs" / "design" / "server-statements.md"
+SOURCES = ROOT / "src" / "railfold" / "_internal"
+
+_ROW = re.compile(r"\| `([^`]+)` \| (yes|no) \|(.*)\|")
+
+
+def listed(section: str, *, read: bool) -> set[str]:
+    """Return the names of a section of the table that are read, or that aren't."""
+    text = TABLE.read_text().split(f"## {section}\n")[1].split("\n## ")[0]
+    rows = [_ROW.fullmatch(line) for line in text.splitlines()]
+    found = [row for row in rows if row is not None]
+    assert all(row[2] == "yes" or row[3].strip() for row in found)
+    return {row[1] for row in found if (row[2] == "yes") is read}
+
+
+def fields_of(struct: type[msgspec.Struct]) -> set[str]:
+    return set(struct.__struct_encode_fields__)
+
+
+def standard_headers_read() -> set[str]:
+    """Return the names of standard headers that the sources look up in answers."""
+    texts = [
+        path.read_text()
+        for folder in ("forwarding", "platform")
+        for path in (SOURCES / folder).rglob("*.py")
+    ]
+    literal = re.compile(r'head\.get\(\s*"([A-Za-z-]+)"')
+    found = {name for text in texts for name in literal.findall(text)}
+    retry_after = (SOURCES / "platform" / "retry_after.py").read_text()
+    found |= set(re.findall(r'_NAME = "([A-Za-z-]+)"', retry_after))
+    return found
+
+
+def test_headers_of_answers() -> None:
+    section = "Headers in answers of backend servers"
+    standard = {name.lower() for name in standard_headers_read()}
+    read = {name.lower() for name in listed(section, read=True)}
+    unread = {name.lower() for name in listed(section, read=False)}
+    assert read == READ | standard
+    assert unread == UNREAD
+
+
+@pytest.mark.parametrize(
+    ("section", "struct", "checked_only"),
+    [
+        ("Registrations", engines._Entry, {"cold_left_ms", "seq", "stage"}),
+        ("Reports of engines", engines._Report, set()),
+    ],
+)
+def test_registrations_and_reports(
+    section: str, struct: type[msgspec.Struct], checked_only: set[str]
+) -> None:
+    assert listed(section, read=True) | checked_only == fields_of(struct)
+    assert checked_only <= listed(section, read=False)
+
+
+def test_configuration() -> None:
+    parts = {
+        "": configuration._Configuration,
+        "route.": configuration._Route,
+        "service.": configuration._Service,
+        "engine.": configuration._Engine,
+        "limits.": configuration._Limits,
+    }
+    fields = {
+        prefix + name for prefix, struct in parts.items() for name in fields_of(struct)
+    }
+    assert listed("Configuration", read=True) == fields
