--- a/tests/unit/test_quarantine_draws.py
+++ b/tests/unit/test_quarantine_draws.py
@@ -3,9 +3,6 @@
 Asked for: a content that ends its servers ends three at most later than 3 s after its
 third; an innocent one is never held back for longer than a second, however popular it
 is, whatever else ends servers, and whichever news between entries is lost or repeated.
-
-Counting crashes alone, 134 of 2,000 draws held an innocent content back for longer, and
-38 ended more servers than that; told apart by trials, 20 and 4 do.
 """
 
 from __future__ import annotations
