Move the choice of destinations out of the router

Methods moved as they were; tests of forwarding pass (rate limits, backoffs, failures, suspicion, requests).

--- a/src/railfold/_internal/forwarding/requests/destination_search.py
+++ b/src/railfold/_internal/forwarding/requests/destination_search.py
@@ -20,7 +20,8 @@
 from railfold._internal.forwarding.quarantine.request_quarantine import (
     RequestQuarantine,
 )
-from railfold._internal.forwarding.router import Destination, Router
+from railfold._internal.forwarding.requests.destinations import Destination
+from railfold._internal.forwarding.router import Router
 
 __all__ = ["PLACE_INTERVAL_S", "DestinationSearch", "SearchListener"]
 
@@ -102,7 +103,7 @@
                     self._request, self._owner, on_trial=self._on_trial
                 )
             sparing = self._quarantine.may_end_servers(self._request, self._owner)
-            destination = place or router.choose(
+            destination = place or router.destinations.choose(
                 self._route,
                 exclude,
                 is_new=is_new,
@@ -175,7 +176,7 @@
             return False
         self._reserve_due_s = now_s + PLACE_INTERVAL_S
         try:
-            place = self._router.choose(self._route, exclude)
+            place = self._router.destinations.choose(self._route, exclude)
         except RequestError:
             return False
         if not self._router.budgets.of(place.service).allows(now_s):
--- a/src/railfold/_internal/forwarding/requests/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -58,11 +58,12 @@
     PLACE_INTERVAL_S,
     DestinationSearch,
 )
+from railfold._internal.forwarding.requests.destinations import Destination
 from railfold._internal.forwarding.requests.exchange import EngineExchange
 from railfold._internal.forwarding.requests.front import ClientExchange
 from railfold._internal.forwarding.requests.request_log import RequestLog
 from railfold._internal.forwarding.requests.stream_watch import Silence, StreamWatch
-from railfold._internal.forwarding.router import Destination, Router
+from railfold._internal.forwarding.router import Router
 from railfold._internal.forwarding.servers.probes import ChainProber
 
 __all__ = ["RequestDriver"]
@@ -556,7 +557,7 @@
         """Let the first backend server go on over another chain."""
         exchange = self._exchange
         ordered_s = self._loop.time()
-        other = self._router.reroute(chain, lost)
+        other = self._router.destinations.reroute(chain, lost)
         outcome = "there is no other chain"
         if other is not None:
             outcome = await self._prober.calls.reroute(self._request.request_id, other)
--- a/tests/forwarding/test_suspicion.py
+++ b/tests/forwarding/test_suspicion.py
@@ -15,8 +15,11 @@
 from railfold._internal.core import Address, Chain
 from railfold._internal.errors import EngineUnavailableError, NoCapacityError
 from railfold._internal.forwarding.requests import exchange
+from railfold._internal.forwarding.requests.destinations import (
+    Destination,
+    DestinationChooser,
+)
 from railfold._internal.forwarding.requests.stream_watch import Silence
-from railfold._internal.forwarding.router import Destination, Router
 from railfold._internal.forwarding.servers.http_client import HttpConnection
 from railfold._internal.forwarding.servers.liveness import Verdict
 from standins import chaining_engine
@@ -139,19 +142,19 @@
 ) -> None:
     # As with a route whose other service has no room.
     connection, first = await begin_stream(deployment, events=100)
-    choose = Router.choose
+    choose = DestinationChooser.choose
     asked = 0
 
     def every_other(
-        router: Router, route: object, exclude: frozenset[str]
+        chooser: DestinationChooser, route: object, exclude: frozenset[str]
     ) -> Destination:
         nonlocal asked
         asked += 1
         if asked % 2 == 0:
             raise NoCapacityError("the other service is full")
-        return choose(router, route, exclude)
+        return choose(chooser, route, exclude)
 
-    monkeypatch.setattr(Router, "choose", every_other)
+    monkeypatch.setattr(DestinationChooser, "choose", every_other)
     deployment.entry.router.report_lost(frozenset({first.server_id}))
     assert (await rest_of(connection)).whole
 
