Skip draws for slow starts where no server recovers; a refusal names bars that bind

Behaviour for callers is unchanged but where a place needs no end of a bar: it is refused for want of room then, as before eligibility was one decision.

--- a/src/railfold/_internal/forwarding/requests/destinations.py
+++ b/src/railfold/_internal/forwarding/requests/destinations.py
@@ -153,16 +153,14 @@
             return None
         now_s = asyncio.get_running_loop().time()
         ending = {s: b for s, b in terms.bars.items() if isinstance(b, EndingBar)}
-        if not ending:
-            return None
         met_s = [ending[s].until_s for s in place.server_ids if s in ending]
-        left_s = max(met_s, default=now_s) - now_s
+        if not met_s:
+            return None
         backoffs = {s: b for s, b in ending.items() if not isinstance(b, RateLimited)}
         if not backoffs:
-            return self._router.limits.refusal(ending, left_s)
-        first_s = min(bar.until_s for bar in backoffs.values())
-        left_s = min(first_s - now_s, left_s) if met_s else first_s - now_s
-        return self._router.backoffs.refusal(spec.name, backoffs, left_s)
+            return self._router.limits.refusal(ending, max(met_s) - now_s)
+        first_s = min(max(met_s), *(bar.until_s for bar in backoffs.values()))
+        return self._router.backoffs.refusal(spec.name, backoffs, first_s - now_s)
 
     def _choose_at(
         self,
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -138,7 +138,7 @@
     def _is_starting_slowly(self, server_id: str, now_s: float) -> bool:
         return self.limits.is_starting_slowly(
             server_id, now_s
-        ) or self.backoffs.is_starting_slowly(server_id)
+        ) or self.backoffs.is_starting_slowly(server_id, now_s)
 
     def check_permission(self, route: Route, path: str, credential: str) -> None:
         """Look at the newest configuration right before a request is sent.
--- a/src/railfold/_internal/forwarding/servers/backoffs.py
+++ b/src/railfold/_internal/forwarding/servers/backoffs.py
@@ -138,9 +138,11 @@
         """Take that a request at a server ended."""
         self.requested.attempt_ended(server_id, request_id)
 
-    def is_starting_slowly(self, server_id: str) -> bool:
+    def is_starting_slowly(self, server_id: str, now_s: float) -> bool:
         """Draw whether a server that has just recovered is left out once."""
-        share = self.requested.share(server_id, _now_s())
+        if not self.requested:
+            return False
+        share = self.requested.share(server_id, now_s)
         return share < 1.0 and self._rng.random() >= share
 
     def left_s(self, server_id: str) -> float:
--- a/src/railfold/_internal/forwarding/servers/rate_limits.py
+++ b/src/railfold/_internal/forwarding/servers/rate_limits.py
@@ -202,6 +202,8 @@
 
     def is_starting_slowly(self, server_id: str, now_s: float) -> bool:
         """Draw whether a server whose limit has just ended is left out once."""
+        if not self._limits:
+            return False
         share = self._limits.share(server_id, now_s)
         return share < 1.0 and self._rng.random() >= share
 
