Rate limits: the field's words for what is observed, announced and waited for

Names only (shared style): heard, told, word, patience, _TELL_AGAIN_S and their kin; modules words.py and patience.py are headers.py and wait_limit.py. The field of a permit's request keeps its name between entries.

--- a/src/railfold/_internal/decisions/rate_limits/__init__.py
+++ b/src/railfold/_internal/decisions/rate_limits/__init__.py
@@ -5,12 +5,17 @@
     LimitChange,
     LimitLapsed,
 )
+from railfold._internal.decisions.rate_limits.headers import (
+    NoRateLimit,
+    RateLimitHeader,
+    RateLimitNamed,
+    UnreadableRateLimit,
+)
 from railfold._internal.decisions.rate_limits.holders import (
     Fleet,
     Holders,
     permit_holders,
 )
-from railfold._internal.decisions.rate_limits.patience import permit_patience_s
 from railfold._internal.decisions.rate_limits.permits import (
     PermitDenied,
     PermitGranted,
@@ -22,12 +27,7 @@
     PermitSharing,
     PermitStep,
 )
-from railfold._internal.decisions.rate_limits.words import (
-    NoRateLimit,
-    RateLimitNamed,
-    RateLimitWord,
-    UnreadableRateLimit,
-)
+from railfold._internal.decisions.rate_limits.wait_limit import permit_wait_limit_s
 
 __all__ = [
     "AdvertisedLimits",
@@ -43,9 +43,9 @@
     "PermitSchedule",
     "PermitSharing",
     "PermitStep",
+    "RateLimitHeader",
     "RateLimitNamed",
-    "RateLimitWord",
     "UnreadableRateLimit",
     "permit_holders",
-    "permit_patience_s",
+    "permit_wait_limit_s",
 ]
--- a/src/railfold/_internal/decisions/rate_limits/advertised.py
+++ b/src/railfold/_internal/decisions/rate_limits/advertised.py
@@ -15,10 +15,10 @@
 
 from dataclasses import dataclass
 
-from railfold._internal.decisions.rate_limits.words import (
+from railfold._internal.decisions.rate_limits.headers import (
     NoRateLimit,
+    RateLimitHeader,
     RateLimitNamed,
-    RateLimitWord,
     UnreadableRateLimit,
 )
 from railfold._internal.decisions.slow_start import usual_share
@@ -49,7 +49,7 @@
 
 
 # What changed: the word that made it known, or that none came.
-LimitChange = RateLimitWord | LimitLapsed
+LimitChange = RateLimitHeader | LimitLapsed
 
 
 @dataclass(slots=True)
@@ -90,8 +90,8 @@
         known = self._known.get(server_id)
         return known.per_s if known is not None else None
 
-    def heard(
-        self, server_id: str, word: RateLimitWord, sent_s: float, now_s: float
+    def observe(
+        self, server_id: str, word: RateLimitHeader, sent_s: float, now_s: float
     ) -> LimitChange | None:
         """Take what the head of an answer said, to a request sent at ``sent_s``.
 
@@ -132,7 +132,7 @@
         known.changed_s = known.word_s = given_s
         return NoRateLimit()
 
-    def told(
+    def announced(
         self, server_id: str, per_s: float | None, given_s: float
     ) -> LimitChange | None:
         """Take another entry's word, given to it by the server at ``given_s``.
--- a/src/railfold/_internal/decisions/rate_limits/words.py
+++ b/src/railfold/_internal/decisions/rate_limits/headers.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["NoRateLimit", "RateLimitNamed", "RateLimitWord", "UnreadableRateLimit"]
+__all__ = ["NoRateLimit", "RateLimitHeader", "RateLimitNamed", "UnreadableRateLimit"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,4 +29,4 @@
     text: str
 
 
-RateLimitWord = RateLimitNamed | NoRateLimit | UnreadableRateLimit
+RateLimitHeader = RateLimitNamed | NoRateLimit | UnreadableRateLimit
--- a/src/railfold/_internal/decisions/rate_limits/permits.py
+++ b/src/railfold/_internal/decisions/rate_limits/permits.py
@@ -35,9 +35,9 @@
         self._interval_s: float | None = None
 
     def take(
-        self, now_s: float, per_s: float, burst: float, patience_s: float
+        self, now_s: float, per_s: float, burst: float, max_wait_s: float
     ) -> PermitOutcome:
-        """Take a permit that is there now, or will be within ``patience_s``.
+        """Take a permit that is there now, or will be within ``max_wait_s``.
 
         :param burst: how many may be taken at once after a pause; 1 at least.
         """
@@ -45,7 +45,7 @@
         self._use_interval(interval_s, now_s)
         earliest_s = self._next_s - (burst - 1.0) * interval_s
         wait_s = max(0.0, earliest_s - now_s)
-        if wait_s > patience_s:
+        if wait_s > max_wait_s:
             return PermitDenied(wait_s)
         self._next_s = max(now_s, self._next_s) + interval_s
         return PermitGranted(wait_s)
--- a/src/railfold/_internal/decisions/rate_limits/sharing.py
+++ b/src/railfold/_internal/decisions/rate_limits/sharing.py
@@ -108,22 +108,22 @@
         per_s: float,
         fleet: Fleet,
         now_s: float,
-        patience_s: float,
+        max_wait_s: float,
     ) -> PermitStep:
         """Return what comes of this entry's wish to send, or whom to ask for it.
 
         :param per_s: the server's limit.
-        :param patience_s: how long the request may wait.
+        :param max_wait_s: how long the request may wait.
         """
         holders = self.holders(server_id, per_s, fleet, now_s)
         due_s = self._of(server_id, now_s).due_s
         ready = [
             name
             for name in holders.names
-            if due_s.get(name, now_s) - now_s <= patience_s
+            if due_s.get(name, now_s) - now_s <= max_wait_s
         ]
         if fleet.own_name in ready:
-            outcome = self._take(server_id, holders, now_s, patience_s)
+            outcome = self._take(server_id, holders, now_s, max_wait_s)
             if isinstance(outcome, PermitGranted):
                 return outcome
             due_s[fleet.own_name] = now_s + outcome.wait_s
@@ -145,13 +145,13 @@
         per_s: float,
         fleet: Fleet,
         now_s: float,
-        patience_s: float,
+        max_wait_s: float,
     ) -> PermitOutcome:
         """Return what another entry gets that asks this one."""
         holders = self.holders(server_id, per_s, fleet, now_s)
         if fleet.own_name not in holders.names:
             return PermitDenied(_NOBODY_S)
-        outcome = self._take(server_id, holders, now_s, patience_s)
+        outcome = self._take(server_id, holders, now_s, max_wait_s)
         if isinstance(outcome, PermitGranted):
             return outcome
         permits = self._of(server_id, now_s)
@@ -162,10 +162,10 @@
         return PermitDenied(min(wait_s, most_s * (0.5 + self._rng.random())))
 
     def _take(
-        self, server_id: str, holders: Holders, now_s: float, patience_s: float
+        self, server_id: str, holders: Holders, now_s: float, max_wait_s: float
     ) -> PermitOutcome:
         permits = self._of(server_id, now_s)
-        outcome = permits.schedule.take(now_s, holders.per_s, holders.burst, patience_s)
+        outcome = permits.schedule.take(now_s, holders.per_s, holders.burst, max_wait_s)
         if isinstance(outcome, PermitGranted):
             permits.denied = 0
         return outcome
--- a/src/railfold/_internal/decisions/rate_limits/patience.py
+++ b/src/railfold/_internal/decisions/rate_limits/wait_limit.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-__all__ = ["permit_patience_s"]
+__all__ = ["permit_wait_limit_s"]
 
 # A client in the middle of its answer leaves after 2 s without an event; pauses count
 # as too long well before.
@@ -21,7 +21,7 @@
 _EQUAL_SHARE = 0.125
 
 
-def permit_patience_s(
+def permit_wait_limit_s(
     objective_s: float, rank: int, random_unit: float, *, begun: bool
 ) -> float:
     """Return how long a request may wait for a permit, in seconds.
--- a/src/railfold/_internal/forwarding/dialect.py
+++ b/src/railfold/_internal/forwarding/dialect.py
@@ -12,7 +12,7 @@
 
 from railfold._internal.core import Chain, LayerRange
 from railfold._internal.decisions.load_shedding import RetryAfterHeader
-from railfold._internal.decisions.rate_limits.words import RateLimitWord
+from railfold._internal.decisions.rate_limits.headers import RateLimitHeader
 from railfold._internal.forwarding.messages import (
     ClientRequest,
     Header,
@@ -189,7 +189,7 @@
     def unknown_headers(self, head: ResponseHead) -> Sequence[str]:
         """Return names of the platform's own headers that the adapter doesn't know."""
 
-    def rate_limit(self, head: ResponseHead) -> RateLimitWord:
+    def rate_limit(self, head: ResponseHead) -> RateLimitHeader:
         """Return what an answer's head says of the rate that its server takes."""
 
     def retry_after(self, head: ResponseHead) -> RetryAfterHeader:
--- a/src/railfold/_internal/forwarding/peers/peer_messages.py
+++ b/src/railfold/_internal/forwarding/peers/peer_messages.py
@@ -28,11 +28,11 @@
     "PeerMessage",
     "PeerMessageCodec",
     "PermitAsked",
-    "PermitTold",
+    "PermitReply",
     "PlacementLed",
     "ProofAsked",
     "ProofTold",
-    "RateLimitTold",
+    "RateLimitNotice",
     "TrialBegun",
 ]
 
@@ -139,7 +139,7 @@
     age_ms: _AgeMs
 
 
-class RateLimitTold(msgspec.Struct, frozen=True, tag="limit"):
+class RateLimitNotice(msgspec.Struct, frozen=True, tag="limit"):
     """How many requests a second a backend server takes from all entries.
 
     :param per_s: nothing if the server names no limit any more.
@@ -156,16 +156,16 @@
 
     :param question: stands in the answer.
     :param limit: what the sender knows of it, which the receiver may not have heard.
-    :param patience_ms: how long the request may wait.
+    :param max_wait_ms: how long the request may wait.
     """
 
     name: _Name
     question: Annotated[int, Meta(ge=0, le=2**32)]
-    limit: RateLimitTold
-    patience_ms: _AgeMs
+    limit: RateLimitNotice
+    max_wait_ms: _AgeMs = msgspec.field(name="patience_ms")
 
 
-class PermitTold(msgspec.Struct, frozen=True, tag="permit"):
+class PermitReply(msgspec.Struct, frozen=True, tag="permit"):
     """The answer: a permit from ``wait_ms`` on, or when there may be one."""
 
     name: _Name
@@ -197,9 +197,9 @@
     | ArrivalsTold
     | ProofAsked
     | ProofTold
-    | RateLimitTold
+    | RateLimitNotice
     | PermitAsked
-    | PermitTold
+    | PermitReply
     | BackoffNotice
     | LeavingNotice
 )
--- a/src/railfold/_internal/forwarding/peers/peering.py
+++ b/src/railfold/_internal/forwarding/peers/peering.py
@@ -26,11 +26,11 @@
     LeavingNotice,
     PeerMessage,
     PermitAsked,
-    PermitTold,
+    PermitReply,
     PlacementLed,
     ProofAsked,
     ProofTold,
-    RateLimitTold,
+    RateLimitNotice,
     TrialBegun,
 )
 from railfold._internal.forwarding.peers.proof_keeper import ProofKeeper
@@ -172,12 +172,12 @@
                 self.quarantine.content_cleared(message)
             case TrialBegun():
                 self.quarantine.trial_begun(message)
-            case RateLimitTold():
-                self._limits.told(message)
+            case RateLimitNotice():
+                self._limits.record_notice(message)
             case PermitAsked():
                 self._limits.permit_asked(message)
-            case PermitTold():
-                self._limits.permit_told(message)
+            case PermitReply():
+                self._limits.permit_replied(message)
             case BackoffNotice():
                 self._backoffs.record_notice(message)
             case LeavingNotice():
--- a/src/railfold/_internal/forwarding/requests/destination_search.py
+++ b/src/railfold/_internal/forwarding/requests/destination_search.py
@@ -12,7 +12,7 @@
 from railfold._internal.decisions.rate_limits import (
     PermitDenied,
     PermitGranted,
-    permit_patience_s,
+    permit_wait_limit_s,
 )
 from railfold._internal.decisions.routing_table import CredentialOwner, Route
 from railfold._internal.errors import OverloadedError, RailfoldError, RequestError
@@ -124,7 +124,7 @@
     def _max_wait_s(self, *, begun: bool) -> float:
         """Return how long the request may wait for a permit."""
         random_unit = self._router.rng.random()
-        return permit_patience_s(
+        return permit_wait_limit_s(
             self._route.objective_s, self._priority, random_unit, begun=begun
         )
 
--- a/src/railfold/_internal/forwarding/servers/rate_limits.py
+++ b/src/railfold/_internal/forwarding/servers/rate_limits.py
@@ -33,8 +33,8 @@
 from railfold._internal.forwarding.peers.peer_channel import PeerChannel
 from railfold._internal.forwarding.peers.peer_messages import (
     PermitAsked,
-    PermitTold,
-    RateLimitTold,
+    PermitReply,
+    RateLimitNotice,
 )
 from railfold._internal.observability.decision_log import DecisionLog
 from railfold._internal.observability.events import RateLimitChanged
@@ -47,10 +47,10 @@
 
 # A limit that holds is told again so often, which keeps it from lapsing at entries that
 # send nothing to the server.
-_TELL_AGAIN_S = 1.0
+_ANNOUNCE_INTERVAL_S = 1.0
 
 # Of the servers that bound a refused request so many are named in logs.
-_TOLD_SERVERS = 4
+_MAX_NAMED = 4
 
 _OWN_WORD = "the server"
 _PEERS_WORD = "another entry"
@@ -74,7 +74,7 @@
         self._limits = AdvertisedLimits()
         self._sharing = PermitSharing(rng)
         self._channel: PeerChannel | None = None
-        self._told_s: dict[str, float] = {}
+        self._announced_s: dict[str, float] = {}
         self._answers: dict[int, asyncio.Future[PermitOutcome]] = {}
         # How many entries there are by the store's count.
         self.members = 1
@@ -94,7 +94,7 @@
 
     # What servers say
 
-    def heard(
+    def record_response(
         self, server_id: str, kind: AnswerKind, head: ResponseHead, sent_s: float
     ) -> None:
         """Take the head of an answer to a request that was sent at ``sent_s``.
@@ -107,41 +107,43 @@
         if isinstance(word, NoRateLimit) and (misplaced or not self._limits):
             return
         now_s = _now_s()
-        change = self._limits.heard(server_id, word, sent_s, now_s)
+        change = self._limits.observe(server_id, word, sent_s, now_s)
         self._note(server_id, change, _OWN_WORD)
-        due_s = self._told_s.get(server_id, float("-inf")) + _TELL_AGAIN_S
+        due_s = self._announced_s.get(server_id, float("-inf")) + _ANNOUNCE_INTERVAL_S
         holds = self._limits.per_s(server_id) is not None
         is_news = isinstance(change, RateLimitNamed | NoRateLimit)
         if is_news or (holds and now_s >= due_s):
-            self._tell(server_id, now_s)
+            self._announce(server_id, now_s)
 
-    def heard_beside(self, server_id: str, head: ResponseHead) -> None:
+    def record_call_response(self, server_id: str, head: ResponseHead) -> None:
         """Take the head of an answer to a call of this entry's own.
 
         Servers needn't name a limit there: that one names none says nothing.
         """
         word = self._dialect.rate_limit(head)
         if not isinstance(word, NoRateLimit):
-            change = self._limits.heard(server_id, word, _now_s(), _now_s())
+            change = self._limits.observe(server_id, word, _now_s(), _now_s())
             self._note(server_id, change, _OWN_WORD)
 
-    def _tell(self, server_id: str, now_s: float) -> None:
-        self._told_s[server_id] = now_s
+    def _announce(self, server_id: str, now_s: float) -> None:
+        self._announced_s[server_id] = now_s
         if self._channel is not None:
-            self._channel.tell(self._told(server_id, now_s))
+            self._channel.tell(self._notice(server_id, now_s))
 
-    def _told(self, server_id: str, now_s: float) -> RateLimitTold:
+    def _notice(self, server_id: str, now_s: float) -> RateLimitNotice:
         per_s = self._limits.per_s(server_id)
         age_ms = int(self._limits.word_age_s(server_id, now_s) * 1000)
-        return RateLimitTold(server_id, per_s, age_ms)
+        return RateLimitNotice(server_id, per_s, age_ms)
 
-    def told(self, message: RateLimitTold) -> None:
+    def record_notice(self, message: RateLimitNotice) -> None:
         """Another entry tells what a server said."""
         now_s = _now_s()
         given_s = now_s - message.age_ms / 1000.0
         server_id = message.server_id
-        change = self._limits.told(server_id, message.per_s, given_s)
-        self._told_s[server_id] = max(given_s, self._told_s.get(server_id, given_s))
+        change = self._limits.announced(server_id, message.per_s, given_s)
+        self._announced_s[server_id] = max(
+            given_s, self._announced_s.get(server_id, given_s)
+        )
         self._note(server_id, change, _PEERS_WORD)
 
     def _note(self, server_id: str, change: LimitChange | None, source: str) -> None:
@@ -191,7 +193,9 @@
             self._note(server_id, change, _OWN_WORD)
         self._limits.forget(known_ids, now_s)
         self._sharing.forget(set(self._limits.in_force))
-        self._told_s = {s: at_s for s, at_s in self._told_s.items() if s in known_ids}
+        self._announced_s = {
+            s: at_s for s, at_s in self._announced_s.items() if s in known_ids
+        }
         self._metrics.gauge("rate_limits.in_force", len(self._limits.in_force))
 
     # Where requests may go
@@ -224,19 +228,19 @@
         return RateLimitedError(
             "backend servers that could serve it take no more requests now",
             left_s=left_s,
-            why="; ".join(named[:_TOLD_SERVERS]),
+            why="; ".join(named[:_MAX_NAMED]),
             hint="come back after Retry-After",
         )
 
     # Permits
 
     async def acquire(
-        self, server_ids: Iterable[str], patience_s: float
+        self, server_ids: Iterable[str], max_wait_s: float
     ) -> PermitOutcome:
         """Get a permit of each server with a limit, and wait until they hold."""
         ready_s = _now_s()
         for server_id in self.limited(server_ids):
-            outcome = await self._acquire_one(server_id, patience_s)
+            outcome = await self._acquire_one(server_id, max_wait_s)
             if isinstance(outcome, PermitDenied):
                 return outcome
             ready_s = max(ready_s, _now_s() + outcome.wait_s)
@@ -247,18 +251,18 @@
         self._metrics.count("rate_limits.sends")
         return PermitGranted()
 
-    async def _acquire_one(self, server_id: str, patience_s: float) -> PermitOutcome:
+    async def _acquire_one(self, server_id: str, max_wait_s: float) -> PermitOutcome:
         asked: set[str] = set()
         while True:
             per_s = self._limits.per_s(server_id)
             if per_s is None:
                 return PermitGranted()
             fleet = self._fleet
-            step = self._sharing.step(server_id, per_s, fleet, _now_s(), patience_s)
+            step = self._sharing.step(server_id, per_s, fleet, _now_s(), max_wait_s)
             match step:
                 case AskHolder(name=name) if name not in asked:
                     asked.add(name)
-                    outcome = await self._ask(server_id, name, patience_s)
+                    outcome = await self._ask(server_id, name, max_wait_s)
                     if isinstance(outcome, PermitGranted):
                         return outcome
                 case AskHolder():
@@ -268,7 +272,7 @@
                     return step
 
     async def _ask(
-        self, server_id: str, name: str, patience_s: float
+        self, server_id: str, name: str, max_wait_s: float
     ) -> PermitOutcome | None:
         """Ask a holder; nothing comes if it doesn't answer."""
         assert self._channel is not None
@@ -277,8 +281,8 @@
         answer = asyncio.get_running_loop().create_future()
         self._answers[question] = answer
         self._metrics.count("rate_limits.permits_asked")
-        limit = self._told(server_id, _now_s())
-        message = PermitAsked(self._name, question, limit, int(patience_s * 1000))
+        limit = self._notice(server_id, _now_s())
+        message = PermitAsked(self._name, question, limit, int(max_wait_s * 1000))
         self._channel.tell_one(name, message)
         try:
             outcome = await asyncio.wait_for(answer, _ANSWER_S)
@@ -294,23 +298,23 @@
 
     def permit_asked(self, message: PermitAsked) -> None:
         """Another entry asks this one for a permit."""
-        self.told(message.limit)
+        self.record_notice(message.limit)
         server_id = message.limit.server_id
         per_s = self._limits.per_s(server_id)
         if self._channel is None:
             return
         outcome: PermitOutcome = PermitGranted()
         if per_s is not None:
-            patience_s = message.patience_ms / 1000.0
+            max_wait_s = message.max_wait_ms / 1000.0
             outcome = self._sharing.asked(
-                server_id, per_s, self._fleet, _now_s(), patience_s
+                server_id, per_s, self._fleet, _now_s(), max_wait_s
             )
         granted = isinstance(outcome, PermitGranted)
         wait_ms = int(outcome.wait_s * 1000)
-        told = PermitTold(self._name, message.question, granted, wait_ms)
-        self._channel.tell_one(message.name, told)
+        reply = PermitReply(self._name, message.question, granted, wait_ms)
+        self._channel.tell_one(message.name, reply)
 
-    def permit_told(self, message: PermitTold) -> None:
+    def permit_replied(self, message: PermitReply) -> None:
         """A holder answers."""
         answer = self._answers.get(message.question)
         if answer is None or answer.done():
--- a/src/railfold/_internal/forwarding/servers/statements.py
+++ b/src/railfold/_internal/forwarding/servers/statements.py
@@ -61,7 +61,7 @@
 
         :param sent_s: when the request was sent.
         """
-        self._limits.heard(server_id, kind, head, sent_s)
+        self._limits.record_response(server_id, kind, head, sent_s)
         backed_off = self._backoffs.record_response(server_id, head, "a request")
         if not isinstance(kind, NotExecuted):
             self._backoffs.record_served(server_id, request_id)
@@ -71,7 +71,7 @@
 
     def record_call_answer(self, server_id: str, head: ResponseHead) -> None:
         """Take the head of an answer to a call of this entry's own."""
-        self._limits.heard_beside(server_id, head)
+        self._limits.record_call_response(server_id, head)
         self._backoffs.record_response(server_id, head, "a call")
         self._record_leaving(server_id, head)
 
--- a/src/railfold/_internal/platform/dialect.py
+++ b/src/railfold/_internal/platform/dialect.py
@@ -7,10 +7,10 @@
 
 from railfold._internal.core import Chain, LayerRange
 from railfold._internal.decisions.load_shedding import RetryAfterHeader
-from railfold._internal.decisions.rate_limits.words import (
+from railfold._internal.decisions.rate_limits.headers import (
     NoRateLimit,
+    RateLimitHeader,
     RateLimitNamed,
-    RateLimitWord,
     UnreadableRateLimit,
 )
 from railfold._internal.errors import InvalidRequestError
@@ -187,7 +187,7 @@
         """Return names of the platform's own headers that aren't known here."""
         return answer_headers.unlisted(head.headers)
 
-    def rate_limit(self, head: ResponseHead) -> RateLimitWord:
+    def rate_limit(self, head: ResponseHead) -> RateLimitHeader:
         """Return what an answer's head says of the rate that its server takes.
 
         Two fields contradict each other or add nothing: neither is read.
--- a/tests/lib/limit_draws.py
+++ b/tests/lib/limit_draws.py
@@ -35,7 +35,7 @@
 
 # How long a holder's answer is waited for, and how often the word is told again.
 _WAIT_S = 0.06
-_TELL_AGAIN_S = 1.0
+_ANNOUNCE_INTERVAL_S = 1.0
 _UPKEEP_S = 0.25
 
 
@@ -170,19 +170,19 @@
 
     def hear(self, per_s: float | None, given_s: float) -> None:
         """Take another entry's word."""
-        self.limits.told(SERVER, per_s, given_s)
-        self.tell_due_s = max(self.tell_due_s, given_s + _TELL_AGAIN_S)
+        self.limits.announced(SERVER, per_s, given_s)
+        self.tell_due_s = max(self.tell_due_s, given_s + _ANNOUNCE_INTERVAL_S)
 
     def answered(self, named: float | None, sent_s: float) -> None:
         """Take the server's answer."""
         play = self.play
         word = NoRateLimit() if named is None else RateLimitNamed(named)
-        change = self.limits.heard(SERVER, word, sent_s, play.now_s)
+        change = self.limits.observe(SERVER, word, sent_s, play.now_s)
         if named is not None and self.told_s is None:
             self.told_s = play.now_s
         if change is None and (named is None or play.now_s < self.tell_due_s):
             return
-        self.tell_due_s = play.now_s + _TELL_AGAIN_S
+        self.tell_due_s = play.now_s + _ANNOUNCE_INTERVAL_S
         per_s, given_s = self.limits.per_s(SERVER), play.now_s
         for other in play.entries:
             if other is not self:
--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -23,9 +23,9 @@
     Envelope,
     PeerMessageCodec,
     PermitAsked,
-    PermitTold,
+    PermitReply,
     PlacementLed,
-    RateLimitTold,
+    RateLimitNotice,
     TrialBegun,
 )
 from railfold._internal.forwarding.store.shared_records import (
@@ -139,10 +139,10 @@
         EntryStarted("entry-1", "10.0.0.1:7355", 1),
         PlacementLed("entry-1"),
         ArrivalsTold("entry-1", {"s" * 30 + str(n): 1.5 for n in range(16)}),
-        RateLimitTold("i-1@5", 1.4, 20),
-        RateLimitTold("i-1@5", None, 20),
-        PermitAsked("entry-1", 7, RateLimitTold("i-1@5", 1.4, 20), 100),
-        PermitTold("entry-1", 7, granted=True, wait_ms=20),
+        RateLimitNotice("i-1@5", 1.4, 20),
+        RateLimitNotice("i-1@5", None, 20),
+        PermitAsked("entry-1", 7, RateLimitNotice("i-1@5", 1.4, 20), 100),
+        PermitReply("entry-1", 7, granted=True, wait_ms=20),
     ],
 )
 def test_each_message_survives_its_way(
@@ -182,7 +182,7 @@
     {"type": "limit", "server_id": "i-1", "per_s": -1.0, "age_ms": 1},
     {"type": "limit", "server_id": "i-1", "per_s": float("nan"), "age_ms": 1},
     {"type": "limit", "server_id": "i-1", "per_s": 1.0, "age_ms": -1},
-    {"type": "permit?", "name": "e", "question": 1, "limit": {}, "patience_ms": 1},
+    {"type": "permit?", "name": "e", "question": 1, "limit": {}, "max_wait_ms": 1},
     {"type": "permit", "name": "e", "question": 1, "granted": 1, "wait_ms": 1},
     {"type": "unknown to this version"},
     {},
--- a/tests/unit/test_permits.py
+++ b/tests/unit/test_permits.py
@@ -16,7 +16,7 @@
     PermitSchedule,
     PermitSharing,
     permit_holders,
-    permit_patience_s,
+    permit_wait_limit_s,
 )
 from tests.lib.limits import ALLOWED_MORE, ALLOWED_TIMES, WINDOW_S
 from tests.lib.properties import examples
@@ -37,14 +37,14 @@
 )
 @examples(200)
 def test_no_window_holds_more_than_a_burst_and_what_its_length_allows(
-    per_s: float, burst: float, pauses_s: list[float], patience_s: float
+    per_s: float, burst: float, pauses_s: list[float], max_wait_s: float
 ) -> None:
     schedule, now_s, sent_s = PermitSchedule(0.0), 0.0, []
     for pause_s in pauses_s:
         now_s += pause_s
-        outcome = schedule.take(now_s, per_s, burst, patience_s)
+        outcome = schedule.take(now_s, per_s, burst, max_wait_s)
         if isinstance(outcome, PermitGranted):
-            assert outcome.wait_s <= patience_s
+            assert outcome.wait_s <= max_wait_s
             sent_s.append(now_s + outcome.wait_s)
     for end_s in sent_s:
         got = sum(1 for at_s in sent_s if end_s - WINDOW_S < at_s <= end_s)
@@ -142,9 +142,9 @@
 
 
 def test_begun_answers_may_wait_longest_then_the_most_urgent() -> None:
-    waits_s = [permit_patience_s(0.5, rank, 0.9, begun=False) for rank in range(4)]
+    waits_s = [permit_wait_limit_s(0.5, rank, 0.9, begun=False) for rank in range(4)]
     assert waits_s == sorted(waits_s, reverse=True)
-    assert permit_patience_s(0.5, 3, 0.9, begun=True) > waits_s[0]
+    assert permit_wait_limit_s(0.5, 3, 0.9, begun=True) > waits_s[0]
 
 
 def test_the_urgent_get_more_and_nobody_starves() -> None:
@@ -153,8 +153,8 @@
     granted = [0, 0]
     for tick in range(2000):
         rank = rng.choice((0, 1))
-        patience_s = permit_patience_s(2.0, 2 * rank, rng.random(), begun=False)
-        outcome = schedule.take(tick * 0.1, 2.0, 1.0, patience_s)
+        max_wait_s = permit_wait_limit_s(2.0, 2 * rank, rng.random(), begun=False)
+        outcome = schedule.take(tick * 0.1, 2.0, 1.0, max_wait_s)
         granted[rank] += isinstance(outcome, PermitGranted)
     assert granted[0] > 1.5 * granted[1]
     assert granted[1] >= 0.05 * sum(granted)
