--- a/tests/forwarding/test_suspended_hosts.py
+++ b/tests/forwarding/test_suspended_hosts.py
@@ -184,3 +184,25 @@
         assert [round(line["suspended_ms"], -2) for line in lines] == [7000.0]
 
     play(scenario, placed=True)
+
+
+def test_a_suspension_counts_for_the_time_that_a_server_asked_for(host: Host) -> None:
+    """Neither sent to too soon, nor kept away from for seconds more."""
+
+    async def scenario(deployment: Deployment) -> None:
+        server, other = deployment.plain
+        other.state = "draining"
+        other.register()
+        await until(deployment.all_known)
+        server.mode, server.retry_after = "shed", "20"
+        assert (await deployment.ask("/tray/1", "c-1")).status == 503
+        server.mode = "ok"
+        host.suspend(2.0)
+        assert (await deployment.ask("/tray/1", "c-2")).status == 503
+        host.suspend(18.0)
+        await until(lambda: deployment.entry.ready())
+        left_s = deployment.entry.router.backoffs.left_s(server.server_id)
+        assert left_s == 0.0
+        assert len(server.arrivals) == 1
+
+    play(scenario, placed=True)
