--- a/src/railfold/_internal/errors.py
+++ b/src/railfold/_internal/errors.py
@@ -42,6 +42,8 @@
     "RequestNotHeldError",
     "RequestNotLoggedError",
     "RequestTimeoutError",
+    "ServerNotEligibleError",
+    "ServersBackingOffError",
     "SettingsError",
     "SupervisorFailedError",
     "UnauthorizedError",
