--- a/tests/unit/test_rate_limit_draws.py
+++ b/tests/unit/test_rate_limit_draws.py
@@ -105,3 +105,15 @@
 @examples(150)
 def test_the_sum_over_entries_is_kept_in_every_window(draw: Draw) -> None:
     assert Play(draw).run().most_over() <= 0.0
+
+
+@pytest.mark.parametrize("entries", [1, 3, 8, 21])
+def test_permits_add_up_to_no_more_than_the_limit(entries: int) -> None:
+    """Eight entries sent 2.03 a second in the 8 s from the limit's naming on."""
+    for seed in range(20):
+        limits = (Limit(4.0, 1.4),)
+        draw = Draw(entries, limits, wants_per_s=12.0, for_s=40.0, seed=seed)
+        play = Play(draw).run()
+        assert play.got_per_s(16.0, 40.0) <= 1.4
+        # Beside bursts, what was sent before the first answer that names it.
+        assert play.got_per_s(5.0, 13.0) <= 1.5 * 1.4
