--- a/src/railfold/_internal/decisions/eligibility.py
+++ b/src/railfold/_internal/decisions/eligibility.py
@@ -75,8 +75,7 @@
     """What one request accepts, and what bars it met.
 
     :param max_wait_s: how long it may wait for a permit.
-    :param relaxed: whether servers serve too that get less than usual, since no others
-        can: those in slow start, and paused ones of a plain service.
+    :param relaxed: whether servers in slow start serve too, since no others can.
     :param ignores_ends: whether bars that end by themselves don't count.
     :param bars: the bars met, by server.
     """
--- a/src/railfold/_internal/decisions/load_shedding/fleet.py
+++ b/src/railfold/_internal/decisions/load_shedding/fleet.py
@@ -16,7 +16,6 @@
 # more likely refused again than served.
 _MIN_ABLE_SHARE = 0.5
 
-
 # An entry that is barred, and has to refuse clients, tells others so often.
 NOTICE_INTERVAL_S = 0.5
 
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -12,19 +12,14 @@
 from railfold._internal.decisions.arrival_rate import ArrivalRates, FleetArrivals
 from railfold._internal.decisions.avoidance import Avoidance
 from railfold._internal.decisions.chain_activity import ChainActivity
-from railfold._internal.decisions.eligibility import (
-    ServerEligibility,
-)
+from railfold._internal.decisions.eligibility import ServerEligibility
 from railfold._internal.decisions.engine_directory import (
     DirectoryEntry,
     EngineDirectory,
 )
 from railfold._internal.decisions.freshness import FreshnessLease
 from railfold._internal.decisions.placement import stage_token_s, uncovered_layers
-from railfold._internal.decisions.planner import (
-    LinkCosts,
-    PlannerWeights,
-)
+from railfold._internal.decisions.planner import LinkCosts, PlannerWeights
 from railfold._internal.decisions.retry_budget import RetryBudgets
 from railfold._internal.decisions.return_time import (
     AloneWithoutProof,
--- a/tests/forwarding/test_server_backoff.py
+++ b/tests/forwarding/test_server_backoff.py
@@ -14,7 +14,14 @@
 from railfold._internal.forwarding.servers.http_client import HttpConnection, connect
 from standins.chaining_engine import LAYERS, Engine
 from tests.lib.backoffs import MAX_DURING, most_during_backoff, play_shedding
-from tests.lib.forwarding import ZONES, Deployment, later_engine, running, until
+from tests.lib.forwarding import (
+    ZONES,
+    Deployment,
+    later_engine,
+    only_plain_server,
+    running,
+    until,
+)
 from tests.lib.limits import OBJECTIVE_S, Load, all_known
 
 STREAM, SAFE, UNSAFE = "/draft/1", "/tray/1", "/slip/1"
@@ -132,12 +139,7 @@
 
 
 async def test_another_incarnation_isnt_barred(deployment: Deployment) -> None:
-    server, other = deployment.plain
-    other.state = "draining"
-    other.register()
-    server.born = 5_000
-    server.register()
-    await until(deployment.all_known)
+    server = await only_plain_server(deployment, born=5_000)
     server.mode, server.retry_after = "shed", "30"
     assert (await deployment.ask(SAFE, "c-1")).status == 503
     server.mode = "ok"
--- a/tests/forwarding/test_server_leaving.py
+++ b/tests/forwarding/test_server_leaving.py
@@ -15,6 +15,7 @@
     begin_stream,
     events_of,
     later_engine,
+    only_plain_server,
     rest_of,
     running,
     take_off_the_list,
@@ -107,12 +108,7 @@
 
 
 async def test_another_incarnation_gets_new_requests(deployment: Deployment) -> None:
-    server, other = deployment.plain
-    other.state = "draining"
-    other.register()
-    server.born = 5_000
-    server.register()
-    await until(deployment.all_known)
+    server = await only_plain_server(deployment, born=5_000)
     server.leaving = True
     assert (await deployment.ask(SAFE, "c-1")).status == 200
     assert (await deployment.ask(SAFE, "c-2")).status == 503
--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -383,6 +383,17 @@
     return later
 
 
+async def only_plain_server(deployment: Deployment, born: int) -> Engine:
+    """Leave one plain server, which tells its start, to new work; return it."""
+    server, other = deployment.plain
+    other.state = "draining"
+    other.register()
+    server.born = born
+    server.register()
+    await until(deployment.all_known)
+    return server
+
+
 async def let_others_drain(deployment: Deployment, engine: Engine) -> None:
     """Leave only the engines of one engine's failure domain to new work."""
     for other in deployment.engines:
