Split the driver, the choice of destinations and the process; no import circle

Router no longer builds the DestinationChooser: the process does, and gives it to drivers, so that router and requests/destinations don't import each other. Chains are chosen in requests/chain_planner, attempts moved on suspicion in requests/relocation, a request travels with its route and owner as RoutedRequest, the parts of the common limits are kept in fleet_limits, paces of registrations in store/registration_pace.

--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -9,7 +9,7 @@
 from railfold import __version__
 from railfold._internal import clock
 from railfold._internal.decisions.engine_directory import EngineDirectory
-from railfold._internal.decisions.fleet_size import Deal, FleetSize
+from railfold._internal.decisions.fleet_size import FleetSize
 from railfold._internal.decisions.freshness import FreshnessLease
 from railfold._internal.decisions.leadership import Leadership
 from railfold._internal.decisions.log_epoch import RETURN_S, LogEpoch
@@ -20,14 +20,17 @@
 from railfold._internal.decisions.routing_table import RoutingTable, require_table
 from railfold._internal.errors import LogUnavailableError, RequestError
 from railfold._internal.forwarding.adapter import PlatformAdapter
+from railfold._internal.forwarding.fleet_limits import FleetLimits
 from railfold._internal.forwarding.listeners import Listeners
 from railfold._internal.forwarding.messages import Header
 from railfold._internal.forwarding.peers.peering import Peering
 from railfold._internal.forwarding.peers.proof_keeper import ProofKeeper
 from railfold._internal.forwarding.reload import SettingsWatcher
+from railfold._internal.forwarding.requests.destinations import DestinationChooser
 from railfold._internal.forwarding.requests.driver import RequestDriver
 from railfold._internal.forwarding.requests.front import ClientExchange, ClientServer
 from railfold._internal.forwarding.requests.replies import error_reply, status_of
+from railfold._internal.forwarding.requests.routed_request import RoutedRequest
 from railfold._internal.forwarding.router import Router
 from railfold._internal.forwarding.servers.engine_calls import EngineCalls
 from railfold._internal.forwarding.servers.placement import PlacementKeeper
@@ -41,6 +44,11 @@
     RegistrationFeed,
 )
 from railfold._internal.forwarding.store.leadership import LEASE_S, LeadershipKeeper
+from railfold._internal.forwarding.store.registration_pace import (
+    calm_pace,
+    eager_pace,
+    leading_pace,
+)
 from railfold._internal.observability.decision_log import DecisionLog
 from railfold._internal.observability.events import (
     DependencyLost,
@@ -77,17 +85,6 @@
 # a change.
 _CONFIGURATION_INTERVAL_S = 0.25
 
-# Engines renew their registrations all the time, and each read costs: they are
-# read in batches, as rarely as still tells of a leaving engine well within the time
-# that it serves on. This part of that time leaves the rest for a read that fails and
-# the next one.
-_CALM_SHARE = 0.7
-
-# The one that places layers, and all while a chain is missing, read them more often:
-# they wait for what engines have loaded.
-_EAGER_PACE = FollowerPace(1.4, min_interval_s=0.8, max_backoff_s=_MAX_BACKOFF_S)
-_LEADING_PACE = FollowerPace(1.4, min_interval_s=0.3, max_backoff_s=_MAX_BACKOFF_S)
-
 # Clients of an installation that starts for the first time come 12 s after it.
 _FIRST_START_S = 10.0
 
@@ -101,14 +98,6 @@
 # Kept from the grace time, to close what is left and end.
 _EXIT_S = 0.4
 
-# Of the retries that all entries may make, entries that run take this share, each its
-# part (:class:`FleetSize`); one that doesn't know its part yet has none.
-_RETRY_SAFETY = 0.8
-
-# The share of first attempts needs no division: each entry counts its own. The rest is
-# for windows that begin and end elsewhere than this entry's.
-_SHARE_SAFETY = 0.95
-
 
 class ForwardingEntry:
     """The parts of one forwarding entry, wired together.
@@ -136,7 +125,6 @@
         founded_by_s = float("-inf")
         if settings.first_start:
             founded_by_s = self._started_s + _FIRST_START_S
-        self._fleet = FleetSize(settings.retry_window_s, LEASE_S, founded_by_s)
         self.metrics = Metrics()
         self.log = DecisionLog(settings.name, log_fd)
         rng = random.Random()
@@ -145,13 +133,16 @@
             directory=EngineDirectory(),
             pool=ConnectionPool(),
             lease=FreshnessLease(settings.credential_lease_s),
-            budgets=RetryBudgets(self._retry_limits(), rng.random()),
+            budgets=RetryBudgets(RetryLimits(slack=0.0), rng.random()),
             metrics=self.metrics,
             log=self.log,
             failure_domain=settings.failure_domain,
             region=settings.region,
             rng=rng,
         )
+        self.destinations = DestinationChooser(self.router)
+        fleet = FleetSize(settings.retry_window_s, LEASE_S, founded_by_s)
+        self._fleet_limits = FleetLimits(settings, fleet, self.router)
         calls = EngineCalls(self.router)
         self._prober = ChainProber(self.router, calls)
         self._leadership = Leadership(LEASE_S)
@@ -161,7 +152,7 @@
             adapter.new_lease_client(_PLACEMENT_DUTY),
             self.log,
             self.metrics,
-            self._on_deal,
+            self._fleet_limits.dealt,
             self._on_epoch,
         )
         self._placement = PlacementKeeper(
@@ -197,7 +188,7 @@
             self._leadership,
             self._store_reachable,
             on_known=self._on_quarantine,
-            on_listed=self._on_listed,
+            on_listed=self._fleet_limits.listed,
             on_epoch=self._on_epoch,
             proofs=self._proofs,
         )
@@ -265,7 +256,7 @@
             self._adapter.registrations_stream,
             self._registration_feed,
             self.metrics,
-            _EAGER_PACE,
+            eager_pace(),
             on_regained=self._on_registrations_regained,
             reachable=self._store_reachable,
             on_epoch=self._on_epoch,
@@ -295,7 +286,7 @@
 
     def _on_settings(self, settings: ForwardingSettings) -> None:
         """Take new bounds; addresses and the place stay until a restart."""
-        self._settings = settings
+        self._settings = self._fleet_limits.settings = settings
         self.router.lease.duration_s = settings.credential_lease_s
 
     # What the store says
@@ -377,15 +368,12 @@
             self._refuse(exchange, request_id, error, now_s)
             return
         driver = RequestDriver(
-            request,
-            route,
-            owner,
+            RoutedRequest(request, route, owner, table.version, on_trial),
             exchange,
             router,
+            self.destinations,
             self._prober,
             self._peering.quarantine,
-            table.version,
-            on_trial=on_trial,
         )
         self._drivers[exchange] = driver
         driver.start()
@@ -447,7 +435,7 @@
         now_s = self._loop.time()
         self.metrics.count("process.resumed")
         self.router.pool.prune(now_s)
-        self._divide_limits()
+        self._fleet_limits.divide()
         leading = self._leadership.fencing(now_s) is not None
         in_flight = len(self.router.active)
         event = ProcessResumed(round(suspended_s * 1000, 1), in_flight, leading)
@@ -464,7 +452,7 @@
             self.metrics.timing("loop.late", now_s - due_s)
             self.router.directory.expire(now_s)
             self.router.pool.prune(now_s)
-            self._divide_limits()
+            self._fleet_limits.divide()
             known = {entry.server_id for entry in self.router.directory}
             self.router.activity.forget(known)
             self.router.avoidance.forget(known)
@@ -480,40 +468,14 @@
     def _registration_pace(self, now_s: float) -> FollowerPace:
         leads = self._leadership.fencing(now_s) is not None
         if leads:
-            return _LEADING_PACE
+            return leading_pace()
         starting = now_s - self._started_s < _FIRST_START_S
         if self._settings.first_start and starting:
-            return self._calm_pace()  # No client waits for the first placement yet.
-        return _EAGER_PACE if self.router.chain_missing() else self._calm_pace()
-
-    def _calm_pace(self) -> FollowerPace:
-        interval_s = _CALM_SHARE * self._settings.drain_notice_s
-        return FollowerPace(interval_s, interval_s, _MAX_BACKOFF_S)
-
-    def _on_deal(self, deal: Deal, sent_s: float) -> None:
-        self._fleet.dealt(deal, sent_s)
-        members = self._fleet.members
-        if members is not None:
-            self.router.entries = self.router.limits.members = members
-        self.metrics.gauge("entries", members or 0)
-        self._divide_limits()
-
-    def _on_listed(self, entries: int) -> None:
-        self._fleet.listed(entries)
-        self._divide_limits()
-
-    def _divide_limits(self) -> None:
-        """Take this entry's part of what all entries may do."""
-        self.router.budgets.set_limits(self._retry_limits())
-
-    def _retry_limits(self) -> RetryLimits:
-        """Return this entry's part of the retries that all may make."""
-        settings = self._settings
-        now_s = self._loop.time()
-        slack = settings.retry_slack * _RETRY_SAFETY * self._fleet.part(now_s)
-        return RetryLimits(
-            settings.retry_share * _SHARE_SAFETY, slack, settings.retry_window_s
-        )
+            # No client waits for the first placement yet.
+            return calm_pace(self._settings.drain_notice_s)
+        if self.router.chain_missing():
+            return eager_pace()
+        return calm_pace(self._settings.drain_notice_s)
 
     async def drain(self) -> None:
         """Leave the balancer, finish what is in flight, then return."""
--- /dev/null
+++ b/src/railfold/_internal/forwarding/requests/chain_planner.py
@@ -0,0 +1,253 @@
+"""Choosing the chain of engines that a request to a model takes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Iterable
+from dataclasses import replace
+
+from railfold._internal.core import Chain
+from railfold._internal.decisions.chain_choice import (
+    ChainOption,
+    blindness,
+    choose_option,
+    choose_sparing,
+)
+from railfold._internal.decisions.domains import group_by_domain
+from railfold._internal.decisions.eligibility import Role, Terms
+from railfold._internal.decisions.load_shedding import BackingOff, HalfOpen
+from railfold._internal.decisions.planner import (
+    Replica,
+    plan_chain,
+    without_first_layer,
+)
+from railfold._internal.decisions.routing_table import EngineModel, ServiceSpec
+from railfold._internal.errors import (
+    NoCapacityError,
+    RequestError,
+    RequestOnTrialError,
+)
+from railfold._internal.forwarding.router import Router
+
+__all__ = ["LOCAL_FACTOR", "ChainPlanner", "last_one_error"]
+
+# How much cheaper a chain in the entry's own failure domain counts: enough to
+# keep even load at home, little enough to leave a domain that is twice as busy.
+LOCAL_FACTOR = 0.75
+
+# The same for an engine that a kept connection leads to: a new one costs the engine a
+# millisecond, as much as several of its decode steps, and the request a round trip.
+# More than the jitter between equal engines, far less than a difference in load.
+_CONNECTED_FACTOR = 0.9
+
+# Engines' costs are spread by up to this part where an entry sees nothing of their
+# load: as much as a half full one costs more than an idle one of its kind would, so
+# that entries don't all choose the same path through a failure domain.
+_BLIND_JITTER = 0.5
+
+# When others may be there again beside the only backend server that is left: layers are
+# loaded in 0.6 s, a server starts again in a second or two.
+_LAST_ONE_S = 0.6
+
+
+class ChainPlanner:
+    """Plans chains over the engines that are eligible, and chooses among them."""
+
+    def __init__(self, router: Router) -> None:
+        self._router = router
+
+    def choose(
+        self,
+        spec: ServiceSpec,
+        model: EngineModel,
+        exclude: frozenset[str],
+        terms: Terms,
+        bearable_s: float,
+        sparing: bool,
+    ) -> Chain:
+        """Return the chain that a request takes now.
+
+        :param exclude: servers that must not be its first stage.
+        :param terms: on which servers are eligible; gets the bars that were met.
+        :param bearable_s: the wait for a first event from which on a chain is slow.
+        :param sparing: whether the request may end its first server.
+        :raises RequestError: there is no chain, or only the last one.
+        """
+        replicas = self._router.directory.layer_replicas(
+            spec.name, model, self._router.region, self._router.entries
+        )
+        now_s = asyncio.get_running_loop().time()
+        domains = group_by_domain(replicas, lambda r: r.failure_domain)
+        rooms = [_typical_room(members, model) for members in domains]
+        blind = blindness(rooms, self._router.entries)
+        doubtful = self._router.directory.doubtful(spec.name)
+        chains: list[Chain] = []
+        options: list[ChainOption] = []
+        error: RequestError | None = None
+        for members in domains:
+            eligible = (self._eligible(r, exclude, now_s, terms) for r in members)
+            usable = [
+                self._preferred_if_connected(r, now_s, blind)
+                for r in eligible
+                if r is not None
+            ]
+            try:
+                chain = self._plan_of_sure(usable, model, blind, doubtful)
+            except NoCapacityError as found:
+                error = found
+                continue
+            chains.append(chain)
+            option = self._option(chain, usable, model, now_s, bearable_s)
+            option = replace(option, sure=doubtful.isdisjoint(chain.hosts))
+            if sparing:
+                first = self._router.directory.get(chain.stages[0].host)
+                replaceable = first is not None and self._router.has_stand_in(first)
+                option = replace(option, first_replaceable=replaceable)
+            options.append(option)
+        if not chains:
+            raise error or NoCapacityError(
+                "no backend server holds layers of the model",
+                hint="come back after Retry-After",
+            )
+        if sparing:
+            index = choose_sparing(options)
+        else:
+            index = choose_option(options, self._router.entries, self._router.rng)
+        if index is None:
+            raise last_one_error()
+        return chains[index]
+
+    def _eligible(
+        self, replica: Replica, exclude: frozenset[str], now_s: float, terms: Terms
+    ) -> Replica | None:
+        """Return what a chain may use of a replica, if anything.
+
+        :param exclude: servers that the request was sent to, which only counts against
+            first stages.
+        """
+        server_id = replica.stage.host
+        if replica.stage.layers.first > 0:
+            allowed = self._router.eligibility.allows(
+                server_id, Role.LATER_STAGE, now_s, terms
+            )
+            return replica if allowed else None
+        if self._router.eligibility.allows(server_id, Role.FIRST_STAGE, now_s, terms):
+            return replica if server_id not in exclude else None
+        backs_off = isinstance(terms.bars[server_id], BackingOff | HalfOpen)
+        if not backs_off or len(replica.stage.layers) < 2:
+            return None
+        # It wants no requests from this entry; those of other engines may pass it.
+        allowed = self._router.eligibility.allows(
+            server_id, Role.LATER_STAGE, now_s, terms
+        )
+        return without_first_layer(replica) if allowed else None
+
+    def _plan_of_sure(
+        self,
+        replicas: list[Replica],
+        model: EngineModel,
+        blind: float,
+        doubtful: frozenset[str],
+    ) -> Chain:
+        """Return a chain without doubtful engines, or with them if there is none."""
+        if doubtful:
+            sure = [r for r in replicas if r.stage.host not in doubtful]
+            with contextlib.suppress(NoCapacityError):
+                return self._plan(sure, model, blind)
+        return self._plan(replicas, model, blind)
+
+    def _option(
+        self,
+        chain: Chain,
+        replicas: list[Replica],
+        model: EngineModel,
+        now_s: float,
+        bearable_s: float,
+    ) -> ChainOption:
+        """Return what speaks for and against a failure domain's best chain."""
+        by_host = {r.stage.host: r for r in replicas}
+        stages = [by_host[stage.host] for stage in chain.stages]
+        first_host = chain.stages[0].host
+        cost = self._cost(chain, stages)
+        cost *= self._router.activity.slowness(first_host, now_s, bearable_s)
+        if stages[0].failure_domain == self._router.failure_domain:
+            cost *= LOCAL_FACTOR
+        room = min(stage.capacity for stage in stages) / model.mean_tokens
+        connected = self._router.pool.has_idle(first_host, now_s)
+        return ChainOption(cost, min(room, float(model.max_sequences)), connected)
+
+    def _preferred_if_connected(
+        self, replica: Replica, now_s: float, blind: float
+    ) -> Replica:
+        """Let an engine count as cheaper that a kept connection leads to."""
+        first = replica.stage.layers.first == 0
+        if not first or not self._router.pool.has_idle(replica.stage.host, now_s):
+            return replica
+        factor = _CONNECTED_FACTOR * (1.0 - blind / 2)
+        return replace(replica, step_ms=factor * replica.step_ms)
+
+    def reroute(self, chain: Chain, lost: frozenset[str]) -> Chain | None:
+        """Return another chain that begins at the same backend server."""
+        first = chain.stages[0]
+        model = self._router.model_of(chain)
+        entry = self._router.directory.get(first.host)
+        if model is None or entry is None or first.host in lost:
+            return None
+        domain = entry.registration.failure_domain
+        replicas = self._router.directory.layer_replicas(
+            entry.registration.service, model, self._router.region, self._router.entries
+        )
+        usable = [
+            r
+            for r in replicas
+            if r.failure_domain == domain
+            and r.stage.host not in lost
+            and (r.stage.layers.first > 0 or r.stage.host == first.host)
+        ]
+        try:
+            found = self._plan(usable, model, blind=0.0)
+        except NoCapacityError:
+            return None
+        return found if found.stages[0] == first else None
+
+    def _plan(
+        self, replicas: Iterable[Replica], model: EngineModel, blind: float
+    ) -> Chain:
+        jitter = max(self._router.weights.jitter, _BLIND_JITTER * blind)
+        return plan_chain(
+            replicas,
+            model.layer_count,
+            exclude=frozenset(),
+            prefer=(),
+            costs=self._router.costs,
+            weights=replace(self._router.weights, jitter=jitter),
+            rng=self._router.rng,
+            partial=True,
+        )
+
+    def _cost(self, chain: Chain, replicas: Iterable[Replica]) -> float:
+        by_host = {r.stage.host: r for r in replicas}
+        cost = 0.0
+        for stage in chain.stages:
+            replica = by_host[stage.host]
+            load = replica.in_flight / replica.capacity
+            per_layer_ms = replica.step_ms / len(replica.stage.layers)
+            loaded = 1.0 + self._router.weights.load_weight * load
+            cost += per_layer_ms * len(stage.layers) * loaded
+        return cost
+
+
+def last_one_error() -> RequestOnTrialError:
+    """Return why a request that may end its server doesn't get the last one."""
+    return RequestOnTrialError(
+        "backend servers ended under this request, and only one is left",
+        left_s=_LAST_ONE_S,
+        hint="come back after Retry-After",
+    )
+
+
+def _typical_room(replicas: list[Replica], model: EngineModel) -> float:
+    """Return how many usual requests fit on an engine in the middle of a domain's."""
+    capacities = sorted(replica.capacity for replica in replicas)
+    return capacities[len(capacities) // 2] / model.mean_tokens
--- a/src/railfold/_internal/forwarding/requests/destination_search.py
+++ b/src/railfold/_internal/forwarding/requests/destination_search.py
@@ -14,13 +14,13 @@
     PermitGranted,
     permit_wait_limit_s,
 )
-from railfold._internal.decisions.routing_table import CredentialOwner, Route
 from railfold._internal.errors import OverloadedError, RailfoldError, RequestError
-from railfold._internal.forwarding.messages import ClientRequest
 from railfold._internal.forwarding.quarantine.request_quarantine import (
     RequestQuarantine,
 )
-from railfold._internal.forwarding.requests.destinations import Destination
+from railfold._internal.forwarding.requests.destination import Destination
+from railfold._internal.forwarding.requests.destinations import DestinationChooser
+from railfold._internal.forwarding.requests.routed_request import RoutedRequest
 from railfold._internal.forwarding.router import Router
 
 __all__ = ["PLACE_INTERVAL_S", "DestinationSearch", "SearchListener"]
@@ -45,32 +45,21 @@
 
 
 class DestinationSearch:
-    """Finds the places of one request's attempts, one after the other.
-
-    :param priority: the request's rank, 0 first.
-    :param on_trial: whether it was let through to see whether it ends its servers.
-    """
+    """Finds the places of one request's attempts, one after the other."""
 
     def __init__(
         self,
-        request: ClientRequest,
-        route: Route,
-        owner: CredentialOwner | None,
+        routed: RoutedRequest,
         router: Router,
+        destinations: DestinationChooser,
         quarantine: RequestQuarantine,
         listener: SearchListener,
-        priority: int,
-        *,
-        on_trial: bool,
     ) -> None:
-        self._request = request
-        self._route = route
-        self._owner = owner
+        self._routed = routed
         self._router = router
+        self._destinations = destinations
         self._quarantine = quarantine
         self._listener = listener
-        self._priority = priority
-        self._on_trial = on_trial
         self._loop = asyncio.get_running_loop()
         self._reserved: Destination | None = None
         self._reserve_due_s = 0.0
@@ -94,17 +83,17 @@
         :param broke_off: whether the attempt before broke off.
         :param begun: whether the client has a part of the answer.
         """
-        router = self._router
+        routed, router = self._routed, self._router
         place, self._reserved = self._reserved, None
         is_new, self._is_new = self._is_new, False
         try:
             if broke_off:
                 self._quarantine.check_repeat(
-                    self._request, self._owner, on_trial=self._on_trial
+                    routed.request, routed.owner, on_trial=routed.on_trial
                 )
-            sparing = self._quarantine.may_end_servers(self._request, self._owner)
-            destination = place or router.destinations.choose(
-                self._route,
+            sparing = self._quarantine.may_end_servers(routed.request, routed.owner)
+            destination = place or self._destinations.choose(
+                routed.route,
                 exclude,
                 is_new=is_new,
                 sparing=sparing,
@@ -125,7 +114,10 @@
         """Return how long the request may wait for a permit."""
         random_unit = self._router.rng.random()
         return permit_wait_limit_s(
-            self._route.objective_s, self._priority, random_unit, begun=begun
+            self._routed.route.objective_s,
+            self._routed.priority,
+            random_unit,
+            begun=begun,
         )
 
     async def _await_permit(
@@ -176,7 +168,7 @@
             return False
         self._reserve_due_s = now_s + PLACE_INTERVAL_S
         try:
-            place = self._router.destinations.choose(self._route, exclude)
+            place = self._destinations.choose(self._routed.route, exclude)
         except RequestError:
             return False
         if not self._router.budgets.of(place.service).allows(now_s):
--- a/src/railfold/_internal/forwarding/requests/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -23,11 +23,7 @@
     SendCall,
 )
 from railfold._internal.decisions.event_cursor import EventCursor
-from railfold._internal.decisions.routing_table import (
-    CredentialOwner,
-    Route,
-    RouteKind,
-)
+from railfold._internal.decisions.routing_table import RouteKind
 from railfold._internal.errors import (
     DeadlineExpiredError,
     RailfoldError,
@@ -42,7 +38,7 @@
     ServerFailure,
     UnusableAnswer,
 )
-from railfold._internal.forwarding.messages import ClientRequest, ResponseHead
+from railfold._internal.forwarding.messages import ResponseHead
 from railfold._internal.forwarding.quarantine.crash_watch import (
     CLEARED_AFTER_S,
     RunFigures,
@@ -54,14 +50,16 @@
     ClientAnswer,
     GatheredAnswer,
 )
+from railfold._internal.forwarding.requests.destination import Destination
 from railfold._internal.forwarding.requests.destination_search import (
-    PLACE_INTERVAL_S,
     DestinationSearch,
 )
-from railfold._internal.forwarding.requests.destinations import Destination
+from railfold._internal.forwarding.requests.destinations import DestinationChooser
 from railfold._internal.forwarding.requests.exchange import EngineExchange
 from railfold._internal.forwarding.requests.front import ClientExchange
+from railfold._internal.forwarding.requests.relocation import Relocation
 from railfold._internal.forwarding.requests.request_log import RequestLog
+from railfold._internal.forwarding.requests.routed_request import RoutedRequest
 from railfold._internal.forwarding.requests.stream_watch import Silence, StreamWatch
 from railfold._internal.forwarding.router import Router
 from railfold._internal.forwarding.servers.probes import ChainProber
@@ -86,30 +84,27 @@
 
     def __init__(
         self,
-        request: ClientRequest,
-        route: Route,
-        owner: CredentialOwner | None,
+        routed: RoutedRequest,
         client: ClientExchange,
         router: Router,
+        destinations: DestinationChooser,
         prober: ChainProber,
         quarantine: RequestQuarantine,
-        version: int,
-        *,
-        on_trial: bool = False,
     ) -> None:
-        self._request = request
-        self._route = route
-        self._owner = owner
+        self._routed = routed
+        self._request = routed.request
+        self._route = routed.route
+        self._owner = routed.owner
         self._answer = ClientAnswer(client)
         self._router = router
+        self._destinations = destinations
         self._prober = prober
         self._quarantine = quarantine
-        self._on_trial = on_trial
-        self._log = RequestLog(request, route, owner, router, version)
+        self._log = RequestLog(routed, router)
         self._loop = asyncio.get_running_loop()
         self._lifecycle = CallLifecycle(
-            repeatable=route.repeatable,
-            limits=CallLimits(_MAX_TRIES, max(1, route.max_attempts)),
+            repeatable=routed.route.repeatable,
+            limits=CallLimits(_MAX_TRIES, max(1, routed.route.max_attempts)),
         )
         self._exchange: EngineExchange | None = None
         self._destination: Destination | None = None
@@ -126,29 +121,14 @@
         self._load = 1
         self._kind: AnswerKind | None = None
         self._gathered: GatheredAnswer | None = None
-        self._cursor = EventCursor(request.last_event_id)
+        self._cursor = EventCursor(routed.request.last_event_id)
         self._streaming = False
         self._watch = StreamWatch(router.activity, self._silent)
         self._cause = ""
-        # Why its engine is given up, while its answer waits for another place.
-        self._lost = ""
-        self._kept = ""
-        self._looking: asyncio.TimerHandle | None = None
-        self._search = DestinationSearch(
-            request,
-            route,
-            owner,
-            router,
-            quarantine,
-            self,
-            self._priority,
-            on_trial=on_trial,
-        )
-        self._deadline_s = request.received_s + route.timeout_s
-        if request.deadline_s is not None:
-            self._deadline_s = min(self._deadline_s, request.deadline_s)
+        self._relocation = Relocation(self)
+        self._search = DestinationSearch(routed, router, destinations, quarantine, self)
         self._deadline = self._loop.call_at(
-            self._deadline_s, self._feed, CallDeadlinePassed()
+            routed.deadline_s, self._feed, CallDeadlinePassed()
         )
 
     def start(self) -> None:
@@ -174,8 +154,7 @@
         if first not in lost and destination.chain is not None and self._started:
             self._loop.create_task(self._reroute(destination.chain, lost))
             return
-        self._lost = "lost " + ", ".join(sorted(lost))
-        self._move(self._lost)
+        self._relocation.move_from_lost("lost " + ", ".join(sorted(lost)))
 
     def servers_ended(self, server_ids: frozenset[str]) -> None:
         """These incarnations surely ended, and all that ran there with them.
@@ -189,7 +168,7 @@
         on_its_own = not self._route.repeatable and not self._started
         if on_its_own and destination.server.host in server_ids:
             self._note_broken_off()
-            self._end_attempt("its backend server has started again")
+            self.end_attempt("its backend server has started again")
             return
         self.servers_lost(server_ids)
 
@@ -199,14 +178,7 @@
         if destination is None or destination.chain != chain:
             return
         if self._watch.flowing:
-            self._move("its chain stands still")
-
-    @property
-    def _priority(self) -> int:
-        """The request's rank: its workspace's, if that has one, else its route's."""
-        if self._owner is not None and self._owner.priority is not None:
-            return self._owner.priority
-        return self._route.priority
+            self._relocation.move("its chain stands still")
 
     @property
     def _started(self) -> bool:
@@ -259,10 +231,10 @@
             registered_id=router.registered_id(destination.server.host),
             address=destination.server.address,
             chain=destination.chain,
-            deadline_s=self._deadline_s,
+            deadline_s=self._routed.deadline_s,
             workspace=self._owner.workspace if self._owner else None,
             resume_after=resume_after,
-            priority=self._priority,
+            priority=self._routed.priority,
             urgent=self._answer.begun,
         )
         self._kind = None
@@ -291,12 +263,12 @@
         go on although the store is away.
         """
         request = self._request
-        if self._loop.time() >= self._deadline_s:
+        if self._loop.time() >= self._routed.deadline_s:
             raise DeadlineExpiredError("its client doesn't wait any more")
         if not self._answer.begun:
             self._router.require_fresh(self._route)
         self._router.check_permission(self._route, request.path, request.credential)
-        self._quarantine.check(request, self._owner, on_trial=self._on_trial)
+        self._quarantine.check(request, self._owner, on_trial=self._routed.on_trial)
         assert self._destination is not None
         server_id = self._destination.server.host
         router = self._router
@@ -333,7 +305,7 @@
         if self._destination is not None:
             self._note_broken_off()
             self._prober.doubt(self._destination.server.host)
-        self._end_attempt(reason)
+        self.end_attempt(reason)
 
     def _note_broken_off(self) -> None:
         """Keep what may have ended the attempt's backend servers."""
@@ -400,16 +372,16 @@
                 self._answer.keep_failure(gathered)
                 self._prober.failed(server_id)
                 status = gathered.head.status if gathered else 0
-                self._end_attempt(f"it answered {status}")
+                self.end_attempt(f"it answered {status}")
             case UnusableAnswer(reason=reason):
                 self._prober.failed(server_id)
-                self._end_attempt(reason)
+                self.end_attempt(reason)
             case _:
-                self._end_attempt("its answer has no head")
+                self.end_attempt("its answer has no head")
 
     def _answered(self, server_id: str, gathered: GatheredAnswer | None) -> None:
         if self._streaming and gathered is None and self._cursor.partial:
-            self._end_attempt("it ended within an event")
+            self.end_attempt("it ended within an event")
             return
         self._prober.served(server_id)
         self._quarantine.ran_well(self._request, self._owner)
@@ -421,7 +393,7 @@
 
     def _pass_events(self, data: bytes) -> None:
         since_s = self._watch.progressed()
-        self._lost = self._kept = ""
+        self._relocation.progressed()
         whole = self._cursor.feed(data) if self._streaming else data
         if whole:
             self._watch.event(since_s)
@@ -442,7 +414,27 @@
         self._answer.begin(gathered.head, with_length=True)
         self._answer.go_on(gathered.body)
 
-    def _end_attempt(self, reason: str) -> None:
+    # MovableAttempt
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether the request may run again."""
+        return self._route.repeatable
+
+    @property
+    def begun(self) -> bool:
+        """Whether the client has a part of the answer."""
+        return self._answer.begun
+
+    def reserve_place(self) -> bool:
+        """Reserve another place for the stream; return whether there is one."""
+        if not self._streaming:
+            return False
+        exclude = self._lifecycle.excluded_after_loss()
+        return exclude is not None and self._search.reserve(exclude)
+
+    def end_attempt(self, reason: str) -> None:
+        """End the attempt under way, if there is one; the lifecycle goes on."""
         destination = self._release()
         if destination is None:
             return
@@ -455,51 +447,23 @@
             return
         self._feed(CallHostLost(server_id))
 
-    # Going on elsewhere on suspicion
-
-    def _move(self, reason: str) -> None:
-        """End the attempt on suspicion, unless only its own engine can finish it.
-
-        That is so for a request that may not run again, and for an answer that has
-        begun and couldn't go on elsewhere now. Its engine may send again, and its
-        client leaves when it likes; nothing mends an answer that was cut.
-        """
-        if not self._route.repeatable:
-            return
-        if self._answer.begun and not self._find_place():
-            self._keep(reason)
-            return
-        self._end_attempt(reason)
-
-    def _keep(self, reason: str) -> None:
-        """Let the attempt go on; if its engine is lost, look for a place again."""
-        if reason != self._kept:
-            self._kept = reason
-            self._router.metrics.count("attempts.kept")
-            self._log_kept(reason)
-        if self._lost and self._looking is None:
-            self._looking = self._loop.call_later(PLACE_INTERVAL_S, self._look_again)
-
-    def _look_again(self) -> None:
-        """Look for a place for an answer whose engine is lost."""
-        self._looking = None
-        if self._lost:
-            self._move(self._lost)
-
-    def _find_place(self) -> bool:
-        """Reserve another place for the stream; return whether there is one."""
-        if not self._streaming:
-            return False
-        exclude = self._lifecycle.excluded_after_loss()
-        return exclude is not None and self._search.reserve(exclude)
+    def attempt_kept(self, reason: str) -> None:
+        """Count and log an attempt that goes on although it was to be ended."""
+        destination = self._destination
+        assert destination is not None
+        self._router.metrics.count("attempts.kept")
+        self._log.attempt_kept(
+            self._attempts,
+            destination.server.host,
+            reason,
+            self._cursor.events,
+            self._watch.silent_s,
+        )
 
     def _release(self) -> Destination | None:
         """Let go of the attempt under way, if there is one."""
         self._search.cancel()
-        self._lost = self._kept = ""
-        if self._looking is not None:
-            self._looking.cancel()
-            self._looking = None
+        self._relocation.clear()
         exchange, self._exchange = self._exchange, None
         destination, self._destination = self._destination, None
         if exchange is not None:
@@ -517,17 +481,6 @@
             self._attempts, server_id, cause, self._cursor.events, self._watch.silent_s
         )
 
-    def _log_kept(self, cause: str) -> None:
-        destination = self._destination
-        assert destination is not None
-        self._log.attempt_kept(
-            self._attempts,
-            destination.server.host,
-            cause,
-            self._cursor.events,
-            self._watch.silent_s,
-        )
-
     # Silence
 
     def _watch_chain(self, destination: Destination) -> None:
@@ -547,7 +500,7 @@
         request_id = self._request.request_id
         self._router.metrics.count("streams.overdue")
         if silence.silent_s > _ABANDON_SILENT_S:
-            self._move("silent although all answer")
+            self._relocation.move("silent although all answer")
         elif silence.suspects:
             self._prober.probe_suspects(chain, silence, request_id)
         else:
@@ -557,7 +510,7 @@
         """Let the first backend server go on over another chain."""
         exchange = self._exchange
         ordered_s = self._loop.time()
-        other = self._router.destinations.reroute(chain, lost)
+        other = self._destinations.reroute(chain, lost)
         outcome = "there is no other chain"
         if other is not None:
             outcome = await self._prober.calls.reroute(self._request.request_id, other)
@@ -566,8 +519,7 @@
         self._log.rerouted(other, outcome)
         if other is None or outcome:
             if self._watch.progress_s < ordered_s:  # Else it moves, by itself or late.
-                self._lost = f"not rerouted: {outcome}"
-                self._move(self._lost)
+                self._relocation.move_from_lost(f"not rerouted: {outcome}")
             return
         self._router.metrics.count("streams.rerouted")
         self._router.count(self._destination, -self._load)
--- a/src/railfold/_internal/forwarding/requests/request_log.py
+++ b/src/railfold/_internal/forwarding/requests/request_log.py
@@ -13,9 +13,8 @@
     Unknown,
     outcome_name,
 )
-from railfold._internal.decisions.routing_table import CredentialOwner, Route
 from railfold._internal.forwarding.dialect import SendPlan
-from railfold._internal.forwarding.messages import ClientRequest
+from railfold._internal.forwarding.requests.routed_request import RoutedRequest
 from railfold._internal.forwarding.requests.stream_watch import StreamWatch
 from railfold._internal.forwarding.router import Router
 from railfold._internal.observability.events import (
@@ -30,24 +29,11 @@
 
 
 class RequestLog:
-    """Tells of one request's attempts and its end.
+    """Tells of one request's attempts and its end."""
 
-    :param version: of the configuration that it was admitted under.
-    """
-
-    def __init__(
-        self,
-        request: ClientRequest,
-        route: Route,
-        owner: CredentialOwner | None,
-        router: Router,
-        version: int,
-    ) -> None:
-        self._request = request
-        self._route = route
-        self._owner = owner
+    def __init__(self, routed: RoutedRequest, router: Router) -> None:
+        self._routed = routed
         self._router = router
-        self._version = version
         self._loop = asyncio.get_running_loop()
 
     def attempt_started(
@@ -57,11 +43,11 @@
         now_s = self._loop.time()
         self._router.log.write_routine(
             AttemptStarted(
-                self._request.request_id,
+                self._routed.request_id,
                 attempt,
                 plan.server_id,
                 _chain_text(plan.chain),
-                self._version,
+                self._routed.configuration_version,
                 _finite_ms(self._router.lease.age_s(now_s)),
                 round(plan.left_s(now_s) * 1000),
                 resume_after,
@@ -74,7 +60,7 @@
         """An attempt ended without the answer that was wanted."""
         self._router.metrics.count("attempts.ended_early")
         event = AttemptEnded(
-            self._request.request_id, attempt, server_id, cause, events, _ms(silent_s)
+            self._routed.request_id, attempt, server_id, cause, events, _ms(silent_s)
         )
         self._router.log.write(event)
 
@@ -83,13 +69,13 @@
     ) -> None:
         """Its backend server is given up, but nothing else can finish the answer."""
         event = AttemptKept(
-            self._request.request_id, attempt, server_id, cause, events, _ms(silent_s)
+            self._routed.request_id, attempt, server_id, cause, events, _ms(silent_s)
         )
         self._router.log.write(event)
 
     def rerouted(self, chain: Chain | None, outcome: str) -> None:
         """It was ordered to go on over another chain, if there is one."""
-        event = StreamRerouted(self._request.request_id, _chain_text(chain), outcome)
+        event = StreamRerouted(self._routed.request_id, _chain_text(chain), outcome)
         self._router.log.write(event)
 
     def request_ended(
@@ -108,7 +94,7 @@
         metrics = self._router.metrics
         name = outcome_name(outcome)
         metrics.count(f"outcomes.{name}")
-        received_s = self._request.received_s
+        received_s = self._routed.request.received_s
         duration_s = self._loop.time() - received_s
         metrics.timing("request", duration_s)
         first_s = 0.0
@@ -116,18 +102,18 @@
             first_s = watch.first_event_s - received_s
             metrics.timing("first_event", first_s)
         event = RequestEnded(
-            request_id=self._request.request_id,
+            request_id=self._routed.request_id,
             outcome=name,
             status=status,
             cause=_cause_of(outcome, cause),
-            route=self._route.name,
-            workspace=self._owner.workspace if self._owner else "",
+            route=self._routed.route.name,
+            workspace=self._routed.workspace,
             attempts=attempts,
             duration_ms=_ms(duration_s),
             first_event_ms=_ms(first_s),
             longest_pause_ms=_ms(watch.longest_pause_s),
             events=events,
-            configuration_version=self._version,
+            configuration_version=self._routed.configuration_version,
             retry_after_ms=round((getattr(outcome, "retry_after_s", 0) or 0) * 1000),
         )
         if isinstance(outcome, Answered):
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -47,10 +47,7 @@
     ServersBackingOffError,
 )
 from railfold._internal.forwarding.dialect import Dialect
-from railfold._internal.forwarding.requests.destinations import (
-    Destination,
-    DestinationChooser,
-)
+from railfold._internal.forwarding.requests.destination import Destination
 from railfold._internal.forwarding.servers.backoffs import ServerBackoffs
 from railfold._internal.forwarding.servers.pool import ConnectionPool
 from railfold._internal.forwarding.servers.rate_limits import RateLimits
@@ -107,13 +104,11 @@
     backoffs: ServerBackoffs = field(init=False)
     eligibility: ServerEligibility = field(init=False)
     statements: ServerStatements = field(init=False)
-    destinations: DestinationChooser = field(init=False)
 
     def __post_init__(self) -> None:
         """Build what is made of the other parts."""
         self.limits = RateLimits(self.dialect, self.metrics, self.log, self.rng)
         self.backoffs = ServerBackoffs(self.dialect, self.metrics, self.log, self.rng)
-        self.destinations = DestinationChooser(self)
         self.statements = ServerStatements(
             self.dialect,
             self.directory,
--- a/tests/forwarding/test_failures.py
+++ b/tests/forwarding/test_failures.py
@@ -102,7 +102,7 @@
     entry = deployment.entry
     assert entry.router.table is not None
     draft = entry.router.table.routes[0]
-    chain = entry.router.destinations.choose(draft, frozenset()).chain
+    chain = entry.destinations.choose(draft, frozenset()).chain
     assert chain is not None
     entry._prober.probe_suspects(chain, Silence(0.1, chain.hosts), "s-1")
     await asyncio.sleep(0.5)
--- a/tests/forwarding/test_suspicion.py
+++ b/tests/forwarding/test_suspicion.py
@@ -15,10 +15,8 @@
 from railfold._internal.core import Address, Chain
 from railfold._internal.errors import EngineUnavailableError, NoCapacityError
 from railfold._internal.forwarding.requests import exchange
-from railfold._internal.forwarding.requests.destinations import (
-    Destination,
-    DestinationChooser,
-)
+from railfold._internal.forwarding.requests.destination import Destination
+from railfold._internal.forwarding.requests.destinations import DestinationChooser
 from railfold._internal.forwarding.requests.stream_watch import Silence
 from railfold._internal.forwarding.servers.http_client import HttpConnection
 from railfold._internal.forwarding.servers.liveness import Verdict
--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -119,8 +119,7 @@
         await until(lambda: entry.ready())
         await until(lambda: self.all_known(entry))
         # Some milliseconds later on a busy machine; it may not repeat anything before.
-        loop = asyncio.get_running_loop()
-        await until(lambda: entry._fleet.part(loop.time()) > 0.0)
+        await until(lambda: entry._fleet_limits.part > 0.0)
 
     def prepare(self) -> None:
         """Start all but the entry."""
