--- /dev/null
+++ b/src/railfold/_internal/decisions/fleet_demand.py
@@ -0,0 +1,106 @@
+"""Arrivals by rank and workspace over all entries, as one entry reckons them.
+
+As with :class:`railfold._internal.decisions.fleet_load.FleetLoad`, the own part is
+exact, others' parts are announced, and unknown ones are reckoned from the known.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+__all__ = ["DemandKey", "FleetDemand"]
+
+# Time over which arrivals are averaged.
+_WINDOW_S = 2.0
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class DemandKey:
+    """Requests of one rank of a workspace to a service."""
+
+    service: str
+    priority: int
+    workspace: str
+
+
+@dataclass(slots=True)
+class _Rate:
+    per_s: float
+    seen_s: float
+
+    def at(self, now_s: float) -> float:
+        return self.per_s * math.exp(-(now_s - self.seen_s) / _WINDOW_S)
+
+
+@dataclass(frozen=True, slots=True)
+class _Announced:
+    at_s: float
+    per_s: Mapping[DemandKey, float]
+
+
+class FleetDemand:
+    """Arriving work of all entries, in tokens a second (requests at plain services).
+
+    :param lifetime_s: how long another entry's announcement counts.
+    """
+
+    def __init__(self, lifetime_s: float) -> None:
+        self.lifetime_s = lifetime_s
+        self._own: dict[DemandKey, _Rate] = {}
+        self._announced: dict[str, _Announced] = {}
+
+    def arrived(self, key: DemandKey, tokens: float, now_s: float) -> None:
+        """A client's request arrived here."""
+        rate = self._own.setdefault(key, _Rate(0.0, now_s))
+        rate.per_s = rate.at(now_s) + tokens / _WINDOW_S
+        rate.seen_s = now_s
+
+    def own_per_s(self, now_s: float) -> dict[DemandKey, float]:
+        """Return what arrives at this entry."""
+        return {key: rate.at(now_s) for key, rate in self._own.items()}
+
+    def announced(
+        self, entry: str, per_s: Mapping[DemandKey, float], at_s: float, now_s: float
+    ) -> None:
+        """Take what arrives at another entry; an older announcement is ignored."""
+        known = self._announced.get(entry)
+        if known is not None and known.at_s >= at_s:
+            return
+        if now_s - at_s < self.lifetime_s:
+            self._announced[entry] = _Announced(at_s, dict(per_s))
+
+    def left(self, entry: str) -> None:
+        """Forget an entry that has ended or started again."""
+        self._announced.pop(entry, None)
+
+    def forget(self, now_s: float) -> None:
+        """Forget old announcements, and what hardly arrives any more."""
+        for entry, announced in list(self._announced.items()):
+            if now_s - announced.at_s >= self.lifetime_s:
+                del self._announced[entry]
+        for key, rate in list(self._own.items()):
+            if now_s - rate.seen_s >= 8.0 * _WINDOW_S:
+                del self._own[key]
+
+    def per_s(self, service: str, entries: int, now_s: float) -> dict[DemandKey, float]:
+        """Return what arrives for a service at all entries.
+
+        :param entries: how many entries there are, with this one.
+        """
+        parts = [self.own_per_s(now_s), *self._fresh(now_s)]
+        share = min(1.0, len(parts) / max(1, entries))
+        total: dict[DemandKey, float] = {}
+        for part in parts:
+            for key, per_s in part.items():
+                if key.service == service:
+                    total[key] = total.get(key, 0.0) + per_s / share
+        return total
+
+    def _fresh(self, now_s: float) -> Iterable[Mapping[DemandKey, float]]:
+        return (
+            announced.per_s
+            for announced in self._announced.values()
+            if now_s - announced.at_s < self.lifetime_s
+        )
--- /dev/null
+++ b/tests/unit/test_fleet_load.py
@@ -0,0 +1,48 @@
+"""Load and demand of all entries, reckoned from what one of them knows."""
+
+from __future__ import annotations
+
+from railfold._internal.decisions.fleet_demand import DemandKey, FleetDemand
+from railfold._internal.decisions.fleet_load import FleetLoad, LoadPart
+
+LIFETIME_S = 2.0
+
+
+def test_an_entry_that_hears_nobody_reckons_with_its_own_part() -> None:
+    fleet = FleetLoad(LIFETIME_S)
+    fleet.add("i-1", LoadPart(800, 1, 600))
+    load = fleet.load("i-1", 4, now_s=1.0)
+    assert (load.tokens, load.sequences, load.unread_tokens) == (3200, 4, 2400)
+    assert load.known_share == 0.25
+
+
+def test_announced_parts_are_added_until_their_lifetime_has_passed() -> None:
+    fleet = FleetLoad(LIFETIME_S)
+    fleet.add("i-1", LoadPart(800, 1))
+    fleet.announced("entry-2", {"i-1": LoadPart(200, 1)}, at_s=1.0, now_s=1.1)
+    assert fleet.load("i-1", 2, now_s=2.9).tokens == 1000
+    assert fleet.load("i-1", 2, now_s=3.0).tokens == 1600
+
+
+def test_an_older_announcement_doesnt_replace_a_newer_one() -> None:
+    fleet = FleetLoad(LIFETIME_S)
+    fleet.announced("entry-2", {"i-1": LoadPart(200, 1)}, at_s=1.0, now_s=1.1)
+    fleet.announced("entry-2", {"i-1": LoadPart(900, 1)}, at_s=0.9, now_s=1.2)
+    assert fleet.load("i-1", 2, now_s=1.2).tokens == 200
+
+
+def test_what_is_subtracted_twice_never_makes_a_load_negative() -> None:
+    fleet = FleetLoad(LIFETIME_S)
+    fleet.add("i-1", LoadPart(800, 1))
+    for _ in range(2):
+        fleet.subtract("i-1", LoadPart(800, 1))
+    assert fleet.load("i-1", 3, now_s=0.0).tokens == 0
+
+
+def test_demand_is_added_over_entries_by_rank_and_workspace() -> None:
+    demand = FleetDemand(LIFETIME_S)
+    key = DemandKey("llm", 0, "north")
+    demand.arrived(key, 1000.0, now_s=0.0)
+    demand.announced("entry-2", {key: 500.0}, at_s=0.0, now_s=0.0)
+    assert demand.per_s("llm", 2, now_s=0.0) == {key: 1000.0}
+    assert demand.per_s("other", 2, now_s=0.0) == {}
