Withdraw a trial that wasn't run; what a held content explains may use the last chain

What callers saw: a popular harmless request was answered 503 ("another request with the same path, caller and body is on trial") for 1.0 to 2.7 s, where 1 s is the most that is asked.

Cause: after three ends both contents are on probation. The popular one's trial was let through, and then refused a place, since only one chain was left and a request that may end its servers doesn't get the last one. A trial that was never sent still made all others wait for 0.8 s, and the next, refused in the same way, for 1.6 s. Class: waiting for the outcome of something that hasn't begun.

The one that ends its servers had been held back since 4.00 s for the same servers.

Change: a trial whose request ends as not run is withdrawn, here and at the other entries (message trial-not-run), and doesn't count towards rarer trials. A content all of whose crashes are explained by one that is held back may use the last chain.

Ruled out: load (fails alone on an idle machine), placement (the second chain's engine came back as before).

The three new unit tests fail to run without the change.

--- a/src/railfold/_internal/decisions/quarantine/quarantine.py
+++ b/src/railfold/_internal/decisions/quarantine/quarantine.py
@@ -411,6 +411,24 @@
         record.start_trial(now_s, wait_s)
         return [record.changed(QuarantineState.ON_TRIAL, reason)]
 
+    def withdraw_trial(self, digest: str, now_s: float) -> bool:
+        """Take that a trial's request wasn't run; return whether one was under way.
+
+        Others needn't wait for what comes of it.
+        """
+        record = self._records.get(digest)
+        if record is None or now_s >= record.trial_until_s:
+            return False
+        record.withdraw_trial(now_s)
+        return True
+
+    def is_explained(self, digest: str) -> bool:
+        """Return whether contents that are held back explain all its crashes."""
+        record = self._records.get(digest)
+        if record is None or record.held_s is not None:
+            return False
+        return not self._evidence.counted(record, proved=False)
+
     def strike_out(self, server_id: str) -> list[QuarantineChange]:
         """A backend server hasn't ended: what was told of its crash was wrong."""
         changes: list[QuarantineChange] = []
--- a/src/railfold/_internal/decisions/quarantine/record.py
+++ b/src/railfold/_internal/decisions/quarantine/record.py
@@ -153,6 +153,12 @@
         self.trial_began_s = now_s
         self.trial_until_s = now_s + wait_s
 
+    def withdraw_trial(self, now_s: float) -> None:
+        """Count the last trial as none: its request wasn't run."""
+        self.trials = max(0, self.trials - 1)
+        self.trial_began_s = _NEVER_S
+        self.trial_until_s = min(self.trial_until_s, now_s)
+
     def counted(self, explained: Set[str], well_s: float) -> list[Crash]:
         """Return the crashes that count; the package's documentation says which.
 
--- a/src/railfold/_internal/forwarding/peers/peer_messages.py
+++ b/src/railfold/_internal/forwarding/peers/peer_messages.py
@@ -34,6 +34,7 @@
     "ProofTold",
     "RateLimitNotice",
     "TrialBegun",
+    "TrialNotRun",
 ]
 
 # A datagram that isn't cut into packets on any usual network.
@@ -95,6 +96,12 @@
     digest: _Digest
 
 
+class TrialNotRun(msgspec.Struct, frozen=True, tag="trial-not-run"):
+    """The request that the sender let through wasn't run."""
+
+    digest: _Digest
+
+
 class EntryStarted(msgspec.Struct, frozen=True, tag="entry"):
     """An entry takes messages at this address."""
 
@@ -192,6 +199,7 @@
     CrashesTold
     | ContentCleared
     | TrialBegun
+    | TrialNotRun
     | EntryStarted
     | PlacementLed
     | ArrivalsTold
--- a/src/railfold/_internal/forwarding/peers/peering.py
+++ b/src/railfold/_internal/forwarding/peers/peering.py
@@ -32,6 +32,7 @@
     ProofTold,
     RateLimitNotice,
     TrialBegun,
+    TrialNotRun,
 )
 from railfold._internal.forwarding.peers.proof_keeper import ProofKeeper
 from railfold._internal.forwarding.quarantine.request_quarantine import (
@@ -172,6 +173,8 @@
                 self.quarantine.content_cleared(message)
             case TrialBegun():
                 self.quarantine.trial_begun(message)
+            case TrialNotRun():
+                self.quarantine.told_trial_not_run(message)
             case RateLimitNotice():
                 self._limits.record_notice(message)
             case PermitAsked():
--- a/src/railfold/_internal/forwarding/quarantine/request_quarantine.py
+++ b/src/railfold/_internal/forwarding/quarantine/request_quarantine.py
@@ -33,6 +33,7 @@
     CrashTold,
     PeerMessage,
     TrialBegun,
+    TrialNotRun,
 )
 from railfold._internal.forwarding.quarantine.content_digest import ContentDigests
 from railfold._internal.forwarding.quarantine.crash_watch import (
@@ -195,12 +196,23 @@
     ) -> bool:
         """Return whether servers ended one after the other under a request's content.
 
-        After one end, most of what was there is innocent.
+        After one end, most of what was there is innocent; so is what only ran where
+        another content did that is held back.
         """
         if not self._watching:
             return False
         digest = self._digests.of(request, owner)
-        return self._quarantine.is_near_limit(digest)
+        quarantine = self._quarantine
+        return quarantine.is_near_limit(digest) and not quarantine.is_explained(digest)
+
+    def trial_not_run(
+        self, request: ClientRequest, owner: CredentialOwner | None
+    ) -> None:
+        """Let the next request be tried: one that was let through wasn't run."""
+        digest = self._digests.of(request, owner)
+        if self._quarantine.withdraw_trial(digest, self._loop.time()):
+            self._router.metrics.count("quarantine.trials_not_run")
+            self._tell(TrialNotRun(digest))
 
     def _refusal(self, digest: str) -> RepeatedCrashesError:
         self._router.metrics.count("quarantine.refused")
@@ -384,6 +396,10 @@
         now_s = self._loop.time()
         self._take(self._quarantine.begin_trial(message.digest, now_s), from_peer=True)
 
+    def told_trial_not_run(self, message: TrialNotRun) -> None:
+        """Another entry's trial wasn't run."""
+        self._quarantine.withdraw_trial(message.digest, self._loop.time())
+
     # What the store holds
 
     def record_read(self, digest: str, record: HoldRecord) -> None:
--- a/src/railfold/_internal/forwarding/requests/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from railfold._internal.core import Chain, Outcome
+from railfold._internal.core import Chain, NotRun, Outcome
 from railfold._internal.decisions.calls import (
     CallAction,
     CallAnswered,
@@ -535,6 +535,8 @@
         self._deadline.cancel()
         self._release()
         self._router.active.discard(self)
+        if self._routed.on_trial and isinstance(outcome, NotRun):
+            self._quarantine.trial_not_run(self._request, self._owner)
         status = self._answer.conclude(outcome)
         self._log.request_ended(
             outcome,
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -261,6 +261,40 @@
     assert standing(quarantine, POISON, 3.6) is Standing.HELD
 
 
+def test_a_trial_that_isnt_run_doesnt_hold_others_up(quarantine: Quarantine) -> None:
+    end_servers_under_both(quarantine)
+    assert try_at(quarantine, OTHER, 2.0)
+    assert standing(quarantine, OTHER, 2.1) is Standing.WAITS
+    assert quarantine.withdraw_trial(OTHER.digest, 2.1)
+    assert standing(quarantine, OTHER, 2.1) is Standing.MAY_BE_TRIED
+    assert not quarantine.withdraw_trial(OTHER.digest, 2.1)
+
+
+def test_a_trial_that_wasnt_run_makes_no_later_one_rarer(
+    quarantine: Quarantine,
+) -> None:
+    end_servers_under_both(quarantine)
+    for at_s in (2.0, 2.1, 2.2, 2.3):
+        assert try_at(quarantine, OTHER, at_s)
+        quarantine.withdraw_trial(OTHER.digest, at_s)
+    assert try_at(quarantine, OTHER, 3.0)
+    assert quarantine.wait_s(OTHER.digest, 3.0) <= 0.8
+
+
+def test_what_only_ran_where_a_held_one_did_may_run_at_the_last_server(
+    quarantine: Quarantine,
+) -> None:
+    """It was refused until another server was there, though another is held back."""
+    quarantine.ran_well(OTHER.digest, 0.5)
+    end_servers_under_both(quarantine)
+    assert standing(quarantine, POISON, 2.0) is Standing.HELD
+    assert quarantine.is_near_limit(OTHER.digest)
+    assert quarantine.is_explained(OTHER.digest)
+    assert not quarantine.is_explained(POISON.digest)
+    see(quarantine, OTHER, crash(7, 3.0))
+    assert not quarantine.is_explained(OTHER.digest)
+
+
 def test_it_is_tried_again_by_one_at_a_time(quarantine: Quarantine) -> None:
     hold(quarantine)
     later_s = 2.0 + _HOLD_S
