Bound what an entry holds for clients, and divide it by workspace

Cause: bodies were held without a bound over all requests, and unread answers up to 8 MiB each, after which the client was cut off.

Change: a fifth of the host's memory (settings: limits.memory_mb) may be held, each workspace as much as is still free. A body beyond that is refused with 503 while it arrives; an answer beyond that isn't read from its server until its client has read. Ruled out: one bound for all (a flood refuses everybody), equal parts (a 610th).

--- /dev/null
+++ b/src/railfold/_internal/decisions/held_memory.py
@@ -0,0 +1,89 @@
+"""Memory that an entry holds for clients and backend servers, divided by workspace.
+
+Bodies of requests stay until their requests end, and answers until their clients have
+read them, so that clients who send much or read slowly could fill a small host. Each
+workspace may hold as much as is still free (dynamic thresholds, as switches divide
+their buffers): one alone takes half of the memory at most, ten that all want more get
+an eleventh each, and one that comes to a host full of others' bytes finds as much as
+each of them has. Nobody has to be told who is greedy.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+
+__all__ = ["HeldMemory", "Holding"]
+
+
+class HeldMemory:
+    """Bytes that are held, by workspace.
+
+    :param limit_bytes: for all workspaces together.
+    """
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self._held_bytes: Counter[str] = Counter()
+        self._total_bytes = 0
+
+    @property
+    def total_bytes(self) -> int:
+        """All that is held."""
+        return self._total_bytes
+
+    def of(self, workspace: str) -> int:
+        """Return what is held for a workspace."""
+        return self._held_bytes[workspace]
+
+    def fits(self, workspace: str, size_bytes: int) -> bool:
+        """Return whether a workspace may hold so much more."""
+        free_bytes = self.limit_bytes - self._total_bytes
+        return self._held_bytes[workspace] + size_bytes <= free_bytes
+
+    def add(self, workspace: str, size_bytes: int) -> None:
+        """Count bytes that are held, whether they fit or not."""
+        self._held_bytes[workspace] += size_bytes
+        self._total_bytes += size_bytes
+
+    def subtract(self, workspace: str, size_bytes: int) -> None:
+        """Count bytes that aren't held any more."""
+        self._held_bytes[workspace] -= size_bytes
+        self._total_bytes -= size_bytes
+        if self._held_bytes[workspace] <= 0:
+            del self._held_bytes[workspace]
+
+
+class Holding:
+    """What is held for one request of a workspace."""
+
+    def __init__(self, memory: HeldMemory, workspace: str) -> None:
+        self._memory = memory
+        self._workspace = workspace
+        self._size_bytes = 0
+
+    @property
+    def size_bytes(self) -> int:
+        """What is held for it now."""
+        return self._size_bytes
+
+    def take(self, size_bytes: int) -> bool:
+        """Hold so much more, if the workspace may; return whether it may."""
+        if not self._memory.fits(self._workspace, size_bytes):
+            return False
+        self.take_anyway(size_bytes)
+        return True
+
+    def take_anyway(self, size_bytes: int) -> None:
+        """Hold bytes that are there already."""
+        self._memory.add(self._workspace, size_bytes)
+        self._size_bytes += size_bytes
+
+    def give_back(self, size_bytes: int) -> None:
+        """Hold so much less; nothing more once all was released."""
+        size_bytes = min(size_bytes, self._size_bytes)
+        self._memory.subtract(self._workspace, size_bytes)
+        self._size_bytes -= size_bytes
+
+    def release(self) -> None:
+        """Hold nothing any more."""
+        self.give_back(self._size_bytes)
--- a/src/railfold/_internal/errors.py
+++ b/src/railfold/_internal/errors.py
@@ -27,6 +27,7 @@
     "LinkProtocolError",
     "ListenError",
     "LogUnavailableError",
+    "MemoryShortError",
     "NoCapacityError",
     "NotReadyError",
     "OverloadedError",
@@ -307,6 +308,12 @@
     code = "server_not_eligible"
 
 
+class MemoryShortError(RequestError):
+    """The entry holds as much for the request's workspace as it may."""
+
+    code = "memory_short"
+
+
 class PeerMessageError(RailfoldError):
     """What another entry is said to have sent can't be read or isn't from one."""
 
--- a/src/railfold/_internal/forwarding/dialect.py
+++ b/src/railfold/_internal/forwarding/dialect.py
@@ -165,6 +165,9 @@
 class Dialect(Protocol):
     """Translates requests, answers and engine calls."""
 
+    def credential(self, headers: Iterable[Header]) -> str:
+        """Return the credential that a request holds; empty if it holds none."""
+
     def decode_request(
         self,
         method: str,
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -11,6 +11,7 @@
 from railfold._internal.decisions.engine_directory import EngineDirectory
 from railfold._internal.decisions.fleet_size import FleetSize
 from railfold._internal.decisions.freshness import FreshnessLease
+from railfold._internal.decisions.held_memory import HeldMemory
 from railfold._internal.decisions.leadership import Leadership
 from railfold._internal.decisions.log_epoch import RETURN_S, LogEpoch
 from railfold._internal.decisions.retry_budget import (
@@ -18,7 +19,11 @@
     RetryLimits,
 )
 from railfold._internal.decisions.routing_table import RoutingTable, require_table
-from railfold._internal.errors import LogUnavailableError, RequestError
+from railfold._internal.errors import (
+    LogUnavailableError,
+    MemoryShortError,
+    RequestError,
+)
 from railfold._internal.forwarding.adapter import PlatformAdapter
 from railfold._internal.forwarding.fleet_limits import FleetLimits
 from railfold._internal.forwarding.listeners import Listeners
@@ -90,6 +95,10 @@
 
 _TICK_S = 0.25
 
+# Of a host's memory this share may be held for clients. A body is there up to three
+# times, while it is put together and while it is written to a server.
+_HELD_SHARE = 0.2
+
 # The balancer needs two probes, one a second, to send new connections elsewhere.
 # After that connections without a request are closed: a stream that began later
 # could not end within the grace time.
@@ -194,8 +203,12 @@
         )
         calls.on_refused = self._peering.quarantine.server_refused
         self._prober.on_well = self._peering.quarantine.server_answered
+        self._held = HeldMemory(int(settings.memory_bytes * _HELD_SHARE))
         self._clients = ClientServer(
-            settings.clients, self, listeners.clients if listeners else None
+            settings.clients,
+            self,
+            self._held,
+            listeners.clients if listeners else None,
         )
         self._readiness = HttpServerChild(
             SmallAnswers(self._readiness_answer),
@@ -392,6 +405,14 @@
         now_s: float,
     ) -> None:
         """Answer a request that goes to no backend server."""
+        retry_after_s = self._note_refusal(request_id, error, now_s)
+        headers, body = error_reply(error, retry_after_s)
+        exchange.reply(status_of(error, not_run=True), headers, body)
+
+    def _note_refusal(
+        self, request_id: str, error: RequestError, now_s: float
+    ) -> float:
+        """Count and log a refusal; return after how long its client comes back."""
         retry_after_s = self.router.return_after_s(error)
         status = status_of(error, not_run=True)
         self.metrics.count(f"refused.{error.code}")
@@ -414,8 +435,27 @@
                 retry_after_ms=round(retry_after_s * 1000),
             )
         )
+        return retry_after_s
+
+    def workspace_of(self, headers: Sequence[Header]) -> str:
+        """Return the workspace that a request's head names; empty if none is known."""
+        table = self.router.table
+        if table is None or table.credentials is None:
+            return ""
+        owner = table.credentials.get(self.router.dialect.credential(headers))
+        return owner.workspace if owner is not None else ""
+
+    def refuse_unread(self, exchange: ClientExchange) -> None:
+        """Answer a request whose body there is no memory for."""
+        held_mb = self._held.total_bytes / 1e6
+        error = MemoryShortError(
+            "there is no memory for the request's body",
+            why=f"{held_mb:.1f} MB are held for clients",
+            hint="come back after Retry-After",
+        )
+        retry_after_s = self._note_refusal("", error, self._loop.time())
         headers, body = error_reply(error, retry_after_s)
-        exchange.reply(status, headers, body)
+        exchange.reply_early(status_of(error, not_run=True), headers, body)
 
     def client_gone(self, exchange: ClientExchange) -> None:
         """A client closed its connection."""
@@ -463,6 +503,7 @@
             self._forget_finished()
             self._clients.forget_closed()
             self.metrics.gauge("in_flight", len(self.router.active))
+            self.metrics.gauge("memory.held_bytes", self._held.total_bytes)
             self.metrics.gauge("configuration.age_s", self.router.lease.age_s(now_s))
 
     def _registration_pace(self, now_s: float) -> FollowerPace:
--- a/src/railfold/_internal/forwarding/requests/client_answer.py
+++ b/src/railfold/_internal/forwarding/requests/client_answer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from railfold._internal.core import Answered, Failed, NotRun, Outcome, Unknown
@@ -63,15 +64,36 @@
         """Send a part of the body."""
         self._client.send_body(data)
 
+    @property
+    def congested(self) -> bool:
+        """Whether the client has left more unread than may be held for it."""
+        return self._client.congested
+
+    def call_when_read(self, callback: Callable[[], None]) -> None:
+        """Call back once the client has read what was sent, or is gone."""
+        self._client.call_when_read(callback)
+
+    def gather(self, size_bytes: int) -> bool:
+        """Count bytes of an answer that are held back; return whether they fit."""
+        if self._client.holding.take(size_bytes):
+            return True
+        self._client.holding.take_anyway(size_bytes)
+        return False
+
     def end(self) -> None:
         """The answer is whole."""
         self._client.finish()
 
     def deliver(self, answer: GatheredAnswer) -> None:
         """Send a whole answer."""
+        self.let_go(answer)
         headers = end_to_end_headers(answer.head, with_length=False)
         self._client.reply(answer.head.status, headers, answer.body, answer.head.reason)
 
+    def let_go(self, answer: GatheredAnswer) -> None:
+        """Count a gathered answer as held back no more."""
+        self._client.holding.give_back(answer.size)
+
     def keep_failure(self, answer: GatheredAnswer | None) -> None:
         """Keep a backend server's failure, to be sent if nothing better comes."""
         self._failure = answer
--- a/src/railfold/_internal/forwarding/requests/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -123,6 +123,8 @@
         self._gathered: GatheredAnswer | None = None
         self._cursor = EventCursor(routed.request.last_event_id)
         self._streaming = False
+        # Whether its answer isn't read on until its client has read more of it.
+        self._paused = False
         self._watch = StreamWatch(router.activity, self._silent)
         self._cause = ""
         self._relocation = Relocation(self)
@@ -177,7 +179,7 @@
         destination = self._destination
         if destination is None or destination.chain != chain:
             return
-        if self._watch.flowing:
+        if self._watch.flowing and not self._paused:
             self._relocation.move("its chain stands still")
 
     @property
@@ -221,7 +223,7 @@
         now_s = self._loop.time()
         self._attempts += 1
         self._sent_s = now_s
-        self._broke_off = self._runs_well = self._backed_off = False
+        self._broke_off = self._runs_well = self._backed_off = self._paused = False
         resume_after = self._cursor.last_id
         self._resumed_after = resume_after or 0
         if self._attempts > 1:
@@ -347,8 +349,10 @@
             self._pass_events(data)
             return
         gathered = self._gathered
+        has_room = self._answer.gather(len(data))
         gathered.add(data)
-        if gathered.size > _GATHER_BYTES and isinstance(self._kind, ServedAnswer):
+        is_large = gathered.size > _GATHER_BYTES or not has_room
+        if is_large and isinstance(self._kind, ServedAnswer):
             self._pass_on_from_now(gathered)
 
     def answer_ended(self) -> None:
@@ -397,9 +401,26 @@
         whole = self._cursor.feed(data) if self._streaming else data
         if whole:
             self._watch.event(since_s)
-            self._answer.go_on(whole)
+            self._go_on(whole)
             self._tell_if_well()
 
+    def _go_on(self, data: bytes) -> None:
+        """Send a part of the body, and wait for a client that doesn't read."""
+        self._answer.go_on(data)
+        exchange = self._exchange
+        if exchange is None or self._paused or not self._answer.congested:
+            return
+        self._paused = True
+        exchange.pause()
+        self._router.metrics.count("answers.paused")
+
+        def resume() -> None:
+            self._paused = False
+            self._watch.progressed()
+            exchange.resume()
+
+        self._answer.call_when_read(resume)
+
     def _tell_if_well(self) -> None:
         """Tell once that the stream moves for longer than a crash takes."""
         if self._runs_well or self._watch.moved_s < CLEARED_AFTER_S:
@@ -412,7 +433,8 @@
         """Stop gathering: the answer is large and goes on as it comes."""
         self._gathered = None
         self._answer.begin(gathered.head, with_length=True)
-        self._answer.go_on(gathered.body)
+        self._answer.let_go(gathered)
+        self._go_on(gathered.body)
 
     # MovableAttempt
 
@@ -494,7 +516,7 @@
     def _silent(self, silence: Silence) -> None:
         """The stream is silent: find out whom it waits for."""
         destination = self._destination
-        if destination is None or destination.chain is None:
+        if destination is None or destination.chain is None or self._paused:
             return
         chain = destination.chain
         request_id = self._request.request_id
--- a/src/railfold/_internal/forwarding/requests/exchange.py
+++ b/src/railfold/_internal/forwarding/requests/exchange.py
@@ -109,6 +109,16 @@
             self._connection.abort()
             self._connection = None
 
+    def pause(self) -> None:
+        """Read no more of the answer for now."""
+        if self._connection is not None:
+            self._connection.pause_reading()
+
+    def resume(self) -> None:
+        """Read on."""
+        if self._connection is not None:
+            self._connection.resume_reading()
+
     async def _open(self) -> None:
         try:
             connection = await connect(
--- a/src/railfold/_internal/forwarding/requests/front.py
+++ b/src/railfold/_internal/forwarding/requests/front.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import socket
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from tornado.http1connection import HTTP1Connection
@@ -20,6 +20,7 @@
 from tornado.iostream import IOStream
 
 from railfold._internal.core import Address
+from railfold._internal.decisions.held_memory import HeldMemory, Holding
 from railfold._internal.decisions.routing_table import ClientLimits
 from railfold._internal.forwarding.messages import Header
 from railfold._internal.observability.server import HttpServerChild
@@ -61,15 +62,26 @@
     def client_gone(self, exchange: ClientExchange) -> None:
         """The client closed its connection before it had its answer."""
 
+    def workspace_of(self, headers: Sequence[Header]) -> str:
+        """Return the workspace that a request's head names; empty if none is known."""
+
+    def refuse_unread(self, exchange: ClientExchange) -> None:
+        """Answer a request whose body there is no memory for."""
+
 
 class ClientExchange:
     """One request of a client and the answer to it."""
 
-    def __init__(self, connection: HTTP1Connection, server: ClientServer) -> None:
+    def __init__(
+        self, connection: HTTP1Connection, server: ClientServer, holding: Holding
+    ) -> None:
         self._connection = connection
         self._server = server
+        self.holding = holding
         self._closing = False
         self._unread_bytes = 0
+        self.congested = False
+        self._on_read: list[Callable[[], None]] = []
         self._ended = False
         self.head_sent = False
 
@@ -96,18 +108,43 @@
         if self._ended:
             return
         stream = self._connection.stream
-        self._unread_bytes = self._unread_bytes if stream.writing() else 0
+        _retrieve(self._connection.write(data))
+        if stream.closed() or not stream.writing():
+            return
         self._unread_bytes += len(data)
+        if not self.holding.take(len(data)):
+            self.holding.take_anyway(len(data))
+            self.congested = True
         if self._unread_bytes > _MAX_UNREAD_BYTES:
             self.abort()
             return
-        _retrieve(self._connection.write(data))
+        # Done once all that was written before is read, or the client is gone.
+        barrier = stream.write(b"")
+        barrier.add_done_callback(lambda _: self._was_read(len(data)))
+
+    def _was_read(self, size_bytes: int) -> None:
+        self._unread_bytes -= size_bytes
+        self.holding.give_back(size_bytes)
+        if self._unread_bytes > 0:
+            return
+        self.congested = False
+        callbacks, self._on_read = self._on_read, []
+        for callback in callbacks:
+            callback()
+
+    def call_when_read(self, callback: Callable[[], None]) -> None:
+        """Call back once the client has read what was sent, or is gone."""
+        if self._unread_bytes > 0:
+            self._on_read.append(callback)
+        else:
+            asyncio.get_running_loop().call_soon(callback)
 
     def finish(self) -> None:
         """The answer is whole."""
         if self._ended:
             return
         self._ended = True
+        self._release_body()
         stream = self._connection.stream
         self._connection.finish()
         # An answer that began before the drain promised to keep the connection;
@@ -121,17 +158,32 @@
         if self._ended:
             return
         self._ended = True
+        self._release_body()
         self._connection.close()
 
+    def _release_body(self) -> None:
+        """Hold only what the client hasn't read yet."""
+        self.holding.give_back(self.holding.size_bytes - self._unread_bytes)
+
+    def client_left(self) -> None:
+        """The client closed the connection: nothing is held for it any more."""
+        self.holding.release()
+
     def reply(
         self, status: int, headers: Sequence[Header], body: bytes, reason: str = ""
     ) -> None:
         """Send a whole answer."""
+        self.reply_early(status, headers, body, reason)
+        self.finish()
+
+    def reply_early(
+        self, status: int, headers: Sequence[Header], body: bytes, reason: str = ""
+    ) -> None:
+        """Send a whole answer to a request of which more may come."""
         fields = [*headers, ("Content-Length", str(len(body)))]
         self.send_head(status, reason, fields)
         if body:
             self.send_body(body)
-        self.finish()
 
 
 def _retrieve(future: asyncio.Future[None]) -> None:
@@ -159,6 +211,8 @@
         self._size = 0
         self._line = RequestStartLine("", "", "")
         self._headers: list[Header] = []
+        self._holding = Holding(server.held, "")
+        self._refused: ClientExchange | None = None
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -168,10 +222,25 @@
         self._server.begin_request(self._connection.stream)
         self._line = start_line
         self._headers = list(headers.get_all())
+        workspace = self._server.handler.workspace_of(self._headers)
+        self._holding = Holding(self._server.held, workspace)
 
     def data_received(self, chunk: bytes) -> None:
-        """Take a part of the body."""
-        self._parts.append(chunk)
+        """Take a part of the body; pass over the rest of one that was refused."""
+        if self._refused is not None:
+            return
+        if self._holding.take(len(chunk)):
+            self._parts.append(chunk)
+            return
+        self._parts.clear()
+        self._holding.release()
+        exchange = ClientExchange(self._connection, self._server, self._holding)
+        self._refused = exchange
+        self._server.handler.refuse_unread(exchange)
+
+    def on_connection_close(self) -> None:
+        """The client left before its request was whole."""
+        self._holding.release()
 
     def finish(self) -> None:
         """Give the whole request to the handler.
@@ -181,11 +250,17 @@
         """
         if self._connection.stream is None or self._connection.stream.closed():
             return
-        exchange = ClientExchange(self._connection, self._server)
+        if self._refused is not None:
+            self._refused.finish()
+            return
+        exchange = ClientExchange(self._connection, self._server, self._holding)
+
+        def closed() -> None:
+            exchange.client_left()
+            self._server.handler.client_gone(exchange)
+
         # Once a request is whole, tornado tells of a closed connection here only.
-        self._connection.set_close_callback(
-            lambda: self._server.handler.client_gone(exchange)
-        )
+        self._connection.set_close_callback(closed)
         self._server.handler.request(
             exchange,
             self._line.method,
@@ -198,6 +273,7 @@
 class ClientServer(HTTPServerConnectionDelegate):
     """Child that serves clients.
 
+    :param held: what is held for clients, by workspace.
     :param listener: a socket that listens on the address already, if there is one.
     """
 
@@ -205,9 +281,11 @@
         self,
         address: Address,
         handler: RequestHandler,
+        held: HeldMemory,
         listener: socket.socket | None = None,
     ) -> None:
         self.handler = handler
+        self.held = held
         self.draining = False
         self.stopped = False
         # tornado tells its own server of closed connections, nobody else.
--- a/src/railfold/_internal/forwarding/servers/http_client.py
+++ b/src/railfold/_internal/forwarding/servers/http_client.py
@@ -77,6 +77,7 @@
         self._done = False
         self._poisoned = False
         self._keep_alive = True
+        self._paused = False
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
 
@@ -111,6 +112,18 @@
         head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
         self._transport.write(head + body)
 
+    def pause_reading(self) -> None:
+        """Leave what comes to the kernel, so that the server waits."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._paused = True
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Take what comes again."""
+        if self._paused and self._transport is not None:
+            self._transport.resume_reading()
+        self._paused = False
+
     def abort(self) -> None:
         """Close at once; an answer under way isn't reported any more."""
         self._sink = None
@@ -214,6 +227,7 @@
 
     def _finish(self) -> None:
         sink, self._sink = self._sink, None
+        self.resume_reading()
         transport = self._transport
         unsent = transport is not None and transport.get_write_buffer_size() > 0
         if self._message_open or unsent or not self._keep_alive:
--- a/src/railfold/_internal/forwarding/settings.py
+++ b/src/railfold/_internal/forwarding/settings.py
@@ -6,7 +6,10 @@
 
 from railfold._internal.core import Address
 
-__all__ = ["ForwardingSettings"]
+__all__ = ["DEFAULT_MEMORY_BYTES", "ForwardingSettings"]
+
+# The memory that a process reckons with if its settings don't tell.
+DEFAULT_MEMORY_BYTES = 256 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +28,7 @@
         together may make.
     :param retry_slack: retries beyond that share that all entries together may
         make in any ``retry_window_s``, to each service.
+    :param memory_bytes: of the host, for this process.
     :param first_start: whether the whole installation starts for the first time.
     :param peers: where other entries' messages are taken, if they are.
     :param peer_key: makes the codes by which entries know each other's messages; if
@@ -46,3 +50,4 @@
     first_start: bool
     peers: Address | None = None
     peer_key: bytes | None = None
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
--- a/src/railfold/_internal/platform/dialect.py
+++ b/src/railfold/_internal/platform/dialect.py
@@ -106,6 +106,14 @@
 class PlatformDialect:
     """Translates requests, answers and engine calls."""
 
+    def credential(self, headers: Iterable[Header]) -> str:
+        """Return the credential that a request holds; empty if it holds none."""
+        fields = {name.lower(): value for name, value in headers}
+        authorization = fields.get("authorization", "")
+        if authorization[: len(_BEARER)].lower() != _BEARER:
+            return ""
+        return authorization[len(_BEARER) :].strip()
+
     def decode_request(
         self,
         method: str,
@@ -125,10 +133,6 @@
             raise InvalidRequestError(f"the request has no {_REQUEST_ID}")
         dropped = _OWN_HEADERS | connection_headers(fields.get("connection", ""))
         deadline_ms = _number(fields, _DEADLINE)
-        authorization = fields.get("authorization", "")
-        credential = ""
-        if authorization[: len(_BEARER)].lower() == _BEARER:
-            credential = authorization[len(_BEARER) :].strip()
         return ClientRequest(
             request_id=request_id,
             method=method,
@@ -137,7 +141,7 @@
             host=fields.get("host", "").lower(),
             headers=tuple((n, v) for n, v in headers if n.lower() not in dropped),
             body=body,
-            credential=credential,
+            credential=self.credential(headers),
             received_s=now_s,
             deadline_s=None if deadline_ms is None else now_s + deadline_ms / 1000.0,
             last_event_id=_number(fields, _LAST_EVENT_ID),
--- a/src/railfold/_internal/platform/settings.py
+++ b/src/railfold/_internal/platform/settings.py
@@ -16,7 +16,10 @@
 
 from railfold._internal.core import Address, parse_address
 from railfold._internal.errors import SettingsError
-from railfold._internal.forwarding.settings import ForwardingSettings
+from railfold._internal.forwarding.settings import (
+    DEFAULT_MEMORY_BYTES,
+    ForwardingSettings,
+)
 
 __all__ = ["SETTINGS_VARIABLE", "PlatformSettings", "load_platform_settings"]
 
@@ -25,6 +28,8 @@
 # As many as make a key of 128 bits in base64.
 _LEAST_KEY_CHARACTERS = 22
 
+_MB = 1024 * 1024
+
 _Port = Annotated[int, Meta(ge=1, le=65535)]
 
 T = TypeVar("T")
@@ -59,6 +64,12 @@
     budget_window_s: float = 10.0
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    """What the host has for this process."""
+
+    memory_mb: Annotated[float, Meta(gt=0)] = DEFAULT_MEMORY_BYTES / _MB
+
+
 class _Store(msgspec.Struct, frozen=True):
     """The metadata store; ``parts`` is how many partitions a topic has."""
 
@@ -83,6 +94,7 @@
     port_range: Annotated[list[_Port], Meta(min_length=2, max_length=2)] | None = None
     peer_key: Annotated[str, Meta(min_length=_LEAST_KEY_CHARACTERS)] | None = None
     bounds: dict[str, Any] = msgspec.field(default_factory=dict)
+    limits: dict[str, Any] = msgspec.field(default_factory=dict)
 
 
 class PlatformSettings(msgspec.Struct, frozen=True):
@@ -134,11 +146,14 @@
         document = self._convert("", data, _Document)
         listen = self._convert("listen.", data.get("listen", {}), _Listen)
         bounds = self._convert("bounds.", data.get("bounds", {}), _Bounds)
+        limits = self._convert("limits.", data.get("limits", {}), _Limits)
         store = self._convert("platform.", data.get("platform", {}), _Store)
         clients = self._address("listen.front", listen.front if listen else None)
         ready = self._address("listen.ready", listen.ready if listen else None)
         address = self._address("platform.address", store.address if store else None)
-        if not (document and bounds and store and clients and ready and address):
+        if not (document and bounds and limits and store):
+            raise SettingsError(str(self._path), self._faults)
+        if not (clients and ready and address):
             raise SettingsError(str(self._path), self._faults)
         forwarding = ForwardingSettings(
             name=document.node,
@@ -156,6 +171,7 @@
             first_start=document.bootstrap,
             peers=self._peers(document),
             peer_key=document.peer_key.encode() if document.peer_key else None,
+            memory_bytes=int(limits.memory_mb * _MB),
         )
         return PlatformSettings(forwarding, address, store.parts)
 
--- /dev/null
+++ b/tests/forwarding/test_held_memory.py
@@ -0,0 +1,131 @@
+"""What an entry holds for clients that send much, or read slowly, is bounded."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from standins import chaining_engine
+from standins.chaining_engine import SEAL
+from tests.lib.forwarding import (
+    KEY,
+    Connection,
+    Deployment,
+    configuration,
+    rest_of,
+    running,
+    until,
+)
+
+# A fifth of it is held for clients: 2 MiB.
+MEMORY_BYTES = 10 * 1024 * 1024
+HELD_BYTES = MEMORY_BYTES // 5
+BODY = b"x" * 300_000
+ANSWER_BYTES = 12_000_000
+
+FLOOD_KEY = "key-of-flood"
+
+
+@pytest.fixture
+async def small_host() -> AsyncIterator[Deployment]:
+    """A deployment whose entry has little memory, with a second workspace."""
+    async for deployment in running(Deployment(memory_bytes=MEMORY_BYTES)):
+        tenants = [
+            {"name": "quality", "api_keys": [KEY], "priority": 1},
+            {"name": "flood", "api_keys": [FLOOD_KEY], "priority": 1},
+        ]
+        changed = configuration(2, tenants=tenants)
+        deployment.store.put("keyed.op", "config", changed)
+        await until_version(deployment, 2)
+        yield deployment
+
+
+async def until_version(deployment: Deployment, version: int) -> None:
+    router = deployment.entry.router
+    await until(lambda: router.table is not None and router.table.version == version)
+
+
+def held_bytes(deployment: Deployment) -> int:
+    return deployment.entry._held.total_bytes
+
+
+async def flood(deployment: Deployment, count: int) -> list[Connection]:
+    """Send large bodies of one workspace to servers that don't answer."""
+    for server in deployment.plain:
+        server.mode = "dead"
+    connections = [await deployment.connect() for _ in range(count)]
+    for number, connection in enumerate(connections):
+        await connection.send("/slip/1", f"f-{number}", key=FLOOD_KEY, body=BODY)
+    return connections
+
+
+async def test_bodies_of_one_workspace_leave_room_for_another(
+    small_host: Deployment,
+) -> None:
+    connections = await flood(small_host, 10)
+    await until(lambda: held_bytes(small_host) > HELD_BYTES / 3)
+    for server in small_host.plain:
+        server.mode = "ok"
+    reply = await small_host.ask("/slip/1", "c-1", body=BODY)
+    assert reply.status == 200
+    assert held_bytes(small_host) <= HELD_BYTES
+    for connection in connections:
+        connection.close()
+    await until(lambda: held_bytes(small_host) == 0)
+
+
+async def test_a_body_without_room_is_refused_as_not_run(
+    small_host: Deployment,
+) -> None:
+    connections = await flood(small_host, 3)
+    await until(lambda: held_bytes(small_host) >= 3 * len(BODY))
+    reply = await small_host.ask("/slip/1", "f-9", key=FLOOD_KEY, body=BODY)
+    assert reply.status == 503
+    assert b"memory_short" in reply.body
+    assert float(reply.headers["Retry-After"]) > 0
+    assert not any(server.runs["f-9"] for server in small_host.plain)
+    for connection in connections:
+        connection.close()
+
+
+async def test_a_connection_goes_on_after_a_body_that_was_refused(
+    small_host: Deployment,
+) -> None:
+    connections = await flood(small_host, 3)
+    await until(lambda: held_bytes(small_host) >= 3 * len(BODY))
+    refused = await small_host.connect()
+    reply = await refused.ask("/slip/1", "f-9", key=FLOOD_KEY, body=BODY)
+    assert reply.status == 503
+    for connection in connections:
+        connection.close()
+    for server in small_host.plain:
+        server.mode = "ok"
+    await until(lambda: held_bytes(small_host) == 0)
+    assert (await refused.ask("/slip/1", "f-10", key=FLOOD_KEY)).status == 200
+
+
+async def answer_at_length(handler: chaining_engine._Request, request_id: str) -> None:
+    handler.set_header("Railfold-Response-Seal", SEAL)
+    handler.set_header("Railfold-Attempt-Id", request_id)
+    handler.set_header("Content-Length", str(ANSWER_BYTES))
+    for _ in range(ANSWER_BYTES // 100_000):
+        handler.write(b"y" * 100_000)
+        await handler.flush()
+    handler.finish()
+
+
+async def test_an_answer_is_read_from_its_server_as_its_client_reads_it(
+    small_host: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was read whole, and its client cut off once 8 MiB of it were held."""
+    monkeypatch.setattr(chaining_engine._Request, "_plain", answer_at_length)
+    connection = await small_host.connect()
+    await connection.send("/tray/1", "c-1")
+    await until(lambda: small_host.entry.metrics.counters["answers.paused"] > 0)
+    await asyncio.sleep(0.3)
+    assert held_bytes(small_host) <= HELD_BYTES
+    reply = await rest_of(connection)
+    assert (reply.whole, len(reply.body)) == (True, ANSWER_BYTES)
+    await until(lambda: held_bytes(small_host) == 0)
--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -15,7 +15,10 @@
 from railfold._internal.core import Address
 from railfold._internal.forwarding.listeners import Listeners
 from railfold._internal.forwarding.process import ForwardingEntry
-from railfold._internal.forwarding.settings import ForwardingSettings
+from railfold._internal.forwarding.settings import (
+    DEFAULT_MEMORY_BYTES,
+    ForwardingSettings,
+)
 from railfold._internal.platform.adapter import UsersPlatform
 from standins.chaining_engine import LAYERS, Engine
 from standins.cluster import free_port
@@ -101,6 +104,7 @@
     lease_s: float = 3.0
     placed: bool = True
     entry_count: int = 1
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
     entries: list[ForwardingEntry] = field(default_factory=list)
 
     async def start(self) -> None:
@@ -151,6 +155,7 @@
             retry_window_s=10.0,
             first_start=False,
             peers=Address("127.0.0.1", free_port()),
+            memory_bytes=self.memory_bytes,
         )
 
     @property
