Count load over all entries in one place, and leave full engines out

Router counts tokens, sequences and unread prompt tokens of its requests in a FleetLoad, and arrivals by service, rank and workspace in a FleetDemand. Engines' load is reckoned from it; own_load of directory entries goes, so that there is one copy. An engine that rejected a request for want of room counts as full until a request that ran there has ended, or until the entries together would see one end there by the model's figures. What others announce can make an engine full too; nobody announces yet.

--- a/src/railfold/_internal/decisions/eligibility.py
+++ b/src/railfold/_internal/decisions/eligibility.py
@@ -12,6 +12,7 @@
 
 from railfold._internal.decisions.avoidance import Avoidance
 from railfold._internal.decisions.engine_directory import EngineDirectory
+from railfold._internal.decisions.fleet_load import FleetLoad
 from railfold._internal.decisions.load_shedding import (
     BackingOff,
     HalfOpen,
@@ -100,12 +101,14 @@
         directory: EngineDirectory,
         avoidance: Avoidance,
         backoffs: RequestedBackoffs,
+        fleet_load: FleetLoad,
         permit_wait_s: Callable[[str], float],
         starts_slowly: Callable[[str, float], bool],
     ) -> None:
         self._directory = directory
         self._avoidance = avoidance
         self._backoffs = backoffs
+        self._fleet_load = fleet_load
         self._permit_wait_s = permit_wait_s
         self._starts_slowly = starts_slowly
 
@@ -144,6 +147,7 @@
         return self._backoffs.bar(server_id, now_s)
 
     def _is_paused(self, server_id: str, now_s: float) -> bool:
-        entry = self._directory.get(server_id)
-        load = entry.own_load if entry is not None else 0
+        if self._fleet_load.is_full(server_id, now_s):
+            return True
+        load = self._fleet_load.own_part(server_id).tokens
         return self._avoidance.avoided(server_id, now_s, load)
--- a/src/railfold/_internal/decisions/engine_directory.py
+++ b/src/railfold/_internal/decisions/engine_directory.py
@@ -11,10 +11,11 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 
 from railfold._internal.core import LayerRange, Stage
+from railfold._internal.decisions.fleet_load import ServerLoad
 from railfold._internal.decisions.log_epoch import RETURN_S
 from railfold._internal.decisions.planner import Replica
 from railfold._internal.decisions.routing_table import EngineModel
@@ -87,8 +88,6 @@
     Compared by identity.
 
     :param server_id: names the incarnation.
-    :param own_load: this entry's own requests there; of a model engine, the
-        tokens that they may grow to.
     :param says_leaving: whether its answers say that it leaves, whatever it registers.
     :param removal_due_s: when a removal that was read counts, if one was.
     :param slowness: how many times longer than usual its steps take, as it last told.
@@ -96,7 +95,6 @@
 
     server_id: str
     registration: Registration
-    own_load: int = 0
     slowness: float = 1.0
     suspect_since_s: float | None = None
     says_leaving: bool = False
@@ -335,14 +333,19 @@
             return frozenset()
         return frozenset(e.server_id for e in missing)
 
-    def replicas(self, service: str, region: str) -> list[Replica]:
-        """Return a plain service's backend servers that may get new work."""
+    def replicas(
+        self, service: str, region: str, load_of: Callable[[str], ServerLoad]
+    ) -> list[Replica]:
+        """Return a plain service's backend servers that may get new work.
+
+        :param load_of: returns a server's load over all entries.
+        """
         return [
             Replica(
                 e.stage(LayerRange(0, 0)),
                 e.registration.failure_domain,
                 region,
-                in_flight=e.own_load,
+                in_flight=load_of(e.server_id).known_sequences,
                 capacity=max(1, e.registration.slots),
                 step_ms=1.0,
             )
@@ -351,14 +354,18 @@
         ]
 
     def layer_replicas(
-        self, service: str, model: EngineModel, region: str, entries: int
+        self,
+        service: str,
+        model: EngineModel,
+        region: str,
+        load_of: Callable[[str], ServerLoad],
     ) -> list[Replica]:
         """Return a model's backend servers that hold layers and may get work.
 
         Their load and capacity are counted in tokens: memory for the state of
         requests is what runs out first.
 
-        :param entries: how many entries there are.
+        :param load_of: returns a server's load over all entries.
         """
         found = []
         for entry in self.of_service(service):
@@ -375,7 +382,7 @@
                     entry.stage(layers),
                     registration.failure_domain,
                     region,
-                    in_flight=_reckoned_load(entry.own_load, entries, capacity),
+                    in_flight=_reckoned_load(load_of(entry.server_id), capacity),
                     capacity=capacity,
                     step_ms=accelerator.step_factor * len(layers) * entry.slowness,
                 )
@@ -383,16 +390,15 @@
         return found
 
 
-def _reckoned_load(own: int, entries: int, capacity: int) -> int:
-    """Return the load of all entries, reckoned from one entry's own.
+def _reckoned_load(load: ServerLoad, capacity: int) -> int:
+    """Return the load of all entries as far as it may count against a capacity.
 
-    Entries take about like shares of all requests, which is good enough to
-    choose by. Only one's own load makes a backend server full: whether others'
-    does is known better there, and it refuses.
+    Only what is known makes a backend server full. What is reckoned for entries that
+    aren't heard is good enough to choose by.
     """
-    if own >= capacity:
-        return own
-    return min(own * entries, capacity - 1)
+    if load.known_tokens >= capacity:
+        return load.known_tokens
+    return min(round(load.tokens), capacity - 1)
 
 
 def _differ(one_ms: int | None, other_ms: int | None) -> bool:
--- a/src/railfold/_internal/decisions/fleet_load.py
+++ b/src/railfold/_internal/decisions/fleet_load.py
@@ -4,12 +4,15 @@
 its lifetime has passed, and no longer than its server's incarnation lives. Entries
 whose parts aren't known are reckoned to have what the known ones have on average, so
 that an entry that hears nobody reckons with its own part times the number of entries.
+
+A server that rejected a request for want of room counts as full until a request that
+ran there has ended, or some time has passed.
 """
 
 from __future__ import annotations
 
 from collections.abc import Collection, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 __all__ = ["FleetLoad", "LoadPart", "ServerLoad"]
 
@@ -36,6 +39,8 @@
     :param known_share: the share of the entries whose parts are known, this one's
         included, from 0 to 1.
     :param age_s: how old the oldest of the known parts is.
+    :param known_tokens: the sum of the known parts, or what the server reported.
+    :param known_sequences: the same.
     """
 
     tokens: float = 0.0
@@ -43,14 +48,29 @@
     unread_tokens: float = 0.0
     known_share: float = 0.0
     age_s: float = 0.0
+    known_tokens: int = 0
+    known_sequences: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class _Announced:
-    """Parts of another entry, and when they were true."""
+    """Parts of other entries, added up, and when they were true.
+
+    :param entries: how many entries.
+    """
 
     at_s: float
     parts: Mapping[str, LoadPart]
+    entries: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class _Reported:
+    """What a server said of itself; fields as in :class:`LoadPart`."""
+
+    at_s: float
+    tokens: int
+    sequences: int
 
 
 class FleetLoad:
@@ -65,12 +85,18 @@
         self.lifetime_s = lifetime_s
         self._own: dict[str, LoadPart] = {}
         self._announced: dict[str, _Announced] = {}
+        self._reported: dict[str, _Reported] = {}
+        self._full_until_s: dict[str, float] = {}
 
     @property
     def own(self) -> Mapping[str, LoadPart]:
         """The parts of the entry itself, by server."""
         return self._own
 
+    def own_part(self, server_id: str) -> LoadPart:
+        """Return the part of the entry itself at one server."""
+        return self._own.get(server_id, LoadPart())
+
     def add(self, server_id: str, part: LoadPart) -> None:
         """Count what was sent to a server."""
         known = self._own.get(server_id, LoadPart())
@@ -96,14 +122,48 @@
             self._own[server_id] = left
 
     def announced(
-        self, entry: str, parts: Mapping[str, LoadPart], at_s: float, now_s: float
+        self,
+        entry: str,
+        parts: Mapping[str, LoadPart],
+        at_s: float,
+        now_s: float,
+        entries: int = 1,
     ) -> None:
-        """Take all parts of another entry, true at ``at_s``; older ones are ignored."""
+        """Take all parts of another entry, true at ``at_s``; older ones are ignored.
+
+        :param entries: how many entries' parts these are the sum of, if ``entry``
+            announces those of others, too.
+        """
         known = self._announced.get(entry)
         if known is not None and known.at_s >= at_s:
             return
         if now_s - at_s < self.lifetime_s:
-            self._announced[entry] = _Announced(at_s, dict(parts))
+            self._announced[entry] = _Announced(at_s, dict(parts), entries)
+
+    def reported(
+        self, server_id: str, tokens: int, sequences: int, at_s: float
+    ) -> None:
+        """Take what a server said of itself; it counts for a lifetime."""
+        known = self._reported.get(server_id)
+        if known is None or known.at_s < at_s:
+            self._reported[server_id] = _Reported(at_s, tokens, sequences)
+
+    def rejected(self, server_id: str, until_s: float) -> None:
+        """A server rejected a request for want of room: it is full until then."""
+        known_s = self._full_until_s.get(server_id, float("-inf"))
+        self._full_until_s[server_id] = max(known_s, until_s)
+
+    def room_freed(self, server_id: str) -> None:
+        """A request that ran at a server has ended."""
+        self._full_until_s.pop(server_id, None)
+
+    def is_full(self, server_id: str, now_s: float) -> bool:
+        """Return whether a server is known to have no room."""
+        return now_s < self._full_until_s.get(server_id, float("-inf"))
+
+    def full_servers(self, now_s: float) -> dict[str, float]:
+        """Return the servers that count as full, and until when."""
+        return {s: until for s, until in self._full_until_s.items() if now_s < until}
 
     def left(self, entry: str) -> None:
         """Forget an entry that has ended or started again."""
@@ -111,8 +171,15 @@
 
     def forget(self, known_servers: Collection[str], now_s: float) -> None:
         """Forget all servers but these, and announcements past their lifetime."""
-        for server_id in set(self._own) - set(known_servers):
+        known = set(known_servers)
+        for server_id in set(self._own) - known:
             del self._own[server_id]
+        for server_id, reported in list(self._reported.items()):
+            if server_id not in known or now_s - reported.at_s >= self.lifetime_s:
+                del self._reported[server_id]
+        for server_id, until_s in list(self._full_until_s.items()):
+            if server_id not in known or now_s >= until_s:
+                del self._full_until_s[server_id]
         for entry, announced in list(self._announced.items()):
             if now_s - announced.at_s >= self.lifetime_s:
                 del self._announced[entry]
@@ -129,11 +196,41 @@
             if now_s - announced.at_s < self.lifetime_s
         ]
         parts = [own, *(a.parts.get(server_id, LoadPart()) for a in fresh)]
-        share = min(1.0, len(parts) / max(1, entries))
-        return ServerLoad(
-            sum(part.tokens for part in parts) / share,
-            sum(part.sequences for part in parts) / share,
+        heard = 1 + sum(announced.entries for announced in fresh)
+        share = min(1.0, heard / max(1, entries))
+        tokens = sum(part.tokens for part in parts)
+        sequences = sum(part.sequences for part in parts)
+        load = ServerLoad(
+            tokens / share,
+            sequences / share,
             sum(part.unread_tokens for part in parts) / share,
             share,
             max((now_s - announced.at_s for announced in fresh), default=0.0),
+            tokens,
+            sequences,
+        )
+        reported = self._reported.get(server_id)
+        if reported is None or now_s - reported.at_s >= self.lifetime_s:
+            return load
+        tokens = max(tokens, reported.tokens)
+        sequences = max(sequences, reported.sequences)
+        return replace(
+            load,
+            tokens=float(tokens),
+            sequences=float(sequences),
+            known_tokens=tokens,
+            known_sequences=sequences,
         )
+
+    def known_entries(self, now_s: float) -> int:
+        """Return how many entries' parts are known, with this one's."""
+        return 1 + sum(
+            announced.entries
+            for announced in self._announced.values()
+            if now_s - announced.at_s < self.lifetime_s
+        )
+
+    def age_s(self, now_s: float) -> float:
+        """Return how old the oldest of the parts is that count."""
+        ages_s = (now_s - announced.at_s for announced in self._announced.values())
+        return max((age_s for age_s in ages_s if age_s < self.lifetime_s), default=0.0)
--- a/src/railfold/_internal/decisions/placement/__init__.py
+++ b/src/railfold/_internal/decisions/placement/__init__.py
@@ -10,6 +10,7 @@
 )
 from railfold._internal.decisions.placement.throughput import (
     domain_throughput_rps,
+    stage_residence_s,
     stage_token_s,
 )
 
@@ -18,6 +19,7 @@
     "domain_throughput_rps",
     "new_layers",
     "plan_layers",
+    "stage_residence_s",
     "stage_token_s",
     "uncovered_layers",
 ]
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -456,6 +456,8 @@
             known = {entry.server_id for entry in self.router.directory}
             self.router.activity.forget(known)
             self.router.avoidance.forget(known)
+            self.router.fleet_load.forget(known, now_s)
+            self.router.fleet_demand.forget(now_s)
             self._prober.pace.forget(known)
             self.router.limits.upkeep(known, now_s)
             self.router.backoffs.upkeep(known, now_s)
--- a/src/railfold/_internal/forwarding/requests/destination_search.py
+++ b/src/railfold/_internal/forwarding/requests/destination_search.py
@@ -86,6 +86,11 @@
         routed, router = self._routed, self._router
         place, self._reserved = self._reserved, None
         is_new, self._is_new = self._is_new, False
+        if is_new:
+            tokens = routed.request.size.total
+            router.record_arrival(
+                routed.route, routed.priority, routed.workspace, tokens
+            )
         try:
             if broke_off:
                 self._quarantine.check_repeat(
--- a/src/railfold/_internal/forwarding/requests/destinations.py
+++ b/src/railfold/_internal/forwarding/requests/destinations.py
@@ -132,7 +132,9 @@
             return Destination(spec.name, chain.stages[0], chain)
         now_s = asyncio.get_running_loop().time()
         doubtful = self._router.directory.doubtful(spec.name)
-        registered = self._router.directory.replicas(spec.name, self._router.region)
+        registered = self._router.directory.replicas(
+            spec.name, self._router.region, self._router.load_of
+        )
         replicas = [
             r
             for r in _near_first(registered, self._router.failure_domain)
--- a/src/railfold/_internal/forwarding/requests/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 from railfold._internal.core import Chain, Outcome
 from railfold._internal.decisions.calls import (
@@ -23,6 +24,7 @@
     SendCall,
 )
 from railfold._internal.decisions.event_cursor import EventCursor
+from railfold._internal.decisions.fleet_load import LoadPart
 from railfold._internal.decisions.routing_table import RouteKind
 from railfold._internal.errors import (
     DeadlineExpiredError,
@@ -117,8 +119,8 @@
         self._runs_well = False
         # Whether its answer asks for a backoff.
         self._backed_off = False
-        # What the attempt under way adds to its servers' load, see Router.count.
-        self._load = 1
+        # What the attempt under way adds to its servers' load.
+        self._part = LoadPart(1, 1)
         self._kind: AnswerKind | None = None
         self._gathered: GatheredAnswer | None = None
         self._cursor = EventCursor(routed.request.last_event_id)
@@ -241,8 +243,11 @@
         self._gathered = None
         # A call to a plain service is one, whatever its headers say of tokens.
         is_model = destination.chain is not None
-        self._load = max(1, self._request.size.total) if is_model else 1
-        router.count(destination, self._load)
+        size = self._request.size
+        self._part = LoadPart(1, 1)
+        if is_model:
+            self._part = LoadPart(max(1, size.total), 1, size.prompt_tokens)
+        router.count(destination, self._part)
         self._exchange = EngineExchange(
             self._request,
             plan,
@@ -341,6 +346,13 @@
             return
         self._gathered = GatheredAnswer(head)
 
+    def _count_as_read(self) -> None:
+        """The prompt of the attempt under way was read."""
+        unread = LoadPart(unread_tokens=self._part.unread_tokens)
+        if self._destination is not None and unread.unread_tokens:
+            self._router.uncount(self._destination, unread)
+            self._part = replace(self._part, unread_tokens=0)
+
     def answer_body(self, data: bytes) -> None:
         """Bytes of a body came."""
         if self._gathered is None:
@@ -365,7 +377,7 @@
                 self._release()
                 self._log_attempt(server_id, reason)
                 self._prober.not_executed(
-                    server_id, refusal, self._load, backed_off=self._backed_off
+                    server_id, refusal, self._part.tokens, backed_off=self._backed_off
                 )
                 self._feed(CallHostRefused(server_id, started=False, reason=reason))
             case ServerFailure():
@@ -396,6 +408,7 @@
         self._relocation.progressed()
         whole = self._cursor.feed(data) if self._streaming else data
         if whole:
+            self._count_as_read()
             self._watch.event(since_s)
             self._answer.go_on(whole)
             self._tell_if_well()
@@ -469,7 +482,8 @@
         if exchange is not None:
             exchange.cancel()
         if destination is not None:
-            self._router.count(destination, -self._load)
+            ran = isinstance(self._kind, ServedAnswer)
+            self._router.uncount(destination, self._part, ran=ran)
             self._router.backoffs.attempt_ended(
                 destination.server.host, self._request.request_id
             )
@@ -522,11 +536,11 @@
                 self._relocation.move_from_lost(f"not rerouted: {outcome}")
             return
         self._router.metrics.count("streams.rerouted")
-        self._router.count(self._destination, -self._load)
+        self._router.uncount(self._destination, self._part)
         self._destination = Destination(
             self._destination.service, other.stages[0], other
         )
-        self._router.count(self._destination, self._load)
+        self._router.count(self._destination, self._part)
         self._watch_chain(self._destination)
 
     # The end
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -17,8 +17,14 @@
     DirectoryEntry,
     EngineDirectory,
 )
+from railfold._internal.decisions.fleet_demand import DemandKey, FleetDemand
+from railfold._internal.decisions.fleet_load import FleetLoad, LoadPart, ServerLoad
 from railfold._internal.decisions.freshness import FreshnessLease
-from railfold._internal.decisions.placement import stage_token_s, uncovered_layers
+from railfold._internal.decisions.placement import (
+    stage_residence_s,
+    stage_token_s,
+    uncovered_layers,
+)
 from railfold._internal.decisions.planner import LinkCosts, PlannerWeights
 from railfold._internal.decisions.retry_budget import RetryBudgets
 from railfold._internal.decisions.return_time import (
@@ -61,6 +67,14 @@
 # which of its backend servers is dead.
 _AVOID_S = 0.3
 
+# How long an announcement of load or demand counts until the exchange between entries
+# sets it by its own pace.
+_ANNOUNCED_LIFETIME_S = 2.0
+
+# The longest that a server counts as full by one rejection: engines that give layers up
+# reject with the same answer, and are free after that.
+_FULL_MOST_S = 2.0
+
 
 class ActiveRequest(Protocol):
     """A request under way that wants to hear of lost backend servers."""
@@ -98,6 +112,12 @@
     avoidance: Avoidance = field(default_factory=Avoidance)
     arrivals: ArrivalRates = field(default_factory=ArrivalRates)
     fleet_arrivals: FleetArrivals = field(default_factory=FleetArrivals)
+    fleet_load: FleetLoad = field(
+        default_factory=lambda: FleetLoad(_ANNOUNCED_LIFETIME_S)
+    )
+    fleet_demand: FleetDemand = field(
+        default_factory=lambda: FleetDemand(_ANNOUNCED_LIFETIME_S)
+    )
     costs: LinkCosts = field(default_factory=LinkCosts)
     weights: PlannerWeights = field(default_factory=PlannerWeights)
     limits: RateLimits = field(init=False)
@@ -121,6 +141,7 @@
             self.directory,
             self.avoidance,
             self.backoffs.requested,
+            self.fleet_load,
             self.limits.wait_s,
             self._is_starting_slowly,
         )
@@ -231,9 +252,8 @@
         model = self.model_of(chain)
         if model is None:
             return 0.0
-        first = self.directory.get(chain.stages[0].host)
-        own_load = first.own_load if first is not None else 0
-        requests = min(own_load * self.entries / model.mean_tokens, model.max_sequences)
+        first = self.load_of(chain.stages[0].host)
+        requests = min(first.tokens / model.mean_tokens, model.max_sequences)
         token_s = 0.0
         for stage in chain.stages:
             entry = self.directory.get(stage.host)
@@ -263,15 +283,69 @@
                 return True
         return False
 
-    def count(self, destination: Destination, load: int) -> None:
-        """Add to the load of a destination's backend servers.
+    def load_of(self, server_id: str) -> ServerLoad:
+        """Return a backend server's load over all entries."""
+        now_s = asyncio.get_running_loop().time()
+        return self.fleet_load.load(server_id, self.entries, now_s)
+
+    def count(self, destination: Destination, part: LoadPart) -> None:
+        """Add what was sent to the load of a destination's backend servers."""
+        for server_id in destination.server_ids:
+            if self.directory.get(server_id) is not None:
+                self.fleet_load.add(server_id, part)
+
+    def uncount(
+        self, destination: Destination, part: LoadPart, *, ran: bool = False
+    ) -> None:
+        """Take back what was counted.
 
-        :param load: tokens of a request to a model, else 1; negative at its end.
+        :param ran: whether the request has held room there, and gives it back.
         """
         for server_id in destination.server_ids:
-            entry = self.directory.get(server_id)
-            if entry is not None:
-                entry.own_load = max(0, entry.own_load + load)
+            self.fleet_load.subtract(server_id, part)
+            if ran:
+                self.fleet_load.room_freed(server_id)
+
+    def record_arrival(
+        self, route: Route, priority: int, workspace: str, tokens: int
+    ) -> None:
+        """A client's request arrived.
+
+        :param tokens: that it may grow to at a model.
+        """
+        now_s = asyncio.get_running_loop().time()
+        total = sum(choice.weight for choice in route.services)
+        for choice in route.services if total > 0 else ():
+            spec = self.table.services.get(choice.service) if self.table else None
+            is_model = spec is not None and spec.model is not None
+            amount = float(max(1, tokens)) if is_model else 1.0
+            key = DemandKey(choice.service, priority, workspace)
+            self.fleet_demand.arrived(key, amount * choice.weight / total, now_s)
+
+    def record_rejection(self, entry: DirectoryEntry) -> None:
+        """An engine rejected a request for want of room: send none there for now.
+
+        All entries together send one about as often as a usual request ends there.
+        """
+        service = entry.registration.service
+        spec = self.table.services.get(service) if self.table else None
+        layers = entry.registration.layers
+        if spec is None or spec.model is None or layers is None:
+            return
+        model = spec.model
+        accelerator = model.accelerators.get(entry.registration.accelerator)
+        if accelerator is None:
+            return
+        tokens = model.state_tokens(accelerator, len(layers))
+        room = min(float(model.max_sequences), max(1.0, tokens / model.mean_tokens))
+        stay_s = stage_residence_s(
+            accelerator.slowed(entry.slowness), model, model.layer_count, room
+        )
+        now_s = asyncio.get_running_loop().time()
+        full_s = min(_FULL_MOST_S, self.entries * stay_s / room)
+        if not self.fleet_load.is_full(entry.server_id, now_s):
+            self.metrics.count("servers.full")
+        self.fleet_load.rejected(entry.server_id, now_s + full_s)
 
     def registered_id(self, server_id: str) -> str:
         """Return the id that an incarnation is registered under."""
--- a/src/railfold/_internal/forwarding/servers/placement.py
+++ b/src/railfold/_internal/forwarding/servers/placement.py
@@ -233,7 +233,7 @@
             kind.slowed(entry.slowness),
             self._targets.get(entry.server_id, entry.registration.layers),
             under_order=entry.server_id in self._targets,
-            busy=entry.own_load > 0,
+            busy=self._router.fleet_load.own_part(entry.server_id).tokens > 0,
         )
 
     def _give(
--- a/src/railfold/_internal/forwarding/servers/probes.py
+++ b/src/railfold/_internal/forwarding/servers/probes.py
@@ -126,22 +126,26 @@
         if not refusal.address:
             entry = self._router.directory.get(server_id)
             if entry is not None and not backed_off:
-                self._refused(entry, load)
+                self._refused(entry, load, misplaced=refusal.misplaced)
             return
         entry = self._router.directory.at(refusal.address)
         if entry is not None:
             if entry.server_id != server_id or not backed_off:
-                self._refused(entry, load)
+                self._refused(entry, load, misplaced=refusal.misplaced)
             if refusal.misplaced:
                 until_s = self._loop.time() + _MISPLACED_S
                 self._router.avoidance.avoid(entry.server_id, until_s)
             if entry.server_id not in self._checking:
                 self._spawn(self._check_at_fault(entry))
 
-    def _refused(self, entry: DirectoryEntry, load: int) -> None:
+    def _refused(
+        self, entry: DirectoryEntry, load: int, *, misplaced: bool = False
+    ) -> None:
         now_s = self._loop.time()
-        avoidance = self._router.avoidance
-        avoidance.refused(entry.server_id, now_s, entry.own_load, load)
+        own_tokens = self._router.fleet_load.own_part(entry.server_id).tokens
+        self._router.avoidance.refused(entry.server_id, now_s, own_tokens, load)
+        if not misplaced:
+            self._router.record_rejection(entry)
 
     def served(self, server_id: str) -> None:
         """It served a request."""
--- a/tests/forwarding/test_requests.py
+++ b/tests/forwarding/test_requests.py
@@ -11,6 +11,7 @@
 from standins.chaining_engine import SEAL
 from tests.lib.forwarding import (
     KEY,
+    MODEL_SERVICE,
     Deployment,
     configuration,
     events_of,
@@ -226,3 +227,20 @@
     ]
     replies = await asyncio.gather(*asked)
     assert [reply.status for reply in replies] == [200] * 8
+
+
+async def test_load_is_counted_while_a_stream_runs_and_given_back_at_its_end(
+    deployment: Deployment,
+) -> None:
+    fleet_load = deployment.entry.router.fleet_load
+    connection = await deployment.connect()
+    await connection.send("/draft/1", "r-1", events=60)
+    await connection.read_head()
+    await until(lambda: bool(fleet_load.own))
+    await until(lambda: all(p.unread_tokens == 0 for p in fleet_load.own.values()))
+    assert {p.tokens for p in fleet_load.own.values()} == {70}
+    now_s = asyncio.get_running_loop().time()
+    (key,) = deployment.entry.router.fleet_demand.own_per_s(now_s)
+    assert (key.service, key.priority, key.workspace) == (MODEL_SERVICE, 1, "quality")
+    connection.close()
+    await until(lambda: not fleet_load.own)
--- a/tests/unit/test_eligibility.py
+++ b/tests/unit/test_eligibility.py
@@ -17,6 +17,7 @@
     Terms,
 )
 from railfold._internal.decisions.engine_directory import EngineDirectory, Registration
+from railfold._internal.decisions.fleet_load import FleetLoad
 from railfold._internal.decisions.load_shedding import BackingOff, RequestedBackoffs
 
 REGISTRATION = Registration("i-1", "drafts", "127.0.0.1:1", "hall-a", 8, False)
@@ -30,12 +31,14 @@
         self.directory.register(REGISTRATION)
         self.avoidance = Avoidance()
         self.backoffs = RequestedBackoffs()
+        self.fleet_load = FleetLoad(2.0)
         self.permit_wait_s = 0.0
         self.slow_start = False
         self.eligibility = ServerEligibility(
             self.directory,
             self.avoidance,
             self.backoffs,
+            self.fleet_load,
             lambda server_id: self.permit_wait_s,
             lambda server_id, now_s: self.slow_start,
         )
@@ -101,3 +104,11 @@
     setting.directory.register(replace(REGISTRATION, draining=True))
     assert setting.eligibility.bar_of_send("i-1", 12.0) == NotServing()
     assert setting.eligibility.bar_of_send("i-2", 12.0) == NotServing()
+
+
+def test_a_stage_that_is_known_to_be_full_is_not_asked(setting: Setting) -> None:
+    setting.fleet_load.rejected("i-1", until_s=10.5)
+    assert isinstance(setting.bar(Role.FIRST_STAGE), Paused)
+    assert isinstance(setting.bar(Role.LATER_STAGE), Paused)
+    setting.fleet_load.room_freed("i-1")
+    assert setting.bar(Role.FIRST_STAGE) is None
--- a/tests/unit/test_engine_directory.py
+++ b/tests/unit/test_engine_directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
 
 import pytest
@@ -13,6 +14,7 @@
     EngineDirectory,
     Registration,
 )
+from railfold._internal.decisions.fleet_load import FleetLoad, LoadPart, ServerLoad
 from tests.lib.models import MODEL
 
 ENGINE = Registration(
@@ -36,7 +38,7 @@
 
 
 def hosts(directory: EngineDirectory) -> list[str]:
-    replicas = directory.layer_replicas("llm", MODEL, "west", entries=1)
+    replicas = directory.layer_replicas("llm", MODEL, "west", lambda _: ServerLoad())
     return [replica.stage.host for replica in replicas]
 
 
@@ -83,28 +85,41 @@
     assert hosts(directory) == []
 
 
+def loads(own: dict[str, int], entries: int) -> Callable[[str], ServerLoad]:
+    """What one of some entries reckons with that hears none of the others."""
+    fleet = FleetLoad(lifetime_s=2.0)
+    for server_id, tokens in own.items():
+        fleet.add(server_id, LoadPart(tokens, 1))
+    return lambda server_id: fleet.load(server_id, entries, now_s=0.0)
+
+
 def test_load_counts_tokens_and_others_are_reckoned(directory: EngineDirectory) -> None:
-    entry = directory.get("i-1")
-    assert entry is not None
-    entry.own_load = 4000
-    (alone,) = directory.layer_replicas("llm", MODEL, "west", entries=1)
-    (shared,) = directory.layer_replicas("llm", MODEL, "west", entries=5)
+    own = {"i-1": 4000}
+    (alone,) = directory.layer_replicas("llm", MODEL, "west", loads(own, entries=1))
+    (shared,) = directory.layer_replicas("llm", MODEL, "west", loads(own, entries=5))
     free_mb = 21600.0 - 8 * 1750.0
     assert alone.capacity == int(free_mb / (8 * 0.0115))
     assert (alone.in_flight, shared.in_flight) == (4000, 20000)
 
 
 def test_only_ones_own_load_makes_an_engine_full(directory: EngineDirectory) -> None:
-    entry = directory.get("i-1")
-    assert entry is not None
-    entry.own_load = 60_000
-    (reckoned,) = directory.layer_replicas("llm", MODEL, "west", entries=22)
+    own = {"i-1": 60_000}
+    (reckoned,) = directory.layer_replicas("llm", MODEL, "west", loads(own, 22))
     assert not reckoned.full
-    entry.own_load = 100_000
-    (full,) = directory.layer_replicas("llm", MODEL, "west", entries=1)
+    own = {"i-1": 100_000}
+    (full,) = directory.layer_replicas("llm", MODEL, "west", loads(own, 1))
     assert full.full
 
 
+def test_what_others_announce_makes_an_engine_full(directory: EngineDirectory) -> None:
+    fleet = FleetLoad(lifetime_s=2.0)
+    fleet.announced("entry-2", {"i-1": LoadPart(100_000, 90)}, at_s=0.0, now_s=0.0)
+    (replica,) = directory.layer_replicas(
+        "llm", MODEL, "west", lambda server_id: fleet.load(server_id, 2, now_s=0.0)
+    )
+    assert replica.full
+
+
 # Incarnations. A backend server may start again under its id; its start tells which
 # incarnation speaks. Before that was told, an id was one incarnation, so that work on a
 # dead one, its refusals and its slowness passed to its successor.
@@ -117,13 +132,16 @@
     directory = EngineDirectory()
     before = directory.register(EARLIER).entry
     assert before is not None
-    before.own_load, before.slowness = 4000, 3.0
+    before.slowness = 3.0
     directory.suspect(before.server_id, 1.0)
     taken = directory.register(LATER)
     assert taken.ended == (before.server_id,)
     assert taken.entry is directory.registered_as("i-1")
     assert taken.entry is not None
-    assert (taken.entry.own_load, taken.entry.slowness) == (0, 1.0)
+    assert taken.entry.slowness == 1.0
+    fleet = FleetLoad(lifetime_s=2.0)
+    fleet.add(before.server_id, LoadPart(4000, 1))
+    assert fleet.own_part(taken.entry.server_id) == LoadPart()
     assert taken.entry.suspect_since_s is None
     assert directory.get(before.server_id) is None
 
--- a/tests/unit/test_fleet_load.py
+++ b/tests/unit/test_fleet_load.py
@@ -46,3 +46,41 @@
     demand.announced("entry-2", {key: 500.0}, at_s=0.0, now_s=0.0)
     assert demand.per_s("llm", 2, now_s=0.0) == {key: 1000.0}
     assert demand.per_s("other", 2, now_s=0.0) == {}
+
+
+def test_a_server_that_rejected_for_want_of_room_is_full_until_something_ends() -> None:
+    fleet = FleetLoad(LIFETIME_S)
+    fleet.rejected("i-1", until_s=1.5)
+    assert fleet.is_full("i-1", now_s=1.4)
+    assert not fleet.is_full("i-1", now_s=1.5)
+    fleet.rejected("i-1", until_s=3.0)
+    fleet.room_freed("i-1")
+    assert not fleet.is_full("i-1", now_s=2.0)
+
+
+def test_an_incarnation_that_ended_takes_along_what_was_known_of_it() -> None:
+    fleet = FleetLoad(LIFETIME_S)
+    fleet.add("i-1@1", LoadPart(800, 1))
+    fleet.rejected("i-1@1", until_s=9.0)
+    fleet.reported("i-1@1", 500, 2, at_s=1.0)
+    fleet.forget(["i-1@2"], now_s=1.1)
+    assert fleet.load("i-1@1", 1, now_s=1.1).tokens == 0
+    assert not fleet.is_full("i-1@1", now_s=1.1)
+
+
+def test_a_report_corrects_what_is_reckoned_for_entries_that_arent_heard() -> None:
+    fleet = FleetLoad(LIFETIME_S)
+    fleet.add("i-1", LoadPart(800, 1))
+    fleet.reported("i-1", 1000, 2, at_s=1.0)
+    load = fleet.load("i-1", 21, now_s=1.5)
+    assert (load.tokens, load.known_tokens, load.known_sequences) == (1000, 1000, 2)
+    assert fleet.load("i-1", 21, now_s=3.0).tokens == 21 * 800
+
+
+def test_a_sum_of_several_entries_counts_as_so_many() -> None:
+    fleet = FleetLoad(LIFETIME_S)
+    fleet.add("i-1", LoadPart(800, 1))
+    fleet.announced("others", {"i-1": LoadPart(1200, 4)}, 1.0, 1.0, entries=3)
+    load = fleet.load("i-1", 8, now_s=1.0)
+    assert (load.known_tokens, load.known_share, load.tokens) == (2000, 0.5, 4000)
+    assert fleet.known_entries(now_s=1.0) == 4
--- a/tests/unit/test_fleet_size.py
+++ b/tests/unit/test_fleet_size.py
@@ -18,7 +18,7 @@
 from railfold._internal.core import Address
 from railfold._internal.decisions.fleet_size import Deal, FleetSize
 from railfold._internal.decisions.retry_budget import RetryBudget, RetryLimits
-from railfold._internal.forwarding import process
+from railfold._internal.forwarding import fleet_limits
 from railfold._internal.platform.store import GroupLease
 from standins.metadata_store import MOST_TOPICS_DEALT
 from tests.lib.forwarding import Deployment, until
@@ -271,7 +271,7 @@
     """Spend all that an entry is allowed now."""
     if now_s < member.down_until_s:
         return 0
-    slack = WHOLE * process._RETRY_SAFETY * member.fleet.part(now_s)
+    slack = WHOLE * fleet_limits._RETRY_SAFETY * member.fleet.part(now_s)
     member.budget.limits = RetryLimits(0.0, slack, WINDOW_S)
     count = 0
     while member.budget.spend(now_s):
--- a/tests/unit/test_registrations.py
+++ b/tests/unit/test_registrations.py
@@ -23,6 +23,7 @@
     EngineDirectory,
     Registration,
 )
+from railfold._internal.decisions.fleet_load import ServerLoad
 from railfold._internal.decisions.placement import uncovered_layers
 from railfold._internal.decisions.planner import LinkCosts, PlannerWeights, plan_chain
 from railfold._internal.errors import EngineError, NoCapacityError
@@ -173,7 +174,7 @@
             directory.register(decode_registration(key, value))
         except EngineError:
             directory.withdraw(key)
-    replicas = directory.layer_replicas("llm", MODEL, "west", entries=3)
+    replicas = directory.layer_replicas("llm", MODEL, "west", lambda _: ServerLoad())
     held = [entry.registration.layers for entry in directory]
     uncovered_layers(held, MODEL.layer_count)
     return lambda: plan_chain(
