Become unready before credentials can't be checked, if only this entry can't

Cause: an entry that is cut off from the store, or behind the newest configuration, said that it was ready until its lease of credentials had ended. The balancer needs two questions, one a second, to lead clients elsewhere, and clients with open connections never went. They were refused with 503 until their retries were used up.

Ruled out: waiting for the lease's end with a longer Retry-After (others can serve now); unready at half of the lease in any case (an outage of the store for all would make all entries unready, which helps nobody).

Change: from half of the lease on, without a new proof, an entry asks others by chance instead of by name. If one has a fresh proof, or a third don't answer, it is unready; once the balancer knows, answers close their connections. Log event readiness_changed, counters readiness.lapses and readiness.regained.

--- a/src/railfold/_internal/decisions/proof_exchange.py
+++ b/src/railfold/_internal/decisions/proof_exchange.py
@@ -60,6 +60,19 @@
 # Answers are relied on to be there for this long.
 _ANSWERED_WITHIN_S = 1.5
 
+# An entry whose proof is older than this share of the lease isn't getting a new one: a
+# read alone comes before. What is left of the lease is the time that the balancer has
+# to lead clients elsewhere.
+_LAPSING_SHARE = 0.5
+
+# An entry that doesn't hear so many others is cut off, perhaps with some more. Where
+# only the store is out, nearly all answer.
+_SILENT_SHARE = 1.0 / 3.0
+
+# From this age on others are asked by chance: those that come first by name may be cut
+# off together with this one.
+_SAMPLED_SHARE = _READ_IF_ANSWERED_SHARE
+
 
 @dataclass(frozen=True, slots=True)
 class Wait:
@@ -103,6 +116,10 @@
         self._heard_s = float("-inf")
         self._heard_proof_s = float("-inf")
         self._passed_over_s: dict[str, float] = {}
+        # When each other entry was last asked, and the proof that it told then.
+        self._asked_entries_s: dict[str, float] = {}
+        self._told_proof_s: dict[str, float] = {}
+        self._lapses_alone = False
 
     def _draw_jitter(self) -> None:
         self._jitter = 1.0 + _JITTER * (2.0 * self._rng.random() - 1.0)
@@ -133,10 +150,15 @@
         if now_s < self._question_s + _ASK_INTERVAL_S:
             return None
         self._forget_passed_over(now_s)
-        asked = self._next_to_ask(peers)
+        if age_s < _SAMPLED_SHARE * self.lease_s:
+            asked = self._next_to_ask(peers)
+        else:
+            asked = self._drawn(peers)
         if asked is not None:
             self._question_s = now_s
             self._unanswered = asked
+            self._asked_entries_s[asked] = now_s
+            self._told_proof_s.pop(asked, None)
         return asked
 
     def _next_to_ask(self, peers: Sequence[str]) -> str | None:
@@ -152,6 +174,12 @@
         never_s = float("-inf")
         return min(others, key=lambda name: self._passed_over_s.get(name, never_s))
 
+    def _drawn(self, peers: Sequence[str]) -> str | None:
+        """Return any other one, rather one that wasn't passed over."""
+        others = [name for name in peers if name != self._name]
+        preferred = [name for name in others if name not in self._passed_over_s]
+        return self._rng.choice(preferred or others) if others else None
+
     def _pass_over(self, name: str, now_s: float) -> None:
         """Ask others than this one for some time."""
         self._passed_over_s[name] = now_s + _PASSED_OVER_SHARE * self.lease_s
@@ -187,6 +215,7 @@
             self._unanswered = ""
         self._heard_s = now_s
         self._heard_proof_s = max(self._heard_proof_s, now_s - age_s)
+        self._told_proof_s[name] = now_s - age_s
         if age_s > _READ_IF_ANSWERED_SHARE * self.lease_s:
             self._pass_over(name, now_s)
             return
@@ -201,3 +230,33 @@
         if now_s - self._heard_s > _ANSWERED_WITHIN_S:
             return True
         return now_s - self._heard_proof_s < self.lease_s
+
+    def lapses_alone(self, now_s: float, age_s: float) -> bool:
+        """Return whether this entry's proof runs out while most others' don't.
+
+        Once it does, it does until the entry has a fresh proof.
+
+        :param age_s: how old this entry's proof is.
+        """
+        if age_s < _SAMPLED_SHARE * self.lease_s:
+            self._lapses_alone = False
+        elif age_s >= _LAPSING_SHARE * self.lease_s and not self._lapses_alone:
+            self._lapses_alone = self._is_alone(now_s, age_s)
+        return self._lapses_alone
+
+    def _is_alone(self, now_s: float, age_s: float) -> bool:
+        """Return whether others seem to have the proof that this entry lacks.
+
+        That is so if another one told a fresh proof, which is then of a configuration
+        that this one doesn't know, or if many of those that were asked don't
+        answer. Where most answer with proofs as old, the store is out for all, and
+        clients that go elsewhere gain nothing.
+        """
+        since_s = now_s - age_s + _SAMPLED_SHARE * self.lease_s
+        asked = {n for n, at_s in self._asked_entries_s.items() if at_s >= since_s}
+        asked.discard(self._unanswered)
+        told_s = [self._told_proof_s[n] for n in asked if n in self._told_proof_s]
+        if any(now_s - proof_s < _LAPSING_SHARE * self.lease_s for proof_s in told_s):
+            return True
+        silent = len(asked) - len(told_s)
+        return silent > 0 and silent >= _SILENT_SHARE * len(asked)
--- a/src/railfold/_internal/forwarding/peers/proof_keeper.py
+++ b/src/railfold/_internal/forwarding/peers/proof_keeper.py
@@ -204,3 +204,9 @@
         """Return whether others can tell that credentials hold."""
         alone = self._channel is None or not self._channel.peers
         return not alone and self._exchange.others_have_proof(now_s)
+
+    def lapses_alone(self, now_s: float) -> bool:
+        """Return whether credentials soon can't be checked here, but elsewhere."""
+        if self._channel is None or not self._channel.peers:
+            return False
+        return self._exchange.lapses_alone(now_s, self._router.lease.age_s(now_s))
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -56,6 +56,7 @@
     ProcessResumed,
     ProcessStarted,
     ProcessStopping,
+    ReadinessChanged,
     RequestEnded,
     StoreWentBack,
 )
@@ -95,6 +96,10 @@
 # could not end within the grace time.
 _LEAVE_BALANCER_S = 2.8
 
+# The same while the entry is only unready: by then the balancer leads a client whose
+# connection is closed elsewhere.
+_BALANCER_ASKS_S = 2.2
+
 # Kept from the grace time, to close what is left and end.
 _EXIT_S = 0.4
 
@@ -203,6 +208,8 @@
             listener=listeners.readiness if listeners else None,
         )
         self._drivers: dict[ClientExchange, RequestDriver] = {}
+        # Since when only this entry gets no proof of its configuration.
+        self._lapsing_since_s: float | None = None
         self._registrations_known = False
         self._quarantine_known = False
         self._registration_feed = RegistrationFeed(
@@ -274,11 +281,32 @@
 
     def ready(self) -> bool:
         """Return whether new clients may come."""
+        now_s = self._loop.time()
         known = self.router.table is not None
         return (
-            known and not self._draining and self.router.lease.valid(self._loop.time())
+            known
+            and not self._draining
+            and self.router.lease.valid(now_s)
+            and not self._proofs.lapses_alone(now_s)
         )
 
+    def _look_whether_useful(self, now_s: float) -> None:
+        """Lead clients elsewhere while only this entry can't check credentials."""
+        lapses = self._proofs.lapses_alone(now_s)
+        if lapses != (self._lapsing_since_s is not None):
+            self._lapsing_since_s = now_s if lapses else None
+            self.metrics.count("readiness.lapses" if lapses else "readiness.regained")
+            cause = "only this entry gets no proof of its configuration"
+            age_s = min(self.router.lease.age_s(now_s), 1e6)
+            self.log.write(
+                ReadinessChanged(
+                    not lapses, cause if lapses else "", round(age_s * 1000, 1)
+                )
+            )
+        since_s = self._lapsing_since_s
+        gone = since_s is not None and now_s - since_s >= _BALANCER_ASKS_S
+        self._clients.closes_connections = self._draining or gone
+
     @property
     def recognizes_requests(self) -> bool:
         """Whether requests that come again are recognized by their content."""
@@ -461,6 +489,7 @@
             self.router.backoffs.upkeep(known, now_s)
             self._registrations.pace = self._registration_pace(now_s)
             self._forget_finished()
+            self._look_whether_useful(now_s)
             self._clients.forget_closed()
             self.metrics.gauge("in_flight", len(self.router.active))
             self.metrics.gauge("configuration.age_s", self.router.lease.age_s(now_s))
@@ -481,7 +510,7 @@
         """Leave the balancer, finish what is in flight, then return."""
         started_s = self._loop.time()
         self._draining = True
-        self._clients.draining = True
+        self._clients.closes_connections = True
         self.log.write(ProcessStopping("told to stop", len(self.router.active)))
         # The store may not answer; the rest of the stop doesn't wait for it.
         leaving = self._loop.create_task(self._peering.leave())
--- a/src/railfold/_internal/forwarding/requests/front.py
+++ b/src/railfold/_internal/forwarding/requests/front.py
@@ -85,7 +85,7 @@
         fields = HTTPHeaders()
         for name, value in headers:
             fields.add(name, value)
-        if self._server.draining:
+        if self._server.closes_connections:
             self._closing = True
             fields["Connection"] = "close"
         line = ResponseStartLine("HTTP/1.1", status, reason or _REASONS.get(status, ""))
@@ -208,7 +208,8 @@
         listener: socket.socket | None = None,
     ) -> None:
         self.handler = handler
-        self.draining = False
+        # Whether answers ask clients to go on over a new connection.
+        self.closes_connections = False
         self.stopped = False
         # tornado tells its own server of closed connections, nobody else.
         self._streams: set[IOStream] = set()
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -28,6 +28,7 @@
     "ProcessStopping",
     "QuarantineChanged",
     "RateLimitChanged",
+    "ReadinessChanged",
     "RequestEnded",
     "ServerBackoffChanged",
     "ServerCrashed",
@@ -79,6 +80,17 @@
     dependency: str
 
 
+class ReadinessChanged(msgspec.Struct, frozen=True, tag="readiness_changed"):
+    """It begins or ceases to ask for new clients while it isn't told to stop.
+
+    :param proof_age_ms: how old the last proof is that its configuration is in force.
+    """
+
+    ready: bool
+    cause: str
+    proof_age_ms: float
+
+
 class StoreWentBack(msgspec.Struct, frozen=True, tag="store_went_back"):
     """It came back from an older copy, and lost what it had acknowledged since."""
 
@@ -303,6 +315,7 @@
     | SettingsReloaded
     | DependencyLost
     | DependencyRegained
+    | ReadinessChanged
     | StoreWentBack
     | ConfigurationAccepted
     | EngineChanged
--- a/tests/forwarding/test_proofs_from_peers.py
+++ b/tests/forwarding/test_proofs_from_peers.py
@@ -9,6 +9,7 @@
 
 from railfold._internal.decisions.routing_table import RoutingTable
 from railfold._internal.errors import ConfigurationRefusedError, LogUnavailableError
+from railfold._internal.forwarding import process
 from railfold._internal.forwarding.peers.peer_messages import ProofTold
 from railfold._internal.forwarding.process import ForwardingEntry
 from railfold._internal.store.records import LogPage
@@ -137,3 +138,35 @@
     before = entry.metrics.counters["proofs.read"]
     await asyncio.sleep(3.0)
     assert entry.metrics.counters["proofs.read"] - before <= 6
+
+
+async def test_an_entry_that_falls_behind_sends_its_clients_elsewhere(
+    two_entries: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """They kept their connections to it, and were refused until they gave up."""
+    monkeypatch.setattr(process, "_BALANCER_ASKS_S", 0.3)
+    entry = two_entries.entry
+    kept: Connection = await two_entries.connect(0)
+    assert (await kept.ask("/tray/1", "before")).headers.get("Connection") != "close"
+    turn_away(entry)
+    two_entries.store.put("keyed.op", "config", configuration(2))
+    loop = asyncio.get_running_loop()
+    await until(lambda: not entry.ready())
+    assert entry.router.lease.valid(loop.time())
+    assert two_entries.entries[1].ready()
+    await until(lambda: not entry.router.lease.valid(loop.time()))
+    reply = await kept.ask("/tray/1", "late")
+    kept.close()
+    assert reply.status == 503
+    assert reply.headers["Connection"] == "close"
+
+
+async def test_all_entries_stay_ready_while_the_store_is_lost_for_all(
+    two_entries: Deployment,
+) -> None:
+    two_entries.store.mode = "out"
+    loop = asyncio.get_running_loop()
+    entry = two_entries.entry
+    while entry.router.lease.valid(loop.time()):
+        assert entry.ready()
+        await asyncio.sleep(0.02)
--- a/tests/unit/test_proof_exchange.py
+++ b/tests/unit/test_proof_exchange.py
@@ -28,6 +28,7 @@
 class Entry:
     """One entry; ``lost_s`` is when it stops to answer and to read."""
 
+    name: str
     exchange: ProofExchange
     phase_s: float
     proof_s: float = 0.0
@@ -42,8 +43,13 @@
     entries: dict[str, Entry]
     store_lost_s: float = float("inf")
     cut: bool = False
+    separated: set[str] = field(default_factory=set)
     ages_s: list[float] = field(default_factory=list)
 
+    def separate(self, names: set[str]) -> None:
+        """Cut these off from the store and from all others but themselves."""
+        self.separated = names
+
     def play(self, from_s: float, to_s: float) -> None:
         """Let time pass."""
         self.ages_s.clear()
@@ -65,7 +71,7 @@
         match entry.exchange.step(now_s, age_s, peers):
             case ReadStore():
                 entry.reads += 1
-                if now_s < self.store_lost_s:
+                if now_s < self.store_lost_s and name not in self.separated:
                     entry.proof_s = now_s
             case AskPeer(name=asked):
                 self._ask(entry, asked, now_s)
@@ -74,7 +80,8 @@
 
     def _ask(self, entry: Entry, asked: str, now_s: float) -> None:
         peer = self.entries[asked]
-        if self.cut or now_s >= peer.lost_s:
+        apart = (asked in self.separated) != (entry.name in self.separated)
+        if self.cut or apart or now_s >= peer.lost_s:
             return
         if peer.exchange.asked(now_s + ON_THE_WAY_S):
             told_s = now_s - (now_s + ON_THE_WAY_S - peer.proof_s)
@@ -96,6 +103,7 @@
     return Fleet(
         {
             name: Entry(
+                name,
                 ProofExchange(name, LEASE_S, random.Random(name)),
                 phase_s=TICK_S * rng.random(),
             )
@@ -161,3 +169,53 @@
     answered = sum(exchange.asked(1.0 + n / 1000) for n in range(500))
     assert answered == 60
     assert exchange.asked(2.6)
+
+
+def lapsing(entries: Fleet, now_s: float) -> set[str]:
+    """Return which entries ask for no new clients since only they lack a proof."""
+    return {
+        name
+        for name, entry in entries.entries.items()
+        if entry.exchange.lapses_alone(now_s, now_s - entry.proof_s)
+    }
+
+
+@pytest.mark.parametrize("count", [4, 21, 68, 380])
+def test_entries_that_are_cut_off_are_unready_before_they_must_refuse(
+    count: int,
+) -> None:
+    """With time for two questions of the balancer, also if a third is cut off."""
+    entries = fleet(count)
+    entries.play(0.0, 8.0)
+    cut = set(list(entries.entries)[: count // 3])
+    entries.separate(cut)
+    entries.play(8.0, 8.0 + LEASE_S - 2.0)
+    now_s = 8.0 + LEASE_S - 2.0
+    found = lapsing(entries, now_s)
+    assert found <= cut
+    assert len(found) >= 0.8 * len(cut)
+    entries.separate(set())
+    entries.play(now_s, now_s + 1.0)
+    assert lapsing(entries, now_s + 1.0) == set()
+
+
+@pytest.mark.parametrize("count", [4, 21, 68])
+def test_a_store_that_is_lost_for_all_leaves_all_ready(count: int) -> None:
+    """Clients that are led elsewhere would gain nothing."""
+    entries = fleet(count)
+    entries.play(0.0, 8.0)
+    entries.store_lost_s = 8.0
+    entries.play(8.0, 8.0 + LEASE_S)
+    assert len(lapsing(entries, 8.0 + LEASE_S)) <= 0.1 * count
+
+
+@pytest.mark.parametrize("count", [4, 21, 68])
+def test_entries_that_only_hear_nobody_stay_ready(count: int) -> None:
+    """Each reads the store by itself."""
+    entries = fleet(count)
+    entries.play(0.0, 8.0)
+    entries.cut = True
+    for tick in range(100):
+        now_s = 8.0 + tick / 10
+        entries.play(now_s, now_s + 0.1)
+        assert lapsing(entries, now_s + 0.1) == set()
