Read the newest configuration after an outage, and deny only with proof

Cause: the follower of the configuration asked for all versions that it had missed, 1.1 to 1.3 MB (the store returns 1,024 KB a read, 0.84 s at 10 Mbit/s), and the reads that prove the configuration asked for the same records at the same time. Each had 1 s for its whole answer, was given up with most of it received, and began anew, for good. Also, 401 and 404 were given by a configuration of any age; only known credentials needed a valid lease.

Ruled out: a cancelled call that leaves its connection unusable (fetch aborts it, the next call opens another); an answer of an older epoch or 410 that repeats (no such line or count); entries that are behind proving each other (a proof's age only grows as it is handed on).

Change, and why it works: - A follower of keyed records that one read of 128 KB doesn't bring to the end takes the newest record of each key: the work to catch up doesn't grow with the outage. Other streams read page after page without a pause. - An answer to a read is waited for as long as some of it arrives each second, 10 s at most. - No read proves the configuration beside a follower that is out; its next read does. - 401 and 404 need a valid lease and no newer version known elsewhere, else 503 with Retry-After, also before a retry. - Logged: configuration_behind, outages that go on, with cause; gauges configuration.behind_s and log.<stream>.out_s.

--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -19,7 +19,7 @@
 from benchmarks.lib import print_table
 
 PROJECT = Path(__file__).parent.parent
-COPIED = ("src", "tests", "standins", "benchmarks", "pyproject.toml")
+COPIED = ("src", "tests", "standins", "soak", "benchmarks", "pyproject.toml")
 
 
 @dataclass(frozen=True)
--- a/src/railfold/_internal/forwarding/peers/proof_keeper.py
+++ b/src/railfold/_internal/forwarding/peers/proof_keeper.py
@@ -23,16 +23,24 @@
 from railfold._internal.forwarding.peers.peer_messages import ProofAsked, ProofTold
 from railfold._internal.forwarding.router import Router
 from railfold._internal.forwarding.store.feeds import ConfigurationFeed
+from railfold._internal.observability.events import ConfigurationBehind
 from railfold._internal.store.follower import ReadableLog
 
 __all__ = ["ProofKeeper"]
 
 _LOOK_S = 0.1
 
+# A configuration that another entry knows is read within this time, unless something
+# keeps this entry from it.
+_BEHIND_S = 1.0
+
 # After a read that failed, or didn't bring what others know, the next one waits, so
 # that an outage isn't probed by all.
 _AGAIN_S = 0.6
 
+# Asks the log for the newest record of each key.
+_NEWEST = -1
+
 # An older proof isn't told; younger ones tell that nobody has a better one.
 _OLDEST_S = 60.0
 
@@ -47,6 +55,8 @@
     :param feed: takes what the follower's read hasn't brought yet.
     :param on_epoch: takes the epoch of the store's log that is read or told.
     :param on_failure: called when the store doesn't answer.
+    :param is_followed: whether the follower's last read succeeded. If not, its next
+        read proves what one beside it would: both would share a link that may be slow.
     """
 
     def __init__(
@@ -59,7 +69,9 @@
         epoch: LogEpoch,
         on_epoch: Callable[[int], None],
         on_failure: Callable[[], None],
+        is_followed: Callable[[], bool],
     ) -> None:
+        self._is_followed = is_followed
         self._on_failure = on_failure
         self._name = name
         self._router = router
@@ -73,6 +85,8 @@
         self._channel: PeerChannel | None = None
         self._questions: dict[int, float] = {}
         self._behind = False
+        self._behind_since_s: float | None = None
+        self._behind_logged = False
         self._read_due_s = float("-inf")
 
     def use(self, channel: PeerChannel) -> None:
@@ -85,6 +99,7 @@
         while True:
             if self._router.table is not None:
                 await self._look()
+                self._note_behind()
             await asyncio.sleep(_LOOK_S)
 
     async def _look(self) -> None:
@@ -116,12 +131,16 @@
         :return: whether all was read.
         """
         sent_s = self._loop.time()
-        self._router.metrics.count("proofs.read")
         offset = self._feed.next_offset()
-        if offset < 0:
-            return False  # The follower takes a whole copy first.
+        if offset < 0 or not self._is_followed():
+            return False  # The follower reads first.
+        self._router.metrics.count("proofs.read")
         try:
             page = await self._log.read(self._stream, offset, 0.0)
+            if not page.reaches_end(offset):
+                # The follower's read waits on a connection that brings nothing.
+                sent_s = self._loop.time()
+                page = await self._log.read(self._stream, _NEWEST, 0.0)
         except LogUnavailableError:
             self._on_failure()
             self._router.metrics.count("proofs.read_failures")
@@ -132,10 +151,34 @@
             return False  # The follower reads anew, or has read on meanwhile.
         for record in page.records:
             self._feed.record(record)
-        whole = offset + len(page.records) >= page.next_offset
-        if whole:
-            self._feed.caught_up(page.next_offset, sent_s)
-        return whole
+        self._feed.caught_up(page.next_offset, sent_s)
+        return True
+
+    def _note_behind(self) -> None:
+        """Tell when another entry's configuration stays out of reach, and its end."""
+        now_s = self._loop.time()
+        elsewhere = self._feed.version_elsewhere
+        table, lease = self._router.table, self._router.lease
+        version = table.version if table is not None else 0
+        if not self._feed.newer_elsewhere:
+            self._behind_since_s = None
+            self._behind_logged = False
+        elif self._behind_since_s is None:
+            self._behind_since_s = now_s
+        since_s = self._behind_since_s if self._behind_since_s is not None else now_s
+        behind_s = now_s - since_s
+        self._router.metrics.gauge("configuration.behind_s", behind_s)
+        if behind_s >= _BEHIND_S and not self._behind_logged:
+            self._behind_logged = True
+            self._router.log.write(
+                ConfigurationBehind(
+                    version,
+                    elsewhere,
+                    round(behind_s * 1000),
+                    round(lease.age_s(now_s) * 1000) if lease.valid(now_s) else None,
+                    "" if self._is_followed() else "reads of the store fail",
+                )
+            )
 
     # Other entries
 
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -178,8 +178,10 @@
             self._epoch,
             self._on_epoch,
             self._on_proof_failure,
+            lambda: self._configuration.reading,
         )
         self.router.others_have_proof = self._proofs.others_have_proof
+        self.router.newer_elsewhere = lambda: self._configuration_feed.newer_elsewhere
         self._configuration = self._configuration_follower()
         self._peering = Peering(
             settings,
@@ -248,6 +250,7 @@
             on_lost=self._on_store_lost,
             on_regained=self._on_store_regained,
             on_epoch=self._on_epoch,
+            keeps_newest=True,
         )
 
     def _registration_follower(self) -> StreamFollower:
@@ -361,8 +364,9 @@
             )
             request_id = request.request_id
             table = require_table(router.table)
-            route = table.find(request.host, request.path)
-            owner = table.authorize(route, request.credential)
+            route, owner = router.find_route(
+                request.host, request.path, request.credential
+            )
             on_trial = self._peering.quarantine.admit(request, route, owner)
         except RequestError as error:
             self._refuse(exchange, request_id, error, now_s)
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -33,6 +33,7 @@
 )
 from railfold._internal.decisions.return_time import RateLimited as ReturnAtPermit
 from railfold._internal.decisions.routing_table import (
+    CredentialOwner,
     EngineModel,
     Route,
     RoutingTable,
@@ -45,6 +46,8 @@
     RateLimitedError,
     RequestOnTrialError,
     ServersBackingOffError,
+    UnauthorizedError,
+    UnknownTargetError,
 )
 from railfold._internal.forwarding.dialect import Dialect
 from railfold._internal.forwarding.requests.destination import Destination
@@ -93,6 +96,8 @@
     entries: int = 1
     # Whether other entries can tell that credentials hold while this one can't.
     others_have_proof: Callable[[float], bool] = field(default=lambda now_s: False)
+    # Whether another entry knows a newer configuration than the table.
+    newer_elsewhere: Callable[[], bool] = field(default=lambda: False)
     active: set[ActiveRequest] = field(default_factory=set)
     activity: ChainActivity = field(default_factory=ChainActivity)
     avoidance: Avoidance = field(default_factory=Avoidance)
@@ -135,9 +140,33 @@
 
         :raises RequestError: the newest version doesn't allow it any more.
         """
+        self.find_route(route.host, path, credential)
+
+    def find_route(
+        self, host: str, path: str, credential: str
+    ) -> tuple[Route, CredentialOwner | None]:
+        """Return the route that a request takes, and who holds its credential.
+
+        :raises UnknownTargetError: there is no such route.
+        :raises UnauthorizedError: nobody holds the credential.
+        :raises ConfigurationStaleError: it may have been added in a version that this
+            process hasn't read.
+        """
         table = require_table(self.table)
-        newest = table.find(route.host, path)
-        table.authorize(newest, credential)
+        try:
+            route = table.find(host, path)
+            return route, table.authorize(route, credential)
+        except (UnauthorizedError, UnknownTargetError) as error:
+            now_s = asyncio.get_running_loop().time()
+            if self.lease.valid(now_s) and not self.newer_elsewhere():
+                raise
+            self.metrics.count("refused.unproved_denials")
+            raise ConfigurationStaleError(
+                "whether the newest configuration allows it isn't known",
+                why=f"{error.what}; {error.why}, "
+                f"and was last proved {self.lease.age_s(now_s):.1f} s ago",
+                hint="come back after Retry-After",
+            ) from error
 
     def return_after_s(self, error: RailfoldError) -> float:
         """Return after how many seconds the caller of a refused request comes back."""
--- a/src/railfold/_internal/forwarding/servers/http_client.py
+++ b/src/railfold/_internal/forwarding/servers/http_client.py
@@ -31,6 +31,10 @@
 ]
 
 _CONTINUE_LIMIT = 200
+
+# Bounds an answer that arrives a few bytes at a time.
+_LONGEST_TRANSFER_S = 10.0
+
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
 
@@ -275,6 +279,7 @@
     """Gathers one whole answer."""
 
     def __init__(self, future: asyncio.Future[Response]) -> None:
+        self.received_bytes = 0
         self._future = future
         self._head: ResponseHead | None = None
         self._head_s = 0.0
@@ -286,6 +291,7 @@
         return True
 
     def body(self, data: bytes) -> None:
+        self.received_bytes += len(data)
         self._parts.append(data)
 
     def end(self) -> None:
@@ -310,20 +316,54 @@
     headers: Sequence[Header],
     body: bytes,
     timeout_s: float,
+    stall_s: float | None = None,
 ) -> Response:
     """Send a request and return its whole answer; aborts when cancelled.
 
+    :param stall_s: an answer that has begun within ``timeout_s`` is waited for as
+        long as some of it arrives within each such time, up to a bound.
     :raises EngineUnavailableError: no whole answer came in time; the request
         may have been carried out.
     """
-    future: asyncio.Future[Response] = asyncio.get_running_loop().create_future()
+    loop = asyncio.get_running_loop()
+    future: asyncio.Future[Response] = loop.create_future()
+    collector = _Collector(future)
+    began_s = loop.time()
     try:
-        connection.send(method, target, headers, body, _Collector(future))
-        return await answer_within(future, timeout_s)
+        connection.send(method, target, headers, body, collector)
+        if stall_s is None:
+            return await answer_within(future, timeout_s)
+        return await _transferred(collector, future, timeout_s, stall_s)
     except TimeoutError as error:
         raise EngineUnavailableError(
-            "an answer didn't come in time", why=f"it took over {timeout_s:g} s"
+            "an answer didn't come in time",
+            why=f"{collector.received_bytes} bytes of it came in "
+            f"{loop.time() - began_s:.1f} s",
         ) from error
     finally:
         if connection.busy:
             connection.abort()
+
+
+async def _transferred(
+    collector: _Collector,
+    future: asyncio.Future[Response],
+    timeout_s: float,
+    stall_s: float,
+) -> Response:
+    """Return an answer that goes on arriving.
+
+    :raises TimeoutError: it doesn't begin, stalls or takes too long.
+    """
+    loop = asyncio.get_running_loop()
+    wait_s = timeout_s
+    end_s = loop.time() + timeout_s + _LONGEST_TRANSFER_S
+    while True:
+        received_bytes = collector.received_bytes
+        try:
+            # A wait that runs out doesn't end the transfer.
+            return await answer_within(asyncio.shield(future), wait_s)
+        except TimeoutError:
+            if collector.received_bytes == received_bytes or loop.time() >= end_s:
+                raise
+        wait_s = stall_s
--- a/src/railfold/_internal/forwarding/servers/kept_connection.py
+++ b/src/railfold/_internal/forwarding/servers/kept_connection.py
@@ -41,14 +41,18 @@
         headers: Sequence[Header],
         body: bytes,
         timeout_s: float,
+        stall_s: float | None = None,
     ) -> Response:
         """Make a call; return its answer.
 
+        :param stall_s: as in :func:`fetch`.
         :raises EngineUnavailableError: no whole answer came in time.
         """
         try:
             connection = await self._take()
-            response = await fetch(connection, method, target, headers, body, timeout_s)
+            response = await fetch(
+                connection, method, target, headers, body, timeout_s, stall_s
+            )
         except EngineUnavailableError:
             self._connection = None
             raise
--- a/src/railfold/_internal/forwarding/store/feeds.py
+++ b/src/railfold/_internal/forwarding/store/feeds.py
@@ -123,6 +123,12 @@
         known = table.version if table is not None else 0
         return self._read_version < max(known, self.version_elsewhere)
 
+    @property
+    def newer_elsewhere(self) -> bool:
+        """Whether another entry knows a newer configuration."""
+        table = self._router.table
+        return table is None or table.version < self.version_elsewhere
+
     def expired(self, first_offset: int) -> int:
         """History is gone: take the newest record of each key."""
         self._next = _SNAPSHOT
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -14,6 +14,7 @@
     "AttemptStarted",
     "ChainProbed",
     "ConfigurationAccepted",
+    "ConfigurationBehind",
     "DependencyLost",
     "DependencyRegained",
     "EngineChanged",
@@ -96,6 +97,20 @@
     decode_ms: float
 
 
+class ConfigurationBehind(msgspec.Struct, frozen=True, tag="configuration_behind"):
+    """Another process has had a newer configuration for some time.
+
+    :param proof_age_ms: since it was last proved that ``version`` is in force; nothing
+        once that is too long ago to rely on.
+    """
+
+    version: int
+    newest: int
+    behind_ms: int
+    proof_age_ms: int | None
+    cause: str
+
+
 class EngineChanged(msgspec.Struct, frozen=True, tag="engine_changed"):
     """What the process believes of a backend server changed."""
 
@@ -305,6 +320,7 @@
     | DependencyRegained
     | StoreWentBack
     | ConfigurationAccepted
+    | ConfigurationBehind
     | EngineChanged
     | LeadershipChanged
     | LayersOrdered
--- a/src/railfold/_internal/operations/request_trace.py
+++ b/src/railfold/_internal/operations/request_trace.py
@@ -13,6 +13,7 @@
     AttemptStarted,
     ChainProbed,
     ConfigurationAccepted,
+    ConfigurationBehind,
     DependencyLost,
     DependencyRegained,
     EngineChanged,
@@ -117,6 +118,7 @@
             return server_id in servers
         case (
             ConfigurationAccepted()
+            | ConfigurationBehind()
             | DependencyLost()
             | DependencyRegained()
             | ProcessStopping()
--- a/src/railfold/_internal/platform/store.py
+++ b/src/railfold/_internal/platform/store.py
@@ -34,6 +34,13 @@
 # 60 times as slow in its bad times.
 _ANSWER_TIMEOUT_S = 1.0
 
+# An answer to a read may take longer, as long as some of it arrives in each such time:
+# a large record fills a slow link for seconds.
+_READ_STALL_S = 1.0
+
+# A slow link of 10 Mbit/s carries it in a tenth of a second.
+_READ_KB = 128
+
 _OK = 200
 _GONE = 410
 _ENDS_ELSEWHERE = 412
@@ -102,6 +109,7 @@
         body: bytes = b"",
         wait_s: float = 0.0,
         content_type: str = _JSON,
+        stall_s: float | None = None,
     ) -> Response:
         """Make a call; return its answer: done, or refused for its condition.
 
@@ -113,7 +121,7 @@
         timeout_s = wait_s + _ANSWER_TIMEOUT_S
         try:
             response = await self._connection.call(
-                method, target, headers, body, timeout_s
+                method, target, headers, body, timeout_s, stall_s
             )
         except EngineError as error:
             raise LogUnavailableError(
@@ -135,6 +143,8 @@
     async def read(self, stream: str, offset: int, wait_s: float) -> LogPage:
         """Return records from ``offset`` on, or the newest of each key.
 
+        Of many records the first ones are returned, perhaps none.
+
         :param offset: negative to get the newest record of each key.
         :raises RecordsExpiredError: ``offset`` is before the first kept record.
         :raises LogUnavailableError: the store can't be read now.
@@ -147,10 +157,14 @@
                 "part": _PARTITION,
                 "from": offset,
                 "wait_ms": int(wait_s * 1000),
+                "max_kb": _READ_KB,
             }
         )
         response = await self._calls.call(
-            "GET", f"/railfold/log-read?{query}", wait_s=wait_s
+            "GET",
+            f"/railfold/log-read?{query}",
+            wait_s=wait_s,
+            stall_s=_READ_STALL_S,
         )
         return _page(response, offset)
 
@@ -188,7 +202,9 @@
                 # The name says revision; it takes the last key of a page.
                 fields["after_rev"] = after
             query = urlencode(fields)
-            response = await self._calls.call("GET", f"/railfold/log-newest?{query}")
+            response = await self._calls.call(
+                "GET", f"/railfold/log-newest?{query}", stall_s=_READ_STALL_S
+            )
             transfer_s += response.transfer_s
             if epoch not in (None, _epoch_of(response)):
                 raise LogUnavailableError("the store went back while it was read")
--- a/src/railfold/_internal/store/follower.py
+++ b/src/railfold/_internal/store/follower.py
@@ -35,6 +35,10 @@
 # or came while the event loop was held up: streams of requests wait as long.
 _LONG_TRANSFER_S = 0.05
 
+# An outage that goes on is logged again after this time, then after twice as long
+# each time.
+_REMIND_S = 2.0
+
 
 class StreamReader(Protocol):
     """What is done with a followed stream."""
@@ -99,6 +103,9 @@
         all.
     :param on_epoch: called with the log's epoch when it is known and whenever it has
         changed, before records of it are given to the reader.
+    :param keeps_newest: the log keeps the newest record of each key. A follower that
+        one read doesn't bring to the end takes those: what it missed may be many times
+        larger, and grow faster than a slow link carries it.
     """
 
     def __init__(
@@ -112,8 +119,11 @@
         on_regained: Callable[[], None] | None = None,
         reachable: asyncio.Event | None = None,
         on_epoch: Callable[[int], None] | None = None,
+        *,
+        keeps_newest: bool = False,
     ) -> None:
         self._log = log
+        self._keeps_newest = keeps_newest
         self._stream = stream
         self._on_epoch = on_epoch
         self._epoch: int | None = None
@@ -128,6 +138,9 @@
         self._waiting: asyncio.Future[LogPage] | None = None
         self._reading = False
         self._resume_at = -1
+        self._is_behind = False
+        self._lost_s: float | None = None
+        self._remind_s = 0.0
 
     @property
     def reading(self) -> bool:
@@ -148,6 +161,7 @@
                 failures += 1
                 self._set_reading(False, error)
                 self._metrics.count(f"log.{self._stream}.read_failures")
+                self._note_outage(failures, error)
                 await self._wait_after_failure(failures)
 
     async def _wait_after_failure(self, failures: int) -> None:
@@ -170,12 +184,16 @@
             # Offsets were given out again: what stands there may be other records.
             self._resume_at = self._reader.expired(page.first_offset)
             return
+        self._is_behind = bool(page.records) and not page.reaches_end(offset)
+        if self._keeps_newest and not page.reaches_end(offset):
+            self._metrics.count(f"log.{self._stream}.skipped_records")
+            self._resume_at = self._reader.expired(page.first_offset)
+            return
         for record in page.records:
             if record.offset < offset:
                 continue  # The service may repeat records.
             self._reader.record(record)
-        whole = offset < 0  # A copy of all that is in force, up to the end.
-        if whole or not page.records or page.records[-1].offset + 1 >= page.next_offset:
+        if not page.records or page.reaches_end(offset):
             self._reader.caught_up(page.next_offset, sent_s)
 
     async def _read(self, offset: int, wait_s: float) -> LogPage:
@@ -223,7 +241,7 @@
     async def _wait_for_turn(self) -> None:
         loop = asyncio.get_running_loop()
         turn_s = self._read_at_s + self.pace.min_interval_s
-        if turn_s > loop.time():
+        if turn_s > loop.time() and not self._is_behind:
             await asyncio.sleep(turn_s - loop.time())
         self._read_at_s = loop.time()
 
@@ -246,7 +264,10 @@
             return
         self._reading = reading
         if reading:
-            logging.info("stream %s: the log answers", self._stream)
+            out_s = self._out_s()
+            self._lost_s = None
+            self._metrics.gauge(f"log.{self._stream}.out_s", 0.0)
+            logging.info("stream %s: the log answers after %.1f s", self._stream, out_s)
             if self._on_regained is not None:
                 self._on_regained()
             return
@@ -254,6 +275,30 @@
         if self._on_lost is not None and error is not None:
             self._on_lost(error)
 
+    def _out_s(self) -> float:
+        """Return for how long reads have failed."""
+        if self._lost_s is None:
+            return 0.0
+        return asyncio.get_running_loop().time() - self._lost_s
+
+    def _note_outage(self, failures: int, error: LogUnavailableError) -> None:
+        """Tell from time to time that reads still fail, and why."""
+        if self._lost_s is None:
+            self._lost_s = asyncio.get_running_loop().time()
+            self._remind_s = _REMIND_S
+        out_s = self._out_s()
+        self._metrics.gauge(f"log.{self._stream}.out_s", out_s)
+        if out_s < self._remind_s:
+            return
+        self._remind_s *= 2.0
+        logging.warning(
+            "stream %s: the log has been out for %.1f s, %d failed reads in a row: %s",
+            self._stream,
+            out_s,
+            failures,
+            error,
+        )
+
 
 class AppendableLog(Protocol):
     """A log whose streams can be appended to."""
--- a/src/railfold/_internal/store/records.py
+++ b/src/railfold/_internal/store/records.py
@@ -29,3 +29,10 @@
     next_offset: int
     transfer_s: float = 0.0
     epoch: int = 0
+
+    def reaches_end(self, offset: int) -> bool:
+        """Return whether a read from ``offset`` on got all there is."""
+        if offset < 0:
+            return True  # The newest record of each key.
+        last_offset = self.records[-1].offset if self.records else offset - 1
+        return last_offset + 1 >= self.next_offset
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -25,6 +25,9 @@
 # Of a group's topics no more are dealt out, as the platform's store does.
 MOST_TOPICS_DEALT = 20
 
+# A read returns no more than this, but one record at least.
+MOST_READ_KB = 1024
+
 
 @dataclass
 class Topic:
@@ -201,10 +204,15 @@
             self.set_status(410)
             self.finish({"first": topic.first})
             return
+        most_bytes = 1024 * int(self.get_query_argument("max_kb", str(MOST_READ_KB)))
         body = struct.pack(">QQ", topic.end, topic.first)
+        body_has_record = False
         for key, value in topic.records[start - topic.first :]:
             record = bytes([len(key)]) + key.encode() + value
+            if body_has_record and len(body) + len(record) > most_bytes:
+                break
             body += struct.pack(">I", len(record)) + record
+            body_has_record = True
         self.finish(body)
 
 
--- /dev/null
+++ b/tests/forwarding/test_slow_store_link.py
@@ -0,0 +1,125 @@
+"""An entry on a slow link comes back to the newest configuration after an outage."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+
+from railfold._internal.core import Address
+from railfold._internal.errors import LogUnavailableError
+from railfold._internal.platform.adapter import UsersPlatform
+from railfold._internal.store.records import LogPage
+from soak.proxy import Link, Pipe
+from standins.metadata_store import PARTITIONS
+from tests.lib.forwarding import (
+    KEY,
+    Deployment,
+    configuration,
+    until,
+)
+
+LINK_BPS = 8e6
+ADDED_KEY = "key-added-while-the-entry-was-away"
+
+# An operator gives a change so long to be in force everywhere.
+IN_FORCE_S = 3.0
+
+
+@pytest.fixture
+async def behind_slow_link() -> AsyncIterator[tuple[Deployment, Link]]:
+    """One entry whose link to the store carries 8 Mbit/s."""
+    deployment = Deployment(lease_s=5.0)
+    deployment.prepare()
+    link = Link(deployment.store_address.port, Pipe(1, [LINK_BPS]))
+    await link.start()
+    address = Address("127.0.0.1", link.listen_port)
+    deployment._adapter = UsersPlatform(address, PARTITIONS)
+    await deployment.add_entry()
+    yield deployment, link
+    await deployment.stop()
+    await link.stop()
+
+
+def large_configuration(version: int, size_bytes: int) -> dict[str, Any]:
+    """A configuration with many keys, one of them new."""
+    count = size_bytes // 33
+    keys = [KEY, ADDED_KEY, *(f"key-{n:026d}" for n in range(count))]
+    tenant = {"name": "quality", "api_keys": keys, "priority": 1}
+    return configuration(version, tenants=[tenant])
+
+
+async def lose_store(deployment: Deployment, link: Link) -> None:
+    """Let every connection to the store fail until its mode is "ok" again."""
+    link.mode = "refuse"
+    link.reset()
+    await until(lambda: not deployment.entry._configuration.reading)
+
+
+async def test_versions_that_were_missed_do_not_keep_an_entry_from_the_newest(
+    behind_slow_link: tuple[Deployment, Link],
+) -> None:
+    deployment, link = behind_slow_link
+    await lose_store(deployment, link)
+    for version in range(2, 102):
+        deployment.store.put("keyed.op", "config", large_configuration(version, 50_000))
+    link.mode = "ok"
+    router = deployment.entry.router
+    await until(lambda: router.table and router.table.version == 101, IN_FORCE_S)
+
+
+async def test_one_configuration_that_takes_seconds_to_transfer_is_read(
+    behind_slow_link: tuple[Deployment, Link],
+) -> None:
+    deployment, link = behind_slow_link
+    await lose_store(deployment, link)
+    deployment.store.put("keyed.op", "config", large_configuration(2, 1_500_000))
+    link.mode = "ok"
+    router = deployment.entry.router
+    await until(lambda: router.table and router.table.version == 2, 5.0)
+
+
+async def test_an_entry_does_not_deny_by_a_configuration_that_it_cannot_prove(
+    two_entries: Deployment,
+) -> None:
+    """A credential or route may have been added since: 401 and 404 would be wrong."""
+    entry = two_entries.entry
+    two_entries.store.mode = "out"
+    loop = asyncio.get_running_loop()
+    await until(lambda: not entry.router.lease.valid(loop.time()))
+    replies = [
+        await two_entries.ask("/tray/1", "r-key", key=ADDED_KEY),
+        await two_entries.ask("/added/1", "r-route"),
+    ]
+    assert [reply.status for reply in replies] == [503, 503]
+    assert all("Retry-After" in reply.headers for reply in replies)
+
+
+async def test_an_entry_does_not_deny_what_a_newer_configuration_elsewhere_may_hold(
+    two_entries: Deployment,
+) -> None:
+    """Another entry has read it; here reads fail, and the last proof still holds."""
+    behind, other = two_entries.entries
+
+    async def read(stream: str, offset: int, wait_s: float) -> LogPage:
+        raise LogUnavailableError("turned away")
+
+    behind._proofs._log.read = read  # type: ignore[method-assign]
+    behind._configuration._log.read = read  # type: ignore[method-assign]
+    behind._configuration.give_up_waiting()
+    two_entries.store.put("keyed.op", "config", large_configuration(2, 1000))
+    await until(lambda: other.router.table and other.router.table.version == 2)
+    await until(lambda: behind._configuration_feed.newer_elsewhere)
+    assert behind.router.lease.valid(asyncio.get_running_loop().time())
+    reply = await two_entries.ask("/tray/1", "r-key", key=ADDED_KEY)
+    assert reply.status == 503
+    await until(lambda: behind.metrics.gauges["configuration.behind_s"] > 1.0)
+    await until(lambda: _says_behind(two_entries))
+
+
+def _says_behind(deployment: Deployment) -> bool:
+    return any(
+        line["type"] == "configuration_behind" for line in deployment.log_lines()
+    )
--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -126,7 +126,7 @@
         sockets = bind_sockets(0, "127.0.0.1")
         self._store_server = HTTPServer(self.store.application())
         self._store_server.add_sockets(sockets)
-        store = Address("127.0.0.1", sockets[0].getsockname()[1])
+        store = self.store_address = Address("127.0.0.1", sockets[0].getsockname()[1])
         self.store.put("keyed.op", "config", configuration())
         self._start_engines()
         self._log_out, self._log_in = os.pipe()
