--- a/soak/clients.py
+++ b/soak/clients.py
@@ -232,6 +232,9 @@
     for request_id in seen.refused_ids & seen.unsafe_ids:
         if runs[request_id]:
             seen.violated(REFUSED, f"{request_id} was refused and ran")
+    for request_id in world.slow_refused:
+        if runs[request_id]:
+            seen.violated(REFUSED, f"{request_id} was refused and ran")
     _check_limits(world, seen)
     _check_backoffs(world, seen)
     _check_leaving(world, seen)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -37,6 +37,14 @@
 # How the ids of its requests begin.
 POISON_ID = "poison-"
 
+# Clients that send and read slowly: their number, their bodies in pieces, the pause
+# before each piece and before they read.
+_SLOW_CLIENTS = 12
+_SLOW_PIECE = b"s" * 50_000
+_SLOW_PIECES = 4
+_SLOW_PAUSE_S = 0.25
+_SLOW_READ_S = 5.0
+
 Fault = Callable[[World, random.Random], Coroutine[Any, Any, None]]
 
 
@@ -302,6 +310,36 @@
                 connection.close()
 
 
+async def slow_clients(world: World, rng: random.Random) -> None:
+    """Send large bodies slowly, and read the answers late."""
+    entry = rng.choice(world.entries)
+    path = rng.choice(["/tray/1", "/slip/1"])
+    tasks = []
+    for number in range(_SLOW_CLIENTS):
+        request_id = f"slow-{entry.clients}-{number}-{rng.random()}"
+        tasks.append(_send_slowly(world, entry.clients, path, request_id))
+    await asyncio.gather(*tasks)
+
+
+async def _send_slowly(world: World, port: int, path: str, request_id: str) -> None:
+    with contextlib.suppress(OSError, asyncio.IncompleteReadError, ValueError):
+        async with asyncio.timeout(_SLOW_READ_S):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            connection = Connection(reader, writer)
+            length = {"Content-Length": str(_SLOW_PIECES * len(_SLOW_PIECE))}
+            try:
+                await connection.send(path, request_id, headers=length, body=b"")
+                for _ in range(_SLOW_PIECES):
+                    await asyncio.sleep(_SLOW_PAUSE_S)
+                    writer.write(_SLOW_PIECE)
+                    await writer.drain()
+                await asyncio.sleep(_SLOW_PAUSE_S)
+                if (await connection.read()).status == 503:
+                    world.slow_refused.append(request_id)
+            finally:
+                connection.close()
+
+
 async def configure(world: World, rng: random.Random) -> None:
     """Publish a new version of the configuration."""
     world.configure()
@@ -335,6 +373,7 @@
     "server_says_leaving": server_says_leaving,
     "server_starts_again": server_starts_again,
     "servers_shed": servers_shed,
+    "slow_clients": slow_clients,
     "store_fault": store_fault,
     "store_forgets": store_forgets,
     "store_goes_back": store_goes_back,
@@ -357,6 +396,7 @@
         "server_says_leaving",
         "server_starts_again",
         "servers_shed",
+        "slow_clients",
     }
 )
 
@@ -367,6 +407,7 @@
         "entry_reload",
         "large_configuration",
         "odd_records",
+        "slow_clients",
         "store_forgets",
     }
 )
--- a/soak/world.py
+++ b/soak/world.py
@@ -48,6 +48,8 @@
 [listen]
 front = "127.0.0.1:{clients}"
 ready = "127.0.0.1:{ready}"
+[limits]
+memory_mb = 10
 [bounds]
 grace_s = 5
 revoke_ms = 4000
@@ -163,6 +165,7 @@
     store_outages_s: list[float] = field(default_factory=list)
     crash_body: bytes | None = None
     poisoned_s: dict[str, list[float]] = field(default_factory=dict)
+    slow_refused: list[str] = field(default_factory=list)
     limits_named: list[LimitNamed] = field(default_factory=list)
     disturbed: set[str] = field(default_factory=set)
     _replacements: set[asyncio.Task[None]] = field(default_factory=set)
