Announce load and arrivals between entries, in rounds of sums

In each round one entry of a failure domain, drawn by the round's number, collects the parts of the others and sends all of them the sum, with those of other domains. Sums hold tokens, sequences and unread prompt tokens by engine incarnation, which engines rejected for want of room, and arrivals by service, rank and workspace. The interval follows from the bytes of a round, the lifetime from the interval; an entry whose own part isn't in a sum doesn't use it, so that late ones are never taken for new ones. Entries of earlier versions announce no failure domain and take no part.

--- a/src/railfold/_internal/decisions/fleet_demand.py
+++ b/src/railfold/_internal/decisions/fleet_demand.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 __all__ = ["DemandKey", "FleetDemand"]
@@ -38,6 +38,7 @@
 class _Announced:
     at_s: float
     per_s: Mapping[DemandKey, float]
+    entries: int = 1
 
 
 class FleetDemand:
@@ -62,14 +63,23 @@
         return {key: rate.at(now_s) for key, rate in self._own.items()}
 
     def announced(
-        self, entry: str, per_s: Mapping[DemandKey, float], at_s: float, now_s: float
+        self,
+        entry: str,
+        per_s: Mapping[DemandKey, float],
+        at_s: float,
+        now_s: float,
+        entries: int = 1,
     ) -> None:
-        """Take what arrives at another entry; an older announcement is ignored."""
+        """Take what arrives at another entry; an older announcement is ignored.
+
+        :param entries: how many entries' arrivals these are the sum of, if ``entry``
+            announces those of others, too.
+        """
         known = self._announced.get(entry)
-        if known is not None and known.at_s >= at_s:
+        if known is not None and (known.at_s, known.entries) >= (at_s, entries):
             return
         if now_s - at_s < self.lifetime_s:
-            self._announced[entry] = _Announced(at_s, dict(per_s))
+            self._announced[entry] = _Announced(at_s, dict(per_s), entries)
 
     def left(self, entry: str) -> None:
         """Forget an entry that has ended or started again."""
@@ -89,8 +99,10 @@
 
         :param entries: how many entries there are, with this one.
         """
-        parts = [self.own_per_s(now_s), *self._fresh(now_s)]
-        share = min(1.0, len(parts) / max(1, entries))
+        fresh = self._fresh(now_s)
+        parts = [self.own_per_s(now_s), *(announced.per_s for announced in fresh)]
+        heard = 1 + sum(announced.entries for announced in fresh)
+        share = min(1.0, heard / max(1, entries))
         total: dict[DemandKey, float] = {}
         for part in parts:
             for key, per_s in part.items():
@@ -98,9 +110,9 @@
                     total[key] = total.get(key, 0.0) + per_s / share
         return total
 
-    def _fresh(self, now_s: float) -> Iterable[Mapping[DemandKey, float]]:
-        return (
-            announced.per_s
+    def _fresh(self, now_s: float) -> list[_Announced]:
+        return [
+            announced
             for announced in self._announced.values()
             if now_s - announced.at_s < self.lifetime_s
-        )
+        ]
--- a/src/railfold/_internal/decisions/fleet_load.py
+++ b/src/railfold/_internal/decisions/fleet_load.py
@@ -87,6 +87,7 @@
         self._announced: dict[str, _Announced] = {}
         self._reported: dict[str, _Reported] = {}
         self._full_until_s: dict[str, float] = {}
+        self._announced_full_until_s: dict[str, float] = {}
 
     @property
     def own(self) -> Mapping[str, LoadPart]:
@@ -131,11 +132,13 @@
     ) -> None:
         """Take all parts of another entry, true at ``at_s``; older ones are ignored.
 
+        Of two sums that are as old, the one over more entries counts.
+
         :param entries: how many entries' parts these are the sum of, if ``entry``
             announces those of others, too.
         """
         known = self._announced.get(entry)
-        if known is not None and known.at_s >= at_s:
+        if known is not None and (known.at_s, known.entries) >= (at_s, entries):
             return
         if now_s - at_s < self.lifetime_s:
             self._announced[entry] = _Announced(at_s, dict(parts), entries)
@@ -153,17 +156,25 @@
         known_s = self._full_until_s.get(server_id, float("-inf"))
         self._full_until_s[server_id] = max(known_s, until_s)
 
+    def announced_full(self, server_id: str, until_s: float) -> None:
+        """Another entry announces that a server rejected a request."""
+        self._announced_full_until_s[server_id] = until_s
+
     def room_freed(self, server_id: str) -> None:
         """A request that ran at a server has ended."""
         self._full_until_s.pop(server_id, None)
+        self._announced_full_until_s.pop(server_id, None)
 
     def is_full(self, server_id: str, now_s: float) -> bool:
         """Return whether a server is known to have no room."""
-        return now_s < self._full_until_s.get(server_id, float("-inf"))
+        return any(
+            now_s < marks.get(server_id, float("-inf"))
+            for marks in (self._full_until_s, self._announced_full_until_s)
+        )
 
-    def full_servers(self, now_s: float) -> dict[str, float]:
-        """Return the servers that count as full, and until when."""
-        return {s: until for s, until in self._full_until_s.items() if now_s < until}
+    def full_servers(self, now_s: float) -> list[str]:
+        """Return the servers that count as full by this entry's own requests."""
+        return [s for s, until_s in self._full_until_s.items() if now_s < until_s]
 
     def left(self, entry: str) -> None:
         """Forget an entry that has ended or started again."""
@@ -177,9 +188,10 @@
         for server_id, reported in list(self._reported.items()):
             if server_id not in known or now_s - reported.at_s >= self.lifetime_s:
                 del self._reported[server_id]
-        for server_id, until_s in list(self._full_until_s.items()):
-            if server_id not in known or now_s >= until_s:
-                del self._full_until_s[server_id]
+        for marks in (self._full_until_s, self._announced_full_until_s):
+            for server_id, until_s in list(marks.items()):
+                if server_id not in known or now_s >= until_s:
+                    del marks[server_id]
         for entry, announced in list(self._announced.items()):
             if now_s - announced.at_s >= self.lifetime_s:
                 del self._announced[entry]
--- a/src/railfold/_internal/decisions/peers.py
+++ b/src/railfold/_internal/decisions/peers.py
@@ -35,11 +35,13 @@
 
     :param address: where it takes messages.
     :param started_at_ms: Unix time of its start; a later one is a later incarnation.
+    :param failure_domain: empty if it doesn't tell; then it announces no load.
     """
 
     name: str
     address: Address
     started_at_ms: int
+    failure_domain: str = ""
 
 
 class PeerView:
@@ -57,6 +59,14 @@
         """Their names."""
         return tuple(self._peers)
 
+    def names_by_domain(self) -> dict[str, list[str]]:
+        """Return who announces load, by failure domain, with this entry."""
+        found: dict[str, list[str]] = {}
+        for peer in (self.own, *self._peers.values()):
+            if peer.failure_domain:
+                found.setdefault(peer.failure_domain, []).append(peer.name)
+        return found
+
     def get(self, name: str) -> Peer | None:
         """Return an entry, if it is known."""
         return self._peers.get(name)
--- a/src/railfold/_internal/forwarding/peers/peer_channel.py
+++ b/src/railfold/_internal/forwarding/peers/peer_channel.py
@@ -109,6 +109,16 @@
         if peer is not None:
             self._tell(message, [peer], direct=True)
 
+    def tell_each(self, names: Iterable[str], message: PeerMessage) -> None:
+        """Tell some entries the same, which they don't pass on."""
+        peers = [peer for name in names if (peer := self._view.get(name)) is not None]
+        self._tell(message, peers, direct=True)
+
+    @property
+    def names_by_domain(self) -> dict[str, list[str]]:
+        """Who announces load, by failure domain, with this entry."""
+        return self._view.names_by_domain()
+
     def _tell(
         self, message: PeerMessage, peers: Iterable[Peer], *, direct: bool
     ) -> None:
--- a/src/railfold/_internal/forwarding/peers/peer_keeper.py
+++ b/src/railfold/_internal/forwarding/peers/peer_keeper.py
@@ -128,7 +128,10 @@
             return
         self._has_told = True
         own = self._view.own
-        self._tell(EntryStarted(own.name, str(own.address), own.started_at_ms))
+        started = EntryStarted(
+            own.name, str(own.address), own.started_at_ms, own.failure_domain
+        )
+        self._tell(started)
 
     def _is_due(self, now_s: float) -> bool:
         return self._written_s is None or now_s - self._written_s >= _WRITE_S
@@ -150,7 +153,10 @@
         except ValueError as error:
             logging.warning("an entry's address is wrong: %s", error)
             return
-        self._view.join(Peer(message.name, address, message.started_at_ms))
+        peer = Peer(
+            message.name, address, message.started_at_ms, message.failure_domain
+        )
+        self._view.join(peer)
         self._metrics.gauge("peers.known", len(self._view))
         if self._has_read:
             self._on_listed(len(self._view) + 1)
--- a/src/railfold/_internal/forwarding/peers/peer_messages.py
+++ b/src/railfold/_internal/forwarding/peers/peer_messages.py
@@ -18,13 +18,18 @@
 
 __all__ = [
     "MOST_CRASHES_TOLD",
+    "MOST_ROWS_BYTES",
     "ArrivalsTold",
     "BackoffNotice",
     "ContentCleared",
     "CrashTold",
     "CrashesTold",
+    "DomainLoadNotice",
     "EntryStarted",
     "LeavingNotice",
+    "LoadPartNotice",
+    "LoadRows",
+    "LoadSumNotice",
     "PeerMessage",
     "PeerMessageCodec",
     "PermitAsked",
@@ -57,6 +62,23 @@
 _Rate = Annotated[float, Meta(ge=0.0, le=1e6)]
 _RateLimit = Annotated[float, Meta(ge=0.0, le=1e9)]
 
+# What the rows of one message may take, so that the entries that are included fit too.
+MOST_ROWS_BYTES = 1000
+
+_MOST_LOAD_ROWS = MOST_ROWS_BYTES // 8
+
+# 16 pages hold the rows of 600 engines and as many of workspaces.
+_MOST_PAGES = 16
+_MOST_INCLUDED = 64
+
+_Key = Annotated[int, Meta(ge=0, lt=2**32)]
+_Round = Annotated[int, Meta(ge=0, le=2**62)]
+_Rounds = Annotated[dict[_Text, _Round], Meta(max_length=16)]
+_Page = Annotated[int, Meta(ge=0, lt=_MOST_PAGES)]
+_Entries = Annotated[int, Meta(ge=1, le=2000)]
+_Amount = Annotated[int, Meta(ge=0, lt=2**32)]
+_LoadRow = Annotated[list[_Amount], Meta(min_length=2, max_length=5)]
+
 # The busiest services of an entry; the users plan for eight models.
 _MOST_SERVICES_TOLD = 16
 
@@ -101,6 +123,7 @@
     name: _Name
     address: _Name
     started_at_ms: _UnixMs
+    failure_domain: _Text = ""
 
 
 class PlacementLed(msgspec.Struct, frozen=True, tag="placement"):
@@ -188,6 +211,59 @@
     server_id: _Name
 
 
+class LoadRows(msgspec.Struct, frozen=True):
+    """Rows of amounts, with a key first; those of one message may come in pages.
+
+    :param page: number of this page, from 0.
+    :param pages: how many there are.
+    """
+
+    rows: Annotated[list[_LoadRow], Meta(max_length=_MOST_LOAD_ROWS)]
+    page: _Page = 0
+    pages: Annotated[int, Meta(ge=1, le=_MOST_PAGES)] = 1
+
+
+class LoadPartNotice(msgspec.Struct, frozen=True, tag="load"):
+    """What the sender has under way, for a round of sums."""
+
+    name: _Name
+    round: _Round
+    content: LoadRows
+
+
+class LoadSumNotice(msgspec.Struct, frozen=True, tag="load-sum"):
+    """What all entries have under way whose parts a round has collected.
+
+    :param included: keys of the entries of the sender's domain whose parts are in it.
+    :param entries: how many entries' parts are in it.
+    :param age_ms: how much older than the sender's domain's parts the others are.
+    :param seen: the newest rounds of other domains that are known.
+    """
+
+    name: _Name
+    round: _Round
+    included: Annotated[list[_Key], Meta(max_length=_MOST_INCLUDED)]
+    entries: _Entries
+    content: LoadRows
+    age_ms: _AgeMs = 0
+    seen: _Rounds = msgspec.field(default_factory=dict)
+
+
+class DomainLoadNotice(msgspec.Struct, frozen=True, tag="load-domain"):
+    """The sum of a failure domain, for the next collector in another one.
+
+    :param seen: the newest rounds of other domains that are known.
+    :param hops: how often it was passed on in the receiver's domain.
+    """
+
+    domain: _Name
+    round: _Round
+    entries: _Entries
+    content: LoadRows
+    seen: _Rounds = msgspec.field(default_factory=dict)
+    hops: Annotated[int, Meta(ge=0, le=255)] = 0
+
+
 PeerMessage = (
     CrashesTold
     | ContentCleared
@@ -202,6 +278,9 @@
     | PermitReply
     | BackoffNotice
     | LeavingNotice
+    | LoadPartNotice
+    | LoadSumNotice
+    | DomainLoadNotice
 )
 
 
--- a/src/railfold/_internal/forwarding/peers/peering.py
+++ b/src/railfold/_internal/forwarding/peers/peering.py
@@ -15,6 +15,7 @@
 from railfold._internal.decisions.peers import Peer, PeerView
 from railfold._internal.forwarding.adapter import PlatformAdapter
 from railfold._internal.forwarding.peers.arrival_exchange import ArrivalExchange
+from railfold._internal.forwarding.peers.load_exchange import LoadExchange
 from railfold._internal.forwarding.peers.peer_channel import PeerChannel
 from railfold._internal.forwarding.peers.peer_keeper import PeerKeeper
 from railfold._internal.forwarding.peers.peer_messages import (
@@ -22,8 +23,11 @@
     BackoffNotice,
     ContentCleared,
     CrashesTold,
+    DomainLoadNotice,
     EntryStarted,
     LeavingNotice,
+    LoadPartNotice,
+    LoadSumNotice,
     PeerMessage,
     PermitAsked,
     PermitReply,
@@ -83,6 +87,7 @@
         self._channel: PeerChannel | None = None
         self._keeper: PeerKeeper | None = None
         self._arrivals: ArrivalExchange | None = None
+        self._load: LoadExchange | None = None
         self.quarantine = RequestQuarantine(
             router,
             adapter.new_log(),
@@ -92,7 +97,10 @@
         )
         if settings.peers is not None:
             started_at_ms = int(clock.unix_time_s() * 1000)
-            view = PeerView(Peer(settings.name, settings.peers, started_at_ms))
+            own = Peer(
+                settings.name, settings.peers, started_at_ms, settings.failure_domain
+            )
+            view = PeerView(own)
             self._channel = PeerChannel(
                 settings.peers, view, router.metrics, router.rng, self._on_message
             )
@@ -112,6 +120,7 @@
             self._arrivals = ArrivalExchange(
                 settings.name, router, leadership, self._channel
             )
+            self._load = LoadExchange(settings.name, router, self._channel)
         if self._given_key is not None:
             self._use_key(self._given_key)
         self._follower = StreamFollower(
@@ -136,6 +145,8 @@
             found.append(ChildSpec("peers", self._keeper.run))
         if self._arrivals is not None:
             found.append(ChildSpec("arrivals", self._arrivals.run))
+        if self._load is not None:
+            found.append(ChildSpec("load", self._load.run))
         return found
 
     def log_went_back(self) -> None:
@@ -201,3 +212,6 @@
                 self._proofs.asked(message)
             case ProofTold():
                 self._proofs.told(message)
+            case LoadPartNotice() | LoadSumNotice() | DomainLoadNotice():
+                if self._load is not None:
+                    self._load.received(message)
--- a/src/railfold/_internal/forwarding/store/shared_records.py
+++ b/src/railfold/_internal/forwarding/store/shared_records.py
@@ -99,6 +99,7 @@
     address: _Name
     started_at_ms: _UnixMs
     written_at_unix_ms: _UnixMs
+    failure_domain: _Text = ""
 
 
 def encode_hold(record: HoldRecord) -> bytes:
@@ -136,7 +137,9 @@
 def encode_entry(peer: Peer, now_unix_s: float) -> bytes:
     """Return the value of an entry's record."""
     written_at_ms = int(now_unix_s * 1000)
-    entry = _Entry(str(peer.address), peer.started_at_ms, written_at_ms)
+    entry = _Entry(
+        str(peer.address), peer.started_at_ms, written_at_ms, peer.failure_domain
+    )
     return msgspec.json.encode(entry)
 
 
@@ -149,7 +152,8 @@
     if entry.written_at_unix_ms < oldest_unix_s * 1000:
         return None
     try:
-        return Peer(name, parse_address(entry.address), entry.started_at_ms)
+        address = parse_address(entry.address)
+        return Peer(name, address, entry.started_at_ms, entry.failure_domain)
     except ValueError as error:
         raise PeerMessageError("an entry's address is wrong", why=str(error)) from error
 
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -22,6 +22,7 @@
     "LayersPlanned",
     "LeadershipChanged",
     "LinesDropped",
+    "LoadNewsChanged",
     "LogLine",
     "ProcessResumed",
     "ProcessStarted",
@@ -96,6 +97,18 @@
     decode_ms: float
 
 
+class LoadNewsChanged(msgspec.Struct, frozen=True, tag="load_news_changed"):
+    """The load of most other entries became known, or isn't known any more.
+
+    ``known`` of ``entries`` parts count, the oldest of which is ``age_ms`` old.
+    """
+
+    state: str
+    known: int
+    entries: int
+    age_ms: float
+
+
 class EngineChanged(msgspec.Struct, frozen=True, tag="engine_changed"):
     """What the process believes of a backend server changed."""
 
@@ -306,6 +319,7 @@
     | StoreWentBack
     | ConfigurationAccepted
     | EngineChanged
+    | LoadNewsChanged
     | LeadershipChanged
     | LayersOrdered
     | LayersPlanned
--- /dev/null
+++ b/tests/unit/test_load_rounds.py
@@ -0,0 +1,249 @@
+"""Entries that add up their load in rounds, over a network that fails."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Sequence
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from railfold._internal.decisions.fleet_load import FleetLoad, LoadPart
+from railfold._internal.decisions.load_rounds import (
+    DomainSum,
+    LoadRounds,
+    PublishSum,
+    SendPart,
+)
+from tests.lib.properties import examples
+
+INTERVAL_S = 0.5
+LIFETIME_S = 6 * INTERVAL_S
+STEP_S = INTERVAL_S / 8
+KEY = 2
+
+
+class Entry:
+    """One entry with a load of its own."""
+
+    def __init__(self, name: str, domain: str, rng: random.Random) -> None:
+        self.name, self.domain = name, domain
+        self.tokens = rng.randrange(1, 100)
+        self.cut_until_s = self.paused_until_s = 0.0
+        self.restart(rng)
+
+    def restart(self, rng: random.Random) -> None:
+        self.rounds = LoadRounds(self.name, self.domain, INTERVAL_S, rng.random)
+        self.fleet = FleetLoad(LIFETIME_S)
+
+    def load(self, entries: int, now_s: float) -> float:
+        if not self.fleet.own_part("i-1").tokens:
+            self.fleet.add("i-1", LoadPart(self.tokens, 1))
+        return self.fleet.load("i-1", entries, now_s).tokens
+
+
+class Network:
+    """Entries in some failure domains, with datagrams between them."""
+
+    def __init__(self, sizes: Sequence[int], rng: random.Random) -> None:
+        self.rng = rng
+        self.entries = {
+            f"{d}-{n}": Entry(f"{d}-{n}", f"domain-{d}", rng)
+            for d, size in enumerate(sizes)
+            for n in range(size)
+        }
+        self.members: dict[str, list[str]] = {}
+        for entry in self.entries.values():
+            self.members.setdefault(entry.domain, []).append(entry.name)
+        self.now_s = 0.0
+        self.lost = self.doubled = self.delay_s = 0.0
+        self.sent = dict.fromkeys(self.entries, 0)
+        self._order = itertools.count()
+        self._due: list[tuple[float, int, str, str, object]] = []
+
+    def _send(self, sender: str, to: Sequence[str], message: object) -> None:
+        for name in to:
+            self.sent[sender] += 1
+            if self.entries[sender].cut_until_s > self.now_s:
+                continue
+            for _ in range(2 if self.rng.random() < self.doubled else 1):
+                if self.rng.random() < self.lost:
+                    continue
+                at_s = self.now_s + 0.001 + self.delay_s * self.rng.random()
+                item = (at_s, next(self._order), sender, name, message)
+                heapq.heappush(self._due, item)
+
+    def run(self, duration_s: float) -> None:
+        end_s = self.now_s + duration_s
+        while self.now_s < end_s:
+            self.now_s += STEP_S
+            while self._due and self._due[0][0] <= self.now_s:
+                _, _, sender, name, message = heapq.heappop(self._due)
+                entry = self.entries[name]
+                if max(entry.cut_until_s, entry.paused_until_s) <= self.now_s:
+                    self._deliver(sender, entry, message)
+            for entry in self.entries.values():
+                if entry.paused_until_s <= self.now_s:
+                    self._step(entry)
+
+    def _step(self, entry: Entry) -> None:
+        own = {KEY: (entry.tokens,)}
+        for action in entry.rounds.step(self.now_s, self.members, lambda: own):
+            if isinstance(action, SendPart):
+                self._send(entry.name, [action.to], action)
+                continue
+            self._send(entry.name, action.to, action)
+            seen = action.seen
+            for name in action.foreign:
+                domain = self.entries[name].domain
+                known = DomainSum(
+                    entry.domain,
+                    action.round,
+                    len(action.included),
+                    action.home,
+                    seen.get(domain),
+                )
+                self._send(entry.name, [name], (known, 0))
+            for known in action.handed_over:
+                self._send(entry.name, [action.next_collector], (known, 1))
+            self._take(entry, entry.name, action)
+
+    def _deliver(self, sender: str, entry: Entry, message: object) -> None:
+        match message:
+            case SendPart(round=number, part=part):
+                entry.rounds.part_received(sender, number, part)
+            case PublishSum():
+                self._take(entry, sender, message)
+            case (DomainSum() as known, int(hops)):
+                home = self.members[entry.domain]
+                collector = entry.rounds.next_collector(home, self.now_s)
+                if collector != entry.name and hops < 2:
+                    self._send(entry.name, [collector], (known, hops + 1))
+                    return
+                entry.rounds.foreign_sum_received(known, self.now_s)
+
+    def _take(self, entry: Entry, sender: str, published: PublishSum) -> None:
+        taken = entry.rounds.sum_received(
+            sender,
+            published.round,
+            published.total,
+            published.entries,
+            self.now_s,
+            includes_own=entry.name in published.included,
+            age_s=published.age_s,
+            seen=published.seen,
+        )
+        if taken is None or not taken.entries:
+            return
+        assert taken.entries < len(self.entries)
+        (tokens,) = taken.others.get(KEY, (0,))
+        assert tokens >= 0
+        parts = {"i-1": LoadPart(tokens, 1)}
+        entry.fleet.announced("others", parts, taken.at_s, self.now_s, taken.entries)
+
+    def known(self) -> list[int]:
+        return [e.fleet.known_entries(self.now_s) for e in self.entries.values()]
+
+    def assert_all_know_the_sum(self) -> None:
+        total = sum(entry.tokens for entry in self.entries.values())
+        count = len(self.entries)
+        for entry in self.entries.values():
+            assert entry.load(count, self.now_s) == pytest.approx(total)
+
+
+@pytest.mark.parametrize("sizes", [(4,), (2, 2), (7, 7, 7), (1, 10), (14,) * 5])
+def test_every_entry_learns_the_load_of_all(sizes: tuple[int, ...]) -> None:
+    network = Network(sizes, random.Random(3))
+    network.run(20 * INTERVAL_S)
+    network.assert_all_know_the_sum()
+
+
+def test_a_change_is_known_in_the_own_domain_within_two_intervals() -> None:
+    network = Network((7,), random.Random(3))
+    network.run(20 * INTERVAL_S)
+    network.assert_all_know_the_sum()
+    for entry in network.entries.values():
+        entry.tokens += 50
+        entry.fleet.add("i-1", LoadPart(50))
+    network.run(2 * INTERVAL_S)
+    network.assert_all_know_the_sum()
+
+
+def test_no_entry_sends_more_than_its_share_over_time() -> None:
+    network = Network((14,) * 5, random.Random(3))
+    network.run(200 * INTERVAL_S)
+    mean = sum(network.sent.values()) / len(network.sent)
+    assert max(network.sent.values()) < 2.0 * mean
+
+
+def test_a_lost_collector_costs_its_domain_one_round() -> None:
+    network = Network((7,), random.Random(3))
+    network.run(20 * INTERVAL_S)
+    network.entries["0-3"].cut_until_s = float("inf")
+    for _ in range(40):
+        network.run(INTERVAL_S)
+        known = network.known()
+        del known[3]
+        assert min(known) >= 6
+
+
+def test_entries_that_are_cut_off_reckon_by_themselves_after_the_lifetime() -> None:
+    network = Network((3, 3), random.Random(3))
+    network.run(20 * INTERVAL_S)
+    cut = network.entries["0-0"]
+    cut.cut_until_s = float("inf")
+    network.run(LIFETIME_S + INTERVAL_S)
+    assert cut.fleet.known_entries(network.now_s) == 1
+    assert cut.load(6, network.now_s) == 6 * cut.tokens
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["cut", "pause", "restart"]),
+        st.integers(0, 7),
+        st.floats(0.1, 4.0),
+    ),
+    max_size=8,
+)
+
+
+@examples(30)
+@given(
+    EVENTS,
+    st.sampled_from([(4,), (2, 3), (3, 3, 2)]),
+    st.floats(0.0, 0.5),
+    st.floats(0.0, 0.5),
+    st.floats(0.0, 3 * INTERVAL_S),
+    st.integers(0, 1000),
+)
+def test_whatever_the_network_does_load_is_never_old_and_converges_afterwards(
+    events: list[tuple[str, int, float]],
+    sizes: tuple[int, ...],
+    lost: float,
+    doubled: float,
+    delay_s: float,
+    seed: int,
+) -> None:
+    rng = random.Random(seed)
+    network = Network(sizes, rng)
+    network.lost, network.doubled, network.delay_s = lost, doubled, delay_s
+    names = list(network.entries)
+    for kind, index, for_s in events:
+        entry = network.entries[names[index % len(names)]]
+        if kind == "cut":
+            entry.cut_until_s = network.now_s + for_s
+        elif kind == "pause":
+            entry.paused_until_s = network.now_s + for_s
+        else:
+            entry.restart(rng)
+        network.run(for_s)
+        for known in network.entries.values():
+            # A sum is never older than what the entry has sent for it.
+            assert known.fleet.age_s(network.now_s) < LIFETIME_S
+            assert known.load(len(names), network.now_s) >= known.tokens
+    network.lost = network.doubled = network.delay_s = 0.0
+    network.run(40 * INTERVAL_S)
+    network.assert_all_know_the_sum()
