--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -23,6 +23,7 @@
     "LayersPlanned",
     "LeadershipChanged",
     "LinesDropped",
+    "LoadNewsChanged",
     "LogLine",
     "ProcessResumed",
     "ProcessStarted",
@@ -123,6 +124,18 @@
     cause: str
 
 
+class LoadNewsChanged(msgspec.Struct, frozen=True, tag="load_news_changed"):
+    """The load of most other entries became known, or isn't known any more.
+
+    ``known`` of ``entries`` parts count, the oldest of which is ``age_ms`` old.
+    """
+
+    state: str
+    known: int
+    entries: int
+    age_ms: float
+
+
 class EngineChanged(msgspec.Struct, frozen=True, tag="engine_changed"):
     """What the process believes of a backend server changed."""
 
@@ -335,6 +348,7 @@
     | ConfigurationAccepted
     | ConfigurationBehind
     | EngineChanged
+    | LoadNewsChanged
     | LeadershipChanged
     | LayersOrdered
     | LayersPlanned
