Lend retries between entries; reckon with others' load only to choose by

A loan has three messages: asked, lent, settled.

Others' sums no longer make an engine full, and are reckoned to have changed since as the own part has.

--- a/src/railfold/_internal/decisions/engine_directory.py
+++ b/src/railfold/_internal/decisions/engine_directory.py
@@ -345,7 +345,7 @@
                 e.stage(LayerRange(0, 0)),
                 e.registration.failure_domain,
                 region,
-                in_flight=load_of(e.server_id).known_sequences,
+                in_flight=load_of(e.server_id).own_sequences,
                 capacity=max(1, e.registration.slots),
                 step_ms=1.0,
             )
@@ -393,11 +393,12 @@
 def _reckoned_load(load: ServerLoad, capacity: int) -> int:
     """Return the load of all entries as far as it may count against a capacity.
 
-    Only what is known makes a backend server full. What is reckoned for entries that
-    aren't heard is good enough to choose by.
+    Only one's own load makes a backend server full. Others' load is good enough to
+    choose by: room is freed and taken while it is announced, and whether there is some
+    is known better there.
     """
-    if load.known_tokens >= capacity:
-        return load.known_tokens
+    if load.own_tokens >= capacity:
+        return load.own_tokens
     return min(round(load.tokens), capacity - 1)
 
 
--- a/src/railfold/_internal/forwarding/peers/load_exchange.py
+++ b/src/railfold/_internal/forwarding/peers/load_exchange.py
@@ -42,7 +42,7 @@
 LoadMessage = LoadPartNotice | LoadSumNotice | DomainLoadNotice
 
 # What an entry sends and receives for this; 6 KB/s are for all of control.
-_BYTES_PER_S = 4000.0
+_BYTES_PER_S = 4500.0
 
 # Requests stay for seconds, so that sums that are younger change little.
 _SHORTEST_INTERVAL_S = 0.4
@@ -62,8 +62,9 @@
 # What tokens are counted in, so that most amounts take one or two bytes.
 _TOKENS_UNIT = 16
 
-# The busiest of an entry's ranks and workspaces.
+# The busiest ranks and workspaces of an entry, and of a sum.
 _MOST_DEMAND_ROWS = 32
+_MOST_DEMAND_ROWS_OF_SUM = 64
 
 _LOAD_AMOUNTS = 4
 _DEMAND_AMOUNTS = 1
@@ -74,6 +75,9 @@
 # Below this share of entries whose load is known, the exchange is logged as lost.
 _KNOWN_SHARE = 0.5
 
+# How long a server counts as full that rejected requests of others lately.
+_FULL_S = 0.1
+
 # A sum of another domain that arrives as a round ends is passed on once more.
 _MOST_HOPS = 2
 
@@ -99,6 +103,8 @@
         self._demand_version: int | None = None
         self._demand_keys: dict[int, DemandKey] = {}
         self._knows_others: bool | None = None
+        # What this entry had under way when it sent its newest part.
+        self._own_then: dict[str, LoadPart] = {}
 
     async def run(self, ready: asyncio.Event) -> None:
         """Exchange until cancelled."""
@@ -126,7 +132,8 @@
         self, action: PublishSum, members: Mapping[str, Sequence[str]], now_s: float
     ) -> None:
         included = [_digest(name) for name in action.included]
-        for rows in _pages(action.total):
+        total = _bounded(action.total)
+        for rows in _pages(total):
             message = LoadSumNotice(
                 self._name,
                 action.round,
@@ -137,7 +144,7 @@
                 dict(action.seen),
             )
             self._channel.tell_each(action.to, message)
-        for rows in _pages(action.home) if action.foreign else ():
+        for rows in _pages(_bounded(action.home)) if action.foreign else ():
             domain_message = DomainLoadNotice(
                 self._router.failure_domain,
                 action.round,
@@ -152,14 +159,14 @@
         taken = self._rounds.sum_received(
             self._name,
             action.round,
-            action.total,
+            total,
             action.entries,
             now_s,
             includes_own=True,
             age_s=action.age_s,
             seen=action.seen,
         )
-        self._pace(action.total, members)
+        self._pace(total, members)
         if taken is not None:
             self._take(taken, now_s)
 
@@ -253,12 +260,11 @@
                     tokens * _TOKENS_UNIT, sequences, unread_tokens * _TOKENS_UNIT
                 )
                 if full:
-                    until_s = taken.at_s + 2 * self._rounds.interval_s
-                    router.fleet_load.announced_full(servers[digest], until_s)
+                    router.fleet_load.announced_full(servers[digest], now_s + _FULL_S)
         entries = taken.entries
         if entries:
             load, arrivals = router.fleet_load, router.fleet_demand
-            load.announced(_OTHERS, loads, taken.at_s, now_s, entries)
+            load.announced(_OTHERS, loads, taken.at_s, now_s, entries, self._own_then)
             arrivals.announced(_OTHERS, demand, taken.at_s, now_s, entries)
         router.metrics.count("load.sums_taken")
 
@@ -267,6 +273,7 @@
     def _own(self, now_s: float) -> Parts:
         router = self._router
         own: dict[int, tuple[int, ...]] = {}
+        self._own_then = dict(router.fleet_load.own)
         full = set(router.fleet_load.full_servers(now_s))
         for server_id in full | set(router.fleet_load.own):
             part = router.fleet_load.own_part(server_id)
@@ -296,13 +303,14 @@
     def _pace(self, total: Parts, members: Mapping[str, Sequence[str]]) -> None:
         """Let the interval follow from what a round takes of the budget.
 
-        On average an entry sends a part and a sum, and receives as much. Sums of
-        other domains come, are passed on and handed over, once a domain.
+        On average an entry sends a part and a sum, and receives as much, where parts
+        are about half as large. Sums of other domains come, are passed on and handed
+        over, once a domain.
         """
         pages = _pages(total)
         sum_bytes = len(pages) * _MESSAGE_BYTES + sum(map(_row_bytes, total.items()))
         home = max(1, len(members.get(self._router.failure_domain, ())))
-        messages = 3.0 + 6.0 * max(0, len(members) - 1) / home
+        messages = 2.5 + 4.0 * max(0, len(members) - 1) / home
         interval_s = messages * sum_bytes / (_BYTES_PER_S * _USUAL_ROUND)
         interval_s = min(_LONGEST_INTERVAL_S, max(_SHORTEST_INTERVAL_S, interval_s))
         self._rounds.interval_s = interval_s
@@ -359,6 +367,15 @@
     return sorted(found)
 
 
+def _bounded(parts: Parts) -> Parts:
+    """Return parts without arrivals but the largest."""
+    demand = sorted((key for key in parts if key % 2), key=lambda key: -parts[key][0])
+    left_out = set(demand[_MOST_DEMAND_ROWS_OF_SUM:])
+    if not left_out:
+        return parts
+    return {key: amounts for key, amounts in parts.items() if key not in left_out}
+
+
 def _units(tokens: int) -> int:
     return -(-tokens // _TOKENS_UNIT)
 
--- a/src/railfold/_internal/forwarding/peers/peer_messages.py
+++ b/src/railfold/_internal/forwarding/peers/peer_messages.py
@@ -38,6 +38,9 @@
     "ProofAsked",
     "ProofTold",
     "RateLimitNotice",
+    "RetryAsked",
+    "RetryLent",
+    "RetrySettled",
     "TrialBegun",
 ]
 
@@ -63,15 +66,16 @@
 _RateLimit = Annotated[float, Meta(ge=0.0, le=1e9)]
 
 # What the rows of one message may take, so that the entries that are included fit too.
-MOST_ROWS_BYTES = 1000
+MOST_ROWS_BYTES = 800
 
-_MOST_LOAD_ROWS = MOST_ROWS_BYTES // 8
+_MOST_LOAD_ROWS = MOST_ROWS_BYTES // 6
 
 # 16 pages hold the rows of 600 engines and as many of workspaces.
 _MOST_PAGES = 16
 _MOST_INCLUDED = 64
 
 _Key = Annotated[int, Meta(ge=0, lt=2**32)]
+_RetryCount = Annotated[int, Meta(ge=0, le=10_000)]
 _Round = Annotated[int, Meta(ge=0, le=2**62)]
 _Rounds = Annotated[dict[_Text, _Round], Meta(max_length=16)]
 _Page = Annotated[int, Meta(ge=0, lt=_MOST_PAGES)]
@@ -211,6 +215,31 @@
     server_id: _Name
 
 
+class RetryAsked(msgspec.Struct, frozen=True, tag="retries?"):
+    """The sender asks for retries that the receiver doesn't need now."""
+
+    name: _Name
+    loan: _Key
+    service: _Name
+    count: _RetryCount
+
+
+class RetryLent(msgspec.Struct, frozen=True, tag="retries"):
+    """The answer: the sender may spend so many for a time from when it asked."""
+
+    loan: _Key
+    service: _Name
+    count: _RetryCount
+
+
+class RetrySettled(msgspec.Struct, frozen=True, tag="retries-settled"):
+    """So many retries of a loan were spent; the others go back to the lender."""
+
+    loan: _Key
+    service: _Name
+    used: _RetryCount
+
+
 class LoadRows(msgspec.Struct, frozen=True):
     """Rows of amounts, with a key first; those of one message may come in pages.
 
@@ -281,6 +310,9 @@
     | LoadPartNotice
     | LoadSumNotice
     | DomainLoadNotice
+    | RetryAsked
+    | RetryLent
+    | RetrySettled
 )
 
 
--- a/src/railfold/_internal/forwarding/peers/peering.py
+++ b/src/railfold/_internal/forwarding/peers/peering.py
@@ -14,6 +14,7 @@
 from railfold._internal.decisions.leadership import Leadership
 from railfold._internal.decisions.peers import Peer, PeerView
 from railfold._internal.forwarding.adapter import PlatformAdapter
+from railfold._internal.forwarding.fleet_limits import FleetLimits
 from railfold._internal.forwarding.peers.arrival_exchange import ArrivalExchange
 from railfold._internal.forwarding.peers.load_exchange import LoadExchange
 from railfold._internal.forwarding.peers.peer_channel import PeerChannel
@@ -35,9 +36,13 @@
     ProofAsked,
     ProofTold,
     RateLimitNotice,
+    RetryAsked,
+    RetryLent,
+    RetrySettled,
     TrialBegun,
 )
 from railfold._internal.forwarding.peers.proof_keeper import ProofKeeper
+from railfold._internal.forwarding.peers.retry_loans import RetryLoans
 from railfold._internal.forwarding.quarantine.request_quarantine import (
     RequestQuarantine,
 )
@@ -64,7 +69,7 @@
 
     :param reachable: set while the store answers others' reads.
     :param on_known: called when all that the store holds was read once.
-    :param on_listed: takes how many entries the store lists, with this one.
+    :param fleet_limits: this entry's part of what all may do.
     """
 
     def __init__(
@@ -75,7 +80,7 @@
         leadership: Leadership,
         reachable: asyncio.Event,
         on_known: Callable[[], None],
-        on_listed: Callable[[int], None],
+        fleet_limits: FleetLimits,
         on_epoch: Callable[[int], None],
         proofs: ProofKeeper,
     ) -> None:
@@ -88,6 +93,7 @@
         self._keeper: PeerKeeper | None = None
         self._arrivals: ArrivalExchange | None = None
         self._load: LoadExchange | None = None
+        self._loans: RetryLoans | None = None
         self.quarantine = RequestQuarantine(
             router,
             adapter.new_log(),
@@ -115,12 +121,13 @@
                 router.metrics,
                 router.rng,
                 self._tell,
-                on_listed,
+                fleet_limits.listed,
             )
             self._arrivals = ArrivalExchange(
                 settings.name, router, leadership, self._channel
             )
             self._load = LoadExchange(settings.name, router, self._channel)
+            self._loans = RetryLoans(settings.name, router, fleet_limits, self._channel)
         if self._given_key is not None:
             self._use_key(self._given_key)
         self._follower = StreamFollower(
@@ -147,6 +154,8 @@
             found.append(ChildSpec("arrivals", self._arrivals.run))
         if self._load is not None:
             found.append(ChildSpec("load", self._load.run))
+        if self._loans is not None:
+            found.append(ChildSpec("retry loans", self._loans.run))
         return found
 
     def log_went_back(self) -> None:
@@ -215,3 +224,6 @@
             case LoadPartNotice() | LoadSumNotice() | DomainLoadNotice():
                 if self._load is not None:
                     self._load.received(message)
+            case RetryAsked() | RetryLent() | RetrySettled():
+                if self._loans is not None:
+                    self._loans.received(message)
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -188,7 +188,7 @@
             self._leadership,
             self._store_reachable,
             on_known=self._on_quarantine,
-            on_listed=self._fleet_limits.listed,
+            fleet_limits=self._fleet_limits,
             on_epoch=self._on_epoch,
             proofs=self._proofs,
         )
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -73,7 +73,7 @@
 
 # The longest that a server counts as full by one rejection: engines that give layers up
 # reject with the same answer, and are free after that.
-_FULL_MOST_S = 2.0
+_FULL_MOST_S = 0.25
 
 
 class ActiveRequest(Protocol):
@@ -323,9 +323,9 @@
             self.fleet_demand.arrived(key, amount * choice.weight / total, now_s)
 
     def record_rejection(self, entry: DirectoryEntry) -> None:
-        """An engine rejected a request for want of room: send none there for now.
+        """An engine rejected a request for want of room.
 
-        All entries together send one about as often as a usual request ends there.
+        It counts as full for about as long as until a usual request ends there.
         """
         service = entry.registration.service
         spec = self.table.services.get(service) if self.table else None
@@ -342,7 +342,7 @@
             accelerator.slowed(entry.slowness), model, model.layer_count, room
         )
         now_s = asyncio.get_running_loop().time()
-        full_s = min(_FULL_MOST_S, self.entries * stay_s / room)
+        full_s = min(_FULL_MOST_S, stay_s / room)
         if not self.fleet_load.is_full(entry.server_id, now_s):
             self.metrics.count("servers.full")
         self.fleet_load.rejected(entry.server_id, now_s + full_s)
