Choose chains by predicted use of objectives and room; tell what each domain lacks

Cause: the planner weighed its own load linearly against the speed of engines, which differs sixfold, so that a fast engine stayed the cheapest until it rejected; errors named the last failure domain only, also where the others were merely full.

Ruled out (played on the same draws): least predicted time alone (swamps the fastest); time and room added stage by stage (mixes slow with fast stages, 6 to 14 in 100 rejected at 0.95 of the room); noise on the load alone (0.86 to 0.90 in time at 0.95: herds, or full servers drawn).

Acts only where engines of a service differ in speed; requests that may end their server go the way they went.

--- a/src/railfold/_internal/decisions/chain_choice.py
+++ b/src/railfold/_internal/decisions/chain_choice.py
@@ -15,7 +15,18 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-__all__ = ["ChainOption", "blindness", "choose_option", "choose_sparing"]
+__all__ = [
+    "ChainOption",
+    "RatedChain",
+    "blindness",
+    "choose_option",
+    "choose_rated",
+    "choose_sparing",
+]
+
+# Of so many chains that are drawn the best is taken. Two spread the load well and miss
+# the better ones often; with more, entries with the same news send to the same chain.
+_DRAWN = 3
 
 # How many times as likely an entry that sees nothing stays with an engine that a kept
 # connection leads to. Entries have several such engines, so that a slow one loses.
@@ -42,6 +53,42 @@
     first_replaceable: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class RatedChain:
+    """A chain by what it costs a request at the load that is known.
+
+    :param cost: without a unit.
+    :param throughput_rps: how many usual requests a second it serves when full.
+    :param has_room: whether the request is predicted to fit.
+    :param in_time: whether it is predicted to meet its objectives.
+    """
+
+    cost: float
+    throughput_rps: float
+    has_room: bool
+    in_time: bool
+
+
+def choose_rated(chains: Sequence[RatedChain], entries: int, rng: random.Random) -> int:
+    """Return the index of the chain to take.
+
+    The best of a few, drawn by what each can serve: all entries know about the same,
+    and would otherwise send to the same chain until the news of it is there.
+    """
+    preferred = [i for i, chain in enumerate(chains) if chain.has_room]
+    candidates = preferred or list(range(len(chains)))
+    in_time = [i for i in candidates if chains[i].in_time]
+    candidates = in_time or candidates
+    if entries > 1:
+
+        def draw(index: int) -> float:
+            rate = max(1e-6, chains[index].throughput_rps)
+            return math.log(max(1e-12, rng.random())) / rate
+
+        candidates = sorted(candidates, key=draw, reverse=True)[:_DRAWN]
+    return min(candidates, key=lambda index: chains[index].cost)
+
+
 def blindness(rooms: Sequence[float], entries: int) -> float:
     """Return how little an entry knows of the load, from 0 to 1.
 
--- a/src/railfold/_internal/decisions/chain_prediction.py
+++ b/src/railfold/_internal/decisions/chain_prediction.py
@@ -14,7 +14,7 @@
 from railfold._internal.decisions.placement import stage_token_s
 from railfold._internal.decisions.routing_table import Accelerator, EngineModel
 
-__all__ = ["ChainPrediction", "StageState", "predict_chain"]
+__all__ = ["ChainPrediction", "StageState", "predict_chain", "read_s"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,17 +59,17 @@
     token_s = sum(
         stage_token_s(s.accelerator, model, s.layers, s.load.sequences) for s in stages
     )
-    read_s = sum(_read_s(stage, model, prompt_tokens) for stage in stages)
+    reading_s = sum(read_s(stage, model, prompt_tokens) for stage in stages)
     pause_s = model.tokens_per_event * token_s
     return ChainPrediction(
-        first_event_s=read_s + pause_s,
+        first_event_s=reading_s + pause_s,
         pause_s=pause_s,
-        finish_s=read_s + answer_tokens * token_s,
+        finish_s=reading_s + answer_tokens * token_s,
         room_tokens=min(s.capacity_tokens - s.load.tokens for s in stages),
     )
 
 
-def _read_s(stage: StageState, model: EngineModel, prompt_tokens: int) -> float:
+def read_s(stage: StageState, model: EngineModel, prompt_tokens: int) -> float:
     """Return how long a stage takes to read what waits there and one prompt more."""
     usual_tokens = max(1, model.mean_tokens - model.answer_tokens)
     usual_s = stage.accelerator.prefill_factor * model.prompt_s
--- a/src/railfold/_internal/decisions/planner.py
+++ b/src/railfold/_internal/decisions/planner.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field, replace
 
 from railfold._internal.core import Chain, LayerRange, Stage
+from railfold._internal.decisions.coverage import describe_layers, uncovered
 from railfold._internal.errors import NoCapacityError
 
 __all__ = [
@@ -238,12 +239,7 @@
 
 
 def _gap(usable: list[Replica], layer_count: int) -> str:
-    covered = [False] * layer_count
-    for replica in usable:
-        layers: LayerRange = replica.stage.layers
-        for layer in range(layers.first, min(layers.last + 1, layer_count)):
-            covered[layer] = True
-    missing = [str(layer) for layer, is_covered in enumerate(covered) if not is_covered]
+    missing = uncovered((replica.stage.layers for replica in usable), layer_count)
     if not missing:
         return "the live ranges don't join up"
-    return f"layers not covered: {', '.join(missing)}"
+    return f"layers not covered: {describe_layers(missing)}"
--- a/src/railfold/_internal/decisions/routing_table.py
+++ b/src/railfold/_internal/decisions/routing_table.py
@@ -54,6 +54,8 @@
     :param timeout_s: the longest time a request may be held.
     :param objective_s: time to the answer, or to its first event.
     :param max_attempts: how many backend servers may run one request.
+    :param allowed_pause_s: the longest pause between two events of an answer that is
+        in time, if it is told.
     """
 
     name: str
@@ -67,6 +69,7 @@
     max_attempts: int
     public: bool
     resumable: bool
+    allowed_pause_s: float | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -186,10 +189,14 @@
     credentials: Mapping[str, CredentialOwner] | None
     limits: ClientLimits
     _by_host: dict[str, list[Route]] = field(default_factory=dict, compare=False)
+    _tightest_s: dict[str, float] = field(default_factory=dict, compare=False)
 
     def __post_init__(self) -> None:
         for route in self.routes:
             self._by_host.setdefault(route.host, []).append(route)
+            for choice in route.services:
+                known_s = self._tightest_s.get(choice.service, route.objective_s)
+                self._tightest_s[choice.service] = min(known_s, route.objective_s)
         for routes in self._by_host.values():
             routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
 
@@ -222,6 +229,14 @@
             )
         return owner
 
+    def looseness(self, route: Route, service: str) -> float:
+        """Return how far a route's objective is from the tightest one of a service.
+
+        As a share of it: 0 for the tightest route, 0.5 for an objective twice as long.
+        """
+        tightest_s = self._tightest_s.get(service, route.objective_s)
+        return max(0.0, 1.0 - tightest_s / max(1e-9, route.objective_s))
+
     def model_services(self) -> list[ServiceSpec]:
         """Return the services whose backend servers are model engines."""
         return [spec for spec in self.services.values() if spec.model is not None]
--- /dev/null
+++ b/src/railfold/_internal/forwarding/requests/chain_balancer.py
@@ -0,0 +1,165 @@
+"""Choosing chains over engines of unlike speeds by the load that is known of them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Collection, Iterable, Sequence
+from dataclasses import dataclass, replace
+
+from railfold._internal.decisions.chain_choice import RatedChain, choose_rated
+from railfold._internal.decisions.chain_costs import (
+    Candidate,
+    RequestNeeds,
+    candidate,
+    news_spread,
+)
+from railfold._internal.decisions.chain_prediction import (
+    ChainPrediction,
+    StageState,
+    predict_chain,
+)
+from railfold._internal.decisions.chain_search import (
+    FoundChain,
+    crossings,
+    search_chains,
+)
+from railfold._internal.decisions.planner import Replica
+from railfold._internal.decisions.routing_table import EngineModel
+from railfold._internal.forwarding.router import Router
+
+__all__ = ["ChainBalancer", "ChosenChain"]
+
+# What a chain that begins in another failure domain costs more: enough to keep even
+# load at home, little enough to leave a domain that is a tenth fuller.
+_AWAY_COST = 0.1
+
+# What a new connection to the first engine costs.
+_CONNECTING_COST = 0.05
+
+# What a chain costs more whose pauses, or waits, are twice what they should be.
+_SLOWNESS_COST = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class ChosenChain:
+    """A chain, and what the request is predicted to get on it."""
+
+    found: FoundChain
+    prediction: ChainPrediction
+
+    @property
+    def crossings(self) -> int:
+        """How often it goes from one failure domain to another."""
+        return len(crossings(self.found.domains))
+
+
+class ChainBalancer:
+    """Spreads requests over parallel chains of unlike speeds."""
+
+    def __init__(self, router: Router) -> None:
+        self._router = router
+
+    @staticmethod
+    def applies(model: EngineModel, replicas: Iterable[Replica]) -> bool:
+        """Return whether engines differ in speed, so that load must be weighed."""
+        layer_ms = {round(r.step_ms / len(r.stage.layers), 3) for r in replicas}
+        return len(model.accelerators) > 1 and len(layer_ms) > 1
+
+    def choose(
+        self,
+        service: str,
+        model: EngineModel,
+        replicas: Sequence[Replica],
+        needs: RequestNeeds,
+        bearable_s: float,
+        doubtful: Collection[str],
+    ) -> ChosenChain | None:
+        """Return the chain that a request takes; none if there is none.
+
+        :param replicas: those that a chain may use now.
+        :param bearable_s: the wait for a first event from which on a chain is slow.
+        :param doubtful: servers that are used only if there is no chain without them.
+        """
+        candidates = self._candidates(service, model, replicas, needs, bearable_s)
+        sure = [c for c in candidates if c.replica.stage.host not in doubtful]
+        home = self._router.failure_domain
+        chains = search_chains(sure, model.layer_count, home, None)
+        if not chains and len(sure) < len(candidates):
+            chains = search_chains(candidates, model.layer_count, home, None)
+        if not chains:
+            return None
+        predictions = [_predict(found, model, needs) for found in chains]
+        rated = [
+            _rate(found, prediction, model, needs)
+            for found, prediction in zip(chains, predictions, strict=True)
+        ]
+        index = choose_rated(rated, self._router.entries, self._router.rng)
+        return ChosenChain(chains[index], predictions[index])
+
+    def _candidates(
+        self,
+        service: str,
+        model: EngineModel,
+        replicas: Iterable[Replica],
+        needs: RequestNeeds,
+        bearable_s: float,
+    ) -> list[Candidate]:
+        """Return replicas with their costs."""
+        router = self._router
+        now_s = asyncio.get_running_loop().time()
+        arriving_rps = router.arriving_rps(service)
+        candidates = []
+        for replica in replicas:
+            entry = router.directory.get(replica.stage.host)
+            if entry is None:
+                continue
+            accelerator = model.accelerators[entry.registration.accelerator]
+            state = StageState(
+                accelerator.slowed(entry.slowness),
+                len(replica.stage.layers),
+                replica.capacity,
+                router.load_of(replica.stage.host),
+            )
+            spread = news_spread(state, model, router.entries, arriving_rps)
+            found = candidate(replica, state, model, needs, spread, router.rng)
+            if replica.stage.layers.first == 0:
+                extra = self._first_stage_cost(replica, now_s, bearable_s)
+                found = replace(found, risk=found.risk + extra)
+            candidates.append(found)
+        return candidates
+
+    def _first_stage_cost(
+        self, replica: Replica, now_s: float, bearable_s: float
+    ) -> float:
+        """Return what it costs more to begin a chain there."""
+        router = self._router
+        host = replica.stage.host
+        slowness = router.activity.slowness(host, now_s, bearable_s)
+        cost = _SLOWNESS_COST * (slowness - 1.0)
+        if replica.failure_domain != router.failure_domain:
+            cost += _AWAY_COST
+        if not router.pool.has_idle(host, now_s):
+            cost += _CONNECTING_COST
+        return cost
+
+
+def _predict(
+    found: FoundChain, model: EngineModel, needs: RequestNeeds
+) -> ChainPrediction:
+    return predict_chain(found.states, model, needs.prompt_tokens, needs.answer_tokens)
+
+
+def _rate(
+    found: FoundChain,
+    prediction: ChainPrediction,
+    model: EngineModel,
+    needs: RequestNeeds,
+) -> RatedChain:
+    room = min(found.capacity_tokens / model.mean_tokens, model.max_sequences)
+    return RatedChain(
+        found.cost,
+        room / found.duration_s,
+        found.has_room,
+        in_time=prediction.first_event_s <= needs.objective_s
+        and prediction.pause_s <= needs.allowed_pause_s,
+    )
--- a/src/railfold/_internal/forwarding/requests/chain_planner.py
+++ b/src/railfold/_internal/forwarding/requests/chain_planner.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import replace
 
 from railfold._internal.core import Chain
@@ -14,8 +14,10 @@
     choose_option,
     choose_sparing,
 )
+from railfold._internal.decisions.chain_costs import RequestNeeds
+from railfold._internal.decisions.coverage import describe_shortages, shortage_of
 from railfold._internal.decisions.domains import group_by_domain
-from railfold._internal.decisions.eligibility import Role, Terms
+from railfold._internal.decisions.eligibility import EndingBar, Role, Terms
 from railfold._internal.decisions.load_shedding import BackingOff, HalfOpen
 from railfold._internal.decisions.planner import (
     Replica,
@@ -23,11 +25,9 @@
     without_first_layer,
 )
 from railfold._internal.decisions.routing_table import EngineModel, ServiceSpec
-from railfold._internal.errors import (
-    NoCapacityError,
-    RequestError,
-    RequestOnTrialError,
-)
+from railfold._internal.errors import NoCapacityError, RequestOnTrialError
+from railfold._internal.forwarding.requests.chain_balancer import ChainBalancer
+from railfold._internal.forwarding.requests.destination import Destination
 from railfold._internal.forwarding.router import Router
 
 __all__ = ["LOCAL_FACTOR", "ChainPlanner", "last_one_error"]
@@ -56,16 +56,18 @@
 
     def __init__(self, router: Router) -> None:
         self._router = router
+        self._balancer = ChainBalancer(router)
 
     def choose(
         self,
         spec: ServiceSpec,
         model: EngineModel,
+        needs: RequestNeeds,
         exclude: frozenset[str],
         terms: Terms,
         bearable_s: float,
         sparing: bool,
-    ) -> Chain:
+    ) -> Destination:
         """Return the chain that a request takes now.
 
         :param exclude: servers that must not be its first stage.
@@ -78,24 +80,55 @@
             spec.name, model, self._router.region, self._router.load_of
         )
         now_s = asyncio.get_running_loop().time()
-        domains = group_by_domain(replicas, lambda r: r.failure_domain)
-        rooms = [_typical_room(members, model) for members in domains]
+        eligible = [self._eligible(r, exclude, now_s, terms) for r in replicas]
+        usable = [replica for replica in eligible if replica is not None]
+        if not sparing and self._balancer.applies(model, usable):
+            doubtful = self._router.directory.doubtful(spec.name)
+            chosen = self._balancer.choose(
+                spec.name, model, usable, needs, bearable_s, doubtful
+            )
+            if chosen is None:
+                raise self._no_chain(spec, model, replicas, usable, terms, now_s)
+            chain = chosen.found.chain
+            return Destination(
+                spec.name,
+                chain.stages[0],
+                chain,
+                prediction=chosen.prediction,
+                crossings=chosen.crossings,
+            )
+        best = self._choose_domain(spec, model, replicas, usable, bearable_s, sparing)
+        if best is None:
+            raise self._no_chain(spec, model, replicas, usable, terms, now_s)
+        return Destination(spec.name, best.stages[0], best)
+
+    def _choose_domain(
+        self,
+        spec: ServiceSpec,
+        model: EngineModel,
+        replicas: list[Replica],
+        usable: list[Replica],
+        bearable_s: float,
+        sparing: bool,
+    ) -> Chain | None:
+        """Return the chain of one of the failure domains, if there is one.
+
+        :param replicas: all that hold layers.
+        :param usable: those that may be part of the chain.
+        :raises RequestError: it is the last one, and isn't to be used.
+        """
+        now_s = asyncio.get_running_loop().time()
+        held = group_by_domain(replicas, lambda r: r.failure_domain)
+        rooms = [_typical_room(members, model) for members in held]
         blind = blindness(rooms, self._router.entries)
         doubtful = self._router.directory.doubtful(spec.name)
         chains: list[Chain] = []
         options: list[ChainOption] = []
-        error: RequestError | None = None
-        for members in domains:
-            eligible = (self._eligible(r, exclude, now_s, terms) for r in members)
-            usable = [
-                self._preferred_if_connected(r, now_s, blind)
-                for r in eligible
-                if r is not None
-            ]
+        for members in group_by_domain(usable, lambda r: r.failure_domain):
+            usable = [self._preferred_if_connected(r, now_s, blind) for r in members]
             try:
                 chain = self._plan_of_sure(usable, model, blind, doubtful)
-            except NoCapacityError as found:
-                error = found
+            except NoCapacityError:
                 continue
             chains.append(chain)
             option = self._option(chain, usable, model, now_s, bearable_s)
@@ -106,10 +139,7 @@
                 option = replace(option, first_replaceable=replaceable)
             options.append(option)
         if not chains:
-            raise error or NoCapacityError(
-                "no backend server holds layers of the model",
-                hint="come back after Retry-After",
-            )
+            return None
         if sparing:
             index = choose_sparing(options)
         else:
@@ -118,6 +148,48 @@
             raise last_one_error()
         return chains[index]
 
+    def _no_chain(
+        self,
+        spec: ServiceSpec,
+        model: EngineModel,
+        replicas: list[Replica],
+        usable: list[Replica],
+        terms: Terms,
+        now_s: float,
+    ) -> NoCapacityError:
+        """Return why there is no chain, told of each failure domain.
+
+        :param replicas: all that hold layers and serve.
+        :param usable: those that a chain could use.
+        :param terms: with the bars of the others.
+        """
+        registered = self._router.directory.of_service(spec.name)
+        domains = sorted({entry.registration.failure_domain for entry in registered})
+        if not domains:
+            return NoCapacityError(
+                "no backend server holds layers of the model",
+                hint="come back after Retry-After",
+            )
+        full_until_s = self._router.fleet_load.full_servers(now_s)
+        shortages = []
+        for domain in domains:
+            held = [
+                (r.stage.layers, _left_s(r, terms, full_until_s, now_s))
+                for r in replicas
+                if r.failure_domain == domain
+            ]
+            free = [
+                r.stage.layers
+                for r in usable
+                if r.failure_domain == domain and not r.full
+            ]
+            shortages.append(shortage_of(domain, held, free, model.layer_count))
+        return NoCapacityError(
+            "no live backend servers with room cover all layers",
+            why=describe_shortages(shortages),
+            hint="come back after Retry-After; operators: see 'railfold status'",
+        )
+
     def _eligible(
         self, replica: Replica, exclude: frozenset[str], now_s: float, terms: Terms
     ) -> Replica | None:
@@ -247,6 +319,16 @@
     )
 
 
+def _left_s(
+    replica: Replica, terms: Terms, full_until_s: Mapping[str, float], now_s: float
+) -> float | None:
+    """Return when a replica takes requests again, as far as that is known."""
+    host = replica.stage.host
+    bar = terms.bars.get(host)
+    until_s = bar.until_s if isinstance(bar, EndingBar) else full_until_s.get(host)
+    return max(0.0, until_s - now_s) if until_s is not None else None
+
+
 def _typical_room(replicas: list[Replica], model: EngineModel) -> float:
     """Return how many usual requests fit on an engine in the middle of a domain's."""
     capacities = sorted(replica.capacity for replica in replicas)
--- a/src/railfold/_internal/forwarding/requests/destination_search.py
+++ b/src/railfold/_internal/forwarding/requests/destination_search.py
@@ -100,6 +100,7 @@
             destination = place or self._destinations.choose(
                 routed.route,
                 exclude,
+                routed.request.size,
                 is_new=is_new,
                 sparing=sparing,
                 max_wait_s=self._max_wait_s(begun=begun),
@@ -173,7 +174,9 @@
             return False
         self._reserve_due_s = now_s + PLACE_INTERVAL_S
         try:
-            place = self._destinations.choose(self._routed.route, exclude)
+            place = self._destinations.choose(
+                self._routed.route, exclude, self._routed.request.size
+            )
         except RequestError:
             return False
         if not self._router.budgets.of(place.service).allows(now_s):
--- a/src/railfold/_internal/forwarding/requests/destinations.py
+++ b/src/railfold/_internal/forwarding/requests/destinations.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 from railfold._internal.core import Chain
+from railfold._internal.decisions.chain_costs import RequestNeeds
 from railfold._internal.decisions.eligibility import (
     Bar,
     EndingBar,
@@ -16,12 +17,17 @@
 )
 from railfold._internal.decisions.load_shedding import BackingOff, HalfOpen
 from railfold._internal.decisions.planner import Replica, choose_host
-from railfold._internal.decisions.routing_table import Route, ServiceSpec
+from railfold._internal.decisions.routing_table import (
+    EngineModel,
+    Route,
+    ServiceSpec,
+)
 from railfold._internal.errors import (
     NoCapacityError,
     RequestError,
     UnknownTargetError,
 )
+from railfold._internal.forwarding.messages import RequestSize
 from railfold._internal.forwarding.requests.chain_planner import (
     LOCAL_FACTOR,
     ChainPlanner,
@@ -37,6 +43,8 @@
 # the longest prompts a third.
 _BEARABLE_SHARE = 0.33
 
+_NO_SIZE = RequestSize()
+
 
 class DestinationChooser:
     """Chooses servers and chains among those that are eligible."""
@@ -49,6 +57,7 @@
         self,
         route: Route,
         exclude: frozenset[str],
+        size: RequestSize = _NO_SIZE,
         *,
         is_new: bool = False,
         sparing: bool = False,
@@ -60,6 +69,7 @@
         can serve, the request goes there if it can wait for the next permit.
 
         :param exclude: backend servers that it must not be sent to.
+        :param size: of a request to a model.
         :param is_new: whether a place is looked for the first time.
         :param sparing: whether it may end its server, so that it doesn't get the last.
         :param max_wait_s: how long it may wait for a permit.
@@ -70,15 +80,17 @@
             self._router.arrivals.arrived(spec.name, asyncio.get_running_loop().time())
         strict = Terms()
         try:
-            return self._choose_at(spec, route, exclude, strict, sparing=sparing)
+            return self._choose_at(spec, route, exclude, size, strict, sparing=sparing)
         except NoCapacityError:
             if not any(map(_may_relax, strict.bars.values())):
                 raise
         relaxed = Terms(max_wait_s=max_wait_s, relaxed=True)
         try:
-            found = self._choose_at(spec, route, exclude, relaxed, sparing=sparing)
+            found = self._choose_at(
+                spec, route, exclude, size, relaxed, sparing=sparing
+            )
         except NoCapacityError as error:
-            refusal = self._refusal(spec, route, exclude, relaxed)
+            refusal = self._refusal(spec, route, exclude, size, relaxed)
             if refusal is None:
                 raise
             raise refusal from error
@@ -89,6 +101,7 @@
         spec: ServiceSpec,
         route: Route,
         exclude: frozenset[str],
+        size: RequestSize,
         terms: Terms,
     ) -> RequestError | None:
         """Return why a request is refused that only lacks the end of some bars.
@@ -97,7 +110,7 @@
         """
         unbarred = Terms(relaxed=True, ignores_ends=True)
         try:
-            place = self._choose_at(spec, route, exclude, unbarred, sparing=False)
+            place = self._choose_at(spec, route, exclude, size, unbarred, sparing=False)
         except NoCapacityError:
             return None
         now_s = asyncio.get_running_loop().time()
@@ -116,6 +129,7 @@
         spec: ServiceSpec,
         route: Route,
         exclude: frozenset[str],
+        size: RequestSize,
         terms: Terms,
         *,
         sparing: bool,
@@ -126,10 +140,10 @@
         """
         if spec.model is not None:
             bearable_s = _BEARABLE_SHARE * route.objective_s
-            chain = self._planner.choose(
-                spec, spec.model, exclude, terms, bearable_s, sparing
+            needs = self._needs(spec, spec.model, route, size)
+            return self._planner.choose(
+                spec, spec.model, needs, exclude, terms, bearable_s, sparing
             )
-            return Destination(spec.name, chain.stages[0], chain)
         now_s = asyncio.get_running_loop().time()
         doubtful = self._router.directory.doubtful(spec.name)
         registered = self._router.directory.replicas(
@@ -155,6 +169,20 @@
         )
         return Destination(spec.name, chosen.stage, None)
 
+    def _needs(
+        self, spec: ServiceSpec, model: EngineModel, route: Route, size: RequestSize
+    ) -> RequestNeeds:
+        """Return what a request asks of a chain; a usual one if it doesn't tell."""
+        prompt_tokens = size.prompt_tokens or model.mean_tokens - model.answer_tokens
+        table = self._router.table
+        return RequestNeeds(
+            prompt_tokens,
+            size.answer_tokens or model.answer_tokens,
+            route.objective_s,
+            route.allowed_pause_s or route.objective_s,
+            table.looseness(route, spec.name) if table is not None else 0.0,
+        )
+
     def reroute(self, chain: Chain, lost: frozenset[str]) -> Chain | None:
         """Return another chain that begins at the same backend server."""
         return self._planner.reroute(chain, lost)
--- a/src/railfold/_internal/platform/configuration.py
+++ b/src/railfold/_internal/platform/configuration.py
@@ -32,7 +32,7 @@
 
 
 class _Route(msgspec.Struct, frozen=True):
-    """``slo_ms`` is the latency objective.
+    """``slo_ms`` is the latency objective, ``gap_aim_ms`` the longest pause allowed.
 
     A route names either one service or, in ``traffic_split``, several.
     """
@@ -49,6 +49,7 @@
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
+    gap_aim_ms: float | None = None
 
 
 class _Model(msgspec.Struct, frozen=True):
@@ -172,6 +173,7 @@
         max_attempts=route.max_attempts,
         public=route.public,
         resumable=route.resumable,
+        allowed_pause_s=route.gap_aim_ms / 1000.0 if route.gap_aim_ms else None,
     )
 
 
