--- a/src/railfold/_internal/decisions/fleet_load.py
+++ b/src/railfold/_internal/decisions/fleet_load.py
@@ -201,6 +201,11 @@
             for marks in (self._full_until_s, self._announced_full_until_s)
         )
 
+    def full_for_s(self, server_id: str, now_s: float) -> float | None:
+        """Return for how long a server counts as full, if it does."""
+        until_s = self._full_until_s.get(server_id, now_s)
+        return until_s - now_s if until_s > now_s else None
+
     def full_servers(self, now_s: float) -> list[str]:
         """Return the servers that count as full by this entry's own requests."""
         return [s for s, until_s in self._full_until_s.items() if now_s < until_s]
--- a/src/railfold/_internal/forwarding/peers/load_exchange.py
+++ b/src/railfold/_internal/forwarding/peers/load_exchange.py
@@ -357,13 +357,15 @@
     workspaces: dict[str, set[int | None]] = {"": {None}}
     for owner in owners:
         workspaces.setdefault(owner.workspace, set()).add(owner.priority)
+    ranks = {
+        (c.service, route.priority) for route in table.routes for c in route.services
+    }
     found: set[DemandKey] = set()
-    for route in table.routes:
-        for choice in route.services:
-            for workspace, priorities in workspaces.items():
-                for priority in priorities:
-                    rank = route.priority if priority is None else priority
-                    found.add(DemandKey(choice.service, rank, workspace))
+    for service, route_priority in ranks:
+        for workspace, priorities in workspaces.items():
+            for priority in priorities:
+                rank = route_priority if priority is None else priority
+                found.add(DemandKey(service, rank, workspace))
     return sorted(found)
 
 
--- a/src/railfold/_internal/forwarding/peers/peer_messages.py
+++ b/src/railfold/_internal/forwarding/peers/peer_messages.py
@@ -42,6 +42,7 @@
     "RetryLent",
     "RetrySettled",
     "TrialBegun",
+    "TrialNotRun",
 ]
 
 # A datagram that isn't cut into packets on any usual network.
@@ -121,6 +122,12 @@
     digest: _Digest
 
 
+class TrialNotRun(msgspec.Struct, frozen=True, tag="trial-not-run"):
+    """The request that the sender let through wasn't run."""
+
+    digest: _Digest
+
+
 class EntryStarted(msgspec.Struct, frozen=True, tag="entry"):
     """An entry takes messages at this address."""
 
@@ -297,6 +304,7 @@
     CrashesTold
     | ContentCleared
     | TrialBegun
+    | TrialNotRun
     | EntryStarted
     | PlacementLed
     | ArrivalsTold
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -11,6 +11,7 @@
 from railfold._internal.decisions.engine_directory import EngineDirectory
 from railfold._internal.decisions.fleet_size import FleetSize
 from railfold._internal.decisions.freshness import FreshnessLease
+from railfold._internal.decisions.held_memory import HeldMemory
 from railfold._internal.decisions.leadership import Leadership
 from railfold._internal.decisions.log_epoch import RETURN_S, LogEpoch
 from railfold._internal.decisions.retry_budget import (
@@ -18,7 +19,11 @@
     RetryLimits,
 )
 from railfold._internal.decisions.routing_table import RoutingTable, require_table
-from railfold._internal.errors import LogUnavailableError, RequestError
+from railfold._internal.errors import (
+    LogUnavailableError,
+    MemoryShortError,
+    RequestError,
+)
 from railfold._internal.forwarding.adapter import PlatformAdapter
 from railfold._internal.forwarding.fleet_limits import FleetLimits
 from railfold._internal.forwarding.listeners import Listeners
@@ -56,6 +61,7 @@
     ProcessResumed,
     ProcessStarted,
     ProcessStopping,
+    ReadinessChanged,
     RequestEnded,
     StoreWentBack,
 )
@@ -90,11 +96,19 @@
 
 _TICK_S = 0.25
 
+# Of a host's memory this share may be held for clients. A body is there up to three
+# times, while it is put together and while it is written to a server.
+_HELD_SHARE = 0.2
+
 # The balancer needs two probes, one a second, to send new connections elsewhere.
 # After that connections without a request are closed: a stream that began later
 # could not end within the grace time.
 _LEAVE_BALANCER_S = 2.8
 
+# The same while the entry is only unready: by then the balancer leads a client whose
+# connection is closed elsewhere.
+_BALANCER_ASKS_S = 2.2
+
 # Kept from the grace time, to close what is left and end.
 _EXIT_S = 0.4
 
@@ -178,8 +192,10 @@
             self._epoch,
             self._on_epoch,
             self._on_proof_failure,
+            lambda: self._configuration.reading,
         )
         self.router.others_have_proof = self._proofs.others_have_proof
+        self.router.newer_elsewhere = lambda: self._configuration_feed.newer_elsewhere
         self._configuration = self._configuration_follower()
         self._peering = Peering(
             settings,
@@ -194,8 +210,12 @@
         )
         calls.on_refused = self._peering.quarantine.server_refused
         self._prober.on_well = self._peering.quarantine.server_answered
+        self._held = HeldMemory(int(settings.memory_bytes * _HELD_SHARE))
         self._clients = ClientServer(
-            settings.clients, self, listeners.clients if listeners else None
+            settings.clients,
+            self,
+            self._held,
+            listeners.clients if listeners else None,
         )
         self._readiness = HttpServerChild(
             SmallAnswers(self._readiness_answer),
@@ -203,6 +223,8 @@
             listener=listeners.readiness if listeners else None,
         )
         self._drivers: dict[ClientExchange, RequestDriver] = {}
+        # Since when only this entry gets no proof of its configuration.
+        self._lapsing_since_s: float | None = None
         self._registrations_known = False
         self._quarantine_known = False
         self._registration_feed = RegistrationFeed(
@@ -248,6 +270,7 @@
             on_lost=self._on_store_lost,
             on_regained=self._on_store_regained,
             on_epoch=self._on_epoch,
+            keeps_newest=True,
         )
 
     def _registration_follower(self) -> StreamFollower:
@@ -274,11 +297,32 @@
 
     def ready(self) -> bool:
         """Return whether new clients may come."""
+        now_s = self._loop.time()
         known = self.router.table is not None
         return (
-            known and not self._draining and self.router.lease.valid(self._loop.time())
+            known
+            and not self._draining
+            and self.router.lease.valid(now_s)
+            and not self._proofs.lapses_alone(now_s)
         )
 
+    def _look_whether_useful(self, now_s: float) -> None:
+        """Lead clients elsewhere while only this entry can't check credentials."""
+        lapses = self._proofs.lapses_alone(now_s)
+        if lapses != (self._lapsing_since_s is not None):
+            self._lapsing_since_s = now_s if lapses else None
+            self.metrics.count("readiness.lapses" if lapses else "readiness.regained")
+            cause = "only this entry gets no proof of its configuration"
+            age_s = min(self.router.lease.age_s(now_s), 1e6)
+            self.log.write(
+                ReadinessChanged(
+                    not lapses, cause if lapses else "", round(age_s * 1000, 1)
+                )
+            )
+        since_s = self._lapsing_since_s
+        gone = since_s is not None and now_s - since_s >= _BALANCER_ASKS_S
+        self._clients.closes_connections = self._draining or gone
+
     @property
     def recognizes_requests(self) -> bool:
         """Whether requests that come again are recognized by their content."""
@@ -361,8 +405,9 @@
             )
             request_id = request.request_id
             table = require_table(router.table)
-            route = table.find(request.host, request.path)
-            owner = table.authorize(route, request.credential)
+            route, owner = router.find_route(
+                request.host, request.path, request.credential
+            )
             on_trial = self._peering.quarantine.admit(request, route, owner)
         except RequestError as error:
             self._refuse(exchange, request_id, error, now_s)
@@ -392,6 +437,14 @@
         now_s: float,
     ) -> None:
         """Answer a request that goes to no backend server."""
+        retry_after_s = self._note_refusal(request_id, error, now_s)
+        headers, body = error_reply(error, retry_after_s)
+        exchange.reply(status_of(error, not_run=True), headers, body)
+
+    def _note_refusal(
+        self, request_id: str, error: RequestError, now_s: float
+    ) -> float:
+        """Count and log a refusal; return after how long its client comes back."""
         retry_after_s = self.router.return_after_s(error)
         status = status_of(error, not_run=True)
         self.metrics.count(f"refused.{error.code}")
@@ -414,8 +467,27 @@
                 retry_after_ms=round(retry_after_s * 1000),
             )
         )
+        return retry_after_s
+
+    def workspace_of(self, headers: Sequence[Header]) -> str:
+        """Return the workspace that a request's head names; empty if none is known."""
+        table = self.router.table
+        if table is None or table.credentials is None:
+            return ""
+        owner = table.credentials.get(self.router.dialect.credential(headers))
+        return owner.workspace if owner is not None else ""
+
+    def refuse_unread(self, exchange: ClientExchange) -> None:
+        """Answer a request whose body there is no memory for."""
+        held_mb = self._held.total_bytes / 1e6
+        error = MemoryShortError(
+            "there is no memory for the request's body",
+            why=f"{held_mb:.1f} MB are held for clients",
+            hint="come back after Retry-After",
+        )
+        retry_after_s = self._note_refusal("", error, self._loop.time())
         headers, body = error_reply(error, retry_after_s)
-        exchange.reply(status, headers, body)
+        exchange.reply_early(status_of(error, not_run=True), headers, body)
 
     def client_gone(self, exchange: ClientExchange) -> None:
         """A client closed its connection."""
@@ -463,8 +535,10 @@
             self.router.backoffs.upkeep(known, now_s)
             self._registrations.pace = self._registration_pace(now_s)
             self._forget_finished()
+            self._look_whether_useful(now_s)
             self._clients.forget_closed()
             self.metrics.gauge("in_flight", len(self.router.active))
+            self.metrics.gauge("memory.held_bytes", self._held.total_bytes)
             self.metrics.gauge("configuration.age_s", self.router.lease.age_s(now_s))
 
     def _registration_pace(self, now_s: float) -> FollowerPace:
@@ -483,7 +557,7 @@
         """Leave the balancer, finish what is in flight, then return."""
         started_s = self._loop.time()
         self._draining = True
-        self._clients.draining = True
+        self._clients.closes_connections = True
         self.log.write(ProcessStopping("told to stop", len(self.router.active)))
         # The store may not answer; the rest of the stop doesn't wait for it.
         leaving = self._loop.create_task(self._peering.leave())
--- a/src/railfold/_internal/forwarding/requests/chain_planner.py
+++ b/src/railfold/_internal/forwarding/requests/chain_planner.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import replace
 
 from railfold._internal.core import Chain
@@ -170,11 +170,10 @@
                 "no backend server holds layers of the model",
                 hint="come back after Retry-After",
             )
-        full_until_s = self._router.fleet_load.full_servers(now_s)
         shortages = []
         for domain in domains:
             held = [
-                (r.stage.layers, _left_s(r, terms, full_until_s, now_s))
+                (r.stage.layers, self._left_s(r.stage.host, terms, now_s))
                 for r in replicas
                 if r.failure_domain == domain
             ]
@@ -190,6 +189,13 @@
             hint="come back after Retry-After; operators: see 'railfold status'",
         )
 
+    def _left_s(self, server_id: str, terms: Terms, now_s: float) -> float | None:
+        """Return when a server takes requests again, as far as that is known."""
+        bar = terms.bars.get(server_id)
+        if isinstance(bar, EndingBar):
+            return max(0.0, bar.until_s - now_s)
+        return self._router.fleet_load.full_for_s(server_id, now_s)
+
     def _eligible(
         self, replica: Replica, exclude: frozenset[str], now_s: float, terms: Terms
     ) -> Replica | None:
@@ -319,16 +325,6 @@
     )
 
 
-def _left_s(
-    replica: Replica, terms: Terms, full_until_s: Mapping[str, float], now_s: float
-) -> float | None:
-    """Return when a replica takes requests again, as far as that is known."""
-    host = replica.stage.host
-    bar = terms.bars.get(host)
-    until_s = bar.until_s if isinstance(bar, EndingBar) else full_until_s.get(host)
-    return max(0.0, until_s - now_s) if until_s is not None else None
-
-
 def _typical_room(replicas: list[Replica], model: EngineModel) -> float:
     """Return how many usual requests fit on an engine in the middle of a domain's."""
     capacities = sorted(replica.capacity for replica in replicas)
--- a/src/railfold/_internal/forwarding/servers/http_client.py
+++ b/src/railfold/_internal/forwarding/servers/http_client.py
@@ -31,6 +31,10 @@
 ]
 
 _CONTINUE_LIMIT = 200
+
+# Bounds an answer that arrives a few bytes at a time.
+_LONGEST_TRANSFER_S = 10.0
+
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
 
@@ -77,6 +81,7 @@
         self._done = False
         self._poisoned = False
         self._keep_alive = True
+        self._paused = False
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
 
@@ -111,6 +116,18 @@
         head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
         self._transport.write(head + body)
 
+    def pause_reading(self) -> None:
+        """Leave what comes to the kernel, so that the server waits."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._paused = True
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Take what comes again."""
+        if self._paused and self._transport is not None:
+            self._transport.resume_reading()
+        self._paused = False
+
     def abort(self) -> None:
         """Close at once; an answer under way isn't reported any more."""
         self._sink = None
@@ -214,6 +231,7 @@
 
     def _finish(self) -> None:
         sink, self._sink = self._sink, None
+        self.resume_reading()
         transport = self._transport
         unsent = transport is not None and transport.get_write_buffer_size() > 0
         if self._message_open or unsent or not self._keep_alive:
@@ -275,6 +293,7 @@
     """Gathers one whole answer."""
 
     def __init__(self, future: asyncio.Future[Response]) -> None:
+        self.received_bytes = 0
         self._future = future
         self._head: ResponseHead | None = None
         self._head_s = 0.0
@@ -286,6 +305,7 @@
         return True
 
     def body(self, data: bytes) -> None:
+        self.received_bytes += len(data)
         self._parts.append(data)
 
     def end(self) -> None:
@@ -310,20 +330,54 @@
     headers: Sequence[Header],
     body: bytes,
     timeout_s: float,
+    stall_s: float | None = None,
 ) -> Response:
     """Send a request and return its whole answer; aborts when cancelled.
 
+    :param stall_s: an answer that has begun within ``timeout_s`` is waited for as
+        long as some of it arrives within each such time, up to a bound.
     :raises EngineUnavailableError: no whole answer came in time; the request
         may have been carried out.
     """
-    future: asyncio.Future[Response] = asyncio.get_running_loop().create_future()
+    loop = asyncio.get_running_loop()
+    future: asyncio.Future[Response] = loop.create_future()
+    collector = _Collector(future)
+    began_s = loop.time()
     try:
-        connection.send(method, target, headers, body, _Collector(future))
-        return await answer_within(future, timeout_s)
+        connection.send(method, target, headers, body, collector)
+        if stall_s is None:
+            return await answer_within(future, timeout_s)
+        return await _transferred(collector, future, timeout_s, stall_s)
     except TimeoutError as error:
         raise EngineUnavailableError(
-            "an answer didn't come in time", why=f"it took over {timeout_s:g} s"
+            "an answer didn't come in time",
+            why=f"{collector.received_bytes} bytes of it came in "
+            f"{loop.time() - began_s:.1f} s",
         ) from error
     finally:
         if connection.busy:
             connection.abort()
+
+
+async def _transferred(
+    collector: _Collector,
+    future: asyncio.Future[Response],
+    timeout_s: float,
+    stall_s: float,
+) -> Response:
+    """Return an answer that goes on arriving.
+
+    :raises TimeoutError: it doesn't begin, stalls or takes too long.
+    """
+    loop = asyncio.get_running_loop()
+    wait_s = timeout_s
+    end_s = loop.time() + timeout_s + _LONGEST_TRANSFER_S
+    while True:
+        received_bytes = collector.received_bytes
+        try:
+            # A wait that runs out doesn't end the transfer.
+            return await answer_within(asyncio.shield(future), wait_s)
+        except TimeoutError:
+            if collector.received_bytes == received_bytes or loop.time() >= end_s:
+                raise
+        wait_s = stall_s
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -14,6 +14,7 @@
     "AttemptStarted",
     "ChainProbed",
     "ConfigurationAccepted",
+    "ConfigurationBehind",
     "DependencyLost",
     "DependencyRegained",
     "EngineChanged",
@@ -29,6 +30,7 @@
     "ProcessStopping",
     "QuarantineChanged",
     "RateLimitChanged",
+    "ReadinessChanged",
     "RequestEnded",
     "ServerBackoffChanged",
     "ServerCrashed",
@@ -80,6 +82,17 @@
     dependency: str
 
 
+class ReadinessChanged(msgspec.Struct, frozen=True, tag="readiness_changed"):
+    """It begins or ceases to ask for new clients while it isn't told to stop.
+
+    :param proof_age_ms: how old the last proof is that its configuration is in force.
+    """
+
+    ready: bool
+    cause: str
+    proof_age_ms: float
+
+
 class StoreWentBack(msgspec.Struct, frozen=True, tag="store_went_back"):
     """It came back from an older copy, and lost what it had acknowledged since."""
 
@@ -97,6 +110,20 @@
     decode_ms: float
 
 
+class ConfigurationBehind(msgspec.Struct, frozen=True, tag="configuration_behind"):
+    """Another process has had a newer configuration for some time.
+
+    :param proof_age_ms: since it was last proved that ``version`` is in force; nothing
+        once that is too long ago to rely on.
+    """
+
+    version: int
+    newest: int
+    behind_ms: int
+    proof_age_ms: int | None
+    cause: str
+
+
 class LoadNewsChanged(msgspec.Struct, frozen=True, tag="load_news_changed"):
     """The load of most other entries became known, or isn't known any more.
 
@@ -316,8 +343,10 @@
     | SettingsReloaded
     | DependencyLost
     | DependencyRegained
+    | ReadinessChanged
     | StoreWentBack
     | ConfigurationAccepted
+    | ConfigurationBehind
     | EngineChanged
     | LoadNewsChanged
     | LeadershipChanged
