Choose by the larger of announced and own load; full engines only as a last resort

Others are now also taken to send where this entry does, as before. Engines that rejected a request lately are left out only while others can serve: without a queue, each is otherwise a refusal.

--- a/src/railfold/_internal/decisions/eligibility.py
+++ b/src/railfold/_internal/decisions/eligibility.py
@@ -22,6 +22,7 @@
 __all__ = [
     "Bar",
     "EndingBar",
+    "Full",
     "NotServing",
     "Paused",
     "RateLimited",
@@ -67,7 +68,12 @@
     """It gets a part of its usual requests, and this isn't one of them."""
 
 
-Bar = BackingOff | HalfOpen | RateLimited | NotServing | Paused | SlowStart
+@dataclass(frozen=True, slots=True)
+class Full:
+    """It rejected a request, of this entry or another one, for want of room."""
+
+
+Bar = BackingOff | HalfOpen | RateLimited | NotServing | Paused | SlowStart | Full
 EndingBar = BackingOff | HalfOpen | RateLimited
 
 
@@ -76,7 +82,8 @@
     """What one request accepts, and what bars it met.
 
     :param max_wait_s: how long it may wait for a permit.
-    :param relaxed: whether servers in slow start serve too, since no others can.
+    :param relaxed: whether servers in slow start, or full ones, serve too, since no
+        others can.
     :param ignores_ends: whether bars that end by themselves don't count.
     :param bars: the bars met, by server.
     """
@@ -132,7 +139,13 @@
             return RateLimited(now_s + wait_s)
         if role is not Role.REPLICA and self._is_paused(server_id, now_s):
             return Paused()
-        if not terms.relaxed and self._starts_slowly(server_id, now_s):
+        return None if terms.relaxed else self._soft_bar(server_id, role, now_s)
+
+    def _soft_bar(self, server_id: str, role: Role, now_s: float) -> Bar | None:
+        """Return what bars a server only while others can serve."""
+        if role is not Role.REPLICA and self._fleet_load.is_full(server_id, now_s):
+            return Full()
+        if self._starts_slowly(server_id, now_s):
             return SlowStart()
         return None
 
@@ -147,7 +160,5 @@
         return self._backoffs.bar(server_id, now_s)
 
     def _is_paused(self, server_id: str, now_s: float) -> bool:
-        if self._fleet_load.is_full(server_id, now_s):
-            return True
         load = self._fleet_load.own_part(server_id).tokens
         return self._avoidance.avoided(server_id, now_s, load)
--- a/src/railfold/_internal/decisions/engine_directory.py
+++ b/src/railfold/_internal/decisions/engine_directory.py
@@ -359,6 +359,7 @@
         model: EngineModel,
         region: str,
         load_of: Callable[[str], ServerLoad],
+        entries: int,
     ) -> list[Replica]:
         """Return a model's backend servers that hold layers and may get work.
 
@@ -366,6 +367,7 @@
         requests is what runs out first.
 
         :param load_of: returns a server's load over all entries.
+        :param entries: how many entries there are.
         """
         found = []
         for entry in self.of_service(service):
@@ -382,7 +384,9 @@
                     entry.stage(layers),
                     registration.failure_domain,
                     region,
-                    in_flight=_reckoned_load(load_of(entry.server_id), capacity),
+                    in_flight=_reckoned_load(
+                        load_of(entry.server_id), entries, capacity
+                    ),
                     capacity=capacity,
                     step_ms=accelerator.step_factor * len(layers) * entry.slowness,
                 )
@@ -390,16 +394,17 @@
         return found
 
 
-def _reckoned_load(load: ServerLoad, capacity: int) -> int:
+def _reckoned_load(load: ServerLoad, entries: int, capacity: int) -> int:
     """Return the load of all entries as far as it may count against a capacity.
 
-    Only one's own load makes a backend server full. Others' load is good enough to
-    choose by: room is freed and taken while it is announced, and whether there is some
-    is known better there.
+    Others are taken to send where this entry does until their load is announced: else
+    all would choose the same server meanwhile. Only one's own load makes a backend
+    server full: room is freed and taken while others' load is announced, and whether
+    there is some is known better there.
     """
     if load.own_tokens >= capacity:
         return load.own_tokens
-    return min(round(load.tokens), capacity - 1)
+    return min(round(max(load.tokens, load.own_tokens * entries)), capacity - 1)
 
 
 def _differ(one_ms: int | None, other_ms: int | None) -> bool:
--- a/src/railfold/_internal/decisions/fleet_load.py
+++ b/src/railfold/_internal/decisions/fleet_load.py
@@ -61,33 +61,11 @@
     """Parts of other entries, added up, and when they were true.
 
     :param entries: how many entries.
-    :param own: this entry's own parts then.
     """
 
     at_s: float
     parts: Mapping[str, LoadPart]
     entries: int = 1
-    own: Mapping[str, LoadPart] | None = None
-
-    def at(self, server_id: str, own_now: LoadPart) -> LoadPart:
-        """Return the part at a server, changed since then as the own one was.
-
-        Entries that all reckoned with the same sum would all choose the same server
-        until the next one.
-        """
-        part = self.parts.get(server_id, LoadPart())
-        if self.own is None:
-            return part
-        own_then = self.own.get(server_id, LoadPart())
-
-        def changed(then: int, own: int, own_now: int) -> int:
-            return max(0, then + self.entries * (own_now - own))
-
-        return LoadPart(
-            changed(part.tokens, own_then.tokens, own_now.tokens),
-            changed(part.sequences, own_then.sequences, own_now.sequences),
-            changed(part.unread_tokens, own_then.unread_tokens, own_now.unread_tokens),
-        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,7 +133,6 @@
         at_s: float,
         now_s: float,
         entries: int = 1,
-        own: Mapping[str, LoadPart] | None = None,
     ) -> None:
         """Take all parts of another entry, true at ``at_s``; older ones are ignored.
 
@@ -163,14 +140,12 @@
 
         :param entries: how many entries' parts these are the sum of, if ``entry``
             announces those of others, too.
-        :param own: this entry's own parts then, if others' are to be reckoned to have
-            changed since as these have.
         """
         known = self._announced.get(entry)
         if known is not None and (known.at_s, known.entries) >= (at_s, entries):
             return
         if now_s - at_s < self.lifetime_s:
-            self._announced[entry] = _Announced(at_s, dict(parts), entries, own)
+            self._announced[entry] = _Announced(at_s, dict(parts), entries)
 
     def reported(
         self, server_id: str, tokens: int, sequences: int, at_s: float
@@ -236,7 +211,7 @@
             for announced in self._announced.values()
             if now_s - announced.at_s < self.lifetime_s
         ]
-        parts = [own, *(announced.at(server_id, own) for announced in fresh)]
+        parts = [own, *(a.parts.get(server_id, LoadPart()) for a in fresh)]
         heard = 1 + sum(announced.entries for announced in fresh)
         share = min(1.0, heard / max(1, entries))
         tokens = sum(part.tokens for part in parts)
--- a/src/railfold/_internal/forwarding/peers/load_exchange.py
+++ b/src/railfold/_internal/forwarding/peers/load_exchange.py
@@ -103,8 +103,6 @@
         self._demand_version: int | None = None
         self._demand_keys: dict[int, DemandKey] = {}
         self._knows_others: bool | None = None
-        # What this entry had under way when it sent its newest part.
-        self._own_then: dict[str, LoadPart] = {}
 
     async def run(self, ready: asyncio.Event) -> None:
         """Exchange until cancelled."""
@@ -264,7 +262,7 @@
         entries = taken.entries
         if entries:
             load, arrivals = router.fleet_load, router.fleet_demand
-            load.announced(_OTHERS, loads, taken.at_s, now_s, entries, self._own_then)
+            load.announced(_OTHERS, loads, taken.at_s, now_s, entries)
             arrivals.announced(_OTHERS, demand, taken.at_s, now_s, entries)
         router.metrics.count("load.sums_taken")
 
@@ -273,7 +271,6 @@
     def _own(self, now_s: float) -> Parts:
         router = self._router
         own: dict[int, tuple[int, ...]] = {}
-        self._own_then = dict(router.fleet_load.own)
         full = set(router.fleet_load.full_servers(now_s))
         for server_id in full | set(router.fleet_load.own):
             part = router.fleet_load.own_part(server_id)
--- a/src/railfold/_internal/forwarding/requests/chain_planner.py
+++ b/src/railfold/_internal/forwarding/requests/chain_planner.py
@@ -75,7 +75,11 @@
         :raises RequestError: there is no chain, or only the last one.
         """
         replicas = self._router.directory.layer_replicas(
-            spec.name, model, self._router.region, self._router.load_of
+            spec.name,
+            model,
+            self._router.region,
+            self._router.load_of,
+            self._router.entries,
         )
         now_s = asyncio.get_running_loop().time()
         domains = group_by_domain(replicas, lambda r: r.failure_domain)
@@ -196,7 +200,11 @@
             return None
         domain = entry.registration.failure_domain
         replicas = self._router.directory.layer_replicas(
-            entry.registration.service, model, self._router.region, self._router.load_of
+            entry.registration.service,
+            model,
+            self._router.region,
+            self._router.load_of,
+            self._router.entries,
         )
         usable = [
             r
--- a/src/railfold/_internal/forwarding/requests/destinations.py
+++ b/src/railfold/_internal/forwarding/requests/destinations.py
@@ -9,6 +9,7 @@
 from railfold._internal.decisions.eligibility import (
     Bar,
     EndingBar,
+    Full,
     RateLimited,
     Role,
     SlowStart,
@@ -174,7 +175,7 @@
 
 def _may_relax(bar: Bar) -> bool:
     """Return whether a request may go there after all, if no other server can."""
-    return isinstance(bar, RateLimited | SlowStart | BackingOff | HalfOpen)
+    return isinstance(bar, RateLimited | SlowStart | BackingOff | HalfOpen | Full)
 
 
 def _near_first(replicas: list[Replica], domain: str) -> list[Replica]:
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -253,7 +253,8 @@
         if model is None:
             return 0.0
         first = self.load_of(chain.stages[0].host)
-        requests = min(first.tokens / model.mean_tokens, model.max_sequences)
+        tokens = max(first.tokens, first.own_tokens * self.entries)
+        requests = min(tokens / model.mean_tokens, model.max_sequences)
         token_s = 0.0
         for stage in chain.stages:
             entry = self.directory.get(stage.host)
--- a/tests/unit/test_load_rounds.py
+++ b/tests/unit/test_load_rounds.py
@@ -17,6 +17,7 @@
     LoadRounds,
     PublishSum,
     SendPart,
+    SumTaken,
 )
 from tests.lib.properties import examples
 
@@ -200,6 +201,56 @@
     assert cut.load(6, network.now_s) == 6 * cut.tokens
 
 
+def in_round_one() -> LoadRounds:
+    """One of two entries of a domain, which has sent its part for the first round."""
+    rounds = LoadRounds("0-0", "domain-0", INTERVAL_S, lambda: 0.0)
+    members = {"domain-0": ["0-0", "0-1"]}
+    rounds.step(0.0, members, dict)
+    rounds.step(0.75 * INTERVAL_S, members, lambda: {KEY: (5,)})
+    return rounds
+
+
+def taken(rounds: LoadRounds, *, includes_own: bool) -> SumTaken | None:
+    return rounds.sum_received(
+        "0-1", 1, {KEY: (8,)}, 2, 0.4, includes_own=includes_own, age_s=0.0, seen={}
+    )
+
+
+def test_a_sum_that_may_be_old_isnt_taken() -> None:
+    """Only a sum with the own part in it was surely made after that was sent."""
+    assert taken(in_round_one(), includes_own=False) is None
+    found = taken(in_round_one(), includes_own=True)
+    assert found == SumTaken(0.75 * INTERVAL_S, {KEY: (3,)}, 1)
+
+
+def test_a_collector_that_was_missed_twice_is_passed_over() -> None:
+    rounds = LoadRounds("0-0", "domain-0", INTERVAL_S, lambda: 0.0)
+    members = {"domain-0": ["0-0", "0-1", "0-2"]}
+    sent_to = [
+        action.to
+        for step in range(400)
+        for action in rounds.step(step * STEP_S, members, dict)
+        if isinstance(action, SendPart)
+    ]
+    assert sorted(set(sent_to)) == ["0-1", "0-2"]
+    # In 50 intervals nobody answers; each is tried twice, and again after 20 of them.
+    assert max(sent_to.count(name) for name in set(sent_to)) <= 6
+
+
+def test_another_domains_sum_is_as_old_as_the_round_that_is_known_there() -> None:
+    published = {}
+    for seen in (None, 1):
+        rounds = in_round_one()
+        taken(rounds, includes_own=True)
+        foreign = DomainSum("domain-1", 7, 3, {KEY: (30,)}, seen)
+        rounds.foreign_sum_received(foreign, 0.9)
+        members = {"domain-0": ["0-0"], "domain-1": ["1-0"]}
+        actions = rounds.step(1.0, members, lambda: {KEY: (5,)})
+        (published[seen],) = (a for a in actions if isinstance(a, PublishSum))
+    assert (published[None].entries, published[1].entries) == (1, 4)
+    assert published[1].age_s == pytest.approx(1.0 - 0.75 * INTERVAL_S)
+
+
 EVENTS = st.lists(
     st.tuples(
         st.sampled_from(["cut", "pause", "restart"]),
