--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,17 +4,31 @@
 
 import asyncio
 import contextlib
+import hashlib
 import json
 import random
 import signal
+import socket
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
 
+from railfold._internal import clock
+from railfold._internal.forwarding.peers.peer_messages import (
+    DomainLoadNotice,
+    Envelope,
+    LoadPartNotice,
+    LoadRows,
+    LoadSumNotice,
+    PeerMessageCodec,
+    RetryAsked,
+)
+from railfold._internal.forwarding.quarantine.content_digest import derived_key
+from railfold._internal.forwarding.store.shared_records import KEY_NAME, decode_key
 from soak.world import Injected, World
 from standins.chaining_engine import Engine
 from tests.lib.crashes import POISON_BODY
-from tests.lib.forwarding import Connection
+from tests.lib.forwarding import MODEL_SERVICE, Connection
 
 # The link of an entry of the smaller kind, and for how long entries have it.
 _SLOW_BPS = 20e6
@@ -34,6 +48,10 @@
 # What servers that shed load ask for, in seconds.
 _RETRY_AFTERS = ("0", "0.3", "1", "1.5", "3", "6")
 
+# False load, for 2 s.
+_LIES = 100
+_LIE_INTERVAL_S = 0.02
+
 # How the ids of its requests begin.
 POISON_ID = "poison-"
 
@@ -276,6 +294,46 @@
         await world.restart(server)
 
 
+async def load_lies(world: World, rng: random.Random) -> None:
+    """Send entries false load, as another one that has their key."""
+    records = world.store.topic("keyed.railfold-quarantine").newest
+    if KEY_NAME not in records:
+        return
+    key = derived_key(decode_key(records[KEY_NAME][1]), b"peers")
+    codec = PeerMessageCodec(key)
+    names = [entry.name for entry in world.entries]
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for _ in range(_LIES):
+            message = _load_lie(rng, names, [entry.zone for entry in world.entries])
+            sent_ms = int(clock.unix_time_s() * 1000)
+            envelope = Envelope("liar", rng.randbytes(8), sent_ms, message, True)
+            address = ("127.0.0.1", rng.choice(world.entries).peers)
+            with contextlib.suppress(OSError):  # That entry doesn't run now.
+                sender.sendto(codec.encode(envelope), address)
+            await asyncio.sleep(_LIE_INTERVAL_S)
+
+
+def _load_lie(
+    rng: random.Random, names: list[str], zones: list[str]
+) -> LoadPartNotice | LoadSumNotice | DomainLoadNotice | RetryAsked:
+    number = rng.choice([rng.randrange(200), 2 ** rng.randrange(62)])
+    amounts = [rng.randrange(2**32) for _ in range(rng.randint(1, 4))]
+    rows = LoadRows([[rng.randrange(2**32), *amounts] for _ in range(60)])
+    name = rng.choice(names)
+    digests = [
+        int.from_bytes(hashlib.blake2b(n.encode(), digest_size=4).digest())
+        for n in names
+    ]
+    return rng.choice(
+        [
+            LoadPartNotice(name, number, rows),
+            LoadSumNotice(name, number, digests, rng.randint(1, 2000), rows),
+            DomainLoadNotice(rng.choice(zones), number, 9, rows, {zones[0]: number}),
+            RetryAsked(name, rng.randrange(2**32), MODEL_SERVICE, 10_000),
+        ]
+    )
+
+
 async def poison_request(world: World, rng: random.Random) -> None:
     """Send a request that ends who runs it again and again, at any entry."""
     world.poison()
@@ -326,6 +384,7 @@
     "entry_stop": entry_stop,
     "large_configuration": large_configuration,
     "link_fault": link_fault,
+    "load_lies": load_lies,
     "odd_records": odd_records,
     "poison_request": poison_request,
     "server_crash": server_crash,
@@ -348,6 +407,7 @@
         "configure",
         "entry_reload",
         "large_configuration",
+        "load_lies",
         "odd_records",
         "poison_request",
         "server_crash",
@@ -366,6 +426,7 @@
         "configure",
         "entry_reload",
         "large_configuration",
+        "load_lies",
         "odd_records",
         "store_forgets",
     }
--- a/tests/unit/test_retry_loans.py
+++ b/tests/unit/test_retry_loans.py
@@ -129,3 +129,48 @@
     for end_s in spent_s:
         in_window = [at_s for at_s in spent_s if end_s - WINDOW_S < at_s <= end_s]
         assert len(in_window) <= 4 * PART
+
+
+def play_uneven_needs(*, lends: bool) -> tuple[int, int]:
+    """Return how many of the retries that 21 entries need in 5 s are made, and needed.
+
+    A failure hits the requests of four of them; the others need two retries each.
+    """
+    needs, rng = random.Random(5), random.Random(6)
+    part = 181 / 21
+    budgets = [
+        RetryBudget(RetryLimits(0.0, part, WINDOW_S), rng.random()) for _ in range(21)
+    ]
+    made = needed = 0
+    loans = itertools.count(1)
+    asked: list[tuple[int, int, int]] = []
+    lenders: dict[int, RetryBudget] = {}
+    for step in range(100):
+        now_s = step * 0.05
+        for index, budget in enumerate(budgets):
+            is_due = needs.random() < (0.3 if index < 4 else 0.02)
+            needed += is_due
+            made += is_due and budget.spend(now_s)
+        # What was asked for in a step is there in the next one.
+        for index, lender, count in asked:
+            loan = next(loans)
+            lenders[loan] = budgets[lender]
+            budgets[index].ask(loan, now_s)
+            budgets[index].borrow(loan, budgets[lender].lend(loan, count, now_s))
+        asked = []
+        for index, budget in enumerate(budgets):
+            for loan, used in budget.due(now_s).items():
+                lenders[loan].settled(loan, used, now_s)
+            wanted = budget.wanted(now_s)
+            if lends and wanted and step % 4 == 0:
+                others = [i for i in range(21) if i != index]
+                asked += [(index, i, wanted) for i in rng.sample(others, 4)]
+    return made, needed
+
+
+def test_loans_serve_a_failure_that_hits_few_entries() -> None:
+    """Parts by announced need would be equal ones for the first two windows."""
+    equal, needed = play_uneven_needs(lends=False)
+    lent, _ = play_uneven_needs(lends=True)
+    assert equal < 0.6 * needed
+    assert lent > 0.85 * needed
