--- a/src/railfold/_internal/forwarding/requests/chain_planner.py
+++ b/src/railfold/_internal/forwarding/requests/chain_planner.py
@@ -77,7 +77,11 @@
         :raises RequestError: there is no chain, or only the last one.
         """
         replicas = self._router.directory.layer_replicas(
-            spec.name, model, self._router.region, self._router.load_of
+            spec.name,
+            model,
+            self._router.region,
+            self._router.load_of,
+            self._router.entries,
         )
         now_s = asyncio.get_running_loop().time()
         eligible = [self._eligible(r, exclude, now_s, terms) for r in replicas]
@@ -274,7 +278,11 @@
             return None
         domain = entry.registration.failure_domain
         replicas = self._router.directory.layer_replicas(
-            entry.registration.service, model, self._router.region, self._router.load_of
+            entry.registration.service,
+            model,
+            self._router.region,
+            self._router.load_of,
+            self._router.entries,
         )
         usable = [
             r
--- a/src/railfold/_internal/forwarding/requests/destinations.py
+++ b/src/railfold/_internal/forwarding/requests/destinations.py
@@ -10,6 +10,7 @@
 from railfold._internal.decisions.eligibility import (
     Bar,
     EndingBar,
+    Full,
     RateLimited,
     Role,
     SlowStart,
@@ -202,7 +203,7 @@
 
 def _may_relax(bar: Bar) -> bool:
     """Return whether a request may go there after all, if no other server can."""
-    return isinstance(bar, RateLimited | SlowStart | BackingOff | HalfOpen)
+    return isinstance(bar, RateLimited | SlowStart | BackingOff | HalfOpen | Full)
 
 
 def _near_first(replicas: list[Replica], domain: str) -> list[Replica]:
