--- a/src/railfold/_internal/decisions/engine_directory.py
+++ b/src/railfold/_internal/decisions/engine_directory.py
@@ -397,14 +397,14 @@
 def _reckoned_load(load: ServerLoad, entries: int, capacity: int) -> int:
     """Return the load of all entries as far as it may count against a capacity.
 
-    Others are taken to send where this entry does until their load is announced: else
-    all would choose the same server meanwhile. Only one's own load makes a backend
-    server full: room is freed and taken while others' load is announced, and whether
-    there is some is known better there.
+    Others are taken to have sent where this entry did. Their announced load is the same
+    for all entries: by it all would choose the same servers until the next sum. Only
+    one's own load makes a backend server full: room is freed and taken while others'
+    load is announced, and whether there is some is known better there.
     """
     if load.own_tokens >= capacity:
         return load.own_tokens
-    return min(round(max(load.tokens, load.own_tokens * entries)), capacity - 1)
+    return min(load.own_tokens * entries, capacity - 1)
 
 
 def _differ(one_ms: int | None, other_ms: int | None) -> bool:
--- a/src/railfold/_internal/decisions/fleet_load.py
+++ b/src/railfold/_internal/decisions/fleet_load.py
@@ -32,6 +32,9 @@
     unread_tokens: int = 0
 
 
+_NOTHING = LoadPart()
+
+
 @dataclass(frozen=True, slots=True)
 class ServerLoad:
     """What all entries have under way at one backend server; fields as above.
@@ -100,7 +103,7 @@
 
     def own_part(self, server_id: str) -> LoadPart:
         """Return the part of the entry itself at one server."""
-        return self._own.get(server_id, LoadPart())
+        return self._own.get(server_id, _NOTHING)
 
     def add(self, server_id: str, part: LoadPart) -> None:
         """Count what was sent to a server."""
@@ -205,13 +208,13 @@
 
         :param entries: how many entries there are, with this one.
         """
-        own = self._own.get(server_id, LoadPart())
+        own = self._own.get(server_id, _NOTHING)
         fresh = [
             announced
             for announced in self._announced.values()
             if now_s - announced.at_s < self.lifetime_s
         ]
-        parts = [own, *(a.parts.get(server_id, LoadPart()) for a in fresh)]
+        parts = [own, *(a.parts.get(server_id, _NOTHING) for a in fresh)]
         heard = 1 + sum(announced.entries for announced in fresh)
         share = min(1.0, heard / max(1, entries))
         tokens = sum(part.tokens for part in parts)
--- a/src/railfold/_internal/forwarding/peers/load_exchange.py
+++ b/src/railfold/_internal/forwarding/peers/load_exchange.py
@@ -54,7 +54,7 @@
 # After so many intervals without a sum an entry reckons by itself.
 _LIFETIME_INTERVALS = 6
 
-_STEPS_PER_INTERVAL = 16
+_STEPS_PER_INTERVAL = 8
 
 # Of code, envelope, names and headers of the network.
 _MESSAGE_BYTES = 200
@@ -193,7 +193,9 @@
             return
         match message:
             case LoadPartNotice(name=name, round=number):
-                if not self._rounds.part_received(name, number, parts):
+                if self._rounds.part_received(name, number, parts):
+                    self._step()  # It may be the last one.
+                else:
                     self._router.metrics.count("load.parts_late")
             case DomainLoadNotice(domain=domain, round=number, entries=entries):
                 seen = message.seen.get(self._router.failure_domain)
--- a/src/railfold/_internal/forwarding/peers/retry_loans.py
+++ b/src/railfold/_internal/forwarding/peers/retry_loans.py
@@ -25,7 +25,7 @@
 
 RetryMessage = RetryAsked | RetryLent | RetrySettled
 
-_STEP_S = 0.05
+_STEP_S = 0.1
 
 # An entry whose part runs low asks so many others, and no more often than that: 60
 # datagrams of 130 bytes a second at most.
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -252,9 +252,10 @@
         model = self.model_of(chain)
         if model is None:
             return 0.0
-        first = self.load_of(chain.stages[0].host)
-        tokens = max(first.tokens, first.own_tokens * self.entries)
-        requests = min(tokens / model.mean_tokens, model.max_sequences)
+        own_tokens = self.fleet_load.own_part(chain.stages[0].host).tokens
+        requests = min(
+            own_tokens * self.entries / model.mean_tokens, model.max_sequences
+        )
         token_s = 0.0
         for stage in chain.stages:
             entry = self.directory.get(stage.host)
