Hand the placement of layers over within 1.5 s, among a few candidates

What callers saw: layers that were lost stay uncovered for seconds while the entry that places them is cut off from the store.

A holder stops once it can't renew, and tells the others the member id under which it led; candidates leave in its name and join at once. That id is used no more, so that a leave that is carried out late ends no later lease. Fencing is as it was; tokens lie above those of the former group.

Tests play the real keeper in virtual time: five faults at nine phases of the renewal, a leave carried out late, and drawn cuts, suspensions and returns of an older store.

--- a/src/railfold/_internal/decisions/leadership.py
+++ b/src/railfold/_internal/decisions/leadership.py
@@ -6,7 +6,7 @@
 
 from railfold._internal.decisions.fleet_size import Deal
 
-__all__ = ["Leadership", "LeaseGrant"]
+__all__ = ["Candidacy", "Leadership", "LeaseGrant"]
 
 # Clocks of holder and granter may run apart, and an order is under way for a
 # while after the last look at the lease.
@@ -21,12 +21,43 @@
     :param fencing: rises with every change of holder.
     :param deal: what tells how many processes ask for the lease, if it is known.
     :param epoch: of the granter's log, which rises when that goes back.
+    :param is_candidate: whether the caller is one of the few that stand by for duties.
     """
 
     holding: bool
     fencing: int
     deal: Deal | None = None
     epoch: int = 0
+    is_candidate: bool = False
+
+
+# A new deal among all processes names other candidates. Former ones stay for this time,
+# so that the lease isn't dealt anew by each change.
+_STAY_S = 5.0
+
+
+@dataclass(slots=True)
+class Candidacy:
+    """Whether one process asks for the lease; times are on the monotonic clock.
+
+    :param member_s: how long the process counts as a member after its last renewal
+        among all processes.
+    """
+
+    member_s: float
+    _named_s: float = float("-inf")
+    _renewed_s: float = float("-inf")
+
+    def renewed(self, grant: LeaseGrant, sent_s: float) -> None:
+        """Take an answer to a renewal among all processes."""
+        self._renewed_s = sent_s
+        if grant.is_candidate:
+            self._named_s = sent_s
+
+    def asks(self, now_s: float) -> bool:
+        """Return whether to ask for the lease; its holder goes on anyway."""
+        is_member = now_s - self._renewed_s < self.member_s
+        return is_member and now_s - self._named_s < _STAY_S
 
 
 @dataclass(slots=True)
--- a/src/railfold/_internal/forwarding/adapter.py
+++ b/src/railfold/_internal/forwarding/adapter.py
@@ -70,6 +70,9 @@
     def new_log(self) -> WritableLog:
         """Return a new client of the store's log."""
 
+    def new_member_client(self, duty: str) -> LeaseClient:
+        """Return a client of the group of all entries, which names candidates."""
+
     def new_lease_client(self, duty: str) -> LeaseClient:
         """Return a client for the lease of a duty."""
 
--- a/src/railfold/_internal/forwarding/peers/peer_messages.py
+++ b/src/railfold/_internal/forwarding/peers/peer_messages.py
@@ -24,6 +24,7 @@
     "CrashTold",
     "CrashesTold",
     "EntryStarted",
+    "LeadershipReleased",
     "LeavingNotice",
     "PeerMessage",
     "PeerMessageCodec",
@@ -109,6 +110,16 @@
     name: _Name
 
 
+class LeadershipReleased(msgspec.Struct, frozen=True, tag="unled"):
+    """An entry that placed layers stopped, since it can't renew its lease.
+
+    :param member: its id in the lease's group, which it uses no more.
+    """
+
+    name: _Name
+    member: _Name
+
+
 class ArrivalsTold(msgspec.Struct, frozen=True, tag="arrivals"):
     """Requests a second that arrive at an entry, by service."""
 
@@ -194,6 +205,7 @@
     | TrialBegun
     | EntryStarted
     | PlacementLed
+    | LeadershipReleased
     | ArrivalsTold
     | ProofAsked
     | ProofTold
--- a/src/railfold/_internal/forwarding/peers/peering.py
+++ b/src/railfold/_internal/forwarding/peers/peering.py
@@ -23,6 +23,7 @@
     ContentCleared,
     CrashesTold,
     EntryStarted,
+    LeadershipReleased,
     LeavingNotice,
     PeerMessage,
     PermitAsked,
@@ -60,6 +61,8 @@
 
     :param reachable: set while the store answers others' reads.
     :param on_known: called when all that the store holds was read once.
+    :param on_leadership_stopped: takes the member id under which another entry placed
+        layers, and doesn't any more.
     :param on_listed: takes how many entries the store lists, with this one.
     """
 
@@ -74,8 +77,11 @@
         on_listed: Callable[[int], None],
         on_epoch: Callable[[int], None],
         proofs: ProofKeeper,
+        on_leadership_stopped: Callable[[str], None],
     ) -> None:
         self._proofs = proofs
+        self._name = settings.name
+        self._on_leadership_stopped = on_leadership_stopped
         self._limits = router.limits
         self._backoffs = router.backoffs
         self._statements = router.statements
@@ -149,6 +155,10 @@
         if self._keeper is not None:
             await self._keeper.leave()
 
+    def tell_leadership_stopped(self, member: str) -> None:
+        """Tell others that this entry places layers no more, under this member id."""
+        self._tell(LeadershipReleased(self._name, member))
+
     def _on_stored_key(self, key: bytes) -> None:
         if self._given_key is None:
             self._use_key(key)
@@ -194,6 +204,8 @@
             case PlacementLed():
                 if self._arrivals is not None:
                     self._arrivals.led(message)
+            case LeadershipReleased():
+                self._on_leadership_stopped(message.member)
             case ArrivalsTold():
                 if self._arrivals is not None:
                     self._arrivals.told(message)
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -11,7 +11,7 @@
 from railfold._internal.decisions.engine_directory import EngineDirectory
 from railfold._internal.decisions.fleet_size import FleetSize
 from railfold._internal.decisions.freshness import FreshnessLease
-from railfold._internal.decisions.leadership import Leadership
+from railfold._internal.decisions.leadership import Candidacy, Leadership, LeaseGrant
 from railfold._internal.decisions.log_epoch import RETURN_S, LogEpoch
 from railfold._internal.decisions.retry_budget import (
     RetryBudgets,
@@ -43,7 +43,12 @@
     ConfigurationFeed,
     RegistrationFeed,
 )
-from railfold._internal.forwarding.store.leadership import LEASE_S, LeadershipKeeper
+from railfold._internal.forwarding.store.leadership import (
+    LEASE_S,
+    MEMBER_S,
+    LeadershipKeeper,
+    MembershipKeeper,
+)
 from railfold._internal.forwarding.store.registration_pace import (
     calm_pace,
     eager_pace,
@@ -141,18 +146,27 @@
             rng=rng,
         )
         self.destinations = DestinationChooser(self.router)
-        fleet = FleetSize(settings.retry_window_s, LEASE_S, founded_by_s)
+        fleet = FleetSize(settings.retry_window_s, MEMBER_S, founded_by_s)
         self._fleet_limits = FleetLimits(settings, fleet, self.router)
         calls = EngineCalls(self.router)
         self._prober = ChainProber(self.router, calls)
         self._leadership = Leadership(LEASE_S)
+        self._candidacy = Candidacy(MEMBER_S)
         self._leadership_keeper = LeadershipKeeper(
             settings.name,
             self._leadership,
             adapter.new_lease_client(_PLACEMENT_DUTY),
             self.log,
             self.metrics,
-            self._fleet_limits.dealt,
+            self._on_epoch,
+            self._candidacy,
+            self._on_leadership_stopped,
+        )
+        self._membership = MembershipKeeper(
+            settings.name,
+            adapter.new_member_client(_PLACEMENT_DUTY),
+            self.metrics,
+            self._on_member_renewed,
             self._on_epoch,
         )
         self._placement = PlacementKeeper(
@@ -193,6 +207,7 @@
             on_listed=self._fleet_limits.listed,
             on_epoch=self._on_epoch,
             proofs=self._proofs,
+            on_leadership_stopped=self._leadership_keeper.holder_stopped,
         )
         calls.on_refused = self._peering.quarantine.server_refused
         self._prober.on_well = self._peering.quarantine.server_answered
@@ -220,6 +235,7 @@
             ChildSpec("configuration", self._configuration.run),
             ChildSpec("proofs", self._proofs.run),
             ChildSpec("registrations", self._registrations.run),
+            ChildSpec("membership", self._membership.run),
             ChildSpec("leadership", self._leadership_keeper.run),
             ChildSpec("placement", self._placement.run),
             ChildSpec("slow engines", self._slow_engines.run),
@@ -324,6 +340,14 @@
         self._store_reachable.set()
         self.log.write(DependencyRegained("store"))
 
+    def _on_member_renewed(self, grant: LeaseGrant, sent_s: float) -> None:
+        self._candidacy.renewed(grant, sent_s)
+        if grant.deal is not None:
+            self._fleet_limits.dealt(grant.deal, sent_s)
+
+    def _on_leadership_stopped(self, member: str) -> None:
+        self._peering.tell_leadership_stopped(member)
+
     def _on_registrations_regained(self) -> None:
         self.router.directory.store_returned(self._loop.time())
 
@@ -489,7 +513,9 @@
         self.log.write(ProcessStopping("told to stop", len(self.router.active)))
         # The store may not answer; the rest of the stop doesn't wait for it.
         leaving = self._loop.create_task(self._peering.leave())
-        await self._leadership_keeper.release()
+        await asyncio.gather(
+            self._leadership_keeper.release(), self._membership.release()
+        )
         end_s = started_s + self._settings.grace_s - _EXIT_S
         await asyncio.sleep(_LEAVE_BALANCER_S)
         self._clients.stop_accepting()
--- a/src/railfold/_internal/platform/adapter.py
+++ b/src/railfold/_internal/platform/adapter.py
@@ -7,7 +7,7 @@
 from railfold._internal.decisions.routing_table import RoutingTable
 from railfold._internal.platform import configuration, engines
 from railfold._internal.platform.dialect import PlatformDialect
-from railfold._internal.platform.store import GroupLease, KeyedLog
+from railfold._internal.platform.store import DutyLease, GroupLease, KeyedLog
 
 __all__ = ["UsersPlatform"]
 
@@ -30,10 +30,14 @@
         """Return a new client of the store's log."""
         return KeyedLog(self._store)
 
-    def new_lease_client(self, duty: str) -> GroupLease:
-        """Return a client for the lease of a duty."""
+    def new_member_client(self, duty: str) -> GroupLease:
+        """Return a client of the group of all entries, which names candidates."""
         return GroupLease(self._store, duty, self._partitions)
 
+    def new_lease_client(self, duty: str) -> DutyLease:
+        """Return a client for the lease of a duty."""
+        return DutyLease(self._store, duty, self._partitions)
+
     def decode_configuration(self, value: bytes) -> RoutingTable:
         """Return a configuration."""
         return configuration.decode_configuration(value)
--- a/src/railfold/_internal/platform/store.py
+++ b/src/railfold/_internal/platform/store.py
@@ -28,7 +28,7 @@
 from railfold._internal.forwarding.servers.kept_connection import KeptConnection
 from railfold._internal.store.records import LogPage, LogRecord
 
-__all__ = ["GroupLease", "KeyedLog"]
+__all__ = ["DutyLease", "GroupLease", "KeyedLog"]
 
 # Beyond the time that the store itself may wait. It answers in 4 ms, and up to
 # 60 times as slow in its bad times.
@@ -284,20 +284,37 @@
 class GroupLease:
     """A lease made of a group: who is dealt the first partition holds it.
 
+    The first three partitions, the middle and the last one name the candidates for
+    other duties: three to five members, whether partitions are dealt in turn or in
+    ranges.
+
     Partitions are dealt out evenly, so that a member's share tells how many
     members there are (:class:`Deal`). The group's generation rises with every
     change of its members. It falls when the store comes back from an older copy, so
     that the fencing token is made of the store's epoch and the generation.
     """
 
-    def __init__(self, address: Address, duty: str, partitions: int) -> None:
-        topics = min(_MOST_TOPICS, math.ceil(_LEAST_PARTITIONS / partitions))
+    _first_generation = 0
+
+    def __init__(
+        self,
+        address: Address,
+        duty: str,
+        partitions: int,
+        least_partitions: int = _LEAST_PARTITIONS,
+    ) -> None:
+        topics = min(_MOST_TOPICS, math.ceil(least_partitions / partitions))
         self._partitions = topics * partitions
         self._calls = _StoreCalls(address)
         self._group = f"railfold-{duty}"
         self._topics = [f"railfold-{duty}-{n}" for n in range(topics)]
         self._generation = 0
         self._epoch = 0
+        numbers = {0, 1, 2, self._partitions // 2, self._partitions - 1}
+        self._candidate_rows = {
+            (self._topics[number // partitions], number % partitions)
+            for number in numbers
+        }
 
     async def renew(self, holder: str, duration_s: float) -> LeaseGrant:
         """Ask for the lease, or keep it.
@@ -318,16 +335,17 @@
         if epoch < self._epoch:
             raise LogUnavailableError("an answer of the store's older epoch")
         joined = _decode(response.body, _Joined)
+        rows = {(row[0], row[1]) for row in joined.parts}
         # This answer is to a generation of another history: what it deals is taken
         # once it was asked for with the present one.
         same_history = epoch == self._epoch or self._generation == 0
         self._epoch = epoch
         self._generation = joined.generation if same_history else 0
-        lease_row = (self._topics[0], _PARTITION)
-        holding = any(row[:2] == lease_row for row in joined.parts)
-        token = fencing_token(epoch, joined.generation)
+        holding = (self._topics[0], _PARTITION) in rows and same_history
+        token = fencing_token(epoch, self._first_generation + joined.generation)
         deal = Deal(token, len(joined.parts), self._partitions)
-        return LeaseGrant(holding and same_history, token, deal, epoch)
+        is_candidate = not rows.isdisjoint(self._candidate_rows)
+        return LeaseGrant(holding, token, deal, epoch, is_candidate)
 
     async def release(self, holder: str) -> None:
         """Give the lease back.
@@ -336,3 +354,16 @@
         """
         body = msgspec.json.encode({"group": self._group, "member": holder})
         await self._calls.call("POST", "/railfold/log-leave", body)
+
+
+class DutyLease(GroupLease):
+    """The lease of a duty, among its candidates.
+
+    Its tokens lie above those of a group of all members, under which the same duty may
+    have been done.
+    """
+
+    _first_generation = 2**35
+
+    def __init__(self, address: Address, duty: str, partitions: int) -> None:
+        super().__init__(address, f"{duty}-leader", partitions, least_partitions=1)
--- /dev/null
+++ b/tests/unit/test_leadership_handover.py
@@ -0,0 +1,326 @@
+"""The duty to place layers changes hands soon, and is never done by two at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from railfold._internal.decisions.leadership import Candidacy, Leadership, LeaseGrant
+from railfold._internal.errors import LogUnavailableError
+from railfold._internal.forwarding.store.leadership import (
+    LEASE_S,
+    MEMBER_S,
+    LeadershipKeeper,
+)
+from railfold._internal.observability.decision_log import DecisionLog
+from railfold._internal.observability.metrics import Metrics
+from tests.lib.properties import examples
+from tests.lib.virtual_time import play
+
+# What callers lose while layers are missing and nobody orders others.
+HANDOVER_S = 1.5
+
+_TICK_S = 0.01
+_TRANSIT_S = 0.004
+_LATE_S = 0.7
+
+
+@dataclass
+class Group:
+    """A store's group that deals one partition, as its pages tell."""
+
+    generation: int = 0
+    holder: str = ""
+    heard_s: dict[str, float] = field(default_factory=dict)
+    named: dict[str, int] = field(default_factory=dict)
+    epoch: int = 0
+
+    def join(self, member: str, generation: int) -> tuple[int, bool]:
+        now_s = asyncio.get_running_loop().time()
+        is_new = member not in self.heard_s
+        self.heard_s[member] = now_s
+        self.named[member] = generation
+        silent = [m for m, at_s in self.heard_s.items() if now_s - at_s >= LEASE_S]
+        for one in silent:
+            self._remove(one)
+        if is_new or silent:
+            self.generation += 1
+        self._deal()
+        is_holder = self.holder == member
+        return self.generation, is_holder and self._wanted() == member
+
+    def leave(self, member: str) -> None:
+        if member in self.heard_s:
+            self._remove(member)
+            self.generation += 1
+            self._deal()
+
+    def go_back(self) -> None:
+        self.generation = max(0, self.generation - 3)
+        self.holder = ""
+        self.heard_s.clear()
+        self.epoch += 1
+
+    def _remove(self, member: str) -> None:
+        del self.heard_s[member]
+        if self.holder == member:
+            self.holder = ""
+
+    def _wanted(self) -> str:
+        return min(self.heard_s, default="")
+
+    def _deal(self) -> None:
+        """Pass the partition on once its holder has named this deal."""
+        if self.holder and self.named.get(self.holder, 0) < self.generation:
+            return
+        self.holder = self._wanted()
+
+
+@dataclass
+class Process:
+    """A candidate, its way to the store and its faults."""
+
+    name: str
+    group: Group
+    others: list[Process]
+    fault: str = ""
+    until_s: float = 0.0
+    generation: int = 0
+    epoch: int = 0
+
+    def __post_init__(self) -> None:
+        self.leadership = Leadership(LEASE_S)
+        self.keeper = LeadershipKeeper(
+            self.name,
+            self.leadership,
+            self,
+            DecisionLog(self.name),
+            Metrics(),
+            self._on_epoch,
+            on_stopped=self._tell,
+        )
+
+    def strike(self, fault: str, for_s: float) -> None:
+        self.fault = fault
+        self.until_s = asyncio.get_running_loop().time() + for_s
+
+    @property
+    def state(self) -> str:
+        return self.fault if asyncio.get_running_loop().time() < self.until_s else ""
+
+    @property
+    def fencing(self) -> int | None:
+        """The token that it gives orders with."""
+        if self.state in ("frozen", "killed"):
+            return None
+        return self.leadership.fencing(asyncio.get_running_loop().time())
+
+    def _on_epoch(self, epoch: int) -> None:
+        if epoch > self.epoch:
+            self.epoch = epoch
+            self.leadership.revoke()
+
+    def _tell(self, member: str) -> None:
+        if self.state in ("frozen", "killed", "alone"):
+            return
+        loop = asyncio.get_running_loop()
+        for other in self.others:
+            if other is not self and other.state not in ("frozen", "killed", "alone"):
+                loop.call_later(0.001, other.keeper.holder_stopped, member)
+
+    async def _reach_store(self) -> None:
+        await asyncio.sleep(_TRANSIT_S / 2)
+        match self.state:
+            case "refused":
+                raise LogUnavailableError("the store answered 429")
+            case "" | "late":
+                return
+            case _:
+                await asyncio.Event().wait()
+
+    async def renew(self, holder: str, duration_s: float) -> LeaseGrant:
+        await self._reach_store()
+        asked_epoch = self.epoch
+        generation, holding = self.group.join(holder, self.generation)
+        epoch = self.group.epoch
+        self.generation = generation if epoch == asked_epoch else 0
+        # An answer that is lost has been carried out.
+        await asyncio.sleep(_TRANSIT_S / 2)
+        if self.state not in ("", "late"):
+            await asyncio.Event().wait()
+        token = (epoch << 36) + generation
+        same_history = epoch == asked_epoch
+        return LeaseGrant(holding and same_history, token, epoch=epoch)
+
+    async def release(self, holder: str) -> None:
+        if self.state == "late":
+            # The answer is lost, and the call carried out afterwards.
+            loop = asyncio.get_running_loop()
+            loop.call_later(_LATE_S, self.group.leave, holder)
+            await asyncio.Event().wait()
+        await self._reach_store()
+        self.group.leave(holder)
+
+
+@contextlib.asynccontextmanager
+async def candidates(count: int):  # type: ignore[no-untyped-def]
+    """Some candidates, of which one leads."""
+    group = Group()
+    processes: list[Process] = []
+    for number in range(count):
+        processes.append(Process(f"entry-{number}", group, processes))
+    tasks = [
+        asyncio.create_task(process.keeper.run(asyncio.Event()))
+        for process in processes
+    ]
+    try:
+        await asyncio.sleep(2.0)
+        yield group, processes
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def leaders(processes: list[Process]) -> list[Process]:
+    return [process for process in processes if process.fencing is not None]
+
+
+@pytest.mark.parametrize("phase_s", [n * 0.03 for n in range(9)])
+@pytest.mark.parametrize("fault", ["refused", "silent", "alone", "frozen", "killed"])
+def test_a_leader_that_is_lost_has_a_successor_soon(fault: str, phase_s: float) -> None:
+    async def lose_leader() -> float:
+        async with candidates(4) as (_, processes):
+            await asyncio.sleep(phase_s)
+            (leader,) = leaders(processes)
+            loop = asyncio.get_running_loop()
+            lost_s = loop.time()
+            leader.strike(fault, 60.0)
+            while not [p for p in leaders(processes) if p is not leader]:  # noqa: ASYNC110
+                await asyncio.sleep(_TICK_S)
+            return loop.time() - lost_s
+
+    assert play(lose_leader()) < HANDOVER_S
+
+
+def test_a_leader_that_the_store_refuses_hands_over_before_its_lease_ends() -> None:
+    async def refuse_leader() -> float:
+        async with candidates(4) as (_, processes):
+            (leader,) = leaders(processes)
+            loop = asyncio.get_running_loop()
+            lost_s = loop.time()
+            leader.strike("refused", 60.0)
+            while not [p for p in leaders(processes) if p is not leader]:  # noqa: ASYNC110
+                await asyncio.sleep(_TICK_S)
+            return loop.time() - lost_s
+
+    assert play(refuse_leader()) < 0.6
+
+
+@pytest.mark.parametrize("phase_s", [n * 0.03 for n in range(9)])
+def test_a_leave_that_is_carried_out_late_ends_no_later_lease(phase_s: float) -> None:
+    """The leader leads again meanwhile, and a successor must not lead beside it."""
+
+    async def leave_late() -> int:
+        async with candidates(2) as (_, processes):
+            await asyncio.sleep(phase_s)
+            (leader,) = leaders(processes)
+            (other,) = [p for p in processes if p is not leader]
+            other.strike("late", 2.0)
+            leader.strike("refused", 0.7)
+            end_s = asyncio.get_running_loop().time() + 3.0
+            most = 0
+            while asyncio.get_running_loop().time() < end_s:
+                most = max(most, len(leaders(processes)))
+                await asyncio.sleep(_TICK_S)
+            return most
+
+    assert play(leave_late()) == 1
+
+
+def test_a_member_id_that_was_given_up_is_not_used_again() -> None:
+    """A leave for it may be carried out at any later time."""
+
+    async def refuse_leader() -> tuple[str, set[str]]:
+        async with candidates(2) as (group, processes):
+            (leader,) = leaders(processes)
+            given_up = leader.keeper._member
+            leader.strike("refused", 0.6)
+            await asyncio.sleep(0.6)
+            group.named.clear()
+            await asyncio.sleep(3.0)
+            return given_up, set(group.named)
+
+    given_up, used = play(refuse_leader())
+    assert used
+    assert given_up not in used
+
+
+FAULTS = st.lists(
+    st.tuples(
+        st.sampled_from(["refused", "silent", "alone", "frozen", "late", "back"]),
+        st.integers(0, 3),
+        st.floats(0.02, 3.0),
+        st.floats(0.02, 2.0),
+    ),
+    max_size=12,
+)
+
+
+@examples(150)
+@given(FAULTS)
+def test_two_never_lead_at_a_time_and_tokens_rise(
+    faults: list[tuple[str, int, float, float]],
+) -> None:
+    """Over cuts, suspensions and a store that goes back, in any order."""
+
+    async def run() -> None:
+        async with candidates(4) as (group, processes):
+            newest = 0
+            newest_leader = ""
+            for fault, number, for_s, wait_s in faults:
+                if fault == "back":
+                    group.go_back()
+                else:
+                    processes[number].strike(fault, for_s)
+                end_s = asyncio.get_running_loop().time() + wait_s
+                while asyncio.get_running_loop().time() < end_s:
+                    leading = leaders(processes)
+                    tokens = {process.fencing for process in leading}
+                    assert len(tokens) == len(leading)
+                    if fault != "back" and not group.epoch:
+                        assert len(leading) <= 1
+                    for process in leading:
+                        token = process.fencing
+                        assert token is not None
+                        if token > newest:
+                            newest, newest_leader = token, process.name
+                        elif token == newest:
+                            assert process.name == newest_leader
+                    await asyncio.sleep(_TICK_S)
+
+    play(run())
+
+
+def test_a_former_candidate_stays_for_some_time_and_then_goes() -> None:
+    candidacy = Candidacy(MEMBER_S)
+    assert not candidacy.asks(0.0)
+    candidacy.renewed(LeaseGrant(False, 1, is_candidate=True), 10.0)
+    assert candidacy.asks(10.1)
+    for second in range(11, 15):
+        candidacy.renewed(LeaseGrant(False, 2), float(second))
+        assert candidacy.asks(second + 0.5)
+    candidacy.renewed(LeaseGrant(False, 2), 15.0)
+    assert not candidacy.asks(15.5)
+
+
+def test_a_candidate_that_the_store_does_not_hear_asks_no_more() -> None:
+    """It isn't a member by now, and others have been named."""
+    candidacy = Candidacy(MEMBER_S)
+    candidacy.renewed(LeaseGrant(False, 1, is_candidate=True), 10.0)
+    assert not candidacy.asks(10.0 + MEMBER_S)
--- a/tests/unit/test_suspension.py
+++ b/tests/unit/test_suspension.py
@@ -149,7 +149,6 @@
             granter,
             DecisionLog("entry-1"),
             Metrics(),
-            lambda deal, sent_s: None,
             lambda epoch: None,
         )
         await keeper._renew()
