--- a/src/railfold/_internal/forwarding/peers/peer_messages.py
+++ b/src/railfold/_internal/forwarding/peers/peer_messages.py
@@ -26,6 +26,7 @@
     "CrashesTold",
     "DomainLoadNotice",
     "EntryStarted",
+    "LeadershipReleased",
     "LeavingNotice",
     "LoadPartNotice",
     "LoadRows",
@@ -143,6 +144,16 @@
     name: _Name
 
 
+class LeadershipReleased(msgspec.Struct, frozen=True, tag="unled"):
+    """An entry that placed layers stopped, since it can't renew its lease.
+
+    :param member: its id in the lease's group, which it uses no more.
+    """
+
+    name: _Name
+    member: _Name
+
+
 class ArrivalsTold(msgspec.Struct, frozen=True, tag="arrivals"):
     """Requests a second that arrive at an entry, by service."""
 
@@ -307,6 +318,7 @@
     | TrialNotRun
     | EntryStarted
     | PlacementLed
+    | LeadershipReleased
     | ArrivalsTold
     | ProofAsked
     | ProofTold
