Rate chains by the own part times entries

Cause: the announced sums are the same for all entries, and up to two seconds old; all found the same engines idle.

--- a/src/railfold/_internal/forwarding/requests/chain_balancer.py
+++ b/src/railfold/_internal/forwarding/requests/chain_balancer.py
@@ -118,7 +118,7 @@
                 accelerator.slowed(entry.slowness),
                 len(replica.stage.layers),
                 replica.capacity,
-                router.load_of(replica.stage.host),
+                router.own_reckoning(replica.stage.host),
             )
             spread = news_spread(state, model, router.entries, arriving_rps)
             found = candidate(replica, state, model, needs, spread, router.rng)
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -319,6 +319,20 @@
         now_s = asyncio.get_running_loop().time()
         return self.fleet_load.load(server_id, self.entries, now_s)
 
+    def own_reckoning(self, server_id: str) -> ServerLoad:
+        """Return a server's load if the other entries sent there as this one did.
+
+        Announced load is the same for all entries: by it all would choose the same
+        servers until the next sum.
+        """
+        own = self.fleet_load.own_part(server_id)
+        return ServerLoad(
+            float(own.tokens * self.entries),
+            float(own.sequences * self.entries),
+            float(own.unread_tokens * self.entries),
+            known_share=1.0 / max(1, self.entries),
+        )
+
     def count(self, destination: Destination, part: LoadPart) -> None:
         """Add what was sent to the load of a destination's backend servers."""
         for server_id in destination.server_ids:
