Reckon all chains of a failure domain; plan all domains as one supply

Cause: a domain's throughput was that of its best chain, so that plans chased a need per domain by moving engines one after the other, and an engine that came back empty was placed by that chain alone. Orders to an engine that still carried one out, often from the holder of the lease before, were sent again as they were.

Change: - decisions/placement/supply: throughput over parallel chains. A first engine's requests are one batch through the whole chain, held up by each prompt that it reads; memory, and the time of engines that several batches share, bound the sum. A chain whose first event comes after the longest objective of the service's routes counts for nothing. - needs: one demand for all domains; a domain that lacks room is left alone while the others have it, a domain that serves nothing is repaired. - copies, fills: an engine that comes empty is used at once, also while others load, where all chains gain the most on average over the loss of one engine. - busyness: by arrivals, engines with layers count as busy, and stay while their domain is whole. - layer_orders: an engine that carries out another's order is planned around. - logs by chain and before and after, gauges placement.served_rps, placement.needed_rps.

The reckoning says what would serve more, but until entries know the load of engines, room that is reached through slower or shared engines turns refusals into late answers.

--- a/src/railfold/_internal/decisions/placement/plan.py
+++ b/src/railfold/_internal/decisions/placement/plan.py
@@ -3,16 +3,17 @@
 Every failure domain that can holds a whole chain of its own, since what stages pass to
 each other is expensive between domains. The first plan spreads the layers for the most
 throughput, and what memory is left holds copies of neighbours' layers. Later plans
-repair what was lost, or improve what stands.
+repair what was lost, or improve what stands by what all chains serve together.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
+from math import inf
 
 from railfold._internal.core import LayerRange
-from railfold._internal.decisions.placement.copies import copies
+from railfold._internal.decisions.placement.copies import safest_copies
 from railfold._internal.decisions.placement.improve import improve
 from railfold._internal.decisions.placement.repair import repair
 from railfold._internal.decisions.placement.rooms import (
@@ -30,7 +31,8 @@
 def plan_layers(
     engines: Iterable[EngineRoom],
     model: EngineModel,
-    needed_rps: float = float("inf"),
+    needed_rps: float = inf,
+    objective_s: float = inf,
 ) -> Changes:
     """Return the layers that each engine of one failure domain should hold next.
 
@@ -39,13 +41,14 @@
 
     :param needed_rps: how many requests a second are wanted of the domain; as many
         as it can if that isn't known.
+    :param objective_s: the longest time to a first event that is of use to a client.
     """
     ordered = sorted(engines, key=lambda engine: engine.server_id)
     if not any(engine.held for engine in ordered):
         return _first_plan(ordered, model)
     if uncovered_layers((e.held for e in ordered), model.layer_count):
         return repair(ordered, model, needed_rps) or {}
-    return improve(ordered, model, needed_rps)
+    return improve(ordered, model, needed_rps, objective_s)
 
 
 def _first_plan(engines: Sequence[EngineRoom], model: EngineModel) -> Changes:
@@ -62,7 +65,7 @@
         if engine.server_id in spread.layers
     }
     placed = [replace(e, held=plan.get(e.server_id)) for e in engines]
-    return plan | copies(placed, model)
+    return plan | safest_copies(placed, model)
 
 
 def _widened(layers: LayerRange, limit: int, layer_count: int) -> LayerRange:
--- a/src/railfold/_internal/decisions/placement/repair.py
+++ b/src/railfold/_internal/decisions/placement/repair.py
@@ -12,12 +12,17 @@
 from dataclasses import dataclass, replace
 
 from railfold._internal.core import LayerRange
+from railfold._internal.decisions.placement.busyness import (
+    SURELY_BUSY,
+    requests_in_flight,
+    usual_residence_s,
+)
 from railfold._internal.decisions.placement.rooms import (
     Changes,
     EngineRoom,
     covers,
-    is_needless,
     max_layers,
+    needless_engines,
     new_layers,
     uncovered_layers,
 )
@@ -25,7 +30,6 @@
 from railfold._internal.decisions.placement.throughput import (
     domain_throughput_rps,
     room_levels,
-    stage_residence_s,
 )
 from railfold._internal.decisions.routing_table import EngineModel
 
@@ -43,9 +47,8 @@
 _ORDER_S = 0.8
 
 
-# With so many requests in flight on a domain each engine of its chain runs some, also
-# where those of this entry run elsewhere.
-_SURELY_BUSY = 2.0
+# Engines of which a move into the gap is reckoned, those that aren't needed first.
+_MOVES_TRIED = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +76,7 @@
     ]
     if not found:
         return None
-    in_flight = _in_flight(engines, model, needed_rps)
+    in_flight = requests_in_flight(engines, model, needed_rps)
 
     def served(candidate: _Repair) -> float:
         repair_s = _repair_s(engines, candidate.changes, model, in_flight)
@@ -113,7 +116,7 @@
     rounds = max(max(loads), sum(loads) / model.loads_at_once)
     loading_s = rounds * model.load_s / model.layer_count
     gives_up = any(
-        (e.busy or in_flight >= _SURELY_BUSY)
+        (e.busy or in_flight >= SURELY_BUSY)
         and e.held
         and not covers(changes.get(e.server_id, e.held), e.held)
         for e in engines
@@ -122,20 +125,6 @@
     return _ORDER_S + loading_s + drain_s
 
 
-def _in_flight(
-    engines: Sequence[EngineRoom], model: EngineModel, arriving_rps: float
-) -> float:
-    """Return how many requests are in flight on a domain that serves so many."""
-    stays_s = _usual_residence_s(engines, model)
-    return min(arriving_rps * stays_s, float(model.max_sequences))
-
-
-def _usual_residence_s(engines: Sequence[EngineRoom], model: EngineModel) -> float:
-    """Return how long a usual request stays on the domain's engines at light load."""
-    slowest = max(engines, key=lambda e: e.accelerator.step_factor)
-    return stage_residence_s(slowest.accelerator, model, model.layer_count, 1.0) / 2
-
-
 def _drain_s(
     engines: Sequence[EngineRoom], model: EngineModel, in_flight: float
 ) -> float:
@@ -148,7 +137,7 @@
     """
     count = max(1, round(in_flight))
     harmonic = sum(1.0 / n for n in range(1, count + 1))
-    return harmonic * _usual_residence_s(engines, model)
+    return harmonic * usual_residence_s(engines, model)
 
 
 # Changing few engines
@@ -257,8 +246,8 @@
 
     able = [
         e
-        for e in engines
-        if is_needless(e, engines) and max_layers(e.accelerator, model, requests) > 0
+        for e in needless_engines(engines)
+        if max_layers(e.accelerator, model, requests) > 0
     ]
     return max(able, key=fits, default=None)
 
@@ -340,7 +329,9 @@
     gaps = uncovered_layers((e.held for e in in_order), model.layer_count)
     if not gaps:
         return
-    for moved in in_order:
+    needless = {e.server_id for e in needless_engines(in_order)}
+    movable = sorted(in_order, key=lambda e: e.server_id not in needless)
+    for moved in movable[:_MOVES_TRIED]:
         rest = [e for e in in_order if e is not moved]
         place = sum(1 for e in rest if e.held and e.held.first < gaps[0].first)
         yield [*rest[:place], moved, *rest[place:]]
--- a/src/railfold/_internal/decisions/placement/rooms.py
+++ b/src/railfold/_internal/decisions/placement/rooms.py
@@ -14,8 +14,8 @@
     "EngineRoom",
     "coverage",
     "covers",
-    "is_needless",
     "max_layers",
+    "needless_engines",
     "new_layers",
     "request_room",
     "uncovered_layers",
@@ -99,12 +99,19 @@
     return counts
 
 
-def is_needless(engine: EngineRoom, engines: Iterable[EngineRoom]) -> bool:
-    """Return whether others hold all that an engine holds."""
-    if engine.held is None:
-        return True
-    others = coverage(e.held for e in engines if e.server_id != engine.server_id)
-    return all(others[n] for n in range(engine.held.first, engine.held.last + 1))
+def needless_engines(engines: Iterable[EngineRoom]) -> list[EngineRoom]:
+    """Return engines of each of which the others hold all that it holds.
+
+    One that loses its layers may make another one needed.
+    """
+    members = list(engines)
+    held_by = coverage(e.held for e in members)
+    return [
+        e
+        for e in members
+        if e.held is None
+        or all(held_by[n] > 1 for n in range(e.held.first, e.held.last + 1))
+    ]
 
 
 def covers(outer: LayerRange | None, inner: LayerRange) -> bool:
--- /dev/null
+++ b/src/railfold/_internal/decisions/placement/supply.py
@@ -0,0 +1,312 @@
+"""What engines serve together, over all chains that run beside each other.
+
+A chain takes the fastest engine with memory left at each layer, and as many requests as
+its narrowest stage has room for. The next chain takes what is left, until a layer has
+no room any more. Engines may be part of several chains.
+
+The engine that a request enters takes a bounded number of sequences, and runs them as
+one batch through the whole chain: a prompt that is read holds up the tokens of the
+others, and the stages that the batch isn't at have time for batches of other first
+engines. So several first engines before the same fast ones serve more than one. What
+engines have no time for stretches all chains through them. A chain that is too slow for
+every route serves nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from math import inf
+
+from railfold._internal.core import LayerRange
+from railfold._internal.decisions.placement.rooms import EngineRoom
+from railfold._internal.decisions.placement.throughput import (
+    STAGE_DELAY_S,
+    stage_residence_s,
+    stage_token_s,
+)
+from railfold._internal.decisions.routing_table import EngineModel
+
+__all__ = [
+    "ParallelChain",
+    "Supply",
+    "chain_use",
+    "reckon_supply",
+    "unused_layer_rooms",
+]
+
+# Chains that are reckoned at most; each fills an engine, and the last ones are slow.
+_MAX_CHAINS = 48
+
+# A chain takes this part of a batch at most at a time, so that first engines before the
+# same fast ones are used alike.
+_LAID_AT_ONCE = 0.5
+
+# An engine without memory for one usual request more isn't part of another chain.
+_LEAST_REQUESTS = 1.0 - 1e-6
+
+
+@dataclass(frozen=True, slots=True)
+class ParallelChain:
+    """A chain, and what it serves beside the others.
+
+    :param stages: engines and the layers that each of them runs, in order.
+    :param requests: how many requests are in flight on it.
+    :param residence_s: how long a usual request stays.
+    """
+
+    stages: tuple[tuple[str, LayerRange], ...]
+    requests: float
+    residence_s: float
+
+    @property
+    def throughput_rps(self) -> float:
+        """How many requests a second it serves."""
+        return self.requests / self.residence_s
+
+    def __str__(self) -> str:
+        """Return the figures of a log line."""
+        hosts = ", ".join(f"{server_id} {layers}" for server_id, layers in self.stages)
+        return (
+            f"{self.throughput_rps:.1f}/s, {self.requests:.0f} in flight"
+            f" for {self.residence_s:.2f} s: {hosts}"
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Supply:
+    """The chains that engines serve at a time, those that were found first first."""
+
+    chains: tuple[ParallelChain, ...]
+
+    @property
+    def throughput_rps(self) -> float:
+        """How many usual requests a second they serve together."""
+        return sum(chain.throughput_rps for chain in self.chains)
+
+
+@dataclass(slots=True, eq=False)
+class _EngineState:
+    """An engine while chains are laid over it.
+
+    :param layer_s: how long a usual request spends at one of its layers.
+    :param free_layers: memory left, in the state that a usual request has at one layer.
+    :param free_sequences: how many requests more may enter at it.
+    :param entered: how many requests have.
+    :param busy: the part of its time that its batches need.
+    """
+
+    engine: EngineRoom
+    held: LayerRange
+    layer_s: float
+    free_layers: float
+    free_sequences: float
+    entered: float = 0.0
+    passing: float = 0.0
+    busy: float = 0.0
+
+    def room(self, layers: LayerRange) -> float:
+        """Return how many requests more it can run so many layers of."""
+        room = self.free_layers / len(layers)
+        return min(room, self.free_sequences) if layers.first == 0 else room
+
+    def take(self, requests: float, layers: LayerRange) -> None:
+        """Take requests up to run so many layers of them."""
+        self.passing += requests
+        self.free_layers -= requests * len(layers)
+        if layers.first == 0:
+            self.entered += requests
+            self.free_sequences -= requests
+
+    @property
+    def is_full(self) -> bool:
+        """Whether it can be part of no further chain."""
+        return self.room(LayerRange(1, 1)) < _LEAST_REQUESTS
+
+
+_Stage = tuple[_EngineState, LayerRange]
+
+
+def reckon_supply(
+    engines: Sequence[EngineRoom], model: EngineModel, objective_s: float = inf
+) -> Supply:
+    """Return what engines serve over parallel chains, as they hold layers now.
+
+    :param objective_s: the longest time to a first event that is of use to a client.
+    """
+    laid = _lay_chains(_by_layer(engines, model), model)
+    alone = [_batch(stages, model) for stages, _ in laid]
+    for (stages, requests), batch in zip(laid, alone, strict=True):
+        batch.load(stages, requests, model)
+    chains = (
+        _chain(stages, requests, batch, objective_s)
+        for (stages, requests), batch in zip(laid, alone, strict=True)
+    )
+    return Supply(tuple(chain for chain in chains if chain is not None))
+
+
+def chain_use(engines: Sequence[EngineRoom], model: EngineModel) -> dict[str, float]:
+    """Return the part of each engine's room that parallel chains use, from 0 to 1."""
+    use = {engine.server_id: 0.0 for engine in engines}
+    for stages, _ in _lay_chains(_by_layer(engines, model), model):
+        for state, _ in stages:
+            left = max(0.0, state.room(state.held))
+            use[state.engine.server_id] = state.passing / (state.passing + left)
+    return use
+
+
+def unused_layer_rooms(
+    engines: Sequence[EngineRoom], model: EngineModel
+) -> list[float]:
+    """Return how many requests more each layer's engines have room for.
+
+    That is beside the chains that they serve, in each of which an engine takes part.
+    """
+    by_layer = _by_layer(engines, model)
+    _lay_chains(by_layer, model)
+    return [
+        sum(max(0.0, state.room(state.held)) for state in states) for states in by_layer
+    ]
+
+
+def _lay_chains(
+    by_layer: Sequence[list[_EngineState]], model: EngineModel
+) -> list[tuple[list[_Stage], float]]:
+    """Return chains, one after the other, and how many requests each of them takes.
+
+    Engines that are full are taken out of ``by_layer``.
+    """
+    laid: list[tuple[list[_Stage], float]] = []
+    while len(laid) < _MAX_CHAINS:
+        stages = _fastest_stages(by_layer, model)
+        if stages is None:
+            break
+        requests = min(state.room(layers) for state, layers in stages)
+        requests = min(requests, _LAID_AT_ONCE * model.max_sequences)
+        for state, layers in stages:
+            state.take(requests, layers)
+        for state, _ in stages:
+            if state.is_full:
+                for layer in range(state.held.first, state.held.last + 1):
+                    by_layer[layer].remove(state)
+        laid.append((stages, requests))
+    return laid
+
+
+def _by_layer(
+    engines: Sequence[EngineRoom], model: EngineModel
+) -> list[list[_EngineState]]:
+    """Return the engines that hold each layer, fast ones first."""
+    state_mb = model.mean_tokens * model.request_mb_per_token
+    states: list[_EngineState] = []
+    for engine in engines:
+        if engine.held is None:
+            continue
+        held = LayerRange(
+            max(0, engine.held.first), min(engine.held.last, model.layer_count - 1)
+        )
+        free_mb = engine.accelerator.memory_mb - len(engine.held) * model.layer_mb
+        whole_s = stage_residence_s(engine.accelerator, model, model.layer_count, 1.0)
+        layer_s = whole_s / model.layer_count
+        sequences = float(model.max_sequences)
+        states.append(
+            _EngineState(engine, held, layer_s, free_mb / state_mb, sequences)
+        )
+    states.sort(key=lambda state: (state.layer_s, state.engine.server_id))
+    by_layer: list[list[_EngineState]] = [[] for _ in range(model.layer_count)]
+    for state in states:
+        for layer in range(state.held.first, state.held.last + 1):
+            by_layer[layer].append(state)
+    return by_layer
+
+
+def _fastest_stages(
+    by_layer: Sequence[Sequence[_EngineState]], model: EngineModel
+) -> list[_Stage] | None:
+    """Return a chain of the fastest engines with room; nothing if a layer has none.
+
+    A chain may enter a range behind its first layer, and runs it to its end.
+    """
+    delay_s = model.answer_tokens * STAGE_DELAY_S
+    # What entered before at a first engine holds up what enters now.
+    hold_up_s = [model.prompt_s * state.entered for state in by_layer[0]]
+    stages: list[_Stage] = []
+    layer = 0
+    while layer < model.layer_count:
+        best: _EngineState | None = None
+        best_s = inf
+        for index, state in enumerate(by_layer[layer]):
+            if state.layer_s >= best_s:
+                break
+            run = state.held.last - layer + 1
+            layer_s = state.layer_s + delay_s / run
+            if layer == 0:
+                layer_s += state.engine.accelerator.prefill_factor * hold_up_s[index]
+            layers = LayerRange(layer, state.held.last)
+            if layer_s < best_s and state.room(layers) >= _LEAST_REQUESTS:
+                best, best_s = state, layer_s
+        if best is None:
+            return None
+        stages.append((best, LayerRange(layer, best.held.last)))
+        layer = best.held.last + 1
+    return stages
+
+
+@dataclass(frozen=True, slots=True)
+class _Batch:
+    """What a chain's requests take while the engines have time for nothing else.
+
+    :param step_s: one decode step of the batch, through all stages.
+    :param read_s: reading a usual prompt, through all stages.
+    :param first_event_s: from the start of reading to the first event.
+    :param residence_s: how long a request stays, held up by the prompts of the others.
+    """
+
+    step_s: float
+    read_s: float
+    first_event_s: float
+    residence_s: float
+
+    def load(
+        self, stages: Sequence[_Stage], requests: float, model: EngineModel
+    ) -> None:
+        """Count the time that this chain needs of its engines."""
+        first, _ = stages[0]
+        arriving_rps = requests / self.residence_s
+        share = requests / first.entered
+        reading = first.entered / self.residence_s * self.read_s
+        steps_per_s = share * max(0.0, 1.0 - reading) / self.step_s
+        for state, layers in stages:
+            kind, run = state.engine.accelerator, len(layers)
+            token_s = stage_token_s(kind, model, run, first.entered) - STAGE_DELAY_S
+            read_s = stage_residence_s(kind, model, run, 0.0) - (
+                model.answer_tokens * stage_token_s(kind, model, run, 0.0)
+            )
+            state.busy += steps_per_s * token_s + arriving_rps * read_s
+
+
+def _batch(stages: Sequence[_Stage], model: EngineModel) -> _Batch:
+    sequences = stages[0][0].entered
+    step_s = total_s = 0.0
+    for state, layers in stages:
+        kind, run = state.engine.accelerator, len(layers)
+        step_s += stage_token_s(kind, model, run, sequences)
+        total_s += stage_residence_s(kind, model, run, sequences)
+    read_s = total_s - model.answer_tokens * step_s
+    return _Batch(
+        step_s,
+        read_s,
+        first_event_s=read_s + model.tokens_per_event * step_s,
+        residence_s=total_s + sequences * read_s,
+    )
+
+
+def _chain(
+    stages: Sequence[_Stage], requests: float, batch: _Batch, objective_s: float
+) -> ParallelChain | None:
+    """Return a chain beside all the others; nothing if it is too slow."""
+    stretch = max(1.0, *(state.busy for state, _ in stages))
+    if stretch * batch.first_event_s > objective_s:
+        return None
+    named = tuple((state.engine.server_id, layers) for state, layers in stages)
+    return ParallelChain(named, requests, stretch * batch.residence_s)
--- a/src/railfold/_internal/decisions/placement/throughput.py
+++ b/src/railfold/_internal/decisions/placement/throughput.py
@@ -67,8 +67,8 @@
 def domain_throughput_rps(engines: Iterable[EngineRoom], model: EngineModel) -> float:
     """Return how many usual requests a second a domain's best chain serves.
 
-    0 if its engines hold no whole chain. A second chain beside the best one isn't
-    counted: engines that both need bound the two together.
+    0 if its engines hold no whole chain. Chains beside the best one aren't counted:
+    that tells how good a repair is, and not what a whole domain serves.
     """
     placed = [e for e in engines if e.held is not None]
     best = 0.0
--- a/src/railfold/_internal/forwarding/servers/layer_orders.py
+++ b/src/railfold/_internal/forwarding/servers/layer_orders.py
@@ -33,6 +33,11 @@
 # two looks at the placement, which give the places of ended loads away.
 _READ_S = 0.1
 
+# For how long an engine that says that it carries an order out is left alone, twice as
+# long each time: it loads a few layers, or waits for requests that end.
+_CARRYING_S = 1.0
+_CARRYING_MOST_S = 4.0
+
 # An order is for one incarnation: what its successor says proves nothing of it.
 _ANOTHER_ANSWERED = OrderUnsettled("the engine has started again")
 
@@ -49,12 +54,33 @@
         self._loop = asyncio.get_running_loop()
         self._under_way: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        # The last order that each engine began, and until when one is taken to be
+        # still carrying an order out.
+        self._begun: dict[str, LayerRange] = {}
+        self._carrying_until_s: dict[str, float] = {}
+        self._carrying_s: dict[str, float] = {}
 
     @property
     def under_way(self) -> Set[str]:
         """Engines whose order is being sent, or that are loading."""
         return self._under_way
 
+    def is_carrying(self, server_id: str, now_s: float) -> bool:
+        """Return whether an engine said lately that it carries an order out."""
+        return now_s < self._carrying_until_s.get(server_id, 0.0)
+
+    def has_other_order(self, server_id: str, layers: LayerRange, now_s: float) -> bool:
+        """Return whether it is to hold other layers than these by that order."""
+        return (
+            self.is_carrying(server_id, now_s) and self._begun.get(server_id) != layers
+        )
+
+    def forget(self, server_id: str) -> None:
+        """Forget an engine that is gone."""
+        self._begun.pop(server_id, None)
+        self._carrying_until_s.pop(server_id, None)
+        self._carrying_s.pop(server_id, None)
+
     def give(self, entry: DirectoryEntry, order: LoadOrder, load_s: float) -> None:
         """Begin to give an order.
 
@@ -75,6 +101,8 @@
             self._note(entry, order, outcome)
             match outcome:
                 case OrderBegun():
+                    self._begun[entry.server_id] = order.layers
+                    self._carrying_s.pop(entry.server_id, None)
                     await self._wait_loaded(entry, order.layers, load_s)
                 case OrderFenced():
                     self._leadership.fenced(order.fencing)
@@ -108,6 +136,7 @@
                 return _ANOTHER_ANSWERED
             if report.busy:
                 # Another order would begin its work anew.
+                self._note_carrying(entry.server_id)
                 return OrderRefused("it still carries an order out")
             call = dialect.place_call(order.layers, order.fencing, report.order_count)
             response = await self._calls.call(
@@ -121,6 +150,12 @@
             return _ANOTHER_ANSWERED
         return dialect.order_outcome(response.head)
 
+    def _note_carrying(self, server_id: str) -> None:
+        known_s = self._carrying_s.get(server_id)
+        span_s = _CARRYING_S if known_s is None else min(2 * known_s, _CARRYING_MOST_S)
+        self._carrying_s[server_id] = span_s
+        self._carrying_until_s[server_id] = self._loop.time() + span_s
+
     def _require_lease(self, order: LoadOrder) -> None:
         """Look at the lease once more, right before the order leaves.
 
--- a/src/railfold/_internal/forwarding/servers/placement.py
+++ b/src/railfold/_internal/forwarding/servers/placement.py
@@ -10,7 +10,7 @@
 import asyncio
 import math
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from railfold._internal.core import LayerRange
 from railfold._internal.decisions.domains import group_by_domain, in_groups
@@ -29,12 +29,19 @@
 )
 from railfold._internal.decisions.placement import (
     EngineRoom,
-    domain_throughput_rps,
+    are_surely_busy,
+    group_needs,
     new_layers,
     plan_layers,
+    planning_order,
+    reckon_supply,
     uncovered_layers,
 )
-from railfold._internal.decisions.routing_table import EngineModel, ServiceSpec
+from railfold._internal.decisions.routing_table import (
+    EngineModel,
+    RoutingTable,
+    ServiceSpec,
+)
 from railfold._internal.forwarding.router import Router
 from railfold._internal.forwarding.servers.engine_calls import EngineCalls
 from railfold._internal.forwarding.servers.layer_orders import LayerOrders
@@ -75,7 +82,26 @@
 _RATE_STEP = 1.25
 
 # What a plan for a group of engines depends on.
-_Question = tuple[EngineModel, tuple[EngineRoom, ...], float]
+_Question = tuple[EngineModel, tuple[EngineRoom, ...], "_Wanted"]
+
+
+@dataclass(frozen=True, slots=True)
+class _Wanted:
+    """What clients want of a group of engines.
+
+    :param needed_rps: requests a second.
+    :param objective_s: the longest time to a first event that any route allows.
+    """
+
+    needed_rps: float
+    objective_s: float
+
+
+# Failure domain and number of a group of engines.
+_GroupKey = tuple[str, int]
+
+# What the throughput of a group depends on, and the throughput.
+_KnownSupply = tuple[tuple[EngineModel, tuple[EngineRoom, ...], float], float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +110,11 @@
 
     failure_domain: str
     number: int
+    members: tuple[DirectoryEntry, ...]
+
+    @property
+    def key(self) -> _GroupKey:
+        return (self.failure_domain, self.number)
 
 
 class PlacementKeeper:
@@ -104,7 +135,8 @@
         self._loop = asyncio.get_running_loop()
         self._reconcilers: dict[str, Reconciler] = {}
         self._targets: dict[str, LayerRange] = {}
-        self._left_as_is: dict[_Group, _Question] = {}
+        self._left_as_is: dict[_GroupKey, _Question] = {}
+        self._supplies: dict[_GroupKey, _KnownSupply] = {}
         self._known: set[str] = set()
         self._started_s = self._loop.time()
         self._changed_s = self._loop.time()
@@ -123,10 +155,12 @@
         if table is None or self._leadership.fencing(now_s) is None:
             self._targets.clear()  # Another may plan meanwhile.
             self._left_as_is.clear()
+            self._supplies.clear()
             return
         for spec in table.model_services():
             if spec.model is not None:
-                await self._place(spec, spec.model, now_s)
+                objective_s = _loosest_objective_s(table, spec.name)
+                await self._place(spec, spec.model, objective_s, now_s)
 
     def _note_appearances(self, now_s: float) -> None:
         known = {
@@ -140,26 +174,40 @@
         for gone in set(self._reconcilers) - known:
             del self._reconcilers[gone]
             self._targets.pop(gone, None)
+            self._orders.forget(gone)
 
-    async def _place(self, spec: ServiceSpec, model: EngineModel, now_s: float) -> None:
+    async def _place(
+        self, spec: ServiceSpec, model: EngineModel, objective_s: float, now_s: float
+    ) -> None:
         entries = [e for e in self._router.directory.of_service(spec.name)]
         usable = [e for e in entries if self._usable(e, model, now_s)]
         if not any(e.registration.layers for e in usable) and not self._settled(now_s):
             return
+        free = [e for e in usable if not self._carries_order(e, now_s)]
         groups = [
-            group
-            for members in _by_domain(usable, model)
-            for group in enumerate(in_groups(members, lambda e: e.server_id))
+            _Group(members[0].registration.failure_domain, number, tuple(members))
+            for domain_members in _by_domain(free, model)
+            for number, members in enumerate(
+                in_groups(domain_members, lambda e: e.server_id)
+            )
         ]
         arriving_rps = self._router.arriving_rps(spec.name)
-        needed_rps = _HEADROOM * arriving_rps / max(1, len(groups))
-        for number, members in groups:
-            plan = self._group_plan(number, members, model, needed_rps)
+        needed_rps = _HEADROOM * arriving_rps
+        part_rps = arriving_rps / max(1, len(groups))
+        served_rps = [self._served_rps(g, model, objective_s) for g in groups]
+        for index in planning_order(served_rps):
+            group = groups[index]
+            group_rps = group_needs(served_rps, needed_rps)[index]
+            wanted = _Wanted(_rounded(group_rps), objective_s)
+            plan = self._group_plan(group, model, wanted, part_rps)
             self._targets.update(plan)
             if plan:
+                served_rps[index] = self._served_rps(group, model, objective_s)
                 # Whatever is due runs in between: a plan takes some 10 ms, and there
                 # may be many at once.
                 await asyncio.sleep(0)
+        self._router.metrics.gauge("placement.served_rps", sum(served_rps))
+        self._router.metrics.gauge("placement.needed_rps", needed_rps)
         self._give(usable, model, self._loop.time())
 
     def _usable(self, entry: DirectoryEntry, model: EngineModel, now_s: float) -> bool:
@@ -178,27 +226,43 @@
             return True
         return now_s - self._started_s >= _SETTLED_MOST_S
 
+    def _carries_order(self, entry: DirectoryEntry, now_s: float) -> bool:
+        """Return whether an engine without layers is carrying out another's order.
+
+        Whoever gave it isn't known, nor to what end; a plan can't count on the engine.
+        """
+        if entry.registration.layers is not None or entry.server_id in self._targets:
+            return False
+        return self._orders.is_carrying(entry.server_id, now_s)
+
+    def _served_rps(
+        self, group: _Group, model: EngineModel, objective_s: float
+    ) -> float:
+        rooms = tuple(self._room(entry, model) for entry in group.members)
+        question = (model, rooms, objective_s)
+        known = self._supplies.get(group.key)
+        if known is not None and known[0] == question:
+            return known[1]
+        supply = reckon_supply(rooms, model, objective_s)
+        self._supplies[group.key] = (question, supply.throughput_rps)
+        return supply.throughput_rps
+
     def _group_plan(
-        self,
-        number: int,
-        members: list[DirectoryEntry],
-        model: EngineModel,
-        needed_rps: float,
+        self, group: _Group, model: EngineModel, wanted: _Wanted, arriving_rps: float
     ) -> dict[str, LayerRange]:
-        rooms = tuple(self._room(entry, model) for entry in members)
-        asked_rps = _rounded(needed_rps)
+        rooms = tuple(self._room(entry, model) for entry in group.members)
+        if are_surely_busy(rooms, model, arriving_rps):
+            rooms = tuple(replace(r, busy=r.held is not None) for r in rooms)
         # Most looks find what the one before found, and a plan takes some 10 ms.
-        question = (model, rooms, asked_rps)
-        domain = members[0].registration.failure_domain
-        group = _Group(domain, number)
-        if self._left_as_is.get(group) == question:
+        question = (model, rooms, wanted)
+        if self._left_as_is.get(group.key) == question:
             return {}
-        plan = plan_layers(rooms, model, asked_rps)
+        plan = plan_layers(rooms, model, wanted.needed_rps, wanted.objective_s)
         if plan:
-            self._left_as_is.pop(group, None)
-            self._log_plan(domain, rooms, model, needed_rps, plan)
+            self._left_as_is.pop(group.key, None)
+            self._log_plan(group.failure_domain, rooms, model, wanted, plan)
         else:
-            self._left_as_is[group] = question
+            self._left_as_is[group.key] = question
         return plan
 
     def _log_plan(
@@ -206,18 +270,21 @@
         domain: str,
         rooms: tuple[EngineRoom, ...],
         model: EngineModel,
-        needed_rps: float,
+        wanted: _Wanted,
         plan: dict[str, LayerRange],
     ) -> None:
         self._router.metrics.count("layers.planned")
-        served_rps = domain_throughput_rps(rooms, model)
-        changes = {server_id: str(layers) for server_id, layers in plan.items()}
+        after = [replace(r, held=plan.get(r.server_id, r.held)) for r in rooms]
+        now = reckon_supply(rooms, model, wanted.objective_s)
+        then = reckon_supply(after, model, wanted.objective_s)
         event = LayersPlanned(
             domain,
-            round(served_rps, 1),
-            round(needed_rps, 1),
+            round(now.throughput_rps, 1),
+            round(then.throughput_rps, 1),
+            round(wanted.needed_rps, 1),
             self._router.fleet_arrivals.told_by,
-            changes,
+            [str(chain) for chain in then.chains],
+            {server_id: str(layers) for server_id, layers in plan.items()},
         )
         self._router.log.write(event)
 
@@ -247,7 +314,9 @@
         for server_id in self._by_urgency(entries, model):
             if len(self._orders.under_way) >= model.loads_at_once:
                 return
-            if server_id not in self._orders.under_way:
+            if self._orders.has_other_order(server_id, self._targets[server_id], now_s):
+                del self._targets[server_id]  # Planned anew, around the engine.
+            elif server_id not in self._orders.under_way:
                 self._decide(by_id[server_id], self._targets[server_id], model, now_s)
 
     def _drop_reached(self, by_id: Mapping[str, DirectoryEntry]) -> None:
@@ -334,6 +403,16 @@
     return group_by_domain(known, lambda e: e.registration.failure_domain)
 
 
+def _loosest_objective_s(table: RoutingTable, service: str) -> float:
+    """Return the longest objective of the routes to a service."""
+    objectives_s = [
+        route.objective_s
+        for route in table.routes
+        if any(part.service == service for part in route.services)
+    ]
+    return max(objectives_s, default=math.inf)
+
+
 def _rounded(per_s: float) -> float:
     """Return the next power of the step from a rate, at least one request a second."""
     return float(_RATE_STEP ** math.ceil(math.log(max(1.0, per_s), _RATE_STEP)))
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -117,15 +117,19 @@
     """Layers of a failure domain are to move.
 
     :param served_rps: requests a second that it is reckoned to serve as it stands.
+    :param planned_rps: the same once the changes are carried out.
     :param needed_rps: how many are wanted of it.
     :param told_by: how many other entries told what arrives there.
+    :param chains: what it then serves, by chain.
     :param changes: the layers that each engine is to hold.
     """
 
     failure_domain: str
     served_rps: float
+    planned_rps: float
     needed_rps: float
     told_by: int
+    chains: list[str]
     changes: dict[str, str]
 
 
