--- a/src/railfold/_internal/decisions/fair_queue.py
+++ b/src/railfold/_internal/decisions/fair_queue.py
@@ -114,6 +114,18 @@
             return item
         return None
 
+    def first(self) -> T | None:
+        """Return the request whose turn it is, and leave it there."""
+        while self._ready:
+            workspace = self._ready[0][2]
+            flow = self._flows[workspace]
+            if flow.waiting:
+                return flow.waiting[0][3]
+            heapq.heappop(self._ready)
+            flow.queued = False
+            self._set_idle(workspace, flow)  # Its requests were withdrawn.
+        return None
+
     def remove(self, workspace: str, item: T) -> bool:
         """Take out a request that no longer wants to wait."""
         flow = self._flows.get(workspace)
--- a/src/railfold/_internal/decisions/return_time.py
+++ b/src/railfold/_internal/decisions/return_time.py
@@ -16,6 +16,7 @@
     "OnTrial",
     "RateLimited",
     "ReturnCause",
+    "RoomShort",
     "ServersBackingOff",
     "Starting",
     "return_after_s",
@@ -38,6 +39,10 @@
 _OUTAGE_LEAST_S = 0.3
 _OUTAGE_MOST_S = 1.0
 
+# The part of a caller's time that it is sent away for at most: it needs the rest to be
+# served when it comes back.
+_TIME_LEFT_SHARE = 0.2
+
 # Servers that shed load take requests again one by one: those who were refused come
 # back over this time, or over this part of the time that they waited.
 _MIN_SPREAD_S = 0.25
@@ -101,6 +106,18 @@
     """No backend server has room, or no more retries are allowed."""
 
 
+@dataclass(frozen=True, slots=True)
+class RoomShort:
+    """Engines have room for a part of the requests that come.
+
+    :param served_share: which part of such requests found room of late, 0 to 1.
+    :param left_s: until the caller gives up.
+    """
+
+    served_share: float
+    left_s: float
+
+
 ReturnCause = (
     AloneWithoutProof
     | NobodyHasProof
@@ -109,6 +126,7 @@
     | RateLimited
     | ServersBackingOff
     | NoRoom
+    | RoomShort
 )
 
 
@@ -137,6 +155,11 @@
         case ServersBackingOff(left_s=left_s):
             spread_s = max(_MIN_SPREAD_S, left_s * _SPREAD_SHARE)
             return round(left_s + spread_s * random_unit, 2)
+        case RoomShort(served_share=share, left_s=left_s):
+            # Most that come back at once would be refused again, and have no more to
+            # wait: they are spread over a longer time, the fewer are served.
+            longest_s = max(_ROOM_S, _TIME_LEFT_SHARE * left_s)
+            base_s = min(longest_s, _ROOM_S / max(0.1, share) ** 2)
         case NoRoom():
             base_s = _ROOM_S
     return round(base_s * (0.5 + random_unit), 2)
--- a/src/railfold/_internal/decisions/routing_table.py
+++ b/src/railfold/_internal/decisions/routing_table.py
@@ -137,6 +137,15 @@
     prompt_s: float = 0.0
     answer_tokens: int = 200
 
+    @property
+    def held_share(self) -> float:
+        """Which part of the tokens that requests may grow to is held at a time.
+
+        Requests are halfway through their answers on average.
+        """
+        growing = self.answer_tokens / max(1, self.mean_tokens)
+        return 1.0 - 0.5 * min(1.0, growing)
+
     def has_layers(self, layers: LayerRange) -> bool:
         """Return whether the model has all of these layers."""
         return 0 <= layers.first <= layers.last < self.layer_count
--- a/src/railfold/_internal/errors.py
+++ b/src/railfold/_internal/errors.py
@@ -42,6 +42,7 @@
     "RequestNotHeldError",
     "RequestNotLoggedError",
     "RequestTimeoutError",
+    "RoomShortError",
     "ServerNotEligibleError",
     "ServersBackingOffError",
     "SettingsError",
@@ -164,6 +165,29 @@
     code = "no_capacity"
 
 
+class RoomShortError(NoCapacityError):
+    """Engines have no room, or it is kept for requests that go before.
+
+    :param served_share: which part of such requests found room of late, from 0 to 1.
+    :param left_s: until the caller gives up, in seconds.
+    """
+
+    code = "room_short"
+
+    def __init__(
+        self,
+        what: str,
+        *,
+        served_share: float = 1.0,
+        left_s: float = 0.0,
+        why: str = "",
+        hint: str = "",
+    ) -> None:
+        self.served_share = served_share
+        self.left_s = left_s
+        super().__init__(what, why=why, hint=hint)
+
+
 class AdmissionRefusedError(RailfoldError):
     """A request wasn't admitted.
 
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -30,6 +30,7 @@
 from railfold._internal.forwarding.requests.driver import RequestDriver
 from railfold._internal.forwarding.requests.front import ClientExchange, ClientServer
 from railfold._internal.forwarding.requests.replies import error_reply, status_of
+from railfold._internal.forwarding.requests.room_queue import RoomQueue
 from railfold._internal.forwarding.requests.routed_request import RoutedRequest
 from railfold._internal.forwarding.router import Router
 from railfold._internal.forwarding.servers.engine_calls import EngineCalls
@@ -146,6 +147,7 @@
             rng=rng,
         )
         self.destinations = DestinationChooser(self.router)
+        self._room = RoomQueue(self.router)
         fleet = FleetSize(settings.retry_window_s, LEASE_S, founded_by_s)
         self._fleet_limits = FleetLimits(settings, fleet, self.router)
         calls = EngineCalls(self.router)
@@ -402,6 +404,7 @@
             self.destinations,
             self._prober,
             self._peering.quarantine,
+            self._room,
         )
         self._drivers[exchange] = driver
         driver.start()
@@ -492,6 +495,7 @@
             self._registrations.pace = self._registration_pace(now_s)
             self._forget_finished()
             self._look_whether_useful(now_s)
+            self._room.forget()
             self._clients.forget_closed()
             self.metrics.gauge("in_flight", len(self.router.active))
             self.metrics.gauge("configuration.age_s", self.router.lease.age_s(now_s))
--- a/src/railfold/_internal/forwarding/requests/destination_search.py
+++ b/src/railfold/_internal/forwarding/requests/destination_search.py
@@ -1,7 +1,8 @@
 """Finding where a request's next attempt goes, and whether it may be sent there.
 
-It may be if its content isn't held back, if a server with a rate limit has a permit for
-it, and if the retry budget has one more where it was sent before.
+It may be if its content isn't held back, if engines have room for it beside what goes
+before it, if a server with a rate limit has a permit for it, and if the retry budget
+has one more where it was sent before.
 """
 
 from __future__ import annotations
@@ -14,12 +15,18 @@
     PermitGranted,
     permit_wait_limit_s,
 )
-from railfold._internal.errors import OverloadedError, RailfoldError, RequestError
+from railfold._internal.errors import (
+    OverloadedError,
+    RailfoldError,
+    RequestError,
+    RoomShortError,
+)
 from railfold._internal.forwarding.quarantine.request_quarantine import (
     RequestQuarantine,
 )
 from railfold._internal.forwarding.requests.destination import Destination
 from railfold._internal.forwarding.requests.destinations import DestinationChooser
+from railfold._internal.forwarding.requests.room_queue import Contender, RoomQueue
 from railfold._internal.forwarding.requests.routed_request import RoutedRequest
 from railfold._internal.forwarding.router import Router
 
@@ -53,12 +60,14 @@
         router: Router,
         destinations: DestinationChooser,
         quarantine: RequestQuarantine,
+        room: RoomQueue,
         listener: SearchListener,
     ) -> None:
         self._routed = routed
         self._router = router
         self._destinations = destinations
         self._quarantine = quarantine
+        self._room = room
         self._listener = listener
         self._loop = asyncio.get_running_loop()
         self._reserved: Destination | None = None
@@ -66,6 +75,11 @@
         self._permit: asyncio.Task[None] | None = None
         self._denied = 0
         self._is_new = True
+        # What it wants of engines' room, if others compete for that.
+        self.contender: Contender | None = None
+        # The search that waits for room.
+        self._waiting: tuple[frozenset[str], bool, bool] | None = None
+        self._room_error = RoomShortError("no backend server has room")
         # A request allows a part of a retry once, however often it is placed.
         self._earned = False
 
@@ -91,23 +105,58 @@
             router.record_arrival(
                 routed.route, routed.priority, routed.workspace, tokens
             )
+            self.contender = self._room.enter(routed)
         try:
             if broke_off:
                 self._quarantine.check_repeat(
                     routed.request, routed.owner, on_trial=routed.on_trial
                 )
-            sparing = self._quarantine.may_end_servers(routed.request, routed.owner)
-            destination = place or self._destinations.choose(
-                routed.route,
-                exclude,
-                is_new=is_new,
-                sparing=sparing,
-                max_wait_s=self._max_wait_s(begun=begun),
-            )
         except RequestError as found:
             self._listener.destination_refused(found)
             return
-        if not router.limits.limited(destination.server_ids):
+        if place is not None:
+            self._take(place, exclude, is_retry=is_retry, begun=begun)
+            return
+        contender = self.contender
+        if contender is not None and not begun and self._room.must_wait(contender):
+            error = RoomShortError("other requests wait for room at backend servers")
+            self._wait_for_room(error, exclude, is_retry=is_retry, begun=begun)
+            return
+        try:
+            destination = self._choose(exclude, is_new=is_new, begun=begun)
+        except RoomShortError as found:
+            self._wait_for_room(found, exclude, is_retry=is_retry, begun=begun)
+        except RequestError as found:
+            self._listener.destination_refused(found)
+        else:
+            self._take(destination, exclude, is_retry=is_retry, begun=begun)
+
+    def _choose(
+        self, exclude: frozenset[str], *, is_new: bool, begun: bool
+    ) -> Destination:
+        routed = self._routed
+        room = None
+        if self.contender is not None:
+            room = self._room.need(self.contender, begun=begun)
+        return self._destinations.choose(
+            routed.route,
+            exclude,
+            is_new=is_new,
+            sparing=self._quarantine.may_end_servers(routed.request, routed.owner),
+            max_wait_s=self._max_wait_s(begun=begun),
+            room=room,
+        )
+
+    def _take(
+        self,
+        destination: Destination,
+        exclude: frozenset[str],
+        *,
+        is_retry: bool,
+        begun: bool,
+    ) -> None:
+        """Go to a place, once its servers have a permit."""
+        if not self._router.limits.limited(destination.server_ids):
             self._go_to(destination, is_retry=is_retry, begun=begun)
             return
         waiting = self._await_permit(
@@ -115,6 +164,56 @@
         )
         self._permit = self._loop.create_task(waiting)
 
+    # Waiting for room
+
+    def _wait_for_room(
+        self,
+        error: RoomShortError,
+        exclude: frozenset[str],
+        *,
+        is_retry: bool,
+        begun: bool,
+    ) -> None:
+        contender = self.contender
+        if contender is None:
+            self._listener.destination_refused(error)
+            return
+        self._waiting = (exclude, is_retry, begun)
+        self._room_error = error
+        if not self._room.wait(self, contender, begun=begun):
+            self.wait_ended()
+
+    def find_room(self) -> bool:
+        """Look for room; return whether the wait is over."""
+        assert self._waiting is not None
+        exclude, is_retry, begun = self._waiting
+        try:
+            destination = self._choose(exclude, is_new=False, begun=begun)
+        except RoomShortError as found:
+            self._room_error = found
+            return False
+        except RequestError as found:
+            self._end_wait()
+            self._listener.destination_refused(found)
+            return True
+        self._end_wait()
+        self._take(destination, exclude, is_retry=is_retry, begun=begun)
+        return True
+
+    def wait_ended(self) -> None:
+        """There is no room in time."""
+        if self._waiting is None:
+            return
+        assert self.contender is not None
+        self._end_wait()
+        self._router.metrics.count(f"admission.refused.rank_{self._routed.priority}")
+        refusal = self._room.refusal(self.contender, self._room_error)
+        self._listener.destination_refused(refusal)
+
+    def _end_wait(self) -> None:
+        self._waiting = None
+        self._room.cancel(self)
+
     def _max_wait_s(self, *, begun: bool) -> float:
         """Return how long the request may wait for a permit."""
         random_unit = self._router.rng.random()
@@ -159,13 +258,23 @@
             router.metrics.count("requests.retries")
         else:
             router.metrics.count("requests.retry_budget_empty")
-            error = OverloadedError(
-                "no retry is allowed now", why="the retry budget is spent"
-            )
-            self._listener.destination_refused(error)
+            self._listener.destination_refused(self._no_retry())
             return
+        if self.contender is not None:
+            self._room.let_in(self.contender)
         self._listener.destination_found(destination)
 
+    def _no_retry(self) -> RequestError:
+        what, why = "no retry is allowed now", "the retry budget is spent"
+        if self.contender is None:
+            return OverloadedError(what, why=why)
+        return self._room.refusal(self.contender, RoomShortError(what, why=why))
+
+    def rejected(self) -> None:
+        """The server that the request was sent to didn't run it."""
+        if self.contender is not None:
+            self._room.turned_back(self.contender)
+
     def reserve(self, exclude: frozenset[str]) -> bool:
         """Reserve a place for the next search; return whether there is one."""
         now_s = self._loop.time()
@@ -186,3 +295,5 @@
         if self._permit is not None:
             self._permit.cancel()
             self._permit = None
+        if self._waiting is not None:
+            self._end_wait()
--- a/src/railfold/_internal/forwarding/requests/destinations.py
+++ b/src/railfold/_internal/forwarding/requests/destinations.py
@@ -9,8 +9,11 @@
 from railfold._internal.decisions.eligibility import (
     Bar,
     EndingBar,
+    Paused,
     RateLimited,
+    Reserved,
     Role,
+    RoomNeed,
     SlowStart,
     Terms,
 )
@@ -20,6 +23,7 @@
 from railfold._internal.errors import (
     NoCapacityError,
     RequestError,
+    RoomShortError,
     UnknownTargetError,
 )
 from railfold._internal.forwarding.requests.chain_planner import (
@@ -53,6 +57,7 @@
         is_new: bool = False,
         sparing: bool = False,
         max_wait_s: float = 0.0,
+        room: RoomNeed | None = None,
     ) -> Destination:
         """Return where a request of a route goes now.
 
@@ -63,24 +68,26 @@
         :param is_new: whether a place is looked for the first time.
         :param sparing: whether it may end its server, so that it doesn't get the last.
         :param max_wait_s: how long it may wait for a permit.
+        :param room: what it needs of engines' memory; nothing if they are to tell.
+        :raises RoomShortError: only room is missing.
         :raises RequestError: there is no such place.
         """
         spec = self._service(route)
         if is_new:
             self._router.arrivals.arrived(spec.name, asyncio.get_running_loop().time())
-        strict = Terms()
+        strict = Terms(room=room)
         try:
             return self._choose_at(spec, route, exclude, strict, sparing=sparing)
-        except NoCapacityError:
+        except NoCapacityError as error:
             if not any(map(_may_relax, strict.bars.values())):
-                raise
-        relaxed = Terms(max_wait_s=max_wait_s, relaxed=True)
+                raise _room_short(error, strict) from error
+        relaxed = Terms(max_wait_s=max_wait_s, relaxed=True, room=room)
         try:
             found = self._choose_at(spec, route, exclude, relaxed, sparing=sparing)
         except NoCapacityError as error:
             refusal = self._refusal(spec, route, exclude, relaxed)
             if refusal is None:
-                raise
+                refusal = _room_short(error, relaxed)
             raise refusal from error
         return replace(found, max_wait_s=max_wait_s)
 
@@ -172,6 +179,13 @@
         return spec
 
 
+def _room_short(error: NoCapacityError, terms: Terms) -> NoCapacityError:
+    """Return an error that says whether only room is missing, as far as is known."""
+    if not any(isinstance(bar, Paused | Reserved) for bar in terms.bars.values()):
+        return error
+    return RoomShortError(error.what, why=error.why, hint=error.hint)
+
+
 def _may_relax(bar: Bar) -> bool:
     """Return whether a request may go there after all, if no other server can."""
     return isinstance(bar, RateLimited | SlowStart | BackingOff | HalfOpen)
--- a/src/railfold/_internal/forwarding/requests/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -61,6 +61,7 @@
 from railfold._internal.forwarding.requests.front import ClientExchange
 from railfold._internal.forwarding.requests.relocation import Relocation
 from railfold._internal.forwarding.requests.request_log import RequestLog
+from railfold._internal.forwarding.requests.room_queue import RoomQueue
 from railfold._internal.forwarding.requests.routed_request import RoutedRequest
 from railfold._internal.forwarding.requests.stream_watch import Silence, StreamWatch
 from railfold._internal.forwarding.router import Router
@@ -92,6 +93,7 @@
         destinations: DestinationChooser,
         prober: ChainProber,
         quarantine: RequestQuarantine,
+        room: RoomQueue,
     ) -> None:
         self._routed = routed
         self._request = routed.request
@@ -128,7 +130,9 @@
         self._watch = StreamWatch(router.activity, self._silent)
         self._cause = ""
         self._relocation = Relocation(self)
-        self._search = DestinationSearch(routed, router, destinations, quarantine, self)
+        self._search = DestinationSearch(
+            routed, router, destinations, quarantine, room, self
+        )
         self._deadline = self._loop.call_at(
             routed.deadline_s, self._feed, CallDeadlinePassed()
         )
@@ -375,6 +379,7 @@
                 self._answered(server_id, gathered)
             case NotExecuted(reason=reason) as refusal:
                 self._release()
+                self._search.rejected()
                 self._log_attempt(server_id, reason)
                 self._prober.not_executed(
                     server_id, refusal, self._part.tokens, backed_off=self._backed_off
--- /dev/null
+++ b/src/railfold/_internal/forwarding/requests/room_queue.py
@@ -0,0 +1,245 @@
+"""Requests of this entry that compete for room at engines.
+
+The order is decided in :mod:`railfold._internal.decisions.admission`; this keeps those
+that wait, and looks for room for them in turn.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Set
+from dataclasses import dataclass
+from typing import Protocol
+
+from railfold._internal.decisions.admission import (
+    RoomShares,
+    Standing,
+    WaitingRequests,
+    pipeline_capacity,
+    room_wait_limit_s,
+)
+from railfold._internal.decisions.eligibility import RoomNeed
+from railfold._internal.decisions.fleet_demand import DemandKey
+from railfold._internal.decisions.routing_table import RoutingTable
+from railfold._internal.errors import RoomShortError
+from railfold._internal.forwarding.requests.routed_request import RoutedRequest
+from railfold._internal.forwarding.router import Router
+
+__all__ = ["Contender", "RoomQueue", "RoomWaiter"]
+
+# How often room is looked for while requests wait: engines free some of it every few
+# milliseconds, and a look plans chains in all failure domains.
+_LOOK_S = 0.02
+
+# For how long room is kept for what goes before, beside the age of what is known.
+_HOLD_S = 0.1
+
+# For how long the engines' room in all counts.
+_CAPACITY_S = 0.5
+
+
+@dataclass(eq=False, slots=True)
+class Contender:
+    """A request that competes for room.
+
+    :param arrived_s: when it came, on the loop's clock.
+    :param waited_s: how long it has waited for room.
+    :param predicted_wait_s: what was reckoned when it last began to wait.
+    """
+
+    key: DemandKey
+    tokens: int
+    prompt_tokens: int
+    standing: Standing
+    arrived_s: float
+    deadline_s: float
+    objective_s: float
+    waited_s: float = 0.0
+    predicted_wait_s: float = 0.0
+
+
+class RoomWaiter(Protocol):
+    """Waits for room."""
+
+    def find_room(self) -> bool:
+        """Look for room; return whether the wait is over."""
+
+    def wait_ended(self) -> None:
+        """There is no room in time."""
+
+
+class RoomQueue:
+    """All requests of an entry that compete for room, by service."""
+
+    def __init__(self, router: Router) -> None:
+        self._router = router
+        self._loop = asyncio.get_running_loop()
+        self._shares = RoomShares()
+        self._waiting: dict[str, WaitingRequests[RoomWaiter]] = {}
+        self._waits: dict[RoomWaiter, tuple[Contender, float, float]] = {}
+        self._look: asyncio.TimerHandle | None = None
+        self._contended: tuple[int, Set[str]] = (-1, frozenset())
+        self._capacity: dict[str, tuple[float, float]] = {}
+
+    def enter(self, routed: RoutedRequest) -> Contender | None:
+        """Take a request that came; nothing if no others compete with it for room."""
+        table = self._router.table
+        if table is None:
+            return None
+        if self._contended[0] != table.version:
+            self._contended = (table.version, _contended_services(table))
+        services = routed.route.services
+        if not services:
+            return None
+        service = max(services, key=lambda choice: choice.weight).service
+        if service not in self._contended[1]:
+            return None
+        now_s = self._loop.time()
+        size = routed.request.size
+        key = DemandKey(service, routed.priority, routed.workspace)
+        demand = self._router.fleet_demand.per_s(service, self._router.entries, now_s)
+        tokens = max(1, size.total)
+        standing = self._shares.arrived(key, tokens, demand, now_s)
+        return Contender(
+            key,
+            tokens,
+            size.prompt_tokens,
+            standing,
+            now_s,
+            routed.deadline_s,
+            routed.route.objective_s,
+        )
+
+    def need(self, contender: Contender, *, begun: bool) -> RoomNeed:
+        """Return what a request needs of engines' memory now."""
+        if begun:
+            return RoomNeed(contender.prompt_tokens, 0.0)
+        now_s = self._loop.time()
+        hold_s = _HOLD_S + self._router.fleet_load.age_s(now_s) / 2
+        room = self._room_tokens(contender.key.service, now_s)
+        reserved = contender.standing.reserved_share(room, hold_s)
+        return RoomNeed(contender.prompt_tokens, reserved)
+
+    def _room_tokens(self, service: str, now_s: float) -> float:
+        """Return how many tokens of requests the engines hold on every layer."""
+        known_s, tokens = self._capacity.get(service, (float("-inf"), 0.0))
+        if now_s - known_s < _CAPACITY_S:
+            return tokens
+        router = self._router
+        spec = router.table.services.get(service) if router.table else None
+        if spec is None or spec.model is None:
+            return 0.0
+        replicas = router.directory.layer_replicas(
+            service, spec.model, router.region, router.load_of
+        )
+        tokens = float(pipeline_capacity(replicas, spec.model.layer_count))
+        self._capacity[service] = (now_s, tokens)
+        return tokens
+
+    def must_wait(self, contender: Contender) -> bool:
+        """Return whether others that wait go before a request."""
+        waiting = self._waiting.get(contender.key.service)
+        return waiting is not None and waiting.ahead(contender.standing.level) > 0
+
+    def wait(self, waiter: RoomWaiter, contender: Contender, *, begun: bool) -> bool:
+        """Let a request wait for room; return whether it may have its turn in time."""
+        service = contender.key.service
+        waiting = self._waiting.setdefault(service, WaitingRequests())
+        now_s = self._loop.time()
+        limit_s = room_wait_limit_s(contender.objective_s, begun=begun)
+        limit_s = min(limit_s, contender.deadline_s - now_s)
+        standing = Standing(_BEGUN_LEVEL, 0.0) if begun else contender.standing
+        contender.predicted_wait_s = waiting.predicted_wait_s(standing.level)
+        if contender.waited_s + contender.predicted_wait_s > limit_s:
+            return False
+        if not waiting.add(waiter, standing, contender.key.workspace, contender.tokens):
+            return False
+        until_s = now_s + limit_s - contender.waited_s
+        self._waits[waiter] = (contender, now_s, until_s)
+        self._router.metrics.count("admission.waiting")
+        self._plan_look()
+        return True
+
+    def cancel(self, waiter: RoomWaiter) -> None:
+        """A request waits no more."""
+        wait = self._waits.pop(waiter, None)
+        if wait is None:
+            return
+        contender, since_s, _ = wait
+        self._waiting[contender.key.service].remove(waiter)
+        contender.waited_s += self._loop.time() - since_s
+
+    def let_in(self, contender: Contender) -> None:
+        """A request was sent where there is room."""
+        now_s = self._loop.time()
+        self._shares.let_in(contender.key, contender.tokens, now_s)
+        waiting = self._waiting.get(contender.key.service)
+        if waiting is not None:
+            waiting.let_in(now_s)
+        if contender.waited_s:
+            self._router.metrics.timing("admission.wait", contender.waited_s)
+
+    def turned_back(self, contender: Contender) -> None:
+        """An engine rejected a request that was let in."""
+        self._shares.turned_back(contender.key, contender.tokens, self._loop.time())
+
+    def refusal(self, contender: Contender, error: RoomShortError) -> RoomShortError:
+        """Return what a caller is told for whose request there is no room."""
+        now_s = self._loop.time()
+        key = contender.key
+        served = self._shares.served.share(key.service, now_s, key.priority)
+        return RoomShortError(
+            error.what,
+            why=error.why,
+            hint=error.hint,
+            served_share=served,
+            left_s=max(0.0, contender.deadline_s - now_s),
+        )
+
+    def forget(self) -> None:
+        """Forget what hardly arrives any more."""
+        self._shares.forget(self._loop.time())
+
+    def _plan_look(self) -> None:
+        if self._look is None and self._waits:
+            self._look = self._loop.call_later(_LOOK_S, self._look_for_room)
+
+    def _look_for_room(self) -> None:
+        self._look = None
+        for waiting in list(self._waiting.values()):
+            self._serve(waiting)
+        self._plan_look()
+
+    def _serve(self, waiting: WaitingRequests[RoomWaiter]) -> None:
+        """Look for room for those that wait, until one finds none."""
+        now_s = self._loop.time()
+        overdue = [w for w, (_, _, until_s) in self._waits.items() if now_s >= until_s]
+        while (waiter := waiting.first()) is not None:
+            if waiter not in overdue and not waiter.find_room():
+                break
+            self.cancel(waiter)
+        for waiter in overdue:
+            self.cancel(waiter)
+            waiter.wait_ended()
+
+
+# Answers that have begun go on before new ones begin.
+_BEGUN_LEVEL = -2
+
+
+def _contended_services(table: RoutingTable) -> frozenset[str]:
+    """Return the model services that several ranks or workspaces use."""
+    ranks: dict[str, set[int]] = {}
+    for route in table.routes:
+        for choice in route.services:
+            ranks.setdefault(choice.service, set()).add(route.priority)
+    owners = (table.credentials or {}).values()
+    workspaces = {owner.workspace for owner in owners}
+    own_ranks = {owner.priority for owner in owners if owner.priority is not None}
+    return frozenset(
+        spec.name
+        for spec in table.model_services()
+        if len(workspaces) > 1
+        or len(ranks.get(spec.name, set())) > 1
+        or len(own_ranks) > 1
+    )
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -33,6 +33,7 @@
     NoRoom,
     OnTrial,
     ReturnCause,
+    RoomShort,
     ServersBackingOff,
     Starting,
     return_after_s,
@@ -50,6 +51,7 @@
     RailfoldError,
     RateLimitedError,
     RequestOnTrialError,
+    RoomShortError,
     ServersBackingOffError,
 )
 from railfold._internal.forwarding.dialect import Dialect
@@ -180,6 +182,8 @@
                 return ReturnAtPermit(left_s)
             case ServersBackingOffError(left_s=left_s, service=service):
                 return ServersBackingOff(left_s, self.backoffs.others_serve(service))
+            case RoomShortError(served_share=served_share, left_s=left_s):
+                return RoomShort(served_share, left_s)
             case _:
                 return NoRoom()
 
