Let requests for scarce room give way by rank and fair share of their workspace

Cause: who was refused under load was chance. A request's rank ordered only an engine's own queue, and an entry sent until engines rejected.

Announcements are 1 to 3 s old and requests stay about as long; refusing by them refuses what engines would have served. Told answer tokens are the most that may come, three times what does: load now counts the prompt and half of a usual answer.

Change: by announced arrivals and the entry's own served shares, a request gives way by as much as what goes before it lacks, the last in order first, each rank and workspace with a floor of a quarter of the mean. Workspaces of one rank are ordered by their routes' ranks: all but a few have the same rank here, which hid the routes'. Predictions, ranks and waits are logged and counted. Active where several ranks or workspaces use a model.

--- a/src/railfold/_internal/decisions/admission/shares.py
+++ b/src/railfold/_internal/decisions/admission/shares.py
@@ -5,10 +5,13 @@
 announced (:class:`~railfold._internal.decisions.fleet_demand.FleetDemand`) and by which
 part of its own requests found room.
 
-A request may use room only beyond what is reserved for requests that go before it, so
-that the less urgent give way first, and by as much as the more urgent need. Within a
-rank the max-min fair share of its workspace goes before what is beyond it. Nobody waits
-while there is room for all.
+Requests give way to what goes before them: by as much as that lacks room, and those
+that go last first. Within a rank the max-min fair share of each workspace goes before
+what is beyond it. Nobody gives way while there is room for all.
+
+How much room there is isn't reckoned: it changes faster than entries hear of it, and a
+request that is refused wrongly costs its caller more than an attempt that an engine
+rejects.
 """
 
 from __future__ import annotations
@@ -29,15 +32,6 @@
 # until it no longer is, so that none starves.
 _FLOOR_SHARE = 0.25
 
-# What is reserved for requests that go before is reserved in full once so many of those
-# lack room; this part of it in any case, since bursts come before anybody lacks it.
-_FULL_LACK = 0.1
-_LEAST_RESERVE = 0.2
-
-# No more of an engine's memory is reserved for requests that may come: more would be
-# left unused while others are refused.
-_MOST_RESERVED = 0.25
-
 # Fewer tokens than this many usual requests say little of a served part.
 _FEW_REQUESTS = 4.0
 
@@ -131,14 +125,6 @@
             return 1.0
         return tally.share
 
-    def priorities(self, service: str) -> set[int]:
-        """Return the ranks of a service's requests."""
-        return {
-            priority
-            for name, priority, _ in self._tallies
-            if name == service and priority is not None
-        }
-
     def forget(self, now_s: float) -> None:
         """Forget what hardly comes any more."""
         for name, tally in list(self._tallies.items()):
@@ -151,24 +137,17 @@
     """Where a request stands among those that want the same room.
 
     :param level: what goes first has a lower one.
-    :param ahead_per_s: tokens a second that arrive of requests that go before it.
+    :param giving_way: which part of such requests is to be refused, so that those that
+        go before find room.
+    :param before_lack: whether some that go before find none.
     """
 
     level: int
-    ahead_per_s: float
+    giving_way: float = 0.0
+    before_lack: bool = False
 
-    def reserved_share(self, room_tokens: float, hold_s: float) -> float:
-        """Return which part of an engine's memory the request must leave free.
-
-        :param room_tokens: what all engines together hold.
-        :param hold_s: for how long room must be there for what goes before it.
-        """
-        if self.ahead_per_s <= 0.0 or room_tokens <= 0.0:
-            return 0.0
-        return min(_MOST_RESERVED, self.ahead_per_s * hold_s / room_tokens)
 
-
-_FIRST = Standing(-1, 0.0)
+_FIRST = Standing(-1)
 
 
 @dataclass(slots=True)
@@ -193,53 +172,55 @@
 
         :param demand_per_s: what arrives for the service at all entries.
         """
+        service = key.service
         self.served.asked(key, tokens, now_s)
-        mean = self.served.share(key.service, now_s)
-        rank = self.served.share(key.service, now_s, key.priority)
-        demands = {
-            other.workspace: per_s
-            for other, per_s in demand_per_s.items()
-            if other.priority == key.priority
-        }
-        of_rank = sum(demands.values())
-        level = max_min_level(demands.values(), rank * of_rank)
-        own = max(demands.get(key.workspace, 0.0), 1e-9)
-        part = min(1.0, max(level / own, _FLOOR_SHARE * mean))
+        mean = self.served.share(service, now_s)
+        ranks = {other.priority for other in demand_per_s} | {key.priority}
+        demands = {rank: _of_rank(demand_per_s, rank) for rank in ranks}
+        shares = {rank: self.served.share(service, now_s, rank) for rank in ranks}
+        own = demands[key.priority]
+        level = max_min_level(own.values(), shares[key.priority] * sum(own.values()))
+        within = self._within_share(key, tokens, own, level, _FLOOR_SHARE * mean)
+        if shares[key.priority] < _FLOOR_SHARE * mean and within:
+            return _FIRST
+        order = 2 * key.priority + (not within)
+        # What goes before lacks so much a second; what comes after can give so much.
+        lack = can_give = 0.0
+        for rank, of_rank in demands.items():
+            total = sum(of_rank.values())
+            kept = sum(min(demand, level) for demand in of_rank.values())
+            if rank < key.priority or (rank == key.priority and not within):
+                lack += total * (1.0 - shares[rank])
+            elif rank > key.priority:
+                can_give += (1.0 - _FLOOR_SHARE) * total
+            elif within:
+                can_give += (1.0 - _FLOOR_SHARE) * (total - kept)
+        of_level = sum(own.values()) or 1e-9
+        giving = (lack - can_give) / of_level
+        giving_way = min(1.0 - _FLOOR_SHARE, max(0.0, giving))
+        return Standing(order, giving_way, before_lack=lack > 0.0)
+
+    def _within_share(
+        self,
+        key: DemandKey,
+        tokens: float,
+        demands: Mapping[str, float],
+        level: float,
+        floor: float,
+    ) -> bool:
+        """Return whether a request is within the fair share of its workspace.
+
+        :param demands: of the rank's workspaces.
+        :param level: the most that each of them gets.
+        :param floor: the least part of its requests that a workspace gets.
+        """
+        part = max(level / max(demands.get(key.workspace, 0.0), 1e-9), floor)
         if part >= 1.0:
             self._credits.pop(key, None)
-            within = True
-        else:
-            credit = min(self._credits.get(key, 0.0) + part * tokens, tokens)
-            self._credits[key] = credit
-            within = credit > 0.0
-        if rank < _FLOOR_SHARE * mean and within:
-            return _FIRST
-        ahead = sum(
-            per_s
-            for other, per_s in demand_per_s.items()
-            if other.priority < key.priority
-        )
-        if not within:
-            ahead += sum(min(demand, level) for demand in demands.values())
-        ahead *= self._scarcity(key, within=within, now_s=now_s)
-        return Standing(2 * key.priority + (not within), ahead)
-
-    def turned_back(self, key: DemandKey, tokens: float, now_s: float) -> None:
-        """Take that there was no room after all for a request that was let in."""
-        self.served.served(key, -tokens, now_s)
-        if key in self._credits:
-            self._credits[key] += tokens
-
-    def _scarcity(self, key: DemandKey, *, within: bool, now_s: float) -> float:
-        """Return to which part room is to be reserved for those that go before."""
-        before = key.priority if within else key.priority + 1
-        shares = [
-            self.served.share(key.service, now_s, priority)
-            for priority in self.served.priorities(key.service)
-            if priority < before
-        ]
-        lack = 1.0 - min(shares, default=1.0)
-        return min(1.0, max(_LEAST_RESERVE, lack / _FULL_LACK))
+            return True
+        credit = min(self._credits.get(key, 0.0) + part * tokens, tokens)
+        self._credits[key] = credit
+        return credit > 0.0
 
     def let_in(self, key: DemandKey, tokens: float, now_s: float) -> None:
         """Take a request that found room."""
@@ -247,8 +228,25 @@
         if self._credits.get(key, 0.0) > 0.0:
             self._credits[key] -= tokens
 
+    def turned_back(self, key: DemandKey, tokens: float, now_s: float) -> None:
+        """Take that there was no room after all for a request that was let in."""
+        self.served.served(key, -tokens, now_s)
+        if key in self._credits:
+            self._credits[key] += tokens
+
     def forget(self, now_s: float) -> None:
         """Forget workspaces that hardly send any more."""
         self.served.forget(now_s)
         known = {k for k in self._credits if self.served.share(k.service, now_s) < 1.0}
         self._credits = {k: v for k, v in self._credits.items() if k in known}
+
+
+def _of_rank(
+    demand_per_s: Mapping[DemandKey, float], priority: int
+) -> dict[str, float]:
+    """Return the demand of each workspace of a rank."""
+    return {
+        key.workspace: per_s
+        for key, per_s in demand_per_s.items()
+        if key.priority == priority
+    }
--- a/src/railfold/_internal/decisions/admission/waiting.py
+++ b/src/railfold/_internal/decisions/admission/waiting.py
@@ -29,8 +29,8 @@
 _MOST_WAITING = 2000
 _MOST_OF_WORKSPACE = 500
 
-# Weight of one interval between turns in the mean.
-_TURN_WEIGHT = 0.2
+# Weight of one wait in the mean.
+_WAIT_WEIGHT = 0.2
 
 
 def room_wait_limit_s(objective_s: float, *, begun: bool) -> float:
@@ -56,8 +56,7 @@
     def __init__(self) -> None:
         self._levels: dict[int, FairQueue[_Turn[T]]] = {}
         self._turns: dict[T, tuple[int, _Turn[T]]] = {}
-        self._interval_s = 0.0
-        self._last_turn_s: float | None = None
+        self._usual_wait_s = 0.0
 
     def __len__(self) -> int:
         return len(self._turns)
@@ -68,7 +67,7 @@
 
     def predicted_wait_s(self, level: int) -> float:
         """Return when a new request of a level would have its turn, from now."""
-        return self.ahead(level) * self._interval_s
+        return self.ahead(level) * self._usual_wait_s
 
     def add(self, item: T, standing: Standing, workspace: str, tokens: float) -> bool:
         """Let a request wait; return whether there is a place."""
@@ -109,9 +108,6 @@
                 return turn.item
         return None
 
-    def let_in(self, now_s: float) -> None:
-        """A request of this entry found room."""
-        if self._last_turn_s is not None:
-            passed_s = now_s - self._last_turn_s
-            self._interval_s += _TURN_WEIGHT * (passed_s - self._interval_s)
-        self._last_turn_s = now_s
+    def found_room(self, waited_s: float) -> None:
+        """A request that waited found room."""
+        self._usual_wait_s += _WAIT_WEIGHT * (waited_s - self._usual_wait_s)
--- a/src/railfold/_internal/decisions/eligibility.py
+++ b/src/railfold/_internal/decisions/eligibility.py
@@ -25,9 +25,7 @@
     "NotServing",
     "Paused",
     "RateLimited",
-    "Reserved",
     "Role",
-    "RoomNeed",
     "ServerEligibility",
     "SlowStart",
     "Terms",
@@ -64,37 +62,15 @@
     """It refused work, and holds as much as it held then."""
 
 
-@dataclass(frozen=True, slots=True)
-class Reserved:
-    """It has no room beyond what is kept for requests that go before."""
-
-
 @dataclass(frozen=True, slots=True)
 class SlowStart:
     """It gets a part of its usual requests, and this isn't one of them."""
 
 
-Bar = BackingOff | HalfOpen | RateLimited | NotServing | Paused | Reserved | SlowStart
+Bar = BackingOff | HalfOpen | RateLimited | NotServing | Paused | SlowStart
 EndingBar = BackingOff | HalfOpen | RateLimited
 
 
-@dataclass(frozen=True, slots=True)
-class RoomNeed:
-    """What a request needs of an engine's memory.
-
-    :param tokens: that it holds from its start on.
-    :param reserved_share: which part of the memory it must leave free beside.
-    """
-
-    tokens: int
-    reserved_share: float
-
-    def fits(self, held_tokens: float, capacity_tokens: int) -> bool:
-        """Return whether an engine that holds so much has room for it."""
-        usable = (1.0 - self.reserved_share) * capacity_tokens
-        return held_tokens + self.tokens <= usable
-
-
 @dataclass(slots=True)
 class Terms:
     """What one request accepts, and what bars it met.
@@ -102,14 +78,12 @@
     :param max_wait_s: how long it may wait for a permit.
     :param relaxed: whether servers in slow start serve too, since no others can.
     :param ignores_ends: whether bars that end by themselves don't count.
-    :param room: what it needs of engines' memory; nothing if they are to tell.
     :param bars: the bars met, by server.
     """
 
     max_wait_s: float = 0.0
     relaxed: bool = False
     ignores_ends: bool = False
-    room: RoomNeed | None = None
     bars: dict[str, Bar] = field(default_factory=dict)
 
 
--- a/src/railfold/_internal/decisions/return_time.py
+++ b/src/railfold/_internal/decisions/return_time.py
@@ -39,6 +39,9 @@
 _OUTAGE_LEAST_S = 0.3
 _OUTAGE_MOST_S = 1.0
 
+# Where most find room, a refused caller can still be served within its objective.
+_SOON_S = 0.2
+
 # The part of a caller's time that it is sent away for at most: it needs the rest to be
 # served when it comes back.
 _TIME_LEFT_SHARE = 0.2
@@ -159,7 +162,7 @@
             # Most that come back at once would be refused again, and have no more to
             # wait: they are spread over a longer time, the fewer are served.
             longest_s = max(_ROOM_S, _TIME_LEFT_SHARE * left_s)
-            base_s = min(longest_s, _ROOM_S / max(0.1, share) ** 2)
+            base_s = min(longest_s, _SOON_S / max(0.1, share) ** 2)
         case NoRoom():
             base_s = _ROOM_S
     return round(base_s * (0.5 + random_unit), 2)
--- a/src/railfold/_internal/decisions/routing_table.py
+++ b/src/railfold/_internal/decisions/routing_table.py
@@ -27,10 +27,15 @@
     "RoutingTable",
     "ServiceSpec",
     "WeightedService",
+    "admission_rank",
     "require_table",
 ]
 
 
+# Ranks go from 0 to 9.
+_ROUTE_RANKS = 10
+
+
 class RouteKind(Enum):
     """How often a request on a route may run, and the form of its answer."""
 
@@ -137,14 +142,13 @@
     prompt_s: float = 0.0
     answer_tokens: int = 200
 
-    @property
-    def held_share(self) -> float:
-        """Which part of the tokens that requests may grow to is held at a time.
+    def held_tokens(self, prompt_tokens: int, most_answer_tokens: int) -> int:
+        """Return how many tokens a request's state holds, on average over its stay.
 
-        Requests are halfway through their answers on average.
+        Its prompt and half of its answer, which is rarely as long as it may be.
         """
-        growing = self.answer_tokens / max(1, self.mean_tokens)
-        return 1.0 - 0.5 * min(1.0, growing)
+        answer_tokens = min(most_answer_tokens, self.answer_tokens)
+        return prompt_tokens + answer_tokens // 2
 
     def has_layers(self, layers: LayerRange) -> bool:
         """Return whether the model has all of these layers."""
@@ -236,6 +240,16 @@
         return [spec for spec in self.services.values() if spec.model is not None]
 
 
+def admission_rank(route: Route, workspace_priority: int | None) -> int:
+    """Return the order in which requests get scarce room; the lowest goes first.
+
+    By the workspace's rank, then by the route's: workspaces of one rank still have
+    routes that are more and less urgent.
+    """
+    rank = route.priority if workspace_priority is None else workspace_priority
+    return _ROUTE_RANKS * rank + route.priority
+
+
 def require_table(table: RoutingTable | None) -> RoutingTable:
     """Return the table.
 
--- a/src/railfold/_internal/forwarding/peers/load_exchange.py
+++ b/src/railfold/_internal/forwarding/peers/load_exchange.py
@@ -25,7 +25,7 @@
     SendPart,
     SumTaken,
 )
-from railfold._internal.decisions.routing_table import RoutingTable
+from railfold._internal.decisions.routing_table import RoutingTable, admission_rank
 from railfold._internal.forwarding.peers.peer_channel import PeerChannel
 from railfold._internal.forwarding.peers.peer_messages import (
     MOST_ROWS_BYTES,
@@ -362,7 +362,7 @@
         for choice in route.services:
             for workspace, priorities in workspaces.items():
                 for priority in priorities:
-                    rank = route.priority if priority is None else priority
+                    rank = admission_rank(route, priority)
                     found.add(DemandKey(choice.service, rank, workspace))
     return sorted(found)
 
--- a/src/railfold/_internal/forwarding/requests/chain_planner.py
+++ b/src/railfold/_internal/forwarding/requests/chain_planner.py
@@ -15,7 +15,7 @@
     choose_sparing,
 )
 from railfold._internal.decisions.domains import group_by_domain
-from railfold._internal.decisions.eligibility import Reserved, Role, Terms
+from railfold._internal.decisions.eligibility import Role, Terms
 from railfold._internal.decisions.load_shedding import BackingOff, HalfOpen
 from railfold._internal.decisions.planner import (
     Replica,
@@ -46,9 +46,6 @@
 # that entries don't all choose the same path through a failure domain.
 _BLIND_JITTER = 0.5
 
-# An engine's room is reckoned where the load of so many of the entries is known.
-_KNOWN_SHARE = 0.5
-
 # When others may be there again beside the only backend server that is left: layers are
 # loaded in 0.6 s, a server starts again in a second or two.
 _LAST_ONE_S = 0.6
@@ -81,7 +78,6 @@
             spec.name, model, self._router.region, self._router.load_of
         )
         now_s = asyncio.get_running_loop().time()
-        replicas = self._with_room(replicas, model, terms, now_s)
         domains = group_by_domain(replicas, lambda r: r.failure_domain)
         rooms = [_typical_room(members, model) for members in domains]
         blind = blindness(rooms, self._router.entries)
@@ -122,27 +118,6 @@
             raise last_one_error()
         return chains[index]
 
-    def _with_room(
-        self, replicas: list[Replica], model: EngineModel, terms: Terms, now_s: float
-    ) -> list[Replica]:
-        """Leave out engines that haven't the room that a request needs.
-
-        Where too few entries' load is known engines are to tell: a request that is
-        refused here wrongly costs more than one that they reject.
-        """
-        need = terms.room
-        known = self._router.fleet_load.known_entries(now_s)
-        if need is None or known < _KNOWN_SHARE * self._router.entries:
-            return replicas
-        with_room = []
-        for replica in replicas:
-            held_tokens = int(model.held_share * replica.in_flight)
-            if need.fits(held_tokens, replica.capacity):
-                with_room.append(replace(replica, in_flight=held_tokens))
-            else:
-                terms.bars[replica.stage.host] = Reserved()
-        return with_room
-
     def _eligible(
         self, replica: Replica, exclude: frozenset[str], now_s: float, terms: Terms
     ) -> Replica | None:
--- a/src/railfold/_internal/forwarding/requests/destination_search.py
+++ b/src/railfold/_internal/forwarding/requests/destination_search.py
@@ -103,7 +103,7 @@
         if is_new:
             tokens = routed.request.size.total
             router.record_arrival(
-                routed.route, routed.priority, routed.workspace, tokens
+                routed.route, routed.admission_rank, routed.workspace, tokens
             )
             self.contender = self._room.enter(routed)
         try:
@@ -118,6 +118,13 @@
             self._take(place, exclude, is_retry=is_retry, begun=begun)
             return
         contender = self.contender
+        if contender is not None and is_new and self._room.gives_way(contender):
+            error = RoomShortError(
+                "requests that go before need the room at backend servers",
+                hint="come back after Retry-After",
+            )
+            self._refuse(contender, error)
+            return
         if contender is not None and not begun and self._room.must_wait(contender):
             error = RoomShortError("other requests wait for room at backend servers")
             self._wait_for_room(error, exclude, is_retry=is_retry, begun=begun)
@@ -135,16 +142,12 @@
         self, exclude: frozenset[str], *, is_new: bool, begun: bool
     ) -> Destination:
         routed = self._routed
-        room = None
-        if self.contender is not None:
-            room = self._room.need(self.contender, begun=begun)
         return self._destinations.choose(
             routed.route,
             exclude,
             is_new=is_new,
             sparing=self._quarantine.may_end_servers(routed.request, routed.owner),
             max_wait_s=self._max_wait_s(begun=begun),
-            room=room,
         )
 
     def _take(
@@ -206,9 +209,11 @@
             return
         assert self.contender is not None
         self._end_wait()
+        self._refuse(self.contender, self._room_error)
+
+    def _refuse(self, contender: Contender, error: RoomShortError) -> None:
         self._router.metrics.count(f"admission.refused.rank_{self._routed.priority}")
-        refusal = self._room.refusal(self.contender, self._room_error)
-        self._listener.destination_refused(refusal)
+        self._listener.destination_refused(self._room.refusal(contender, error))
 
     def _end_wait(self) -> None:
         self._waiting = None
@@ -254,16 +259,27 @@
             if not self._earned:
                 budget.earn(self._loop.time())
             self._earned = True
+        elif self._leaves_retry(begun=begun):
+            self._listener.destination_refused(self._no_retry())
+            return
         elif budget.spend(self._loop.time(), begun=begun):
             router.metrics.count("requests.retries")
         else:
             router.metrics.count("requests.retry_budget_empty")
+            self._room.no_retry(destination.service)
             self._listener.destination_refused(self._no_retry())
             return
         if self.contender is not None:
             self._room.let_in(self.contender)
         self._listener.destination_found(destination)
 
+    def _leaves_retry(self, *, begun: bool) -> bool:
+        contender = self.contender
+        if contender is None or begun or not self._room.leaves_retry(contender):
+            return False
+        self._router.metrics.count("admission.retries_left")
+        return True
+
     def _no_retry(self) -> RequestError:
         what, why = "no retry is allowed now", "the retry budget is spent"
         if self.contender is None:
--- a/src/railfold/_internal/forwarding/requests/destinations.py
+++ b/src/railfold/_internal/forwarding/requests/destinations.py
@@ -11,9 +11,7 @@
     EndingBar,
     Paused,
     RateLimited,
-    Reserved,
     Role,
-    RoomNeed,
     SlowStart,
     Terms,
 )
@@ -57,7 +55,6 @@
         is_new: bool = False,
         sparing: bool = False,
         max_wait_s: float = 0.0,
-        room: RoomNeed | None = None,
     ) -> Destination:
         """Return where a request of a route goes now.
 
@@ -68,20 +65,19 @@
         :param is_new: whether a place is looked for the first time.
         :param sparing: whether it may end its server, so that it doesn't get the last.
         :param max_wait_s: how long it may wait for a permit.
-        :param room: what it needs of engines' memory; nothing if they are to tell.
         :raises RoomShortError: only room is missing.
         :raises RequestError: there is no such place.
         """
         spec = self._service(route)
         if is_new:
             self._router.arrivals.arrived(spec.name, asyncio.get_running_loop().time())
-        strict = Terms(room=room)
+        strict = Terms()
         try:
             return self._choose_at(spec, route, exclude, strict, sparing=sparing)
         except NoCapacityError as error:
             if not any(map(_may_relax, strict.bars.values())):
                 raise _room_short(error, strict) from error
-        relaxed = Terms(max_wait_s=max_wait_s, relaxed=True, room=room)
+        relaxed = Terms(max_wait_s=max_wait_s, relaxed=True)
         try:
             found = self._choose_at(spec, route, exclude, relaxed, sparing=sparing)
         except NoCapacityError as error:
@@ -181,7 +177,7 @@
 
 def _room_short(error: NoCapacityError, terms: Terms) -> NoCapacityError:
     """Return an error that says whether only room is missing, as far as is known."""
-    if not any(isinstance(bar, Paused | Reserved) for bar in terms.bars.values()):
+    if not any(isinstance(bar, Paused) for bar in terms.bars.values()):
         return error
     return RoomShortError(error.what, why=error.why, hint=error.hint)
 
--- a/src/railfold/_internal/forwarding/requests/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -59,6 +59,7 @@
 from railfold._internal.forwarding.requests.destinations import DestinationChooser
 from railfold._internal.forwarding.requests.exchange import EngineExchange
 from railfold._internal.forwarding.requests.front import ClientExchange
+from railfold._internal.forwarding.requests.prediction import predict
 from railfold._internal.forwarding.requests.relocation import Relocation
 from railfold._internal.forwarding.requests.request_log import RequestLog
 from railfold._internal.forwarding.requests.room_queue import RoomQueue
@@ -250,7 +251,10 @@
         size = self._request.size
         self._part = LoadPart(1, 1)
         if is_model:
-            self._part = LoadPart(max(1, size.total), 1, size.prompt_tokens)
+            self._part = LoadPart(self._held_tokens(destination), 1, size.prompt_tokens)
+        prediction = None
+        if destination.chain is not None:
+            prediction = predict(router, destination.chain, size)
         router.count(destination, self._part)
         self._exchange = EngineExchange(
             self._request,
@@ -261,10 +265,22 @@
             self._check,
             repeatable=self._route.repeatable,
         )
-        self._log.attempt_started(self._attempts, plan, resume_after)
+        self._log.attempt_started(self._attempts, plan, resume_after, prediction)
         self._exchange.start()
         self._watch_chain(destination)
 
+    def _held_tokens(self, destination: Destination) -> int:
+        """Return what the request holds of its engines' memory."""
+        size = self._request.size
+        spec = (
+            self._router.table.services.get(destination.service)
+            if self._router.table
+            else None
+        )
+        if spec is None or spec.model is None:
+            return max(1, size.total)
+        return max(1, spec.model.held_tokens(size.prompt_tokens, size.answer_tokens))
+
     def _check(self) -> None:
         """Look once more at what may have changed while the request waited.
 
@@ -562,6 +578,7 @@
             self._attempts,
             self._cursor.events,
             self._watch,
+            self._search.contender,
         )
 
 
--- a/src/railfold/_internal/forwarding/requests/request_log.py
+++ b/src/railfold/_internal/forwarding/requests/request_log.py
@@ -14,6 +14,8 @@
     outcome_name,
 )
 from railfold._internal.forwarding.dialect import SendPlan
+from railfold._internal.forwarding.requests.prediction import Prediction
+from railfold._internal.forwarding.requests.room_queue import Contender
 from railfold._internal.forwarding.requests.routed_request import RoutedRequest
 from railfold._internal.forwarding.requests.stream_watch import StreamWatch
 from railfold._internal.forwarding.router import Router
@@ -35,11 +37,19 @@
         self._routed = routed
         self._router = router
         self._loop = asyncio.get_running_loop()
+        self._prediction: Prediction | None = None
+        self._sent_s = 0.0
 
     def attempt_started(
-        self, attempt: int, plan: SendPlan, resume_after: int | None
+        self,
+        attempt: int,
+        plan: SendPlan,
+        resume_after: int | None,
+        prediction: Prediction | None,
     ) -> None:
         """It is sent to a backend server."""
+        self._prediction = prediction
+        self._sent_s = self._loop.time()
         now_s = self._loop.time()
         self._router.log.write_routine(
             AttemptStarted(
@@ -51,6 +61,7 @@
                 _finite_ms(self._router.lease.age_s(now_s)),
                 round(plan.left_s(now_s) * 1000),
                 resume_after,
+                *_predicted(prediction),
             )
         )
 
@@ -86,10 +97,12 @@
         attempts: int,
         events: int,
         watch: StreamWatch,
+        contender: Contender | None,
     ) -> None:
         """It got its final answer.
 
         :param cause: why it was given up, as far as its driver knows.
+        :param contender: what it wanted of engines' room, if others competed for that.
         """
         metrics = self._router.metrics
         name = outcome_name(outcome)
@@ -101,6 +114,9 @@
         if watch.first_event_s is not None:
             first_s = watch.first_event_s - received_s
             metrics.timing("first_event", first_s)
+            if attempts == 1 and self._prediction is not None:
+                self._count_error(watch.first_event_s - self._sent_s)
+        metrics.count(f"outcomes.rank_{self._routed.priority}.{name}")
         event = RequestEnded(
             request_id=self._routed.request_id,
             outcome=name,
@@ -115,12 +131,22 @@
             events=events,
             configuration_version=self._routed.configuration_version,
             retry_after_ms=round((getattr(outcome, "retry_after_s", 0) or 0) * 1000),
+            priority=self._routed.priority,
+            waited_ms=_ms(contender.waited_s) if contender else 0.0,
+            predicted_wait_ms=_ms(contender.predicted_wait_s) if contender else 0.0,
         )
         if isinstance(outcome, Answered):
             self._router.log.write_routine(event)
         else:
             self._router.log.write(event)
 
+    def _count_error(self, first_event_s: float) -> None:
+        """Count by how much a first event came later or sooner than predicted."""
+        assert self._prediction is not None
+        error_s = first_event_s - self._prediction.chain.first_event_s
+        name = "later" if error_s > 0.0 else "sooner"
+        self._router.metrics.timing(f"prediction.first_event_{name}", abs(error_s))
+
 
 def _cause_of(outcome: Outcome, cause: str) -> str:
     match outcome:
@@ -141,5 +167,18 @@
     return round(seconds * 1000, 1)
 
 
+def _predicted(prediction: Prediction | None) -> tuple[float, ...]:
+    """Return a prediction as it stands in logs."""
+    if prediction is None:
+        return ()
+    return (
+        _finite_ms(prediction.chain.first_event_s),
+        _finite_ms(prediction.chain.pause_s),
+        round(prediction.room_share, 3),
+        round(prediction.known_share, 2),
+        _ms(prediction.load_age_s),
+    )
+
+
 def _finite_ms(seconds: float) -> float:
     return _ms(min(seconds, 1e6))
--- a/src/railfold/_internal/forwarding/requests/room_queue.py
+++ b/src/railfold/_internal/forwarding/requests/room_queue.py
@@ -15,10 +15,8 @@
     RoomShares,
     Standing,
     WaitingRequests,
-    pipeline_capacity,
     room_wait_limit_s,
 )
-from railfold._internal.decisions.eligibility import RoomNeed
 from railfold._internal.decisions.fleet_demand import DemandKey
 from railfold._internal.decisions.routing_table import RoutingTable
 from railfold._internal.errors import RoomShortError
@@ -31,11 +29,11 @@
 # milliseconds, and a look plans chains in all failure domains.
 _LOOK_S = 0.02
 
-# For how long room is kept for what goes before, beside the age of what is known.
-_HOLD_S = 0.1
+# For how long retries count as scarce after there was none.
+_SCARCE_RETRIES_S = 1.0
 
-# For how long the engines' room in all counts.
-_CAPACITY_S = 0.5
+# Answers that have begun go on before new ones begin.
+_BEGUN_LEVEL = -2
 
 
 @dataclass(eq=False, slots=True)
@@ -49,7 +47,6 @@
 
     key: DemandKey
     tokens: int
-    prompt_tokens: int
     standing: Standing
     arrived_s: float
     deadline_s: float
@@ -77,9 +74,9 @@
         self._shares = RoomShares()
         self._waiting: dict[str, WaitingRequests[RoomWaiter]] = {}
         self._waits: dict[RoomWaiter, tuple[Contender, float, float]] = {}
+        self._no_retry_s: dict[str, float] = {}
         self._look: asyncio.TimerHandle | None = None
         self._contended: tuple[int, Set[str]] = (-1, frozenset())
-        self._capacity: dict[str, tuple[float, float]] = {}
 
     def enter(self, routed: RoutedRequest) -> Contender | None:
         """Take a request that came; nothing if no others compete with it for room."""
@@ -95,46 +92,22 @@
         if service not in self._contended[1]:
             return None
         now_s = self._loop.time()
-        size = routed.request.size
-        key = DemandKey(service, routed.priority, routed.workspace)
+        key = DemandKey(service, routed.admission_rank, routed.workspace)
         demand = self._router.fleet_demand.per_s(service, self._router.entries, now_s)
-        tokens = max(1, size.total)
+        tokens = max(1, routed.request.size.total)
         standing = self._shares.arrived(key, tokens, demand, now_s)
         return Contender(
             key,
             tokens,
-            size.prompt_tokens,
             standing,
             now_s,
             routed.deadline_s,
             routed.route.objective_s,
         )
 
-    def need(self, contender: Contender, *, begun: bool) -> RoomNeed:
-        """Return what a request needs of engines' memory now."""
-        if begun:
-            return RoomNeed(contender.prompt_tokens, 0.0)
-        now_s = self._loop.time()
-        hold_s = _HOLD_S + self._router.fleet_load.age_s(now_s) / 2
-        room = self._room_tokens(contender.key.service, now_s)
-        reserved = contender.standing.reserved_share(room, hold_s)
-        return RoomNeed(contender.prompt_tokens, reserved)
-
-    def _room_tokens(self, service: str, now_s: float) -> float:
-        """Return how many tokens of requests the engines hold on every layer."""
-        known_s, tokens = self._capacity.get(service, (float("-inf"), 0.0))
-        if now_s - known_s < _CAPACITY_S:
-            return tokens
-        router = self._router
-        spec = router.table.services.get(service) if router.table else None
-        if spec is None or spec.model is None:
-            return 0.0
-        replicas = router.directory.layer_replicas(
-            service, spec.model, router.region, router.load_of
-        )
-        tokens = float(pipeline_capacity(replicas, spec.model.layer_count))
-        self._capacity[service] = (now_s, tokens)
-        return tokens
+    def gives_way(self, contender: Contender) -> bool:
+        """Return whether a new request is to be refused for those that go before."""
+        return self._router.rng.random() < contender.standing.giving_way
 
     def must_wait(self, contender: Contender) -> bool:
         """Return whether others that wait go before a request."""
@@ -148,7 +121,7 @@
         now_s = self._loop.time()
         limit_s = room_wait_limit_s(contender.objective_s, begun=begun)
         limit_s = min(limit_s, contender.deadline_s - now_s)
-        standing = Standing(_BEGUN_LEVEL, 0.0) if begun else contender.standing
+        standing = Standing(_BEGUN_LEVEL) if begun else contender.standing
         contender.predicted_wait_s = waiting.predicted_wait_s(standing.level)
         if contender.waited_s + contender.predicted_wait_s > limit_s:
             return False
@@ -174,11 +147,21 @@
         now_s = self._loop.time()
         self._shares.let_in(contender.key, contender.tokens, now_s)
         waiting = self._waiting.get(contender.key.service)
-        if waiting is not None:
-            waiting.let_in(now_s)
         if contender.waited_s:
+            if waiting is not None:
+                waiting.found_room(contender.waited_s)
             self._router.metrics.timing("admission.wait", contender.waited_s)
 
+    def no_retry(self, service: str) -> None:
+        """The retry budget of a service was empty."""
+        self._no_retry_s[service] = self._loop.time()
+
+    def leaves_retry(self, contender: Contender) -> bool:
+        """Return whether a request leaves scarce retries to those that go before."""
+        empty_s = self._no_retry_s.get(contender.key.service, float("-inf"))
+        scarce = self._loop.time() - empty_s < _SCARCE_RETRIES_S
+        return scarce and contender.standing.before_lack
+
     def turned_back(self, contender: Contender) -> None:
         """An engine rejected a request that was let in."""
         self._shares.turned_back(contender.key, contender.tokens, self._loop.time())
@@ -223,10 +206,6 @@
             waiter.wait_ended()
 
 
-# Answers that have begun go on before new ones begin.
-_BEGUN_LEVEL = -2
-
-
 def _contended_services(table: RoutingTable) -> frozenset[str]:
     """Return the model services that several ranks or workspaces use."""
     ranks: dict[str, set[int]] = {}
--- a/src/railfold/_internal/forwarding/requests/routed_request.py
+++ b/src/railfold/_internal/forwarding/requests/routed_request.py
@@ -4,7 +4,11 @@
 
 from dataclasses import dataclass
 
-from railfold._internal.decisions.routing_table import CredentialOwner, Route
+from railfold._internal.decisions.routing_table import (
+    CredentialOwner,
+    Route,
+    admission_rank,
+)
 from railfold._internal.forwarding.messages import ClientRequest
 
 __all__ = ["RoutedRequest"]
@@ -37,6 +41,12 @@
             return self.owner.priority
         return self.route.priority
 
+    @property
+    def admission_rank(self) -> int:
+        """Its place in the order in which requests get scarce room."""
+        priority = self.owner.priority if self.owner is not None else None
+        return admission_rank(self.route, priority)
+
     @property
     def workspace(self) -> str:
         """The workspace that it belongs to; empty if none is known."""
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -165,7 +165,11 @@
 
 
 class AttemptStarted(msgspec.Struct, frozen=True, tag="attempt_started"):
-    """A request was sent to a backend server."""
+    """A request was sent to a backend server.
+
+    :param room_share: memory that was left at the fullest engine of its chain, as a
+        share of it, by the load of ``known_share`` of the entries.
+    """
 
     request_id: str
     attempt: int
@@ -175,6 +179,11 @@
     configuration_age_ms: float
     left_ms: float
     resume_after: int | None
+    predicted_first_event_ms: float = 0.0
+    predicted_pause_ms: float = 0.0
+    room_share: float = 0.0
+    known_share: float = 0.0
+    load_age_ms: float = 0.0
 
 
 class AttemptEnded(msgspec.Struct, frozen=True, tag="attempt_ended"):
@@ -297,7 +306,12 @@
 
 
 class RequestEnded(msgspec.Struct, frozen=True, tag="request_ended"):
-    """A request got its final answer."""
+    """A request got its final answer.
+
+    :param priority: its rank, 0 first.
+    :param waited_ms: for how long it waited for room at engines.
+    :param predicted_wait_ms: what was reckoned when it began to wait.
+    """
 
     request_id: str
     outcome: str
@@ -312,6 +326,9 @@
     events: int
     configuration_version: int
     retry_after_ms: float
+    priority: int | None = None
+    waited_ms: float = 0.0
+    predicted_wait_ms: float = 0.0
 
 
 class LinesDropped(msgspec.Struct, frozen=True, tag="lines_dropped"):
--- a/tests/lib/room_draws.py
+++ b/tests/lib/room_draws.py
@@ -88,7 +88,7 @@
     at_s: float = 0.0
     returns: int = 0
     tries: int = 0
-    standing: Standing = field(default_factory=lambda: Standing(0, 0.0))
+    standing: Standing = field(default_factory=lambda: Standing(0))
 
     @property
     def tokens(self) -> int:
@@ -157,7 +157,6 @@
         self.shares = RoomShares()
         self.waiting: WaitingRequests[Ask] = WaitingRequests()
         self.firsts = self.retries = 0
-        self.credits: dict[str, float] = {}
 
 
 class Run:
@@ -244,7 +243,6 @@
                 )
                 for server, tokens in total.items()
             }
-            entry.credits.clear()
             entry.load.announced("others", parts, now_s, now_s, others)
             own = entry.demand.own_per_s(now_s)
             rest = {key: max(0.0, d - own.get(key, 0.0)) for key, d in demand.items()}
@@ -294,6 +292,9 @@
         ask.standing = entry.shares.arrived(
             self._key(ask), ask.tokens, self._demand(entry, now_s), now_s
         )
+        if self.rng.random() < ask.standing.giving_way:
+            self._refuse(entry, ask, now_s)
+            return
         waiting = entry.waiting
         chain = self._find(entry, ask, now_s)
         if chain is not None and not waiting.ahead(ask.standing.level):
@@ -312,30 +313,14 @@
     def _find(self, entry: _Entry, ask: Ask, now_s: float) -> str | None:
         """Return a chain with room for a request, like the planner."""
         free: dict[str, float] = {}
-        reserved = ask.standing.reserved_share(CHAINS * CHAIN_TOKENS, HOLD_S)
-        stay_s = PROMPT_S + TOKEN_S * ANSWER_TOKENS
-        helds = {}
-        for name in self.engines:
-            load = entry.load.load(name, self.play.entries, now_s)
-            helds[name] = load.tokens - GROWTH * load.sequences * ANSWER_TOKENS
-        gaps = {n: max(0.02 * CHAIN_TOKENS, CHAIN_TOKENS - h) for n, h in helds.items()}
-        arriving = sum(self._demand(entry, now_s).values()) if DRIFT else 0.0
         for name in self.engines:
-            credit = entry.credits.get(name, 0.0) if CREDIT else 0.0
             if entry.load.is_full(name, now_s):
                 continue
             load = entry.load.load(name, self.play.entries, now_s)
-            held = helds[name]
-            if DRIFT and load.known_share >= 0.5:
-                inflow = arriving * gaps[name] / sum(gaps.values()) * 0.9
-                held += load.age_s * (inflow - held / stay_s)
+            held = load.tokens - load.sequences * ANSWER_TOKENS / 2
             left = CHAIN_TOKENS * (1 + MARGIN) - held - ask.prompt
-            if load.known_share < 0.5:
-                free[name] = max(1.0, left)
-            elif left >= reserved * CHAIN_TOKENS:
-                free[name] = left + 1.0
-            elif reserved == 0.0 and credit > 0.0:
-                free[name] = 1.0
+            if load.known_share < 0.5 or load.age_s > FRESH_S or left > 0.0:
+                free[name] = max(0.05 * CHAIN_TOKENS, left)
         if not free:
             return None
         return self.rng.choices(list(free), list(free.values()))[0]
@@ -350,8 +335,7 @@
         ask.tries += 1
         room = CHAIN_TOKENS / (PROMPT_TOKENS + ANSWER_TOKENS)
         stay_s = PROMPT_S + TOKEN_S * ANSWER_TOKENS
-        full_s = FULL_S or min(2.0, self.play.entries * stay_s / room)
-        entry.load.rejected(chain, now_s + full_s)
+        entry.load.rejected(chain, now_s + stay_s / room)
         may = entry.retries + 1 <= RETRY_SHARE * entry.firsts
         if ask.tries > 2 or self.play.way is Way.RANDOM or not may:
             self._refuse(entry, ask, now_s)
@@ -368,9 +352,9 @@
         part = LoadPart(ask.tokens, 1)
         engine.held += held
         entry.load.add(chain, part)
-        entry.credits[chain] = max(0.0, entry.credits.get(chain, 0.0) - ask.tokens)
         entry.shares.let_in(self._key(ask), ask.tokens, now_s)
-        entry.waiting.let_in(now_s)
+        if now_s > ask.at_s:
+            entry.waiting.found_room(now_s - ask.at_s)
         if ask.first_s >= FROM_S:
             late = now_s - ask.first_s + PROMPT_S > OBJECTIVE_S[ask.rank]
             self.outcome.served[ask.rank, ask.workspace] += 1
@@ -383,7 +367,6 @@
             engine.held -= held
             entry.load.subtract(chain, part)
             entry.load.room_freed(chain)
-            entry.credits[chain] = entry.credits.get(chain, 0.0) + ask.tokens
 
         self.at(now_s + PROMPT_S + TOKEN_S * ask.answer, ended)
 
@@ -401,12 +384,8 @@
         self.at(now_s + back_s, lambda at_s: self._arrive(ask, at_s))
 
 
-HOLD_S = 0.1
-DRIFT = True
-CREDIT = True
-MARGIN = 0.0
-FULL_S = 0.0
-GROWTH = 0.5
+MARGIN = 0.03
+FRESH_S = 0.3
 
 
 def play(play: Play) -> Outcome:
