--- a/tests/lib/room_draws.py
+++ b/tests/lib/room_draws.py
@@ -318,9 +318,7 @@
                 continue
             load = entry.load.load(name, self.play.entries, now_s)
             held = load.tokens - load.sequences * ANSWER_TOKENS / 2
-            left = CHAIN_TOKENS * (1 + MARGIN) - held - ask.prompt
-            if load.known_share < 0.5 or load.age_s > FRESH_S or left > 0.0:
-                free[name] = max(0.05 * CHAIN_TOKENS, left)
+            free[name] = max(0.05 * CHAIN_TOKENS, CHAIN_TOKENS - held - ask.prompt)
         if not free:
             return None
         return self.rng.choices(list(free), list(free.values()))[0]
@@ -384,10 +382,6 @@
         self.at(now_s + back_s, lambda at_s: self._arrive(ask, at_s))
 
 
-MARGIN = 0.03
-FRESH_S = 0.3
-
-
 def play(play: Play) -> Outcome:
     """Play a situation."""
     return Run(play).run()
