--- a/src/railfold/_internal/forwarding/peers/load_exchange.py
+++ b/src/railfold/_internal/forwarding/peers/load_exchange.py
@@ -25,7 +25,11 @@
     SendPart,
     SumTaken,
 )
-from railfold._internal.decisions.routing_table import RoutingTable
+from railfold._internal.decisions.routing_table import (
+    Route,
+    RoutingTable,
+    admission_rank,
+)
 from railfold._internal.forwarding.peers.peer_channel import PeerChannel
 from railfold._internal.forwarding.peers.peer_messages import (
     MOST_ROWS_BYTES,
@@ -356,14 +360,15 @@
     workspaces: dict[str, set[int | None]] = {"": {None}}
     for owner in owners:
         workspaces.setdefault(owner.workspace, set()).add(owner.priority)
-    ranks = {
-        (c.service, route.priority) for route in table.routes for c in route.services
-    }
+    ranks: dict[tuple[str, int], Route] = {}
+    for route in table.routes:
+        for choice in route.services:
+            ranks.setdefault((choice.service, route.priority), route)
     found: set[DemandKey] = set()
-    for service, route_priority in ranks:
+    for (service, _), route in ranks.items():
         for workspace, priorities in workspaces.items():
             for priority in priorities:
-                rank = route_priority if priority is None else priority
+                rank = admission_rank(route, priority)
                 found.add(DemandKey(service, rank, workspace))
     return sorted(found)
 
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -35,6 +35,7 @@
 from railfold._internal.forwarding.requests.driver import RequestDriver
 from railfold._internal.forwarding.requests.front import ClientExchange, ClientServer
 from railfold._internal.forwarding.requests.replies import error_reply, status_of
+from railfold._internal.forwarding.requests.room_queue import RoomQueue
 from railfold._internal.forwarding.requests.routed_request import RoutedRequest
 from railfold._internal.forwarding.router import Router
 from railfold._internal.forwarding.servers.engine_calls import EngineCalls
@@ -160,6 +161,7 @@
             rng=rng,
         )
         self.destinations = DestinationChooser(self.router)
+        self._room = RoomQueue(self.router)
         fleet = FleetSize(settings.retry_window_s, MEMBER_S, founded_by_s)
         self._fleet_limits = FleetLimits(settings, fleet, self.router)
         calls = EngineCalls(self.router)
@@ -443,6 +445,7 @@
             self.destinations,
             self._prober,
             self._peering.quarantine,
+            self._room,
         )
         self._drivers[exchange] = driver
         driver.start()
@@ -560,6 +563,7 @@
             self._registrations.pace = self._registration_pace(now_s)
             self._forget_finished()
             self._look_whether_useful(now_s)
+            self._room.forget()
             self._clients.forget_closed()
             self.metrics.gauge("in_flight", len(self.router.active))
             self.metrics.gauge("memory.held_bytes", self._held.total_bytes)
--- a/src/railfold/_internal/forwarding/requests/destinations.py
+++ b/src/railfold/_internal/forwarding/requests/destinations.py
@@ -11,6 +11,7 @@
     Bar,
     EndingBar,
     Full,
+    Paused,
     RateLimited,
     Role,
     SlowStart,
@@ -26,6 +27,7 @@
 from railfold._internal.errors import (
     NoCapacityError,
     RequestError,
+    RoomShortError,
     UnknownTargetError,
 )
 from railfold._internal.forwarding.messages import RequestSize
@@ -63,6 +65,7 @@
         is_new: bool = False,
         sparing: bool = False,
         max_wait_s: float = 0.0,
+        waits_for_room: bool = False,
     ) -> Destination:
         """Return where a request of a route goes now.
 
@@ -74,6 +77,7 @@
         :param is_new: whether a place is looked for the first time.
         :param sparing: whether it may end its server, so that it doesn't get the last.
         :param max_wait_s: how long it may wait for a permit.
+        :raises RoomShortError: only room is missing.
         :raises RequestError: there is no such place.
         """
         spec = self._service(route)
@@ -82,9 +86,12 @@
         strict = Terms()
         try:
             return self._choose_at(spec, route, exclude, size, strict, sparing=sparing)
-        except NoCapacityError:
-            if not any(map(_may_relax, strict.bars.values())):
-                raise
+        except NoCapacityError as error:
+            bars = list(strict.bars.values())
+            if waits_for_room:
+                bars = [bar for bar in bars if not isinstance(bar, Full)]
+            if not any(map(_may_relax, bars)):
+                raise _room_short(error, strict) from error
         relaxed = Terms(max_wait_s=max_wait_s, relaxed=True)
         try:
             found = self._choose_at(
@@ -93,7 +100,7 @@
         except NoCapacityError as error:
             refusal = self._refusal(spec, route, exclude, size, relaxed)
             if refusal is None:
-                raise
+                refusal = _room_short(error, relaxed)
             raise refusal from error
         return replace(found, max_wait_s=max_wait_s)
 
@@ -201,6 +208,13 @@
         return spec
 
 
+def _room_short(error: NoCapacityError, terms: Terms) -> NoCapacityError:
+    """Return an error that says whether only room is missing, as far as is known."""
+    if not any(isinstance(bar, Paused | Full) for bar in terms.bars.values()):
+        return error
+    return RoomShortError(error.what, why=error.why, hint=error.hint)
+
+
 def _may_relax(bar: Bar) -> bool:
     """Return whether a request may go there after all, if no other server can."""
     return isinstance(bar, RateLimited | SlowStart | BackingOff | HalfOpen | Full)
--- a/src/railfold/_internal/forwarding/requests/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -59,8 +59,10 @@
 from railfold._internal.forwarding.requests.destinations import DestinationChooser
 from railfold._internal.forwarding.requests.exchange import EngineExchange
 from railfold._internal.forwarding.requests.front import ClientExchange
+from railfold._internal.forwarding.requests.prediction import predict
 from railfold._internal.forwarding.requests.relocation import Relocation
 from railfold._internal.forwarding.requests.request_log import RequestLog
+from railfold._internal.forwarding.requests.room_queue import RoomQueue
 from railfold._internal.forwarding.requests.routed_request import RoutedRequest
 from railfold._internal.forwarding.requests.stream_watch import Silence, StreamWatch
 from railfold._internal.forwarding.router import Router
@@ -92,6 +94,7 @@
         destinations: DestinationChooser,
         prober: ChainProber,
         quarantine: RequestQuarantine,
+        room: RoomQueue,
     ) -> None:
         self._routed = routed
         self._request = routed.request
@@ -130,7 +133,9 @@
         self._watch = StreamWatch(router.activity, self._silent)
         self._cause = ""
         self._relocation = Relocation(self)
-        self._search = DestinationSearch(routed, router, destinations, quarantine, self)
+        self._search = DestinationSearch(
+            routed, router, destinations, quarantine, room, self
+        )
         self._deadline = self._loop.call_at(
             routed.deadline_s, self._feed, CallDeadlinePassed()
         )
@@ -248,7 +253,10 @@
         size = self._request.size
         self._part = LoadPart(1, 1)
         if is_model:
-            self._part = LoadPart(max(1, size.total), 1, size.prompt_tokens)
+            self._part = LoadPart(self._held_tokens(destination), 1, size.prompt_tokens)
+        prediction = None
+        if destination.chain is not None:
+            prediction = predict(router, destination.chain, size)
         router.count(destination, self._part)
         self._exchange = EngineExchange(
             self._request,
@@ -259,10 +267,22 @@
             self._check,
             repeatable=self._route.repeatable,
         )
-        self._log.attempt_started(self._attempts, plan, resume_after)
+        self._log.attempt_started(self._attempts, plan, resume_after, prediction)
         self._exchange.start()
         self._watch_chain(destination)
 
+    def _held_tokens(self, destination: Destination) -> int:
+        """Return what the request holds of its engines' memory."""
+        size = self._request.size
+        spec = (
+            self._router.table.services.get(destination.service)
+            if self._router.table
+            else None
+        )
+        if spec is None or spec.model is None:
+            return max(1, size.total)
+        return max(1, spec.model.held_tokens(size.prompt_tokens, size.answer_tokens))
+
     def _check(self) -> None:
         """Look once more at what may have changed while the request waited.
 
@@ -379,6 +399,7 @@
                 self._answered(server_id, gathered)
             case NotExecuted(reason=reason) as refusal:
                 self._release()
+                self._search.rejected()
                 self._log_attempt(server_id, reason)
                 self._prober.not_executed(
                     server_id, refusal, self._part.tokens, backed_off=self._backed_off
@@ -581,6 +602,7 @@
             self._attempts,
             self._cursor.events,
             self._watch,
+            self._search.contender,
         )
 
 
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -33,6 +33,7 @@
     NoRoom,
     OnTrial,
     ReturnCause,
+    RoomShort,
     ServersBackingOff,
     Starting,
     return_after_s,
@@ -51,6 +52,7 @@
     RailfoldError,
     RateLimitedError,
     RequestOnTrialError,
+    RoomShortError,
     ServersBackingOffError,
     UnauthorizedError,
     UnknownTargetError,
@@ -209,6 +211,8 @@
                 return ReturnAtPermit(left_s)
             case ServersBackingOffError(left_s=left_s, service=service):
                 return ServersBackingOff(left_s, self.backoffs.others_serve(service))
+            case RoomShortError(served_share=served_share, left_s=left_s):
+                return RoomShort(served_share, left_s)
             case _:
                 return NoRoom()
 
