Let chains borrow layers of another failure domain, within what pipes carry

Cause: chains stayed in one failure domain, so that a gap of a few layers idled all its other engines; a plan over all replicas that doesn't know load or pipes made it worse.

Change: decisions/domain_pipes; search with one excursion; costs from the configuration's act_bytes, pipe_mbps and delays; the part of a pipe adapts to late first events; reroute of a running stream borrows where home lacks layers; log of crossings, predicted and seen first events and pauses; metrics of crossings, borrowing and errors of the prediction by kind.

--- a/src/railfold/_internal/decisions/chain_search.py
+++ b/src/railfold/_internal/decisions/chain_search.py
@@ -22,7 +22,13 @@
 from railfold._internal.decisions.chain_costs import Candidate
 from railfold._internal.decisions.chain_prediction import StageState
 
-__all__ = ["CrossingCost", "FoundChain", "crossings", "search_chains"]
+__all__ = [
+    "CrossingCost",
+    "FoundChain",
+    "crossings",
+    "search_all_chains",
+    "search_chains",
+]
 
 # Cost of going from one failure domain to another; infinite if it isn't to be done.
 CrossingCost = Callable[[str, str], float]
@@ -120,6 +126,24 @@
     return [(one, other) for one, other in pairs if one != other]
 
 
+def search_all_chains(
+    candidates: Sequence[Candidate],
+    layer_count: int,
+    home: str,
+    crossing_cost: CrossingCost,
+) -> list[FoundChain]:
+    """Return good chains that stay in a domain, and such as borrow from another one.
+
+    Only servers that are predicted to have room lend or borrow: whether the others are
+    tried is the decision of their own domain.
+    """
+    within = search_chains(candidates, layer_count, home, None)
+    with_room = [found for found in candidates if found.has_room]
+    across = search_chains(with_room, layer_count, home, crossing_cost)
+    borrowing = [found for found in across if crossings(found.domains)]
+    return sorted((*within, *borrowing), key=lambda found: found.cost)
+
+
 def search_chains(
     candidates: Iterable[Candidate],
     layer_count: int,
--- a/src/railfold/_internal/decisions/routing_table.py
+++ b/src/railfold/_internal/decisions/routing_table.py
@@ -123,6 +123,10 @@
     :param prompt_s: time to read a usual prompt through all layers on a base
         accelerator.
     :param answer_tokens: decode steps of a usual answer.
+    :param activation_bytes: what a stage passes on for each token.
+    :param pipe_bytes_per_s: of the pipe between two failure domains, which all share;
+        0 if it isn't told.
+    :param domain_delays_s: one-way latency between two failure domains, as told.
     """
 
     name: str
@@ -139,6 +143,9 @@
     sequence_step_s: float = 0.0
     prompt_s: float = 0.0
     answer_tokens: int = 200
+    activation_bytes: float = 0.0
+    pipe_bytes_per_s: float = 0.0
+    domain_delays_s: Mapping[tuple[str, str], float] = field(default_factory=dict)
 
     def has_layers(self, layers: LayerRange) -> bool:
         """Return whether the model has all of these layers."""
--- a/src/railfold/_internal/forwarding/requests/chain_balancer.py
+++ b/src/railfold/_internal/forwarding/requests/chain_balancer.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, replace
 
+from railfold._internal.core import Chain
 from railfold._internal.decisions.chain_choice import RatedChain, choose_rated
 from railfold._internal.decisions.chain_costs import (
     Candidate,
@@ -21,7 +23,7 @@
 from railfold._internal.decisions.chain_search import (
     FoundChain,
     crossings,
-    search_chains,
+    search_all_chains,
 )
 from railfold._internal.decisions.planner import Replica
 from railfold._internal.decisions.routing_table import EngineModel
@@ -83,9 +85,9 @@
         candidates = self._candidates(service, model, replicas, needs, bearable_s)
         sure = [c for c in candidates if c.replica.stage.host not in doubtful]
         home = self._router.failure_domain
-        chains = search_chains(sure, model.layer_count, home, None)
+        chains = self._search(sure, model, needs, home)
         if not chains and len(sure) < len(candidates):
-            chains = search_chains(candidates, model.layer_count, home, None)
+            chains = self._search(candidates, model, needs, home)
         if not chains:
             return None
         predictions = [_predict(found, model, needs) for found in chains]
@@ -96,6 +98,60 @@
         index = choose_rated(rated, self._router.entries, self._router.rng)
         return ChosenChain(chains[index], predictions[index])
 
+    def borrow(
+        self,
+        service: str,
+        model: EngineModel,
+        replicas: Sequence[Replica],
+        needs: RequestNeeds,
+        home: str,
+        held_by: Collection[str],
+    ) -> Chain | None:
+        """Return a chain for a stream that runs at home, where layers are missing.
+
+        :param replicas: those that a chain may use now.
+        :param held_by: servers that have room for it, since it runs there.
+        """
+        candidates = [
+            replace(found, risk=0.0, room_per_layer=0.0, has_room=True)
+            if found.replica.stage.host in held_by
+            else found
+            for found in self._candidates(service, model, replicas, needs, math.inf)
+        ]
+        found = self._search(candidates, model, needs, home)
+        if not found:
+            return None
+        chosen = ChosenChain(found[0], _predict(found[0], model, needs))
+        self.count_crossings(chosen, model, needs)
+        return chosen.found.chain
+
+    def _search(
+        self,
+        candidates: Sequence[Candidate],
+        model: EngineModel,
+        needs: RequestNeeds,
+        home: str,
+    ) -> list[FoundChain]:
+        """Return good chains; those that borrow have room for the request."""
+        now_s = asyncio.get_running_loop().time()
+
+        def crossing_cost(one: str, other: str) -> float:
+            return self._router.pipes.cost(one, other, model, needs, now_s)
+
+        return search_all_chains(candidates, model.layer_count, home, crossing_cost)
+
+    def count_crossings(
+        self, chosen: ChosenChain, model: EngineModel, needs: RequestNeeds
+    ) -> None:
+        """Count what a request that takes the chain sends between failure domains."""
+        now_s = asyncio.get_running_loop().time()
+        pairs = crossings(chosen.found.domains)
+        if pairs:
+            self._router.metrics.count("chains.borrowed")
+            self._router.metrics.count("chains.crossings", len(pairs))
+        for pair in pairs:
+            self._router.pipes.crossed(*pair, model, needs, self._router.entries, now_s)
+
     def _candidates(
         self,
         service: str,
--- a/src/railfold/_internal/forwarding/requests/chain_planner.py
+++ b/src/railfold/_internal/forwarding/requests/chain_planner.py
@@ -93,6 +93,7 @@
             )
             if chosen is None:
                 raise self._no_chain(spec, model, replicas, usable, terms, now_s)
+            self._balancer.count_crossings(chosen, model, needs)
             chain = chosen.found.chain
             return Destination(
                 spec.name,
@@ -269,12 +270,20 @@
         factor = _CONNECTED_FACTOR * (1.0 - blind / 2)
         return replace(replica, step_ms=factor * replica.step_ms)
 
-    def reroute(self, chain: Chain, lost: frozenset[str]) -> Chain | None:
-        """Return another chain that begins at the same backend server."""
+    def reroute(
+        self,
+        chain: Chain,
+        lost: frozenset[str],
+        model: EngineModel,
+        needs: RequestNeeds,
+    ) -> Chain | None:
+        """Return another chain that begins at the same backend server.
+
+        In its own failure domain if there is one.
+        """
         first = chain.stages[0]
-        model = self._router.model_of(chain)
         entry = self._router.directory.get(first.host)
-        if model is None or entry is None or first.host in lost:
+        if entry is None or first.host in lost:
             return None
         domain = entry.registration.failure_domain
         replicas = self._router.directory.layer_replicas(
@@ -287,14 +296,22 @@
         usable = [
             r
             for r in replicas
-            if r.failure_domain == domain
-            and r.stage.host not in lost
+            if r.stage.host not in lost
             and (r.stage.layers.first > 0 or r.stage.host == first.host)
         ]
+        at_home = [r for r in usable if r.failure_domain == domain]
         try:
-            found = self._plan(usable, model, blind=0.0)
+            found = self._plan(at_home, model, blind=0.0)
         except NoCapacityError:
-            return None
+            if not self._balancer.applies(model, usable):
+                return None
+            service = entry.registration.service
+            borrowed = self._balancer.borrow(
+                service, model, usable, needs, domain, chain.hosts
+            )
+            if borrowed is None:
+                return None
+            found = borrowed
         return found if found.stages[0] == first else None
 
     def _plan(
--- a/src/railfold/_internal/forwarding/requests/destinations.py
+++ b/src/railfold/_internal/forwarding/requests/destinations.py
@@ -184,9 +184,16 @@
             table.looseness(route, spec.name) if table is not None else 0.0,
         )
 
-    def reroute(self, chain: Chain, lost: frozenset[str]) -> Chain | None:
+    def reroute(
+        self, chain: Chain, lost: frozenset[str], route: Route, size: RequestSize
+    ) -> Chain | None:
         """Return another chain that begins at the same backend server."""
-        return self._planner.reroute(chain, lost)
+        model = self._router.model_of(chain)
+        if model is None:
+            return None
+        service = self._service(route)
+        needs = self._needs(service, model, route, size)
+        return self._planner.reroute(chain, lost, model, needs)
 
     def _service(self, route: Route) -> ServiceSpec:
         if self._router.table is None:
--- a/src/railfold/_internal/forwarding/requests/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -259,7 +259,7 @@
             self._check,
             repeatable=self._route.repeatable,
         )
-        self._log.attempt_started(self._attempts, plan, resume_after)
+        self._log.attempt_started(self._attempts, plan, destination, resume_after)
         self._exchange.start()
         self._watch_chain(destination)
 
@@ -413,10 +413,21 @@
         whole = self._cursor.feed(data) if self._streaming else data
         if whole:
             self._count_as_read()
+            if not self._watch.flowing:
+                self._record_first_event()
             self._watch.event(since_s)
             self._go_on(whole)
             self._tell_if_well()
 
+    def _record_first_event(self) -> None:
+        """The attempt under way brought its first event."""
+        destination = self._destination
+        if destination is not None:
+            seen_s = self._loop.time() - self._sent_s
+            self._router.record_first_event(
+                destination, seen_s, self._route.objective_s
+            )
+
     def _go_on(self, data: bytes) -> None:
         """Send a part of the body, and wait for a client that doesn't read."""
         self._answer.go_on(data)
@@ -546,7 +557,7 @@
         """Let the first backend server go on over another chain."""
         exchange = self._exchange
         ordered_s = self._loop.time()
-        other = self._destinations.reroute(chain, lost)
+        other = self._destinations.reroute(chain, lost, self._route, self._request.size)
         outcome = "there is no other chain"
         if other is not None:
             outcome = await self._prober.calls.reroute(self._request.request_id, other)
--- a/src/railfold/_internal/forwarding/requests/request_log.py
+++ b/src/railfold/_internal/forwarding/requests/request_log.py
@@ -14,6 +14,7 @@
     outcome_name,
 )
 from railfold._internal.forwarding.dialect import SendPlan
+from railfold._internal.forwarding.requests.destination import Destination
 from railfold._internal.forwarding.requests.routed_request import RoutedRequest
 from railfold._internal.forwarding.requests.stream_watch import StreamWatch
 from railfold._internal.forwarding.router import Router
@@ -37,10 +38,15 @@
         self._loop = asyncio.get_running_loop()
 
     def attempt_started(
-        self, attempt: int, plan: SendPlan, resume_after: int | None
+        self,
+        attempt: int,
+        plan: SendPlan,
+        destination: Destination,
+        resume_after: int | None,
     ) -> None:
         """It is sent to a backend server."""
         now_s = self._loop.time()
+        predicted = destination.prediction
         self._router.log.write_routine(
             AttemptStarted(
                 self._routed.request_id,
@@ -51,6 +57,9 @@
                 _finite_ms(self._router.lease.age_s(now_s)),
                 round(plan.left_s(now_s) * 1000),
                 resume_after,
+                destination.crossings,
+                _ms(predicted.first_event_s) if predicted is not None else None,
+                _ms(predicted.pause_s) if predicted is not None else None,
             )
         )
 
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -12,6 +12,8 @@
 from railfold._internal.decisions.arrival_rate import ArrivalRates, FleetArrivals
 from railfold._internal.decisions.avoidance import Avoidance
 from railfold._internal.decisions.chain_activity import ChainActivity
+from railfold._internal.decisions.chain_search import crossings
+from railfold._internal.decisions.domain_pipes import DomainPipes
 from railfold._internal.decisions.eligibility import ServerEligibility
 from railfold._internal.decisions.engine_directory import (
     DirectoryEntry,
@@ -62,6 +64,7 @@
 from railfold._internal.forwarding.servers.rate_limits import RateLimits
 from railfold._internal.forwarding.servers.statements import ServerStatements
 from railfold._internal.observability.decision_log import DecisionLog
+from railfold._internal.observability.events import PipeShareCut
 from railfold._internal.observability.metrics import Metrics
 
 __all__ = ["ActiveRequest", "Router"]
@@ -124,6 +127,7 @@
         default_factory=lambda: FleetDemand(_ANNOUNCED_LIFETIME_S)
     )
     costs: LinkCosts = field(default_factory=LinkCosts)
+    pipes: DomainPipes = field(default_factory=DomainPipes)
     weights: PlannerWeights = field(default_factory=PlannerWeights)
     limits: RateLimits = field(init=False)
     backoffs: ServerBackoffs = field(init=False)
@@ -377,6 +381,31 @@
             self.metrics.count("servers.full")
         self.fleet_load.rejected(entry.server_id, now_s + full_s)
 
+    def record_first_event(
+        self, destination: Destination, seen_s: float, objective_s: float
+    ) -> None:
+        """Compare a first event with its prediction.
+
+        :param seen_s: time from the sending of the attempt.
+        """
+        chain, prediction = destination.chain, destination.prediction
+        if chain is None or prediction is None:
+            return
+        entries = [self.directory.get(host) for host in chain.hosts]
+        known = [entry.registration for entry in entries if entry is not None]
+        if len(known) < len(entries):
+            return
+        late_s = seen_s - prediction.first_event_s
+        side = "late" if late_s > 0.0 else "early"
+        kind = known[0].accelerator
+        self.metrics.timing(f"prediction.first_event_{side}.{kind}", abs(late_s))
+        now_s = asyncio.get_running_loop().time()
+        for one, other in crossings([r.failure_domain for r in known]):
+            if self.pipes.observed(one, other, late_s, objective_s, now_s):
+                self.metrics.count("pipes.cut")
+                share = round(self.pipes.share(one, other), 3)
+                self.log.write(PipeShareCut(one, other, share, round(late_s * 1000)))
+
     def registered_id(self, server_id: str) -> str:
         """Return the id that an incarnation is registered under."""
         entry = self.directory.get(server_id)
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -25,6 +25,7 @@
     "LinesDropped",
     "LoadNewsChanged",
     "LogLine",
+    "PipeShareCut",
     "ProcessResumed",
     "ProcessStarted",
     "ProcessStopping",
@@ -180,7 +181,11 @@
 
 
 class AttemptStarted(msgspec.Struct, frozen=True, tag="attempt_started"):
-    """A request was sent to a backend server."""
+    """A request was sent to a backend server.
+
+    :param crossings: how often its chain goes from one failure domain to another.
+    :param predicted_first_event_ms: where the chain was chosen by prediction.
+    """
 
     request_id: str
     attempt: int
@@ -190,6 +195,21 @@
     configuration_age_ms: float
     left_ms: float
     resume_after: int | None
+    crossings: int = 0
+    predicted_first_event_ms: float | None = None
+    predicted_pause_ms: float | None = None
+
+
+class PipeShareCut(msgspec.Struct, frozen=True, tag="pipe_share_cut"):
+    """A first event over two failure domains came late: fewer requests cross.
+
+    :param share: of the entry's part of the pipe that it uses from now on.
+    """
+
+    one_domain: str
+    other_domain: str
+    share: float
+    late_ms: float
 
 
 class AttemptEnded(msgspec.Struct, frozen=True, tag="attempt_ended"):
@@ -353,6 +373,7 @@
     | LayersOrdered
     | LayersPlanned
     | AttemptStarted
+    | PipeShareCut
     | AttemptEnded
     | AttemptKept
     | ChainProbed
--- a/src/railfold/_internal/platform/configuration.py
+++ b/src/railfold/_internal/platform/configuration.py
@@ -76,6 +76,14 @@
     answer: int = 200
 
 
+class _Delay(msgspec.Struct, frozen=True):
+    """One-way latency between two failure domains, either way."""
+
+    source: str = msgspec.field(name="from")
+    to: str = msgspec.field(name="target_version")
+    delay_ms: float = 0.0
+
+
 class _Engine(msgspec.Struct, frozen=True):
     """``slots`` is how many requests run at once.
 
@@ -83,7 +91,8 @@
     many tokens an event of a stream holds. A decode step takes ``step_ms``, and for
     each running request ``per_seq_ms`` and ``context_per_k`` milliseconds per 1,000
     of its tokens more. Reading takes ``pairs_per_m`` milliseconds per million pairs
-    of a token and one before it, beside what ``read_per_s`` says.
+    of a token and one before it, beside what ``read_per_s`` says. A stage passes on
+    ``act_bytes`` for each token; between failure domains all share ``pipe_mbps``.
     """
 
     slots: int
@@ -100,6 +109,9 @@
     read_per_s: float = 100_000.0
     pairs_per_m: float = 0.0
     stride: int = 1
+    act_bytes: float = 0.0
+    pipe_mbps: float = 0.0
+    delays: list[_Delay] = []
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -200,6 +212,9 @@
         sequence_step_s=_sequence_step_ms(engine) / 1000.0,
         prompt_s=_prompt_s(engine),
         answer_tokens=engine.usual.answer,
+        activation_bytes=engine.act_bytes,
+        pipe_bytes_per_s=engine.pipe_mbps * 1e6 / 8,
+        domain_delays_s=_domain_delays_s(engine),
         accelerators={
             kind.name: Accelerator(kind.mb, kind.pace, kind.read_x)
             for kind in engine.kinds
@@ -207,6 +222,14 @@
     )
 
 
+def _domain_delays_s(engine: _Engine) -> dict[tuple[str, str], float]:
+    delays_s: dict[tuple[str, str], float] = {}
+    for delay in engine.delays:
+        delays_s[delay.source, delay.to] = delay.delay_ms / 1000.0
+        delays_s[delay.to, delay.source] = delay.delay_ms / 1000.0
+    return delays_s
+
+
 def _sequence_step_ms(engine: _Engine) -> float:
     """Return what a usual request in the middle of its answer adds to a step."""
     context_tokens = engine.usual.prompt + engine.usual.answer / 2
--- a/tests/lib/fleet_draws.py
+++ b/tests/lib/fleet_draws.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, field
 
 from railfold._internal.core import LayerRange, Stage
+from railfold._internal.decisions.chain_choice import RatedChain, choose_rated
 from railfold._internal.decisions.chain_costs import (
     Candidate,
     RequestNeeds,
@@ -22,7 +23,13 @@
     news_spread,
 )
 from railfold._internal.decisions.chain_prediction import StageState, predict_chain
-from railfold._internal.decisions.chain_search import FoundChain
+from railfold._internal.decisions.chain_search import (
+    FoundChain,
+    crossings,
+    search_all_chains,
+    search_chains,
+)
+from railfold._internal.decisions.domain_pipes import DomainPipes
 from railfold._internal.decisions.fleet_load import FleetLoad, LoadPart, ServerLoad
 from railfold._internal.decisions.planner import Replica
 from railfold._internal.decisions.routing_table import Accelerator, EngineModel
@@ -45,6 +52,8 @@
     sequence_step_s=0.000013,
     prompt_s=0.0034,
     answer_tokens=200,
+    activation_bytes=40_000.0,
+    pipe_bytes_per_s=1e9,
 )
 LIFETIME_S = 2.0
 
@@ -113,6 +122,7 @@
     :param rps: mean over all failure domains.
     :param swing: by which share a domain's rate rises and falls, in turn.
     :param news_s: how often entries announce their parts; 0 if they don't.
+    :param pipe_share: the share of what the model tells that pipes carry.
     :param loose_share: the share of requests whose objective is twice as long.
     """
 
@@ -124,6 +134,7 @@
     period_s: float = 15.0
     news_s: float = 0.25
     loose_share: float = 0.0
+    pipe_share: float = 1.0
     objective_s: float = 0.5
     allowed_pause_s: float = 0.2
 
@@ -157,6 +168,8 @@
         self.known = [FleetLoad(LIFETIME_S) for _ in range(load.entries)]
         self.held: dict[str, LoadPart] = {e.name: LoadPart() for e in engines}
         self.firsts: Counter[str] = Counter()
+        self.pipes = [DomainPipes() for _ in range(load.entries)]
+        self.busy_until_s: dict[tuple[str, ...], float] = {}
         self.outcome = Outcome()
         self._ends: list[tuple[float, int, Callable[[float], None]]] = []
         self._order = itertools.count()
@@ -265,8 +278,9 @@
         if is_full or self.firsts[first] >= MODEL.max_sequences:
             outcome.rejected += 1
             return
-        domains = [engine.domain for engine, _ in chain]
-        outcome.crossings += sum(a != b for a, b in itertools.pairwise(domains))
+        crossed = crossings([engine.domain for engine, _ in chain])
+        outcome.crossings += len(crossed)
+        delay_s = sum(self._cross(pair, entry, needs, now_s) for pair in crossed)
         states = [
             StageState(
                 e.accelerator,
@@ -283,7 +297,15 @@
         predicted = predict_chain(
             states, MODEL, needs.prompt_tokens, needs.answer_tokens
         )
-        on_start = predicted.first_event_s <= needs.objective_s
+        for pair in crossed:
+            self._at(
+                now_s + delay_s,
+                lambda at_s, pair=pair: self.pipes[entry].observed(
+                    *pair, delay_s, needs.objective_s, at_s
+                ),
+            )
+        first_event_s = predicted.first_event_s + delay_s
+        on_start = first_event_s <= needs.objective_s
         on_pause = predicted.pause_s <= needs.allowed_pause_s
         outcome.late_start += not on_start
         outcome.late_pause += not on_pause
@@ -295,7 +317,7 @@
         self._count(names, entry, held)
         self._count(names, entry, unread)
         self._at(
-            now_s + predicted.first_event_s,
+            now_s + first_event_s,
             lambda _: self._count(names, entry, unread, back=True),
         )
 
@@ -303,7 +325,21 @@
             self._count(names, entry, held, back=True)
             self.firsts[first] -= 1
 
-        self._at(now_s + predicted.finish_s, end)
+        self._at(now_s + predicted.finish_s + delay_s, end)
+
+    def _cross(
+        self, pair: tuple[str, str], entry: int, needs: RequestNeeds, now_s: float
+    ) -> float:
+        """Send a request over a pipe, which takes one after the other."""
+        load = self.load
+        self.pipes[entry].crossed(*pair, MODEL, needs, load.entries, now_s)
+        rate = MODEL.pipe_bytes_per_s * load.pipe_share
+        key = tuple(sorted(pair))
+        begins_s = max(now_s, self.busy_until_s.get(key, 0.0))
+        prompt_s = needs.prompt_tokens * MODEL.activation_bytes / rate
+        answer_s = needs.answer_tokens * MODEL.activation_bytes / rate
+        self.busy_until_s[key] = begins_s + prompt_s + answer_s
+        return begins_s + prompt_s - now_s
 
     def _count(
         self, names: list[str], entry: int, part: LoadPart, *, back: bool = False
@@ -351,3 +387,40 @@
     sent = [sum(outcome.sent[e.name] * len(e.layers) for e in c) for c in chains]
     pairs = zip(sent, rates, strict=True)
     return max(part / sum(sent) / (rate / sum(rates)) for part, rate in pairs)
+
+
+CAPACITY_RPS = sum(map(throughput_rps, parallel_chains(uneven_fleet())))
+
+
+def balanced_choice(*, crosses: bool, bounded: bool = True) -> Choose:
+    """Return the product's own choice, as the entry's balancer puts it together.
+
+    :param bounded: whether crossings are bounded by what pipes carry.
+    """
+
+    def choose(
+        fleet: Fleet, entry: int, needs: RequestNeeds, now_s: float
+    ) -> list[tuple[Engine, LayerRange]]:
+        def crossing_cost(one: str, other: str) -> float:
+            if not bounded:
+                return 0.05
+            return fleet.pipes[entry].cost(one, other, MODEL, needs, now_s)
+
+        candidates = fleet.candidates(entry, needs, now_s)
+        place = (candidates, MODEL.layer_count, fleet.domain_of(entry))
+        if crosses:
+            chains = search_all_chains(*place, crossing_cost)
+        else:
+            chains = search_chains(*place, None)
+        if not chains:
+            return []
+        rated = [_rate(found) for found in chains]
+        index = choose_rated(rated, fleet.load.entries, fleet.rng)
+        return fleet.engines_of(chains[index])
+
+    return choose
+
+
+def _rate(found: FoundChain) -> RatedChain:
+    room = min(found.capacity_tokens / MODEL.mean_tokens, MODEL.max_sequences)
+    return RatedChain(found.cost, room / found.duration_s, found.has_room, True)
--- a/tests/unit/test_fleet_balance.py
+++ b/tests/unit/test_fleet_balance.py
@@ -9,25 +9,23 @@
 import pytest
 
 from railfold._internal.core import LayerRange
-from railfold._internal.decisions.chain_choice import RatedChain, choose_rated
 from railfold._internal.decisions.chain_costs import RequestNeeds
-from railfold._internal.decisions.chain_search import FoundChain, search_chains
 from railfold._internal.decisions.fleet_load import LoadPart
 from tests.lib.fleet_draws import (
-    MODEL,
+    CAPACITY_RPS,
     Choose,
     Engine,
     Fleet,
     Load,
     Outcome,
+    balanced_choice,
     most_over_share,
     parallel_chains,
-    throughput_rps,
     uneven_fleet,
 )
 
 ENGINES = uneven_fleet()
-CAPACITY_RPS = sum(map(throughput_rps, parallel_chains(ENGINES)))
+balanced = balanced_choice(crosses=False)
 
 Chain = list[tuple[Engine, LayerRange]]
 
@@ -53,22 +51,6 @@
     return whole(min(parallel_chains(fleet.engines), key=own_tokens))
 
 
-def balanced(fleet: Fleet, entry: int, needs: RequestNeeds, now_s: float) -> Chain:
-    """The product's own choice, as the driver puts it together."""
-    candidates = fleet.candidates(entry, needs, now_s)
-    chains = search_chains(candidates, MODEL.layer_count, fleet.domain_of(entry), None)
-    if not chains:
-        return []
-    rated = [rate(found) for found in chains]
-    found = chains[choose_rated(rated, fleet.load.entries, fleet.rng)]
-    return fleet.engines_of(found)
-
-
-def rate(found: FoundChain) -> RatedChain:
-    room = min(found.capacity_tokens / MODEL.mean_tokens, MODEL.max_sequences)
-    return RatedChain(found.cost, room / found.duration_s, found.has_room, True)
-
-
 def play(load_share: float, choose: Choose, **changes: float) -> Outcome:
     load = Load(rps=load_share * CAPACITY_RPS, duration_s=5.0, **changes)  # type: ignore[arg-type]
     return Fleet(ENGINES, load, seed=3).play(choose)
