--- a/src/railfold/_internal/forwarding/requests/request_log.py
+++ b/src/railfold/_internal/forwarding/requests/request_log.py
@@ -14,6 +14,7 @@
     outcome_name,
 )
 from railfold._internal.forwarding.dialect import SendPlan
+from railfold._internal.forwarding.requests.destination import Destination
 from railfold._internal.forwarding.requests.prediction import Prediction
 from railfold._internal.forwarding.requests.room_queue import Contender
 from railfold._internal.forwarding.requests.routed_request import RoutedRequest
@@ -44,6 +45,7 @@
         self,
         attempt: int,
         plan: SendPlan,
+        destination: Destination,
         resume_after: int | None,
         prediction: Prediction | None,
     ) -> None:
@@ -61,6 +63,7 @@
                 _finite_ms(self._router.lease.age_s(now_s)),
                 round(plan.left_s(now_s) * 1000),
                 resume_after,
+                destination.crossings,
                 *_predicted(prediction),
             )
         )
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -25,6 +25,7 @@
     "LinesDropped",
     "LoadNewsChanged",
     "LogLine",
+    "PipeShareCut",
     "ProcessResumed",
     "ProcessStarted",
     "ProcessStopping",
@@ -186,6 +187,7 @@
 class AttemptStarted(msgspec.Struct, frozen=True, tag="attempt_started"):
     """A request was sent to a backend server.
 
+    :param crossings: how often its chain goes from one failure domain to another.
     :param room_share: memory that was left at the fullest engine of its chain, as a
         share of it, by the load of ``known_share`` of the entries.
     """
@@ -198,6 +200,7 @@
     configuration_age_ms: float
     left_ms: float
     resume_after: int | None
+    crossings: int = 0
     predicted_first_event_ms: float = 0.0
     predicted_pause_ms: float = 0.0
     room_share: float = 0.0
@@ -205,6 +208,18 @@
     load_age_ms: float = 0.0
 
 
+class PipeShareCut(msgspec.Struct, frozen=True, tag="pipe_share_cut"):
+    """A first event over two failure domains came late: fewer requests cross.
+
+    :param share: of the entry's part of the pipe that it uses from now on.
+    """
+
+    one_domain: str
+    other_domain: str
+    share: float
+    late_ms: float
+
+
 class AttemptEnded(msgspec.Struct, frozen=True, tag="attempt_ended"):
     """An attempt ended without the answer that was wanted."""
 
@@ -374,6 +389,7 @@
     | LayersOrdered
     | LayersPlanned
     | AttemptStarted
+    | PipeShareCut
     | AttemptEnded
     | AttemptKept
     | ChainProbed
