--- a/src/railfold/_internal/decisions/fleet_demand.py
+++ b/src/railfold/_internal/decisions/fleet_demand.py
@@ -18,7 +18,10 @@
 
 @dataclass(frozen=True, slots=True, order=True)
 class DemandKey:
-    """Requests of one rank of a workspace to a service."""
+    """Requests of one rank of a workspace to a service.
+
+    :param priority: place in the order in which requests get scarce room.
+    """
 
     service: str
     priority: int
--- a/src/railfold/_internal/decisions/fleet_load.py
+++ b/src/railfold/_internal/decisions/fleet_load.py
@@ -21,7 +21,7 @@
 class LoadPart:
     """What one entry has under way at one backend server.
 
-    :param tokens: that its requests to a model may grow to; at a plain service the
+    :param tokens: that its requests to a model hold on average; at a plain service the
         number of requests.
     :param sequences: how many requests.
     :param unread_tokens: prompt tokens of those whose first event hasn't come.
