--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -159,6 +159,7 @@
             failure_domain=settings.failure_domain,
             region=settings.region,
             rng=rng,
+            predicts_chains=settings.predicts_chains,
         )
         self.destinations = DestinationChooser(self.router)
         self._room = RoomQueue(self.router)
@@ -350,6 +351,7 @@
         """Take new bounds; addresses and the place stay until a restart."""
         self._settings = self._fleet_limits.settings = settings
         self.router.lease.duration_s = settings.credential_lease_s
+        self.router.predicts_chains = settings.predicts_chains
 
     # What the store says
 
--- a/src/railfold/_internal/forwarding/requests/chain_balancer.py
+++ b/src/railfold/_internal/forwarding/requests/chain_balancer.py
@@ -59,9 +59,10 @@
     def __init__(self, router: Router) -> None:
         self._router = router
 
-    @staticmethod
-    def applies(model: EngineModel, replicas: Iterable[Replica]) -> bool:
-        """Return whether engines differ in speed, so that load must be weighed."""
+    def applies(self, model: EngineModel, replicas: Iterable[Replica]) -> bool:
+        """Return whether it is wanted, and engines differ in speed."""
+        if not self._router.predicts_chains:
+            return False
         layer_ms = {round(r.step_ms / len(r.stage.layers), 3) for r in replicas}
         return len(model.accelerators) > 1 and len(layer_ms) > 1
 
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -110,6 +110,8 @@
     rng: random.Random
     table: RoutingTable | None = None
     entries: int = 1
+    # Whether chains over engines of unlike speeds are chosen by prediction.
+    predicts_chains: bool = False
     # Whether other entries can tell that credentials hold while this one can't.
     others_have_proof: Callable[[float], bool] = field(default=lambda now_s: False)
     # Whether another entry knows a newer configuration than the table.
--- a/src/railfold/_internal/forwarding/settings.py
+++ b/src/railfold/_internal/forwarding/settings.py
@@ -29,6 +29,8 @@
     :param retry_slack: retries beyond that share that all entries together may
         make in any ``retry_window_s``, to each service.
     :param memory_bytes: of the host, for this process.
+    :param predicts_chains: whether chains over engines of unlike speeds are chosen by
+        what a request is predicted to get there, instead of by their cost.
     :param first_start: whether the whole installation starts for the first time.
     :param peers: where other entries' messages are taken, if they are.
     :param peer_key: makes the codes by which entries know each other's messages; if
@@ -51,3 +53,4 @@
     peers: Address | None = None
     peer_key: bytes | None = None
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    predicts_chains: bool = False
--- a/src/railfold/_internal/platform/settings.py
+++ b/src/railfold/_internal/platform/settings.py
@@ -9,7 +9,7 @@
 import os
 import tomllib
 from pathlib import Path
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any, Literal, TypeVar
 
 import msgspec
 from msgspec import Meta
@@ -81,7 +81,8 @@
     """The whole file, as far as it is used.
 
     ``port_range`` is the first and the last of the ports that are left free for what
-    daemons say to each other. ``peer_key`` isn't the platform's: operators may add it.
+    daemons say to each other. ``peer_key`` and ``chain_choice`` aren't the platform's:
+    operators may add them.
     """
 
     node: str
@@ -93,6 +94,7 @@
     bootstrap: bool = False
     port_range: Annotated[list[_Port], Meta(min_length=2, max_length=2)] | None = None
     peer_key: Annotated[str, Meta(min_length=_LEAST_KEY_CHARACTERS)] | None = None
+    chain_choice: Literal["cheapest", "predicted"] = "cheapest"
     bounds: dict[str, Any] = msgspec.field(default_factory=dict)
     limits: dict[str, Any] = msgspec.field(default_factory=dict)
 
@@ -172,6 +174,7 @@
             peers=self._peers(document),
             peer_key=document.peer_key.encode() if document.peer_key else None,
             memory_bytes=int(limits.memory_mb * _MB),
+            predicts_chains=document.chain_choice == "predicted",
         )
         return PlatformSettings(forwarding, address, store.parts)
 
--- a/tests/unit/test_platform_settings.py
+++ b/tests/unit/test_platform_settings.py
@@ -49,6 +49,26 @@
     return file
 
 
+def test_memory_and_the_choice_of_chains_are_taken(path: Path) -> None:
+    path.write_text(
+        'chain_choice = "predicted"\n' + TEXT + "[limits]\nmemory_mb = 152\n"
+    )
+    settings = load_platform_settings(path).forwarding
+    assert settings.predicts_chains
+    assert settings.memory_bytes == 152 * 1024 * 1024
+
+
+@pytest.mark.parametrize(
+    ("field", "text"),
+    [("chain_choice", 'chain_choice = "best"\n'), ("memory_mb", "")],
+)
+def test_a_wrong_choice_or_memory_is_a_fault(path: Path, field: str, text: str) -> None:
+    limits = "[limits]\nmemory_mb = 0\n" if field == "memory_mb" else ""
+    path.write_text(text + TEXT + limits)
+    with pytest.raises(SettingsError, match=field):
+        load_platform_settings(path)
+
+
 def test_fields_are_translated(path: Path) -> None:
     loaded = load_platform_settings(path, metrics_port=7340)
     assert loaded.store == Address("10.200.1.7", 8223)
