--- a/tests/forwarding/test_suspicion.py
+++ b/tests/forwarding/test_suspicion.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 import pytest
 
@@ -144,13 +145,13 @@
     asked = 0
 
     def every_other(
-        chooser: DestinationChooser, route: object, exclude: frozenset[str]
+        chooser: DestinationChooser, *request: Any, **terms: Any
     ) -> Destination:
         nonlocal asked
         asked += 1
         if asked % 2 == 0:
             raise NoCapacityError("the other service is full")
-        return choose(chooser, route, exclude)
+        return choose(chooser, *request, **terms)
 
     monkeypatch.setattr(DestinationChooser, "choose", every_other)
     deployment.entry.router.report_lost(frozenset({first.server_id}))
