--- a/src/railfold/_internal/decisions/admission/waiting.py
+++ b/src/railfold/_internal/decisions/admission/waiting.py
@@ -29,8 +29,8 @@
 _MOST_WAITING = 2000
 _MOST_OF_WORKSPACE = 500
 
-# Weight of one wait in the mean.
-_WAIT_WEIGHT = 0.2
+# Weight of one interval in the mean.
+_INTERVAL_WEIGHT = 0.2
 
 
 def room_wait_limit_s(objective_s: float, *, begun: bool) -> float:
@@ -56,7 +56,9 @@
     def __init__(self) -> None:
         self._levels: dict[int, FairQueue[_Turn[T]]] = {}
         self._turns: dict[T, tuple[int, _Turn[T]]] = {}
-        self._usual_wait_s = 0.0
+        # Mean time between two of those that found room while others waited.
+        self._interval_s = 0.0
+        self._found_s: float | None = None
 
     def __len__(self) -> int:
         return len(self._turns)
@@ -67,7 +69,7 @@
 
     def predicted_wait_s(self, level: int) -> float:
         """Return when a new request of a level would have its turn, from now."""
-        return self.ahead(level) * self._usual_wait_s
+        return self.ahead(level) * self._interval_s
 
     def add(self, item: T, standing: Standing, workspace: str, tokens: float) -> bool:
         """Let a request wait; return whether there is a place."""
@@ -90,24 +92,24 @@
         queue = self._levels.get(level)
         return queue is not None and queue.remove(turn.workspace, turn)
 
-    def first(self) -> T | None:
-        """Return the request whose turn it is."""
-        for level in sorted(self._levels):
-            turn = self._levels[level].first()
-            if turn is not None:
-                return turn.item
-            del self._levels[level]
-        return None
-
-    def take(self) -> T | None:
-        """Take the request whose turn it is out."""
+    def served(self, item: T, now_s: float) -> None:
+        """Take out a request that found room in its turn."""
+        level, turn = self._turns.pop(item, (0, None))
+        queue = self._levels.get(level)
+        if turn is None or queue is None:
+            return
+        queue.served(turn.workspace, turn)
+        if self._found_s is not None:
+            interval_s = now_s - self._found_s
+            self._interval_s += _INTERVAL_WEIGHT * (interval_s - self._interval_s)
+        # Time in which nobody waits says nothing of how fast room comes free.
+        self._found_s = now_s if self._turns else None
+
+    def in_turn(self, count: int) -> list[T]:
+        """Return those whose turn it is, the first of each workspace, so many."""
+        found: list[T] = []
         for level in sorted(self._levels):
-            turn = self._levels[level].pop()
-            if turn is not None:
-                del self._turns[turn.item]
-                return turn.item
-        return None
-
-    def found_room(self, waited_s: float) -> None:
-        """A request that waited found room."""
-        self._usual_wait_s += _WAIT_WEIGHT * (waited_s - self._usual_wait_s)
+            found += [turn.item for turn in self._levels[level].heads()]
+            if not len(self._levels[level]):
+                del self._levels[level]
+        return found[:count]
--- a/src/railfold/_internal/decisions/fair_queue.py
+++ b/src/railfold/_internal/decisions/fair_queue.py
@@ -114,17 +114,27 @@
             return item
         return None
 
-    def first(self) -> T | None:
-        """Return the request whose turn it is, and leave it there."""
-        while self._ready:
-            workspace = self._ready[0][2]
-            flow = self._flows[workspace]
-            if flow.waiting:
-                return flow.waiting[0][3]
-            heapq.heappop(self._ready)
-            flow.queued = False
-            self._set_idle(workspace, flow)  # Its requests were withdrawn.
-        return None
+    def heads(self) -> list[T]:
+        """Return the next request of each workspace, in the order of their turns."""
+        ready = (self._flows[workspace] for _, _, workspace in sorted(self._ready))
+        return [flow.waiting[0][3] for flow in ready if flow.waiting]
+
+    def served(self, workspace: str, item: T) -> bool:
+        """Take out a request that was served in its turn, and charge its workspace."""
+        flow = self._flows.get(workspace)
+        if flow is None:
+            return False
+        costs = [cost for _, _, cost, waiting in flow.waiting if waiting is item]
+        if not self.remove(workspace, item):
+            return False
+        self._virtual_time = max(self._virtual_time, flow.last_tag)
+        flow.last_tag += costs[0] / flow.weight
+        # Its place by the tag before doesn't hold any more.
+        self._ready = [entry for entry in self._ready if entry[2] != workspace]
+        heapq.heapify(self._ready)
+        flow.queued = False
+        self._enqueue(workspace, flow)
+        return True
 
     def remove(self, workspace: str, item: T) -> bool:
         """Take out a request that no longer wants to wait."""
--- a/src/railfold/_internal/decisions/fleet_size.py
+++ b/src/railfold/_internal/decisions/fleet_size.py
@@ -17,7 +17,6 @@
 
 from __future__ import annotations
 
-import itertools
 from collections import deque
 from dataclasses import dataclass
 
@@ -139,9 +138,6 @@
     def _note(self, members: int, now_s: float) -> None:
         if self._reckoned and self._reckoned[-1].members == members:
             return
-        since_s = now_s - 2 * self._window_s
-        while len(self._reckoned) > 1 and self._reckoned[1].at_s <= since_s:
-            self._reckoned.popleft()
         self._reckoned.append(_Reckoned(now_s, members))
 
     @property
@@ -174,7 +170,6 @@
         if not self._reckoned:
             return max(listed, self._first_members or 0) if listed else float("inf")
         since_s = now_s - 2 * self._window_s
-        last = self._reckoned[-1]
-        older = itertools.pairwise(self._reckoned)
-        lasting = [one.members for one, other in older if other.at_s > since_s]
-        return max([last.members, *lasting])
+        while len(self._reckoned) > 1 and self._reckoned[1].at_s <= since_s:
+            self._reckoned.popleft()
+        return max(reckoned.members for reckoned in self._reckoned)
--- a/src/railfold/_internal/decisions/held_memory.py
+++ b/src/railfold/_internal/decisions/held_memory.py
@@ -80,7 +80,7 @@
 
     def give_back(self, size_bytes: int) -> None:
         """Hold so much less; nothing more once all was released."""
-        size_bytes = min(size_bytes, self._size_bytes)
+        size_bytes = max(0, min(size_bytes, self._size_bytes))
         self._memory.subtract(self._workspace, size_bytes)
         self._size_bytes -= size_bytes
 
--- a/src/railfold/_internal/forwarding/fleet_limits.py
+++ b/src/railfold/_internal/forwarding/fleet_limits.py
@@ -40,10 +40,6 @@
         """The part that the entry has, from 0 to 1."""
         return self._fleet.part(self._loop.time())
 
-    def part_at(self, at_s: float) -> float:
-        """Return the part that is left at a time to come if nothing is heard."""
-        return self._fleet.part(at_s)
-
     def dealt(self, deal: Deal, sent_s: float) -> None:
         """Take what a renewal of the lease tells of the number of entries."""
         self._fleet.dealt(deal, sent_s)
--- a/src/railfold/_internal/forwarding/peers/load_exchange.py
+++ b/src/railfold/_internal/forwarding/peers/load_exchange.py
@@ -133,7 +133,7 @@
     def _publish(
         self, action: PublishSum, members: Mapping[str, Sequence[str]], now_s: float
     ) -> None:
-        included = [_digest(name) for name in action.included]
+        included = [_short_digest(name) for name in action.included]
         total = _bounded(action.total)
         for rows in _pages(total):
             message = LoadSumNotice(
@@ -212,7 +212,7 @@
                     parts,
                     entries,
                     now_s,
-                    includes_own=_digest(self._name) in message.included,
+                    includes_own=_short_digest(self._name) in message.included,
                     age_s=message.age_ms / 1000.0,
                     seen=message.seen,
                 )
@@ -344,6 +344,11 @@
     return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=4).digest())
 
 
+def _short_digest(name: str) -> int:
+    """Return a key that lets all entries of a large failure domain fit in a message."""
+    return _digest(name) & 0xFFFF
+
+
 def _load_key(server_id: str) -> int:
     """Return an even key."""
     return _digest(server_id) & ~1
--- a/src/railfold/_internal/forwarding/peers/peer_messages.py
+++ b/src/railfold/_internal/forwarding/peers/peer_messages.py
@@ -39,9 +39,6 @@
     "ProofAsked",
     "ProofTold",
     "RateLimitNotice",
-    "RetryAsked",
-    "RetryLent",
-    "RetrySettled",
     "TrialBegun",
     "TrialNotRun",
 ]
@@ -74,10 +71,10 @@
 
 # 16 pages hold the rows of 600 engines and as many of workspaces.
 _MOST_PAGES = 16
-_MOST_INCLUDED = 64
+_MOST_INCLUDED = 128
 
 _Key = Annotated[int, Meta(ge=0, lt=2**32)]
-_RetryCount = Annotated[int, Meta(ge=0, le=10_000)]
+_ShortKey = Annotated[int, Meta(ge=0, lt=2**16)]
 _Round = Annotated[int, Meta(ge=0, le=2**62)]
 _Rounds = Annotated[dict[_Text, _Round], Meta(max_length=16)]
 _Page = Annotated[int, Meta(ge=0, lt=_MOST_PAGES)]
@@ -233,31 +230,6 @@
     server_id: _Name
 
 
-class RetryAsked(msgspec.Struct, frozen=True, tag="retries?"):
-    """The sender asks for retries that the receiver doesn't need now."""
-
-    name: _Name
-    loan: _Key
-    service: _Name
-    count: _RetryCount
-
-
-class RetryLent(msgspec.Struct, frozen=True, tag="retries"):
-    """The answer: the sender may spend so many for a time from when it asked."""
-
-    loan: _Key
-    service: _Name
-    count: _RetryCount
-
-
-class RetrySettled(msgspec.Struct, frozen=True, tag="retries-settled"):
-    """So many retries of a loan were spent; the others go back to the lender."""
-
-    loan: _Key
-    service: _Name
-    used: _RetryCount
-
-
 class LoadRows(msgspec.Struct, frozen=True):
     """Rows of amounts, with a key first; those of one message may come in pages.
 
@@ -281,7 +253,8 @@
 class LoadSumNotice(msgspec.Struct, frozen=True, tag="load-sum"):
     """What all entries have under way whose parts a round has collected.
 
-    :param included: keys of the entries of the sender's domain whose parts are in it.
+    :param included: short keys of the entries of the sender's domain whose parts are
+        in it.
     :param entries: how many entries' parts are in it.
     :param age_ms: how much older than the sender's domain's parts the others are.
     :param seen: the newest rounds of other domains that are known.
@@ -289,7 +262,7 @@
 
     name: _Name
     round: _Round
-    included: Annotated[list[_Key], Meta(max_length=_MOST_INCLUDED)]
+    included: Annotated[list[_ShortKey], Meta(max_length=_MOST_INCLUDED)]
     entries: _Entries
     content: LoadRows
     age_ms: _AgeMs = 0
@@ -330,9 +303,6 @@
     | LoadPartNotice
     | LoadSumNotice
     | DomainLoadNotice
-    | RetryAsked
-    | RetryLent
-    | RetrySettled
 )
 
 
--- a/src/railfold/_internal/forwarding/peers/peering.py
+++ b/src/railfold/_internal/forwarding/peers/peering.py
@@ -37,14 +37,10 @@
     ProofAsked,
     ProofTold,
     RateLimitNotice,
-    RetryAsked,
-    RetryLent,
-    RetrySettled,
     TrialBegun,
     TrialNotRun,
 )
 from railfold._internal.forwarding.peers.proof_keeper import ProofKeeper
-from railfold._internal.forwarding.peers.retry_loans import RetryLoans
 from railfold._internal.forwarding.quarantine.request_quarantine import (
     RequestQuarantine,
 )
@@ -100,7 +96,6 @@
         self._keeper: PeerKeeper | None = None
         self._arrivals: ArrivalExchange | None = None
         self._load: LoadExchange | None = None
-        self._loans: RetryLoans | None = None
         self.quarantine = RequestQuarantine(
             router,
             adapter.new_log(),
@@ -134,7 +129,6 @@
                 settings.name, router, leadership, self._channel
             )
             self._load = LoadExchange(settings.name, router, self._channel)
-            self._loans = RetryLoans(settings.name, router, fleet_limits, self._channel)
         if self._given_key is not None:
             self._use_key(self._given_key)
         self._follower = StreamFollower(
@@ -161,8 +155,6 @@
             found.append(ChildSpec("arrivals", self._arrivals.run))
         if self._load is not None:
             found.append(ChildSpec("load", self._load.run))
-        if self._loans is not None:
-            found.append(ChildSpec("retry loans", self._loans.run))
         return found
 
     def log_went_back(self) -> None:
@@ -239,6 +231,3 @@
             case LoadPartNotice() | LoadSumNotice() | DomainLoadNotice():
                 if self._load is not None:
                     self._load.received(message)
-            case RetryAsked() | RetryLent() | RetrySettled():
-                if self._loans is not None:
-                    self._loans.received(message)
--- a/src/railfold/_internal/forwarding/requests/destination_search.py
+++ b/src/railfold/_internal/forwarding/requests/destination_search.py
@@ -16,6 +16,7 @@
     permit_wait_limit_s,
 )
 from railfold._internal.errors import (
+    NoCapacityError,
     OverloadedError,
     RailfoldError,
     RequestError,
@@ -118,7 +119,14 @@
             self._take(place, exclude, is_retry=is_retry, begun=begun)
             return
         contender = self.contender
-        if contender is not None and is_new and self._room.gives_way(contender):
+        # One that resumes a stream goes on with an answer, too.
+        begun = begun or routed.request.last_event_id is not None
+        if (
+            contender is not None
+            and is_new
+            and not begun
+            and self._room.gives_way(contender)
+        ):
             error = RoomShortError(
                 "requests that go before need the room at backend servers",
                 hint="come back after Retry-After",
@@ -181,7 +189,9 @@
     ) -> None:
         contender = self.contender
         if contender is None:
-            self._listener.destination_refused(error)
+            # Nobody competes for the room.
+            shortage = NoCapacityError(error.what, why=error.why, hint=error.hint)
+            self._listener.destination_refused(shortage)
             return
         self._waiting = (exclude, is_retry, begun)
         self._room_error = error
@@ -201,7 +211,8 @@
             self._end_wait()
             self._listener.destination_refused(found)
             return True
-        self._end_wait()
+        self._waiting = None
+        self._room.found(self)
         self._take(destination, exclude, is_retry=is_retry, begun=begun)
         return True
 
--- a/src/railfold/_internal/forwarding/requests/front.py
+++ b/src/railfold/_internal/forwarding/requests/front.py
@@ -108,6 +108,12 @@
         if self._ended:
             return
         stream = self._connection.stream
+        if self._unread_bytes + len(data) > _MAX_UNREAD_BYTES:
+            self.abort()
+            # A connection that is closed here tells nobody.
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._server.handler.client_gone, self)
+            return
         _retrieve(self._connection.write(data))
         if stream.closed() or not stream.writing():
             return
@@ -115,9 +121,6 @@
         if not self.holding.take(len(data)):
             self.holding.take_anyway(len(data))
             self.congested = True
-        if self._unread_bytes > _MAX_UNREAD_BYTES:
-            self.abort()
-            return
         # Done once all that was written before is read, or the client is gone.
         barrier = stream.write(b"")
         barrier.add_done_callback(lambda _: self._was_read(len(data)))
--- a/src/railfold/_internal/forwarding/requests/request_log.py
+++ b/src/railfold/_internal/forwarding/requests/request_log.py
@@ -135,7 +135,7 @@
             configuration_version=self._routed.configuration_version,
             retry_after_ms=round((getattr(outcome, "retry_after_s", 0) or 0) * 1000),
             priority=self._routed.priority,
-            waited_ms=_ms(contender.waited_s) if contender else 0.0,
+            waited_ms=_ms(contender.waited_in_all_s) if contender else 0.0,
             predicted_wait_ms=_ms(contender.predicted_wait_s) if contender else 0.0,
         )
         if isinstance(outcome, Answered):
--- a/src/railfold/_internal/forwarding/requests/room_queue.py
+++ b/src/railfold/_internal/forwarding/requests/room_queue.py
@@ -29,6 +29,10 @@
 # milliseconds, and a look plans chains in all failure domains.
 _LOOK_S = 0.02
 
+# A request that finds no room may lack it by itself, since engines rejected it before:
+# so many others are looked at after it.
+_MOST_MISSED = 4
+
 # For how long retries count as scarce after there was none.
 _SCARCE_RETRIES_S = 1.0
 
@@ -41,7 +45,8 @@
     """A request that competes for room.
 
     :param arrived_s: when it came, on the loop's clock.
-    :param waited_s: how long it has waited for room.
+    :param waited_s: how long it has waited for room since it was sent last.
+    :param waited_in_all_s: how long it has waited for room.
     :param predicted_wait_s: what was reckoned when it last began to wait.
     """
 
@@ -52,6 +57,7 @@
     deadline_s: float
     objective_s: float
     waited_s: float = 0.0
+    waited_in_all_s: float = 0.0
     predicted_wait_s: float = 0.0
 
 
@@ -135,22 +141,33 @@
 
     def cancel(self, waiter: RoomWaiter) -> None:
         """A request waits no more."""
+        contender = self._end_wait(waiter)
+        if contender is not None:
+            self._waiting[contender.key.service].remove(waiter)
+
+    def found(self, waiter: RoomWaiter) -> None:
+        """There is room for a request that waited."""
+        contender = self._end_wait(waiter)
+        if contender is not None:
+            self._waiting[contender.key.service].served(waiter, self._loop.time())
+
+    def _end_wait(self, waiter: RoomWaiter) -> Contender | None:
         wait = self._waits.pop(waiter, None)
         if wait is None:
-            return
+            return None
         contender, since_s, _ = wait
-        self._waiting[contender.key.service].remove(waiter)
-        contender.waited_s += self._loop.time() - since_s
+        waited_s = self._loop.time() - since_s
+        contender.waited_s += waited_s
+        contender.waited_in_all_s += waited_s
+        return contender
 
     def let_in(self, contender: Contender) -> None:
         """A request was sent where there is room."""
         now_s = self._loop.time()
         self._shares.let_in(contender.key, contender.tokens, now_s)
-        waiting = self._waiting.get(contender.key.service)
         if contender.waited_s:
-            if waiting is not None:
-                waiting.found_room(contender.waited_s)
             self._router.metrics.timing("admission.wait", contender.waited_s)
+            contender.waited_s = 0.0
 
     def no_retry(self, service: str) -> None:
         """The retry budget of a service was empty."""
@@ -189,21 +206,27 @@
 
     def _look_for_room(self) -> None:
         self._look = None
-        for waiting in list(self._waiting.values()):
-            self._serve(waiting)
-        self._plan_look()
+        try:
+            for waiting in list(self._waiting.values()):
+                self._serve(waiting)
+        finally:
+            self._plan_look()
 
     def _serve(self, waiting: WaitingRequests[RoomWaiter]) -> None:
-        """Look for room for those that wait, until one finds none."""
+        """Look for room for those that wait, until some find none."""
         now_s = self._loop.time()
         overdue = [w for w, (_, _, until_s) in self._waits.items() if now_s >= until_s]
-        while (waiter := waiting.first()) is not None:
-            if waiter not in overdue and not waiter.find_room():
-                break
-            self.cancel(waiter)
         for waiter in overdue:
             self.cancel(waiter)
             waiter.wait_ended()
+        missed: set[RoomWaiter] = set()
+        while len(missed) < _MOST_MISSED:
+            in_turn = waiting.in_turn(_MOST_MISSED)
+            left = [waiter for waiter in in_turn if waiter not in missed]
+            if not left:
+                return
+            if not left[0].find_room():
+                missed.add(left[0])
 
 
 def _contended_services(table: RoutingTable) -> frozenset[str]:
--- a/src/railfold/_internal/forwarding/servers/placement.py
+++ b/src/railfold/_internal/forwarding/servers/placement.py
@@ -192,13 +192,13 @@
             )
         ]
         arriving_rps = self._router.arriving_rps(spec.name)
-        needed_rps = _HEADROOM * arriving_rps
+        needed_rps = _rounded(_HEADROOM * arriving_rps)
         part_rps = arriving_rps / max(1, len(groups))
         served_rps = [self._served_rps(g, model, objective_s) for g in groups]
         for index in planning_order(served_rps):
             group = groups[index]
             group_rps = group_needs(served_rps, needed_rps)[index]
-            wanted = _Wanted(_rounded(group_rps), objective_s)
+            wanted = _Wanted(group_rps, objective_s)
             plan = self._group_plan(group, model, wanted, part_rps)
             self._targets.update(plan)
             if plan:
--- a/src/railfold/_internal/forwarding/store/leadership.py
+++ b/src/railfold/_internal/forwarding/store/leadership.py
@@ -169,9 +169,9 @@
         ready.set()
         while True:
             delay_s = _RENEW_S
+            self._wake.clear()
             if not self._released:
                 delay_s = await self._step()
-            self._wake.clear()
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._wake.wait(), delay_s)
 
@@ -190,7 +190,8 @@
     async def _renew(self) -> float:
         sent_s = asyncio.get_running_loop().time()
         self._joined = True
-        call = self._client.renew(self._member, self._leadership.duration_s)
+        member = self._member
+        call = self._client.renew(member, self._leadership.duration_s)
         try:
             grant = await answer_within(call, _CALL_S)
         except (LogUnavailableError, TimeoutError) as error:
@@ -198,6 +199,8 @@
             self._failures += 1
             self._stop_if_lapsing(str(error) or f"no answer within {_CALL_S} s")
             return _RETRY_S
+        if self._released or member != self._member:
+            return _STANDBY_RENEW_S  # What it grants was given back meanwhile.
         self._failures = 0
         self._renewed_s = sent_s
         self._on_epoch(grant.epoch)
@@ -232,6 +235,8 @@
 
     def holder_stopped(self, member: str) -> None:
         """Another process led under this member id, and doesn't any more."""
+        if member == self._member:
+            return
         self._note_stopped(member)
         self._wake.set()
 
--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -159,6 +159,17 @@
     assert codec.decode(codec.encode(envelope), NOW_S) == envelope
 
 
+def test_a_sum_of_a_large_failure_domain_fits_in_a_datagram(
+    codec: PeerMessageCodec,
+) -> None:
+    """Domains of over 64 entries had no sums: their messages were refused."""
+    included = [65_535 - n for n in range(127)]
+    rows = LoadRows([[2**32 - 2 - 2 * n, 200, 9] for n in range(80)], 0, 2)
+    message = LoadSumNotice("entry-1", 3, included, 127, rows, 5, {"west-a": 1})
+    envelope = Envelope("entry-1", b"8 bytes.", int(NOW_S * 1000), message)
+    assert codec.decode(codec.encode(envelope), NOW_S) == envelope
+
+
 def test_a_wrong_key_isnt_heard(codec: PeerMessageCodec) -> None:
     envelope = Envelope("entry-1", b"8 bytes.", int(NOW_S * 1000), TrialBegun(DIGEST))
     forged = PeerMessageCodec(b"x" * 32).encode(envelope)
