--- a/src/railfold/_internal/decisions/admission/shares.py
+++ b/src/railfold/_internal/decisions/admission/shares.py
@@ -137,14 +137,14 @@
     """Where a request stands among those that want the same room.
 
     :param level: what goes first has a lower one.
-    :param giving_way: which part of such requests is to be refused, so that those that
-        go before find room.
-    :param before_lack: whether some that go before find none.
+    :param shed_probability: which part of such requests is to be refused, so that
+        those that go before find room.
+    :param others_lack: whether some that go before find none.
     """
 
     level: int
-    giving_way: float = 0.0
-    before_lack: bool = False
+    shed_probability: float = 0.0
+    others_lack: bool = False
 
 
 _FIRST = Standing(-1)
@@ -197,8 +197,8 @@
                 can_give += (1.0 - _FLOOR_SHARE) * (total - kept)
         of_level = sum(own.values()) or 1e-9
         giving = (lack - can_give) / of_level
-        giving_way = min(1.0 - _FLOOR_SHARE, max(0.0, giving))
-        return Standing(order, giving_way, before_lack=lack > 0.0)
+        shed_probability = min(1.0 - _FLOOR_SHARE, max(0.0, giving))
+        return Standing(order, shed_probability, others_lack=lack > 0.0)
 
     def _within_share(
         self,
@@ -222,14 +222,14 @@
         self._credits[key] = credit
         return credit > 0.0
 
-    def let_in(self, key: DemandKey, tokens: float, now_s: float) -> None:
+    def dispatched(self, key: DemandKey, tokens: float, now_s: float) -> None:
         """Take a request that found room."""
         self.served.served(key, tokens, now_s)
         if self._credits.get(key, 0.0) > 0.0:
             self._credits[key] -= tokens
 
-    def turned_back(self, key: DemandKey, tokens: float, now_s: float) -> None:
-        """Take that there was no room after all for a request that was let in."""
+    def rejected(self, key: DemandKey, tokens: float, now_s: float) -> None:
+        """Take that there was no room after all for a request that was sent."""
         self.served.served(key, -tokens, now_s)
         if key in self._credits:
             self._credits[key] += tokens
--- a/src/railfold/_internal/forwarding/requests/destination_search.py
+++ b/src/railfold/_internal/forwarding/requests/destination_search.py
@@ -125,7 +125,7 @@
             contender is not None
             and is_new
             and not begun
-            and self._room.gives_way(contender)
+            and self._room.is_shed(contender)
         ):
             error = RoomShortError(
                 "requests that go before need the room at backend servers",
@@ -283,7 +283,7 @@
             self._listener.destination_refused(self._no_retry())
             return
         if self.contender is not None:
-            self._room.let_in(self.contender)
+            self._room.dispatched(self.contender)
         self._listener.destination_found(destination)
 
     def _leaves_retry(self, *, begun: bool) -> bool:
@@ -302,7 +302,7 @@
     def rejected(self) -> None:
         """The server that the request was sent to didn't run it."""
         if self.contender is not None:
-            self._room.turned_back(self.contender)
+            self._room.rejected(self.contender)
 
     def reserve(self, exclude: frozenset[str]) -> bool:
         """Reserve a place for the next search; return whether there is one."""
--- a/src/railfold/_internal/forwarding/requests/room_queue.py
+++ b/src/railfold/_internal/forwarding/requests/room_queue.py
@@ -111,9 +111,9 @@
             routed.route.objective_s,
         )
 
-    def gives_way(self, contender: Contender) -> bool:
+    def is_shed(self, contender: Contender) -> bool:
         """Return whether a new request is to be refused for those that go before."""
-        return self._router.rng.random() < contender.standing.giving_way
+        return self._router.rng.random() < contender.standing.shed_probability
 
     def must_wait(self, contender: Contender) -> bool:
         """Return whether others that wait go before a request."""
@@ -161,10 +161,10 @@
         contender.waited_in_all_s += waited_s
         return contender
 
-    def let_in(self, contender: Contender) -> None:
+    def dispatched(self, contender: Contender) -> None:
         """A request was sent where there is room."""
         now_s = self._loop.time()
-        self._shares.let_in(contender.key, contender.tokens, now_s)
+        self._shares.dispatched(contender.key, contender.tokens, now_s)
         if contender.waited_s:
             self._router.metrics.timing("admission.wait", contender.waited_s)
             contender.waited_s = 0.0
@@ -177,11 +177,11 @@
         """Return whether a request leaves scarce retries to those that go before."""
         empty_s = self._no_retry_s.get(contender.key.service, float("-inf"))
         scarce = self._loop.time() - empty_s < _SCARCE_RETRIES_S
-        return scarce and contender.standing.before_lack
+        return scarce and contender.standing.others_lack
 
-    def turned_back(self, contender: Contender) -> None:
-        """An engine rejected a request that was let in."""
-        self._shares.turned_back(contender.key, contender.tokens, self._loop.time())
+    def rejected(self, contender: Contender) -> None:
+        """An engine rejected a request that was sent."""
+        self._shares.rejected(contender.key, contender.tokens, self._loop.time())
 
     def refusal(self, contender: Contender, error: RoomShortError) -> RoomShortError:
         """Return what a caller is told for whose request there is no room."""
--- a/tests/lib/room_draws.py
+++ b/tests/lib/room_draws.py
@@ -293,7 +293,7 @@
         ask.standing = entry.shares.arrived(
             self._key(ask), ask.tokens, self._demand(entry, now_s), now_s
         )
-        if self.rng.random() < ask.standing.giving_way:
+        if self.rng.random() < ask.standing.shed_probability:
             self._refuse(entry, ask, now_s)
             return
         waiting = entry.waiting
@@ -351,7 +351,7 @@
         part = LoadPart(ask.tokens, 1)
         engine.held += held
         entry.load.add(chain, part)
-        entry.shares.let_in(self._key(ask), ask.tokens, now_s)
+        entry.shares.dispatched(self._key(ask), ask.tokens, now_s)
         if ask.first_s >= FROM_S:
             late = now_s - ask.first_s + PROMPT_S > OBJECTIVE_S[ask.rank]
             self.outcome.served[ask.rank, ask.workspace] += 1
--- a/tests/unit/test_admission_shares.py
+++ b/tests/unit/test_admission_shares.py
@@ -31,7 +31,7 @@
         now_s = number / 100
         shares.arrived(wanted, 100.0, demand, now_s)
         if number % 10 < 10 * served:
-            shares.let_in(wanted, 100.0, now_s)
+            shares.dispatched(wanted, 100.0, now_s)
 
 
 @pytest.mark.parametrize(
@@ -48,7 +48,7 @@
     shares = RoomShares()
     after(shares, key(0), 1.0)
     demand = {key(0): 1000.0, key(2): 500.0}
-    assert shares.arrived(key(2), 100.0, demand, 2.0).giving_way == 0.0
+    assert shares.arrived(key(2), 100.0, demand, 2.0).shed_probability == 0.0
 
 
 def test_the_last_rank_gives_way_first_and_by_as_much_as_is_lacked() -> None:
@@ -58,9 +58,9 @@
     last = shares.arrived(key(2), 100.0, demand, 2.0)
     middle = shares.arrived(key(1), 100.0, demand, 2.0)
     first = shares.arrived(key(0), 100.0, demand, 2.0)
-    assert last.giving_way == pytest.approx(0.4, abs=0.1)
-    assert middle.giving_way == 0.0
-    assert first.giving_way == 0.0
+    assert last.shed_probability == pytest.approx(0.4, abs=0.1)
+    assert middle.shed_probability == 0.0
+    assert first.shed_probability == 0.0
 
 
 def test_a_rank_that_starves_goes_first() -> None:
@@ -70,7 +70,7 @@
     for _ in range(50):
         standing = shares.arrived(key(2), 100.0, demand, 2.0)
     assert standing.level < 0
-    assert standing.giving_way == 0.0
+    assert standing.shed_probability == 0.0
 
 
 def test_large_requests_have_the_chance_of_small_ones() -> None:
@@ -87,7 +87,7 @@
         if standing.level == 2:
             counts[0] += 1
             if rng.random() < 0.7:
-                shares.let_in(key(1, "flood"), tokens, number / 100)
+                shares.dispatched(key(1, "flood"), tokens, number / 100)
     small, large = (counts[0] / counts[1] for counts in within.values())
     assert large >= 0.5 * small
 
