--- a/src/railfold/_internal/decisions/admission/shares.py
+++ b/src/railfold/_internal/decisions/admission/shares.py
@@ -152,7 +152,7 @@
 
 @dataclass(slots=True)
 class RoomShares:
-    """An entry's order among requests for room, and what it has let in by it."""
+    """An entry's order among requests for room, and how far it is shed."""
 
     served: ServedShares = field(default_factory=ServedShares)
     # What each workspace may still use of its share, in tokens.
