--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,14 +21,13 @@
     LoadRows,
     LoadSumNotice,
     PeerMessageCodec,
-    RetryAsked,
 )
 from railfold._internal.forwarding.quarantine.content_digest import derived_key
 from railfold._internal.forwarding.store.shared_records import KEY_NAME, decode_key
 from soak.world import Injected, World
 from standins.chaining_engine import Engine
 from tests.lib.crashes import POISON_BODY
-from tests.lib.forwarding import MODEL_SERVICE, Connection
+from tests.lib.forwarding import Connection
 
 # The link of an entry of the smaller kind, and for how long entries have it.
 _SLOW_BPS = 20e6
@@ -323,7 +322,7 @@
 
 def _load_lie(
     rng: random.Random, names: list[str], zones: list[str]
-) -> LoadPartNotice | LoadSumNotice | DomainLoadNotice | RetryAsked:
+) -> LoadPartNotice | LoadSumNotice | DomainLoadNotice:
     number = rng.choice([rng.randrange(200), 2 ** rng.randrange(62)])
     amounts = [rng.randrange(2**32) for _ in range(rng.randint(1, 4))]
     rows = LoadRows([[rng.randrange(2**32), *amounts] for _ in range(60)])
@@ -337,7 +336,6 @@
             LoadPartNotice(name, number, rows),
             LoadSumNotice(name, number, digests, rng.randint(1, 2000), rows),
             DomainLoadNotice(rng.choice(zones), number, 9, rows, {zones[0]: number}),
-            RetryAsked(name, rng.randrange(2**32), MODEL_SERVICE, 10_000),
         ]
     )
 
