Tidy: one copy of announcements, refusals and the newest-of-each-key offset

Ruled out: one generic type for the parts themselves (sums of tokens and rates differ in what they are keyed by and how they fade); merging the request models of tests, which share only their shape; -1 as the follower's lower bound for its offset, which means "none yet" and stays.

Change: structure only; no test, bound or expectation is touched.

--- a/src/railfold/_internal/commands/held.py
+++ b/src/railfold/_internal/commands/held.py
@@ -17,11 +17,10 @@
 )
 from railfold._internal.platform.adapter import UsersPlatform
 from railfold._internal.platform.settings import load_platform_settings, settings_path
+from railfold._internal.store.records import NEWEST_OF_EACH_KEY
 
 __all__ = ["held", "lift"]
 
-_WHOLE_COPY = -1
-
 
 class _Held(msgspec.Struct, frozen=True):
     """One content that is held back, as it is shown."""
@@ -69,7 +68,9 @@
 
 
 async def _read(platform: UsersPlatform) -> list[_Held]:
-    page = await platform.new_log().read(platform.quarantine_stream, _WHOLE_COPY, 0.0)
+    page = await platform.new_log().read(
+        platform.quarantine_stream, NEWEST_OF_EACH_KEY, 0.0
+    )
     found = []
     for record in page.records:
         item = record.body
--- a/src/railfold/_internal/decisions/fleet_demand.py
+++ b/src/railfold/_internal/decisions/fleet_demand.py
@@ -10,6 +10,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from railfold._internal.decisions.announcements import Announced, Announcements
+
 __all__ = ["DemandKey", "FleetDemand"]
 
 # Time over which arrivals are averaged.
@@ -37,13 +39,6 @@
         return self.per_s * math.exp(-(now_s - self.seen_s) / _WINDOW_S)
 
 
-@dataclass(frozen=True, slots=True)
-class _Announced:
-    at_s: float
-    per_s: Mapping[DemandKey, float]
-    entries: int = 1
-
-
 class FleetDemand:
     """Arriving work of all entries, in tokens a second (requests at plain services).
 
@@ -53,7 +48,7 @@
     def __init__(self, lifetime_s: float) -> None:
         self.lifetime_s = lifetime_s
         self._own: dict[DemandKey, _Rate] = {}
-        self._announced: dict[str, _Announced] = {}
+        self._announced: Announcements[Mapping[DemandKey, float]] = Announcements()
 
     def arrived(self, key: DemandKey, tokens: float, now_s: float) -> None:
         """A client's request arrived here."""
@@ -78,21 +73,14 @@
         :param entries: how many entries' arrivals these are the sum of, if ``entry``
             announces those of others, too.
         """
-        known = self._announced.get(entry)
-        if known is not None and (known.at_s, known.entries) >= (at_s, entries):
-            return
-        if now_s - at_s < self.lifetime_s:
-            self._announced[entry] = _Announced(at_s, dict(per_s), entries)
-
-    def left(self, entry: str) -> None:
-        """Forget an entry that has ended or started again."""
-        self._announced.pop(entry, None)
+        announced: Announced[Mapping[DemandKey, float]] = Announced(
+            at_s, dict(per_s), entries
+        )
+        self._announced.take(entry, announced, self.lifetime_s, now_s)
 
     def forget(self, now_s: float) -> None:
         """Forget old announcements, and what hardly arrives any more."""
-        for entry, announced in list(self._announced.items()):
-            if now_s - announced.at_s >= self.lifetime_s:
-                del self._announced[entry]
+        self._announced.forget(self.lifetime_s, now_s)
         for key, rate in list(self._own.items()):
             if now_s - rate.seen_s >= 8.0 * _WINDOW_S:
                 del self._own[key]
@@ -102,20 +90,13 @@
 
         :param entries: how many entries there are, with this one.
         """
-        fresh = self._fresh(now_s)
-        parts = [self.own_per_s(now_s), *(announced.per_s for announced in fresh)]
-        heard = 1 + sum(announced.entries for announced in fresh)
-        share = min(1.0, heard / max(1, entries))
+        fresh = self._announced.fresh(self.lifetime_s, now_s)
+        parts = [self.own_per_s(now_s), *(announced.content for announced in fresh)]
+        known_entries = 1 + sum(announced.entries for announced in fresh)
+        share = min(1.0, known_entries / max(1, entries))
         total: dict[DemandKey, float] = {}
         for part in parts:
             for key, per_s in part.items():
                 if key.service == service:
                     total[key] = total.get(key, 0.0) + per_s / share
         return total
-
-    def _fresh(self, now_s: float) -> list[_Announced]:
-        return [
-            announced
-            for announced in self._announced.values()
-            if now_s - announced.at_s < self.lifetime_s
-        ]
--- a/src/railfold/_internal/decisions/fleet_load.py
+++ b/src/railfold/_internal/decisions/fleet_load.py
@@ -14,6 +14,8 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, replace
 
+from railfold._internal.decisions.announcements import Announced, Announcements
+
 __all__ = ["FleetLoad", "LoadPart", "ServerLoad"]
 
 
@@ -59,18 +61,6 @@
     own_sequences: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class _Announced:
-    """Parts of other entries, added up, and when they were true.
-
-    :param entries: how many entries.
-    """
-
-    at_s: float
-    parts: Mapping[str, LoadPart]
-    entries: int = 1
-
-
 @dataclass(frozen=True, slots=True)
 class _Reported:
     """What a server said of itself; fields as in :class:`LoadPart`."""
@@ -91,7 +81,7 @@
     def __init__(self, lifetime_s: float) -> None:
         self.lifetime_s = lifetime_s
         self._own: dict[str, LoadPart] = {}
-        self._announced: dict[str, _Announced] = {}
+        self._announced: Announcements[Mapping[str, LoadPart]] = Announcements()
         self._reported: dict[str, _Reported] = {}
         self._full_until_s: dict[str, float] = {}
         self._announced_full_until_s: dict[str, float] = {}
@@ -107,7 +97,7 @@
 
     def add(self, server_id: str, part: LoadPart) -> None:
         """Count what was sent to a server."""
-        known = self._own.get(server_id, LoadPart())
+        known = self.own_part(server_id)
         self._own[server_id] = LoadPart(
             known.tokens + part.tokens,
             known.sequences + part.sequences,
@@ -124,7 +114,7 @@
             max(0, known.sequences - part.sequences),
             max(0, known.unread_tokens - part.unread_tokens),
         )
-        if left == LoadPart():
+        if left == _NOTHING:
             del self._own[server_id]
         else:
             self._own[server_id] = left
@@ -139,16 +129,13 @@
     ) -> None:
         """Take all parts of another entry, true at ``at_s``; older ones are ignored.
 
-        Of two sums that are as old, the one over more entries counts.
-
         :param entries: how many entries' parts these are the sum of, if ``entry``
             announces those of others, too.
         """
-        known = self._announced.get(entry)
-        if known is not None and (known.at_s, known.entries) >= (at_s, entries):
-            return
-        if now_s - at_s < self.lifetime_s:
-            self._announced[entry] = _Announced(at_s, dict(parts), entries)
+        announced: Announced[Mapping[str, LoadPart]] = Announced(
+            at_s, dict(parts), entries
+        )
+        self._announced.take(entry, announced, self.lifetime_s, now_s)
 
     def reported(
         self, server_id: str, tokens: int, sequences: int, at_s: float
@@ -188,10 +175,6 @@
         """Return the servers that count as full by this entry's own requests."""
         return [s for s, until_s in self._full_until_s.items() if now_s < until_s]
 
-    def left(self, entry: str) -> None:
-        """Forget an entry that has ended or started again."""
-        self._announced.pop(entry, None)
-
     def forget(self, known_servers: Collection[str], now_s: float) -> None:
         """Forget all servers but these, and announcements past their lifetime."""
         known = set(known_servers)
@@ -204,24 +187,18 @@
             for server_id, until_s in list(marks.items()):
                 if server_id not in known or now_s >= until_s:
                     del marks[server_id]
-        for entry, announced in list(self._announced.items()):
-            if now_s - announced.at_s >= self.lifetime_s:
-                del self._announced[entry]
+        self._announced.forget(self.lifetime_s, now_s)
 
     def load(self, server_id: str, entries: int, now_s: float) -> ServerLoad:
         """Return the load of a server over all entries.
 
         :param entries: how many entries there are, with this one.
         """
-        own = self._own.get(server_id, _NOTHING)
-        fresh = [
-            announced
-            for announced in self._announced.values()
-            if now_s - announced.at_s < self.lifetime_s
-        ]
-        parts = [own, *(a.parts.get(server_id, _NOTHING) for a in fresh)]
-        heard = 1 + sum(announced.entries for announced in fresh)
-        share = min(1.0, heard / max(1, entries))
+        own = self.own_part(server_id)
+        fresh = self._fresh(now_s)
+        parts = [own, *(a.content.get(server_id, _NOTHING) for a in fresh)]
+        known_entries = 1 + sum(announced.entries for announced in fresh)
+        share = min(1.0, known_entries / max(1, entries))
         tokens = sum(part.tokens for part in parts)
         sequences = sum(part.sequences for part in parts)
         load = ServerLoad(
@@ -250,13 +227,12 @@
 
     def known_entries(self, now_s: float) -> int:
         """Return how many entries' parts are known, with this one's."""
-        return 1 + sum(
-            announced.entries
-            for announced in self._announced.values()
-            if now_s - announced.at_s < self.lifetime_s
-        )
+        return 1 + sum(announced.entries for announced in self._fresh(now_s))
 
     def age_s(self, now_s: float) -> float:
         """Return how old the oldest of the parts is that count."""
-        ages_s = (now_s - announced.at_s for announced in self._announced.values())
-        return max((age_s for age_s in ages_s if age_s < self.lifetime_s), default=0.0)
+        ages_s = (now_s - announced.at_s for announced in self._fresh(now_s))
+        return max(ages_s, default=0.0)
+
+    def _fresh(self, now_s: float) -> list[Announced[Mapping[str, LoadPart]]]:
+        return self._announced.fresh(self.lifetime_s, now_s)
--- a/src/railfold/_internal/forwarding/peers/peer_keeper.py
+++ b/src/railfold/_internal/forwarding/peers/peer_keeper.py
@@ -21,6 +21,7 @@
     encode_entry,
 )
 from railfold._internal.observability.metrics import Metrics
+from railfold._internal.store.records import NEWEST_OF_EACH_KEY
 
 __all__ = ["PeerKeeper"]
 
@@ -35,9 +36,6 @@
 
 _MAX_BACKOFF_S = 10.0
 
-# Asks the log for the newest record of each key.
-_SNAPSHOT = -1
-
 
 class PeerKeeper:
     """Keeps this entry's row in the store's list, and reads the others'.
@@ -104,7 +102,7 @@
             value = encode_entry(own, clock.unix_time_s())
             await self._log.put(self._stream, own.name, value)
             self._written_s = now_s
-        page = await self._log.read(self._stream, _SNAPSHOT, 0.0)
+        page = await self._log.read(self._stream, NEWEST_OF_EACH_KEY, 0.0)
         rows = [self._row(record.body) for record in page.records]
         found = [row for row in rows if row is not None]
         if now_s < self._incomplete_until_s:
--- a/src/railfold/_internal/forwarding/peers/proof_keeper.py
+++ b/src/railfold/_internal/forwarding/peers/proof_keeper.py
@@ -25,6 +25,7 @@
 from railfold._internal.forwarding.store.feeds import ConfigurationFeed
 from railfold._internal.observability.events import ConfigurationBehind
 from railfold._internal.store.follower import ReadableLog
+from railfold._internal.store.records import NEWEST_OF_EACH_KEY
 
 __all__ = ["ProofKeeper"]
 
@@ -38,9 +39,6 @@
 # that an outage isn't probed by all.
 _AGAIN_S = 0.6
 
-# Asks the log for the newest record of each key.
-_NEWEST = -1
-
 # An older proof isn't told; younger ones tell that nobody has a better one.
 _OLDEST_S = 60.0
 
@@ -140,7 +138,7 @@
             if not page.reaches_end(offset):
                 # The follower's read waits on a connection that brings nothing.
                 sent_s = self._loop.time()
-                page = await self._log.read(self._stream, _NEWEST, 0.0)
+                page = await self._log.read(self._stream, NEWEST_OF_EACH_KEY, 0.0)
         except LogUnavailableError:
             self._on_failure()
             self._router.metrics.count("proofs.read_failures")
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -34,7 +34,7 @@
 from railfold._internal.forwarding.requests.destinations import DestinationChooser
 from railfold._internal.forwarding.requests.driver import RequestDriver
 from railfold._internal.forwarding.requests.front import ClientExchange, ClientServer
-from railfold._internal.forwarding.requests.replies import error_reply, status_of
+from railfold._internal.forwarding.requests.refusals import Refusals
 from railfold._internal.forwarding.requests.room_queue import RoomQueue
 from railfold._internal.forwarding.requests.routed_request import RoutedRequest
 from railfold._internal.forwarding.router import Router
@@ -68,7 +68,6 @@
     ProcessStarted,
     ProcessStopping,
     ReadinessChanged,
-    RequestEnded,
     StoreWentBack,
 )
 from railfold._internal.observability.metrics import Metrics
@@ -162,6 +161,7 @@
             predicts_chains=settings.predicts_chains,
         )
         self.destinations = DestinationChooser(self.router)
+        self._refusals = Refusals(self.router)
         self._room = RoomQueue(self.router)
         fleet = FleetSize(settings.retry_window_s, MEMBER_S, founded_by_s)
         self._fleet_limits = FleetLimits(settings, fleet, self.router)
@@ -438,7 +438,7 @@
             )
             on_trial = self._peering.quarantine.admit(request, route, owner)
         except RequestError as error:
-            self._refuse(exchange, request_id, error, now_s)
+            self._refusals.refuse(exchange, request_id, error, now_s)
             return
         driver = RequestDriver(
             RoutedRequest(request, route, owner, table.version, on_trial),
@@ -458,46 +458,6 @@
         active = self.router.active
         self._drivers = {e: d for e, d in self._drivers.items() if d in active}
 
-    def _refuse(
-        self,
-        exchange: ClientExchange,
-        request_id: str,
-        error: RequestError,
-        now_s: float,
-    ) -> None:
-        """Answer a request that goes to no backend server."""
-        retry_after_s = self._note_refusal(request_id, error, now_s)
-        headers, body = error_reply(error, retry_after_s)
-        exchange.reply(status_of(error, not_run=True), headers, body)
-
-    def _note_refusal(
-        self, request_id: str, error: RequestError, now_s: float
-    ) -> float:
-        """Count and log a refusal; return after how long its client comes back."""
-        retry_after_s = self.router.return_after_s(error)
-        status = status_of(error, not_run=True)
-        self.metrics.count(f"refused.{error.code}")
-        self.log.write(
-            RequestEnded(
-                request_id=request_id,
-                outcome="not_run",
-                status=status,
-                cause=str(error),
-                route="",
-                workspace="",
-                attempts=0,
-                duration_ms=round((self._loop.time() - now_s) * 1000, 1),
-                first_event_ms=0.0,
-                longest_pause_ms=0.0,
-                events=0,
-                configuration_version=self.router.table.version
-                if self.router.table
-                else 0,
-                retry_after_ms=round(retry_after_s * 1000),
-            )
-        )
-        return retry_after_s
-
     def workspace_of(self, headers: Sequence[Header]) -> str:
         """Return the workspace that a request's head names; empty if none is known."""
         table = self.router.table
@@ -514,9 +474,7 @@
             why=f"{held_mb:.1f} MB are held for clients",
             hint="come back after Retry-After",
         )
-        retry_after_s = self._note_refusal("", error, self._loop.time())
-        headers, body = error_reply(error, retry_after_s)
-        exchange.reply_early(status_of(error, not_run=True), headers, body)
+        self._refusals.refuse_unread(exchange, error)
 
     def client_gone(self, exchange: ClientExchange) -> None:
         """A client closed its connection."""
--- a/src/railfold/_internal/forwarding/requests/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -276,14 +276,10 @@
     def _held_tokens(self, destination: Destination) -> int:
         """Return what the request holds of its engines' memory."""
         size = self._request.size
-        spec = (
-            self._router.table.services.get(destination.service)
-            if self._router.table
-            else None
-        )
-        if spec is None or spec.model is None:
+        model = self._router.model_of_service(destination.service)
+        if model is None:
             return max(1, size.total)
-        return max(1, spec.model.held_tokens(size.prompt_tokens, size.answer_tokens))
+        return max(1, model.held_tokens(size.prompt_tokens, size.answer_tokens))
 
     def _check(self) -> None:
         """Look once more at what may have changed while the request waited.
--- a/src/railfold/_internal/forwarding/requests/request_log.py
+++ b/src/railfold/_internal/forwarding/requests/request_log.py
@@ -51,8 +51,7 @@
     ) -> None:
         """It is sent to a backend server."""
         self._prediction = prediction
-        self._sent_s = self._loop.time()
-        now_s = self._loop.time()
+        now_s = self._sent_s = self._loop.time()
         self._router.log.write_routine(
             AttemptStarted(
                 self._routed.request_id,
--- a/src/railfold/_internal/forwarding/requests/room_queue.py
+++ b/src/railfold/_internal/forwarding/requests/room_queue.py
@@ -26,8 +26,8 @@
 __all__ = ["Contender", "RoomQueue", "RoomWaiter"]
 
 # How often room is looked for while requests wait: engines free some of it every few
-# milliseconds, and a look plans chains in all failure domains.
-_LOOK_S = 0.02
+# milliseconds, and a recheck plans chains in all failure domains.
+_RECHECK_INTERVAL_S = 0.02
 
 # A request that finds no room may lack it by itself, since engines rejected it before:
 # so many others are looked at after it.
@@ -81,7 +81,7 @@
         self._waiting: dict[str, WaitingRequests[RoomWaiter]] = {}
         self._waits: dict[RoomWaiter, tuple[Contender, float, float]] = {}
         self._no_retry_s: dict[str, float] = {}
-        self._look: asyncio.TimerHandle | None = None
+        self._next_recheck: asyncio.TimerHandle | None = None
         self._contended: tuple[int, Set[str]] = (-1, frozenset())
 
     def enter(self, routed: RoutedRequest) -> Contender | None:
@@ -136,7 +136,7 @@
         until_s = now_s + limit_s - contender.waited_s
         self._waits[waiter] = (contender, now_s, until_s)
         self._router.metrics.count("admission.waiting")
-        self._plan_look()
+        self._plan_recheck()
         return True
 
     def cancel(self, waiter: RoomWaiter) -> None:
@@ -200,25 +200,30 @@
         """Forget what hardly arrives any more."""
         self._shares.forget(self._loop.time())
 
-    def _plan_look(self) -> None:
-        if self._look is None and self._waits:
-            self._look = self._loop.call_later(_LOOK_S, self._look_for_room)
+    def _plan_recheck(self) -> None:
+        if self._next_recheck is None and self._waits:
+            self._next_recheck = self._loop.call_later(
+                _RECHECK_INTERVAL_S, self._recheck
+            )
 
-    def _look_for_room(self) -> None:
-        self._look = None
+    def _recheck(self) -> None:
+        self._next_recheck = None
         try:
+            self._end_overdue_waits()
             for waiting in list(self._waiting.values()):
                 self._serve(waiting)
         finally:
-            self._plan_look()
+            self._plan_recheck()
 
-    def _serve(self, waiting: WaitingRequests[RoomWaiter]) -> None:
-        """Look for room for those that wait, until some find none."""
+    def _end_overdue_waits(self) -> None:
         now_s = self._loop.time()
         overdue = [w for w, (_, _, until_s) in self._waits.items() if now_s >= until_s]
         for waiter in overdue:
             self.cancel(waiter)
             waiter.wait_ended()
+
+    def _serve(self, waiting: WaitingRequests[RoomWaiter]) -> None:
+        """Look for room for those that wait, until some find none."""
         missed: set[RoomWaiter] = set()
         while len(missed) < _MOST_MISSED:
             in_turn = waiting.in_turn(_MOST_MISSED)
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -278,9 +278,13 @@
     def model_of(self, chain: Chain) -> EngineModel | None:
         """Return the model that a chain runs, if it is still configured."""
         entry = self.directory.get(chain.stages[0].host)
-        if entry is None or self.table is None:
+        if entry is None:
             return None
-        spec = self.table.services.get(entry.registration.service)
+        return self.model_of_service(entry.registration.service)
+
+    def model_of_service(self, service: str) -> EngineModel | None:
+        """Return the model that a service's backend servers run, if they run one."""
+        spec = self.table.services.get(service) if self.table else None
         return spec.model if spec else None
 
     def expected_pause_s(self, chain: Chain) -> float:
@@ -371,8 +375,7 @@
         now_s = asyncio.get_running_loop().time()
         total = sum(choice.weight for choice in route.services)
         for choice in route.services if total > 0 else ():
-            spec = self.table.services.get(choice.service) if self.table else None
-            is_model = spec is not None and spec.model is not None
+            is_model = self.model_of_service(choice.service) is not None
             amount = float(max(1, tokens)) if is_model else 1.0
             key = DemandKey(choice.service, priority, workspace)
             self.fleet_demand.arrived(key, amount * choice.weight / total, now_s)
@@ -382,12 +385,10 @@
 
         It counts as full for about as long as until a usual request ends there.
         """
-        service = entry.registration.service
-        spec = self.table.services.get(service) if self.table else None
+        model = self.model_of_service(entry.registration.service)
         layers = entry.registration.layers
-        if spec is None or spec.model is None or layers is None:
+        if model is None or layers is None:
             return
-        model = spec.model
         accelerator = model.accelerators.get(entry.registration.accelerator)
         if accelerator is None:
             return
--- a/src/railfold/_internal/forwarding/store/feeds.py
+++ b/src/railfold/_internal/forwarding/store/feeds.py
@@ -29,7 +29,7 @@
     ConfigurationAccepted,
     EngineChanged,
 )
-from railfold._internal.store.records import LogRecord
+from railfold._internal.store.records import NEWEST_OF_EACH_KEY, LogRecord
 
 __all__ = ["ConfigurationFeed", "QuarantineFeed", "RegistrationFeed"]
 
@@ -40,9 +40,6 @@
 # Of an id that somebody else wrote, so much stands in the logs.
 _ID_SHOWN = 128
 
-# Asks the log for the newest record of each key.
-_SNAPSHOT = -1
-
 # A registration that nobody renews has lapsed by then: after three heartbeats, and at
 # most about two seconds more after the store was away.
 _LAPSED_S = 6.0
@@ -62,7 +59,7 @@
         self._key = key
         self._decode = decode
         self._on_accepted = on_accepted
-        self._next = _SNAPSHOT
+        self._next = NEWEST_OF_EACH_KEY
         # The newest version that was read since the stream was read anew.
         self._read_version = 0
         # The newest that another entry has read.
@@ -131,9 +128,9 @@
 
     def expired(self, first_offset: int) -> int:
         """History is gone: take the newest record of each key."""
-        self._next = _SNAPSHOT
+        self._next = NEWEST_OF_EACH_KEY
         self._read_version = 0
-        return _SNAPSHOT
+        return NEWEST_OF_EACH_KEY
 
 
 class RegistrationFeed:
@@ -151,7 +148,7 @@
         self._router = router
         self._decode = decode
         self._on_copy = on_copy
-        self._next = _SNAPSHOT
+        self._next = NEWEST_OF_EACH_KEY
         self._copy: dict[str, Registration] | None = {}
         # Registered ids whose newest record names no backend server to use.
         self._refused: set[str] = set()
@@ -208,10 +205,10 @@
 
     def expired(self, first_offset: int) -> int:
         """History is gone: take a whole copy."""
-        self._next = _SNAPSHOT
+        self._next = NEWEST_OF_EACH_KEY
         self._copy = {}
         self._refused = set()
-        return _SNAPSHOT
+        return NEWEST_OF_EACH_KEY
 
     def log_went_back(self) -> None:
         """The log came back from an older copy; the next whole copy is of that."""
@@ -310,7 +307,7 @@
         self._quarantine = quarantine
         self._on_key = on_key
         self._on_known = on_known
-        self._next = _SNAPSHOT
+        self._next = NEWEST_OF_EACH_KEY
         self._known = False
         self._has_key = False
 
@@ -350,6 +347,6 @@
 
     def expired(self, first_offset: int) -> int:
         """History is gone: take the newest record of each key."""
-        self._next = _SNAPSHOT
+        self._next = NEWEST_OF_EACH_KEY
         self._has_key = False
-        return _SNAPSHOT
+        return NEWEST_OF_EACH_KEY
--- a/src/railfold/_internal/platform/dialect.py
+++ b/src/railfold/_internal/platform/dialect.py
@@ -108,11 +108,7 @@
 
     def credential(self, headers: Iterable[Header]) -> str:
         """Return the credential that a request holds; empty if it holds none."""
-        fields = {name.lower(): value for name, value in headers}
-        authorization = fields.get("authorization", "")
-        if authorization[: len(_BEARER)].lower() != _BEARER:
-            return ""
-        return authorization[len(_BEARER) :].strip()
+        return _credential({name.lower(): value for name, value in headers})
 
     def decode_request(
         self,
@@ -141,7 +137,7 @@
             host=fields.get("host", "").lower(),
             headers=tuple((n, v) for n, v in headers if n.lower() not in dropped),
             body=body,
-            credential=self.credential(headers),
+            credential=_credential(fields),
             received_s=now_s,
             deadline_s=None if deadline_ms is None else now_s + deadline_ms / 1000.0,
             last_event_id=_number(fields, _LAST_EVENT_ID),
@@ -251,6 +247,13 @@
     return min(_LEAST_URGENT, _RANK_OFFSET + plan.priority)
 
 
+def _credential(fields: dict[str, str]) -> str:
+    authorization = fields.get("authorization", "")
+    if authorization[: len(_BEARER)].lower() != _BEARER:
+        return ""
+    return authorization[len(_BEARER) :].strip()
+
+
 def _number(fields: dict[str, str], name: str) -> int | None:
     return _whole_number(fields.get(name.lower(), ""))
 
--- a/src/railfold/_internal/store/follower.py
+++ b/src/railfold/_internal/store/follower.py
@@ -22,7 +22,7 @@
     WriteUnsettledError,
 )
 from railfold._internal.observability.metrics import Metrics
-from railfold._internal.store.records import LogPage, LogRecord
+from railfold._internal.store.records import NEWEST_OF_EACH_KEY, LogPage, LogRecord
 from railfold._internal.waiting import answer_within
 
 __all__ = ["SettlingAppender", "StreamFollower", "StreamReader"]
@@ -256,7 +256,7 @@
         self._resume_at = self._reader.expired(first_offset)
 
     async def _first_offset(self) -> int:
-        page = await self._log.read(self._stream, -1, 0.0)
+        page = await self._log.read(self._stream, NEWEST_OF_EACH_KEY, 0.0)
         return page.first_offset
 
     def _set_reading(self, reading: bool, error: LogUnavailableError | None) -> None:
--- a/src/railfold/_internal/store/records.py
+++ b/src/railfold/_internal/store/records.py
@@ -6,7 +6,10 @@
 
 import msgspec
 
-__all__ = ["LogPage", "LogRecord"]
+__all__ = ["NEWEST_OF_EACH_KEY", "LogPage", "LogRecord"]
+
+# The offset that asks for the newest record of each key, in place of a part of the log.
+NEWEST_OF_EACH_KEY = -1
 
 
 class LogRecord(msgspec.Struct, frozen=True):
