--- a/tests/forwarding/test_slow_store_link.py
+++ b/tests/forwarding/test_slow_store_link.py
@@ -70,6 +70,20 @@
     await until(lambda: router.table and router.table.version == 101, IN_FORCE_S)
 
 
+async def test_no_read_to_prove_the_configuration_shares_the_link_with_its_follower(
+    behind_slow_link: tuple[Deployment, Link],
+) -> None:
+    deployment, link = behind_slow_link
+    entry = deployment.entry
+    await lose_store(deployment, link)
+    reads = entry.metrics.counters["proofs.read"]
+    loop = asyncio.get_running_loop()
+    await until(lambda: not entry.router.lease.valid(loop.time()))
+    link.mode = "ok"
+    await until(lambda: entry._configuration.reading)
+    assert entry.metrics.counters["proofs.read"] == reads
+
+
 async def test_one_configuration_that_takes_seconds_to_transfer_is_read(
     behind_slow_link: tuple[Deployment, Link],
 ) -> None:
