Answer a request as one that ends servers only once its content is held back

Cause: the check before a repetition gave a suspected content the answer of one that is held back. Class: a suspicion told as a verdict.

Change: a request that isn't repeated since its content is suspected, or since it was the trial itself, gets 502 (it may have run) with Retry-After. What is repeated hasn't changed.

The test failed before: {'engine_unavailable', 'repeated_crashes'}.

--- a/src/railfold/_internal/forwarding/quarantine/request_quarantine.py
+++ b/src/railfold/_internal/forwarding/quarantine/request_quarantine.py
@@ -63,6 +63,10 @@
 _VOUCH_WITHIN_S = 0.1
 _VOUCH_AGAIN_S = 1.0
 
+# When a request comes back that wasn't repeated at once: whether its server has ended is
+# known, and told to all entries, by then.
+_REPEAT_LATER_S = 0.5
+
 # Servers whose ids and versions are remembered, also after they are gone.
 _SERVERS_KEPT = 4096
 
@@ -182,14 +186,30 @@
         Whether its server has ended shows a moment later, so that a content under
         which some have ended before isn't repeated at once; its client may come again.
 
-        :raises RepeatedCrashesError: it isn't to be sent again.
+        :raises RepeatedCrashesError: it is held back.
+        :raises RequestOnTrialError: it is suspected.
         """
         if not self._watching:
             return
         digest = self._digests.of(request, owner)
-        if on_trial or self._quarantine.is_near_limit(digest):
+        standing = self._standing(digest, self._loop.time())
+        if standing is Standing.HELD:
             raise self._refusal(digest)
-        self.check(request, owner, on_trial=on_trial)
+        is_suspect = self._quarantine.is_near_limit(digest)
+        if on_trial or is_suspect or standing is not Standing.FREE:
+            raise self._repeat_later(digest)
+
+    def _repeat_later(self, digest: str) -> RequestOnTrialError:
+        self._router.metrics.count("quarantine.not_repeated")
+        crashes = self._quarantine.crashes_of(digest)
+        wait_s = self._quarantine.wait_s(digest, self._loop.time())
+        return RequestOnTrialError(
+            "the request's run broke off, and requests with the same path, caller and "
+            "body may have ended backend servers",
+            left_s=max(_REPEAT_LATER_S, wait_s),
+            why=f"{len(crashes)} servers ended under content {digest}",
+            hint="come back after Retry-After",
+        )
 
     def may_end_servers(
         self, request: ClientRequest, owner: CredentialOwner | None
--- a/tests/forwarding/test_repeated_crashes.py
+++ b/tests/forwarding/test_repeated_crashes.py
@@ -162,6 +162,26 @@
     await fleet.stop()
 
 
+async def test_a_request_that_is_only_suspected_is_not_answered_as_one_that_ends_servers(
+    deployment: Deployment,
+) -> None:
+    """Most of what runs where a server ends is innocent."""
+    await recognizing(deployment)
+    fleet = CrashingFleet(deployment)
+    fleet.arm()
+    suspected: list[Reply] = []
+    while not held_at(deployment.entry):
+        reply = await send(deployment, SAFE, f"suspect-{len(suspected)}")
+        if reply is not None and not held_at(deployment.entry):
+            suspected.append(reply)
+        await asyncio.sleep(0.1)
+    errors = {json.loads(reply.body)["error"] for reply in suspected}
+    assert "repeated_crashes" not in errors
+    assert "request_on_trial" in errors
+    assert all("Retry-After" in reply.headers for reply in suspected)
+    await fleet.stop()
+
+
 async def test_others_with_the_same_path_are_served(deployment: Deployment) -> None:
     fleet = await hold_back(deployment)
     sender = Sender(deployment, SAFE, random.Random(1))
