--- a/src/railfold/_internal/forwarding/quarantine/request_quarantine.py
+++ b/src/railfold/_internal/forwarding/quarantine/request_quarantine.py
@@ -63,8 +63,8 @@
 _VOUCH_WITHIN_S = 0.1
 _VOUCH_AGAIN_S = 1.0
 
-# When a request comes back that wasn't repeated at once: whether its server has ended is
-# known, and told to all entries, by then.
+# When a request comes back that wasn't repeated at once: by then all entries know
+# whether its server has ended.
 _REPEAT_LATER_S = 0.5
 
 # Servers whose ids and versions are remembered, also after they are gone.
--- a/tests/forwarding/test_repeated_crashes.py
+++ b/tests/forwarding/test_repeated_crashes.py
@@ -162,7 +162,7 @@
     await fleet.stop()
 
 
-async def test_a_request_that_is_only_suspected_is_not_answered_as_one_that_ends_servers(
+async def test_a_suspected_request_is_not_answered_as_one_that_ends_servers(
     deployment: Deployment,
 ) -> None:
     """Most of what runs where a server ends is innocent."""
