--- a/src/railfold/_internal/decisions/quarantine/evidence.py
+++ b/src/railfold/_internal/decisions/quarantine/evidence.py
@@ -17,16 +17,16 @@
     ContentRecord,
 )
 
-__all__ = ["CONTENTS_KEPT", "CRASHES_TO_DOUBT", "Evidence"]
+__all__ = ["CONTENTS_KEPT", "CRASHES_TO_SUSPECT", "Evidence"]
 
 # So many servers may end under a request before it is on probation. Two are as many as
 # a single attempt of a client may cost with its entry's own retry, and as an innocent
 # request meets that goes from one failing server to the next.
-CRASHES_TO_DOUBT = 3
+CRASHES_TO_SUSPECT = 3
 
 # Bounds of memory: contents, some 2 KB each at most, and when others ran well.
 CONTENTS_KEPT = 1000
-_WELL_KEPT = 4096
+_SUCCESSES_KEPT = 4096
 
 
 @dataclass(slots=True)
@@ -34,33 +34,33 @@
     """Contents under which servers ended, and when contents ran well.
 
     :param records: by digest.
-    :param well_at_s: when contents ran well, or were let go, last: crashes before that
-        count no more, however late they are told.
+    :param success_at_s: when contents ran well, or were cleared, last: crashes before
+        that count no more, however late they are reported.
     """
 
     records: dict[str, ContentRecord] = field(default_factory=dict)
-    well_at_s: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    success_at_s: OrderedDict[str, float] = field(default_factory=OrderedDict)
     _likelihoods: dict[str, dict[str, float]] = field(default_factory=dict)
 
     def others(self, record: ContentRecord) -> Iterator[ContentRecord]:
         """Return all records but this one."""
         return (other for other in self.records.values() if other is not record)
 
-    def well_s(self, digest: str) -> float:
-        """Return when a content ran well last, or was let go; long ago if never."""
-        return self.well_at_s.get(digest, float("-inf"))
+    def last_success_s(self, digest: str) -> float:
+        """Return when a content ran well last, or was cleared; long ago if never."""
+        return self.success_at_s.get(digest, float("-inf"))
 
-    def ever_ran_well(self, record: ContentRecord) -> bool:
+    def has_succeeded(self, record: ContentRecord) -> bool:
         """Return whether a content ran well, as far as is remembered."""
-        return record.content.digest in self.well_at_s
+        return record.content.digest in self.success_at_s
 
-    def note_well(self, digest: str, at_s: float) -> None:
-        """A content ran well, or was let go."""
+    def record_success(self, digest: str, at_s: float) -> None:
+        """A content ran well, or was cleared."""
         self.changed()
-        self.well_at_s[digest] = at_s
-        self.well_at_s.move_to_end(digest)
-        while len(self.well_at_s) > _WELL_KEPT:
-            self.well_at_s.popitem(last=False)
+        self.success_at_s[digest] = at_s
+        self.success_at_s.move_to_end(digest)
+        while len(self.success_at_s) > _SUCCESSES_KEPT:
+            self.success_at_s.popitem(last=False)
 
     def bound(self) -> None:
         """Forget those that few servers ended under, the longest ago, if too many."""
@@ -88,11 +88,11 @@
             if other.proved or (other.held_s is not None and not proved)
             for server_id in other.crashes
         }
-        return record.counted(explained, self.well_s(record.content.digest))
+        return record.counted(explained, self.last_success_s(record.content.digest))
 
-    def gives_doubt(self, record: ContentRecord) -> bool:
-        """Return whether so many servers ended that a content is doubted."""
-        return len(self.counted(record)) >= CRASHES_TO_DOUBT
+    def is_suspect(self, record: ContentRecord) -> bool:
+        """Return whether so many servers ended that a content is suspect."""
+        return len(self.counted(record)) >= CRASHES_TO_SUSPECT
 
     def likelihood(self, record: ContentRecord) -> float:
         """Return how likely a content ends servers; 0 if one has ended under it."""
@@ -122,7 +122,9 @@
         runs: dict[int, RunAtEnd] = {}
         on_trial = record.crashes_on_trial
         # Without those of a popular content that end together for one cause.
-        independent = record.counted(frozenset(), self.well_s(record.content.digest))
+        independent = record.counted(
+            frozenset(), self.last_success_s(record.content.digest)
+        )
         for crash in independent:
             end = ends[crash.server_id]
             alone = not record.ran_side_by_side or crash.server_id in on_trial
@@ -134,7 +136,7 @@
         return Suspect(
             record.content.digest,
             runs,
-            ran_well=self.ever_ran_well(record),
+            has_succeeded=self.has_succeeded(record),
             ran_side_by_side=record.ran_side_by_side,
             proved=record.proved,
         )
--- a/src/railfold/_internal/decisions/quarantine/likelihood.py
+++ b/src/railfold/_internal/decisions/quarantine/likelihood.py
@@ -25,7 +25,7 @@
 # time; one that ran well before; and one that was under a single end.
 _REPEATED = 0.1
 _SIDE_BY_SIDE = 0.01
-_RAN_WELL = 0.001
+_SUCCEEDED = 0.001
 _SINGLE = 0.003
 
 # A stream that is at fault ends its server before its first event, and others have
@@ -71,14 +71,14 @@
     """A content under which servers ended.
 
     :param runs: its runs by the number of the end that they were under.
-    :param ran_well: whether a run of it ever came to a good end.
+    :param has_succeeded: whether a run of it ever came to a good end.
     :param ran_side_by_side: whether several clients send it at the same time.
     :param proved: whether it is known to be at fault.
     """
 
     digest: str
     runs: Mapping[int, RunAtEnd]
-    ran_well: bool = False
+    has_succeeded: bool = False
     ran_side_by_side: bool = False
     proved: bool = False
 
@@ -88,8 +88,8 @@
         prior = _REPEATED
         if self.ran_side_by_side:
             prior = min(prior, _SIDE_BY_SIDE)
-        if self.ran_well:
-            prior = min(prior, _RAN_WELL)
+        if self.has_succeeded:
+            prior = min(prior, _SUCCEEDED)
         return prior / (1.0 - prior)
 
 
--- a/src/railfold/_internal/decisions/quarantine/quarantine.py
+++ b/src/railfold/_internal/decisions/quarantine/quarantine.py
@@ -18,8 +18,8 @@
 others wait for under a second. Probation ends
 
 - with a hold, as soon as it is likely enough, by all that is known, that the content
-  ends servers (``likelihood``). If its trial ended one, that lets go of all that were
-  doubted or held back for the same servers;
+  ends servers (``likelihood``). If its trial ended one, that clears all that were
+  on probation or held back for the same servers;
 - when it runs well;
 - when another one is proved that explains its crashes.
 
@@ -44,7 +44,7 @@
     Standing,
 )
 from railfold._internal.decisions.quarantine.evidence import (
-    CRASHES_TO_DOUBT,
+    CRASHES_TO_SUSPECT,
     Evidence,
 )
 from railfold._internal.decisions.quarantine.record import SKEW_S, ContentRecord
@@ -54,7 +54,7 @@
 # So likely a content has to be at fault to be held back.
 _HOLD_LIKELIHOOD = 0.96
 
-# One that is less likely at fault is let go when another explains its crashes.
+# One that is less likely at fault is cleared when another explains its crashes.
 _CLEAR_LIKELIHOOD = 0.2
 
 # What else ran where a server ended is known to all entries by then: each sees its own
@@ -107,13 +107,13 @@
         return record.newest_crashes if record is not None else ()
 
     def is_near_limit(self, digest: str) -> bool:
-        """Return whether a content is doubted, or would be with one crash more."""
+        """Return whether a content is restricted, or would be with one crash more."""
         record = self._records.get(digest)
         if record is None:
             return False
         return (
-            record.doubted
-            or len(self._evidence.counted(record)) + 1 >= CRASHES_TO_DOUBT
+            record.is_restricted
+            or len(self._evidence.counted(record)) + 1 >= CRASHES_TO_SUSPECT
         )
 
     # What was seen
@@ -145,7 +145,7 @@
         now_s: float,
         changes: list[QuarantineChange],
     ) -> ContentRecord | None:
-        since_s = max(self.well_s(content.digest), now_s - _FORGET_S)
+        since_s = max(self.last_success_s(content.digest), now_s - _FORGET_S)
         recent = [crash for crash in crashes if crash.ended_s > since_s]
         if not recent:
             return None
@@ -167,7 +167,7 @@
     def _judge(self, record: ContentRecord, now_s: float) -> list[QuarantineChange]:
         if record.held_s is not None:
             return self._judge_held(record, now_s)
-        if not self._evidence.gives_doubt(record):
+        if not self._evidence.is_suspect(record):
             return []
         if record.probation_s is not None:
             if record.crashes_on_trial:
@@ -198,7 +198,7 @@
         Its news came late, or by another entry. Which of the two it is shows when they
         run apart.
         """
-        if self._evidence.ever_ran_well(record):
+        if self._evidence.has_succeeded(record):
             return []
         changes: list[QuarantineChange] = []
         for other in self._evidence.others(record):
@@ -234,25 +234,25 @@
         return record.last_s + _SETTLE_S
 
     def _settle(self, record: ContentRecord, now_s: float) -> list[QuarantineChange]:
-        if not self._evidence.gives_doubt(record):
+        if not self._evidence.is_suspect(record):
             return []
         if self._evidence.likelihood(record) < _HOLD_LIKELIHOOD:
             return []
         if record.crashes_on_trial:
             record.proofs.update(record.crashes_on_trial)
             return self._prove(record, now_s)
-        if len(self._evidence.counted(record, proved=False)) < CRASHES_TO_DOUBT:
+        if len(self._evidence.counted(record, proved=False)) < CRASHES_TO_SUSPECT:
             return []  # Another one that is held back may explain the rest.
         reason = "nothing else explains the servers that ended"
         return self._hold(record, now_s, reason)
 
     def _prove(self, record: ContentRecord, now_s: float) -> list[QuarantineChange]:
-        """Hold a content back, and let go of those whose crashes it explains."""
+        """Hold a content back, and clear those whose crashes it explains."""
         changes = self._hold(record, now_s, "a server ended under its trial")
         for other in list(self._evidence.others(record)):
-            if other.proved or not other.doubted:
+            if other.proved or not other.is_restricted:
                 continue
-            if self._evidence.gives_doubt(other):
+            if self._evidence.is_suspect(other):
                 continue
             reason = f"content {record.content.digest} explains its crashes"
             changes += self._release(other, now_s, reason)
@@ -265,7 +265,7 @@
         likelihood = self._evidence.likelihood(record)
         if likelihood < _CLEAR_LIKELIHOOD:
             change = record.changed(QuarantineState.CLEARED, reason)
-            self._start_anew(record)
+            self._reset(record)
             return [change]
         if record.held_s is None or likelihood >= _HOLD_LIKELIHOOD:
             return []
@@ -288,16 +288,16 @@
 
     # What speaks for a content
 
-    def well_s(self, digest: str) -> float:
-        """Return when a content ran well last, or was let go; long ago if never."""
-        return self._evidence.well_s(digest)
+    def last_success_s(self, digest: str) -> float:
+        """Return when a content ran well last, or was cleared; long ago if never."""
+        return self._evidence.last_success_s(digest)
 
-    def ran_well(
+    def record_success(
         self, digest: str, at_s: float, last_event: int | None = None
     ) -> list[QuarantineChange]:
         """A run came to a good end, or brought events for longer than a crash takes.
 
-        :param at_s: when; another entry may have told it later.
+        :param at_s: when; another entry may have reported it later.
         :param last_event: the last event that it has brought, if it isn't at its end:
             a stream that is resumed right before the step that ends its server is well
             only once it is beyond that step.
@@ -307,19 +307,19 @@
             latest = max((c.after_event for c in record.crashes.values()), default=0)
             if last_event <= latest:
                 return []
-        if at_s > self.well_s(digest):
-            self._evidence.note_well(digest, at_s)
+        if at_s > self.last_success_s(digest):
+            self._evidence.record_success(digest, at_s)
         if record is None:
             return []
-        return self._let_go(record, at_s, QuarantineState.CLEARED, "it ran well")
+        return self._clear(record, at_s, QuarantineState.CLEARED, "it ran well")
 
     def lift(self, digest: str, now_s: float, reason: str) -> list[QuarantineChange]:
         """Let a content run again."""
         record = self._records.get(digest)
         if record is None or record.held_s is None:
             return []
-        self._evidence.note_well(digest, now_s)
-        return self._let_go(record, now_s, QuarantineState.LIFTED, reason)
+        self._evidence.record_success(digest, now_s)
+        return self._clear(record, now_s, QuarantineState.LIFTED, reason)
 
     def lift_for_versions(
         self, service: str, versions: frozenset[str], now_s: float
@@ -344,7 +344,7 @@
             for change in self.lift(record.content.digest, now_s, reason)
         ]
 
-    def _let_go(
+    def _clear(
         self, record: ContentRecord, at_s: float, state: QuarantineState, reason: str
     ) -> list[QuarantineChange]:
         """Forget crashes before a time, and what followed from them only."""
@@ -355,12 +355,12 @@
             del self._records[record.content.digest]
             return [change]
         record.crashes = later
-        if not record.doubted or self._evidence.gives_doubt(record):
+        if not record.is_restricted or self._evidence.is_suspect(record):
             return []
-        self._start_anew(record)
+        self._reset(record)
         return [change]
 
-    def _start_anew(self, record: ContentRecord) -> None:
+    def _reset(self, record: ContentRecord) -> None:
         """Let a content run, and keep only the crashes that are known of it."""
         self._evidence.changed()
         digest = record.content.digest
@@ -377,7 +377,7 @@
 
         :param held_s: when it was held back, on this process's clock.
         """
-        if self.well_s(content.digest) >= held_s:
+        if self.last_success_s(content.digest) >= held_s:
             return []
         record = self._records.setdefault(content.digest, ContentRecord(content))
         if record.held_s is not None and record.holds >= holds:
@@ -435,7 +435,7 @@
     def begin_trial(self, digest: str, now_s: float) -> list[QuarantineChange]:
         """Let one request of a content through; others wait for what comes of it."""
         record = self._records.get(digest)
-        if record is None or not record.doubted:
+        if record is None or not record.is_restricted:
             return []
         if record.held_s is not None:
             wait_s, reason = _TRIAL_S, "its time has passed"
@@ -463,16 +463,16 @@
             return False
         return not self._evidence.counted(record, proved=False)
 
-    def strike_out(self, server_id: str) -> list[QuarantineChange]:
-        """A backend server hasn't ended: what was told of its crash was wrong."""
+    def retract_crash(self, server_id: str) -> list[QuarantineChange]:
+        """A backend server hasn't ended: what was reported of its crash was wrong."""
         changes: list[QuarantineChange] = []
         for record in list(self._records.values()):
             if record.crashes.pop(server_id, None) is None:
                 continue
             self._evidence.changed()
             record.proofs.discard(server_id)
-            wrongly = not self._evidence.gives_doubt(record)
-            if not record.crashes or (record.doubted and wrongly):
+            wrongly = not self._evidence.is_suspect(record)
+            if not record.crashes or (record.is_restricted and wrongly):
                 del self._records[record.content.digest]
                 reason = f"server {server_id} hasn't ended"
                 changes.append(record.changed(QuarantineState.CLEARED, reason))
--- a/src/railfold/_internal/decisions/quarantine/record.py
+++ b/src/railfold/_internal/decisions/quarantine/record.py
@@ -31,7 +31,7 @@
 
 # A content that ran well within this time is one that clients send often, or that
 # engines ran before their software changed.
-_WELL_S = 60.0
+_RECENT_SUCCESS_S = 60.0
 
 # Bound of memory: crashes of each content.
 _CRASHES_KEPT = 16
@@ -107,7 +107,7 @@
             del self.crashes[crash.server_id]
 
     @property
-    def doubted(self) -> bool:
+    def is_restricted(self) -> bool:
         """Whether it is on probation or held back."""
         return self.held_s is not None or self.probation_s is not None
 
@@ -159,11 +159,11 @@
         self.trial_began_s = _NEVER_S
         self.trial_until_s = min(self.trial_until_s, now_s)
 
-    def counted(self, explained: Set[str], well_s: float) -> list[Crash]:
+    def counted(self, explained: Set[str], last_success_s: float) -> list[Crash]:
         """Return the crashes that count; the package's documentation says which.
 
         :param explained: servers that another content ended.
-        :param well_s: when it ran well last.
+        :param last_success_s: when it ran well last.
         """
         counted: list[Crash] = []
         last_ended_s = _NEVER_S
@@ -172,8 +172,8 @@
                 continue
             if crash.ended_s < last_ended_s + SAME_MOMENT_S:
                 continue
-            ran_well_before = crash.ended_s - well_s < _WELL_S
-            if ran_well_before and crash.began_s < last_ended_s - SKEW_S:
+            succeeded_recently = crash.ended_s - last_success_s < _RECENT_SUCCESS_S
+            if succeeded_recently and crash.began_s < last_ended_s - SKEW_S:
                 continue
             counted.append(crash)
             last_ended_s = crash.ended_s
--- a/src/railfold/_internal/forwarding/peers/arrival_exchange.py
+++ b/src/railfold/_internal/forwarding/peers/arrival_exchange.py
@@ -10,7 +10,10 @@
 
 from railfold._internal.decisions.leadership import Leadership
 from railfold._internal.forwarding.peers.peer_channel import PeerChannel
-from railfold._internal.forwarding.peers.peer_messages import ArrivalsTold, PlacementLed
+from railfold._internal.forwarding.peers.peer_messages import (
+    ArrivalsNotice,
+    PlacementLed,
+)
 from railfold._internal.forwarding.router import Router
 
 __all__ = ["ArrivalExchange"]
@@ -68,7 +71,9 @@
             return
         self._told_s = float("-inf")  # Once it leads, it says so at once.
         if now_s - self._led_s < _LED_FORGOTTEN_S:
-            self._channel.tell_one(self._leader, ArrivalsTold(self._name, self._rates))
+            self._channel.tell_one(
+                self._leader, ArrivalsNotice(self._name, self._rates)
+            )
 
     @property
     def _rates(self) -> dict[str, float]:
@@ -81,7 +86,7 @@
         self._leader = message.name
         self._led_s = self._loop.time()
 
-    def told(self, message: ArrivalsTold) -> None:
+    def told(self, message: ArrivalsNotice) -> None:
         """Another entry tells what arrives there."""
         now_s = self._loop.time()
         self._router.fleet_arrivals.told(message.name, message.per_s, now_s)
--- a/src/railfold/_internal/forwarding/peers/peer_messages.py
+++ b/src/railfold/_internal/forwarding/peers/peer_messages.py
@@ -17,13 +17,13 @@
 from railfold._internal.errors import PeerMessageError
 
 __all__ = [
-    "MOST_CRASHES_TOLD",
+    "MOST_CRASHES_SENT",
     "MOST_ROWS_BYTES",
-    "ArrivalsTold",
+    "ArrivalsNotice",
     "BackoffNotice",
     "ContentCleared",
-    "CrashTold",
-    "CrashesTold",
+    "CrashNotice",
+    "CrashesNotice",
     "DomainLoadNotice",
     "EntryStarted",
     "LeadershipReleased",
@@ -33,11 +33,11 @@
     "LoadSumNotice",
     "PeerMessage",
     "PeerMessageCodec",
-    "PermitAsked",
     "PermitReply",
+    "PermitRequest",
     "PlacementLed",
-    "ProofAsked",
-    "ProofTold",
+    "ProofReply",
+    "ProofRequest",
     "RateLimitNotice",
     "TrialBegun",
     "TrialNotRun",
@@ -47,7 +47,7 @@
 _MOST_BYTES = 1400
 
 # So many crashes of one content fit beside the rest: each takes up to 70 bytes.
-MOST_CRASHES_TOLD = 12
+MOST_CRASHES_SENT = 12
 
 _CODE_BYTES = 16
 
@@ -83,10 +83,10 @@
 _LoadRow = Annotated[list[_Amount], Meta(min_length=2, max_length=5)]
 
 # The busiest services of an entry; the users plan for eight models.
-_MOST_SERVICES_TOLD = 16
+_MOST_SERVICES_SENT = 16
 
 
-class CrashTold(msgspec.Struct, frozen=True, array_like=True):
+class CrashNotice(msgspec.Struct, frozen=True, array_like=True):
     """A backend server that ended while a request had just begun there."""
 
     server_id: _Name
@@ -97,14 +97,14 @@
     silent: bool = False
 
 
-class CrashesTold(msgspec.Struct, frozen=True, tag="crashes"):
+class CrashesNotice(msgspec.Struct, frozen=True, tag="crashes"):
     """Crashes under one content, the newest that the sender knows."""
 
     digest: _Digest
     service: _Name
     route: _Text
     workspace: _Text
-    crashes: Annotated[list[CrashTold], Meta(min_length=1, max_length=64)]
+    crashes: Annotated[list[CrashNotice], Meta(min_length=1, max_length=64)]
 
 
 class ContentCleared(msgspec.Struct, frozen=True, tag="cleared"):
@@ -151,14 +151,14 @@
     member: _Name
 
 
-class ArrivalsTold(msgspec.Struct, frozen=True, tag="arrivals"):
+class ArrivalsNotice(msgspec.Struct, frozen=True, tag="arrivals"):
     """Requests a second that arrive at an entry, by service."""
 
     name: _Name
-    per_s: Annotated[dict[_Name, _Rate], Meta(max_length=_MOST_SERVICES_TOLD)]
+    per_s: Annotated[dict[_Name, _Rate], Meta(max_length=_MOST_SERVICES_SENT)]
 
 
-class ProofAsked(msgspec.Struct, frozen=True, tag="proof?"):
+class ProofRequest(msgspec.Struct, frozen=True, tag="proof?"):
     """The sender asks which configuration the receiver knows to be in force.
 
     :param question: stands in the answer.
@@ -171,7 +171,7 @@
     epoch: Annotated[int, Meta(ge=0, le=2**32)]
 
 
-class ProofTold(msgspec.Struct, frozen=True, tag="proof"):
+class ProofReply(msgspec.Struct, frozen=True, tag="proof"):
     """The answer: the newest version, of which history, as of how long ago."""
 
     name: _Name
@@ -193,7 +193,7 @@
     age_ms: _AgeMs
 
 
-class PermitAsked(msgspec.Struct, frozen=True, tag="permit?"):
+class PermitRequest(msgspec.Struct, frozen=True, tag="permit?"):
     """The sender asks for a permit to send to a server with a limit.
 
     :param question: stands in the answer.
@@ -285,18 +285,18 @@
 
 
 PeerMessage = (
-    CrashesTold
+    CrashesNotice
     | ContentCleared
     | TrialBegun
     | TrialNotRun
     | EntryStarted
     | PlacementLed
     | LeadershipReleased
-    | ArrivalsTold
-    | ProofAsked
-    | ProofTold
+    | ArrivalsNotice
+    | ProofRequest
+    | ProofReply
     | RateLimitNotice
-    | PermitAsked
+    | PermitRequest
     | PermitReply
     | BackoffNotice
     | LeavingNotice
--- a/src/railfold/_internal/forwarding/peers/peering.py
+++ b/src/railfold/_internal/forwarding/peers/peering.py
@@ -20,10 +20,10 @@
 from railfold._internal.forwarding.peers.peer_channel import PeerChannel
 from railfold._internal.forwarding.peers.peer_keeper import PeerKeeper
 from railfold._internal.forwarding.peers.peer_messages import (
-    ArrivalsTold,
+    ArrivalsNotice,
     BackoffNotice,
     ContentCleared,
-    CrashesTold,
+    CrashesNotice,
     DomainLoadNotice,
     EntryStarted,
     LeadershipReleased,
@@ -31,11 +31,11 @@
     LoadPartNotice,
     LoadSumNotice,
     PeerMessage,
-    PermitAsked,
     PermitReply,
+    PermitRequest,
     PlacementLed,
-    ProofAsked,
-    ProofTold,
+    ProofReply,
+    ProofRequest,
     RateLimitNotice,
     TrialBegun,
     TrialNotRun,
@@ -189,17 +189,17 @@
 
     def _on_message(self, message: PeerMessage) -> None:
         match message:
-            case CrashesTold():
-                self.quarantine.crashes_told(message)
+            case CrashesNotice():
+                self.quarantine.take_crashes(message)
             case ContentCleared():
-                self.quarantine.content_cleared(message)
+                self.quarantine.take_success(message)
             case TrialBegun():
-                self.quarantine.trial_begun(message)
+                self.quarantine.take_trial_begun(message)
             case TrialNotRun():
-                self.quarantine.told_trial_not_run(message)
+                self.quarantine.take_trial_not_run(message)
             case RateLimitNotice():
                 self._limits.record_notice(message)
-            case PermitAsked():
+            case PermitRequest():
                 self._limits.permit_asked(message)
             case PermitReply():
                 self._limits.permit_replied(message)
@@ -221,12 +221,12 @@
                     self._arrivals.led(message)
             case LeadershipReleased():
                 self._on_leadership_stopped(message.member)
-            case ArrivalsTold():
+            case ArrivalsNotice():
                 if self._arrivals is not None:
                     self._arrivals.told(message)
-            case ProofAsked():
+            case ProofRequest():
                 self._proofs.asked(message)
-            case ProofTold():
+            case ProofReply():
                 self._proofs.told(message)
             case LoadPartNotice() | LoadSumNotice() | DomainLoadNotice():
                 if self._load is not None:
--- a/src/railfold/_internal/forwarding/peers/proof_keeper.py
+++ b/src/railfold/_internal/forwarding/peers/proof_keeper.py
@@ -20,7 +20,7 @@
 )
 from railfold._internal.errors import LogUnavailableError
 from railfold._internal.forwarding.peers.peer_channel import PeerChannel
-from railfold._internal.forwarding.peers.peer_messages import ProofAsked, ProofTold
+from railfold._internal.forwarding.peers.peer_messages import ProofReply, ProofRequest
 from railfold._internal.forwarding.router import Router
 from railfold._internal.forwarding.store.feeds import ConfigurationFeed
 from railfold._internal.observability.events import ConfigurationBehind
@@ -190,10 +190,10 @@
         table = self._router.table
         version = table.version if table is not None else 0
         epoch = self._epoch.newest or 0
-        asked = ProofAsked(self._name, question, version, epoch)
+        asked = ProofRequest(self._name, question, version, epoch)
         self._channel.tell_one(name, asked)
 
-    def asked(self, message: ProofAsked) -> None:
+    def asked(self, message: ProofRequest) -> None:
         """Another entry asks what this one has read, and how long ago."""
         now_s = self._loop.time()
         self._on_epoch(message.epoch)
@@ -208,10 +208,10 @@
         assert self._channel is not None
         age_ms = int(age_s * 1000) + 1
         epoch = self._epoch.newest or 0
-        told = ProofTold(self._name, message.question, table.version, epoch, age_ms)
+        told = ProofReply(self._name, message.question, table.version, epoch, age_ms)
         self._channel.tell_one(message.name, told)
 
-    def told(self, message: ProofTold) -> None:
+    def told(self, message: ProofReply) -> None:
         """Another entry answers.
 
         Its proof is one for this entry too if both know the same configuration, of the
--- a/src/railfold/_internal/forwarding/quarantine/__init__.py
+++ b/src/railfold/_internal/forwarding/quarantine/__init__.py
@@ -1,1 +1,1 @@
-"""Requests that end their servers: recognized, told of, and held back."""
+"""Requests that end their servers: recognized, announced, and held back."""
--- a/src/railfold/_internal/forwarding/quarantine/crash_watch.py
+++ b/src/railfold/_internal/forwarding/quarantine/crash_watch.py
@@ -13,7 +13,7 @@
 
 from railfold._internal.decisions.quarantine import Content, Crash
 
-__all__ = ["CLEARED_AFTER_S", "CrashWatch", "EndedRun", "RunFigures", "told_name"]
+__all__ = ["CLEARED_AFTER_S", "CrashWatch", "EndedRun", "RunFigures", "reported_name"]
 
 # Whoever brought events for longer than this, or waited longer for the first one, isn't
 # what ended its server: a request that ends servers does so within tenths of a second.
@@ -90,7 +90,7 @@
         )
 
 
-def told_name(name: str) -> str:
+def reported_name(name: str) -> str:
     """Return the name that a server's registration tells, of any start under it."""
     return name.partition(_RETURN_MARK)[0]
 
@@ -145,7 +145,7 @@
             self._returns.popitem(last=False)
 
     def _name(self, server_id: str) -> str:
-        """Return what an incarnation is known by, also if its start isn't told."""
+        """Return what an incarnation is known by, also if its start isn't known."""
         returns = self._returns.get(server_id, 0)
         return f"{server_id}{_RETURN_MARK}{returns}" if returns else server_id
 
--- a/src/railfold/_internal/forwarding/quarantine/request_quarantine.py
+++ b/src/railfold/_internal/forwarding/quarantine/request_quarantine.py
@@ -1,9 +1,9 @@
 """Holding back requests that end each backend server that runs them.
 
-What this entry saw is told to the others at once, and what is held back is recorded in
-the store, where entries that start later find it. All of what others say is a hint:
-crashes of servers that turn out to run are struck out, and a content that others hold
-back is tried again like one of this entry's own.
+What this entry saw is announced to the others at once, and what is held back is
+recorded in the store, where entries that start later find it. All of what others say is
+a hint: crashes of servers that turn out to run are retracted, and a content that others
+hold back is tried again like one of this entry's own.
 """
 
 from __future__ import annotations
@@ -27,10 +27,10 @@
 from railfold._internal.forwarding.adapter import WritableLog
 from railfold._internal.forwarding.messages import ClientRequest
 from railfold._internal.forwarding.peers.peer_messages import (
-    MOST_CRASHES_TOLD,
+    MOST_CRASHES_SENT,
     ContentCleared,
-    CrashesTold,
-    CrashTold,
+    CrashesNotice,
+    CrashNotice,
     PeerMessage,
     TrialBegun,
     TrialNotRun,
@@ -40,7 +40,7 @@
     CrashWatch,
     EndedRun,
     RunFigures,
-    told_name,
+    reported_name,
 )
 from railfold._internal.forwarding.quarantine.quarantine_records import (
     QuarantineRecords,
@@ -51,17 +51,17 @@
 
 __all__ = ["RequestQuarantine"]
 
-_LOOK_S = 0.25
+_CHECK_S = 0.25
 
-# A crash that another entry told of must show in the registrations by then: they lapse
+# A crash that another entry reports must show in the registrations by then: they lapse
 # after 3.6 s without a heartbeat, and are read every 2.8 s at the least.
 _CONTRADICTED_S = 10.0
 
-# A content that ran well here within this time is vouched for when others suspect it;
+# A content that ran well here within this time is confirmed when others suspect it;
 # within so short a time that it isn't held back for long, and by few of many entries.
-_VOUCHED_S = 60.0
-_VOUCH_WITHIN_S = 0.1
-_VOUCH_AGAIN_S = 1.0
+_RECENT_SUCCESS_S = 60.0
+_CONFIRM_WITHIN_S = 0.1
+_CONFIRM_AGAIN_S = 1.0
 
 # When a request comes back that wasn't repeated at once: by then all entries know
 # whether its server has ended.
@@ -70,8 +70,8 @@
 # Servers whose ids and versions are remembered, also after they are gone.
 _SERVERS_KEPT = 4096
 
-# So many contents are told of when a server ends, a datagram each.
-_CONTENTS_TOLD = 8
+# So many contents are announced when a server ends, a datagram each.
+_MOST_CONTENTS_SENT = 8
 
 
 class RequestQuarantine:
@@ -79,7 +79,7 @@
 
     :param log: a client of the store's log, to write records.
     :param stream: the stream of records.
-    :param tell: tells the other entries something.
+    :param announce: sends a message to the other entries.
     :param keeps_key: whether the entries' common key is kept in the store; not if the
         settings give it.
     """
@@ -89,12 +89,12 @@
         router: Router,
         log: WritableLog,
         stream: str,
-        tell: Callable[[PeerMessage], None],
+        announce: Callable[[PeerMessage], None],
         *,
         keeps_key: bool = True,
     ) -> None:
         self._router = router
-        self._tell = tell
+        self._announce = announce
         self._loop = asyncio.get_running_loop()
         self._digests = ContentDigests()
         self._quarantine = Quarantine()
@@ -104,10 +104,10 @@
         )
         # Versions by server, also of those that are gone.
         self._versions: OrderedDict[str, str] = OrderedDict()
-        # Servers that others say have ended, and when that was told.
-        self._told_s: dict[str, float] = {}
-        # When this or another entry told last that a content runs well.
-        self._vouched_s: dict[str, float] = {}
+        # Servers that others say have ended, and when that was reported.
+        self._reported_s: dict[str, float] = {}
+        # When this or another entry announced last that a content runs well.
+        self._confirmed_s: dict[str, float] = {}
 
     def set_key(self, shared_key: bytes) -> None:
         """Take the key that all entries share; nothing is recognized before."""
@@ -141,7 +141,7 @@
                 raise self._wait(digest, now_s)
             case Standing.MAY_BE_TRIED:
                 self._take(self._quarantine.begin_trial(digest, now_s))
-                self._tell(TrialBegun(digest))
+                self._announce(TrialBegun(digest))
                 return True
 
     def check(
@@ -232,7 +232,7 @@
         digest = self._digests.of(request, owner)
         if self._quarantine.withdraw_trial(digest, self._loop.time()):
             self._router.metrics.count("quarantine.trials_not_run")
-            self._tell(TrialNotRun(digest))
+            self._announce(TrialNotRun(digest))
 
     def _refusal(self, digest: str) -> RepeatedCrashesError:
         self._router.metrics.count("quarantine.refused")
@@ -268,7 +268,7 @@
         )
         self._watch.run_ended(EndedRun(content, figures, self._loop.time()))
 
-    def ran_well(
+    def record_success(
         self,
         request: ClientRequest,
         owner: CredentialOwner | None,
@@ -283,10 +283,10 @@
         if unsure or not self._digests.ready:
             return
         digest = self._digests.of(request, owner)
-        changes = self._quarantine.ran_well(digest, self._loop.time(), last_event)
+        changes = self._quarantine.record_success(digest, self._loop.time(), last_event)
         if changes:
             self._take(changes)
-            self._tell(ContentCleared(digest, 0))
+            self._announce(ContentCleared(digest, 0))
 
     def server_refused(self, server_id: str) -> None:
         """A backend server's address refuses connections."""
@@ -320,10 +320,10 @@
         )
         self._take(self._quarantine.crashed(seen, now_s))
         for content in self._most_suspicious(runs):
-            self._tell_crashes(content, now_s)
+            self._announce_crashes(content, now_s)
 
     def _most_suspicious(self, runs: list[EndedRun]) -> list[Content]:
-        """Return which contents to tell of: those that ended servers before come first.
+        """Return which contents to announce: first those that ended servers before.
 
         Then those without an event, and those that began last.
         """
@@ -333,21 +333,21 @@
             return (known, run.figures.moved_s == 0.0, run.figures.began_s)
 
         ordered = sorted(runs, key=suspicion, reverse=True)
-        return list(dict.fromkeys(run.content for run in ordered))[:_CONTENTS_TOLD]
+        return list(dict.fromkeys(run.content for run in ordered))[:_MOST_CONTENTS_SENT]
 
     def _version_of(self, server_id: str) -> str:
-        name = told_name(server_id)
+        name = reported_name(server_id)
         entry = self._router.directory.get(name)
         if entry is not None:
             return entry.registration.version
         return self._versions.get(name, UNKNOWN_VERSION)
 
-    def _tell_crashes(self, content: Content, now_s: float) -> None:
-        crashes = self._quarantine.crashes_of(content.digest)[-MOST_CRASHES_TOLD:]
+    def _announce_crashes(self, content: Content, now_s: float) -> None:
+        crashes = self._quarantine.crashes_of(content.digest)[-MOST_CRASHES_SENT:]
         if not crashes:
             return
-        told = [
-            CrashTold(
+        notices = [
+            CrashNotice(
                 crash.server_id,
                 _age_ms(now_s, crash.began_s),
                 _age_ms(now_s, crash.ended_s),
@@ -357,15 +357,19 @@
             )
             for crash in crashes
         ]
-        self._tell(
-            CrashesTold(
-                content.digest, content.service, content.route, content.workspace, told
+        self._announce(
+            CrashesNotice(
+                content.digest,
+                content.service,
+                content.route,
+                content.workspace,
+                notices,
             )
         )
 
     # What other entries say
 
-    def crashes_told(self, message: CrashesTold) -> None:
+    def take_crashes(self, message: CrashesNotice) -> None:
         """Another entry saw servers end under a content."""
         now_s = self._loop.time()
         content = Content(
@@ -373,50 +377,52 @@
         )
         crashes = [
             Crash(
-                told.server_id,
-                now_s - told.began_ago_ms / 1000.0,
-                now_s - told.ended_ago_ms / 1000.0,
-                told.version,
-                told.after_event,
-                told.silent,
+                notice.server_id,
+                now_s - notice.began_ago_ms / 1000.0,
+                now_s - notice.ended_ago_ms / 1000.0,
+                notice.version,
+                notice.after_event,
+                notice.silent,
             )
-            for told in message.crashes
+            for notice in message.crashes
         ]
         for crash in crashes:
-            self._told_s.setdefault(crash.server_id, now_s)
-        self._vouch_for(content.digest, now_s)
+            self._reported_s.setdefault(crash.server_id, now_s)
+        self._confirm_success_later(content.digest, now_s)
         self._take(self._quarantine.crashed({content: crashes}, now_s), from_peer=True)
 
-    def _vouch_for(self, digest: str, now_s: float) -> None:
+    def _confirm_success_later(self, digest: str, now_s: float) -> None:
         """Tell others if a content that one of them suspects ran well here before.
 
         After a moment drawn by chance, in which another entry may do so.
         """
-        if now_s - self._quarantine.well_s(digest) < _VOUCHED_S:
-            delay_s = _VOUCH_WITHIN_S * self._router.rng.random()
-            self._loop.call_later(delay_s, self._vouch, digest)
+        if now_s - self._quarantine.last_success_s(digest) < _RECENT_SUCCESS_S:
+            delay_s = _CONFIRM_WITHIN_S * self._router.rng.random()
+            self._loop.call_later(delay_s, self._confirm_success, digest)
 
-    def _vouch(self, digest: str) -> None:
+    def _confirm_success(self, digest: str) -> None:
         now_s = self._loop.time()
-        if now_s - self._vouched_s.get(digest, float("-inf")) < _VOUCH_AGAIN_S:
+        if now_s - self._confirmed_s.get(digest, float("-inf")) < _CONFIRM_AGAIN_S:
             return
-        self._vouched_s[digest] = now_s
-        ago_ms = _age_ms(now_s, self._quarantine.well_s(digest))
-        self._tell(ContentCleared(digest, ago_ms))
+        self._confirmed_s[digest] = now_s
+        ago_ms = _age_ms(now_s, self._quarantine.last_success_s(digest))
+        self._announce(ContentCleared(digest, ago_ms))
 
-    def content_cleared(self, message: ContentCleared) -> None:
+    def take_success(self, message: ContentCleared) -> None:
         """Another entry saw a request run well."""
         now_s = self._loop.time()
         at_s = now_s - message.ago_ms / 1000.0
-        self._vouched_s[message.digest] = now_s
-        self._take(self._quarantine.ran_well(message.digest, at_s), from_peer=True)
+        self._confirmed_s[message.digest] = now_s
+        self._take(
+            self._quarantine.record_success(message.digest, at_s), from_peer=True
+        )
 
-    def trial_begun(self, message: TrialBegun) -> None:
+    def take_trial_begun(self, message: TrialBegun) -> None:
         """Another entry lets one request of a content through."""
         now_s = self._loop.time()
         self._take(self._quarantine.begin_trial(message.digest, now_s), from_peer=True)
 
-    def told_trial_not_run(self, message: TrialNotRun) -> None:
+    def take_trial_not_run(self, message: TrialNotRun) -> None:
         """Another entry's trial wasn't run."""
         self._quarantine.withdraw_trial(message.digest, self._loop.time())
 
@@ -454,21 +460,23 @@
         """Look after what is held back until cancelled."""
         ready.set()
         while True:
-            await asyncio.sleep(_LOOK_S)
-            self._look()
+            await asyncio.sleep(_CHECK_S)
+            self._check()
             await self._records.write(self._quarantine.held)
 
-    def _look(self) -> None:
+    def _check(self) -> None:
         now_s = self._loop.time()
         for entry in self._router.directory.take_departed():
             self.server_departed(entry)
         self._note_servers()
-        self._strike_out(now_s)
+        self._retract_crashes(now_s)
         self._take(self._quarantine.settle(now_s))
         self._lift_for_versions(now_s)
         self._quarantine.expire(now_s)
-        since_s = now_s - _VOUCH_AGAIN_S
-        self._vouched_s = {d: at for d, at in self._vouched_s.items() if at > since_s}
+        since_s = now_s - _CONFIRM_AGAIN_S
+        self._confirmed_s = {
+            d: at for d, at in self._confirmed_s.items() if at > since_s
+        }
         self._router.metrics.gauge("quarantine.held", len(self._quarantine.held))
 
     def _note_servers(self) -> None:
@@ -478,16 +486,16 @@
         while len(self._versions) > _SERVERS_KEPT:
             self._versions.popitem(last=False)
 
-    def _strike_out(self, now_s: float) -> None:
+    def _retract_crashes(self, now_s: float) -> None:
         """Look whether servers that others say have ended are gone here too."""
-        for server_id, told_s in list(self._told_s.items()):
-            if now_s - told_s < _CONTRADICTED_S:
+        for server_id, reported_s in list(self._reported_s.items()):
+            if now_s - reported_s < _CONTRADICTED_S:
                 continue
-            del self._told_s[server_id]
+            del self._reported_s[server_id]
             entry = self._router.directory.get(server_id)
             if entry is not None and entry.routable:
                 self._router.metrics.count("peers.contradicted")
-                self._take(self._quarantine.strike_out(server_id))
+                self._take(self._quarantine.retract_crash(server_id))
 
     def _lift_for_versions(self, now_s: float) -> None:
         services = {change.content.service for change in self._quarantine.held}
--- a/src/railfold/_internal/forwarding/requests/chain_planner.py
+++ b/src/railfold/_internal/forwarding/requests/chain_planner.py
@@ -66,14 +66,14 @@
         exclude: frozenset[str],
         terms: Terms,
         bearable_s: float,
-        sparing: bool,
+        is_suspect: bool,
     ) -> Destination:
         """Return the chain that a request takes now.
 
         :param exclude: servers that must not be its first stage.
         :param terms: on which servers are eligible; gets the bars that were met.
         :param bearable_s: the wait for a first event from which on a chain is slow.
-        :param sparing: whether the request may end its first server.
+        :param is_suspect: whether the request may end its first server.
         :raises RequestError: there is no chain, or only the last one.
         """
         replicas = self._router.directory.layer_replicas(
@@ -86,7 +86,7 @@
         now_s = asyncio.get_running_loop().time()
         eligible = [self._eligible(r, exclude, now_s, terms) for r in replicas]
         usable = [replica for replica in eligible if replica is not None]
-        if not sparing and self._balancer.applies(model, usable):
+        if not is_suspect and self._balancer.applies(model, usable):
             doubtful = self._router.directory.doubtful(spec.name)
             chosen = self._balancer.choose(
                 spec.name, model, usable, needs, bearable_s, doubtful
@@ -102,7 +102,9 @@
                 prediction=chosen.prediction,
                 crossings=chosen.crossings,
             )
-        best = self._choose_domain(spec, model, replicas, usable, bearable_s, sparing)
+        best = self._choose_domain(
+            spec, model, replicas, usable, bearable_s, is_suspect
+        )
         if best is None:
             raise self._no_chain(spec, model, replicas, usable, terms, now_s)
         return Destination(spec.name, best.stages[0], best)
@@ -114,7 +116,7 @@
         replicas: list[Replica],
         usable: list[Replica],
         bearable_s: float,
-        sparing: bool,
+        is_suspect: bool,
     ) -> Chain | None:
         """Return the chain of one of the failure domains, if there is one.
 
@@ -138,14 +140,14 @@
             chains.append(chain)
             option = self._option(chain, usable, model, now_s, bearable_s)
             option = replace(option, sure=doubtful.isdisjoint(chain.hosts))
-            if sparing:
+            if is_suspect:
                 first = self._router.directory.get(chain.stages[0].host)
                 replaceable = first is not None and self._router.has_stand_in(first)
                 option = replace(option, first_replaceable=replaceable)
             options.append(option)
         if not chains:
             return None
-        if sparing:
+        if is_suspect:
             index = choose_sparing(options)
         else:
             index = choose_option(options, self._router.entries, self._router.rng)
--- a/src/railfold/_internal/forwarding/requests/destination_search.py
+++ b/src/railfold/_internal/forwarding/requests/destination_search.py
@@ -155,7 +155,7 @@
             exclude,
             routed.request.size,
             is_new=is_new,
-            sparing=self._quarantine.may_end_servers(routed.request, routed.owner),
+            is_suspect=self._quarantine.may_end_servers(routed.request, routed.owner),
             max_wait_s=self._max_wait_s(begun=begun),
             waits_for_room=self.contender is not None and not begun,
         )
--- a/src/railfold/_internal/forwarding/requests/destinations.py
+++ b/src/railfold/_internal/forwarding/requests/destinations.py
@@ -63,7 +63,7 @@
         size: RequestSize = _NO_SIZE,
         *,
         is_new: bool = False,
-        sparing: bool = False,
+        is_suspect: bool = False,
         max_wait_s: float = 0.0,
         waits_for_room: bool = False,
     ) -> Destination:
@@ -75,7 +75,7 @@
         :param exclude: backend servers that it must not be sent to.
         :param size: of a request to a model.
         :param is_new: whether a place is looked for the first time.
-        :param sparing: whether it may end its server, so that it doesn't get the last.
+        :param is_suspect: whether it may end its server: it doesn't get the last one.
         :param max_wait_s: how long it may wait for a permit.
         :raises RoomShortError: only room is missing.
         :raises RequestError: there is no such place.
@@ -85,7 +85,9 @@
             self._router.arrivals.arrived(spec.name, asyncio.get_running_loop().time())
         strict = Terms()
         try:
-            return self._choose_at(spec, route, exclude, size, strict, sparing=sparing)
+            return self._choose_at(
+                spec, route, exclude, size, strict, is_suspect=is_suspect
+            )
         except NoCapacityError as error:
             bars = list(strict.bars.values())
             if waits_for_room:
@@ -95,7 +97,7 @@
         relaxed = Terms(max_wait_s=max_wait_s, relaxed=True)
         try:
             found = self._choose_at(
-                spec, route, exclude, size, relaxed, sparing=sparing
+                spec, route, exclude, size, relaxed, is_suspect=is_suspect
             )
         except NoCapacityError as error:
             refusal = self._refusal(spec, route, exclude, size, relaxed)
@@ -118,7 +120,9 @@
         """
         unbarred = Terms(relaxed=True, ignores_ends=True)
         try:
-            place = self._choose_at(spec, route, exclude, size, unbarred, sparing=False)
+            place = self._choose_at(
+                spec, route, exclude, size, unbarred, is_suspect=False
+            )
         except NoCapacityError:
             return None
         now_s = asyncio.get_running_loop().time()
@@ -140,7 +144,7 @@
         size: RequestSize,
         terms: Terms,
         *,
-        sparing: bool,
+        is_suspect: bool,
     ) -> Destination:
         """Return a place among the servers that are eligible.
 
@@ -150,7 +154,7 @@
             bearable_s = _BEARABLE_SHARE * route.objective_s
             needs = self._needs(spec, spec.model, route, size)
             return self._planner.choose(
-                spec, spec.model, needs, exclude, terms, bearable_s, sparing
+                spec, spec.model, needs, exclude, terms, bearable_s, is_suspect
             )
         now_s = asyncio.get_running_loop().time()
         doubtful = self._router.directory.doubtful(spec.name)
@@ -167,7 +171,7 @@
         ]
         if all(replica.stage.host in doubtful for replica in replicas):
             doubtful = frozenset()
-        if sparing and len(registered) == 1:
+        if is_suspect and len(registered) == 1:
             raise last_one_error()
         chosen = choose_host(
             replicas,
--- a/src/railfold/_internal/forwarding/requests/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -419,7 +419,7 @@
             self.end_attempt("it ended within an event")
             return
         self._prober.served(server_id)
-        self._quarantine.ran_well(self._request, self._owner)
+        self._quarantine.record_success(self._request, self._owner)
         if gathered is not None:
             self._answer.deliver(gathered)
         else:
@@ -470,7 +470,7 @@
             return
         self._runs_well = True
         last_event = self._cursor.last_id or 0
-        self._quarantine.ran_well(self._request, self._owner, last_event)
+        self._quarantine.record_success(self._request, self._owner, last_event)
 
     def _pass_on_from_now(self, gathered: GatheredAnswer) -> None:
         """Stop gathering: the answer is large and goes on as it comes."""
--- a/src/railfold/_internal/forwarding/servers/rate_limits.py
+++ b/src/railfold/_internal/forwarding/servers/rate_limits.py
@@ -32,8 +32,8 @@
 from railfold._internal.forwarding.messages import ResponseHead
 from railfold._internal.forwarding.peers.peer_channel import PeerChannel
 from railfold._internal.forwarding.peers.peer_messages import (
-    PermitAsked,
     PermitReply,
+    PermitRequest,
     RateLimitNotice,
 )
 from railfold._internal.observability.decision_log import DecisionLog
@@ -282,7 +282,7 @@
         self._answers[question] = answer
         self._metrics.count("rate_limits.permits_asked")
         limit = self._notice(server_id, _now_s())
-        message = PermitAsked(self._name, question, limit, int(max_wait_s * 1000))
+        message = PermitRequest(self._name, question, limit, int(max_wait_s * 1000))
         self._channel.tell_one(name, message)
         try:
             outcome = await asyncio.wait_for(answer, _ANSWER_S)
@@ -296,7 +296,7 @@
             self._sharing.denied(server_id, name, outcome.wait_s, _now_s())
         return outcome
 
-    def permit_asked(self, message: PermitAsked) -> None:
+    def permit_asked(self, message: PermitRequest) -> None:
         """Another entry asks this one for a permit."""
         self.record_notice(message.limit)
         server_id = message.limit.server_id
--- a/tests/forwarding/test_proofs_from_peers.py
+++ b/tests/forwarding/test_proofs_from_peers.py
@@ -10,7 +10,7 @@
 from railfold._internal.decisions.routing_table import RoutingTable
 from railfold._internal.errors import ConfigurationRefusedError, LogUnavailableError
 from railfold._internal.forwarding import process
-from railfold._internal.forwarding.peers.peer_messages import ProofTold
+from railfold._internal.forwarding.peers.peer_messages import ProofReply
 from railfold._internal.forwarding.process import ForwardingEntry
 from railfold._internal.store.records import LogPage
 from tests.lib.forwarding import (
@@ -102,7 +102,7 @@
     proofs = entry._proofs
     turn_away(entry)
     loop = asyncio.get_running_loop()
-    told: list[ProofTold] = []
+    told: list[ProofReply] = []
     take, proofs.told = proofs.told, told.append  # type: ignore[method-assign, assignment]
     await until(lambda: bool(told))
     first = told[0]
--- a/tests/forwarding/test_repeated_crashes.py
+++ b/tests/forwarding/test_repeated_crashes.py
@@ -28,7 +28,7 @@
 
 from railfold._internal.cli.main import cli
 from railfold._internal.decisions.quarantine import Content
-from railfold._internal.forwarding.peers.peer_messages import CrashesTold, CrashTold
+from railfold._internal.forwarding.peers.peer_messages import CrashesNotice, CrashNotice
 from railfold._internal.forwarding.quarantine import request_quarantine
 from railfold._internal.forwarding.quarantine.crash_watch import EndedRun, RunFigures
 from standins.chaining_engine import Engine
@@ -287,10 +287,10 @@
     liar, entry = two_entries.entries
     servers: list[Engine] = [*two_entries.engines, *two_entries.plain]
     crashes = [
-        CrashTold(server.server_id, 1000 - 200 * n, 900 - 200 * n)
+        CrashNotice(server.server_id, 1000 - 200 * n, 900 - 200 * n)
         for n, server in enumerate(servers[:4])
     ]
-    told = CrashesTold("0" * 32, "llm", "draft", "quality", crashes)
+    told = CrashesNotice("0" * 32, "llm", "draft", "quality", crashes)
     liar._peering._tell(told)
     await until(lambda: bool(held_at(entry)))
     await until(lambda: not held_at(entry))
--- a/tests/lib/crash_draws.py
+++ b/tests/lib/crash_draws.py
@@ -222,9 +222,9 @@
         server.runs.remove(run)
         client.served += 1
         digest = client.content.digest
-        if self._quarantines[run.entry].ran_well(digest, self.now_s):
+        if self._quarantines[run.entry].record_success(digest, self.now_s):
             at_s = self.now_s
-            self._tell(run.entry, lambda q: q.ran_well(digest, at_s))
+            self._tell(run.entry, lambda q: q.record_success(digest, at_s))
 
     # Servers
 
@@ -288,12 +288,14 @@
         self, quarantine: Quarantine, content: Content, crashes: tuple[Crash, ...]
     ) -> None:
         quarantine.crashed({content: crashes}, self.now_s)
-        well_s = quarantine.well_s(content.digest)
-        if self.now_s - well_s < VOUCHED_S:
+        last_success_s = quarantine.last_success_s(content.digest)
+        if self.now_s - last_success_s < VOUCHED_S:
             entry = self._quarantines.index(quarantine)
             self._later(
                 0.1 * self.rng.random(),
-                lambda: self._tell(entry, lambda q: q.ran_well(content.digest, well_s)),
+                lambda: self._tell(
+                    entry, lambda q: q.record_success(content.digest, last_success_s)
+                ),
             )
 
     def _take(
--- a/tests/unit/test_likelihood.py
+++ b/tests/unit/test_likelihood.py
@@ -56,9 +56,9 @@
     assert found["a"] > 10 * found["b"]
 
 
-def test_one_that_ran_well_takes_more_ends() -> None:
-    assert likelihoods([suspect("a", 1, 2, ran_well=True)])["a"] < 0.5
-    assert likelihoods([suspect("a", 1, 2, 3, 4, ran_well=True)])["a"] > 0.95
+def test_one_that_has_succeeded_takes_more_ends() -> None:
+    assert likelihoods([suspect("a", 1, 2, has_succeeded=True)])["a"] < 0.5
+    assert likelihoods([suspect("a", 1, 2, 3, 4, has_succeeded=True)])["a"] > 0.95
 
 
 def test_contents_that_were_under_one_end_each_hide_nothing() -> None:
--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -14,11 +14,11 @@
 from railfold._internal.decisions.peers import MessageMemory, Peer, PeerView
 from railfold._internal.errors import PeerMessageError
 from railfold._internal.forwarding.peers.peer_messages import (
-    MOST_CRASHES_TOLD,
-    ArrivalsTold,
+    MOST_CRASHES_SENT,
+    ArrivalsNotice,
     ContentCleared,
-    CrashesTold,
-    CrashTold,
+    CrashesNotice,
+    CrashNotice,
     DomainLoadNotice,
     EntryStarted,
     Envelope,
@@ -26,8 +26,8 @@
     LoadRows,
     LoadSumNotice,
     PeerMessageCodec,
-    PermitAsked,
     PermitReply,
+    PermitRequest,
     PlacementLed,
     RateLimitNotice,
     TrialBegun,
@@ -125,12 +125,12 @@
     return PeerMessageCodec(b"k" * 32)
 
 
-CRASHES = CrashesTold(
+CRASHES = CrashesNotice(
     DIGEST,
     "llm",
     "draft",
     "quality",
-    [CrashTold("i-" + "7" * 40, 10, 5, "v" * 30, 2**40)] * MOST_CRASHES_TOLD,
+    [CrashNotice("i-" + "7" * 40, 10, 5, "v" * 30, 2**40)] * MOST_CRASHES_SENT,
 )
 
 
@@ -142,10 +142,10 @@
         TrialBegun(DIGEST),
         EntryStarted("entry-1", "10.0.0.1:7355", 1),
         PlacementLed("entry-1"),
-        ArrivalsTold("entry-1", {"s" * 30 + str(n): 1.5 for n in range(16)}),
+        ArrivalsNotice("entry-1", {"s" * 30 + str(n): 1.5 for n in range(16)}),
         RateLimitNotice("i-1@5", 1.4, 20),
         RateLimitNotice("i-1@5", None, 20),
-        PermitAsked("entry-1", 7, RateLimitNotice("i-1@5", 1.4, 20), 100),
+        PermitRequest("entry-1", 7, RateLimitNotice("i-1@5", 1.4, 20), 100),
         PermitReply("entry-1", 7, granted=True, wait_ms=20),
         LoadPartNotice("entry-1", 3, LoadRows([[6, 50, 1, 40, 1], [7, 900]])),
         LoadSumNotice("entry-1", 3, [5], 2, LoadRows([[6, 5]], 1, 2), 5, {"west-a": 1}),
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -117,7 +117,7 @@
     quarantine: Quarantine,
 ) -> None:
     """It runs everywhere at any time, also where servers end for other reasons."""
-    quarantine.ran_well(OTHER.digest, 0.5)
+    quarantine.record_success(OTHER.digest, 0.5)
     see(quarantine, OTHER, *(crash(n, 1.0 + 0.05 * n, ran_s=0.4) for n in range(6)))
     assert standing(quarantine, OTHER, 2.0) is Standing.FREE
     see(quarantine, OTHER, crash(10, 3.0), crash(11, 4.0))
@@ -129,14 +129,18 @@
 
 def test_a_run_to_a_good_end_clears_a_request(quarantine: Quarantine) -> None:
     see(quarantine, OTHER, crash(0, 1.0), crash(1, 2.0))
-    assert states(quarantine.ran_well(OTHER.digest, 2.5)) == [QuarantineState.CLEARED]
+    assert states(quarantine.record_success(OTHER.digest, 2.5)) == [
+        QuarantineState.CLEARED
+    ]
     see(quarantine, OTHER, crash(2, 3.0), crash(3, 4.0))
     assert standing(quarantine, OTHER, 4.0) is Standing.FREE
 
 
 def test_a_good_end_that_is_told_late_lets_a_request_go(quarantine: Quarantine) -> None:
     hold(quarantine)
-    assert states(quarantine.ran_well(POISON.digest, 1.3)) == [QuarantineState.CLEARED]
+    assert states(quarantine.record_success(POISON.digest, 1.3)) == [
+        QuarantineState.CLEARED
+    ]
     assert standing(quarantine, POISON, 2.0) is Standing.FREE
     # What ended before that, and is told later still, changes nothing.
     see(quarantine, POISON, crash(7, 1.1), crash(8, 1.2))
@@ -149,9 +153,11 @@
     """It moves well up to event 80, and ends whoever runs the next one."""
     for number in range(3):
         see(quarantine, POISON, crash(number, 1.0 + number, after_event=80))
-        assert quarantine.ran_well(POISON.digest, 1.5 + number, last_event=60) == []
+        assert (
+            quarantine.record_success(POISON.digest, 1.5 + number, last_event=60) == []
+        )
     assert standing(quarantine, POISON, 4.0) is Standing.HELD
-    assert quarantine.ran_well(POISON.digest, 4.0, last_event=81) != []
+    assert quarantine.record_success(POISON.digest, 4.0, last_event=81) != []
 
 
 def test_what_ran_beside_it_isnt_held_back_for_other_servers_ends(
@@ -167,7 +173,7 @@
     see(quarantine, OTHER, crash(6, 4.0), crash(7, 5.0))
     # Not by the other one's record alone, which may be the wrong one of the two.
     assert standing(quarantine, OTHER, 5.1) is Standing.MAY_BE_TRIED
-    quarantine.ran_well(OTHER.digest, 5.3)
+    quarantine.record_success(OTHER.digest, 5.3)
     assert standing(quarantine, OTHER, 5.3) is Standing.FREE
     assert standing(quarantine, POISON, 5.3) is Standing.HELD
 
@@ -189,7 +195,7 @@
     quarantine.begin_trial(OTHER.digest, 1.6)
     # Not both at a time: they might meet again.
     assert standing(quarantine, POISON, 1.7) is Standing.WAITS
-    quarantine.ran_well(OTHER.digest, 1.9)
+    quarantine.record_success(OTHER.digest, 1.9)
     assert standing(quarantine, OTHER, 1.9) is Standing.FREE
     # Nothing else is left that explains what ended.
     assert standing(quarantine, POISON, 2.0) is Standing.HELD
@@ -227,7 +233,7 @@
         see(quarantine, OTHER, crash(number, 1.0 + 0.05 * number, ran_s=0.3))
     tried_s = [at / 10 for at in range(20, 120) if try_at(quarantine, OTHER, at / 10)]
     assert tried_s == pytest.approx([2.0, 2.8, 4.4, 7.6, 10.8], abs=0.11)
-    quarantine.ran_well(OTHER.digest, 12.0)
+    quarantine.record_success(OTHER.digest, 12.0)
     assert standing(quarantine, OTHER, 12.0) is Standing.FREE
 
 
@@ -285,7 +291,7 @@
     quarantine: Quarantine,
 ) -> None:
     """It was refused until another server was there, though another is held back."""
-    quarantine.ran_well(OTHER.digest, 0.5)
+    quarantine.record_success(OTHER.digest, 0.5)
     end_servers_under_both(quarantine)
     assert standing(quarantine, POISON, 2.0) is Standing.HELD
     assert quarantine.is_near_limit(OTHER.digest)
@@ -322,7 +328,7 @@
     hold(quarantine)
     later_s = 2.0 + _HOLD_S
     quarantine.begin_trial(POISON.digest, later_s)
-    quarantine.ran_well(POISON.digest, later_s + 2.0)
+    quarantine.record_success(POISON.digest, later_s + 2.0)
     assert standing(quarantine, POISON, later_s + 2.0) is Standing.FREE
     assert len(quarantine) == 0
 
@@ -351,7 +357,7 @@
 def test_a_server_that_hasnt_ended_counts_no_more(quarantine: Quarantine) -> None:
     """Another entry was wrong, or lied."""
     hold(quarantine)
-    assert states(quarantine.strike_out("i-1")) == [QuarantineState.CLEARED]
+    assert states(quarantine.retract_crash("i-1")) == [QuarantineState.CLEARED]
     assert standing(quarantine, POISON, 2.0) is Standing.FREE
 
 
