--- /dev/null
+++ b/src/railfold/_internal/forwarding/quarantine/crash_notices.py
@@ -0,0 +1,53 @@
+"""Crashes as entries announce them to each other: by age, since clocks differ."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from railfold._internal.decisions.quarantine import Content, Crash
+from railfold._internal.forwarding.peers.peer_messages import (
+    CrashesNotice,
+    CrashNotice,
+)
+
+__all__ = ["age_ms", "crashes_in", "crashes_notice"]
+
+
+def age_ms(now_s: float, at_s: float) -> int:
+    """Return how long ago something was, in whole milliseconds."""
+    return max(0, int((now_s - at_s) * 1000))
+
+
+def crashes_notice(
+    content: Content, crashes: Sequence[Crash], now_s: float
+) -> CrashesNotice:
+    """Return what tells other entries of crashes under a content."""
+    notices = [
+        CrashNotice(
+            crash.server_id,
+            age_ms(now_s, crash.began_s),
+            age_ms(now_s, crash.ended_s),
+            crash.version,
+            crash.after_event,
+            crash.silent,
+        )
+        for crash in crashes
+    ]
+    return CrashesNotice(
+        content.digest, content.service, content.route, content.workspace, notices
+    )
+
+
+def crashes_in(message: CrashesNotice, now_s: float) -> list[Crash]:
+    """Return the crashes that another entry announces, on this process's clock."""
+    return [
+        Crash(
+            notice.server_id,
+            now_s - notice.began_ago_ms / 1000.0,
+            now_s - notice.ended_ago_ms / 1000.0,
+            notice.version,
+            notice.after_event,
+            notice.silent,
+        )
+        for notice in message.crashes
+    ]
--- /dev/null
+++ b/src/railfold/_internal/forwarding/quarantine/crash_reports.py
@@ -0,0 +1,66 @@
+"""What the registrations say of servers that are said to have ended."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable
+
+from railfold._internal.decisions.engine_directory import EngineDirectory
+from railfold._internal.decisions.quarantine import UNKNOWN_VERSION
+from railfold._internal.forwarding.quarantine.crash_watch import reported_name
+
+__all__ = ["CrashReports"]
+
+# A crash that another entry reports must show in the registrations by then: they lapse
+# after 3.6 s without a heartbeat, and are read every 2.8 s at the least.
+_CONTRADICTED_S = 10.0
+
+# Servers whose ids and versions are remembered, also after they are gone.
+_SERVERS_KEPT = 4096
+
+
+class CrashReports:
+    """Versions of servers, and reports of crashes that registrations may contradict."""
+
+    def __init__(self, directory: EngineDirectory) -> None:
+        self._directory = directory
+        # Versions by server, also of those that are gone.
+        self._versions: OrderedDict[str, str] = OrderedDict()
+        # Servers that others say have ended, and when that was reported.
+        self._reported_s: dict[str, float] = {}
+
+    def version_of(self, server_id: str) -> str:
+        """Return which software a server runs, or ran."""
+        name = reported_name(server_id)
+        entry = self._directory.get(name)
+        if entry is not None:
+            return entry.registration.version
+        return self._versions.get(name, UNKNOWN_VERSION)
+
+    def record(self, server_ids: Iterable[str], now_s: float) -> None:
+        """Another entry says that servers have ended."""
+        for server_id in server_ids:
+            self._reported_s.setdefault(server_id, now_s)
+
+    def note_versions(self) -> None:
+        """Keep the versions of the servers that are registered now."""
+        for entry in self._directory:
+            if entry.server_id not in self._versions:
+                self._versions[entry.server_id] = entry.registration.version
+        while len(self._versions) > _SERVERS_KEPT:
+            self._versions.popitem(last=False)
+
+    def take_contradicted(self, now_s: float) -> list[str]:
+        """Return servers that still run long after they were reported to have ended."""
+        due = [
+            server_id
+            for server_id, reported_s in self._reported_s.items()
+            if now_s - reported_s >= _CONTRADICTED_S
+        ]
+        for server_id in due:
+            del self._reported_s[server_id]
+        return [server_id for server_id in due if self._runs(server_id)]
+
+    def _runs(self, server_id: str) -> bool:
+        entry = self._directory.get(server_id)
+        return entry is not None and entry.routable
--- a/src/railfold/_internal/forwarding/quarantine/request_quarantine.py
+++ b/src/railfold/_internal/forwarding/quarantine/request_quarantine.py
@@ -9,13 +9,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
 from railfold._internal import clock
 from railfold._internal.decisions.engine_directory import DirectoryEntry
 from railfold._internal.decisions.quarantine import (
-    UNKNOWN_VERSION,
     Content,
     Crash,
     Quarantine,
@@ -30,21 +28,28 @@
     MOST_CRASHES_SENT,
     ContentCleared,
     CrashesNotice,
-    CrashNotice,
     PeerMessage,
     TrialBegun,
     TrialNotRun,
 )
 from railfold._internal.forwarding.quarantine.content_digest import ContentDigests
+from railfold._internal.forwarding.quarantine.crash_notices import (
+    age_ms,
+    crashes_in,
+    crashes_notice,
+)
+from railfold._internal.forwarding.quarantine.crash_reports import CrashReports
 from railfold._internal.forwarding.quarantine.crash_watch import (
     CrashWatch,
     EndedRun,
     RunFigures,
-    reported_name,
 )
 from railfold._internal.forwarding.quarantine.quarantine_records import (
     QuarantineRecords,
 )
+from railfold._internal.forwarding.quarantine.success_confirmer import (
+    SuccessConfirmer,
+)
 from railfold._internal.forwarding.router import Router
 from railfold._internal.forwarding.store.shared_records import HoldRecord
 from railfold._internal.observability.events import QuarantineChanged, ServerCrashed
@@ -53,23 +58,10 @@
 
 _CHECK_S = 0.25
 
-# A crash that another entry reports must show in the registrations by then: they lapse
-# after 3.6 s without a heartbeat, and are read every 2.8 s at the least.
-_CONTRADICTED_S = 10.0
-
-# A content that ran well here within this time is confirmed when others suspect it;
-# within so short a time that it isn't held back for long, and by few of many entries.
-_RECENT_SUCCESS_S = 60.0
-_CONFIRM_WITHIN_S = 0.1
-_CONFIRM_AGAIN_S = 1.0
-
 # When a request comes back that wasn't repeated at once: by then all entries know
 # whether its server has ended.
 _REPEAT_LATER_S = 0.5
 
-# Servers whose ids and versions are remembered, also after they are gone.
-_SERVERS_KEPT = 4096
-
 # So many contents are announced when a server ends, a datagram each.
 _MOST_CONTENTS_SENT = 8
 
@@ -102,12 +94,8 @@
         self._records = QuarantineRecords(
             log, stream, router, self._digests, keeps_key=keeps_key
         )
-        # Versions by server, also of those that are gone.
-        self._versions: OrderedDict[str, str] = OrderedDict()
-        # Servers that others say have ended, and when that was reported.
-        self._reported_s: dict[str, float] = {}
-        # When this or another entry announced last that a content runs well.
-        self._confirmed_s: dict[str, float] = {}
+        self._reports = CrashReports(router.directory)
+        self._confirmer = SuccessConfirmer(self._quarantine, router.rng, announce)
 
     def set_key(self, shared_key: bytes) -> None:
         """Take the key that all entries share; nothing is recognized before."""
@@ -305,7 +293,7 @@
 
     def _on_crash(self, server_id: str, runs: list[EndedRun]) -> None:
         now_s = self._loop.time()
-        version = self._version_of(server_id)
+        version = self._reports.version_of(server_id)
         seen: dict[Content, list[Crash]] = {}
         for run in runs:
             seen.setdefault(run.content, []).append(run.crash(server_id, version))
@@ -335,37 +323,11 @@
         ordered = sorted(runs, key=suspicion, reverse=True)
         return list(dict.fromkeys(run.content for run in ordered))[:_MOST_CONTENTS_SENT]
 
-    def _version_of(self, server_id: str) -> str:
-        name = reported_name(server_id)
-        entry = self._router.directory.get(name)
-        if entry is not None:
-            return entry.registration.version
-        return self._versions.get(name, UNKNOWN_VERSION)
-
     def _announce_crashes(self, content: Content, now_s: float) -> None:
         crashes = self._quarantine.crashes_of(content.digest)[-MOST_CRASHES_SENT:]
         if not crashes:
             return
-        notices = [
-            CrashNotice(
-                crash.server_id,
-                _age_ms(now_s, crash.began_s),
-                _age_ms(now_s, crash.ended_s),
-                crash.version,
-                crash.after_event,
-                crash.silent,
-            )
-            for crash in crashes
-        ]
-        self._announce(
-            CrashesNotice(
-                content.digest,
-                content.service,
-                content.route,
-                content.workspace,
-                notices,
-            )
-        )
+        self._announce(crashes_notice(content, crashes, now_s))
 
     # What other entries say
 
@@ -375,44 +337,16 @@
         content = Content(
             message.digest, message.service, message.route, message.workspace
         )
-        crashes = [
-            Crash(
-                notice.server_id,
-                now_s - notice.began_ago_ms / 1000.0,
-                now_s - notice.ended_ago_ms / 1000.0,
-                notice.version,
-                notice.after_event,
-                notice.silent,
-            )
-            for notice in message.crashes
-        ]
-        for crash in crashes:
-            self._reported_s.setdefault(crash.server_id, now_s)
-        self._confirm_success_later(content.digest, now_s)
+        crashes = crashes_in(message, now_s)
+        self._reports.record((crash.server_id for crash in crashes), now_s)
+        self._confirmer.suspected_elsewhere(content.digest, now_s)
         self._take(self._quarantine.crashed({content: crashes}, now_s), from_peer=True)
 
-    def _confirm_success_later(self, digest: str, now_s: float) -> None:
-        """Tell others if a content that one of them suspects ran well here before.
-
-        After a moment drawn by chance, in which another entry may do so.
-        """
-        if now_s - self._quarantine.last_success_s(digest) < _RECENT_SUCCESS_S:
-            delay_s = _CONFIRM_WITHIN_S * self._router.rng.random()
-            self._loop.call_later(delay_s, self._confirm_success, digest)
-
-    def _confirm_success(self, digest: str) -> None:
-        now_s = self._loop.time()
-        if now_s - self._confirmed_s.get(digest, float("-inf")) < _CONFIRM_AGAIN_S:
-            return
-        self._confirmed_s[digest] = now_s
-        ago_ms = _age_ms(now_s, self._quarantine.last_success_s(digest))
-        self._announce(ContentCleared(digest, ago_ms))
-
     def take_success(self, message: ContentCleared) -> None:
         """Another entry saw a request run well."""
         now_s = self._loop.time()
         at_s = now_s - message.ago_ms / 1000.0
-        self._confirmed_s[message.digest] = now_s
+        self._confirmer.confirmed_elsewhere(message.digest, now_s)
         self._take(
             self._quarantine.record_success(message.digest, at_s), from_peer=True
         )
@@ -468,35 +402,16 @@
         now_s = self._loop.time()
         for entry in self._router.directory.take_departed():
             self.server_departed(entry)
-        self._note_servers()
-        self._retract_crashes(now_s)
+        self._reports.note_versions()
+        for server_id in self._reports.take_contradicted(now_s):
+            self._router.metrics.count("peers.contradicted")
+            self._take(self._quarantine.retract_crash(server_id))
         self._take(self._quarantine.settle(now_s))
         self._lift_for_versions(now_s)
         self._quarantine.expire(now_s)
-        since_s = now_s - _CONFIRM_AGAIN_S
-        self._confirmed_s = {
-            d: at for d, at in self._confirmed_s.items() if at > since_s
-        }
+        self._confirmer.expire(now_s)
         self._router.metrics.gauge("quarantine.held", len(self._quarantine.held))
 
-    def _note_servers(self) -> None:
-        for entry in self._router.directory:
-            if entry.server_id not in self._versions:
-                self._versions[entry.server_id] = entry.registration.version
-        while len(self._versions) > _SERVERS_KEPT:
-            self._versions.popitem(last=False)
-
-    def _retract_crashes(self, now_s: float) -> None:
-        """Look whether servers that others say have ended are gone here too."""
-        for server_id, reported_s in list(self._reported_s.items()):
-            if now_s - reported_s < _CONTRADICTED_S:
-                continue
-            del self._reported_s[server_id]
-            entry = self._router.directory.get(server_id)
-            if entry is not None and entry.routable:
-                self._router.metrics.count("peers.contradicted")
-                self._take(self._quarantine.retract_crash(server_id))
-
     def _lift_for_versions(self, now_s: float) -> None:
         services = {change.content.service for change in self._quarantine.held}
         for service in services:
@@ -531,12 +446,8 @@
                 content.route,
                 content.workspace,
                 [crash.server_id for crash in change.crashes],
-                _age_ms(now_s, newest_s),
+                age_ms(now_s, newest_s),
                 "another entry" if from_peer else "this entry",
                 max(0, round((change.until_s - now_s) * 1000)),
             )
         )
-
-
-def _age_ms(now_s: float, at_s: float) -> int:
-    return max(0, int((now_s - at_s) * 1000))
--- a/tests/forwarding/test_repeated_crashes.py
+++ b/tests/forwarding/test_repeated_crashes.py
@@ -29,7 +29,7 @@
 from railfold._internal.cli.main import cli
 from railfold._internal.decisions.quarantine import Content
 from railfold._internal.forwarding.peers.peer_messages import CrashesNotice, CrashNotice
-from railfold._internal.forwarding.quarantine import request_quarantine
+from railfold._internal.forwarding.quarantine import crash_reports
 from railfold._internal.forwarding.quarantine.crash_watch import EndedRun, RunFigures
 from standins.chaining_engine import Engine
 from tests.lib.crashes import POISON_BODY, CrashingFleet, Sender, play
@@ -282,7 +282,7 @@
     two_entries: Deployment, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """What it says of servers that run is struck out, and what follows from it."""
-    monkeypatch.setattr(request_quarantine, "_CONTRADICTED_S", 0.5)
+    monkeypatch.setattr(crash_reports, "_CONTRADICTED_S", 0.5)
     await recognizing(two_entries)
     liar, entry = two_entries.entries
     servers: list[Engine] = [*two_entries.engines, *two_entries.plain]
