Tests: two runs side by side don't take the same ports

Cause: ports were given out in the same order from the same start, so that a port could be taken between its check and its use.

Change: each run begins at an offset of its own.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -11,6 +11,7 @@
 import itertools
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -97,10 +98,13 @@
 def _free_ports() -> Iterator[int]:
     # Below the range that the system gives to outgoing connections, which
     # could take a port between its choice and its use. Each test worker has
-    # ports of its own.
+    # ports of its own, and begins elsewhere than that of another run beside it.
     worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw8").removeprefix("gw"))
     first = FIRST_PORT + worker * PORTS_PER_WORKER
-    for port in itertools.cycle(range(first, first + PORTS_PER_WORKER)):
+    offset = random.Random(os.getpid()).randrange(PORTS_PER_WORKER)
+    ports = [*range(first + offset, first + PORTS_PER_WORKER)]
+    ports += range(first, first + offset)
+    for port in itertools.cycle(ports):
         if _is_free(port):
             yield port
 
