--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -433,3 +433,46 @@
     held = [v for v in verdicts if v[0] is Standing.HELD]
     # Once held back it stays so, also where a part that came later counts as none.
     assert len(verdicts) == 1 or held
+
+
+_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["crash", "trial", "not run", "success", "retract", "settle"]),
+        st.integers(0, 2),
+        st.integers(0, 5),
+    ),
+    min_size=4,
+    max_size=30,
+)
+
+
+@settings(max_examples=200, deadline=None)
+@given(_STEPS)
+def test_no_verdict_rests_on_a_likelihood_from_before_a_change(
+    steps: list[tuple[str, int, int]],
+) -> None:
+    quarantine = Quarantine()
+    evidence = quarantine._evidence
+    contents = [Content(f"{n}" * 32, "llm", "draft", "quality") for n in range(3)]
+    now_s = 0.0
+    for step, number, server in steps:
+        now_s += 0.2
+        digest = contents[number].digest
+        match step:
+            case "crash":
+                seen = crash(server, now_s, ran_s=0.1 + 0.3 * (number == 0))
+                quarantine.crashed({contents[number]: [seen]}, now_s)
+            case "trial":
+                quarantine.begin_trial(digest, now_s)
+            case "not run":
+                quarantine.withdraw_trial(digest, now_s)
+            case "success":
+                quarantine.record_success(digest, now_s)
+            case "retract":
+                quarantine.retract_crash(f"i-{server}")
+            case "settle":
+                quarantine.settle(now_s)
+        records = list(evidence.records.values())
+        known = [evidence.likelihood(record) for record in records]
+        evidence.changed()
+        assert known == [evidence.likelihood(record) for record in records]
