Log the stages of a planned stop, and requests that become complete late

Two ways by which an entry accepts requests long after SIGTERM can't be told apart from its logs: whether it stopped accepting late, or accepted on connections that it had left open. What it gave up at its end was logged as a client that left.

process_stopping has a line for each stage, with the time since the signal and the open connections; requests.late counts requests that became complete after the entry had stopped to accept; a request that is given up says so.

No decision changes.

--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -443,6 +443,8 @@
         now_s = self._loop.time()
         router = self.router
         request_id = ""
+        if self._clients.stopped:
+            self.metrics.count("requests.late")
         try:
             request = router.dialect.decode_request(
                 method, target, headers, body, now_s
@@ -563,7 +565,7 @@
         started_s = self._loop.time()
         self._draining = True
         self._clients.closes_connections = True
-        self.log.write(ProcessStopping("told to stop", len(self.router.active)))
+        self._log_stop_stage("told to stop", started_s)
         # Runs concurrently, since the store may not answer.
         leave_task = self._loop.create_task(self._peering.leave())
         await asyncio.gather(
@@ -571,20 +573,31 @@
         )
         end_s = started_s + self._settings.grace_s - _EXIT_RESERVE_S
         await asyncio.sleep(_BALANCER_DRAIN_S)
+        self._log_stop_stage("accepts no more requests", started_s)
         self._clients.stop_accepting()
         # There is no event to wait for: connections end in tornado's callbacks,
         # requests in their drivers.
         while self._clients.open_connections and self._loop.time() < end_s:  # noqa: ASYNC110
             await asyncio.sleep(_UPKEEP_INTERVAL_S / 5)
-        self.log.write(ProcessStopping("the process exits", len(self.router.active)))
+        self._log_stop_stage("the process exits", started_s)
         # Remaining requests are aborted so that their clients notice; they couldn't
         # end within the grace time.
         for exchange, driver in list(self._drivers.items()):
             exchange.abort()
-            driver.client_disconnected()
+            driver.process_exits()
         leave_task.cancel()
         self.log.flush()
 
+    def _log_stop_stage(self, stage: str, started_s: float) -> None:
+        self.log.write(
+            ProcessStopping(
+                stage,
+                len(self.router.active),
+                round((self._loop.time() - started_s) * 1000, 1),
+                self._clients.open_connections,
+            )
+        )
+
 
 async def run_forwarding_entry(
     settings: ForwardingSettings,
--- a/src/railfold/_internal/forwarding/requests/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -150,6 +150,11 @@
         self._failure_cause = "the client closed its connection"
         self._feed(CallCallerDisconnected())
 
+    def process_exits(self) -> None:
+        """Give the request up, since this process exits before it has ended."""
+        self._failure_cause = "the process exits"
+        self._feed(CallCallerDisconnected())
+
     def servers_lost(self, server_ids: frozenset[str]) -> None:
         """Leave the current attempt's chain if it contains a lost backend server.
 
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -50,10 +50,16 @@
 
 
 class ProcessStopping(msgspec.Struct, frozen=True, tag="process_stopping"):
-    """The process was asked to stop, or is about to exit."""
+    """A stage of a planned stop.
+
+    :param elapsed_ms: time since the stop began.
+    :param open_connections: connections of clients, with or without a request.
+    """
 
     reason: str
     in_flight: int
+    elapsed_ms: float = 0.0
+    open_connections: int = 0
 
 
 class ProcessResumed(msgspec.Struct, frozen=True, tag="process_resumed"):
