Add a failing test: a request that is complete late in a drain is sent to a server

Callers: a request whose body ends 3 s after SIGTERM (the entry accepts until 2.8 s) is passed on, and its stream is closed in the middle when the process exits. Asked: a refusal that says that it hasn't run, at once.

--- /dev/null
+++ b/tests/forwarding/test_entry_stops.py
@@ -0,0 +1,67 @@
+"""A planned stop of an entry: until when it accepts, sends and answers requests."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.lib.forwarding import (
+    HOST,
+    KEY,
+    Connection,
+    Deployment,
+    Reply,
+    read_reply,
+    run_count,
+)
+
+# The load balancer may send new connections until then.
+BALANCER_DRAIN_S = 2.8
+
+# How late an event loop on a busy machine may be.
+LATENESS_S = 0.25
+
+
+async def begin_upload(
+    deployment: Deployment, path: str, request_id: str, **headers: str
+) -> Connection:
+    """Send a request whose body lacks its last byte."""
+    connection = await deployment.connect()
+    fields = {
+        "Host": HOST,
+        "Railfold-Attempt-Id": request_id,
+        "Railfold-Deadline-Ms": "8000",
+        "Railfold-Token-Counts": "10,200",
+        "Authorization": f"Bearer {KEY}",
+        "Content-Length": "4",
+        **headers,
+    }
+    lines = [f"POST {path} HTTP/1.1", *(f"{n}: {v}" for n, v in fields.items())]
+    connection.writer.write("\r\n".join(lines).encode() + b"\r\n\r\nsli")
+    await connection.writer.drain()
+    return connection
+
+
+async def read_reply_if_any(connection: Connection) -> Reply | None:
+    """Read an answer; return None if the connection is closed before its head."""
+    try:
+        return await read_reply(connection)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+
+
+async def test_request_that_is_complete_late_in_a_drain_is_refused_unsent(
+    deployment: Deployment,
+) -> None:
+    paths = {"late-1": "/draft/1", "late-2": "/slip/1", "late-3": "/tray/1"}
+    uploads = {i: await begin_upload(deployment, p, i) for i, p in paths.items()}
+    drain = asyncio.create_task(deployment.entry.drain())
+    await asyncio.sleep(BALANCER_DRAIN_S + LATENESS_S)
+    for request_id, connection in uploads.items():
+        connection.writer.write(b"p")
+        reply = await read_reply_if_any(connection)
+        assert reply is not None, f"{paths[request_id]}: closed without an answer"
+        assert reply.status == 503
+        assert float(reply.headers["Retry-After"]) < 1.0
+        assert reply.headers["Connection"] == "close"
+        assert run_count(deployment, request_id) == 0
+    await asyncio.wait_for(drain, 5.0)
