Refuse requests that are complete after a stopping entry ends its acceptance

Callers saw: a request accepted long after SIGTERM, sent to a server, and cut in the middle of its answer when the process exited.

Cause: a drain closed idle connections once, 2.8 s after SIGTERM. A connection on which a request's head had been read stayed open, and whatever became complete on it was accepted, with however little of the grace time left.

Change: DrainSchedule says until when an entry accepts; each request is checked when it is complete, and gets 503 with Retry-After and Connection: close, unsent. requests.late counts these.

Why it works: whether a request is accepted no longer depends on the state of its connection at one moment.

--- a/src/railfold/_internal/decisions/client_retry_after.py
+++ b/src/railfold/_internal/decisions/client_retry_after.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "ContentOnTrial",
+    "EntryStopping",
     "NoCapacity",
     "ProofMissingEverywhere",
     "ProofMissingHere",
@@ -81,6 +82,11 @@
     """The entry is starting and has no configuration yet."""
 
 
+@dataclass(frozen=True, slots=True)
+class EntryStopping:
+    """The entry is being stopped, and the load balancer leads clients to others."""
+
+
 @dataclass(frozen=True, slots=True)
 class ContentOnTrial:
     """Another request with the same content is on trial.
@@ -134,6 +140,7 @@
     ProofMissingHere
     | ProofMissingEverywhere
     | Starting
+    | EntryStopping
     | ContentOnTrial
     | RateLimited
     | ServersBackingOff
@@ -149,7 +156,7 @@
         together.
     """
     match cause:
-        case ProofMissingHere():
+        case ProofMissingHere() | EntryStopping():
             base_s = _OTHER_ENTRY_DELAY_S
         case ProofMissingEverywhere(lapsed_s=lapsed_s):
             base_s = min(_MAX_OUTAGE_DELAY_S, max(_MIN_OUTAGE_DELAY_S, lapsed_s))
--- a/src/railfold/_internal/errors.py
+++ b/src/railfold/_internal/errors.py
@@ -19,6 +19,7 @@
     "DuplicateKeyError",
     "EngineError",
     "EngineUnavailableError",
+    "EntryStoppingError",
     "HeadersTooLargeError",
     "InvalidRequestError",
     "LeaseLostError",
@@ -241,6 +242,12 @@
     code = "not_ready"
 
 
+class EntryStoppingError(RequestError):
+    """The entry is being stopped, and the request can't be finished before its end."""
+
+    code = "entry_stopping"
+
+
 class ConfigurationStaleError(RequestError):
     """The process's copy of the configuration is too old to be trusted."""
 
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -8,6 +8,7 @@
 
 from railfold import __version__
 from railfold._internal import clock
+from railfold._internal.decisions.drain import DrainSchedule
 from railfold._internal.decisions.engine_directory import EngineDirectory
 from railfold._internal.decisions.fleet_size import FleetSize
 from railfold._internal.decisions.freshness import FreshnessLease
@@ -20,6 +21,7 @@
 )
 from railfold._internal.decisions.routing_table import RoutingTable, require_table
 from railfold._internal.errors import (
+    EntryStoppingError,
     LogUnavailableError,
     MemoryQuotaExceededError,
     RequestError,
@@ -145,7 +147,8 @@
         self._adapter = adapter
         self._source = source
         self._loop = asyncio.get_running_loop()
-        self._draining = False
+        # Set once the entry is told to stop.
+        self._drain: DrainSchedule | None = None
         self._started_s = self._loop.time()
         self._store_reachable = asyncio.Event()
         initial_members_until_s = float("-inf")
@@ -335,7 +338,7 @@
         known = self.router.table is not None
         return (
             known
-            and not self._draining
+            and self._drain is None
             and self.router.lease.valid(now_s)
             and not self._proofs.is_expiring_alone(now_s)
         )
@@ -355,7 +358,7 @@
             )
         since_s = self._unproven_since_s
         balancer_noticed = since_s is not None and now_s - since_s >= _BALANCER_PROBE_S
-        self._clients.closes_connections = self._draining or balancer_noticed
+        self._clients.closes_connections = self._drain is not None or balancer_noticed
 
     @property
     def recognizes_requests(self) -> bool:
@@ -443,9 +446,8 @@
         now_s = self._loop.time()
         router = self.router
         request_id = ""
-        if self._clients.stopped:
-            self.metrics.count("requests.late")
         try:
+            self._require_accepting(now_s)
             request = router.dialect.decode_request(
                 method, target, headers, body, now_s
             )
@@ -472,6 +474,21 @@
         if len(self._drivers) > len(router.active):
             self._drop_finished_drivers()
 
+    def _require_accepting(self, now_s: float) -> None:
+        """Check that the entry still accepts a request that is complete now.
+
+        :raises EntryStoppingError: the entry has stopped to accept requests.
+        """
+        if self._drain is None or self._drain.accepts(now_s):
+            return
+        self.metrics.count("requests.late")
+        late_s = now_s - self._drain.accepts_until_s
+        raise EntryStoppingError(
+            "the entry is being stopped and accepts no more requests",
+            why=f"the request was complete {late_s:.2f} s too late",
+            hint="send it over a new connection",
+        )
+
     def _drop_finished_drivers(self) -> None:
         active = self.router.active
         self._drivers = {e: d for e, d in self._drivers.items() if d in active}
@@ -563,7 +580,9 @@
     async def drain(self) -> None:
         """Become unready, finish the requests in flight, then return."""
         started_s = self._loop.time()
-        self._draining = True
+        self._drain = drain = DrainSchedule.plan(
+            started_s, _BALANCER_DRAIN_S, self._settings.grace_s, _EXIT_RESERVE_S
+        )
         self._clients.closes_connections = True
         self._log_stop_stage("told to stop", started_s)
         # Runs concurrently, since the store may not answer.
@@ -571,13 +590,12 @@
         await asyncio.gather(
             self._leadership_controller.release(), self._membership.release()
         )
-        end_s = started_s + self._settings.grace_s - _EXIT_RESERVE_S
         await asyncio.sleep(_BALANCER_DRAIN_S)
         self._log_stop_stage("accepts no more requests", started_s)
         self._clients.stop_accepting()
         # There is no event to wait for: connections end in tornado's callbacks,
         # requests in their drivers.
-        while self._clients.open_connections and self._loop.time() < end_s:  # noqa: ASYNC110
+        while self._clients.open_connections and self._loop.time() < drain.ends_s:  # noqa: ASYNC110
             await asyncio.sleep(_UPKEEP_INTERVAL_S / 5)
         self._log_stop_stage("the process exits", started_s)
         # Remaining requests are aborted so that their clients notice; they couldn't
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -15,6 +15,7 @@
 from railfold._internal.decisions.chain_search import crossings
 from railfold._internal.decisions.client_retry_after import (
     ContentOnTrial,
+    EntryStopping,
     NoCapacity,
     ProofMissingEverywhere,
     ProofMissingHere,
@@ -52,6 +53,7 @@
 )
 from railfold._internal.errors import (
     ConfigurationStaleError,
+    EntryStoppingError,
     NotReadyError,
     RailfoldError,
     RateLimitedError,
@@ -224,6 +226,8 @@
                 return ProofMissingEverywhere(lapsed_s)
             case NotReadyError():
                 return Starting()
+            case EntryStoppingError():
+                return EntryStopping()
             case RequestOnTrialError(left_s=left_s):
                 return ContentOnTrial(left_s)
             case RateLimitedError(left_s=left_s):
