Close connections that become idle after a stopping entry ends its acceptance

Callers: on a connection whose answer was still being written when the entry stopped to accept, the next request was accepted, however long after SIGTERM.

Cause: such a connection counted as busy and was not closed at the stop; its answer had already ended then, so that nothing closed it later. The same holds for a connection that was accepted in the turn of the event loop in which the stop came.

Evidence: test_connection_whose_answer_was_unread_at_a_stop_accepts_no_request: the second request was answered with 200 before, and gets a closed connection, unread, now. Why it works: each connection asks for its next request before it reads one.

--- a/src/railfold/_internal/forwarding/requests/front.py
+++ b/src/railfold/_internal/forwarding/requests/front.py
@@ -373,4 +373,8 @@
         assert isinstance(request_conn, HTTP1Connection)
         self._streams.add(request_conn.stream)
         self._busy.discard(request_conn.stream)
+        if self.stopped:
+            # Either the connection was accepted just before the server stopped, or its
+            # answer was being written then.
+            request_conn.stream.close()
         return _RequestReader(self, request_conn)
--- a/tests/forwarding/test_entry_stops.py
+++ b/tests/forwarding/test_entry_stops.py
@@ -3,7 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from typing import Any
 
+from railfold._internal.core import Address
+from railfold._internal.decisions.memory_quota import MemoryQuota
+from railfold._internal.forwarding.requests.front import ClientExchange, ClientServer
+from standins.cluster import free_port
 from tests.lib.forwarding import (
     HOST,
     KEY,
@@ -12,6 +18,7 @@
     Reply,
     read_reply,
     run_count,
+    until,
 )
 
 # The load balancer may send new connections until then.
@@ -65,3 +72,44 @@
         assert reply.headers["Connection"] == "close"
         assert run_count(deployment, request_id) == 0
     await asyncio.wait_for(drain, 5.0)
+
+
+class BulkHandler:
+    """Answers each request with more than the kernel buffers for a connection."""
+
+    def __init__(self) -> None:
+        self.requests = 0
+
+    def handle_request(self, exchange: ClientExchange, *request: Any) -> None:
+        self.requests += 1
+        exchange.reply(200, [], b"x" * 7_000_000)
+
+    def client_disconnected(self, exchange: ClientExchange) -> None:
+        pass
+
+    def workspace_of(self, headers: Any) -> str:
+        return ""
+
+
+async def test_connection_whose_answer_was_unread_at_a_stop_accepts_no_request() -> (
+    None
+):
+    handler = BulkHandler()
+    address = Address("127.0.0.1", free_port())
+    server = ClientServer(address, handler, MemoryQuota(100_000_000))  # type: ignore[arg-type]
+    server.can_answer.set()
+    listening = asyncio.Event()
+    running = asyncio.create_task(server.run(listening))
+    await listening.wait()
+    reader, writer = await asyncio.open_connection(address.ip, address.port)
+    connection = Connection(reader, writer)
+    await connection.send("/tray/1", "c-1")
+    await until(lambda: handler.requests == 1)
+    server.stop_accepting()
+    assert len((await read_reply(connection)).body) == 7_000_000
+    with contextlib.suppress(ConnectionError):
+        await connection.send("/tray/1", "c-2")
+        assert await read_reply_if_any(connection) is None
+    assert handler.requests == 1
+    connection.close()
+    running.cancel()
