End the acceptance of a stopping entry on time while the store doesn't answer

Callers: while the store is silent, an entry that was told to stop accepted connections and requests until 3.8 s after SIGTERM instead of 2.8 s, too late for a stream to end within the grace time.

Cause: the drain released its lease and its membership before its 2.8 s began; the release of the membership is bounded by the store client's own time-out of 1 s only.

Change: what is told to the store runs beside the schedule, which counts from the signal.

Evidence: test_silent_store_does_not_delay_the_end_of_acceptance connected 3.05 s after the signal before, and is refused now.

--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -585,12 +585,13 @@
         )
         self._clients.closes_connections = True
         self._log_stop_stage("told to stop", started_s)
-        # Runs concurrently, since the store may not answer.
-        leave_task = self._loop.create_task(self._peering.leave())
-        await asyncio.gather(
-            self._leadership_controller.release(), self._membership.release()
-        )
-        await asyncio.sleep(_BALANCER_DRAIN_S)
+        # Run beside the schedule, since the store may not answer.
+        store_tasks = [
+            self._loop.create_task(self._peering.leave()),
+            self._loop.create_task(self._leadership_controller.release()),
+            self._loop.create_task(self._membership.release()),
+        ]
+        await asyncio.sleep(drain.accepts_until_s - self._loop.time())
         self._log_stop_stage("accepts no more requests", started_s)
         self._clients.stop_accepting()
         # There is no event to wait for: connections end in tornado's callbacks,
@@ -603,7 +604,8 @@
         for exchange, driver in list(self._drivers.items()):
             exchange.abort()
             driver.process_exits()
-        leave_task.cancel()
+        for task in store_tasks:
+            task.cancel()
         self.log.flush()
 
     def _log_stop_stage(self, stage: str, started_s: float) -> None:
--- a/tests/forwarding/test_entry_stops.py
+++ b/tests/forwarding/test_entry_stops.py
@@ -6,6 +6,8 @@
 import contextlib
 from typing import Any
 
+import pytest
+
 from railfold._internal.core import Address
 from railfold._internal.decisions.memory_quota import MemoryQuota
 from railfold._internal.forwarding.requests.front import ClientExchange, ClientServer
@@ -74,6 +76,20 @@
     await asyncio.wait_for(drain, 5.0)
 
 
+async def test_silent_store_does_not_delay_the_end_of_acceptance(
+    deployment: Deployment,
+) -> None:
+    kept = await deployment.connect()
+    await kept.ask("/tray/1", "c-1", method="GET", body=b"")
+    deployment.store.mode = "silent"
+    drain = asyncio.create_task(deployment.entry.drain())
+    await asyncio.sleep(BALANCER_DRAIN_S + LATENESS_S)
+    with pytest.raises(ConnectionError):
+        await deployment.connect()
+    assert kept.reader.at_eof()
+    await asyncio.wait_for(drain, 5.0)
+
+
 class BulkHandler:
     """Answers each request with more than the kernel buffers for a connection."""
 
