Send a final answer to requests that are unfinished when an entry exits

Callers: a request whose answer hadn't started was closed without an answer when the entry exited after its grace time, and couldn't tell that from a lost connection.

Cause: the exit closed all connections, also those on which an answer could be sent.

Change: the exit ends each request's lifecycle (CallGivenUp): 503 with Retry-After if it surely hasn't run, 502 otherwise; an answer that has started is aborted, as before.

Evidence: test_running_request_gets_a_final_answer_when_the_process_exits: closed without an answer on all three routes before, 502 now.

--- a/src/railfold/_internal/decisions/calls.py
+++ b/src/railfold/_internal/decisions/calls.py
@@ -35,6 +35,7 @@
     "CallCallerDisconnected",
     "CallDeadlinePassed",
     "CallEvent",
+    "CallGivenUp",
     "CallHostChosen",
     "CallHostLost",
     "CallHostRefused",
@@ -115,6 +116,17 @@
     """The caller closed its connection before the outcome."""
 
 
+@dataclass(frozen=True, slots=True)
+class CallGivenUp:
+    """The outcome can't be awaited any longer.
+
+    :param retry_after_s: after which time the caller may send the call again.
+    """
+
+    error: RailfoldError
+    retry_after_s: float
+
+
 CallEvent = (
     CallHostChosen
     | NoHost
@@ -124,6 +136,7 @@
     | CallHostLost
     | CallDeadlinePassed
     | CallCallerDisconnected
+    | CallGivenUp
 )
 
 
@@ -255,6 +268,8 @@
                 return self._abort(error)
             case CallCallerDisconnected():
                 return self._abort(EngineError("the caller closed its connection"))
+            case CallGivenUp(error=error, retry_after_s=retry_after_s):
+                return self._abort(error, retry_after_s)
 
     def _send(self, host: str) -> list[CallAction]:
         if self._phase is not _Phase.CHOOSING:
@@ -290,9 +305,11 @@
         excluded = frozenset(self._excluded)
         return [ChooseHost(excluded, is_retry=bool(excluded))]
 
-    def _abort(self, error: RailfoldError) -> list[CallAction]:
+    def _abort(
+        self, error: RailfoldError, retry_after_s: float = _RETRY_AFTER_S
+    ) -> list[CallAction]:
         self._may_have_run = self._may_have_run or self._phase is _Phase.SENT
-        return self._finish_without_answer(error, _RETRY_AFTER_S)
+        return self._finish_without_answer(error, retry_after_s)
 
     def _finish_without_answer(
         self, error: RailfoldError, retry_after_s: float
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -599,10 +599,7 @@
         while self._clients.open_connections and self._loop.time() < drain.ends_s:  # noqa: ASYNC110
             await asyncio.sleep(_UPKEEP_INTERVAL_S / 5)
         self._log_stop_stage("the process exits", started_s)
-        # Remaining requests are aborted so that their clients notice; they couldn't
-        # end within the grace time.
-        for exchange, driver in list(self._drivers.items()):
-            exchange.abort()
+        for driver in list(self.router.active):
             driver.process_exits()
         for task in store_tasks:
             task.cancel()
--- a/src/railfold/_internal/forwarding/requests/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -12,6 +12,7 @@
     CallCallerDisconnected,
     CallDeadlinePassed,
     CallEvent,
+    CallGivenUp,
     CallHostChosen,
     CallHostLost,
     CallHostRefused,
@@ -28,6 +29,7 @@
 from railfold._internal.decisions.routing_table import RouteKind
 from railfold._internal.errors import (
     DeadlineExpiredError,
+    EntryStoppingError,
     RailfoldError,
     RequestError,
     ServerNotEligibleError,
@@ -151,9 +153,13 @@
         self._feed(CallCallerDisconnected())
 
     def process_exits(self) -> None:
-        """Give the request up, since this process exits before it has ended."""
-        self._failure_cause = "the process exits"
-        self._feed(CallCallerDisconnected())
+        """End the request with its final answer, since this process exits.
+
+        An answer that has started is aborted.
+        """
+        error = EntryStoppingError("the entry exits before the request has ended")
+        self._failure_cause = str(error)
+        self._feed(CallGivenUp(error, self._router.retry_after_s(error)))
 
     def servers_lost(self, server_ids: frozenset[str]) -> None:
         """Leave the current attempt's chain if it contains a lost backend server.
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -102,6 +102,9 @@
     def chain_stalled(self, chain: Chain) -> None:
         """Called when all streams over this chain are stalled."""
 
+    def process_exits(self) -> None:
+        """Called when this process exits before the request has ended."""
+
 
 @dataclass(slots=True)
 class Router:
--- a/tests/forwarding/test_entry_stops.py
+++ b/tests/forwarding/test_entry_stops.py
@@ -90,6 +90,24 @@
     await asyncio.wait_for(drain, 5.0)
 
 
+@pytest.mark.parametrize("path", ["/tray/1", "/slip/1", "/draft/1"])
+async def test_running_request_gets_a_final_answer_when_the_process_exits(
+    deployment: Deployment, path: str
+) -> None:
+    for server in (*deployment.plain, *deployment.engines):
+        server.event_interval_s = 10.0
+    connection = await deployment.connect()
+    drain = asyncio.create_task(deployment.entry.drain())
+    await asyncio.sleep(BALANCER_DRAIN_S - LATENESS_S)
+    await connection.send(path, "c-1", headers={"Railfold-Deadline-Ms": "8000"})
+    reply = await read_reply_if_any(connection)
+    await asyncio.wait_for(drain, 5.0)
+    assert run_count(deployment, "c-1") == 1
+    assert reply is not None, "closed without an answer"
+    assert reply.status == 502
+    assert reply.complete
+
+
 class BulkHandler:
     """Answers each request with more than the kernel buffers for a connection."""
 
