Don't send requests whose answer can't end before a stopping entry exits

Callers: a request that lost its server shortly before its entry exited was sent to another one, and cut there some 100 ms later, instead of being handed back while there was time for another entry.

Cause: attempts after the first asked nothing of the time that the process had left.

Change: after the entry has ended its acceptance, an answer that hasn't started is sent for only if its expected end (the chain's prediction, at least the route's objective) lies before the exit; otherwise its client gets its final answer at once. An answer that has started goes on as long as it can.

Evidence: test_request_is_not_sent_again_if_its_answer_cannot_end_before_the_exit: sent to a second engine and unanswered until the exit before; 502 within 0.25 s now.

--- a/src/railfold/_internal/decisions/drain.py
+++ b/src/railfold/_internal/decisions/drain.py
@@ -35,3 +35,10 @@
     def accepts(self, now_s: float) -> bool:
         """Return whether a request that is complete now may be accepted."""
         return now_s < self.accepts_until_s
+
+    def allows_send(self, now_s: float, answer_s: float) -> bool:
+        """Return whether a request may be sent to a backend server now.
+
+        :param answer_s: expected time until the end of its answer.
+        """
+        return self.accepts(now_s) or now_s + answer_s <= self.ends_s
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -147,8 +147,6 @@
         self._adapter = adapter
         self._source = source
         self._loop = asyncio.get_running_loop()
-        # Set once the entry is told to stop.
-        self._drain: DrainSchedule | None = None
         self._started_s = self._loop.time()
         self._store_reachable = asyncio.Event()
         initial_members_until_s = float("-inf")
@@ -338,7 +336,7 @@
         known = self.router.table is not None
         return (
             known
-            and self._drain is None
+            and self.router.drain is None
             and self.router.lease.valid(now_s)
             and not self._proofs.is_expiring_alone(now_s)
         )
@@ -358,7 +356,9 @@
             )
         since_s = self._unproven_since_s
         balancer_noticed = since_s is not None and now_s - since_s >= _BALANCER_PROBE_S
-        self._clients.closes_connections = self._drain is not None or balancer_noticed
+        self._clients.closes_connections = (
+            self.router.drain is not None or balancer_noticed
+        )
 
     @property
     def recognizes_requests(self) -> bool:
@@ -479,10 +479,11 @@
 
         :raises EntryStoppingError: the entry has stopped to accept requests.
         """
-        if self._drain is None or self._drain.accepts(now_s):
+        drain = self.router.drain
+        if drain is None or drain.accepts(now_s):
             return
         self.metrics.count("requests.late")
-        late_s = now_s - self._drain.accepts_until_s
+        late_s = now_s - drain.accepts_until_s
         raise EntryStoppingError(
             "the entry is being stopped and accepts no more requests",
             why=f"the request was complete {late_s:.2f} s too late",
@@ -580,7 +581,7 @@
     async def drain(self) -> None:
         """Become unready, finish the requests in flight, then return."""
         started_s = self._loop.time()
-        self._drain = drain = DrainSchedule.plan(
+        self.router.drain = drain = DrainSchedule.plan(
             started_s, _BALANCER_DRAIN_S, self._settings.grace_s, _EXIT_RESERVE_S
         )
         self._clients.closes_connections = True
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -29,6 +29,7 @@
     RateLimited as PermitUnavailable,
 )
 from railfold._internal.decisions.domain_pipes import DomainPipes
+from railfold._internal.decisions.drain import DrainSchedule
 from railfold._internal.decisions.eligibility import ServerEligibility
 from railfold._internal.decisions.engine_directory import (
     DirectoryEntry,
@@ -120,6 +121,7 @@
     :param peer_has_newer: returns whether another entry knows a newer configuration
         than ``table``.
     :param active: requests in flight.
+    :param drain: set once the entry is told to stop.
     """
 
     dialect: Dialect
@@ -138,6 +140,7 @@
     others_have_proof: Callable[[float], bool] = field(default=lambda now_s: False)
     peer_has_newer: Callable[[], bool] = field(default=lambda: False)
     active: set[ActiveRequest] = field(default_factory=set)
+    drain: DrainSchedule | None = None
     activity: ChainActivity = field(default_factory=ChainActivity)
     avoidance: Avoidance = field(default_factory=Avoidance)
     arrivals: ArrivalRates = field(default_factory=ArrivalRates)
@@ -244,6 +247,22 @@
             case _:
                 return NoCapacity()
 
+    def require_time_to_answer(self, answer_s: float) -> None:
+        """Check that an answer can end before this entry exits.
+
+        :param answer_s: expected time until the end of the answer.
+        :raises EntryStoppingError: the entry is being stopped and exits before that.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if self.drain is None or self.drain.allows_send(now_s, answer_s):
+            return
+        left_s = self.drain.ends_s - now_s
+        raise EntryStoppingError(
+            "the entry is being stopped before the answer could end",
+            why=f"{left_s:.1f} s are left, and the answer takes {answer_s:.1f} s",
+            hint="send it over a new connection",
+        )
+
     def require_fresh_credentials(self, route: Route) -> None:
         """Check that the known credentials are recent enough for a route.
 
--- a/tests/forwarding/test_entry_stops.py
+++ b/tests/forwarding/test_entry_stops.py
@@ -108,6 +108,25 @@
     assert reply.complete
 
 
+async def test_request_is_not_sent_again_if_its_answer_cannot_end_before_the_exit(
+    deployment: Deployment,
+) -> None:
+    for engine in deployment.engines:
+        engine.event_interval_s = 10.0
+    connection = await deployment.connect()
+    drain = asyncio.create_task(deployment.entry.drain())
+    await asyncio.sleep(BALANCER_DRAIN_S - LATENESS_S)
+    await connection.send("/draft/1", "c-1", headers={"Railfold-Deadline-Ms": "8000"})
+    await asyncio.sleep(3 * LATENESS_S)
+    (first,) = [e for e in deployment.engines if e.run_counts["c-1"]]
+    first.crash()
+    reply = await asyncio.wait_for(read_reply_if_any(connection), LATENESS_S)
+    await asyncio.wait_for(drain, 5.0)
+    assert run_count(deployment, "c-1") == 1
+    assert reply is not None
+    assert reply.status == 502
+
+
 class BulkHandler:
     """Answers each request with more than the kernel buffers for a connection."""
 
