Send no body in answers to HEAD requests; end each request at an exit by itself

Callers: a HEAD request that was refused or ran out of time broke its connection. With one in flight when an entry exits, the requests after it got no final answer.

Cause: the entry's own answers to HEAD had a body, which tornado refuses with an error; the exit ended requests in one loop without catching errors.

Change: ClientExchange writes no body if only the head was asked for; an error of one request at the exit is logged, and the others are ended.

Evidence: test_head_request_that_is_unfinished_at_the_exit_gets_an_answer and test_refused_head_request_gets_no_body: connections closed without an answer before.

--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -6,6 +6,8 @@
 import random
 from collections.abc import Sequence
 
+from absl import logging
+
 from railfold import __version__
 from railfold._internal import clock
 from railfold._internal.decisions.drain import DrainSchedule
@@ -600,12 +602,20 @@
         while self._clients.open_connections and self._loop.time() < drain.ends_s:  # noqa: ASYNC110
             await asyncio.sleep(_UPKEEP_INTERVAL_S / 5)
         self._log_stop_stage("the process exits", started_s)
-        for driver in list(self.router.active):
-            driver.process_exits()
+        self._give_up_requests()
         for task in store_tasks:
             task.cancel()
         self.log.flush()
 
+    def _give_up_requests(self) -> None:
+        """Send the final answer to each request in flight."""
+        for request in list(self.router.active):
+            try:
+                request.process_exits()
+            except Exception:
+                # The other requests still get their answers.
+                logging.exception("a request in flight could not be ended")
+
     def _log_stop_stage(self, stage: str, started_s: float) -> None:
         self.log.write(
             ProcessStopping(
--- a/src/railfold/_internal/forwarding/requests/front.py
+++ b/src/railfold/_internal/forwarding/requests/front.py
@@ -73,6 +73,7 @@
     """One request of a client and the connection on which it is answered.
 
     :param reservation: the memory used by the request's body and unread answer.
+    :param head_only: whether the client asked for the answer's head only.
     """
 
     def __init__(
@@ -80,7 +81,10 @@
         connection: HTTP1Connection,
         server: ClientServer,
         reservation: MemoryReservation,
+        *,
+        head_only: bool = False,
     ) -> None:
+        self._head_only = head_only
         self._connection = connection
         self._server = server
         self.reservation = reservation
@@ -110,8 +114,8 @@
         _consume_exception(self._connection.write_headers(line, fields))
 
     def send_body(self, data: bytes) -> None:
-        """Send a part of the body."""
-        if self._ended:
+        """Send a part of the body, unless the client asked for the head only."""
+        if self._ended or self._head_only:
             return
         stream = self._connection.stream
         if self._unread_bytes + len(data) > _MAX_UNREAD_BYTES:
@@ -247,10 +251,18 @@
             return
         self._parts.clear()
         self._reservation.release()
-        exchange = ClientExchange(self._connection, self._server, self._reservation)
+        exchange = self._new_exchange()
         self._refused_exchange = exchange
         self._server.handler.refuse_early(exchange)
 
+    def _new_exchange(self) -> ClientExchange:
+        return ClientExchange(
+            self._connection,
+            self._server,
+            self._reservation,
+            head_only=self._start_line.method == "HEAD",
+        )
+
     def on_connection_close(self) -> None:
         """Release the memory of an incomplete request when its client disconnects."""
         self._reservation.release()
@@ -267,7 +279,7 @@
         if self._refused_exchange is not None:
             self._refused_exchange.finish()
             return
-        exchange = ClientExchange(self._connection, self._server, self._reservation)
+        exchange = self._new_exchange()
 
         def closed() -> None:
             exchange.connection_closed()
--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -301,6 +301,9 @@
     async def get(self) -> None:
         await self._respond()
 
+    async def head(self) -> None:
+        await self._respond()
+
     async def post(self) -> None:
         await self._respond()
 
--- a/tests/forwarding/test_entry_stops.py
+++ b/tests/forwarding/test_entry_stops.py
@@ -127,6 +127,36 @@
     assert reply.status == 502
 
 
+async def test_head_request_that_is_unfinished_at_the_exit_gets_an_answer(
+    deployment: Deployment,
+) -> None:
+    for server in deployment.plain:
+        server.event_interval_s = 10.0
+    connections = [await deployment.connect() for _ in range(4)]
+    methods = ("HEAD", "GET", "HEAD", "GET")
+    drain = asyncio.create_task(deployment.entry.drain())
+    await asyncio.sleep(BALANCER_DRAIN_S - LATENESS_S)
+    for number, connection in enumerate(connections):
+        headers = {"Railfold-Deadline-Ms": "8000"}
+        await connection.send(
+            "/tray/1", f"c-{number}", method=methods[number], headers=headers
+        )
+    await asyncio.wait_for(drain, 5.0)
+    for connection in connections:
+        status, _ = await connection.read_head()
+        assert status >= 500
+
+
+async def test_refused_head_request_gets_no_body(deployment: Deployment) -> None:
+    connection = await deployment.connect()
+    await connection.send("/nothing/1", "c-1", method="HEAD", body=b"")
+    status, headers = await connection.read_head()
+    assert status == 404
+    assert headers["Content-Length"] != "0"
+    await connection.send("/nothing/1", "c-2", method="HEAD", body=b"")
+    assert (await connection.read_head())[0] == 404
+
+
 class BulkHandler:
     """Answers each request with more than the kernel buffers for a connection."""
 
