Answer requests that were read before a stopping entry closes idle connections

Callers: a request that arrived as the acceptance ended, or behind an answer that began before the stop, was read and then got a closed connection without an answer.

Cause: a connection counted as idle until the head of its request was parsed, a turn of the event loop after it was read, and was closed in between; an event loop that is late makes that likely. A connection whose answer ended was closed without a look at what had been read behind it.

Change: only a connection that waits for a head is closed; what was read is refused with 503, unsent. The memory of a request on a closed connection is released.

Evidence: test_request_that_was_read_when_acceptance_ends_is_refused and test_request_that_was_read_behind_a_stream_is_refused_in_a_drain: closed without an answer before, on each of the connections (found in review).

--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -482,13 +482,12 @@
         :raises EntryStoppingError: the entry has stopped to accept requests.
         """
         drain = self.router.drain
-        if drain is None or drain.accepts(now_s):
+        in_time = drain is None or drain.accepts(now_s)
+        if in_time and not self._clients.stopped:
             return
         self.metrics.count("requests.late")
-        late_s = now_s - drain.accepts_until_s
         raise EntryStoppingError(
             "the entry is being stopped and accepts no more requests",
-            why=f"the request was complete {late_s:.2f} s too late",
             hint="send it over a new connection",
         )
 
--- a/src/railfold/_internal/forwarding/requests/front.py
+++ b/src/railfold/_internal/forwarding/requests/front.py
@@ -161,10 +161,7 @@
         self._release_body()
         stream = self._connection.stream
         self._connection.finish()
-        # An answer that began before the drain announced that the connection stays
-        # open. It is closed anyway once the server accepts no more requests.
-        closing = self._closing or self._server.stopped
-        if closing and stream is not None and not stream.closed():
+        if self._closing and stream is not None and not stream.closed():
             _close_after_flush(stream)
 
     def abort(self) -> None:
@@ -270,11 +267,11 @@
     def finish(self) -> None:
         """Pass the complete request to the handler.
 
-        Bytes that had arrived when a planned stop closed the connection are still
-        parsed. Their request must not be sent anywhere, since its client assumes that
-        it wasn't read.
+        Bytes that had arrived when the connection was closed are still parsed. Their
+        request must not be sent anywhere, since its client assumes that it wasn't read.
         """
         if self._connection.stream is None or self._connection.stream.closed():
+            self._reservation.release()
             return
         if self._refused_exchange is not None:
             self._refused_exchange.finish()
@@ -352,11 +349,19 @@
         """Accept no new connections, and close those without a request.
 
         A client that sends a request at the moment of the close knows that it wasn't
-        read.
+        read. A request that was read already goes to the handler.
         """
         self.stopped = True
         self._child.stop_listening()
-        for stream in self._streams - self._busy:
+        for stream in list(self._streams):
+            self._close_if_idle(stream)
+
+    def _close_if_idle(self, stream: IOStream) -> None:
+        """Close a connection that waits for a request of which no head was read.
+
+        A stream isn't reading between the arrival of a head and its parsing.
+        """
+        if stream not in self._busy and stream.reading():
             stream.close()
 
     def set_limits(self, limits: ClientLimits) -> None:
@@ -387,6 +392,8 @@
         self._busy.discard(request_conn.stream)
         if self.stopped:
             # Either the connection was accepted just before the server stopped, or its
-            # answer was being written then.
-            request_conn.stream.close()
+            # answer began before that and announced that the connection stays open. It
+            # begins to read in this turn.
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._close_if_idle, request_conn.stream)
         return _RequestReader(self, request_conn)
--- a/tests/forwarding/test_entry_stops.py
+++ b/tests/forwarding/test_entry_stops.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import time
 from typing import Any
 
 import pytest
@@ -157,6 +158,45 @@
     assert (await connection.read_head())[0] == 404
 
 
+async def test_request_that_was_read_when_acceptance_ends_is_refused(
+    deployment: Deployment,
+) -> None:
+    kept = [await deployment.connect() for _ in range(4)]
+    for number, connection in enumerate(kept):
+        await connection.ask("/tray/1", f"w-{number}", method="GET", body=b"")
+    drain = asyncio.create_task(deployment.entry.drain())
+    block_s = 0.3
+    await asyncio.sleep(BALANCER_DRAIN_S - block_s + 0.02)
+    for number, connection in enumerate(kept):
+        await connection.send("/slip/1", f"k-{number}")
+    # The event loop is late when the acceptance ends.
+    time.sleep(block_s)  # noqa: ASYNC251
+    for connection in kept:
+        reply = await read_reply_if_any(connection)
+        assert reply is not None, "closed without an answer"
+        assert reply.status == 503
+    assert sum(run_count(deployment, f"k-{n}") for n in range(len(kept))) == 0
+    await asyncio.wait_for(drain, 5.0)
+
+
+async def test_request_that_was_read_behind_a_stream_is_refused_in_a_drain(
+    deployment: Deployment,
+) -> None:
+    for engine in deployment.engines:
+        engine.event_interval_s = 0.05
+    connection = await deployment.connect()
+    await connection.send("/draft/1", "p-1", events=62)
+    await asyncio.sleep(0.1)
+    drain = asyncio.create_task(deployment.entry.drain())
+    await connection.send("/slip/1", "p-2")
+    assert (await read_reply(connection)).complete
+    reply = await read_reply_if_any(connection)
+    assert reply is not None, "closed without an answer"
+    assert reply.status == 503
+    assert run_count(deployment, "p-2") == 0
+    await asyncio.wait_for(drain, 5.0)
+
+
 class BulkHandler:
     """Answers each request with more than the kernel buffers for a connection."""
 
