Check the time to answer before a stopping entry spends a retry or a permit

Callers: with a grace time under 2.4 s, an entry gave up answers before the last sixth of its grace time, and accepted requests that it cut 0.1 s later. A request that had lost its server spent a retry although it was not sent any more.

Cause: a fixed 0.4 s was kept for the exit; the time that an answer takes was compared with what is left only after the end of the acceptance, and only right before the bytes.

Change: the exit takes at most a tenth of the grace time. From the signal on, a request without an answer is sent only if its answer is expected to end in time (the chain's prediction for the model's mean answer), asked before permits and retries are spent and again right before the bytes.

--- a/src/railfold/_internal/decisions/drain.py
+++ b/src/railfold/_internal/decisions/drain.py
@@ -7,6 +7,10 @@
 __all__ = ["DrainSchedule"]
 
 
+# The largest share of the grace time that is kept for the exit.
+_MAX_EXIT_SHARE = 0.1
+
+
 @dataclass(frozen=True, slots=True)
 class DrainSchedule:
     """The times of a planned stop, on the event loop's clock.
@@ -27,9 +31,10 @@
 
         :param notice_s: time for which clients may still be sent to the entry.
         :param grace_s: time after which the process is killed.
-        :param exit_s: part of the grace time that is needed to exit.
+        :param exit_s: part of the grace time that is needed to exit; less of a short
+            one.
         """
-        ends_s = started_s + max(0.0, grace_s - exit_s)
+        ends_s = started_s + grace_s - min(exit_s, _MAX_EXIT_SHARE * grace_s)
         return cls(min(started_s + notice_s, ends_s), ends_s)
 
     def accepts(self, now_s: float) -> bool:
@@ -41,4 +46,4 @@
 
         :param answer_s: expected time until the end of its answer.
         """
-        return self.accepts(now_s) or now_s + answer_s <= self.ends_s
+        return now_s + answer_s <= self.ends_s
--- a/src/railfold/_internal/forwarding/requests/destination_search.py
+++ b/src/railfold/_internal/forwarding/requests/destination_search.py
@@ -16,6 +16,7 @@
     permit_wait_limit_s,
 )
 from railfold._internal.errors import (
+    EntryStoppingError,
     NoCapacityError,
     OverloadedError,
     RailfoldError,
@@ -31,6 +32,7 @@
 )
 from railfold._internal.forwarding.requests.destination import Destination
 from railfold._internal.forwarding.requests.destinations import DestinationChooser
+from railfold._internal.forwarding.requests.prediction import expected_answer_s
 from railfold._internal.forwarding.requests.routed_request import RoutedRequest
 from railfold._internal.forwarding.router import Router
 
@@ -190,6 +192,12 @@
         answer_started: bool,
     ) -> None:
         """Dispatch to a destination once its rate limited servers grant a permit."""
+        try:
+            if not answer_started:
+                self.require_time_to_answer(destination)
+        except EntryStoppingError as refusal:
+            self._listener.destination_refused(refusal)
+            return
         if not self._router.limits.limited_servers(destination.server_ids):
             self._dispatch_to(
                 destination, is_retry=is_retry, answer_started=answer_started
@@ -200,6 +208,18 @@
         )
         self._permit_task = self._loop.create_task(waiting)
 
+    def require_time_to_answer(self, destination: Destination) -> None:
+        """Check that the destination's answer can end before this entry exits.
+
+        :raises EntryStoppingError: the entry is being stopped and exits before that.
+        """
+        router, routed = self._router, self._routed
+        if router.drain is None:
+            return
+        router.require_time_to_answer(
+            expected_answer_s(router, destination, routed.route, routed.request.size)
+        )
+
     # Waiting for capacity
 
     def _wait_for_capacity(
--- a/src/railfold/_internal/forwarding/requests/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -126,8 +126,6 @@
         self._backoff_requested = False
         # The load that the current attempt adds to its backend servers.
         self._attempt_load = EntryLoad(1, 1)
-        # Expected time from the current attempt's start to the end of its answer.
-        self._expected_answer_s = 0.0
         self._answer_kind: AnswerKind | None = None
         self._buffered_answer: BufferedAnswer | None = None
         self._cursor = EventCursor(routed.request.last_event_id)
@@ -283,13 +281,8 @@
                 self._state_tokens(destination), 1, size.prompt_tokens
             )
         prediction = None
-        self._expected_answer_s = self._route.objective_s
         if destination.chain is not None:
             prediction = predict(router, destination.chain, size)
-        if prediction is not None:
-            self._expected_answer_s = max(
-                self._expected_answer_s, prediction.chain.finish_s
-            )
         router.add_load(destination, self._attempt_load)
         self._exchange = ServerExchange(
             self._request,
@@ -324,12 +317,12 @@
         request = self._request
         if self._loop.time() >= self._routed.deadline_s:
             raise DeadlineExpiredError("the request's deadline has passed")
+        assert self._destination is not None
         if not self._answer.head_sent:
             self._router.require_fresh_credentials(self._route)
-            self._router.require_time_to_answer(self._expected_answer_s)
+            self._search.require_time_to_answer(self._destination)
         self._router.check_permission(self._route, request.path, request.credential)
         self._quarantine.check(request, self._owner, on_trial=self._routed.on_trial)
-        assert self._destination is not None
         server_id = self._destination.server.host
         router = self._router
         reason = router.eligibility.reason_against_send(server_id, self._loop.time())
--- a/src/railfold/_internal/forwarding/requests/prediction.py
+++ b/src/railfold/_internal/forwarding/requests/prediction.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from railfold._internal.core import Chain
 from railfold._internal.decisions.chain_prediction import (
@@ -11,10 +11,12 @@
     predict_chain,
 )
 from railfold._internal.decisions.fleet_load import ServerLoad
+from railfold._internal.decisions.routing_table import Route
 from railfold._internal.forwarding.messages import RequestSize
+from railfold._internal.forwarding.requests.destination import Destination
 from railfold._internal.forwarding.router import Router
 
-__all__ = ["Prediction", "predict"]
+__all__ = ["Prediction", "expected_answer_s", "predict"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +35,25 @@
     load_age_s: float
 
 
+def expected_answer_s(
+    router: Router, destination: Destination, route: Route, size: RequestSize
+) -> float:
+    """Return the expected time from now to the end of a request's answer.
+
+    A stream has as many tokens as the model's mean answer, unless its client asked for
+    fewer. A plain answer takes as long as its route's latency objective.
+    """
+    model = router.model_of_service(destination.service)
+    if destination.chain is None or model is None:
+        return route.objective_s
+    tokens = min(size.answer_tokens or model.answer_tokens, model.answer_tokens)
+    mean_size = replace(size, answer_tokens=tokens)
+    prediction = predict(router, destination.chain, mean_size)
+    if prediction is None:
+        return route.objective_s
+    return max(route.objective_s, prediction.chain.finish_s)
+
+
 def predict(router: Router, chain: Chain, size: RequestSize) -> Prediction | None:
     """Return the prediction for a request on a chain.
 
--- a/tests/forwarding/test_entry_stops.py
+++ b/tests/forwarding/test_entry_stops.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import time
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -122,10 +123,12 @@
     (first,) = [e for e in deployment.engines if e.run_counts["c-1"]]
     first.crash()
     reply = await asyncio.wait_for(read_reply_if_any(connection), LATENESS_S)
+    retries = dict(deployment.entry.metrics.counter_increments())
     await asyncio.wait_for(drain, 5.0)
     assert run_count(deployment, "c-1") == 1
     assert reply is not None
     assert reply.status == 502
+    assert retries.get("requests.retries", 0) == 0
 
 
 async def test_head_request_that_is_unfinished_at_the_exit_gets_an_answer(
@@ -197,6 +200,20 @@
     await asyncio.wait_for(drain, 5.0)
 
 
+async def test_request_whose_answer_cannot_end_in_a_short_grace_time_is_refused(
+    deployment: Deployment,
+) -> None:
+    entry = deployment.entry
+    entry._settings = replace(entry._settings, grace_s=0.5)
+    connection = await deployment.connect()
+    drain = asyncio.create_task(entry.drain())
+    await asyncio.sleep(0.05)
+    reply = await connection.ask("/slip/1", "c-1")
+    assert reply.status == 503
+    assert run_count(deployment, "c-1") == 0
+    await asyncio.wait_for(drain, 1.0)
+
+
 class BulkHandler:
     """Answers each request with more than the kernel buffers for a connection."""
 
