--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -64,6 +64,8 @@
     :param crash_body: a request with this body crashes the server ``crash_after_s``
         after it starts to run there, even while others run. ``crash_path`` is then
         set to its path and ``on_crash`` is called.
+    :param crash_prompt_part: the id of a prompt part; a request crashes the server in
+        the same way if one of its parts other than the last has this id.
     :param rate_limit: the rate limit, in requests per second, that it announces in the
         headers of responses; it doesn't enforce it.
     :param retry_after: the value of Retry-After in its refusals in mode ``"shed"``.
@@ -95,6 +97,7 @@
     blamed_address: str = ""
     refusals: list[Refusal] = field(default_factory=list)
     crash_body: bytes | None = None
+    crash_prompt_part: str | None = None
     crash_after_s: float = 0.08
     on_crash: Callable[[Engine], None] | None = None
     crash_path: str = ""
@@ -325,7 +328,7 @@
             await asyncio.Event().wait()
         engine.run_counts[request_id] += 1
         engine.run_at_s.append(asyncio.get_running_loop().time())
-        if engine.crash_body is not None and self.request.body == engine.crash_body:
+        if self._crashes_engine():
             await self._crash()
             return
         if engine.mode == "lose":
@@ -342,6 +345,14 @@
         else:
             await self._plain(request_id)
 
+    def _crashes_engine(self) -> bool:
+        engine = self.engine
+        if engine.crash_body is not None and self.request.body == engine.crash_body:
+            return True
+        parts = self.request.headers.get("Railfold-Prompt-Prefix", "").split(",")
+        shared_ids = [part.partition(":")[0] for part in parts[:-1]]
+        return engine.crash_prompt_part in shared_ids
+
     async def _crash(self) -> None:
         """Start the response if the request is a stream, then crash the engine."""
         if "Railfold-Hop-Count" in self.request.headers:
