Log the request id of a request that is refused late in a drain

What operators saw: request_ended of such a refusal had no request id, so that railfold trace didn't find it; a bad credential or path got 503 instead of 401 or 404.

Change: the request is decoded, and its route and credential are checked, before the entry asks whether it still accepts.

Evidence: test_request_that_is_complete_late_in_a_drain_is_refused_unsent compares the logged ids; one empty id before.

--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -449,7 +449,6 @@
         router = self.router
         request_id = ""
         try:
-            self._require_accepting(now_s)
             request = router.dialect.decode_request(
                 method, target, headers, body, now_s
             )
@@ -458,6 +457,7 @@
             route, owner = router.find_route(
                 request.host, request.path, request.credential
             )
+            self._require_accepting(now_s)
             on_trial = self._peering.quarantine.admit(request, route, owner)
         except RequestError as error:
             self._refusals.refuse(exchange, request_id, error, now_s)
--- a/tests/forwarding/test_entry_stops.py
+++ b/tests/forwarding/test_entry_stops.py
@@ -67,6 +67,7 @@
     uploads = {i: await begin_upload(deployment, p, i) for i, p in paths.items()}
     drain = asyncio.create_task(deployment.entry.drain())
     await asyncio.sleep(BALANCER_DRAIN_S + LATENESS_S)
+    deployment.log_lines()
     for request_id, connection in uploads.items():
         connection.writer.write(b"p")
         reply = await read_reply_if_any(connection)
@@ -75,6 +76,8 @@
         assert float(reply.headers["Retry-After"]) < 1.0
         assert reply.headers["Connection"] == "close"
         assert run_count(deployment, request_id) == 0
+    refused = [e for e in deployment.log_lines() if e["type"] == "request_ended"]
+    assert {event["request_id"] for event in refused} == paths.keys()
     await asyncio.wait_for(drain, 5.0)
 
 
