Don't listen again in a drain; give clients time to read final answers

Callers: if the child that serves clients failed in a drain, its supervisor started it again and it accepted connections that nobody answered; answers that were written at the exit could be cut if the client was slow to read.

Change: a stopped ClientServer doesn't listen again; the exit waits up to 0.1 s of its reserve while connections are open.

Evidence: test_server_that_is_restarted_after_a_stop_does_not_listen_again connected before. The wait is covered by no test of its own.

--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -125,6 +125,11 @@
 # balancer sends a client whose connection is closed to another entry.
 _BALANCER_PROBE_S = 2.2
 
+# How long the exit waits for clients to read their final answers, within the part of
+# the grace time reserved for it.
+_FLUSH_TIMEOUT_S = 0.1
+_FLUSH_POLL_S = 0.01
+
 # The part of the grace time reserved for closing the remaining connections and exiting.
 _EXIT_RESERVE_S = 0.4
 
@@ -602,6 +607,9 @@
             await asyncio.sleep(_UPKEEP_INTERVAL_S / 5)
         self._log_stop_stage("the process exits", started_s)
         self._give_up_requests()
+        flushed_s = self._loop.time() + _FLUSH_TIMEOUT_S
+        while self._clients.open_connections and self._loop.time() < flushed_s:  # noqa: ASYNC110
+            await asyncio.sleep(_FLUSH_POLL_S)
         for task in store_tasks:
             task.cancel()
         self.log.flush()
--- a/src/railfold/_internal/forwarding/requests/front.py
+++ b/src/railfold/_internal/forwarding/requests/front.py
@@ -378,7 +378,13 @@
         server.conn_params.max_header_size = self._limits.max_header_bytes
 
     async def run(self, ready: asyncio.Event) -> None:
-        """Listen and serve until cancelled; ``ready`` is set once it listens."""
+        """Listen and serve until cancelled; ``ready`` is set once it listens.
+
+        After the server was told to stop, it doesn't listen again.
+        """
+        if self.stopped:
+            ready.set()
+            await asyncio.Event().wait()
         await self._child.run(ready)
 
     # HTTPServerConnectionDelegate
--- a/tests/forwarding/test_entry_stops.py
+++ b/tests/forwarding/test_entry_stops.py
@@ -256,3 +256,15 @@
     assert handler.requests == 1
     connection.close()
     running.cancel()
+
+
+async def test_server_that_is_restarted_after_a_stop_does_not_listen_again() -> None:
+    address = Address("127.0.0.1", free_port())
+    server = ClientServer(address, BulkHandler(), MemoryQuota(1_000_000))  # type: ignore[arg-type]
+    server.can_answer.set()
+    server.stop_accepting()
+    running = asyncio.create_task(server.run(asyncio.Event()))
+    await asyncio.sleep(0.05)
+    with pytest.raises(ConnectionError):
+        await asyncio.open_connection(address.ip, address.port)
+    running.cancel()
