Let a drain continue when SIGTERM is sent again

Callers: a platform or operator that sent SIGTERM twice cut every answer of the entry or agent at once, as did one that sent SIGINT and SIGTERM.

Cause: any second signal ended the drain early, for people at a terminal.

Change: further SIGTERMs change nothing; a second SIGINT still ends the drain. This holds for all roles.

Evidence: test_further_signal_in_a_drain_cuts_no_answer[agent-meter-a1, entry-0] failed before (the stream ended without an outcome at the entry; with no_capacity at the agent) and passes now; test_second_interrupt_of_a_person_ends_a_drain passed before and after.

--- a/src/railfold/_internal/supervision/process.py
+++ b/src/railfold/_internal/supervision/process.py
@@ -27,31 +27,32 @@
 async def run_process(root: Supervisor, drain: Callable[[], Awaitable[None]]) -> None:
     """Run a supervisor tree; on SIGTERM or SIGINT drain it, then stop it in order.
 
-    A second signal ends the drain early.
+    Further SIGTERMs don't end the drain early, since a platform may send several. A
+    second SIGINT, which a person sends from a terminal, does.
 
     :raises SupervisorFailedError: the restart limit of the root supervisor was
         exceeded.
     """
     set_up_process_log()
     loop = asyncio.get_running_loop()
-    first_signal, second_signal = asyncio.Event(), asyncio.Event()
+    stop_requested, interrupted = asyncio.Event(), asyncio.Event()
+    interrupted_again = asyncio.Event()
 
-    def on_signal() -> None:
-        (second_signal if first_signal.is_set() else first_signal).set()
+    def on_interrupt() -> None:
+        (interrupted_again if interrupted.is_set() else interrupted).set()
+        stop_requested.set()
 
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, on_signal)
+    loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
+    loop.add_signal_handler(signal.SIGINT, on_interrupt)
     root_task = asyncio.create_task(root.run(asyncio.Event()))
-    first_signal_task = asyncio.create_task(first_signal.wait())
-    await asyncio.wait(
-        {root_task, first_signal_task}, return_when=asyncio.FIRST_COMPLETED
-    )
+    stop_task = asyncio.create_task(stop_requested.wait())
+    await asyncio.wait({root_task, stop_task}, return_when=asyncio.FIRST_COMPLETED)
     if not root_task.done():
         logging.info("stopping: drain started")
         drain_task = asyncio.ensure_future(drain())
-        second_signal_task = asyncio.create_task(second_signal.wait())
+        interrupt_task = asyncio.create_task(interrupted_again.wait())
         await asyncio.wait(
-            {root_task, drain_task, second_signal_task},
+            {root_task, drain_task, interrupt_task},
             return_when=asyncio.FIRST_COMPLETED,
         )
         logging.info(
@@ -60,7 +61,7 @@
             else "stopping: drain interrupted"
         )
         root_task.cancel()
-    first_signal_task.cancel()
+    stop_task.cancel()
     try:
         await root_task
     except asyncio.CancelledError:
--- a/tests/functional/test_planned_stops.py
+++ b/tests/functional/test_planned_stops.py
@@ -6,6 +6,9 @@
 
 from __future__ import annotations
 
+import signal
+import time
+
 import pytest
 
 from standins.cluster import Cluster, post
@@ -13,6 +16,9 @@
 
 TOKEN_COUNT = 60
 
+# More tokens than an engine generates while a test runs.
+ENDLESS = 2000
+
 
 def busy_hosts(cluster: Cluster) -> list[str]:
     agents = cluster.status()["agents"]
@@ -69,3 +75,31 @@
 def test_idle_process_stops_cleanly(cluster: Cluster, name: str) -> None:
     assert cluster.processes[name].stop() == 0
     assert "Traceback" not in cluster.read_log(name)
+
+
+@pytest.mark.parametrize("signal_number", [signal.SIGTERM])
+@pytest.mark.parametrize("name", ["agent-meter-a1", "entry-0"])
+def test_further_signal_in_a_drain_cuts_no_answer(
+    cluster: Cluster, name: str, signal_number: int
+) -> None:
+    caller = StreamCaller(cluster.callers_url(), "unit 1", 400)
+    caller.wait_for_tokens(3)
+    process = cluster.processes[name]
+    process.signal(signal.SIGTERM)
+    time.sleep(0.3)
+    process.signal(signal_number)
+    assert process.popen.wait(20.0) == 0
+    caller.assert_complete()
+
+
+def test_second_interrupt_of_a_person_ends_a_drain(cluster: Cluster) -> None:
+    caller = StreamCaller(cluster.callers_url(), "unit 1", ENDLESS)
+    caller.wait_for_tokens(3)
+    process = cluster.processes["entry-0"]
+    process.signal(signal.SIGINT)
+    time.sleep(0.3)
+    assert process.popen.poll() is None
+    process.signal(signal.SIGINT)
+    process.popen.wait(5.0)
+    caller.finish()
+    assert len(caller.token_ids) < ENDLESS
