Ignore SIGHUP in processes that have no settings to reload

Callers: a SIGHUP to an entry or agent ended it at once and cut every answer, also in the middle of a drain. A forwarding entry was ended by one that came after its settings watcher had stopped.

Cause: SIGHUP had its default action; the watcher restored that action at its end.

Change: run_process logs and ignores SIGHUP; the watcher's handler replaces that one while it runs, and leaves one that does nothing.

Evidence: test_further_signal_in_a_drain_cuts_no_answer with SIGHUP (both processes ended by signal 1 before) and test_sighup_after_the_last_reload_does_not_end_the_process (the default action was in force before) pass now.

--- a/src/railfold/_internal/forwarding/reload.py
+++ b/src/railfold/_internal/forwarding/reload.py
@@ -49,7 +49,8 @@
                 if requested or self._source.stamp() != self._source.loaded_stamp:
                     self._reload()
         finally:
-            loop.remove_signal_handler(signal.SIGHUP)
+            # The default action would end a process that is being stopped.
+            loop.add_signal_handler(signal.SIGHUP, _ignore_signal)
 
     async def _wait_for_request(self) -> bool:
         """Wait for a signal or the next check; return whether a signal arrived."""
@@ -68,3 +69,7 @@
             return
         self._on_settings(settings)
         self._log.write(SettingsReloaded("in force"))
+
+
+def _ignore_signal() -> None:
+    """Do nothing."""
--- a/src/railfold/_internal/supervision/process.py
+++ b/src/railfold/_internal/supervision/process.py
@@ -28,7 +28,8 @@
     """Run a supervisor tree; on SIGTERM or SIGINT drain it, then stop it in order.
 
     Further SIGTERMs don't end the drain early, since a platform may send several. A
-    second SIGINT, which a person sends from a terminal, does.
+    second SIGINT, which a person sends from a terminal, does. SIGHUP is ignored unless
+    a child handles it.
 
     :raises SupervisorFailedError: the restart limit of the root supervisor was
         exceeded.
@@ -42,6 +43,7 @@
         (interrupted_again if interrupted.is_set() else interrupted).set()
         stop_requested.set()
 
+    loop.add_signal_handler(signal.SIGHUP, logging.info, "SIGHUP ignored")
     loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
     loop.add_signal_handler(signal.SIGINT, on_interrupt)
     root_task = asyncio.create_task(root.run(asyncio.Event()))
--- a/tests/functional/test_planned_stops.py
+++ b/tests/functional/test_planned_stops.py
@@ -77,7 +77,7 @@
     assert "Traceback" not in cluster.read_log(name)
 
 
-@pytest.mark.parametrize("signal_number", [signal.SIGTERM])
+@pytest.mark.parametrize("signal_number", [signal.SIGTERM, signal.SIGHUP])
 @pytest.mark.parametrize("name", ["agent-meter-a1", "entry-0"])
 def test_further_signal_in_a_drain_cuts_no_answer(
     cluster: Cluster, name: str, signal_number: int
--- a/tests/unit/test_platform_settings.py
+++ b/tests/unit/test_platform_settings.py
@@ -152,3 +152,17 @@
     assert b"refused" in os.read(read_fd, 65536)
     os.close(read_fd)
     os.close(write_fd)
+
+
+async def test_sighup_after_the_last_reload_does_not_end_the_process(
+    path: Path,
+) -> None:
+    _, write_fd = os.pipe()
+    source = SettingsSource(path, load_forwarding_settings)
+    watcher = SettingsWatcher(source, print, DecisionLog("front-1", write_fd))
+    ready = asyncio.Event()
+    task = asyncio.create_task(watcher.run(ready))
+    await ready.wait()
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    assert signal.getsignal(signal.SIGHUP) is not signal.SIG_DFL
