Count an entry's notice time as part of its drain time-out

Callers: an entry drained for notice_s longer than timeout_s, which limits the whole drain by the settings. A platform whose grace time is timeout_s kills such an entry in the middle of its answers.

Cause: the time-out began after the notice time.

Change: DrainSchedule says when both end, counted from the signal.

--- a/src/railfold/_internal/entry/process.py
+++ b/src/railfold/_internal/entry/process.py
@@ -14,6 +14,7 @@
 from railfold._internal.decisions.admission import AdmissionLimits
 from railfold._internal.decisions.checkpoints import CheckpointSchedule
 from railfold._internal.decisions.claims import ClaimLedger
+from railfold._internal.decisions.drain import DrainSchedule
 from railfold._internal.decisions.heartbeats import HeartbeatPace
 from railfold._internal.decisions.lifecycle import (
     LifecycleLimits,
@@ -227,12 +228,16 @@
     async def drain(self) -> None:
         """Leave the load balancer, then wait until the requests in flight have ended.
 
-        The wait for requests in flight is limited by the drain time-out.
+        The whole drain is limited by its time-out.
         """
-        drain = self._settings.drain
+        settings = self._settings.drain
+        loop = asyncio.get_running_loop()
+        schedule = DrainSchedule.plan(
+            loop.time(), settings.notice_s, settings.timeout_s, exit_s=0.0
+        )
         self.begin_drain()
-        await asyncio.sleep(drain.notice_s)
-        await wait_until_idle(self._busy, drain.timeout_s)
+        await asyncio.sleep(schedule.accepts_until_s - loop.time())
+        await wait_until_idle(self._busy, schedule.ends_s - loop.time())
 
     def _busy(self) -> bool:
         waiting = any(queue.waiting for _, queue in self._admission.queues())
