Refuse requests that an entry gets after the notice time of its drain

Cause: the notice time only delayed the wait for idleness. Nothing stopped the listener, nothing bounded new requests, and answers left their connections open.

Change: after the notice time the listener is closed, and each request that becomes complete is refused with 503 entry_stopping, Retry-After and Connection: close, unsent. From the start of a drain each answer closes its connection. DrainSchedule raises the refusal for this entry and the forwarding one.

Evidence: test_request_complete_late_in_a_drain_is_refused_unsent (both paths accepted the request before: 201, and 504 deadline_expired of the queue), test_kept_connection_accepts_no_request_late_in_a_drain (201 before), test_entry_accepts_no_connection_late_in_a_drain (connected before) and test_answers_of_a_stopping_entry_close_their_connections (no Connection: close before) pass now.

--- a/src/railfold/_internal/decisions/drain.py
+++ b/src/railfold/_internal/decisions/drain.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from railfold._internal.errors import EntryStoppingError
+
 __all__ = ["DrainSchedule"]
 
 
@@ -32,6 +34,16 @@
         ends_s = started_s + max(0.0, grace_s - exit_s)
         return cls(min(started_s + notice_s, ends_s), ends_s)
 
-    def accepts(self, now_s: float) -> bool:
-        """Return whether a request that is complete now may be accepted."""
-        return now_s < self.accepts_until_s
+    def require_accepting(self, now_s: float) -> None:
+        """Check that a request that is complete now may be accepted.
+
+        :raises EntryStoppingError: the entry has stopped to accept requests.
+        """
+        late_s = now_s - self.accepts_until_s
+        if late_s < 0:
+            return
+        raise EntryStoppingError(
+            "the entry is being stopped and accepts no more requests",
+            why=f"the request was complete {late_s:.2f} s too late",
+            hint="send it over a new connection",
+        )
--- a/src/railfold/_internal/entry/callers.py
+++ b/src/railfold/_internal/entry/callers.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from asyncio import Future
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 import msgspec
+from tornado.http1connection import HTTP1Connection
 from tornado.iostream import StreamClosedError
 from tornado.web import RequestHandler, stream_request_body
 
@@ -23,6 +25,7 @@
 from railfold._internal.entry.generate import GenerateDriver
 from railfold._internal.entry.parsing import ParsedGenerate, RequestParser
 from railfold._internal.errors import (
+    AdmissionRefusedError,
     BodyTooLargeError,
     HeadersTooLargeError,
     NotReadyError,
@@ -45,6 +48,9 @@
     :param configuration: returns the configuration in force.
     :param refusal_reasons: returns why this entry takes no requests now; empty if it
         does.
+    :param require_accepting: raises :class:`AdmissionRefusedError` if a request that is
+        complete now comes too late in a planned stop.
+    :param closes_connections: returns whether each answer closes its connection.
     """
 
     dispatcher: Dispatcher
@@ -53,6 +59,8 @@
     metrics: Metrics
     configuration: Callable[[], Configuration]
     refusal_reasons: Callable[[], list[str]]
+    require_accepting: Callable[[], None]
+    closes_connections: Callable[[], bool]
 
 
 @stream_request_body
@@ -111,6 +119,18 @@
             self._body_timer.cancel()
         return bytes(self._body)
 
+    def refuse_if_late(self) -> bool:
+        """Refuse a complete request that comes too late in a planned stop.
+
+        Return whether the request was refused.
+        """
+        try:
+            self.services.require_accepting()
+        except AdmissionRefusedError as refusal:
+            self.refuse(refusal.error, refusal.retry_after_s)
+            return True
+        return False
+
     def on_finish(self) -> None:
         """Stop the timer that limits the duration of the body."""
         if self._body_timer is not None:
@@ -125,6 +145,7 @@
         """Write a complete reply, unless one was written before."""
         if self._finished:
             return
+        self.set_connection_header()
         self.set_status(reply.status)
         self.set_header("Content-Type", reply.content_type or "application/json")
         self.set_header(OUTCOME_HEADER, reply.outcome)
@@ -132,6 +153,23 @@
             self.set_header(name, value)
         self.finish(reply.body)
 
+    def set_connection_header(self) -> None:
+        """Announce that the connection is closed after this answer, if it is."""
+        if self.services.closes_connections():
+            self.set_header("Connection", "close")
+
+    def finish(self, chunk: str | bytes | dict[str, Any] | None = None) -> Future[None]:
+        """End the answer, and close the connection if the answer announced it."""
+        closes_connection = self._headers.get("Connection") == "close"
+        future = super().finish(chunk)
+        connection = self.request.connection
+        assert isinstance(connection, HTTP1Connection)
+        if closes_connection and not connection.stream.closed():
+            # This future is done once all data written before is sent.
+            barrier = connection.stream.write(b"")
+            barrier.add_done_callback(lambda _: connection.close())
+        return future
+
     def _body_timed_out(self) -> None:
         self.refuse(
             RequestTimeoutError(
@@ -169,6 +207,8 @@
     async def post(self, name: str) -> None:
         """Run a generate request; reply at once or as an event stream."""
         body = self.take_body()
+        if self.refuse_if_late():
+            return
         services = self.services
         try:
             parsed = services.parser.parse_generate(
@@ -239,6 +279,7 @@
         # Headers aren't sent before the first token, so that a request that is refused
         # earlier gets a plain reply with an error status.
         if not self._headers_written:
+            self.set_connection_header()
             self.set_header("Content-Type", "text/event-stream")
             self.set_header("Cache-Control", "no-store")
 
@@ -256,6 +297,8 @@
     async def _forward_call(self, name: str, path: str) -> None:
         """Forward a call of any method to the service."""
         body = self.take_body()
+        if self.refuse_if_late():
+            return
         if self.request.query:
             path = f"{path}?{self.request.query}"
         services = self.services
--- a/src/railfold/_internal/entry/process.py
+++ b/src/railfold/_internal/entry/process.py
@@ -8,12 +8,17 @@
 from typing import Any
 
 import msgspec
+from absl import logging
 from tornado.web import Application
 
 from railfold._internal.configuration.replica import ConfigurationReplica
 from railfold._internal.decisions.admission import AdmissionLimits
 from railfold._internal.decisions.checkpoints import CheckpointSchedule
 from railfold._internal.decisions.claims import ClaimLedger
+from railfold._internal.decisions.client_retry_after import (
+    EntryStopping,
+    client_retry_after_s,
+)
 from railfold._internal.decisions.drain import DrainSchedule
 from railfold._internal.decisions.heartbeats import HeartbeatPace
 from railfold._internal.decisions.lifecycle import (
@@ -39,6 +44,7 @@
 )
 from railfold._internal.entry.generate import RoutingContext
 from railfold._internal.entry.parsing import RequestParser
+from railfold._internal.errors import AdmissionRefusedError, EntryStoppingError
 from railfold._internal.links.connection import LinkLimits
 from railfold._internal.links.messages import PROTOCOL_VERSION, Hello
 from railfold._internal.observability.http import (
@@ -78,6 +84,7 @@
         self._incarnation = time.time_ns()
         self._rng = random.Random()
         self._draining = False
+        self._drain_schedule: DrainSchedule | None = None
         self._http = new_http_client()
         self._log = LogClient(
             settings.platform.log_url,
@@ -114,6 +121,7 @@
             self._claims,
             self._claims_readable,
         )
+        self._callers = self._caller_server()
 
     def _make_agents(self) -> AgentPool:
         settings = self._settings
@@ -213,7 +221,7 @@
             ChildSpec("platform", platform_supervisor.run),
             ChildSpec("admission", self._run_capacity_refresh),
             ChildSpec("operators", self._operator_server().run),
-            ChildSpec("callers", self._caller_server().run),
+            ChildSpec("callers", self._callers.run),
         ]
         statsd = self._settings.statsd
         if statsd is not None:
@@ -222,23 +230,44 @@
         return Supervisor("entry", children)
 
     def begin_drain(self) -> None:
-        """Report "not ready" to the load balancer from now on."""
+        """Report "not ready" to the load balancer from now on.
+
+        Each answer closes its connection, so that clients open new ones, which the load
+        balancer leads to other entries.
+        """
         self._draining = True
 
     async def drain(self) -> None:
         """Leave the load balancer, then wait until the requests in flight have ended.
 
-        The whole drain is limited by its time-out.
+        Requests that become complete after the notice time are refused. The whole drain
+        is limited by its time-out.
         """
         settings = self._settings.drain
         loop = asyncio.get_running_loop()
-        schedule = DrainSchedule.plan(
+        self._drain_schedule = schedule = DrainSchedule.plan(
             loop.time(), settings.notice_s, settings.timeout_s, exit_s=0.0
         )
         self.begin_drain()
         await asyncio.sleep(schedule.accepts_until_s - loop.time())
+        self._callers.stop_listening()
+        logging.info("stopping: no more requests are accepted")
         await wait_until_idle(self._busy, schedule.ends_s - loop.time())
 
+    def _require_accepting(self) -> None:
+        """Check that a request that is complete now may be accepted.
+
+        :raises AdmissionRefusedError: the entry is being stopped, and the load balancer
+            has had time to notice.
+        """
+        if self._drain_schedule is None:
+            return
+        try:
+            self._drain_schedule.require_accepting(asyncio.get_running_loop().time())
+        except EntryStoppingError as error:
+            delay_s = client_retry_after_s(EntryStopping(), self._rng.random())
+            raise AdmissionRefusedError(error, delay_s) from error
+
     def _busy(self) -> bool:
         waiting = any(queue.waiting for _, queue in self._admission.queues())
         return bool(self._agents.in_flight or waiting)
@@ -323,8 +352,8 @@
         return reasons
 
     def _refusal_reasons(self) -> list[str]:
-        # A draining entry still serves new requests, because the load balancer may not
-        # have noticed yet that the entry isn't ready.
+        # A draining entry still serves new requests for the notice time, because the
+        # load balancer may not have noticed yet that the entry isn't ready.
         return [] if self._configuration.ready else ["no configuration yet"]
 
     def _operator_server(self) -> HttpServerChild:
@@ -355,6 +384,8 @@
             self.metrics,
             lambda: self._replica.configuration,
             self._refusal_reasons,
+            self._require_accepting,
+            lambda: self._draining,
         )
         arguments = {"services": services}
         application = Application(
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -479,15 +479,13 @@
 
         :raises EntryStoppingError: the entry has stopped to accept requests.
         """
-        if self._drain is None or self._drain.accepts(now_s):
+        if self._drain is None:
             return
-        self.metrics.count("requests.late")
-        late_s = now_s - self._drain.accepts_until_s
-        raise EntryStoppingError(
-            "the entry is being stopped and accepts no more requests",
-            why=f"the request was complete {late_s:.2f} s too late",
-            hint="send it over a new connection",
-        )
+        try:
+            self._drain.require_accepting(now_s)
+        except EntryStoppingError:
+            self.metrics.count("requests.late")
+            raise
 
     def _drop_finished_drivers(self) -> None:
         active = self.router.active
--- a/tests/functional/test_planned_stops.py
+++ b/tests/functional/test_planned_stops.py
@@ -6,12 +6,23 @@
 
 from __future__ import annotations
 
+import http.client
+import json
 import signal
 import time
+from collections.abc import Iterator
+from urllib.parse import urlsplit
 
 import pytest
 
-from standins.cluster import Cluster, post
+from standins.cluster import (
+    PIPELINE,
+    SERVICE,
+    Cluster,
+    EngineHost,
+    caller_headers,
+    post,
+)
 from tests.lib.callers import StreamCaller, generate, send
 
 TOKEN_COUNT = 60
@@ -20,6 +31,56 @@
 ENDLESS = 2000
 
 
+# Settings of the entry of ``slow_cluster``.
+NOTICE_S = 0.5
+DRAIN_S = 6.0
+PROBE_TIMEOUT_S = 5.0
+
+# How late a process on a busy machine may be.
+LATENESS_S = 0.7
+
+GENERATE_PATH = f"/v1/pipelines/{PIPELINE}/generate"
+SERVICE_PATH = f"/v1/services/{SERVICE}/slips/late"
+
+
+@pytest.fixture
+def slow_cluster() -> Iterator[Cluster]:
+    """Run one entry with a short drain, one engine for one request, and a service."""
+    engine = EngineHost("meter-a1", 0, 11, fixed_ms=20.0, max_sequences=1)
+    overrides = {
+        "drain": {"notice_s": NOTICE_S, "timeout_s": DRAIN_S},
+        "routing": {"probe_timeout_s": PROBE_TIMEOUT_S},
+    }
+    with Cluster([engine], service_hosts=1, entry_overrides=overrides) as cluster:
+        yield cluster
+
+
+def connect(cluster: Cluster) -> http.client.HTTPConnection:
+    """Open a connection to the entry that is kept until it is closed."""
+    address = urlsplit(cluster.callers_url()).netloc
+    connection = http.client.HTTPConnection(address, timeout=20.0)
+    connection.connect()
+    return connection
+
+
+def begin_upload(
+    cluster: Cluster, path: str, body: bytes
+) -> http.client.HTTPConnection:
+    """Send a request whose body lacks its last byte."""
+    connection = connect(cluster)
+    connection.putrequest("POST", path)
+    for name, value in caller_headers(Content_Length=str(len(body))).items():
+        connection.putheader(name, value)
+    connection.endheaders(body[:-1])
+    return connection
+
+
+def stop_entry(cluster: Cluster, wait_s: float) -> None:
+    """Send SIGTERM to the entry and wait for some of the drain."""
+    cluster.processes["entry-0"].signal(signal.SIGTERM)
+    time.sleep(wait_s)
+
+
 def busy_hosts(cluster: Cluster) -> list[str]:
     agents = cluster.status()["agents"]
     return sorted(agent["host"] for agent in agents if agent["load"])
@@ -80,11 +141,11 @@
 @pytest.mark.parametrize("signal_number", [signal.SIGTERM, signal.SIGHUP])
 @pytest.mark.parametrize("name", ["agent-meter-a1", "entry-0"])
 def test_further_signal_in_a_drain_cuts_no_answer(
-    cluster: Cluster, name: str, signal_number: int
+    slow_cluster: Cluster, name: str, signal_number: int
 ) -> None:
-    caller = StreamCaller(cluster.callers_url(), "unit 1", 400)
+    caller = StreamCaller(slow_cluster.callers_url(), "unit 1", TOKEN_COUNT)
     caller.wait_for_tokens(3)
-    process = cluster.processes[name]
+    process = slow_cluster.processes[name]
     process.signal(signal.SIGTERM)
     time.sleep(0.3)
     process.signal(signal_number)
@@ -103,3 +164,54 @@
     process.popen.wait(5.0)
     caller.finish()
     assert len(caller.token_ids) < ENDLESS
+
+
+@pytest.mark.parametrize("path", [GENERATE_PATH, SERVICE_PATH])
+def test_request_complete_late_in_a_drain_is_refused_unsent(
+    slow_cluster: Cluster, path: str
+) -> None:
+    StreamCaller(slow_cluster.callers_url(), "unit 1", ENDLESS).wait_for_tokens(1)
+    upload = begin_upload(slow_cluster, path, b'{"prompt": "x", "max_tokens": 1}')
+    stop_entry(slow_cluster, NOTICE_S + LATENESS_S)
+    upload.send(b"}")
+    response = upload.getresponse()
+    body = json.load(response)
+    assert (response.status, body["code"]) == (503, "entry_stopping")
+    assert response.headers["Railfold-Outcome"] == "not_run"
+    assert response.headers["Connection"] == "close"
+    assert response.headers["Retry-After"]
+
+
+def test_kept_connection_accepts_no_request_late_in_a_drain(
+    slow_cluster: Cluster,
+) -> None:
+    StreamCaller(slow_cluster.callers_url(), "unit 1", ENDLESS).wait_for_tokens(1)
+    connection = connect(slow_cluster)
+    connection.request("POST", SERVICE_PATH, b"{}", caller_headers())
+    assert connection.getresponse().read()
+    stop_entry(slow_cluster, NOTICE_S + LATENESS_S)
+    connection.request("POST", SERVICE_PATH, b"{}", caller_headers())
+    response = connection.getresponse()
+    assert (response.status, json.load(response)["code"]) == (503, "entry_stopping")
+
+
+def test_entry_accepts_no_connection_late_in_a_drain(slow_cluster: Cluster) -> None:
+    StreamCaller(slow_cluster.callers_url(), "unit 1", ENDLESS).wait_for_tokens(1)
+    stop_entry(slow_cluster, NOTICE_S + LATENESS_S)
+    with pytest.raises(ConnectionRefusedError):
+        connect(slow_cluster)
+
+
+# A connection that is kept would lead its next requests to the leaving entry.
+def test_answers_of_a_stopping_entry_close_their_connections(
+    slow_cluster: Cluster,
+) -> None:
+    connection = connect(slow_cluster)
+    connection.request("POST", SERVICE_PATH, b"{}", caller_headers())
+    first = connection.getresponse()
+    assert first.read()
+    assert first.headers["Connection"] != "close"
+    post(f"{slow_cluster.entry_url()}/v1/drain", {})
+    connection.request("POST", SERVICE_PATH, b"{}", caller_headers())
+    second = connection.getresponse()
+    assert (second.status, second.headers["Connection"]) == (201, "close")
