--- a/src/railfold/_internal/decisions/drain.py
+++ b/src/railfold/_internal/decisions/drain.py
@@ -4,7 +4,9 @@
 
 from dataclasses import dataclass
 
-__all__ = ["DrainSchedule"]
+from railfold._internal.errors import EntryStoppingError
+
+__all__ = ["DrainSchedule", "acceptance_error"]
 
 
 # The largest share of the grace time that is kept for the exit.
@@ -41,9 +43,25 @@
         """Return whether a request that is complete now may be accepted."""
         return now_s < self.accepts_until_s
 
+    def require_accepting(self, now_s: float) -> None:
+        """Check that a request that is complete now may be accepted.
+
+        :raises EntryStoppingError: the entry has stopped to accept requests.
+        """
+        if not self.accepts(now_s):
+            raise acceptance_error()
+
     def allows_send(self, now_s: float, answer_s: float) -> bool:
         """Return whether a request may be sent to a backend server now.
 
         :param answer_s: expected time until the end of its answer.
         """
         return now_s + answer_s <= self.ends_s
+
+
+def acceptance_error() -> EntryStoppingError:
+    """Return the error for a request that a stopping entry doesn't accept any more."""
+    return EntryStoppingError(
+        "the entry is being stopped and accepts no more requests",
+        hint="send it over a new connection",
+    )
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -10,7 +10,7 @@
 
 from railfold import __version__
 from railfold._internal import clock
-from railfold._internal.decisions.drain import DrainSchedule
+from railfold._internal.decisions.drain import DrainSchedule, acceptance_error
 from railfold._internal.decisions.engine_directory import EngineDirectory
 from railfold._internal.decisions.fleet_size import FleetSize
 from railfold._internal.decisions.freshness import FreshnessLease
@@ -23,7 +23,6 @@
 )
 from railfold._internal.decisions.routing_table import RoutingTable, require_table
 from railfold._internal.errors import (
-    EntryStoppingError,
     LogUnavailableError,
     MemoryQuotaExceededError,
     RequestError,
@@ -491,10 +490,7 @@
         if in_time and not self._clients.stopped:
             return
         self.metrics.count("requests.late")
-        raise EntryStoppingError(
-            "the entry is being stopped and accepts no more requests",
-            hint="send it over a new connection",
-        )
+        raise acceptance_error()
 
     def _drop_finished_drivers(self) -> None:
         active = self.router.active
