Count a planned stop from its signal, not from the event loop's next turn

Callers: an event loop that was blocked for 0.6 s when SIGTERM came accepted requests until 3.4 s after it, and exited after the platform's grace time.

Cause: the times of the stop were counted from when the loop ran the drain.

A signal that comes while the host is suspended counts from the resumption (open).

--- a/src/railfold/_internal/agent/process.py
+++ b/src/railfold/_internal/agent/process.py
@@ -148,12 +148,18 @@
             children.insert(0, ChildSpec("metrics", sender.run))
         return Supervisor("agent", children)
 
-    async def drain(self) -> None:
-        """Refuse new work; return when none is in flight or the drain times out."""
+    async def drain(self, requested_s: float | None = None) -> None:
+        """Refuse new work; return when none is in flight or the drain times out.
+
+        :param requested_s: when the stop was requested, on the event loop's clock; now
+            by default.
+        """
+        now_s = asyncio.get_running_loop().time()
+        late_s = 0.0 if requested_s is None else now_s - requested_s
         self._links.set_draining()
         await wait_until_idle(
             lambda: self._backend.report().running > 0,
-            self._settings.drain.timeout_s,
+            self._settings.drain.timeout_s - late_s,
         )
 
     def status(self) -> dict[str, Any]:
--- a/src/railfold/_internal/entry/process.py
+++ b/src/railfold/_internal/entry/process.py
@@ -237,16 +237,22 @@
         """
         self._draining = True
 
-    async def drain(self) -> None:
+    async def drain(self, requested_s: float | None = None) -> None:
         """Leave the load balancer, then wait until the requests in flight have ended.
 
         Requests that become complete after the notice time are refused. The whole drain
         is limited by its time-out.
+
+        :param requested_s: when the stop was requested, on the event loop's clock; now
+            by default.
         """
         settings = self._settings.drain
         loop = asyncio.get_running_loop()
         self._drain_schedule = schedule = DrainSchedule.plan(
-            loop.time(), settings.notice_s, settings.timeout_s, exit_s=0.0
+            loop.time() if requested_s is None else requested_s,
+            settings.notice_s,
+            settings.timeout_s,
+            exit_s=0.0,
         )
         self.begin_drain()
         await asyncio.sleep(schedule.accepts_until_s - loop.time())
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -580,9 +580,13 @@
             return missing_chain_pace()
         return default_pace(self._settings.drain_notice_s)
 
-    async def drain(self) -> None:
-        """Become unready, finish the requests in flight, then return."""
-        started_s = self._loop.time()
+    async def drain(self, requested_s: float | None = None) -> None:
+        """Become unready, finish the requests in flight, then return.
+
+        :param requested_s: when the stop was requested, on the event loop's clock; now
+            by default.
+        """
+        started_s = self._loop.time() if requested_s is None else requested_s
         self.router.drain = drain = DrainSchedule.plan(
             started_s, _BALANCER_DRAIN_S, self._settings.grace_s, _EXIT_RESERVE_S
         )
--- a/tests/forwarding/test_entry_stops.py
+++ b/tests/forwarding/test_entry_stops.py
@@ -20,8 +20,10 @@
     Connection,
     Deployment,
     Reply,
+    begin_stream,
     read_reply,
     run_count,
+    stream_body,
     until,
 )
 
@@ -190,12 +192,10 @@
 ) -> None:
     for engine in deployment.engines:
         engine.event_interval_s = 0.05
-    connection = await deployment.connect()
-    await connection.send("/draft/1", "p-1", events=62)
-    await asyncio.sleep(0.1)
+    connection, _ = await begin_stream(deployment, "p-1", events=62)
     drain = asyncio.create_task(deployment.entry.drain())
     await connection.send("/slip/1", "p-2")
-    assert (await read_reply(connection)).complete
+    assert (await read_reply(connection)).body == stream_body(62)
     reply = await read_reply_if_any(connection)
     assert reply is not None, "closed without an answer"
     assert reply.status == 503
