Let an entry's drain wait until its answers are written

Callers: an entry that stopped cut answers that a slow caller hadn't read completely, and requests that waited for their idempotency key to be claimed.

Cause: the drain waited for requests with a driver and for the queue. A request has no driver while its key is claimed, and none once its answer is whole.

Change: a request is open from its headers until its answer is written, and the drain waits for the open ones. A caller that closes its connection in the middle of a body for a pipeline ends its request, as for a service.

--- a/src/railfold/_internal/entry/callers.py
+++ b/src/railfold/_internal/entry/callers.py
@@ -5,7 +5,7 @@
 import asyncio
 from asyncio import Future
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
@@ -36,7 +36,13 @@
 from railfold._internal.observability.metrics import Metrics
 from railfold._internal.settings.models import CallerLimits
 
-__all__ = ["CallerServices", "GenerateHandler", "NotFoundHandler", "ServiceHandler"]
+__all__ = [
+    "CallerHandler",
+    "CallerServices",
+    "GenerateHandler",
+    "NotFoundHandler",
+    "ServiceHandler",
+]
 
 _NOT_READY_RETRY_S = 1.0
 
@@ -51,6 +57,7 @@
     :param require_accepting: raises :class:`AdmissionRefusedError` if a request that is
         complete now comes too late in a planned stop.
     :param closes_connections: returns whether each answer closes its connection.
+    :param open_requests: the requests whose answers aren't written completely.
     """
 
     dispatcher: Dispatcher
@@ -61,15 +68,18 @@
     refusal_reasons: Callable[[], list[str]]
     require_accepting: Callable[[], None]
     closes_connections: Callable[[], bool]
+    open_requests: set[CallerHandler] = field(default_factory=set)
 
 
 @stream_request_body
-class _CallerHandler(RequestHandler):
+class CallerHandler(RequestHandler):
     """Reads the body within limits of size and time, and writes replies."""
 
     def initialize(self, services: CallerServices) -> None:
         self.services = services
+        services.open_requests.add(self)
         self._body = bytearray()
+        self._body_complete = False
         self._body_timer: asyncio.TimerHandle | None = None
 
     def prepare(self) -> None:
@@ -115,6 +125,7 @@
 
         HTTP method handlers call this; tornado runs them after the last chunk.
         """
+        self._body_complete = True
         if self._body_timer is not None:
             self._body_timer.cancel()
         return bytes(self._body)
@@ -159,17 +170,32 @@
             self.set_header("Connection", "close")
 
     def finish(self, chunk: str | bytes | dict[str, Any] | None = None) -> Future[None]:
-        """End the answer, and close the connection if the answer announced it."""
+        """End the answer; close the connection after it if the answer says so."""
         closes_connection = self._headers.get("Connection") == "close"
         future = super().finish(chunk)
         connection = self.request.connection
         assert isinstance(connection, HTTP1Connection)
-        if closes_connection and not connection.stream.closed():
-            # This future is done once all data written before is sent.
-            barrier = connection.stream.write(b"")
-            barrier.add_done_callback(lambda _: connection.close())
+        stream = connection.stream
+
+        def answer_written(_: Future[None]) -> None:
+            self.services.open_requests.discard(self)
+            if closes_connection:
+                stream.close()
+
+        if stream.closed():
+            self.services.open_requests.discard(self)
+        else:
+            # This future is done once all data written before is sent, or the
+            # connection is closed.
+            stream.write(b"").add_done_callback(answer_written)
         return future
 
+    def on_connection_close(self) -> None:
+        """Forget a request whose body won't be complete."""
+        super().on_connection_close()
+        if not self._body_complete:
+            self.services.open_requests.discard(self)
+
     def _body_timed_out(self) -> None:
         self.refuse(
             RequestTimeoutError(
@@ -195,7 +221,7 @@
         self.finish(refused_reply("", error, None).body)
 
 
-class GenerateHandler(_CallerHandler):
+class GenerateHandler(CallerHandler):
     """Handles ``POST /v1/pipelines/<name>/generate``."""
 
     def initialize(self, services: CallerServices) -> None:
@@ -229,6 +255,7 @@
 
     def on_connection_close(self) -> None:
         """Cancel the request after the caller closed its connection."""
+        super().on_connection_close()
         if self._driver is not None:
             self.services.metrics.count("callers.gone")
             self._driver.caller_disconnected()
@@ -291,7 +318,7 @@
         self.finish()
 
 
-class ServiceHandler(_CallerHandler):
+class ServiceHandler(CallerHandler):
     """Handles ``/v1/services/<name>/<path>`` for any method."""
 
     async def _forward_call(self, name: str, path: str) -> None:
@@ -321,7 +348,7 @@
     get = head = post = put = patch = delete = _forward_call
 
 
-class NotFoundHandler(_CallerHandler):
+class NotFoundHandler(CallerHandler):
     """Handles all other paths."""
 
     def prepare(self) -> None:
--- a/src/railfold/_internal/entry/process.py
+++ b/src/railfold/_internal/entry/process.py
@@ -121,6 +121,7 @@
             self._claims,
             self._claims_readable,
         )
+        self._caller_services = self._make_caller_services()
         self._callers = self._caller_server()
 
     def _make_agents(self) -> AgentPool:
@@ -269,8 +270,7 @@
             raise AdmissionRefusedError(error, delay_s) from error
 
     def _busy(self) -> bool:
-        waiting = any(queue.waiting for _, queue in self._admission.queues())
-        return bool(self._agents.in_flight or waiting)
+        return bool(self._caller_services.open_requests)
 
     def status(self) -> dict[str, Any]:
         """Return the status that ``railfold status`` shows."""
@@ -375,9 +375,9 @@
         )
         return HttpServerChild(application, self._settings.listen.operators)
 
-    def _caller_server(self) -> HttpServerChild:
+    def _make_caller_services(self) -> CallerServices:
         limits = self._settings.callers
-        services = CallerServices(
+        return CallerServices(
             self._dispatcher,
             RequestParser(limits),
             limits,
@@ -387,7 +387,10 @@
             self._require_accepting,
             lambda: self._draining,
         )
-        arguments = {"services": services}
+
+    def _caller_server(self) -> HttpServerChild:
+        limits = self._settings.callers
+        arguments = {"services": self._caller_services}
         application = Application(
             [
                 ("/healthz", HealthHandler),
