Send final answers to requests that are open when an entry exits

Callers: when an entry's drain ended by its time-out, connections were closed without an answer, and a stream ended without its outcome. A caller couldn't tell whether its request had run, or that it surely hadn't because it only waited in the queue.

Cause: the exit closed all connections, also those on which an answer could be sent.

Change: 0.5 s before the end of the time-out each open request gets its final outcome, with entry_stopping: not_run (503, Retry-After) if its body is incomplete or it waits in the queue; what its lifecycle says of a run that is given up otherwise (502, GivenUp and CallGivenUp); the log's unavailability if its claim is pending. A stream gets it as its last event. Nothing is started after that.

The property test of lifecycles draws GivenUp.

--- a/src/railfold/_internal/decisions/lifecycle.py
+++ b/src/railfold/_internal/decisions/lifecycle.py
@@ -32,6 +32,7 @@
     DeadlinePassed,
     EmitToken,
     Finish,
+    GivenUp,
     HostsLost,
     LifecycleAction,
     LifecycleEvent,
@@ -57,6 +58,8 @@
 
 __all__ = ["LifecycleLimits", "RequestLifecycle"]
 
+_RETRY_AFTER_S = 1.0
+
 
 @dataclass(frozen=True, slots=True)
 class LifecycleLimits:
@@ -153,6 +156,8 @@
                 return self._abort(error)
             case CallerDisconnected():
                 return self._abort(EngineError("the caller closed its connection"))
+            case GivenUp(error=error, retry_after_s=retry_after_s):
+                return self._abort(error, retry_after_s)
 
     def _open_attempt(self, chain: Chain) -> list[LifecycleAction]:
         if self._phase is not _Phase.PLANNING:
@@ -257,7 +262,7 @@
         if self._may_have_run and not self._request.repeatable:
             return [cancel, *self._finish(self._incomplete_outcome(error))]
         if self._attempt >= self._limits.max_attempts:
-            return [cancel, *self._finish_without_answer(error, 1.0)]
+            return [cancel, *self._finish_without_answer(error, _RETRY_AFTER_S)]
         self._phase = _Phase.PLANNING
         prefer = tuple(h for h in self._chain.hosts if h not in self._excluded)
         return [cancel, PlanChain(frozenset(self._excluded), prefer, is_retry=True)]
@@ -267,12 +272,14 @@
             return []
         return [ProbeStages(self._chain)]
 
-    def _abort(self, error: RailfoldError) -> list[LifecycleAction]:
+    def _abort(
+        self, error: RailfoldError, retry_after_s: float = _RETRY_AFTER_S
+    ) -> list[LifecycleAction]:
         cancel: list[LifecycleAction] = []
         if self._phase in (_Phase.RUNNING, _Phase.SETTLING):
             self._may_have_run = True  # There is no proof that it didn't run.
             cancel = [CancelAttempt(self._attempt, self._chain)]
-        return [*cancel, *self._finish_without_answer(error, 1.0)]
+        return [*cancel, *self._finish_without_answer(error, retry_after_s)]
 
     def _finish_without_answer(
         self, error: RailfoldError, retry_after_s: float
--- a/src/railfold/_internal/decisions/lifecycle_events.py
+++ b/src/railfold/_internal/decisions/lifecycle_events.py
@@ -14,6 +14,7 @@
     "DeadlinePassed",
     "EmitToken",
     "Finish",
+    "GivenUp",
     "HostsLost",
     "LifecycleAction",
     "LifecycleEvent",
@@ -108,6 +109,17 @@
     """The caller closed its connection before the outcome."""
 
 
+@dataclass(frozen=True, slots=True)
+class GivenUp:
+    """The outcome can't be awaited any longer.
+
+    :param retry_after_s: after which time the caller may send the request again.
+    """
+
+    error: RailfoldError
+    retry_after_s: float
+
+
 LifecycleEvent = (
     ChainPlanned
     | PlanRefused
@@ -119,6 +131,7 @@
     | TokenOverdue
     | DeadlinePassed
     | CallerDisconnected
+    | GivenUp
 )
 
 
--- a/src/railfold/_internal/entry/admission.py
+++ b/src/railfold/_internal/entry/admission.py
@@ -149,6 +149,13 @@
                 if future is not None and not future.done():
                     future.set_exception(self._refusal(error, load))
 
+    def refuse_waiting(self, error: RequestError, retry_after_s: float) -> None:
+        """Refuse all waiting requests."""
+        for future in self._waiters.values():
+            if not future.done():
+                self._metrics.count(f"admission.refused.{error.code}")
+                future.set_exception(AdmissionRefusedError(error, retry_after_s))
+
     def queues(self) -> Iterator[tuple[str, AdmissionQueue]]:
         """Yield ``<kind>/<name>`` and the queue of each target."""
         for (kind, name), target_queue in self._target_queues.items():
--- a/src/railfold/_internal/entry/callers.py
+++ b/src/railfold/_internal/entry/callers.py
@@ -142,6 +142,11 @@
             return True
         return False
 
+    def refuse_incomplete(self, error: RequestError, retry_after_s: float) -> None:
+        """Refuse the request if its body isn't complete."""
+        if not self._body_complete:
+            self.refuse(error, retry_after_s)
+
     def on_finish(self) -> None:
         """Stop the timer that limits the duration of the body."""
         if self._body_timer is not None:
--- a/src/railfold/_internal/entry/calls.py
+++ b/src/railfold/_internal/entry/calls.py
@@ -11,6 +11,7 @@
     CallAnswered,
     CallDeadlinePassed,
     CallEvent,
+    CallGivenUp,
     CallHostChosen,
     CallHostLost,
     CallHostRefused,
@@ -29,7 +30,11 @@
 from railfold._internal.decisions.planner import choose_host
 from railfold._internal.entry.agents import RequestMessage
 from railfold._internal.entry.generate import RoutingContext
-from railfold._internal.errors import NoCapacityError, OverloadedError
+from railfold._internal.errors import (
+    NoCapacityError,
+    OverloadedError,
+    RailfoldError,
+)
 from railfold._internal.links.messages import CallRefused, CallResult, CallService
 
 __all__ = ["CallDriver", "CallReply"]
@@ -81,6 +86,10 @@
             self._context.agents.unregister(request_id)
             self._count_own(-1)
 
+    def give_up(self, error: RailfoldError, retry_after_s: float) -> None:
+        """End the call with its final outcome now."""
+        self._feed(CallGivenUp(error, retry_after_s))
+
     def hosts_lost(self, hosts: frozenset[str]) -> None:
         """Process the loss of all work in flight on these hosts."""
         if self._lifecycle.host in hosts:
--- a/src/railfold/_internal/entry/claims.py
+++ b/src/railfold/_internal/entry/claims.py
@@ -103,6 +103,10 @@
             raise
         return self._ledger.verdict(write)
 
+    def stop_waiting(self) -> None:
+        """End all waits for claims as if the log hadn't answered in time."""
+        self._appender.stop_waiting()
+
     def release(self, key: ClaimKey, request_id: str) -> None:
         """Free a key, because its request is proven not to have run."""
         self._append_later(ReleaseWrite(key, request_id))
--- a/src/railfold/_internal/entry/dispatch.py
+++ b/src/railfold/_internal/entry/dispatch.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 from railfold._internal.core import (
     Answered,
     GenerateRequest,
+    NeverSent,
     NotRun,
     Outcome,
     ServiceRequest,
@@ -46,6 +48,7 @@
     DuplicateKeyError,
     InvalidRequestError,
     LogUnavailableError,
+    RequestError,
 )
 
 __all__ = ["Dispatcher"]
@@ -82,6 +85,19 @@
         self._admission = admission
         self._claims = claims
         self._claims_readable = claims_readable
+        self._drivers: set[GenerateDriver | CallDriver] = set()
+        self._exit_outcome: NotRun | None = None
+
+    def give_up(self, error: RequestError, retry_after_s: float) -> None:
+        """End all requests with their final outcomes now, and start none any more.
+
+        :param retry_after_s: after which time callers may send the requests again.
+        """
+        self._exit_outcome = NotRun(NeverSent(), error, retry_after_s)
+        self._admission.refuse_waiting(error, retry_after_s)
+        self._claims.stop_waiting()
+        for driver in list(self._drivers):
+            driver.give_up(error, retry_after_s)
 
     async def generate(
         self,
@@ -109,7 +125,8 @@
                 request, parsed.pipeline, self._context, collect_token
             )
             on_driver(driver)
-            outcome = await driver.run()
+            with self._tracked(driver):
+                outcome = await driver.run()
             if not isinstance(outcome, Answered):
                 return _Result(outcome, error_reply(request.request_id, outcome))
             reply = answered_reply(
@@ -128,7 +145,9 @@
         request = parsed.request
 
         async def run() -> _Result:
-            reply = await CallDriver(request, parsed.service, self._context).run()
+            driver = CallDriver(request, parsed.service, self._context)
+            with self._tracked(driver):
+                reply = await driver.run()
             if reply.answer is None or not isinstance(reply.outcome, Answered):
                 outcome = reply.outcome
                 return _Result(outcome, error_reply(request.request_id, outcome))
@@ -149,6 +168,22 @@
             request, parsed.workspace, parsed.service, 1.0, digest, run
         )
 
+    @contextmanager
+    def _tracked(self, driver: GenerateDriver | CallDriver) -> Iterator[None]:
+        self._drivers.add(driver)
+        try:
+            yield
+        finally:
+            self._drivers.discard(driver)
+
+    async def _run_unless_exiting(
+        self, request: GenerateRequest | ServiceRequest, run: RunRequest
+    ) -> _Result:
+        outcome = self._exit_outcome
+        if outcome is not None:
+            return _Result(outcome, error_reply(request.request_id, outcome))
+        return await run()
+
     async def _admit_and_run(
         self,
         request: GenerateRequest | ServiceRequest,
@@ -183,13 +218,13 @@
         self, request: GenerateRequest | ServiceRequest, digest: str, run: RunRequest
     ) -> Reply:
         if request.repeatable or not request.idempotency_key:
-            return (await run()).reply
+            return (await self._run_unless_exiting(request, run)).reply
         key = ClaimKey(request.workspace, request.idempotency_key)
         write = ClaimWrite(key, request.request_id, self._entry, digest)
         earlier_reply = await self._claim(write, request.deadline_s)
         if earlier_reply is not None:
             return earlier_reply
-        result = await run()
+        result = await self._run_unless_exiting(request, run)
         if isinstance(result.outcome, NotRun):
             self._claims.release(key, request.request_id)
         else:
--- a/src/railfold/_internal/entry/generate.py
+++ b/src/railfold/_internal/entry/generate.py
@@ -25,6 +25,7 @@
     DeadlinePassed,
     EmitToken,
     Finish,
+    GivenUp,
     HostsLost,
     LifecycleAction,
     LifecycleEvent,
@@ -41,7 +42,11 @@
 from railfold._internal.decisions.planner import LinkCosts, PlannerWeights, plan_chain
 from railfold._internal.decisions.retry_budget import RetryBudget
 from railfold._internal.entry.agents import AgentPool, RequestMessage
-from railfold._internal.errors import NoCapacityError, OverloadedError
+from railfold._internal.errors import (
+    NoCapacityError,
+    OverloadedError,
+    RailfoldError,
+)
 from railfold._internal.links.messages import (
     CancelSequence,
     EmittedToken,
@@ -140,6 +145,10 @@
         """Process the caller's disconnection."""
         self._feed(CallerDisconnected())
 
+    def give_up(self, error: RailfoldError, retry_after_s: float) -> None:
+        """End the request with its final outcome now."""
+        self._feed(GivenUp(error, retry_after_s))
+
     def hosts_lost(self, hosts: frozenset[str]) -> None:
         """Process the loss of all work in flight on these hosts."""
         self._feed(HostsLost(hosts))
--- a/src/railfold/_internal/entry/process.py
+++ b/src/railfold/_internal/entry/process.py
@@ -74,6 +74,9 @@
 _CHECKPOINT_MAX_AGE_S = 6 * 3600.0
 _HEADER_LIMIT_FACTOR = 16
 
+# Part of a drain's time-out in which the final answers are written.
+_EXIT_RESERVE_S = 0.5
+
 
 class Entry:
     """Creates and connects the components of one entry."""
@@ -242,18 +245,33 @@
         """Leave the load balancer, then wait until the requests in flight have ended.
 
         Requests that become complete after the notice time are refused. The whole drain
-        is limited by its time-out.
+        is limited by its time-out; requests that are still open shortly before then get
+        their final answers.
         """
         settings = self._settings.drain
         loop = asyncio.get_running_loop()
+        started_s = loop.time()
         self._drain_schedule = schedule = DrainSchedule.plan(
-            loop.time(), settings.notice_s, settings.timeout_s, exit_s=0.0
+            started_s, settings.notice_s, settings.timeout_s, _EXIT_RESERVE_S
         )
         self.begin_drain()
         await asyncio.sleep(schedule.accepts_until_s - loop.time())
         self._callers.stop_listening()
         logging.info("stopping: no more requests are accepted")
         await wait_until_idle(self._busy, schedule.ends_s - loop.time())
+        if self._busy():
+            self._give_up_requests()
+            exit_s = started_s + settings.timeout_s
+            await wait_until_idle(self._busy, exit_s - loop.time())
+
+    def _give_up_requests(self) -> None:
+        open_requests = list(self._caller_services.open_requests)
+        logging.warning("stopping: %d requests are given up", len(open_requests))
+        error = EntryStoppingError("the entry exits before the request has ended")
+        delay_s = client_retry_after_s(EntryStopping(), self._rng.random())
+        for request in open_requests:
+            request.refuse_incomplete(error, delay_s)
+        self._dispatcher.give_up(error, delay_s)
 
     def _require_accepting(self) -> None:
         """Check that a request that is complete now may be accepted.
--- a/src/railfold/_internal/store/follower.py
+++ b/src/railfold/_internal/store/follower.py
@@ -393,6 +393,14 @@
         if future is not None and not future.done():
             future.set_result(None)
 
+    def stop_waiting(self) -> None:
+        """End the wait for all appends that haven't been read back."""
+        for future in self._settled.values():
+            if not future.done():
+                future.set_exception(
+                    WriteUnsettledError("an append wasn't read back before the exit")
+                )
+
     async def _send(self, batch: list[tuple[str, Any]]) -> None:
         self._metrics.count(f"log.{self._stream}.appends")
         self._metrics.count(f"log.{self._stream}.records", len(batch))
--- a/tests/functional/test_planned_stops.py
+++ b/tests/functional/test_planned_stops.py
@@ -11,6 +11,7 @@
 import signal
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from urllib.parse import urlsplit
 
 import pytest
@@ -23,7 +24,7 @@
     caller_headers,
     post,
 )
-from tests.lib.callers import StreamCaller, generate, send
+from tests.lib.callers import StreamCaller, generate, log_slip, send
 
 TOKEN_COUNT = 60
 
@@ -215,3 +216,44 @@
     connection.request("POST", SERVICE_PATH, b"{}", caller_headers())
     second = connection.getresponse()
     assert (second.status, second.headers["Connection"]) == (201, "close")
+
+
+def test_unfinished_requests_get_final_answers_when_the_entry_exits(
+    slow_cluster: Cluster,
+) -> None:
+    url = slow_cluster.callers_url()
+    post(f"{slow_cluster.service_url('records-0')}/control/delay/20000", {})
+    with ThreadPoolExecutor() as pool:
+        running = pool.submit(generate, url, "unit 1", ENDLESS)
+        slow_cluster.wait_until(
+            lambda: slow_cluster.status()["in_flight"] == 1, "the request to run"
+        )
+        waiting = pool.submit(generate, url, "unit 2", 4)
+        call = pool.submit(log_slip, url, "slip-1")
+        slow_cluster.wait_until(
+            lambda: slow_cluster.status()["in_flight"] == 2, "the call to run"
+        )
+        queue = f"pipeline/{PIPELINE}"
+        slow_cluster.wait_until(
+            lambda: slow_cluster.status()["admission"][queue]["waiting"] == 1,
+            "the other request to wait",
+        )
+        upload = begin_upload(slow_cluster, SERVICE_PATH, b"{}")
+        assert slow_cluster.processes["entry-0"].stop() == 0
+        answers = [future.result() for future in (running, call, waiting)]
+        response = upload.getresponse()
+    assert [answer.status for answer in answers] == [502, 502, 503]
+    assert [answer.outcome for answer in answers] == ["failed", "unknown", "not_run"]
+    assert response.status == 503
+    assert {answer.body["code"] for answer in answers} == {"entry_stopping"}
+
+
+def test_stream_that_is_unfinished_when_the_entry_exits_gets_its_outcome(
+    slow_cluster: Cluster,
+) -> None:
+    caller = StreamCaller(slow_cluster.callers_url(), "unit 1", ENDLESS)
+    caller.wait_for_tokens(1)
+    assert slow_cluster.processes["entry-0"].stop() == 0
+    caller.finish()
+    assert caller.error is None
+    assert caller.outcome["code"] == "entry_stopping"
--- a/tests/unit/test_entry_drain.py
+++ b/tests/unit/test_entry_drain.py
@@ -8,13 +8,16 @@
 
 import asyncio
 from types import SimpleNamespace
+from unittest.mock import Mock
 
 import pytest
 
+from railfold._internal.decisions.claims import ClaimKey, ClaimWrite
 from railfold._internal.entry.answers import Reply
 from railfold._internal.entry.dispatch import Dispatcher
 from railfold._internal.entry.parsing import RequestParser
 from railfold._internal.entry.process import Entry
+from railfold._internal.errors import EntryStoppingError, LogUnavailableError
 from railfold._internal.settings.models import EntrySettings
 from standins.cluster import free_port
 
@@ -45,13 +48,26 @@
 @pytest.mark.looptime
 async def test_drain_that_stays_busy_ends_within_its_timeout() -> None:
     entry = make_entry()
-    entry._caller_services.open_requests.add(object())  # type: ignore[arg-type]
+    entry._caller_services.open_requests.add(Mock())
     started_s = asyncio.get_running_loop().time()
     await entry.drain()
     duration_s = asyncio.get_running_loop().time() - started_s
     assert duration_s == pytest.approx(DRAIN_S, abs=0.1)
 
 
+@pytest.mark.looptime
+async def test_claim_that_is_pending_when_the_entry_exits_ends_unsettled() -> None:
+    entry = make_entry()
+    key = ClaimKey("quality", "k1")
+    write = ClaimWrite(key, "r1", "entry-0", "digest")
+    claim = asyncio.create_task(entry._claims.claim(write, 60.0))
+    await asyncio.sleep(1.0)
+    entry._dispatcher.give_up(EntryStoppingError("the entry exits"), 1.0)
+    with pytest.raises(LogUnavailableError):
+        await claim
+    assert asyncio.get_running_loop().time() == pytest.approx(1.0, abs=0.1)
+
+
 async def answer_at_once(self: Dispatcher, parsed: object) -> Reply:
     return Reply(200, "answered", bytes(ANSWER_BYTES))
 
--- a/tests/unit/test_lifecycle_properties.py
+++ b/tests/unit/test_lifecycle_properties.py
@@ -31,6 +31,7 @@
     DeadlinePassed,
     EmitToken,
     Finish,
+    GivenUp,
     HostsLost,
     LifecycleAction,
     LifecycleEvent,
@@ -117,8 +118,10 @@
                 self.feed(TombstoneReplied(attempt, host, started))
             case 8 if offset:
                 self.feed(DeadlinePassed())
-            case 9 if offset:
+            case 9 if offset > 0:
                 self.feed(CallerDisconnected())
+            case 9 if offset < 0:
+                self.feed(GivenUp(NoCapacityError("none"), 1.0))
             case _:
                 self.feed(PlanRefused(NoCapacityError("none"), 1.0))
 
