Append the outcomes of idempotency keys before a drain ends

Callers: after a planned stop, a retry with the key of one of the last requests could get 409 (in progress, or its entry crashed) for the hour in which claims are valid, instead of the first answer; a key whose request surely hadn't run could stay claimed.

Cause: outcomes are appended in the background, 40 ms or more after the answer, and the drain didn't wait for that.

Change: an entry is busy while records are queued or being sent, within the drain's time-out.

Evidence: test_drain_waits_until_outcomes_of_idempotency_keys_are_appended: no record was appended when the drain ended before; it is now.

--- a/src/railfold/_internal/entry/process.py
+++ b/src/railfold/_internal/entry/process.py
@@ -288,7 +288,7 @@
             raise AdmissionRefusedError(error, delay_s) from error
 
     def _busy(self) -> bool:
-        return bool(self._caller_services.open_requests)
+        return bool(self._caller_services.open_requests) or not self._appender.idle
 
     def status(self) -> dict[str, Any]:
         """Return the status that ``railfold status`` shows."""
--- a/src/railfold/_internal/store/follower.py
+++ b/src/railfold/_internal/store/follower.py
@@ -350,6 +350,12 @@
         self._queue: list[tuple[str, Any]] = []
         self._wake = asyncio.Event()
         self._settled: dict[str, asyncio.Future[None]] = {}
+        self._sending = False
+
+    @property
+    def idle(self) -> bool:
+        """Whether no record waits to be sent, and none is being sent."""
+        return not self._queue and not self._sending
 
     async def run(self, ready: asyncio.Event) -> None:
         """Send batches until cancelled."""
@@ -359,7 +365,11 @@
             await asyncio.sleep(self._linger_s)
             self._wake.clear()
             batch, self._queue = self._queue, []
-            await self._send(batch)
+            self._sending = True
+            try:
+                await self._send(batch)
+            finally:
+                self._sending = False
 
     async def append(self, write_id: str, body: Any, timeout_s: float) -> None:
         """Append a record and return once it has been read back.
--- a/tests/unit/test_entry_drain.py
+++ b/tests/unit/test_entry_drain.py
@@ -19,6 +19,7 @@
 from railfold._internal.entry.process import Entry
 from railfold._internal.errors import EntryStoppingError, LogUnavailableError
 from railfold._internal.settings.models import EntrySettings
+from railfold._internal.store.log import LogClient
 from standins.cluster import free_port
 
 NOTICE_S = 5.0
@@ -68,6 +69,26 @@
     assert asyncio.get_running_loop().time() == pytest.approx(1.0, abs=0.1)
 
 
+@pytest.mark.looptime
+async def test_drain_waits_until_outcomes_of_idempotency_keys_are_appended(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    appended: list[object] = []
+
+    async def append_slowly(self: LogClient, stream: str, bodies: list[object]) -> None:
+        await asyncio.sleep(1.0)
+        appended.extend(bodies)
+
+    monkeypatch.setattr(LogClient, "append", append_slowly)
+    entry = make_entry(notice_s=0.0)
+    appender = asyncio.create_task(entry._appender.run(asyncio.Event()))
+    key = ClaimKey("quality", "k1")
+    entry._claims.complete(key, "r1", "answered", 200, "text/plain", b"")
+    await entry.drain()
+    assert len(appended) == 1
+    appender.cancel()
+
+
 async def answer_at_once(self: Dispatcher, parsed: object) -> Reply:
     return Reply(200, "answered", bytes(ANSWER_BYTES))
 
