Test what agents do with late and unfinished work in a drain

A drained agent's calls end with their answers and new ones go elsewhere; at the end of its time-out, a call gets 502 unknown and runs once, and a stream continues at another host. All three tests passed at once; no fault was found there.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -142,6 +142,7 @@
     entries: int = 1
     service_hosts: int = 0
     shared_engines: bool = False
+    agent_drain_s: float = 300.0
     entry_overrides: dict[str, dict[str, Any]] = field(default_factory=dict)
     workspaces: dict[str, dict[str, Any]] = field(default_factory=dict)
     command: list[str] = field(
@@ -261,6 +262,8 @@
 [listen]
 links = "127.0.0.1:{self.port(f"links-{host}")}"
 operators = "127.0.0.1:{self.port(f"agent-{host}")}"
+[drain]
+timeout_s = {self.agent_drain_s}
 {backend}
 """
         path = self.folder / f"agent-{host}.toml"
--- a/tests/functional/test_planned_stops.py
+++ b/tests/functional/test_planned_stops.py
@@ -22,6 +22,7 @@
     Cluster,
     EngineHost,
     caller_headers,
+    get,
     post,
 )
 from tests.lib.callers import StreamCaller, generate, log_slip, send
@@ -257,3 +258,50 @@
     caller.finish()
     assert caller.error is None
     assert caller.outcome["code"] == "entry_stopping"
+
+
+def test_stopped_agent_finishes_its_calls_and_gets_no_new_ones(
+    two_entry_cluster: Cluster,
+) -> None:
+    url = two_entry_cluster.callers_url()
+    for host in ("records-0", "records-1"):
+        post(f"{two_entry_cluster.service_url(host)}/control/delay/800", {})
+    with ThreadPoolExecutor() as pool:
+        calls = [pool.submit(log_slip, url, f"slip-{i}") for i in range(8)]
+        two_entry_cluster.wait_until(
+            lambda: two_entry_cluster.status()["in_flight"] == 8, "the calls to run"
+        )
+        agent = two_entry_cluster.processes["agent-records-0"]
+        agent.signal(signal.SIGTERM)
+        late = [pool.submit(log_slip, url, f"late-{i}") for i in range(8)]
+        answers = [call.result() for call in calls + late]
+    assert agent.popen.wait(20.0) == 0
+    assert {answer.status for answer in answers} == {201}
+
+
+def test_unfinished_call_gets_a_final_answer_when_its_agent_exits() -> None:
+    with Cluster([], service_hosts=2, agent_drain_s=0.5) as cluster:
+        for host in ("records-0", "records-1"):
+            post(f"{cluster.service_url(host)}/control/delay/5000", {})
+        with ThreadPoolExecutor() as pool:
+            call = pool.submit(log_slip, cluster.callers_url(), "slip-1")
+            cluster.wait_until(lambda: bool(busy_hosts(cluster)), "the call to run")
+            agent = cluster.processes[f"agent-{busy_hosts(cluster)[0]}"]
+            assert agent.stop() == 0
+            answer = call.result()
+        slips = [get(f"{cluster.service_url(f'records-{i}')}/slips") for i in (0, 1)]
+    assert (answer.status, answer.outcome) == (502, "unknown")
+    assert slips.count({"slip-1": 1}) == 1
+
+
+def test_unfinished_stream_continues_elsewhere_when_its_agent_exits() -> None:
+    engines = [
+        EngineHost(name, 0, 11, fixed_ms=20.0) for name in ("meter-1", "meter-2")
+    ]
+    with Cluster(engines, agent_drain_s=0.5) as cluster:
+        caller = StreamCaller(cluster.callers_url(), "unit 1", 2 * TOKEN_COUNT)
+        caller.wait_for_tokens(3)
+        agent = cluster.processes[f"agent-{busy_hosts(cluster)[0]}"]
+        assert agent.stop() == 0
+        caller.assert_complete()
+    assert caller.outcome["attempts"] > 1
