--- a/src/railfold/_internal/entry/process.py
+++ b/src/railfold/_internal/entry/process.py
@@ -74,6 +74,9 @@
 _CHECKPOINT_MAX_AGE_S = 6 * 3600.0
 _HEADER_LIMIT_FACTOR = 16
 
+# Part of a drain's time-out in which the final answers are written.
+_EXIT_RESERVE_S = 0.5
+
 
 class Entry:
     """Creates and connects the components of one entry."""
@@ -121,6 +124,7 @@
             self._claims,
             self._claims_readable,
         )
+        self._caller_services = self._make_caller_services()
         self._callers = self._caller_server()
 
     def _make_agents(self) -> AgentPool:
@@ -241,24 +245,36 @@
         """Leave the load balancer, then wait until the requests in flight have ended.
 
         Requests that become complete after the notice time are refused. The whole drain
-        is limited by its time-out.
+        is limited by its time-out; requests that are still open shortly before then get
+        their final answers.
 
         :param requested_s: when the stop was requested, on the event loop's clock; now
             by default.
         """
         settings = self._settings.drain
         loop = asyncio.get_running_loop()
+        started_s = loop.time() if requested_s is None else requested_s
         self._drain_schedule = schedule = DrainSchedule.plan(
-            loop.time() if requested_s is None else requested_s,
-            settings.notice_s,
-            settings.timeout_s,
-            exit_s=0.0,
+            started_s, settings.notice_s, settings.timeout_s, _EXIT_RESERVE_S
         )
         self.begin_drain()
         await asyncio.sleep(schedule.accepts_until_s - loop.time())
         self._callers.stop_listening()
         logging.info("stopping: no more requests are accepted")
         await wait_until_idle(self._busy, schedule.ends_s - loop.time())
+        if self._busy():
+            self._give_up_requests()
+            exit_s = started_s + settings.timeout_s
+            await wait_until_idle(self._busy, exit_s - loop.time())
+
+    def _give_up_requests(self) -> None:
+        open_requests = list(self._caller_services.open_requests)
+        logging.warning("stopping: %d requests are given up", len(open_requests))
+        error = EntryStoppingError("the entry exits before the request has ended")
+        delay_s = client_retry_after_s(EntryStopping(), self._rng.random())
+        for request in open_requests:
+            request.refuse_incomplete(error, delay_s)
+        self._dispatcher.give_up(error, delay_s)
 
     def _require_accepting(self) -> None:
         """Check that a request that is complete now may be accepted.
@@ -275,8 +291,7 @@
             raise AdmissionRefusedError(error, delay_s) from error
 
     def _busy(self) -> bool:
-        waiting = any(queue.waiting for _, queue in self._admission.queues())
-        return bool(self._agents.in_flight or waiting)
+        return bool(self._caller_services.open_requests) or not self._appender.idle
 
     def status(self) -> dict[str, Any]:
         """Return the status that ``railfold status`` shows."""
@@ -381,9 +396,9 @@
         )
         return HttpServerChild(application, self._settings.listen.operators)
 
-    def _caller_server(self) -> HttpServerChild:
+    def _make_caller_services(self) -> CallerServices:
         limits = self._settings.callers
-        services = CallerServices(
+        return CallerServices(
             self._dispatcher,
             RequestParser(limits),
             limits,
@@ -393,7 +408,10 @@
             self._require_accepting,
             lambda: self._draining,
         )
-        arguments = {"services": services}
+
+    def _caller_server(self) -> HttpServerChild:
+        limits = self._settings.callers
+        arguments = {"services": self._caller_services}
         application = Application(
             [
                 ("/healthz", HealthHandler),
--- a/tests/functional/test_planned_stops.py
+++ b/tests/functional/test_planned_stops.py
@@ -11,6 +11,7 @@
 import signal
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from urllib.parse import urlsplit
 
 import pytest
@@ -21,9 +22,10 @@
     Cluster,
     EngineHost,
     caller_headers,
+    get,
     post,
 )
-from tests.lib.callers import StreamCaller, generate, send
+from tests.lib.callers import StreamCaller, generate, log_slip, send
 
 TOKEN_COUNT = 60
 
@@ -215,3 +217,91 @@
     connection.request("POST", SERVICE_PATH, b"{}", caller_headers())
     second = connection.getresponse()
     assert (second.status, second.headers["Connection"]) == (201, "close")
+
+
+def test_unfinished_requests_get_final_answers_when_the_entry_exits(
+    slow_cluster: Cluster,
+) -> None:
+    url = slow_cluster.callers_url()
+    post(f"{slow_cluster.service_url('records-0')}/control/delay/20000", {})
+    with ThreadPoolExecutor() as pool:
+        running = pool.submit(generate, url, "unit 1", ENDLESS)
+        slow_cluster.wait_until(
+            lambda: slow_cluster.status()["in_flight"] == 1, "the request to run"
+        )
+        waiting = pool.submit(generate, url, "unit 2", 4)
+        call = pool.submit(log_slip, url, "slip-1")
+        slow_cluster.wait_until(
+            lambda: slow_cluster.status()["in_flight"] == 2, "the call to run"
+        )
+        queue = f"pipeline/{PIPELINE}"
+        slow_cluster.wait_until(
+            lambda: slow_cluster.status()["admission"][queue]["waiting"] == 1,
+            "the other request to wait",
+        )
+        upload = begin_upload(slow_cluster, SERVICE_PATH, b"{}")
+        assert slow_cluster.processes["entry-0"].stop() == 0
+        answers = [future.result() for future in (running, call, waiting)]
+        response = upload.getresponse()
+    assert [answer.status for answer in answers] == [502, 502, 503]
+    assert [answer.outcome for answer in answers] == ["failed", "unknown", "not_run"]
+    assert response.status == 503
+    assert {answer.body["code"] for answer in answers} == {"entry_stopping"}
+
+
+def test_stream_that_is_unfinished_when_the_entry_exits_gets_its_outcome(
+    slow_cluster: Cluster,
+) -> None:
+    caller = StreamCaller(slow_cluster.callers_url(), "unit 1", ENDLESS)
+    caller.wait_for_tokens(1)
+    assert slow_cluster.processes["entry-0"].stop() == 0
+    caller.finish()
+    assert caller.error is None
+    assert caller.outcome["code"] == "entry_stopping"
+
+
+def test_stopped_agent_finishes_its_calls_and_gets_no_new_ones(
+    two_entry_cluster: Cluster,
+) -> None:
+    url = two_entry_cluster.callers_url()
+    for host in ("records-0", "records-1"):
+        post(f"{two_entry_cluster.service_url(host)}/control/delay/800", {})
+    with ThreadPoolExecutor() as pool:
+        calls = [pool.submit(log_slip, url, f"slip-{i}") for i in range(8)]
+        two_entry_cluster.wait_until(
+            lambda: two_entry_cluster.status()["in_flight"] == 8, "the calls to run"
+        )
+        agent = two_entry_cluster.processes["agent-records-0"]
+        agent.signal(signal.SIGTERM)
+        late = [pool.submit(log_slip, url, f"late-{i}") for i in range(8)]
+        answers = [call.result() for call in calls + late]
+    assert agent.popen.wait(20.0) == 0
+    assert {answer.status for answer in answers} == {201}
+
+
+def test_unfinished_call_gets_a_final_answer_when_its_agent_exits() -> None:
+    with Cluster([], service_hosts=2, agent_drain_s=0.5) as cluster:
+        for host in ("records-0", "records-1"):
+            post(f"{cluster.service_url(host)}/control/delay/5000", {})
+        with ThreadPoolExecutor() as pool:
+            call = pool.submit(log_slip, cluster.callers_url(), "slip-1")
+            cluster.wait_until(lambda: bool(busy_hosts(cluster)), "the call to run")
+            agent = cluster.processes[f"agent-{busy_hosts(cluster)[0]}"]
+            assert agent.stop() == 0
+            answer = call.result()
+        slips = [get(f"{cluster.service_url(f'records-{i}')}/slips") for i in (0, 1)]
+    assert (answer.status, answer.outcome) == (502, "unknown")
+    assert slips.count({"slip-1": 1}) == 1
+
+
+def test_unfinished_stream_continues_elsewhere_when_its_agent_exits() -> None:
+    engines = [
+        EngineHost(name, 0, 11, fixed_ms=20.0) for name in ("meter-1", "meter-2")
+    ]
+    with Cluster(engines, agent_drain_s=0.5) as cluster:
+        caller = StreamCaller(cluster.callers_url(), "unit 1", 2 * TOKEN_COUNT)
+        caller.wait_for_tokens(3)
+        agent = cluster.processes[f"agent-{busy_hosts(cluster)[0]}"]
+        assert agent.stop() == 0
+        caller.assert_complete()
+    assert caller.outcome["attempts"] > 1
