Let an agent's drain wait until its answers are sent

Callers: an agent that was stopped while an entry read slowly cut the answer of a call that its service had run; the caller got 502.

Cause: the drain waited for running work only. The answer that ended it can still be in the link's buffer, which the exit discards.

Change: an agent is busy while a link to an entry has unsent data, within its time-out.

--- a/src/railfold/_internal/agent/links.py
+++ b/src/railfold/_internal/agent/links.py
@@ -63,6 +63,11 @@
         """The names of the linked entries."""
         return [entry.link.peer.name for entry in self._entries.values()]
 
+    @property
+    def has_unsent_data(self) -> bool:
+        """Whether a link to an entry has messages that aren't sent yet."""
+        return any(entry.link.has_unsent_data for entry in self._entries.values())
+
     def last_contact_s(self) -> float:
         """Return when a frame last arrived from a linked entry, in loop time.
 
--- a/src/railfold/_internal/agent/process.py
+++ b/src/railfold/_internal/agent/process.py
@@ -149,12 +149,12 @@
         return Supervisor("agent", children)
 
     async def drain(self) -> None:
-        """Refuse new work; return when none is in flight or the drain times out."""
+        """Refuse new work; return when all is done and sent or the drain times out."""
         self._links.set_draining()
-        await wait_until_idle(
-            lambda: self._backend.report().running > 0,
-            self._settings.drain.timeout_s,
-        )
+        await wait_until_idle(self._busy, self._settings.drain.timeout_s)
+
+    def _busy(self) -> bool:
+        return self._backend.report().running > 0 or self._links.has_unsent_data
 
     def status(self) -> dict[str, Any]:
         """Return the fields that ``railfold status`` shows for this agent."""
--- a/src/railfold/_internal/links/connection.py
+++ b/src/railfold/_internal/links/connection.py
@@ -97,6 +97,13 @@
         """Whether the connection is closed."""
         return self._stream.closed()
 
+    @property
+    def has_unsent_data(self) -> bool:
+        """Whether messages are queued that the system hasn't taken over yet."""
+        if self.closed:
+            return False
+        return self._flush_scheduled or self._stream.writing()
+
     async def handshake(self) -> None:
         """Exchange :class:`Hello` messages with the peer, and set :attr:`peer`.
 
--- a/standins/service.py
+++ b/standins/service.py
@@ -1,8 +1,8 @@
 """Stand-in for a plain service whose calls aren't idempotent.
 
 ``POST /slips/<id>`` records a slip and counts it. ``POST /drops/<id>`` does the same
-but closes the connection without a response. ``GET /slips`` returns the counts, and
-``GET /echo`` responds at once.
+but closes the connection without a response. ``GET /slips`` returns the counts,
+``GET /echo`` responds at once, and ``GET /zeros/<count>`` with that many bytes.
 """
 
 from __future__ import annotations
@@ -48,6 +48,15 @@
         self._finished = True
 
 
+class ZerosHandler(_Handler):
+    """Responds with zeros."""
+
+    async def get(self, count: str) -> None:
+        """Respond with ``count`` bytes."""
+        await asyncio.sleep(self.state.delay_s)
+        self.finish(bytes(int(count)))
+
+
 class SlipsHandler(_Handler):
     """Returns the counts of all slips."""
 
@@ -81,6 +90,7 @@
             (r"/slips/([^/]+)", SlipHandler, arguments),
             (r"/drops/([^/]+)", DropHandler, arguments),
             (r"/slips", SlipsHandler, arguments),
+            (r"/zeros/([0-9]+)", ZerosHandler, arguments),
             (r"/healthz", HealthHandler, arguments),
             (r"/echo", HealthHandler, arguments),
             (r"/control/delay/([0-9]+)", ControlHandler, arguments),
--- a/tests/functional/test_planned_stops.py
+++ b/tests/functional/test_planned_stops.py
@@ -41,6 +41,9 @@
 # How late a process on a busy machine may be.
 LATENESS_S = 0.7
 
+# More than the sockets' buffers hold.
+LARGE_BYTES = 12 * 1024 * 1024
+
 GENERATE_PATH = f"/v1/pipelines/{PIPELINE}/generate"
 SERVICE_PATH = f"/v1/services/{SERVICE}/slips/late"
 
@@ -305,3 +308,21 @@
         assert agent.stop() == 0
         caller.assert_complete()
     assert caller.outcome["attempts"] > 1
+
+
+def test_stopped_agent_sends_its_whole_answers_to_a_slow_entry() -> None:
+    with Cluster([], service_hosts=1) as cluster:
+        post(f"{cluster.service_url('records-0')}/control/delay/500", {})
+        url = f"{cluster.callers_url()}/v1/services/{SERVICE}/zeros/{LARGE_BYTES}"
+        with ThreadPoolExecutor() as pool:
+            call = pool.submit(send, url, method="GET")
+            cluster.wait_until(lambda: bool(busy_hosts(cluster)), "the call to run")
+            cluster.processes["entry-0"].freeze()
+            agent = cluster.processes["agent-records-0"]
+            agent.signal(signal.SIGTERM)
+            time.sleep(1.5)
+            cluster.processes["entry-0"].thaw()
+            answer = call.result()
+        assert agent.popen.wait(20.0) == 0
+    assert answer.status == 200
+    assert len(answer.body) == LARGE_BYTES
