--- a/src/railfold/_internal/agent/process.py
+++ b/src/railfold/_internal/agent/process.py
@@ -149,7 +149,7 @@
         return Supervisor("agent", children)
 
     async def drain(self, requested_s: float | None = None) -> None:
-        """Refuse new work; return when none is in flight or the drain times out.
+        """Refuse new work; return when all is done and sent or the drain times out.
 
         :param requested_s: when the stop was requested, on the event loop's clock; now
             by default.
@@ -157,10 +157,10 @@
         now_s = asyncio.get_running_loop().time()
         late_s = 0.0 if requested_s is None else now_s - requested_s
         self._links.set_draining()
-        await wait_until_idle(
-            lambda: self._backend.report().running > 0,
-            self._settings.drain.timeout_s - late_s,
-        )
+        await wait_until_idle(self._busy, self._settings.drain.timeout_s - late_s)
+
+    def _busy(self) -> bool:
+        return self._backend.report().running > 0 or self._links.has_unsent_data
 
     def status(self) -> dict[str, Any]:
         """Return the fields that ``railfold status`` shows for this agent."""
