Soak planned stops with late uploads, kept connections and slow readers

Callers: an entry accepted requests long after SIGTERM and cut their answers at its exit, and no run of the soak had shown it.

Cause: any planned stop excused every cut stream, no client sent the end of a body late, left a large answer unread or reused a connection against Connection: close, and a request that was closed without an answer was only counted.

Change: LOST covers planned stops. A request that was whole ends in a complete answer, unless that still ran when the process had to exit, or it reached no server and was closed; what is whole later than 3 s after SIGTERM and reaches a server needs a complete answer. Planned stops no longer excuse other cut streams. New faults: SIGTERM twice, SIGHUP beside and after it, SIGTERM while the store is silent or a large configuration arrives, two stops that overlap, a restart right after the exit. Cut answers with a length are checked too.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,9 +14,16 @@
 
 import click
 
+from soak.client_habits import LateUpload, ReuseUntilClosed, SlowReader
 from soak.clients import RECOVER, Client, Observations, check_servers
 from soak.deployment import Deployment, machine_load
-from soak.faults import FAULTS, PlannedFault, inject, plan_faults
+from soak.faults import (
+    FAULTS,
+    PLANNED_STOP_FAULTS,
+    PlannedFault,
+    inject,
+    plan_faults,
+)
 
 # Clients must be served again within this time after the last fault; it is the
 # sites' recover_s.
@@ -29,6 +36,16 @@
 EXPECTED_EXIT_CODES = (0, -signal.SIGKILL, -signal.SIGTERM)
 
 FIRST_WORKER_NUMBER = 12
+
+# For each entry, the clients that runs with planned stops have besides the others.
+_PLANNED_STOP_HABITS = (
+    LateUpload(),
+    LateUpload(),
+    LateUpload(),
+    ReuseUntilClosed(),
+    SlowReader(),
+    SlowReader(),
+)
 REGRESSIONS = Path(__file__).with_name("regressions.json")
 
 
@@ -59,6 +76,11 @@
     clients = [
         Client(f"c{n}", deployment, observations, seed) for n in range(3 * entries)
     ]
+    if PLANNED_STOP_FAULTS.intersection(case.names):
+        clients += [
+            Client(f"h{n}", deployment, observations, seed, habit)
+            for n, habit in enumerate(_PLANNED_STOP_HABITS * entries)
+        ]
     watchdog = asyncio.get_running_loop().call_later(
         duration_s + RECOVERY_TIMEOUT_S + READY_TIMEOUT_S + 20.0, _abort_hung_run
     )
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -3,17 +3,33 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections import Counter
 from dataclasses import dataclass, field
 
-from soak.deployment import BUDGET_RATIO, BUDGET_SLACK, BUDGET_WINDOW_S, Deployment
+from soak.client_habits import (
+    Habit,
+    LateUpload,
+    Ordinary,
+    ReuseUntilClosed,
+    SlowReader,
+    open_connection,
+)
+from soak.deployment import (
+    BUDGET_RATIO,
+    BUDGET_SLACK,
+    BUDGET_WINDOW_S,
+    Deployment,
+    EntryRun,
+)
 from soak.faults import (
     CONNECTIVITY_PRESERVING_FAULTS,
     POISON_ID,
     STREAM_PRESERVING_FAULTS,
 )
-from standins.chaining_engine import SEAL
+from soak.planned_stops import Unanswered, describe_loss, is_allowed_cut, is_late
+from standins.chaining_engine import BULK_BYTES, BULK_PATH, SEAL
 from tests.lib.backoffs import MAX_REQUESTS_DURING_BACKOFF, max_requests_during_backoff
 from tests.lib.forwarding import (
     MODEL_SERVICE,
@@ -84,9 +100,17 @@
 # Share of streams that their client abandons after the first events.
 _ABANDON_SHARE = 0.08
 
-# An abandoned stream has events for two seconds, so that one that isn't cancelled is
-# noticed.
-_ABANDONED_STREAM_EVENTS = 200
+# Streams that are abandoned or sent late in a stop have events for two seconds, so that
+# one that isn't cancelled or can't end in time is noticed.
+_LONG_STREAM_EVENTS = 200
+
+# How long clients wait for a stop of their entry before they go on without one.
+_MAX_STOP_WAIT_S = 4.0
+
+# The body of a late upload.
+_UPLOAD = b"slip"
+
+_ORDINARY = Ordinary()
 
 
 @dataclass
@@ -101,6 +125,7 @@
     abandoned_at_s: dict[str, float] = field(default_factory=dict)
     sent_at_s: dict[str, list[float]] = field(default_factory=dict)
     entry_by_request: dict[str, str] = field(default_factory=dict)
+    unanswered: list[Unanswered] = field(default_factory=list)
 
     def record_sent(self, service: str) -> None:
         """Record that a client sent a request on a route to a service."""
@@ -116,14 +141,23 @@
     """Sends requests in sequence and reuses its connection where possible."""
 
     def __init__(
-        self, name: str, deployment: Deployment, observations: Observations, seed: int
+        self,
+        name: str,
+        deployment: Deployment,
+        observations: Observations,
+        seed: int,
+        habit: Habit = _ORDINARY,
     ) -> None:
         self._name = name
         self._deployment = deployment
         self._observations = observations
         self._rng = random.Random(f"{seed}/{name}")
         self._connection: Connection | None = None
+        self._habit = habit
         self._entry = ""
+        self._run = EntryRun()
+        # When the current request was whole.
+        self._sent_s: float | None = None
         self._number = 0
         self.stopping = False
 
@@ -139,37 +173,102 @@
 
     async def _send_request(self) -> None:
         self._number += 1
+        self._sent_s = None
         request_id = f"{self._name}-{self._number}"
         started_s = asyncio.get_running_loop().time()
-        kind = self._rng.choice(["draft", "draft", "slip", "tray"])
-        count = self._rng.randint(3, 60)
-        abandons = kind == "draft" and self._rng.random() < _ABANDON_SHARE
-        if abandons:
-            count = _ABANDONED_STREAM_EVENTS
+        kind, count, abandons = self._draw_request()
         if kind == "slip":
             self._observations.non_idempotent_ids.add(request_id)
         try:
             connection = await self._connect()
             self._observations.entry_by_request[request_id] = self._entry
-            options = {"method": "GET", "body": b""} if kind == "tray" else {}
-            await connection.send(f"/{kind}/1", request_id, events=count, **options)
+            await self._send(connection, kind, request_id, count)
             self._observations.record_sent(
                 MODEL_SERVICE if kind == "draft" else PLAIN_SERVICE
             )
             if abandons:
                 await self._abandon(connection, request_id)
                 return
-            reply = await asyncio.wait_for(connection.read(), _RESPONSE_TIMEOUT_S)
-        except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
+            if isinstance(self._habit, SlowReader) and kind == "bulk":
+                await self._wait_after_stop(self._habit.max_read_delay_s)
+            reply = await _read_reply(connection)
+        except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError) as e:
+            was_closed = not isinstance(e, TimeoutError)
+            self._record_unanswered(request_id, False, was_closed)
             self._observations.outcomes["no answer"] += 1
             self._disconnect()
             return
         self._check_reply(kind, request_id, count, reply)
-        if kind == "draft" and reply.status == 200 and not reply.complete:
-            self._check_truncation(request_id, started_s)
-        if not reply.complete or reply.headers.get("Connection") == "close":
+        if not reply.complete:
+            request = self._record_unanswered(request_id, True, True)
+            if request is not None and reply.status == 200:
+                self._check_truncation(request, started_s)
+        closes = reply.headers.get("Connection") == "close"
+        if not reply.complete or (closes and isinstance(self._habit, Ordinary)):
             self._disconnect()
 
+    def _record_unanswered(
+        self, request_id: str, has_started: bool, was_closed: bool
+    ) -> Unanswered | None:
+        """Record a request that got no complete answer if it was whole."""
+        if self._sent_s is None:
+            return None
+        now_s = asyncio.get_running_loop().time()
+        request = Unanswered(
+            request_id, self._run, self._sent_s, now_s, has_started, was_closed
+        )
+        self._observations.unanswered.append(request)
+        return request
+
+    def _draw_request(self) -> tuple[str, int, bool]:
+        """Return a request's kind, its events, and whether its client abandons it."""
+        kind = self._rng.choice(["draft", "draft", "slip", "tray"])
+        count = self._rng.randint(3, 60)
+        match self._habit:
+            case Ordinary():
+                abandons = kind == "draft" and self._rng.random() < _ABANDON_SHARE
+                return kind, _LONG_STREAM_EVENTS if abandons else count, abandons
+            case ReuseUntilClosed() | LateUpload():
+                return kind, _LONG_STREAM_EVENTS, False
+            case SlowReader():
+                kind = "bulk" if self._number % 2 else "draft"
+                return kind, _LONG_STREAM_EVENTS, False
+
+    async def _send(
+        self, connection: Connection, kind: str, request_id: str, count: int
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        path = f"/tray{BULK_PATH}" if kind == "bulk" else f"/{kind}/1"
+        match self._habit:
+            case LateUpload(max_end_s=max_end_s):
+                length = {"Content-Length": str(len(_UPLOAD))}
+                await connection.send(
+                    path, request_id, events=count, headers=length, body=_UPLOAD[:-1]
+                )
+                await self._wait_after_stop(max_end_s)
+                self._sent_s = loop.time()
+                connection.writer.write(_UPLOAD[-1:])
+                await connection.writer.drain()
+            case _:
+                options = (
+                    {"method": "GET", "body": b""} if kind in ("tray", "bulk") else {}
+                )
+                self._sent_s = loop.time()
+                await connection.send(path, request_id, events=count, **options)
+
+    async def _wait_after_stop(self, max_delay_s: float) -> None:
+        """Wait for up to ``max_delay_s`` after the SIGTERM to the client's entry.
+
+        Without a SIGTERM the wait ends within ``_MAX_STOP_WAIT_S``.
+        """
+        run, rng = self._run, self._rng
+        max_wait_s, delay_s = rng.uniform(0.0, _MAX_STOP_WAIT_S), rng.uniform(0.0, 1.0)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(run.stopping.wait(), max_wait_s)
+        if run.stopped_at_s is not None:
+            until_s = run.stopped_at_s + delay_s * max_delay_s
+            await asyncio.sleep(until_s - asyncio.get_running_loop().time())
+
     async def _abandon(self, connection: Connection, request_id: str) -> None:
         """Close the connection in the middle of a response."""
         await asyncio.wait_for(connection.read_head(), _RESPONSE_TIMEOUT_S)
@@ -184,10 +283,10 @@
         if self._connection is None:
             entry = self._rng.choice(self._deployment.entries)
             self._entry = entry.name
-            reader, writer = await asyncio.wait_for(
-                asyncio.open_connection("127.0.0.1", entry.clients), 1.0
+            self._connection = await asyncio.wait_for(
+                open_connection(self._habit, entry.clients), 1.0
             )
-            self._connection = Connection(reader, writer)
+            self._run = entry.run
         return self._connection
 
     def _disconnect(self) -> None:
@@ -216,30 +315,48 @@
             observations.record_violation(
                 MIXED, f"{request_id} got another request's answer"
             )
-        if kind == "draft":
-            expected = stream_body(count)
-            matches = (
-                reply.body == expected
-                if reply.complete
-                else expected.startswith(reply.body)
-            )
-            if not matches:
-                observations.record_violation(ORDER, f"{request_id} got a wrong stream")
-        elif reply.body != f"record of {request_id}".encode():
-            observations.record_violation(MIXED, f"{request_id} got a wrong body")
+        record = f"record of {request_id}".encode()
+        match kind:
+            case "draft":
+                expected, rule = stream_body(count), ORDER
+            case "bulk":
+                expected, rule = record.ljust(BULK_BYTES, b"."), MIXED
+            case _:
+                expected, rule = record, MIXED
+        matches = (
+            reply.body == expected
+            if reply.complete
+            else expected.startswith(reply.body)
+        )
+        if not matches:
+            observations.record_violation(rule, f"{request_id} got a wrong body")
         if reply.complete:
             observations.served_at_s.append(asyncio.get_running_loop().time())
 
-    def _check_truncation(self, request_id: str, started_s: float) -> None:
-        """Record a violation if no active fault can have cut the stream."""
+    def _check_truncation(self, request: Unanswered, started_s: float) -> None:
+        """Record a violation if no fault can have cut the answer."""
+        if is_late(request) or is_allowed_cut(request):
+            return
         active = self._deployment.faults_active_since(started_s - _FAULT_AFTEREFFECT_S)
         if active <= STREAM_PRESERVING_FAULTS:
             active_names = ", ".join(sorted(active)) or "no fault"
             self._observations.record_violation(
-                LOST, f"{request_id} was cut; active faults: {active_names}"
+                LOST, f"{request} was cut; active faults: {active_names}"
             )
 
 
+async def _read_reply(connection: Connection) -> Reply:
+    """Read an answer until it ends, also if it is cut in its body."""
+    async with asyncio.timeout(_RESPONSE_TIMEOUT_S):
+        status, headers = await connection.read_head()
+        try:
+            return await connection.read_body(status, headers)
+        except asyncio.IncompleteReadError as error:
+            return Reply(status, headers, error.partial, complete=False)
+        except ConnectionError:
+            return Reply(status, headers, b"", complete=False)
+
+
 def check_servers(deployment: Deployment, observations: Observations) -> None:
     """Check what the backend servers observed, after the run has ended."""
     runs: Counter[str] = Counter()
@@ -266,6 +383,7 @@
     for request_id in deployment.refused_slow_ids:
         if runs[request_id]:
             observations.record_violation(REFUSED, f"{request_id} was refused and ran")
+    _check_planned_stops(deployment, observations)
     _check_limits(deployment, observations)
     _check_backoffs(deployment, observations)
     _check_leaving(deployment, observations)
@@ -274,6 +392,14 @@
     _check_abandoned_streams(deployment, observations)
 
 
+def _check_planned_stops(deployment: Deployment, observations: Observations) -> None:
+    """Check that requests that reached a server got an answer."""
+    arrived = {a.request_id for s in deployment.servers for a in s.arrivals}
+    for request in observations.unanswered:
+        if loss := describe_loss(request, request.request_id in arrived):
+            observations.record_violation(LOST, f"{request} {loss}")
+
+
 def _check_limits(deployment: Deployment, observations: Observations) -> None:
     """Check the rate limit of each server over all undisturbed entries.
 
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -51,7 +51,7 @@
 [limits]
 memory_mb = 10
 [bounds]
-grace_s = 5
+grace_s = {grace_s}
 revoke_ms = 4000
 budget_ratio = {budget_ratio}
 budget_slack = {budget_slack}
@@ -62,6 +62,35 @@
 """
 
 
+# Time after which a process that was sent SIGTERM is killed.
+GRACE_S = 5.0
+
+# A process that has exited is started again after this time.
+_RESTART_DELAY_S = 0.3
+
+
+@dataclass
+class EntryRun:
+    """One process of an entry, from its start to its exit.
+
+    :param stopped_at_s: when it was sent its first SIGTERM.
+    :param disturbed: whether it was killed or suspended.
+    """
+
+    stopped_at_s: float | None = None
+    disturbed: bool = False
+    stopping: asyncio.Event = field(default_factory=asyncio.Event)
+    exited: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def record_signal(self, number: int) -> None:
+        """Record a signal that is about to be sent to the process."""
+        if number == signal.SIGTERM and self.stopped_at_s is None:
+            self.stopped_at_s = asyncio.get_running_loop().time()
+            self.stopping.set()
+        if number in (signal.SIGKILL, signal.SIGSTOP):
+            self.disturbed = True
+
+
 @dataclass
 class Entry:
     """One entry process, which is restarted whenever it exits."""
@@ -74,6 +103,8 @@
     ready: int = 0
     peers: int = 0
     process: asyncio.subprocess.Process | None = None
+    run: EntryRun = field(default_factory=EntryRun)
+    restart_delay_s: float = _RESTART_DELAY_S
     exit_codes: list[int] = field(default_factory=list)
     stopping: bool = False
     _restart_task: asyncio.Task[None] | None = None
@@ -93,6 +124,7 @@
             ready=self.ready,
             peers=self.peers,
             store=self.store_link.listen_port,
+            grace_s=GRACE_S,
             budget_ratio=BUDGET_RATIO,
             budget_slack=BUDGET_SLACK,
             budget_window_s=BUDGET_WINDOW_S,
@@ -111,15 +143,19 @@
                 stdout=log,
                 stderr=log,
             )
+            self.run = run = EntryRun()
             log.close()
             if self.stopping:  # stop() ran while the process was being started.
                 self.process.kill()
             self.exit_codes.append(await self.process.wait())
-            await asyncio.sleep(0.3)
+            run.exited.set()
+            await asyncio.sleep(self.restart_delay_s)
+            self.restart_delay_s = _RESTART_DELAY_S
 
     def signal(self, number: int) -> None:
         """Send a signal to the process that this entry started."""
         if self.process is not None and self.process.returncode is None:
+            self.run.record_signal(number)
             self.process.send_signal(number)
 
     async def stop(self) -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -27,7 +27,7 @@
     PEER_KEY_RECORD,
     decode_peer_key,
 )
-from soak.deployment import Deployment, InjectedFault
+from soak.deployment import Deployment, EntryRun, InjectedFault
 from standins.chaining_engine import Engine
 from tests.lib.crashing_fleet import POISON_BODY
 from tests.lib.forwarding import Connection
@@ -105,6 +105,78 @@
     deployment.mark_disturbed(rng.choice(deployment.entries)).signal(signal.SIGTERM)
 
 
+async def entry_stop_twice(deployment: Deployment, rng: random.Random) -> None:
+    """Stop an entry and send it SIGTERM again while it drains."""
+    entry = deployment.mark_disturbed(rng.choice(deployment.entries))
+    run = entry.run
+    entry.signal(signal.SIGTERM)
+    await _sleep_unless_exited(run, rng.uniform(0.05, 4.0))
+    if not run.exited.is_set():
+        entry.signal(signal.SIGTERM)
+        await run.exited.wait()
+
+
+async def entry_stop_reload(deployment: Deployment, rng: random.Random) -> None:
+    """Stop an entry with SIGHUP beside the SIGTERM, in any order, and after it."""
+    entry = deployment.mark_disturbed(rng.choice(deployment.entries))
+    run = entry.run
+    beside = [signal.SIGTERM, signal.SIGHUP]
+    rng.shuffle(beside)
+    entry.write_settings()
+    for number in beside:
+        entry.signal(number)
+    for _ in range(rng.randint(1, 3)):
+        await _sleep_unless_exited(run, rng.uniform(0.05, 2.0))
+        if run.exited.is_set():
+            return
+        entry.write_settings()
+        entry.signal(signal.SIGHUP)
+    await run.exited.wait()
+
+
+async def entry_stop_store_silent(deployment: Deployment, rng: random.Random) -> None:
+    """Stop an entry while the store doesn't answer."""
+    deployment.store.mode = "silent"
+    deployment.store_outages_s.append(asyncio.get_running_loop().time())
+    await asyncio.sleep(rng.uniform(0.0, 1.0))
+    await entry_stop(deployment, rng)
+    await asyncio.sleep(rng.uniform(1.0, 3.0))
+    deployment.store.mode = "ok"
+
+
+async def entry_stop_large_configuration(
+    deployment: Deployment, rng: random.Random
+) -> None:
+    """Stop an entry while a large configuration arrives."""
+    arrival = asyncio.create_task(large_configuration(deployment, rng))
+    await asyncio.sleep(rng.uniform(0.0, _SLOW_S))
+    await entry_stop(deployment, rng)
+    await arrival
+
+
+async def entry_stops_overlap(deployment: Deployment, rng: random.Random) -> None:
+    """Stop two entries, the second while the first still drains."""
+    for entry in rng.sample(deployment.entries, 2):
+        deployment.mark_disturbed(entry).signal(signal.SIGTERM)
+        await asyncio.sleep(rng.uniform(0.1, 4.0))
+
+
+async def entry_stop_restart(deployment: Deployment, rng: random.Random) -> None:
+    """Stop an entry, restart it at once when it has exited, and stop it again."""
+    entry = deployment.mark_disturbed(rng.choice(deployment.entries))
+    run = entry.run
+    entry.restart_delay_s = 0.0
+    entry.signal(signal.SIGTERM)
+    await run.exited.wait()
+    await asyncio.sleep(rng.uniform(1.0, 2.5))
+    entry.signal(signal.SIGTERM)
+
+
+async def _sleep_unless_exited(run: EntryRun, duration_s: float) -> None:
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(run.exited.wait(), duration_s)
+
+
 async def entry_pause(deployment: Deployment, rng: random.Random) -> None:
     """Suspend an entry with SIGSTOP and resume it."""
     entry = deployment.mark_disturbed(rng.choice(deployment.entries))
@@ -434,6 +506,12 @@
     "entry_pause": entry_pause,
     "entry_reload": entry_reload,
     "entry_stop": entry_stop,
+    "entry_stop_large_configuration": entry_stop_large_configuration,
+    "entry_stop_reload": entry_stop_reload,
+    "entry_stop_restart": entry_stop_restart,
+    "entry_stop_store_silent": entry_stop_store_silent,
+    "entry_stop_twice": entry_stop_twice,
+    "entry_stops_overlap": entry_stops_overlap,
     "large_configuration": large_configuration,
     "link_fault": link_fault,
     "load_lies": load_lies,
@@ -474,8 +552,22 @@
     }
 )
 
-# These faults must not cut any stream that has started.
-STREAM_PRESERVING_FAULTS = frozenset(
+# Planned stops: they cut only answers that are still running when the process exits
+# at the end of its grace time.
+PLANNED_STOP_FAULTS = frozenset(
+    {
+        "entry_stop",
+        "entry_stop_large_configuration",
+        "entry_stop_reload",
+        "entry_stop_restart",
+        "entry_stop_store_silent",
+        "entry_stop_twice",
+        "entry_stops_overlap",
+    }
+)
+
+# These faults must not cut any other stream that has started.
+STREAM_PRESERVING_FAULTS = PLANNED_STOP_FAULTS | frozenset(
     {
         "configure",
         "entry_reload",
--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -25,6 +25,10 @@
 
 SEAL = "3e1b.07.5a2"
 
+# Size of the answers of plain services to requests whose path ends with BULK_PATH.
+BULK_PATH = "/bulk"
+BULK_BYTES = 300_000
+
 
 @dataclass(frozen=True)
 class Arrival:
@@ -365,6 +369,8 @@
 
     async def _plain(self, request_id: str) -> None:
         body = f"record of {request_id}".encode()
+        if self.request.path.endswith(BULK_PATH):
+            body = body.ljust(BULK_BYTES, b".")
         if self.engine.mode == "foreign":
             await self._raw("another-request", b"not yours")
         if self.engine.mode == "surplus":
