--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -22,10 +22,10 @@
 )
 from railfold._internal.decisions.quarantine.content_record import _FIRST_HOLD_S
 from railfold._internal.decisions.quarantine.evidence import MAX_CONTENTS
+from railfold._internal.decisions.quarantine.judgement import REVIEW_DELAY_S
 from railfold._internal.decisions.quarantine.quarantine import (
     _CRASH_EXPIRY_S,
     _HELD_BACK_TRIAL_S,
-    _REVIEW_DELAY_S,
 )
 
 POISON = RequestContent("p" * 32, "llm", "draft", "quality")
@@ -98,8 +98,8 @@
     assert states(changes) == [QuarantineState.SUSPECTED, QuarantineState.ON_PROBATION]
     # No trial starts while other entries may still report contents on that server.
     assert decision(quarantine, POISON, 3.0) is QuarantineDecision.WAIT
-    assert quarantine.wait_s(POISON.digest, 3.0) == pytest.approx(_REVIEW_DELAY_S)
-    assert states(quarantine.review_probation(3.0 + _REVIEW_DELAY_S)) == [
+    assert quarantine.wait_s(POISON.digest, 3.0) == pytest.approx(REVIEW_DELAY_S)
+    assert states(quarantine.review_probation(3.0 + REVIEW_DELAY_S)) == [
         QuarantineState.HELD_BACK
     ]
     assert decision(quarantine, POISON, 3.1) is QuarantineDecision.REFUSE
