Decide about requests by the prompt parts that they share

Callers saw servers crash one after another under requests of which no two are alike: they have one prompt part in common, and each request's content was new to the quarantine, so that their crashes never added up.

Each run now has several suspects: its content and the prompt parts that other requests share. The strictest decision on any of them applies to a request; it is also refused if it is certain that one of them is at fault but not which one. A prompt part restricts requests only while it is likely to be at fault, since popular ones are at most crashes.

A simulation draws deployments with such a part.

--- a/src/railfold/_internal/decisions/quarantine/__init__.py
+++ b/src/railfold/_internal/decisions/quarantine/__init__.py
@@ -7,8 +7,10 @@
     QuarantineDecision,
     QuarantineState,
     RequestContent,
+    RequestDigests,
 )
 from railfold._internal.decisions.quarantine.quarantine import Quarantine
+from railfold._internal.decisions.quarantine.request_decisions import RequestDecisions
 
 __all__ = [
     "UNKNOWN_VERSION",
@@ -18,4 +20,6 @@
     "QuarantineDecision",
     "QuarantineState",
     "RequestContent",
+    "RequestDecisions",
+    "RequestDigests",
 ]
--- a/src/railfold/_internal/decisions/quarantine/evidence.py
+++ b/src/railfold/_internal/decisions/quarantine/evidence.py
@@ -11,9 +11,10 @@
     ContentRecord,
 )
 from railfold._internal.decisions.quarantine.likelihood import (
+    FaultWeights,
     RunAtIncident,
     Suspect,
-    fault_likelihoods,
+    fault_weights,
 )
 from railfold._internal.decisions.quarantine.models import Crash
 
@@ -27,7 +28,7 @@
 # Limits memory: the number of contents with crashes (at most about 2 KB each), and of
 # contents whose last success is remembered.
 MAX_CONTENTS = 1000
-_MAX_SUCCESSES = 4096
+_MAX_SUCCESSES = 16_384
 
 
 @dataclass(slots=True)
@@ -41,7 +42,9 @@
 
     records: dict[str, ContentRecord] = field(default_factory=dict)
     last_successes_s: OrderedDict[str, float] = field(default_factory=OrderedDict)
-    _likelihood_cache: dict[str, dict[str, float]] = field(default_factory=dict)
+    _likelihood_cache: dict[str, tuple[FaultWeights, dict[str, float]]] = field(
+        default_factory=dict
+    )
 
     def other_records(self, record: ContentRecord) -> Iterator[ContentRecord]:
         """Return all records except the given one."""
@@ -57,11 +60,14 @@
 
     def record_success(self, digest: str, at_s: float) -> None:
         """Record that a content succeeded or was cleared."""
-        self.invalidate_likelihoods()
         self.last_successes_s[digest] = at_s
         self.last_successes_s.move_to_end(digest)
+        changed_digests = {digest}
         while len(self.last_successes_s) > _MAX_SUCCESSES:
-            self.last_successes_s.popitem(last=False)
+            changed_digests.add(self.last_successes_s.popitem(last=False)[0])
+        # Most successes are of contents without crashes.
+        if not changed_digests.isdisjoint(self.records):
+            self.invalidate_likelihoods()
 
     def evict_excess(self) -> None:
         """Delete the records above the limit.
@@ -108,12 +114,28 @@
 
     def likelihood(self, record: ContentRecord) -> float:
         """Return how likely a content crashes servers; 0 below two incidents."""
-        service = record.content.service
+        _, likelihoods = self._fault_weights(record.content.service)
+        return likelihoods.get(record.content.digest, 0.0)
+
+    def any_likelihood(self, records: Iterable[ContentRecord]) -> float:
+        """Return how likely at least one of several contents crashes servers."""
+        digests_by_service: dict[str, set[str]] = {}
+        for record in records:
+            digests = digests_by_service.setdefault(record.content.service, set())
+            digests.add(record.content.digest)
+        return max(
+            (
+                self._fault_weights(service)[0].any_likelihood(digests)
+                for service, digests in digests_by_service.items()
+            ),
+            default=0.0,
+        )
+
+    def _fault_weights(self, service: str) -> tuple[FaultWeights, dict[str, float]]:
         if service not in self._likelihood_cache:
-            self._likelihood_cache[service] = fault_likelihoods(
-                self._build_suspects(service)
-            )
-        return self._likelihood_cache[service].get(record.content.digest, 0.0)
+            weights = fault_weights(self._build_suspects(service))
+            self._likelihood_cache[service] = (weights, weights.likelihoods())
+        return self._likelihood_cache[service]
 
     def invalidate_likelihoods(self) -> None:
         """Clear the cached likelihoods after a change of the evidence."""
@@ -145,7 +167,8 @@
         for crash in independent_crashes:
             incident = incidents[crash.server_id]
             one_at_a_time = (
-                not record.ran_concurrently or crash.server_id in trial_crash_server_ids
+                self._is_rarely_running(record)
+                or crash.server_id in trial_crash_server_ids
             )
             silent = crash.silent if has_streams else None
             known_run = runs.get(incident)
@@ -158,8 +181,19 @@
             has_succeeded=self.has_succeeded(record),
             ran_concurrently=record.ran_concurrently,
             is_proven=record.is_proven,
+            is_prompt_part=record.content.is_prompt_part,
         )
 
+    def _is_rarely_running(self, record: ContentRecord) -> bool:
+        """Return whether a content is rarely at a crash with an unrelated cause.
+
+        Several requests with a prompt part may run at once. If it never succeeded, they
+        were all running at servers that crashed.
+        """
+        if record.content.is_prompt_part:
+            return not self.has_succeeded(record)
+        return not record.ran_concurrently
+
 
 def _number_incidents(crashes: Iterable[Crash]) -> dict[str, int]:
     """Return the number of each crashed server's incident, by server ID.
--- a/src/railfold/_internal/decisions/quarantine/judgement.py
+++ b/src/railfold/_internal/decisions/quarantine/judgement.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 from railfold._internal.decisions.quarantine.content_record import (
     CLOCK_SKEW_S,
     ContentRecord,
@@ -23,7 +25,8 @@
 # The lowest likelihood of being at fault at which a content is held back.
 _HOLD_LIKELIHOOD = 0.96
 
-# A content below this likelihood is cleared when another one explains its crashes.
+# A content below this likelihood is cleared when another one explains its crashes. A
+# prompt part below it restricts no requests.
 _CLEAR_LIKELIHOOD = 0.2
 
 # How long to wait for other entries' reports before a content is judged. All entries'
@@ -83,7 +86,7 @@
             if other.held_since_s is None or other.proof_server_ids:
                 continue
             if other.crashes.keys() <= record.crashes.keys():
-                reason = f"content {record.content.digest} ran at each of its crashes"
+                reason = f"{record.content.label} ran at each of its crashes"
                 changes.append(other.change_to(QuarantineState.CLEARED, reason))
                 self._evidence.invalidate_likelihoods()
                 other.held_since_s = None
@@ -112,6 +115,40 @@
         reason = "no other content explains its crashes"
         return self._hold_back(record, now_s, reason)
 
+    def restricts_requests(self, record: ContentRecord) -> bool:
+        """Return whether requests with a content on probation run one at a time.
+
+        Popular prompt parts are at most crashes, so that only likely ones count.
+        """
+        if not record.content.is_prompt_part:
+            return True
+        return self._evidence.likelihood(record) >= _CLEAR_LIKELIHOOD
+
+    def is_any_at_fault(self, records: Sequence[ContentRecord], now_s: float) -> bool:
+        """Return whether a request with several contents on probation is refused.
+
+        It certainly crashes servers, even if it isn't known which of them does.
+        """
+        return (
+            any(self._is_review_due(record, now_s) for record in records)
+            and self._evidence.any_likelihood(records) >= _HOLD_LIKELIHOOD
+        )
+
+    def hold_back_inseparable(
+        self, record: ContentRecord, now_s: float
+    ) -> list[QuarantineChange]:
+        """Hold a content back that crashes servers itself or by a prompt part of it."""
+        if not self._is_review_due(record, now_s):
+            return []
+        return self._hold_back(record, now_s, "it or a part of it crashes servers")
+
+    def _is_review_due(self, record: ContentRecord, now_s: float) -> bool:
+        return (
+            record.probation_since_s is not None
+            and now_s >= self.review_due_s(record)
+            and self._evidence.is_suspect(record)
+        )
+
     def _hold_back_proven(
         self, record: ContentRecord, now_s: float
     ) -> list[QuarantineChange]:
@@ -122,7 +159,7 @@
                 continue
             if self._evidence.is_suspect(other):
                 continue
-            reason = f"content {record.content.digest} explains its crashes"
+            reason = f"{record.content.label} explains its crashes"
             changes += self._clear_or_put_on_probation(other, now_s, reason)
         return changes
 
--- a/src/railfold/_internal/decisions/quarantine/likelihood.py
+++ b/src/railfold/_internal/decisions/quarantine/likelihood.py
@@ -1,5 +1,7 @@
 """Estimates how likely each suspected content crashes servers, by Bayes' rule.
 
+The parts of prompts that requests share are suspects like contents.
+
 An incident is the crash of one server, or of several at the same moment. Any set of
 contents may be at fault. The weight of a set is the prior odds of its contents times
 the likelihood of the observed incidents: an incident at which a content of the set was
@@ -10,6 +12,10 @@
 fault. A content that was running at one more incident is more likely at fault than the
 other. A content that was running at all incidents of two others stays unlikely, since
 those two explain the incidents as well.
+
+If a content and a prompt part were always together, neither is likely enough by itself,
+although one of them certainly is at fault. The likelihood that any of several suspects
+is at fault is the share of the sets that contain at least one of them.
 """
 
 from __future__ import annotations
@@ -19,7 +25,13 @@
 from itertools import combinations
 from math import prod
 
-__all__ = ["RunAtIncident", "Suspect", "fault_likelihoods"]
+__all__ = [
+    "FaultWeights",
+    "RunAtIncident",
+    "Suspect",
+    "fault_likelihoods",
+    "fault_weights",
+]
 
 # The share of the examined incidents that have an unrelated cause.
 _UNRELATED_SHARE = 0.1
@@ -83,6 +95,8 @@
     :param has_succeeded: whether a run of the content ever succeeded.
     :param ran_concurrently: whether several runs were in flight at the same time.
     :param is_proven: whether the content is known to be at fault.
+    :param is_prompt_part: whether it is a prompt part, of which several runs are in
+        flight as a rule, rather than a content.
     """
 
     digest: str
@@ -90,20 +104,54 @@
     has_succeeded: bool = False
     ran_concurrently: bool = False
     is_proven: bool = False
+    is_prompt_part: bool = False
 
     @property
     def prior_odds(self) -> float:
         """The odds that the content is at fault, regardless of its incidents."""
         prior = _PRIOR_REPEATED
-        if self.ran_concurrently:
+        if self.ran_concurrently and not self.is_prompt_part:
             prior = min(prior, _PRIOR_CONCURRENT)
         if self.has_succeeded:
             prior = min(prior, _PRIOR_SUCCEEDED)
         return prior / (1.0 - prior)
 
 
+@dataclass(frozen=True, slots=True)
+class FaultWeights:
+    """The weights of the sets of suspects that may be at fault.
+
+    :param by_set: the digests of each set with its weight.
+    :param total: the sum of all weights.
+    """
+
+    by_set: tuple[tuple[frozenset[str], float], ...]
+    total: float
+
+    def likelihoods(self) -> dict[str, float]:
+        """Return how likely each suspect is at fault, by digest."""
+        weight_by_digest: dict[str, float] = {}
+        for digests, weight in self.by_set:
+            for digest in digests:
+                weight_by_digest[digest] = weight_by_digest.get(digest, 0.0) + weight
+        return {d: weight / self.total for d, weight in weight_by_digest.items()}
+
+    def any_likelihood(self, digests: Iterable[str]) -> float:
+        """Return how likely at least one of several suspects is at fault."""
+        wanted = frozenset(digests)
+        return (
+            sum(w for at_fault, w in self.by_set if not wanted.isdisjoint(at_fault))
+            / self.total
+        )
+
+
 def fault_likelihoods(suspects: Iterable[Suspect]) -> dict[str, float]:
-    """Return how likely the contents with several incidents are at fault, by digest.
+    """Return how likely the contents with several incidents are at fault, by digest."""
+    return fault_weights(suspects).likelihoods()
+
+
+def fault_weights(suspects: Iterable[Suspect]) -> FaultWeights:
+    """Return the weights of the sets of contents that may be at fault.
 
     Incidents of a content that is proven to be at fault don't count against others.
     Proven contents, and contents above the limit of weighed ones, are left out.
@@ -119,7 +167,7 @@
     ]
     repeated = sorted(
         (s for s in unproven_suspects if len(s.likelihood_ratios) > 1),
-        key=lambda s: (-len(s.likelihood_ratios), s.digest),
+        key=lambda s: (-len(s.likelihood_ratios), s.is_cleared_part, s.digest),
     )[:_MAX_SUSPECTS]
     repeated_digests = {suspect.digest for suspect in repeated}
     incidents = {
@@ -127,19 +175,20 @@
     }
     unrelated_likelihoods = dict.fromkeys(incidents, _UNRELATED_SHARE)
     for suspect in unproven_suspects:
-        if suspect.digest not in repeated_digests:
+        # Each run counts once, by its content.
+        if suspect.digest not in repeated_digests and not suspect.is_prompt_part:
             for incident in suspect.likelihood_ratios.keys() & incidents:
                 unrelated_likelihoods[incident] += (
                     _PRIOR_SINGLE * suspect.likelihood_ratios[incident]
                 )
-    total = 0.0
-    weight_by_digest = dict.fromkeys(repeated_digests, 0.0)
-    for at_fault in _subsets(repeated):
-        weight = _weight(at_fault, unrelated_likelihoods)
-        total += weight
-        for suspect in at_fault:
-            weight_by_digest[suspect.digest] += weight
-    return {digest: weight / total for digest, weight in weight_by_digest.items()}
+    by_set = tuple(
+        (
+            frozenset(s.digest for s in at_fault),
+            _weight(at_fault, unrelated_likelihoods),
+        )
+        for at_fault in _subsets(repeated)
+    )
+    return FaultWeights(by_set, sum(weight for _, weight in by_set))
 
 
 class _WeightedSuspect:
@@ -147,6 +196,9 @@
 
     def __init__(self, suspect: Suspect, explained_incidents: set[int]) -> None:
         self.digest = suspect.digest
+        self.is_prompt_part = suspect.is_prompt_part
+        # Popular parts are at many incidents; they must not displace the cause.
+        self.is_cleared_part = suspect.is_prompt_part and suspect.has_succeeded
         self.prior_odds = suspect.prior_odds
         self.likelihood_ratios = {
             incident: run.likelihood_ratio
--- a/src/railfold/_internal/decisions/quarantine/models.py
+++ b/src/railfold/_internal/decisions/quarantine/models.py
@@ -12,6 +12,7 @@
     "QuarantineDecision",
     "QuarantineState",
     "RequestContent",
+    "RequestDigests",
 ]
 
 # The version of a server that crashed before its registration was read, or whose
@@ -41,18 +42,45 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestContent:
-    """Identifies all requests with the same path, caller and body.
+    """Identifies requests with the same path, caller and body, or one prompt part.
 
-    :param digest: a keyed hash of path, caller and body.
+    :param digest: a keyed hash of path, caller and body, or of the prompt part.
     :param service: the service that the requests were sent to.
     :param route: the name of their route.
-    :param workspace: the workspace of the caller; empty if it has none.
+    :param workspace: the workspace of the caller; empty if it has none, and for prompt
+        parts, which several callers share.
+    :param is_prompt_part: whether this is a part of the prompts of several requests.
     """
 
     digest: str
     service: str
     route: str
     workspace: str
+    is_prompt_part: bool = False
+
+    @property
+    def label(self) -> str:
+        """The digest with what it identifies, for messages."""
+        kind = "prompt part" if self.is_prompt_part else "content"
+        return f"{kind} {self.digest}"
+
+
+@dataclass(frozen=True, slots=True)
+class RequestDigests:
+    """The digests by which a request is recognized.
+
+    :param content: the digest of path, caller and body.
+    :param prompt_parts: the digests of the parts of its prompt that other requests may
+        have too.
+    """
+
+    content: str
+    prompt_parts: tuple[str, ...] = ()
+
+    @property
+    def all(self) -> tuple[str, ...]:
+        """The digests of the content and of the prompt parts."""
+        return (self.content, *self.prompt_parts)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/railfold/_internal/decisions/quarantine/quarantine.py
+++ b/src/railfold/_internal/decisions/quarantine/quarantine.py
@@ -106,10 +106,12 @@
         record = self._records.get(digest)
         if record is None:
             return False
+        if record.held_since_s is not None:
+            return True
         return (
-            record.is_restricted
+            record.probation_since_s is not None
             or len(self._evidence.counted_crashes(record)) + 1 >= CRASHES_TO_SUSPECT
-        )
+        ) and self._judge.restricts_requests(record)
 
     # Crash reports
 
@@ -124,13 +126,14 @@
         """
         self._evidence.invalidate_likelihoods()
         changes: list[QuarantineChange] = []
-        updated_records = [
-            record
+        # Runs of different routes may share a prompt part.
+        updated_records = {
+            content.digest: record
             for content, crashes in crashes_by_content.items()
             if (record := self._merge_crashes(content, crashes, now_s, changes))
             is not None
-        ]
-        for record in updated_records:
+        }
+        for record in updated_records.values():
             changes += self._judge.judge(record, now_s)
         self._evidence.evict_excess()
         return changes
@@ -207,7 +210,11 @@
         :return: the changes of state that follow.
         """
         record = self._records.get(digest)
-        if record is not None and last_event is not None:
+        if (
+            record is not None
+            and last_event is not None
+            and not record.content.is_prompt_part
+        ):
             latest_resume_event = max(
                 (c.after_event for c in record.crashes.values()), default=0
             )
@@ -300,12 +307,31 @@
                 if is_held_back
                 else QuarantineDecision.ALLOW_TRIAL
             )
-        if record.probation_since_s is None:
+        if record.probation_since_s is None or not self._judge.restricts_requests(
+            record
+        ):
             return QuarantineDecision.ALLOW
         if now_s < self._wait_until_s(record):
             return QuarantineDecision.WAIT
         return QuarantineDecision.ALLOW_TRIAL
 
+    def is_any_at_fault(self, digests: Iterable[str], now_s: float) -> bool:
+        """Return whether one of these contents certainly crashes servers.
+
+        It is true even if they were always together, so that none of them is held back.
+        """
+        records = [r for digest in digests if (r := self._records.get(digest))]
+        return self._judge.is_any_at_fault(records, now_s)
+
+    def hold_back_inseparable(
+        self, digest: str, now_s: float
+    ) -> list[QuarantineChange]:
+        """Hold a content on probation back, since it or a part crashes servers."""
+        record = self._records.get(digest)
+        if record is None:
+            return []
+        return self._judge.hold_back_inseparable(record, now_s)
+
     def wait_s(self, digest: str, now_s: float) -> float:
         """Return how long a request of a content waits; 0 if it isn't on probation."""
         record = self._records.get(digest)
--- a/tests/lib/crash_simulation.py
+++ b/tests/lib/crash_simulation.py
@@ -20,6 +20,8 @@
     QuarantineDecision,
     QuarantineState,
     RequestContent,
+    RequestDecisions,
+    RequestDigests,
 )
 
 # How long a crashed server takes to restart, and an entry to confirm a crash.
@@ -73,7 +75,7 @@
 class Run:
     """A run of a request on a server."""
 
-    content: RequestContent
+    client: Client
     entry: int
     began_s: float
     retries: int
@@ -81,6 +83,11 @@
     first_event_s: float
     finished: bool = False
 
+    @property
+    def contents(self) -> tuple[RequestContent, ...]:
+        """All that may have crashed the run's server."""
+        return (self.client.content, *self.client.prompt_parts)
+
 
 @dataclass
 class Server:
@@ -101,6 +108,8 @@
     """The client of one content, with the results of its requests.
 
     :param crashes_servers: whether the content crashes each server that runs it.
+    :param prompt_parts: the parts of the prompt that other contents share.
+    :param resends: whether a request is sent again after each answer.
     :param refused_at_s: when requests were refused, because of a hold or to wait.
     :param held_back_at_s: when requests were refused because of a hold.
     :param crashes_at_s: when the content crashed servers.
@@ -108,12 +117,22 @@
 
     content: RequestContent
     crashes_servers: bool
+    prompt_parts: tuple[RequestContent, ...] = ()
+    resends: bool = False
     served: int = 0
     sent: int = 0
+    reached_servers_at_s: list[float] = field(default_factory=list)
     refused_at_s: list[float] = field(default_factory=list)
     held_back_at_s: list[float] = field(default_factory=list)
     crashes_at_s: list[float] = field(default_factory=list)
 
+    @property
+    def digests(self) -> RequestDigests:
+        """The digests by which entries recognize the requests."""
+        return RequestDigests(
+            self.content.digest, tuple(part.digest for part in self.prompt_parts)
+        )
+
     def late_crashes(self, after_s: float) -> int:
         """Return how many servers the content crashed late.
 
@@ -146,6 +165,7 @@
         self._sequence = itertools.count()
         self._scheduled: list[tuple[float, int, Callable[[], None]]] = []
         self._quarantines = [Quarantine() for _ in range(scenario.entries)]
+        self._decisions = [RequestDecisions(q) for q in self._quarantines]
         self._servers = [Server(number) for number in range(scenario.servers)]
         self.crashing_clients = [
             self._new_client(f"d{n}", crashes_servers=True)
@@ -155,13 +175,12 @@
             self._new_client(f"p{n}") for n in range(scenario.popular_contents)
         ]
         self.one_off_clients: list[Client] = []
-        self.clients_by_digest = {
-            c.content.digest: c for c in (*self.crashing_clients, *self.popular_clients)
-        }
 
     def _new_client(self, name: str, *, crashes_servers: bool = False) -> Client:
         return Client(
-            RequestContent(name * 16, "llm", "draft", "quality"), crashes_servers
+            RequestContent(name * 16, "llm", "draft", "quality"),
+            crashes_servers,
+            resends=crashes_servers,
         )
 
     def _schedule(self, delay_s: float, action: Callable[[], None]) -> None:
@@ -196,7 +215,6 @@
 
     def _send_one_off(self) -> None:
         client = self._new_client(f"s{next(self._sequence)}")
-        self.clients_by_digest[client.content.digest] = client
         self.one_off_clients.append(client)
         self._send(client)
         self._schedule(
@@ -206,7 +224,7 @@
 
     def _on_answer(self, client: Client) -> None:
         """Send the next request of a harmful client; the others don't wait."""
-        if client.crashes_servers:
+        if client.resends:
             self._schedule(0.15, lambda: self._send(client))
 
     def _send(self, client: Client) -> None:
@@ -214,12 +232,9 @@
         self._attempt(client, self.rng.randrange(self.scenario.entries), retries=0)
 
     def _attempt(self, client: Client, entry: int, retries: int) -> None:
-        quarantine = self._quarantines[entry]
-        digest = client.content.digest
-        self._record_holds(
-            entry, client.content, quarantine.review_probation(self.now_s, digest)
-        )
-        decision = quarantine.decision(digest, self.now_s)
+        digests, decisions = client.digests, self._decisions[entry]
+        self._record_holds(entry, decisions.review(digests, self.now_s))
+        decision = decisions.decide(digests, self.now_s)
         running = [server for server in self._servers if server.is_up]
         if decision in (QuarantineDecision.REFUSE, QuarantineDecision.WAIT):
             client.refused_at_s.append(self.now_s)
@@ -232,13 +247,14 @@
             return
         on_trial = decision is QuarantineDecision.ALLOW_TRIAL
         if on_trial:
-            quarantine.start_trial(digest, self.now_s)
-            self._broadcast(entry, lambda q: q.start_trial(digest, self.now_s))
+            for digest in decisions.trial_digests(digests, self.now_s):
+                self._start_trial(entry, digest)
         first_event_s = self.now_s + FIRST_EVENT_S
         first_event_s += self.rng.uniform(0.0, self.scenario.max_queue_s)
         if client.crashes_servers:
             first_event_s = float("inf")
-        run = Run(client.content, entry, self.now_s, retries, on_trial, first_event_s)
+        run = Run(client, entry, self.now_s, retries, on_trial, first_event_s)
+        client.reached_servers_at_s.append(self.now_s)
         server = self.rng.choice(running)
         server.runs.append(run)
         if client.crashes_servers:
@@ -253,16 +269,23 @@
                 self.scenario.run_s, lambda: self._complete_run(client, run, server)
             )
 
+    def _start_trial(self, entry: int, digest: str) -> None:
+        self._quarantines[entry].start_trial(digest, self.now_s)
+        self._broadcast(entry, lambda q: q.start_trial(digest, self.now_s))
+
     def _complete_run(self, client: Client, run: Run, server: Server) -> None:
         if run.finished:
             return
         run.finished = True
         server.runs.remove(run)
         client.served += 1
-        digest = client.content.digest
-        if self._quarantines[run.entry].record_success(digest, self.now_s):
-            at_s = self.now_s
-            self._broadcast(run.entry, lambda q: q.record_success(digest, at_s))
+        at_s = self.now_s
+        for digest in client.digests.all:
+            if self._quarantines[run.entry].record_success(digest, at_s):
+                self._broadcast(
+                    run.entry,
+                    lambda q, d=digest: q.record_success(d, at_s),  # type: ignore[misc]
+                )
 
     # Servers
 
@@ -304,7 +327,8 @@
         for run in runs:
             silent = self.scenario.streaming and ended_s < run.first_event_s
             crash = Crash(server_id, run.began_s, ended_s, "v1", silent=silent)
-            crashes_by_content.setdefault(run.content, []).append(crash)
+            for content in run.contents:
+                crashes_by_content.setdefault(content, []).append(crash)
         quarantine = self._quarantines[entry]
         quarantine.record_crashes(crashes_by_content, self.now_s)
         for content in crashes_by_content:
@@ -318,10 +342,8 @@
             self._retry_or_answer(entry, run)
 
     def _retry_or_answer(self, entry: int, run: Run) -> None:
-        client = self.clients_by_digest[run.content.digest]
-        near_restriction = self._quarantines[entry].is_near_restriction(
-            run.content.digest
-        )
+        client = run.client
+        near_restriction = self._decisions[entry].is_near_restriction(client.digests)
         if run.on_trial or near_restriction or run.retries >= ENTRY_RETRIES:
             self._on_answer(client)
         else:
@@ -346,9 +368,7 @@
                 ),
             )
 
-    def _record_holds(
-        self, entry: int, content: RequestContent, changes: list[QuarantineChange]
-    ) -> None:
+    def _record_holds(self, entry: int, changes: list[QuarantineChange]) -> None:
         """Pass new holds to all entries, as through the store."""
         for change in changes:
             if change.state is not QuarantineState.HELD_BACK:
--- a/tests/unit/test_likelihood.py
+++ b/tests/unit/test_likelihood.py
@@ -12,6 +12,7 @@
     RunAtIncident,
     Suspect,
     fault_likelihoods,
+    fault_weights,
 )
 
 WITHOUT_STREAM = RunAtIncident(None, one_at_a_time=True)
@@ -78,3 +79,29 @@
 def test_number_of_weighed_suspects_is_bounded() -> None:
     suspects = [suspect(f"c{n}", *range(n, n + 16)) for n in range(200)]
     assert len(fault_likelihoods(suspects)) == 8
+
+
+def test_one_of_two_inseparable_suspects_is_almost_certainly_at_fault() -> None:
+    suspects = [suspect("a", 1, 2, 3), suspect("b", 1, 2, 3), suspect("c", 1)]
+    weights = fault_weights(suspects)
+    assert max(weights.likelihoods().values()) < 0.7
+    assert weights.any_likelihood(["a", "b"]) > 0.98
+    assert weights.any_likelihood(["a"]) == pytest.approx(weights.likelihoods()["a"])
+    assert weights.any_likelihood(["c"]) == 0.0
+
+
+def test_popular_parts_at_the_same_incidents_do_not_hide_a_crashing_part() -> None:
+    popular = [
+        suspect(f"a{n}", 1, 2, 3, has_succeeded=True, is_prompt_part=True)
+        for n in range(20)
+    ]
+    bad = suspect("z", 1, 2, 3, ran_concurrently=True, is_prompt_part=True)
+    likelihoods = fault_likelihoods([*popular, bad])
+    assert likelihoods["z"] > 0.9
+    assert max(likelihoods.get(f"a{n}", 0.0) for n in range(20)) < 0.1
+
+
+def test_contents_that_were_retried_do_not_hide_their_common_part() -> None:
+    contents = [suspect(f"c{n}", 2 * n, 2 * n + 1) for n in range(2)]
+    bad = suspect("z", 0, 1, 2, 3, is_prompt_part=True)
+    assert fault_likelihoods([*contents, bad])["z"] > 0.8
