Hold back requests with a prompt part that crashes backend servers

Callers saw one backend server after another crash, and sound requests of the route failed, while requests came that share one part of their prompt and of which no two are alike. Entries recognized a request only by path, caller and body.

The platform's adapter decodes the parts of a prompt. All but the last, which belongs to the request or its session, are now recorded at crashes and successes beside the content, by a keyed digest that doesn't depend on the caller. Crash messages, records of holds, log events and 'railfold held' carry parts like contents, with a new optional field that tells them apart, so that entries and records of the version before remain readable. An error answer is no proof that a part crashes no servers.

--- a/src/railfold/_internal/commands/held.py
+++ b/src/railfold/_internal/commands/held.py
@@ -101,8 +101,9 @@
     record = held_content.record
     age_s = max(0.0, clock.unix_time_s() - record.held_at_unix_ms / 1000.0)
     servers = ", ".join(crash.server_id for crash in record.crashes)
+    kind = "  prompt part" if record.prompt_part else ""
     return (
-        f"{held_content.content}  route {record.route}"
+        f"{held_content.content}{kind}  route {record.route}"
         f"  workspace {record.workspace or '-'}"
         f"  held back {age_s:.0f} s ago, {record.holds} in a row\n"
         f"    crashed servers: {servers}"
--- a/src/railfold/_internal/decisions/quarantine/quarantine.py
+++ b/src/railfold/_internal/decisions/quarantine/quarantine.py
@@ -198,6 +198,10 @@
         """Return when a content last succeeded or was cleared; -inf if never."""
         return self._evidence.last_success_s(digest)
 
+    def has_succeeded(self, digest: str) -> bool:
+        """Return whether a success of a content is remembered."""
+        return digest in self._evidence.last_successes_s
+
     def record_success(
         self, digest: str, at_s: float, last_event: int | None = None
     ) -> list[QuarantineChange]:
--- a/src/railfold/_internal/decisions/quarantine/request_decisions.py
+++ b/src/railfold/_internal/decisions/quarantine/request_decisions.py
@@ -56,12 +56,16 @@
         return QuarantineDecision.ALLOW
 
     def decisive_digest(self, digests: RequestDigests, now_s: float) -> str:
-        """Return the digest whose own decision is the strictest."""
+        """Return the digest whose own decision is the strictest.
+
+        Without restrictions it is one that one more crash would restrict.
+        """
         for decision in _STRICTEST_FIRST:
             for digest in digests.all:
                 if self._quarantine.decision(digest, now_s) is decision:
                     return digest
-        return digests.content
+        near_restriction = filter(self._quarantine.is_near_restriction, digests.all)
+        return next(near_restriction, digests.content)
 
     def wait_s(self, digests: RequestDigests, now_s: float) -> float:
         """Return how long a request waits for the trials of others."""
--- a/src/railfold/_internal/forwarding/messages.py
+++ b/src/railfold/_internal/forwarding/messages.py
@@ -49,6 +49,7 @@
     :param deadline_s: loop time until which the client waits, if it sent a deadline.
     :param last_event_id: the event after which the client wants a stream to resume.
     :param size: the number of tokens, if the request is for a model.
+    :param prompt_parts: identifiers of the parts of its prompt, in order, if known.
     """
 
     request_id: str
@@ -63,3 +64,4 @@
     deadline_s: float | None
     last_event_id: int | None
     size: RequestSize
+    prompt_parts: tuple[str, ...] = ()
--- a/src/railfold/_internal/forwarding/peers/peer_messages.py
+++ b/src/railfold/_internal/forwarding/peers/peer_messages.py
@@ -106,13 +106,14 @@
 
 
 class CrashesNotice(msgspec.Struct, frozen=True, tag="crashes"):
-    """The newest crashes of one content that the sender knows."""
+    """The newest crashes of one content or prompt part that the sender knows."""
 
     digest: _Digest
     service: _Name
     route: _Text
     workspace: _Text
     crashes: Annotated[list[CrashNotice], Meta(min_length=1, max_length=64)]
+    prompt_part: bool = False
 
 
 class SuccessNotice(msgspec.Struct, frozen=True, tag="cleared"):
--- a/src/railfold/_internal/forwarding/quarantine/content_digest.py
+++ b/src/railfold/_internal/forwarding/quarantine/content_digest.py
@@ -1,6 +1,9 @@
 """Digests that identify a request that is sent again under another id.
 
-The digest covers path, caller and body, but no headers that clients can change freely.
+The digest of a content covers path, caller and body, but no headers that clients can
+change freely. The parts of a prompt have digests of their own, whoever sends them: a
+part may crash servers whatever else the request contains.
+
 Only a keyed hash leaves the process: logs, records and messages contain no bodies and
 no credentials. Hashing blocks the event loop and with it all streams, so that only the
 length, the beginning and the end of a large body are hashed.
@@ -10,6 +13,7 @@
 
 import hashlib
 
+from railfold._internal.decisions.quarantine import RequestDigests
 from railfold._internal.decisions.routing_table import CredentialOwner
 from railfold._internal.forwarding.messages import ClientRequest
 
@@ -22,8 +26,9 @@
 _DIGEST_BYTES = 16
 _KEY_BYTES = 32
 
-# Distinguishes the key of these digests from others derived from the shared key.
-_KEY_PURPOSE = b"content"
+# Distinguish the keys of these digests from others derived from the shared key.
+_CONTENT_KEY_PURPOSE = b"content"
+_PROMPT_PART_KEY_PURPOSE = b"prompt part"
 
 
 class ContentDigests:
@@ -31,6 +36,7 @@
 
     def __init__(self) -> None:
         self._key: bytes | None = None
+        self._prompt_part_key = b""
         self.shared_key: bytes | None = None
 
     @property
@@ -41,7 +47,25 @@
     def set_key(self, shared_key: bytes) -> None:
         """Set the key that all entries share."""
         self.shared_key = shared_key
-        self._key = derive_key(shared_key, _KEY_PURPOSE)
+        self._key = derive_key(shared_key, _CONTENT_KEY_PURPOSE)
+        self._prompt_part_key = derive_key(shared_key, _PROMPT_PART_KEY_PURPOSE)
+
+    def all_of(
+        self, request: ClientRequest, owner: CredentialOwner | None
+    ) -> RequestDigests:
+        """Return the digests of a request's content and of its shared prompt parts.
+
+        The last part of a prompt belongs to the request or its session.
+        """
+        shared_parts = dict.fromkeys(request.prompt_parts[:-1])
+        return RequestDigests(
+            self.of(request, owner), tuple(map(self._prompt_part, shared_parts))
+        )
+
+    def _prompt_part(self, part_id: str) -> str:
+        return hashlib.blake2b(
+            part_id.encode(), key=self._prompt_part_key, digest_size=_DIGEST_BYTES
+        ).hexdigest()
 
     def of(self, request: ClientRequest, owner: CredentialOwner | None) -> str:
         """Return the digest of a request's content, in hexadecimal.
--- a/src/railfold/_internal/forwarding/quarantine/crash_watch.py
+++ b/src/railfold/_internal/forwarding/quarantine/crash_watch.py
@@ -73,11 +73,18 @@
     """An interrupted run. The request itself, which may be large, isn't kept.
 
     :param ended_s: when the run was interrupted.
+    :param prompt_parts: the parts of its prompt that other requests may have too.
     """
 
     content: RequestContent
     details: RunDetails
     ended_s: float
+    prompt_parts: tuple[RequestContent, ...] = ()
+
+    @property
+    def suspects(self) -> tuple[RequestContent, ...]:
+        """All that may have crashed the run's server."""
+        return (self.content, *self.prompt_parts)
 
     @property
     def server_ids(self) -> tuple[str, ...]:
--- a/src/railfold/_internal/forwarding/quarantine/quarantine_records.py
+++ b/src/railfold/_internal/forwarding/quarantine/quarantine_records.py
@@ -197,6 +197,7 @@
             )
             for crash in change.crashes
         ],
+        change.content.is_prompt_part,
     )
 
 
--- a/src/railfold/_internal/forwarding/quarantine/request_quarantine.py
+++ b/src/railfold/_internal/forwarding/quarantine/request_quarantine.py
@@ -19,6 +19,8 @@
     QuarantineChange,
     QuarantineDecision,
     RequestContent,
+    RequestDecisions,
+    RequestDigests,
 )
 from railfold._internal.decisions.routing_table import CredentialOwner, Route
 from railfold._internal.errors import RepeatedCrashesError, RequestOnTrialError
@@ -35,8 +37,10 @@
 from railfold._internal.forwarding.quarantine.content_digest import ContentDigests
 from railfold._internal.forwarding.quarantine.crash_notices import (
     age_ms,
+    content_from_notice,
     crashes_from_notice,
     crashes_notice,
+    most_suspicious,
 )
 from railfold._internal.forwarding.quarantine.crash_reports import CrashReports
 from railfold._internal.forwarding.quarantine.crash_watch import (
@@ -62,10 +66,6 @@
 # entries know whether its server has crashed.
 _RETRY_DELAY_S = 0.5
 
-# The maximum number of contents that are announced when a server crashes. Each takes a
-# datagram.
-_MAX_CONTENTS_SENT = 8
-
 
 class RequestQuarantine:
     """One entry's quarantine of requests that may crash backend servers.
@@ -93,6 +93,7 @@
         self._loop = asyncio.get_running_loop()
         self._digests = ContentDigests()
         self._quarantine = Quarantine()
+        self._decisions = RequestDecisions(self._quarantine)
         self._watch = CrashWatch(self._on_crash)
         self._records = QuarantineRecords(
             log, stream, router, self._digests, stores_key=stores_key
@@ -116,23 +117,24 @@
     ) -> bool:
         """Check a request that has arrived; return whether it runs as a trial.
 
-        :raises RepeatedCrashesError: its content is held back.
-        :raises RequestOnTrialError: another request with its content is on trial.
+        :raises RepeatedCrashesError: its content or a part of its prompt is held back.
+        :raises RequestOnTrialError: another request with one of them is on trial.
         """
         if not self._has_suspects:
             return False
-        digest = self._digests.of(request, owner)
+        digests = self._digests.all_of(request, owner)
         now_s = self._loop.time()
-        match self._decide(digest, now_s):
+        match self._decide(digests, now_s):
             case QuarantineDecision.ALLOW:
                 return False
             case QuarantineDecision.REFUSE:
-                raise self._held_back_error(digest)
+                raise self._held_back_error(digests, now_s)
             case QuarantineDecision.WAIT:
-                raise self._on_trial_error(digest, now_s)
+                raise self._on_trial_error(digests, now_s)
             case QuarantineDecision.ALLOW_TRIAL:
-                self._apply_changes(self._quarantine.start_trial(digest, now_s))
-                self._announce(TrialStarted(digest))
+                for digest in self._decisions.trial_digests(digests, now_s):
+                    self._apply_changes(self._quarantine.start_trial(digest, now_s))
+                    self._announce(TrialStarted(digest))
                 return True
 
     def check(
@@ -140,32 +142,35 @@
     ) -> None:
         """Check a request right before it is sent, unless it runs as a trial.
 
-        :raises RepeatedCrashesError: its content was held back since it arrived.
+        :raises RepeatedCrashesError: it was held back since it arrived.
         :raises RequestOnTrialError: it would have to wait for the trial of another one.
         """
         if not self._has_suspects or on_trial:
             return
-        digest = self._digests.of(request, owner)
+        digests = self._digests.all_of(request, owner)
         now_s = self._loop.time()
-        match self._decide(digest, now_s):
+        match self._decide(digests, now_s):
             case QuarantineDecision.ALLOW:
                 return
             case QuarantineDecision.WAIT | QuarantineDecision.ALLOW_TRIAL:
-                raise self._on_trial_error(digest, now_s)
+                raise self._on_trial_error(digests, now_s)
             case QuarantineDecision.REFUSE:
-                raise self._held_back_error(digest)
+                raise self._held_back_error(digests, now_s)
 
-    def _decide(self, digest: str, now_s: float) -> QuarantineDecision:
-        self._apply_changes(self._quarantine.review_probation(now_s, digest))
-        return self._quarantine.decision(digest, now_s)
+    def _decide(self, digests: RequestDigests, now_s: float) -> QuarantineDecision:
+        self._apply_changes(self._decisions.review(digests, now_s))
+        return self._decisions.decide(digests, now_s)
 
-    def _on_trial_error(self, digest: str, now_s: float) -> RequestOnTrialError:
+    def _on_trial_error(
+        self, digests: RequestDigests, now_s: float
+    ) -> RequestOnTrialError:
         self._router.metrics.count("quarantine.waited")
-        wait_s = self._quarantine.wait_s(digest, now_s)
+        wait_s = self._decisions.wait_s(digests, now_s)
+        label, _ = self._decisive(digests, now_s)
         return RequestOnTrialError(
-            "another request with the same path, caller and body is on trial",
+            "another request with the same content or prompt part is on trial",
             left_s=wait_s,
-            why=f"servers crashed running content {digest}; {wait_s:.1f} s are left",
+            why=f"servers crashed running {label}; {wait_s:.1f} s are left",
             hint="retry after the delay in Retry-After",
         )
 
@@ -174,71 +179,81 @@
     ) -> None:
         """Check a request that is to be retried after its run was interrupted.
 
-        It isn't known yet whether its server has crashed. Therefore a content that may
+        It isn't known yet whether its server has crashed. Therefore a request that may
         have crashed servers before isn't retried at once; its client may send it again
         later.
 
-        :raises RepeatedCrashesError: its content is held back.
-        :raises RequestOnTrialError: its content is restricted, or would be after one
+        :raises RepeatedCrashesError: its content or a part of its prompt is held back.
+        :raises RequestOnTrialError: one of them is restricted, or would be after one
             more crash.
         """
         if not self._has_suspects:
             return
-        digest = self._digests.of(request, owner)
-        decision = self._decide(digest, self._loop.time())
+        digests = self._digests.all_of(request, owner)
+        now_s = self._loop.time()
+        decision = self._decide(digests, now_s)
         if decision is QuarantineDecision.REFUSE:
-            raise self._held_back_error(digest)
-        is_suspect = self._quarantine.is_near_restriction(digest)
+            raise self._held_back_error(digests, now_s)
+        is_suspect = self._decisions.is_near_restriction(digests)
         if on_trial or is_suspect or decision is not QuarantineDecision.ALLOW:
-            raise self._retry_later_error(digest)
+            raise self._retry_later_error(digests, now_s)
 
-    def _retry_later_error(self, digest: str) -> RequestOnTrialError:
+    def _retry_later_error(
+        self, digests: RequestDigests, now_s: float
+    ) -> RequestOnTrialError:
         self._router.metrics.count("quarantine.not_repeated")
-        crashes = self._quarantine.crashes_of(digest)
-        wait_s = self._quarantine.wait_s(digest, self._loop.time())
+        label, crashes = self._decisive(digests, now_s)
+        wait_s = self._decisions.wait_s(digests, now_s)
         return RequestOnTrialError(
-            "the request's run was interrupted, and requests with the same path, "
-            "caller and body may have crashed backend servers",
+            "the request's run was interrupted, and requests with the same content or "
+            "prompt part may have crashed backend servers",
             left_s=max(_RETRY_DELAY_S, wait_s),
-            why=f"{len(crashes)} servers crashed running content {digest}",
+            why=f"{len(crashes)} servers crashed running {label}",
             hint="retry after the delay in Retry-After",
         )
 
     def may_crash_servers(
         self, request: ClientRequest, owner: CredentialOwner | None
     ) -> bool:
-        """Return whether a request's content has probably crashed several servers.
+        """Return whether a request has probably crashed several servers.
 
         A single crash isn't enough, since most requests that were running on the server
         didn't cause it. Neither are crashes that a held-back content explains.
         """
         if not self._has_suspects:
             return False
-        digest = self._digests.of(request, owner)
-        quarantine = self._quarantine
-        return quarantine.is_near_restriction(digest) and not quarantine.is_explained(
-            digest
-        )
+        return self._decisions.may_crash_servers(self._digests.all_of(request, owner))
 
     def withdraw_trial(
         self, request: ClientRequest, owner: CredentialOwner | None
     ) -> None:
         """End the trial of a request that wasn't run, so that another can be tried."""
-        digest = self._digests.of(request, owner)
-        if self._quarantine.withdraw_trial(digest, self._loop.time()):
-            self._router.metrics.count("quarantine.trials_not_run")
-            self._announce(TrialNotRun(digest))
-
-    def _held_back_error(self, digest: str) -> RepeatedCrashesError:
+        now_s = self._loop.time()
+        for digest in self._digests.all_of(request, owner).all:
+            if self._quarantine.withdraw_trial(digest, now_s):
+                self._router.metrics.count("quarantine.trials_not_run")
+                self._announce(TrialNotRun(digest))
+
+    def _held_back_error(
+        self, digests: RequestDigests, now_s: float
+    ) -> RepeatedCrashesError:
         self._router.metrics.count("quarantine.refused")
-        crashes = self._quarantine.crashes_of(digest)
+        label, crashes = self._decisive(digests, now_s)
         servers = ", ".join(crash.server_id for crash in crashes)
         return RepeatedCrashesError(
             "backend servers ended under this request, and it isn't sent to more",
-            why=f"content {digest} crashed {len(crashes)} servers: {servers}",
+            why=f"{label} crashed {len(crashes)} servers: {servers}",
             hint="don't retry it unchanged; operators: see 'railfold held'",
         )
 
+    def _decisive(
+        self, digests: RequestDigests, now_s: float
+    ) -> tuple[str, tuple[Crash, ...]]:
+        """Return what decides about a request, for messages, and its crashes."""
+        digest = self._decisions.decisive_digest(digests, now_s)
+        kind = "content" if digest == digests.content else "prompt part"
+        return f"{kind} {digest}", self._quarantine.crashes_of(digest)
+
     @property
     def _has_suspects(self) -> bool:
         return self._digests.has_key and len(self._quarantine) > 0
@@ -255,19 +270,28 @@
         """Record an interrupted run."""
         if not self._digests.has_key:
             return
+        digests = self._digests.all_of(request, owner)
+        workspace = owner.workspace if owner is not None else ""
         content = RequestContent(
-            self._digests.of(request, owner),
-            details.service,
-            route.name,
-            owner.workspace if owner is not None else "",
+            digests.content, details.service, route.name, workspace
+        )
+        prompt_parts = tuple(
+            RequestContent(
+                digest, details.service, route.name, workspace="", is_prompt_part=True
+            )
+            for digest in digests.prompt_parts
+        )
+        self._watch.run_interrupted(
+            InterruptedRun(content, details, self._loop.time(), prompt_parts)
         )
-        self._watch.run_interrupted(InterruptedRun(content, details, self._loop.time()))
 
     def record_success(
         self,
         request: ClientRequest,
         owner: CredentialOwner | None,
         last_event: int | None = None,
+        *,
+        wrote_answer: bool = True,
     ) -> None:
         """Record that a run succeeded, or has produced events for some time.
 
@@ -277,15 +301,19 @@
 
         :param last_event: the number of the last event of a stream that is still
             running; ``None`` if the run completed.
+        :param wrote_answer: whether the run wrote an answer, rather than an error. Only
+            such runs show that the parts of the prompt crash no servers.
         """
         is_inconclusive = last_event is not None and not self._has_suspects
         if is_inconclusive or not self._digests.has_key:
             return
-        digest = self._digests.of(request, owner)
-        changes = self._quarantine.record_success(digest, self._loop.time(), last_event)
-        if changes:
-            self._apply_changes(changes)
-            self._announce(SuccessNotice(digest, 0))
+        digests = self._digests.all_of(request, owner)
+        now_s = self._loop.time()
+        for digest in digests.all if wrote_answer else (digests.content,):
+            changes = self._quarantine.record_success(digest, now_s, last_event)
+            if changes:
+                self._apply_changes(changes)
+                self._announce(SuccessNotice(digest, 0))
 
     def server_refused_connection(self, server_id: str) -> None:
         """Record a crash, since a server that isn't draining refuses connections."""
@@ -310,36 +338,25 @@
         version = self._reports.version_of(server_id)
         crashes_by_content: dict[RequestContent, list[Crash]] = {}
         for run in runs:
-            crashes_by_content.setdefault(run.content, []).append(
-                run.crash(server_id, version)
-            )
+            crash = run.crash(server_id, version)
+            for content in run.suspects:
+                crashes_by_content.setdefault(content, []).append(crash)
+        changes = self._quarantine.record_crashes(crashes_by_content, now_s)
+        announced = most_suspicious(runs, self._quarantine)
         self._router.metrics.count("servers.crashed")
         self._router.log.write(
             ServerCrashed(
                 server_id,
                 len(runs),
-                [content.digest for content in crashes_by_content],
+                list(dict.fromkeys(run.content.digest for run in runs)),
                 round((now_s - runs[-1].ended_s) * 1000, 1),
+                [content.digest for content in announced if content.is_prompt_part],
             )
         )
-        self._apply_changes(self._quarantine.record_crashes(crashes_by_content, now_s))
-        for content in self._most_suspicious(runs):
+        self._apply_changes(changes)
+        for content in announced:
             self._announce_crashes(content, now_s)
 
-    def _most_suspicious(self, runs: list[InterruptedRun]) -> list[RequestContent]:
-        """Return the contents to announce, most suspicious first.
-
-        Contents with more known crashes come first, then those whose runs had produced
-        no event, then those whose runs began last.
-        """
-
-        def suspicion(run: InterruptedRun) -> tuple[int, bool, float]:
-            known = len(self._quarantine.crashes_of(run.content.digest))
-            return (known, run.details.events_duration_s == 0.0, run.details.began_s)
-
-        ordered = sorted(runs, key=suspicion, reverse=True)
-        return list(dict.fromkeys(run.content for run in ordered))[:_MAX_CONTENTS_SENT]
-
     def _announce_crashes(self, content: RequestContent, now_s: float) -> None:
         crashes = self._quarantine.crashes_of(content.digest)[-MAX_CRASHES_SENT:]
         if not crashes:
@@ -349,11 +366,9 @@
     # Messages of other entries
 
     def crashes_received(self, message: CrashesNotice) -> None:
-        """Process another entry's report of crashes of a content."""
+        """Process another entry's report of crashes of a content or prompt part."""
         now_s = self._loop.time()
-        content = RequestContent(
-            message.digest, message.service, message.route, message.workspace
-        )
+        content = content_from_notice(message)
         crashes = crashes_from_notice(message, now_s)
         self._reports.record((crash.server_id for crash in crashes), now_s)
         self._confirmer.suspected_elsewhere(content.digest, now_s)
@@ -475,5 +490,6 @@
                 age_ms(now_s, newest_s),
                 "another entry" if from_peer else "this entry",
                 max(0, round((change.held_until_s - now_s) * 1000)),
+                content.is_prompt_part,
             )
         )
--- a/src/railfold/_internal/forwarding/requests/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -80,6 +80,8 @@
 # if the servers that it runs on answer probes: clients disconnect after 2 s or more.
 _MAX_SILENCE_S = 1.3
 
+_SUCCESSES = range(200, 300)
+
 # Answers of plain calls are buffered up to this size, so that the call can be repeated
 # if its answer is interrupted. A larger answer is forwarded as it arrives.
 _MAX_BUFFERED_BYTES = 256 * 1024
@@ -456,7 +458,14 @@
             self.end_attempt("the answer ended within an event")
             return
         self._prober.record_served(server_id)
-        self._quarantine.record_success(self._request, self._owner)
+        wrote_answer = (
+            self._watch.has_events
+            if buffered is None
+            else buffered.head.status in _SUCCESSES
+        )
+        self._quarantine.record_success(
+            self._request, self._owner, wrote_answer=wrote_answer
+        )
         if buffered is not None:
             self._answer.send_buffered(buffered)
         else:
--- a/src/railfold/_internal/forwarding/store/shared_records.py
+++ b/src/railfold/_internal/forwarding/store/shared_records.py
@@ -54,11 +54,12 @@
 
 
 class HoldRecord(msgspec.Struct, frozen=True):
-    """A request content that is held back; the record's key is its digest.
+    """A content or prompt part that is held back; the record's key is its digest.
 
     The record contains nothing of a request except its destination and its sender.
 
     :param holds: how often the content was held back in a row.
+    :param prompt_part: whether it is a part of the prompts of several requests.
     """
 
     service: _Name
@@ -67,10 +68,13 @@
     held_at_unix_ms: _UnixMs
     holds: Annotated[int, Meta(ge=1, le=1000)]
     crashes: Annotated[list[RecordedCrash], Meta(max_length=64)]
+    prompt_part: bool = False
 
     def content(self, digest: str) -> RequestContent:
         """Return the request content that has this digest."""
-        return RequestContent(digest, self.service, self.route, self.workspace)
+        return RequestContent(
+            digest, self.service, self.route, self.workspace, self.prompt_part
+        )
 
     def crashes_on_clock(self, clock_offset_s: float) -> list[Crash]:
         """Return the crashes by a clock that is ``clock_offset_s`` behind Unix time."""
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -307,6 +307,7 @@
 
     :param begun: how many requests of this entry had just started.
     :param contents: digests of the contents of these requests.
+    :param prompt_parts: digests of the most suspicious parts of their prompts.
     :param known_after_ms: time from the end of their connections until the crash was
         certain.
     """
@@ -315,17 +316,19 @@
     begun: int
     contents: list[str]
     known_after_ms: float
+    prompt_parts: list[str] = []
 
 
 class QuarantineChanged(msgspec.Struct, frozen=True, tag="quarantine_changed"):
-    """The quarantine state of requests with the same path, caller and body changed.
+    """The quarantine state of requests with one content or prompt part changed.
 
-    :param content: the digest of path, caller and body.
+    :param content: the digest of path, caller and body, or of the prompt part.
     :param state: suspected, held back, on trial, cleared or lifted.
     :param servers: the backend servers that crashed while they ran these requests.
     :param newest_ms: time since the last of these crashes.
     :param source: whether this entry or another one observed the cause.
     :param retry_in_ms: time until one of the requests may be tried again.
+    :param prompt_part: whether the digest is that of a prompt part.
     """
 
     content: str
@@ -337,6 +340,7 @@
     newest_ms: float
     source: str
     retry_in_ms: float
+    prompt_part: bool = False
 
 
 class RateLimitChanged(msgspec.Struct, frozen=True, tag="rate_limit_changed"):
--- a/src/railfold/_internal/platform/dialect.py
+++ b/src/railfold/_internal/platform/dialect.py
@@ -49,6 +49,9 @@
 # Contains the whole chain with addresses and layers, despite its name.
 _CHAIN = "Railfold-Hop-Count"
 _TOKEN_COUNTS = "Railfold-Token-Counts"
+# The parts of the prompt in order, as ID:TOKENS separated by commas, with hexadecimal
+# IDs.
+_PROMPT_PARTS = "Railfold-Prompt-Prefix"
 _SEAL = "Railfold-Response-Seal"
 _NOT_EXECUTED = "Railfold-Not-Executed"
 _SERVER_AT_FAULT = "At-Server"
@@ -72,6 +75,10 @@
 # number of tokens; longer numbers would take long to parse and to compute with.
 _NUMBER_PATTERN = re.compile(r"[0-9]{1,12}")
 
+# Limits on the parts of a prompt that are read, and on their identifiers.
+_MAX_PROMPT_PARTS = 32
+_PROMPT_PART = re.compile(r"([0-9a-fA-F]{1,128}):[0-9]{1,12}")
+
 # A rate in requests per second. Signs, exponents, words and longer numbers are invalid.
 _RATE = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
 
@@ -144,6 +151,7 @@
             deadline_s=None if deadline_ms is None else now_s + deadline_ms / 1000.0,
             last_event_id=_header_number(fields, _LAST_EVENT_ID),
             size=_request_size(fields.get(_TOKEN_COUNTS.lower(), "")),
+            prompt_parts=_prompt_parts(fields.get(_PROMPT_PARTS.lower(), "")),
         )
 
     def forward_headers(
@@ -278,6 +286,16 @@
     return RequestSize(prompt, answer)
 
 
+def _prompt_parts(text: str) -> tuple[str, ...]:
+    """Return the IDs of the first parts of a prompt; none if one is malformed."""
+    if not text:
+        return ()
+    items = text.split(",", _MAX_PROMPT_PARTS)[:_MAX_PROMPT_PARTS]
+    matches = [_PROMPT_PART.fullmatch(item.strip()) for item in items]
+    part_ids = tuple(match[1].lower() for match in matches if match is not None)
+    return part_ids if len(part_ids) == len(items) else ()
+
+
 def _whole_number(text: str) -> int | None:
     """Return the number in a client's header value; ``None`` if it is invalid."""
     match = _NUMBER_PATTERN.fullmatch(text.strip())
