Weigh the evidence against requests with less work

Only held-back contents are examined when crashes are explained, contents with too few crashes aren't, and a request that is refused for one digest isn't weighed by all.

--- a/src/railfold/_internal/decisions/quarantine/evidence.py
+++ b/src/railfold/_internal/decisions/quarantine/evidence.py
@@ -98,10 +98,11 @@
         :param only_proven: whether only contents that are proven to crash servers may
             explain crashes of this one, or all contents that are held back.
         """
+        held_back = [r for r in self.records.values() if r.held_since_s is not None]
         explained_server_ids = {
             server_id
-            for other in self.other_records(record)
-            if other.is_proven or (other.held_since_s is not None and not only_proven)
+            for other in held_back
+            if other is not record and (other.is_proven or not only_proven)
             for server_id in other.crashes
         }
         return record.counted_crashes(
@@ -110,7 +111,10 @@
 
     def is_suspect(self, record: ContentRecord) -> bool:
         """Return whether enough crashes count against a content to restrict it."""
-        return len(self.counted_crashes(record)) >= CRASHES_TO_SUSPECT
+        return (
+            len(record.crashes) >= CRASHES_TO_SUSPECT
+            and len(self.counted_crashes(record)) >= CRASHES_TO_SUSPECT
+        )
 
     def likelihood(self, record: ContentRecord) -> float:
         """Return how likely a content crashes servers; 0 below two incidents."""
--- a/src/railfold/_internal/decisions/quarantine/quarantine.py
+++ b/src/railfold/_internal/decisions/quarantine/quarantine.py
@@ -319,6 +319,11 @@
             return QuarantineDecision.WAIT
         return QuarantineDecision.ALLOW_TRIAL
 
+    def is_on_probation(self, digest: str) -> bool:
+        """Return whether requests with a content may run one at a time only."""
+        record = self._records.get(digest)
+        return record is not None and record.probation_since_s is not None
+
     def is_any_at_fault(self, digests: Iterable[str], now_s: float) -> bool:
         """Return whether one of these contents certainly crashes servers.
 
--- a/src/railfold/_internal/decisions/quarantine/request_decisions.py
+++ b/src/railfold/_internal/decisions/quarantine/request_decisions.py
@@ -37,8 +37,10 @@
         changes: list[QuarantineChange] = []
         for digest in digests.all:
             changes += self._quarantine.review_probation(now_s, digest)
-        if digests.prompt_parts and self._quarantine.is_any_at_fault(
-            digests.all, now_s
+        if (
+            digests.prompt_parts
+            and self._quarantine.is_on_probation(digests.content)
+            and self._quarantine.is_any_at_fault(digests.all, now_s)
         ):
             changes += self._quarantine.hold_back_inseparable(digests.content, now_s)
         return changes
@@ -46,8 +48,9 @@
     def decide(self, digests: RequestDigests, now_s: float) -> QuarantineDecision:
         """Return what to do with a request now."""
         decisions = {self._quarantine.decision(d, now_s) for d in digests.all}
-        if digests.prompt_parts and self._quarantine.is_any_at_fault(
-            digests.all, now_s
+        if QuarantineDecision.REFUSE in decisions or (
+            digests.prompt_parts
+            and self._quarantine.is_any_at_fault(digests.all, now_s)
         ):
             return QuarantineDecision.REFUSE
         for decision in _STRICTEST_FIRST:
