--- a/tests/unit/test_peers.py
+++ b/tests/unit/test_peers.py
@@ -142,12 +142,14 @@
     "quality",
     [CrashNotice("i-" + "7" * 40, 10, 5, "v" * 30, 2**40)] * MAX_CRASHES_SENT,
 )
+PROMPT_PART_CRASHES = msgspec.structs.replace(CRASHES, prompt_part=True)
 
 
 @pytest.mark.parametrize(
     "message",
     [
         CRASHES,
+        PROMPT_PART_CRASHES,
         SuccessNotice(DIGEST, 10),
         TrialStarted(DIGEST),
         EntryStarted("entry-1", "10.0.0.1:7355", 1),
--- a/tests/unit/test_prompt_parts.py
+++ b/tests/unit/test_prompt_parts.py
@@ -6,13 +6,24 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from railfold._internal.decisions.routing_table import CredentialOwner
 from railfold._internal.forwarding.messages import ClientRequest
+from railfold._internal.forwarding.peers.peer_messages import (
+    CrashesNotice,
+    CrashNotice,
+)
 from railfold._internal.forwarding.quarantine.content_digest import ContentDigests
+from railfold._internal.forwarding.quarantine.crash_notices import content_from_notice
+from railfold._internal.forwarding.store.shared_records import (
+    HoldRecord,
+    decode_hold,
+    encode_hold,
+)
 from railfold._internal.platform.dialect import PlatformDialect
 
 OWNER = CredentialOwner("quality", None)
@@ -73,3 +84,20 @@
     other.set_key(b"1" * 32)
     request = decode("a1:20,b2:3")
     assert digests.all_of(request, OWNER) != other.all_of(request, OWNER)
+
+
+def test_hold_of_a_part_is_recorded_as_one() -> None:
+    hold = HoldRecord("llm", "draft", "", 1, 1, [], prompt_part=True)
+    assert decode_hold(encode_hold(hold)).content("a1").is_prompt_part
+
+
+def test_records_and_messages_of_the_previous_version_are_about_contents() -> None:
+    hold = HoldRecord("llm", "draft", "quality", 1, 1, [])
+    old_hold = msgspec.to_builtins(hold)
+    del old_hold["prompt_part"]
+    assert decode_hold(msgspec.json.encode(old_hold)) == hold
+    notice = CrashesNotice("0" * 32, "llm", "draft", "", [CrashNotice("i-1", 9, 5)])
+    old_notice = msgspec.to_builtins(notice)
+    del old_notice["prompt_part"]
+    decoded = msgspec.convert(old_notice, CrashesNotice)
+    assert not content_from_notice(decoded).is_prompt_part
