Don't count a refusal for requests that were refused before the exit

Only the counter refused.entry_stopping was too high: a request that was refused before its body was complete, and whose answer wasn't read yet, was counted again.

--- a/src/railfold/_internal/entry/callers.py
+++ b/src/railfold/_internal/entry/callers.py
@@ -143,8 +143,8 @@
         return False
 
     def refuse_incomplete(self, error: RequestError, retry_after_s: float) -> None:
-        """Refuse the request if its body isn't complete."""
-        if not self._body_complete:
+        """Refuse the request if its body isn't complete and it has no answer."""
+        if not self._body_complete and not self._finished:
             self.refuse(error, retry_after_s)
 
     def on_finish(self) -> None:
