End the hold of a prompt part that succeeds at another entry

An entry at which the part has succeeded now doesn't take over a hold that its own evidence doesn't support and announces the success again; a success that is reported later ends such a hold if the evidence no longer suffices.

Tried and reverted: a first hold of 30 s for parts that no trial has proven.

--- a/src/railfold/_internal/decisions/quarantine/judgement.py
+++ b/src/railfold/_internal/decisions/quarantine/judgement.py
@@ -205,11 +205,34 @@
             del self._evidence.records[record.content.digest]
             return [change]
         record.crashes = later_crashes
-        if not record.is_restricted or self._evidence.is_suspect(record):
+        if not record.is_restricted:
+            return []
+        if self._evidence.is_suspect(record) and not self._is_hold_refuted(record):
             return []
         self._remove_restrictions(record)
         return [change]
 
+    def refutes_hold_of_others(self, record: ContentRecord) -> bool:
+        """Return whether a prompt part that another entry holds back succeeds here."""
+        return (
+            record.content.is_prompt_part
+            and record.held_since_s is None
+            and self._evidence.has_succeeded(record)
+            and self._evidence.likelihood(record) < _HOLD_LIKELIHOOD
+        )
+
+    def _is_hold_refuted(self, record: ContentRecord) -> bool:
+        """Return whether a success makes the hold of a prompt part unfounded.
+
+        Requests with other contents succeed with it, even before its later crashes.
+        """
+        return (
+            record.content.is_prompt_part
+            and record.held_since_s is not None
+            and not record.proof_server_ids
+            and self._evidence.likelihood(record) < _HOLD_LIKELIHOOD
+        )
+
     def _remove_restrictions(self, record: ContentRecord) -> None:
         """Remove all restrictions of a content; keep its crashes."""
         self._evidence.invalidate_likelihoods()
--- a/src/railfold/_internal/decisions/quarantine/quarantine.py
+++ b/src/railfold/_internal/decisions/quarantine/quarantine.py
@@ -287,10 +287,12 @@
         for crash in crashes:
             record.add_crash(crash)
         record.drop_oldest_crashes()
+        record.last_updated_s = max(record.last_updated_s, held_since_s)
+        if self._judge.refutes_hold_of_others(record):
+            return []
         record.hold_count = hold_count
         record.held_since_s = held_since_s
         record.probation_since_s = None
-        record.last_updated_s = max(record.last_updated_s, held_since_s)
         change = record.change_to(
             QuarantineState.HELD_BACK, "another entry recorded the hold"
         )
--- a/src/railfold/_internal/forwarding/quarantine/request_quarantine.py
+++ b/src/railfold/_internal/forwarding/quarantine/request_quarantine.py
@@ -408,6 +408,8 @@
             record.holds,
         )
         self._apply_changes(changes, from_peer=True)
+        if record.prompt_part:
+            self._confirmer.suspected_elsewhere(digest, self._loop.time())
         self._records.record_found(digest)
 
     def record_removed(self, digest: str) -> None:
--- a/tests/unit/test_request_decisions.py
+++ b/tests/unit/test_request_decisions.py
@@ -124,3 +124,33 @@
     crash_server(quarantine, 4, "content", *invented)
     assert len(quarantine) <= MAX_CONTENTS
     assert decide(decisions, "another", "bad", at_s=6.0) is QuarantineDecision.REFUSE
+
+
+def hold_back_part(quarantine: Quarantine, decisions: RequestDecisions) -> None:
+    for number in range(4):
+        crash_server(quarantine, number, f"content-{number}", "part")
+    assert decide(decisions, "another", "part") is QuarantineDecision.REFUSE
+
+
+def test_success_at_another_entry_ends_the_hold_of_a_popular_part(
+    quarantine: Quarantine, decisions: RequestDecisions
+) -> None:
+    """The success was before the last crashes, and is reported after the hold."""
+    hold_back_part(quarantine, decisions)
+    changes = quarantine.record_success("part", 1.5)
+    assert [change.state for change in changes] == [QuarantineState.CLEARED]
+    assert decide(decisions, "another", "part") is not QuarantineDecision.REFUSE
+
+
+def test_entry_where_a_part_succeeded_does_not_take_over_its_hold(
+    quarantine: Quarantine, decisions: RequestDecisions
+) -> None:
+    hold_back_part(quarantine, decisions)
+    (hold,) = quarantine.held_back
+    other = Quarantine()
+    other.record_success("part", 1.5)
+    other.restore_hold(hold.content, hold.crashes, hold.held_since_s, 1)
+    assert other.held_back == []
+    new_entry = Quarantine()
+    new_entry.restore_hold(hold.content, hold.crashes, hold.held_since_s, 1)
+    assert [change.content for change in new_entry.held_back] == [hold.content]
