--- a/tests/lib/crash_part_simulation.py
+++ b/tests/lib/crash_part_simulation.py
@@ -181,3 +181,18 @@
     if not clients:
         return None
     return sum(c.served_at_first_attempt for c in clients) / len(clients)
+
+
+class PromptsSimulation(Simulation):
+    """The simulation of repeated contents whose prompts have a common first part.
+
+    Each content has another part that no other content has.
+    """
+
+    def _new_client(self, name: str, *, crashes_servers: bool = False) -> Client:
+        client = super()._new_client(name, crashes_servers=crashes_servers)
+        client.prompt_parts = tuple(
+            RequestContent(part, "llm", "draft", "", is_prompt_part=True)
+            for part in ("first", f"part-{name}")
+        )
+        return client
--- a/tests/unit/test_prompt_part_simulation.py
+++ b/tests/unit/test_prompt_part_simulation.py
@@ -10,7 +10,21 @@
 import random
 from collections.abc import Iterable
 
-from tests.lib.crash_part_simulation import PartOutcome, PartScenario, PartSimulation
+from tests.lib.crash_part_simulation import (
+    PartOutcome,
+    PartScenario,
+    PartSimulation,
+    PromptsSimulation,
+)
+from tests.lib.crash_simulation import longest_streak_s
+from tests.unit.test_quarantine_simulation import (
+    MAX_INNOCENT_HOLD_S,
+    MAX_LATE_CRASHES,
+    REACTION_S,
+)
+from tests.unit.test_quarantine_simulation import (
+    random_scenario as random_content_scenario,
+)
 
 SEED_COUNT = 250
 MAX_LATE_REQUESTS = 3
@@ -68,3 +82,33 @@
 
 def test_crashing_part_is_stopped_and_sound_requests_are_served() -> None:
     assert excess_outcomes(range(SEED_COUNT)) == {}
+
+
+def excess_contents(seeds: Iterable[int]) -> dict[int, tuple[int, float]]:
+    """Return the late crashes and the longest hold that break a bound, by seed.
+
+    The scenarios and bounds are those of repeated contents without prompt parts.
+    """
+    excess = {}
+    for seed in seeds:
+        scenario = random_content_scenario(seed)
+        simulation = PromptsSimulation(scenario).run()
+        late_crashes = max(
+            (c.late_crashes(REACTION_S) for c in simulation.crashing_clients), default=0
+        )
+        held_s = max(
+            longest_streak_s(c.held_back_at_s, scenario.send_interval_s)
+            for c in simulation.popular_clients
+        )
+        if late_crashes > MAX_LATE_CRASHES or held_s > MAX_INNOCENT_HOLD_S:
+            excess[seed] = (late_crashes, held_s)
+    return excess
+
+
+def test_common_first_part_does_not_protect_or_incriminate_contents() -> None:
+    assert excess_contents([*range(SEED_COUNT), 1123]) == {}
+
+
+def test_common_first_part_that_has_never_succeeded_is_not_held_back() -> None:
+    """Three contents crash both servers from the first second."""
+    assert excess_contents([730]) == {}
