Close connections unread at an entry that is overloaded alone

When most new connections went to one entry, it read all requests and answered most after their clients had given up. The entry also missed readiness probes, and the next one that got the connections fell, too.

The cause: connections are accepted and read whatever is waiting, so that the event loop falls behind without bound.

An entry now measures how late its loop is, how long the loop is busy for each request and how many connections await their first request. If it is overloaded and most other entries aren't, which they announce in the exchange of load, it closes new connections before it reads from them, up to what it can serve. Nothing is closed in a planned stop, before other entries are known, or while half of them are overloaded.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -64,12 +64,16 @@
 
 @dataclass
 class Entry:
-    """One entry process, which is restarted whenever it exits."""
+    """One entry process, which is restarted whenever it exits.
+
+    :param command: the interpreter's arguments before the path of the settings.
+    """
 
     name: str
     zone: str
     store_link: Link
     folder: Path
+    command: tuple[str, ...] = ("-m", "railfold", "forward")
     clients: int = 0
     ready: int = 0
     peers: int = 0
@@ -104,9 +108,7 @@
             log = (self.folder / f"{self.name}.log").open("ab")
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                "-m",
-                "railfold",
-                "forward",
+                *self.command,
                 str(self.folder / f"{self.name}.toml"),
                 stdout=log,
                 stderr=log,
@@ -176,8 +178,13 @@
         """All backend servers of the run, including replaced ones."""
         return [*self.engines, *self.plain, *self.replaced]
 
-    async def start(self, entries: int) -> None:
-        """Start the store, the servers and the entries; don't wait for readiness."""
+    async def start(
+        self, entries: int, entry_command: tuple[str, ...] = Entry.command
+    ) -> None:
+        """Start the store, the servers and the entries; don't wait for readiness.
+
+        :param entry_command: see :class:`Entry`.
+        """
         self.entry_bandwidth = SharedBandwidth(entries)
         sockets = bind_sockets(0, "127.0.0.1")
         self._store_server = HTTPServer(self.store.application())
@@ -197,6 +204,7 @@
             name = f"entry-{number}"
             self.links[f"store-{name}"] = link
             entry = Entry(name, ZONES[number % len(ZONES)], link, self.folder)
+            entry.command = entry_command
             await entry.start()
             self.entries.append(entry)
 
--- a/src/railfold/_internal/clock.py
+++ b/src/railfold/_internal/clock.py
@@ -53,10 +53,14 @@
         super().__init__()
         self.on_resumed: Callable[[float], None] | None = None
         self._total_suspended_s = now_s() - _monotonic_s()
+        self.idle_s = 0.0
 
     def select(self, timeout: float | None = None) -> Any:
+        started_s = _monotonic_s()
         ready_keys = super().select(timeout)
-        total_suspended_s = now_s() - _monotonic_s()
+        ended_s = _monotonic_s()
+        self.idle_s += ended_s - started_s
+        total_suspended_s = now_s() - ended_s
         suspension_s, self._total_suspended_s = (
             total_suspended_s - self._total_suspended_s,
             total_suspended_s,
@@ -84,6 +88,11 @@
         """Return the time for timers and ages, in seconds since the host booted."""
         return now_s()
 
+    @property
+    def idle_s(self) -> float:
+        """The total time for which the loop has waited for events."""
+        return self._detecting_selector.idle_s
+
     def call_when_resumed(self, callback: Callable[[float], None]) -> None:
         """Set a callback that runs after a suspension, with its duration in seconds.
 
--- a/src/railfold/_internal/forwarding/peers/load_exchange.py
+++ b/src/railfold/_internal/forwarding/peers/load_exchange.py
@@ -96,6 +96,9 @@
 # for a sum that reaches the collector as its round ends.
 _MAX_HOPS = 2
 
+# The server id under which entries announce that they are overloaded, as one sequence.
+_OVERLOADED_ENTRIES = "overloaded entries"
+
 # The name under which the load of all other entries is stored.
 _OTHER_ENTRIES = "others"
 
@@ -320,6 +323,9 @@
                     )
         entries = others_load.entries
         if entries:
+            key = _load_key(_OVERLOADED_ENTRIES)
+            _, overloaded, *_ = others_load.amounts_by_key.get(key, (0, 0))
+            router.admission.others_announced(overloaded, entries, now_s)
             load, arrivals = router.fleet_load, router.fleet_demand
             load.announced(_OTHER_ENTRIES, loads, others_load.at_s, now_s, entries)
             arrivals.announced(_OTHER_ENTRIES, demand, others_load.at_s, now_s, entries)
@@ -340,6 +346,8 @@
                 _token_units(load.pending_prompt_tokens),
                 int(server_id in full),
             )
+        if router.admission.is_overloaded(now_s):
+            own[_load_key(_OVERLOADED_ENTRIES)] = (0, 1, 0, 0)
         arrival_rates = router.fleet_demand.own_per_s(now_s)
         busiest = sorted(arrival_rates, key=lambda key: -arrival_rates[key])[
             :_MAX_OWN_DEMAND_ROWS
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -31,6 +31,7 @@
 from railfold._internal.forwarding.adapter import PlatformAdapter
 from railfold._internal.forwarding.fleet_limits import FleetLimits
 from railfold._internal.forwarding.listeners import Listeners
+from railfold._internal.forwarding.loop_monitor import LoopMonitor
 from railfold._internal.forwarding.messages import Header
 from railfold._internal.forwarding.peers.peering import Peering
 from railfold._internal.forwarding.peers.proof_refresher import ProofRefresher
@@ -254,6 +255,8 @@
             settings.readiness_address,
             listener=listeners.readiness if listeners else None,
         )
+        self._loop_monitor = LoopMonitor(self.router)
+        self._clients.loop_monitor = self._loop_monitor
         self._drivers: dict[ClientExchange, RequestDriver] = {}
         # Since when this entry alone lacks a proof that its configuration is in force.
         self._unproven_since_s: float | None = None
@@ -278,6 +281,7 @@
             ChildSpec("slow engines", self._slow_engines.run),
             *self._peering.children(),
             ChildSpec("upkeep", self._run_upkeep),
+            ChildSpec("loop monitor", self._loop_monitor.run),
             ChildSpec("clients", self._clients.run),
             ChildSpec("readiness", self._readiness.run),
         ]
@@ -359,7 +363,9 @@
         since_s = self._unproven_since_s
         balancer_noticed = since_s is not None and now_s - since_s >= _BALANCER_PROBE_S
         self._clients.closes_connections = (
-            self.router.drain is not None or balancer_noticed
+            self.router.drain is not None
+            or balancer_noticed
+            or self.router.admission.sheds(now_s)
         )
 
     @property
@@ -447,6 +453,7 @@
         """Process a client's request."""
         now_s = self._loop.time()
         router = self.router
+        router.admission.request_read()
         request_id = ""
         try:
             self._require_accepting(now_s)
@@ -564,6 +571,8 @@
             self._capacity_queue.forget()
             self._clients.forget_closed()
             self.metrics.gauge("in_flight", len(self.router.active))
+            cost_s = self.router.admission.request_cost_s
+            self.metrics.gauge("loop.request_cost_s", cost_s)
             self.metrics.gauge("memory.held_bytes", self._memory_quota.total_bytes)
             self.metrics.gauge("configuration.age_s", self.router.lease.age_s(now_s))
 
--- a/src/railfold/_internal/forwarding/requests/front.py
+++ b/src/railfold/_internal/forwarding/requests/front.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 from collections.abc import Callable, Sequence
-from typing import Protocol
+from typing import Any, Protocol
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
@@ -22,6 +22,7 @@
 from railfold._internal.core import Address
 from railfold._internal.decisions.memory_quota import MemoryQuota, MemoryReservation
 from railfold._internal.decisions.routing_table import ClientLimits
+from railfold._internal.forwarding.loop_monitor import LoopMonitor
 from railfold._internal.forwarding.messages import Header
 from railfold._internal.observability.server import HttpServerChild
 
@@ -34,6 +35,10 @@
 # 50 ms. If the store is unavailable, clients get an error after this time.
 _MAX_STARTUP_WAIT_S = 0.3
 
+# A new connection counts as idle if its request hasn't arrived within this many turns
+# of the loop monitor, which take 0.5 s unless the event loop is late.
+_MAX_AWAITED_TURNS = 10
+
 _REASONS = {
     200: "OK",
     400: "Bad Request",
@@ -294,6 +299,19 @@
         )
 
 
+class _AdmittingServer(HTTPServer):
+    """Closes connections that aren't admitted, before anything is read from them."""
+
+    def handle_stream(self, stream: IOStream, address: Any) -> None:
+        """Serve a new connection, or close it."""
+        delegate = self.request_callback
+        assert isinstance(delegate, ClientServer)
+        if delegate.admits_connection(stream):
+            super().handle_stream(stream, address)
+        else:
+            stream.close()
+
+
 class ClientServer(HTTPServerConnectionDelegate):
     """Supervised child that serves clients.
 
@@ -317,6 +335,10 @@
         # connections are tracked here.
         self._streams: set[IOStream] = set()
         self._busy: set[IOStream] = set()
+        # Accepted connections whose first request is awaited, by the turn of the loop
+        # monitor in which they were accepted.
+        self._awaited: dict[IOStream, int] = {}
+        self.loop_monitor: LoopMonitor | None = None
         # Set once requests can be answered; connections wait until then.
         self.can_answer = asyncio.Event()
         self._child = HttpServerChild(
@@ -326,6 +348,7 @@
             start_event=self.can_answer,
             start_timeout_s=_MAX_STARTUP_WAIT_S,
             configure_server=self._apply_limits,
+            server_class=_AdmittingServer,
         )
         self._limits = ClientLimits()
 
@@ -341,9 +364,25 @@
         self._streams -= closed
         self._busy -= closed
 
+    def admits_connection(self, stream: IOStream) -> bool:
+        """Return whether to serve a new connection, and count it if so."""
+        monitor = self.loop_monitor
+        if monitor is None:
+            return True
+        idle_since = monitor.turns - _MAX_AWAITED_TURNS
+        for awaited, turn in list(self._awaited.items()):
+            if turn > idle_since and not awaited.closed():
+                break
+            del self._awaited[awaited]
+        admitted = monitor.admits(len(self._awaited))
+        if admitted:
+            self._awaited[stream] = monitor.turns
+        return admitted
+
     def mark_busy(self, stream: IOStream) -> None:
         """Mark a connection as one on which a request has begun to arrive."""
         self._busy.add(stream)
+        self._awaited.pop(stream, None)
 
     def stop_accepting(self) -> None:
         """Accept no new connections, and close those without a request.
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -28,6 +28,7 @@
 from railfold._internal.decisions.client_retry_after import (
     RateLimited as PermitUnavailable,
 )
+from railfold._internal.decisions.connection_admission import ConnectionAdmission
 from railfold._internal.decisions.domain_pipes import DomainPipes
 from railfold._internal.decisions.drain import DrainSchedule
 from railfold._internal.decisions.eligibility import ServerEligibility
@@ -122,6 +123,7 @@
         than ``table``.
     :param active: requests in flight.
     :param drain: set once the entry is told to stop.
+    :param admission: decides about new connections.
     """
 
     dialect: Dialect
@@ -141,6 +143,7 @@
     peer_has_newer: Callable[[], bool] = field(default=lambda: False)
     active: set[ActiveRequest] = field(default_factory=set)
     drain: DrainSchedule | None = None
+    admission: ConnectionAdmission = field(default_factory=ConnectionAdmission)
     activity: ChainActivity = field(default_factory=ChainActivity)
     avoidance: Avoidance = field(default_factory=Avoidance)
     arrivals: ArrivalRates = field(default_factory=ArrivalRates)
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -25,6 +25,7 @@
     "LinesDropped",
     "LoadCoverageChanged",
     "LogLine",
+    "OverloadChanged",
     "PipeShareReduced",
     "ProcessResumed",
     "ProcessStarted",
@@ -103,6 +104,16 @@
     proof_age_ms: float
 
 
+class OverloadChanged(msgspec.Struct, frozen=True, tag="overload_changed"):
+    """The entry began or stopped to close new connections with their requests unread.
+
+    :param request_cost_ms: the time that the event loop is busy for each request.
+    """
+
+    overloaded: bool
+    request_cost_ms: float
+
+
 class StoreRolledBack(msgspec.Struct, frozen=True, tag="store_went_back"):
     """The store was restored from an older copy and lost acknowledged records."""
 
@@ -422,6 +433,7 @@
     | DependencyLost
     | DependencyRecovered
     | ReadinessChanged
+    | OverloadChanged
     | StoreRolledBack
     | ConfigurationAccepted
     | ConfigurationBehind
--- a/src/railfold/_internal/observability/server.py
+++ b/src/railfold/_internal/observability/server.py
@@ -32,6 +32,7 @@
         if not given, they are accepted at once.
     :param start_timeout_s: longest wait for ``start_event``; no limit if not given.
     :param configure_server: called with each new server before it serves.
+    :param server_class: the class of the servers.
     :param options: keyword arguments for tornado's server.
     """
 
@@ -44,6 +45,7 @@
         start_event: asyncio.Event | None = None,
         start_timeout_s: float | None = None,
         configure_server: Callable[[HTTPServer], None] | None = None,
+        server_class: type[HTTPServer] = HTTPServer,
         **options: Any,
     ) -> None:
         self._delegate = delegate
@@ -52,6 +54,7 @@
         self._start_event = start_event
         self._start_timeout_s = start_timeout_s
         self._configure_server = configure_server
+        self._server_class = server_class
         self._options = options
         self._listening_sockets: list[socket.socket] = []
         self.server: HTTPServer | None = None
@@ -59,7 +62,7 @@
     async def run(self, ready: asyncio.Event) -> None:
         """Listen on the address and serve until cancelled."""
         # tornado's servers can't be used again after they were stopped.
-        server = HTTPServer(self._delegate, **self._options)
+        server = self._server_class(self._delegate, **self._options)
         self.server = server
         if self._configure_server is not None:
             self._configure_server(server)
