Check answers that end with their connection

A backend server's answer may have neither length nor chunks. Tests now show for both paths that it is complete when its connection is closed, that one that is reset is not, and that a stream that is closed within an event or reset after one goes on elsewhere with each event once. No fault was found.

--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -11,6 +11,8 @@
 import asyncio
 import contextlib
 import json
+import socket
+import struct
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -56,7 +58,11 @@
         ``"shed"`` (refuses requests without running them), ``"error"`` (runs requests
         and fails them), ``"lose"`` (runs requests and closes the connection without a
         response), ``"foreign"`` (sends another request's response first),
-        ``"surplus"`` (sends the response twice).
+        ``"surplus"`` (sends the response twice), ``"unframed"`` (its responses have
+        neither length nor chunks and end with their connection), ``"unframed cut"``
+        or ``"unframed reset"`` (the same, but its next response is closed within an
+        event, or reset after one, and all servers are in mode ``"unframed"`` from then
+        on).
     :param run_counts: how often each request ran on this server.
     :param pace: the factor by which it reports that its steps are slower than usual.
     :param born: the start time that it reports, in Unix milliseconds; ``None`` if it
@@ -337,7 +343,9 @@
             return
         self.set_header("Railfold-Attempt-Id", request_id)
         self.set_header("Railfold-Response-Seal", SEAL)
-        if engine.mode == "error":
+        if engine.mode.startswith("unframed"):
+            await self._respond_unframed(request_id)
+        elif engine.mode == "error":
             self.set_status(500)
             self.finish("failed")
         elif "Railfold-Hop-Count" in headers:
@@ -386,6 +394,35 @@
         stream = self.request.connection.stream  # type: ignore[attr-defined]
         await stream.write(head.encode() + body)
 
+    async def _respond_unframed(self, request_id: str) -> None:
+        headers, mode = self.request.headers, self.engine.mode
+        head = (
+            f"HTTP/1.1 200 OK\r\nRailfold-Attempt-Id: {request_id}\r\n"
+            f"Railfold-Response-Seal: {SEAL}\r\n"
+        )
+        body = f"record of {request_id}"
+        if "Railfold-Hop-Count" in headers:
+            head += "Content-Type: text/event-stream\r\n"
+            first = int(headers.get("Last-Event-Id", "0")) + 1
+            last = int(headers["Railfold-Token-Counts"].split(",")[1])
+            numbers = range(first, last + 1)
+            body = "".join(f"id: {n}\ndata: token {n}\n\n" for n in numbers)
+        if mode != "unframed":
+            body = body[: len(body) // 2].rstrip("\n") + "\n"
+            if mode == "unframed reset" and "\n\n" in body:
+                body = body[: body.rindex("\n\n") + 2]
+            for server in self.engine.fleet.values():
+                server.mode = "unframed"
+        stream = self.request.connection.detach()  # type: ignore[attr-defined]
+        self._finished = True
+        await stream.write(f"{head}\r\n{body}".encode())
+        if mode == "unframed reset":
+            await asyncio.sleep(0.05)  # The sent part arrives first.
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+        stream.close()
+
     async def _stream(self, chain: str) -> None:
         try:
             at_fault = server_missing_layers(chain, self.engine.fleet)
--- /dev/null
+++ b/tests/unit/test_http_service.py
@@ -0,0 +1,81 @@
+"""Answers of plain services that end with their connection."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections.abc import AsyncIterator
+
+import pytest
+
+from railfold._internal.engines.http_service import HttpService, ServiceAnswer
+from railfold._internal.errors import EngineUnavailableError
+from railfold._internal.store.http import new_http_client, new_single_use_client
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+
+
+@contextlib.asynccontextmanager
+async def service(answer: bytes, *, reset: bool = False) -> AsyncIterator[HttpService]:
+    """A service that sends an answer as it is and ends the connection."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        await writer.drain()
+        if reset:
+            await asyncio.sleep(0.05)  # The sent part arrives first.
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    http, single_use_http = new_http_client(), new_single_use_client()
+    yield HttpService(f"http://127.0.0.1:{port}", "/health", http, single_use_http)
+    http.close()
+    single_use_http.close()
+    server.close()
+
+
+async def call(service: HttpService) -> ServiceAnswer:
+    return await service.call("r-1", "GET", "slips", "", b"", 2.0)
+
+
+async def test_answer_without_length_or_chunks_is_complete_at_the_end() -> None:
+    async with service(HEAD + b"\r\nrecord") as http_service:
+        assert await call(http_service) == ServiceAnswer(200, "text/plain", b"record")
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        HEAD + b"\r\nrec",
+        HEAD + b"Content-Length: 6\r\n\r\nrec",
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n3\r\nrec\r\n",
+    ],
+    ids=["unframed", "length", "chunks"],
+)
+async def test_answer_that_is_reset_is_not_complete(answer: bytes) -> None:
+    async with service(answer, reset=True) as http_service:
+        with pytest.raises(EngineUnavailableError):
+            await call(http_service)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        HEAD + b"Content-Length: 6\r\n\r\nrec",
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n3\r\nrec\r\n",
+    ],
+    ids=["length", "chunks"],
+)
+async def test_answer_that_is_closed_before_its_end_is_not_complete(
+    answer: bytes,
+) -> None:
+    async with service(answer) as http_service:
+        with pytest.raises(EngineUnavailableError):
+            await call(http_service)
