--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -6,11 +6,8 @@
 import random
 from collections.abc import Sequence
 
-from absl import logging
-
 from railfold import __version__
 from railfold._internal import clock
-from railfold._internal.decisions.drain import DrainSchedule, acceptance_error
 from railfold._internal.decisions.engine_directory import EngineDirectory
 from railfold._internal.decisions.fleet_size import FleetSize
 from railfold._internal.decisions.freshness import FreshnessLease
@@ -34,6 +31,7 @@
 from railfold._internal.forwarding.messages import Header
 from railfold._internal.forwarding.peers.peering import Peering
 from railfold._internal.forwarding.peers.proof_refresher import ProofRefresher
+from railfold._internal.forwarding.planned_stop import PlannedStop
 from railfold._internal.forwarding.reload import SettingsWatcher
 from railfold._internal.forwarding.requests.capacity_queue import CapacityQueue
 from railfold._internal.forwarding.requests.destinations import DestinationChooser
@@ -70,7 +68,6 @@
     DependencyRecovered,
     ProcessResumed,
     ProcessStarted,
-    ProcessStopping,
     ReadinessChanged,
     StoreRolledBack,
 )
@@ -115,24 +112,10 @@
 # written to a server.
 _CLIENT_MEMORY_SHARE = 0.2
 
-# How long the load balancer may still send new connections after the readiness probe
-# fails; it probes once a second and reacts to the second failure. After this time,
-# connections without a request are closed: a stream that began later couldn't end
-# within the grace time.
-_BALANCER_DRAIN_S = 2.8
-
-# The same for an entry that is unready but not stopping: after this time, the load
-# balancer sends a client whose connection is closed to another entry.
+# How long the load balancer may still send new connections to an entry that is unready
+# but not stopping.
 _BALANCER_PROBE_S = 2.2
 
-# How long the exit waits for clients to read their final answers, within the part of
-# the grace time reserved for it.
-_FLUSH_TIMEOUT_S = 0.1
-_FLUSH_POLL_S = 0.01
-
-# The part of the grace time reserved for closing the remaining connections and exiting.
-_EXIT_RESERVE_S = 0.4
-
 
 class ForwardingEntry:
     """The parts of one forwarding entry and their connections.
@@ -261,6 +244,15 @@
         )
         self._loop_monitor = LoopMonitor(self.router)
         self._clients.loop_monitor = self._loop_monitor
+        self._planned_stop = PlannedStop(
+            self.router,
+            self._clients,
+            (
+                self._peering.leave,
+                self._leadership_controller.release,
+                self._membership.release,
+            ),
+        )
         self._drivers: dict[ClientExchange, RequestDriver] = {}
         # Since when this entry alone lacks a proof that its configuration is in force.
         self._unproven_since_s: float | None = None
@@ -468,7 +460,7 @@
             route, owner = router.find_route(
                 request.host, request.path, request.credential
             )
-            self._require_accepting(now_s)
+            self._planned_stop.require_accepting(now_s)
             on_trial = self._peering.quarantine.admit(request, route, owner)
         except RequestError as error:
             self._refusals.refuse(exchange, request_id, error, now_s)
@@ -487,18 +479,6 @@
         if len(self._drivers) > len(router.active):
             self._drop_finished_drivers()
 
-    def _require_accepting(self, now_s: float) -> None:
-        """Check that the entry still accepts a request that is complete now.
-
-        :raises EntryStoppingError: the entry has stopped to accept requests.
-        """
-        drain = self.router.drain
-        in_time = drain is None or drain.accepts(now_s)
-        if in_time and not self._clients.stopped:
-            return
-        self.metrics.count("requests.late")
-        raise acceptance_error()
-
     def _drop_finished_drivers(self) -> None:
         active = self.router.active
         self._drivers = {e: d for e, d in self._drivers.items() if d in active}
@@ -596,51 +576,7 @@
             by default.
         """
         started_s = self._loop.time() if requested_s is None else requested_s
-        self.router.drain = drain = DrainSchedule.plan(
-            started_s, _BALANCER_DRAIN_S, self._settings.grace_s, _EXIT_RESERVE_S
-        )
-        self._clients.closes_connections = True
-        self._log_stop_stage("told to stop", started_s)
-        # Run beside the schedule, since the store may not answer.
-        store_tasks = [
-            self._loop.create_task(self._peering.leave()),
-            self._loop.create_task(self._leadership_controller.release()),
-            self._loop.create_task(self._membership.release()),
-        ]
-        await asyncio.sleep(drain.accepts_until_s - self._loop.time())
-        self._log_stop_stage("accepts no more requests", started_s)
-        self._clients.stop_accepting()
-        # There is no event to wait for: connections end in tornado's callbacks,
-        # requests in their drivers.
-        while self._clients.open_connections and self._loop.time() < drain.ends_s:  # noqa: ASYNC110
-            await asyncio.sleep(_UPKEEP_INTERVAL_S / 5)
-        self._log_stop_stage("the process exits", started_s)
-        self._give_up_requests()
-        flushed_s = self._loop.time() + _FLUSH_TIMEOUT_S
-        while self._clients.open_connections and self._loop.time() < flushed_s:  # noqa: ASYNC110
-            await asyncio.sleep(_FLUSH_POLL_S)
-        for task in store_tasks:
-            task.cancel()
-        self.log.flush()
-
-    def _give_up_requests(self) -> None:
-        """Send the final answer to each request in flight."""
-        for request in list(self.router.active):
-            try:
-                request.process_exits()
-            except Exception:
-                # The other requests still get their answers.
-                logging.exception("a request in flight could not be ended")
-
-    def _log_stop_stage(self, stage: str, started_s: float) -> None:
-        self.log.write(
-            ProcessStopping(
-                stage,
-                len(self.router.active),
-                round((self._loop.time() - started_s) * 1000, 1),
-                self._clients.open_connections,
-            )
-        )
+        await self._planned_stop.run(started_s, self._settings.grace_s)
 
 
 async def run_forwarding_entry(
