--- a/src/railfold/_internal/forwarding/loop_monitor.py
+++ b/src/railfold/_internal/forwarding/loop_monitor.py
@@ -69,5 +69,5 @@
             return
         self._shedding = shedding
         cost_ms = round(self._admission.request_cost_s * 1000, 1)
-        self._router.metrics.count("overload.begun" if shedding else "overload.ended")
+        self._router.metrics.count("overload.started" if shedding else "overload.ended")
         self._router.log.write(OverloadChanged(shedding, cost_ms))
