--- a/src/railfold/_internal/forwarding/quarantine/content_digest.py
+++ b/src/railfold/_internal/forwarding/quarantine/content_digest.py
@@ -1,8 +1,8 @@
 """Digests that identify a request that is sent again under another id.
 
 The digest of a content covers path, caller and body, but no headers that clients can
-change freely. The parts of a prompt have digests of their own, whoever sends them: a
-part may crash servers whatever else the request contains.
+change freely. The parts of a prompt have digests of their own, which don't depend on
+the caller: a part may crash servers whatever else the request contains.
 
 Only a keyed hash leaves the process: logs, records and messages contain no bodies and
 no credentials. Hashing blocks the event loop and with it all streams, so that only the
--- a/src/railfold/_internal/forwarding/requests/front.py
+++ b/src/railfold/_internal/forwarding/requests/front.py
@@ -419,7 +419,7 @@
     async def run(self, ready: asyncio.Event) -> None:
         """Listen and serve until cancelled; ``ready`` is set once it listens.
 
-        After the server was told to stop, it doesn't listen again.
+        A server that was stopped doesn't listen again.
         """
         if self.stopped:
             ready.set()
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -122,7 +122,7 @@
     :param peer_has_newer: returns whether another entry knows a newer configuration
         than ``table``.
     :param active: requests in flight.
-    :param drain: set once the entry is told to stop.
+    :param drain: set once a stop of the entry was requested.
     :param admission: decides about new connections.
     """
 
