Accept no request on a connection whose answer announced its close

Callers: a client that sends its next request although the answer said Connection: close had it accepted and run, and got a closed connection in the middle of it.

Cause: the connection is closed up to 10 ms after the answer is written, if the kernel hadn't taken it at once, and requests were read from it until then.

Why it works: from the end of that answer on, what is read on the connection goes nowhere; its client was told so.

--- a/src/railfold/_internal/forwarding/requests/front.py
+++ b/src/railfold/_internal/forwarding/requests/front.py
@@ -167,6 +167,7 @@
         stream = self._connection.stream
         self._connection.finish()
         if self._closing and stream is not None and not stream.closed():
+            self._server.mark_closing(stream)
             _close_after_flush(stream)
 
     def abort(self) -> None:
@@ -274,8 +275,10 @@
 
         Bytes that had arrived when the connection was closed are still parsed. Their
         request must not be sent anywhere, since its client assumes that it wasn't read.
+        The same holds for a request behind an answer that announced the close.
         """
-        if self._connection.stream is None or self._connection.stream.closed():
+        stream = self._connection.stream
+        if stream is None or stream.closed() or self._server.is_closing(stream):
             self._reservation.release()
             return
         if self._refused_exchange is not None:
@@ -335,6 +338,8 @@
         # connections are tracked here.
         self._streams: set[IOStream] = set()
         self._busy: set[IOStream] = set()
+        # Connections that are closed once their last answer is written.
+        self._closing: set[IOStream] = set()
         # Accepted connections whose first request is awaited, by the turn of the loop
         # monitor in which they were accepted.
         self._awaited: dict[IOStream, int] = {}
@@ -363,6 +368,7 @@
         closed = {stream for stream in self._streams if stream.closed()}
         self._streams -= closed
         self._busy -= closed
+        self._closing -= closed
 
     def admits_connection(self, stream: IOStream) -> bool:
         """Return whether to serve a new connection, and count it if so."""
@@ -384,6 +390,14 @@
         self._busy.add(stream)
         self._awaited.pop(stream, None)
 
+    def mark_closing(self, stream: IOStream) -> None:
+        """Mark a connection whose last answer is written, and that accepts no more."""
+        self._closing.add(stream)
+
+    def is_closing(self, stream: IOStream) -> bool:
+        """Return whether a connection accepts no more requests."""
+        return stream in self._closing
+
     def stop_accepting(self) -> None:
         """Accept no new connections, and close those without a request.
 
--- a/tests/forwarding/test_entry_stops.py
+++ b/tests/forwarding/test_entry_stops.py
@@ -258,6 +258,26 @@
     running.cancel()
 
 
+async def test_request_behind_an_answer_that_announced_the_close_is_not_run() -> None:
+    handler = BulkHandler()
+    address = Address("127.0.0.1", free_port())
+    server = ClientServer(address, handler, MemoryQuota(100_000_000))  # type: ignore[arg-type]
+    server.can_answer.set()
+    server.closes_connections = True
+    listening = asyncio.Event()
+    running = asyncio.create_task(server.run(listening))
+    await listening.wait()
+    reader, writer = await asyncio.open_connection(address.ip, address.port)
+    connection = Connection(reader, writer)
+    await connection.send("/tray/1", "c-1")
+    await connection.send("/tray/1", "c-2")
+    assert len((await read_reply(connection)).body) == 7_000_000
+    await until(lambda: server.open_connections == 0)
+    assert handler.requests == 1
+    connection.close()
+    running.cancel()
+
+
 async def test_server_that_is_restarted_after_a_stop_does_not_listen_again() -> None:
     address = Address("127.0.0.1", free_port())
     server = ClientServer(address, BulkHandler(), MemoryQuota(1_000_000))  # type: ignore[arg-type]
