Set up the server of three tests of stops in one place

The same lines stood in test_connection_whose_answer_was_unread_at_a_stop_accepts_no_request, test_request_behind_an_answer_that_announced_the_close_is_not_run and, shorter, in test_server_that_is_restarted_after_a_stop_does_not_listen_again. Assertions are unchanged.

--- a/tests/forwarding/test_entry_stops.py
+++ b/tests/forwarding/test_entry_stops.py
@@ -234,18 +234,31 @@
         return ""
 
 
-async def test_connection_whose_answer_was_unread_at_a_stop_accepts_no_request() -> (
-    None
-):
+def bulk_server() -> tuple[BulkHandler, ClientServer, Address]:
+    """Return a server with large answers, which doesn't listen yet."""
     handler = BulkHandler()
     address = Address("127.0.0.1", free_port())
     server = ClientServer(address, handler, MemoryQuota(100_000_000))  # type: ignore[arg-type]
     server.can_answer.set()
+    return handler, server, address
+
+
+async def connect_to(
+    server: ClientServer, address: Address
+) -> tuple[asyncio.Task[None], Connection]:
+    """Run a server, and open a client's connection to it."""
     listening = asyncio.Event()
     running = asyncio.create_task(server.run(listening))
     await listening.wait()
     reader, writer = await asyncio.open_connection(address.ip, address.port)
-    connection = Connection(reader, writer)
+    return running, Connection(reader, writer)
+
+
+async def test_connection_whose_answer_was_unread_at_a_stop_accepts_no_request() -> (
+    None
+):
+    handler, server, address = bulk_server()
+    running, connection = await connect_to(server, address)
     await connection.send("/tray/1", "c-1")
     await until(lambda: handler.requests == 1)
     server.stop_accepting()
@@ -259,16 +272,9 @@
 
 
 async def test_request_behind_an_answer_that_announced_the_close_is_not_run() -> None:
-    handler = BulkHandler()
-    address = Address("127.0.0.1", free_port())
-    server = ClientServer(address, handler, MemoryQuota(100_000_000))  # type: ignore[arg-type]
-    server.can_answer.set()
+    handler, server, address = bulk_server()
     server.closes_connections = True
-    listening = asyncio.Event()
-    running = asyncio.create_task(server.run(listening))
-    await listening.wait()
-    reader, writer = await asyncio.open_connection(address.ip, address.port)
-    connection = Connection(reader, writer)
+    running, connection = await connect_to(server, address)
     await connection.send("/tray/1", "c-1")
     await connection.send("/tray/1", "c-2")
     assert len((await read_reply(connection)).body) == 7_000_000
@@ -279,9 +285,7 @@
 
 
 async def test_server_that_is_restarted_after_a_stop_does_not_listen_again() -> None:
-    address = Address("127.0.0.1", free_port())
-    server = ClientServer(address, BulkHandler(), MemoryQuota(1_000_000))  # type: ignore[arg-type]
-    server.can_answer.set()
+    _, server, address = bulk_server()
     server.stop_accepting()
     running = asyncio.create_task(server.run(asyncio.Event()))
     await asyncio.sleep(0.05)
