--- a/review/harness.py
+++ b/review/harness.py
@@ -11,6 +11,7 @@
 import contextlib
 import os
 import random
+import shutil
 import signal
 import socket
 import sys
@@ -394,6 +395,10 @@
 
 # Entries
 
+# The metrics port in the command of the deploy file. It is the same for all entries, so
+# that each of them has a loopback address of its own.
+METRICS_PORT = 7340
+
 SETTINGS = """\
 node = "{name}"
 role = "entry"
@@ -488,7 +493,7 @@
     async def wait_until_ready(self, timeout_s: float = 30.0) -> None:
         """Wait until the balancer would send clients here."""
         async with asyncio.timeout(timeout_s):
-            while not await self.is_ready():
+            while not await self.is_ready():  # noqa: ASYNC110 - a poll, as the balancer's.
                 await asyncio.sleep(0.1)
 
     def signal(self, number: int) -> None:
@@ -518,10 +523,19 @@
         block = random.SystemRandom().randrange(16, 250)
         self._ips = (f"127.{block}.{n}.1" for n in range(1, 250))
 
+    def _free_ip(self) -> str:
+        """Return a loopback address that no other run uses."""
+        for ip in self._ips:
+            with contextlib.suppress(OSError), socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                probe.bind((ip, METRICS_PORT))
+                return ip
+        raise RuntimeError("no loopback address is free")
+
     async def add_entry(self, zone: str, **fields: Any) -> Entry:
         """Start an entry without waiting for it."""
         name = f"front-{zone}-{len(self.entries) + 1}"
-        entry = Entry(name, zone, self.port, self.folder, next(self._ips), **fields)
+        entry = Entry(name, zone, self.port, self.folder, self._free_ip(), **fields)
         self.entries.append(entry)
         await entry.start()
         return entry
@@ -531,6 +545,7 @@
         for entry in self.entries:
             await entry.kill()
         self._server.stop()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def run_case(
@@ -552,7 +567,7 @@
 
     try:
         code, verdict = asyncio.run(run())
-    except Exception as error:  # noqa: BLE001 - any fault of the case itself.
+    except Exception as error:  # Any fault of the case itself.
         code, verdict = COULD_NOT_RUN, [f"the case couldn't run: {error!r}"]
     verdict = [f"exit {code}, TROUBLE={int(TROUBLE)}", *verdict]
     record.write(folder / "record.txt", verdict)
