Log the retries of an entry every second

The logs couldn't tell whose they were: lines of attempts are routine ones and are left out under load, and the counters of a killed entry go with it.

Each entry now logs, once a second, the first attempts, retries and refused retries of each service, and the slack that it may use. A kill loses at most a second.

--- a/src/railfold/_internal/decisions/retry_budget.py
+++ b/src/railfold/_internal/decisions/retry_budget.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
 from enum import Enum, auto
 
 __all__ = [
     "RetryBudget",
     "RetryBudgets",
+    "RetryCounts",
     "RetryLimits",
     "RetryPurpose",
     "jittered_retry_after_s",
@@ -49,6 +51,26 @@
     window_s: float = 10.0
 
 
+@dataclass(frozen=True, slots=True)
+class RetryCounts:
+    """Numbers of attempts since a process has started.
+
+    :param refused: retries that the budget didn't allow.
+    """
+
+    first_attempts: int = 0
+    retries: int = 0
+    refused: int = 0
+
+    def since(self, earlier: RetryCounts) -> RetryCounts:
+        """Return the numbers of attempts after ``earlier`` was taken."""
+        return RetryCounts(
+            self.first_attempts - earlier.first_attempts,
+            self.retries - earlier.retries,
+            self.refused - earlier.refused,
+        )
+
+
 class RetryBudget:
     """Allows a share of first attempts, plus a fixed number, as retries in any window.
 
@@ -67,10 +89,14 @@
         self._rounding = rounding
         self._first_attempts_s: deque[float] = deque()
         self._retries_s: deque[float] = deque()
+        self.counts = RetryCounts()
 
     def earn(self, now_s: float) -> None:
         """Record a first attempt, which adds to the budget."""
         self._first_attempts_s.append(now_s)
+        self.counts = replace(
+            self.counts, first_attempts=self.counts.first_attempts + 1
+        )
         self._drop_expired(now_s)
 
     def allows(
@@ -90,8 +116,10 @@
     ) -> bool:
         """Take one retry from the budget; return whether the budget allowed it."""
         if not self.allows(now_s, purpose):
+            self.counts = replace(self.counts, refused=self.counts.refused + 1)
             return False
         self._retries_s.append(now_s)
+        self.counts = replace(self.counts, retries=self.counts.retries + 1)
         return True
 
     def _drop_expired(self, now_s: float) -> None:
@@ -109,6 +137,11 @@
         self._rounding = rounding
         self._budgets: dict[str, RetryBudget] = {}
 
+    @property
+    def by_service(self) -> Mapping[str, RetryBudget]:
+        """The budgets of the services that requests were sent to."""
+        return self._budgets
+
     def set_limits(self, limits: RetryLimits) -> None:
         """Change the limits of all budgets."""
         self._limits = limits
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -40,6 +40,7 @@
 from railfold._internal.forwarding.requests.front import ClientExchange, ClientServer
 from railfold._internal.forwarding.requests.refusals import Refusals
 from railfold._internal.forwarding.requests.routed_request import RoutedRequest
+from railfold._internal.forwarding.retry_reporter import RetryReporter
 from railfold._internal.forwarding.router import Router
 from railfold._internal.forwarding.servers.engine_calls import EngineCalls
 from railfold._internal.forwarding.servers.placement import PlacementController
@@ -246,6 +247,7 @@
         )
         self._server_retention = ServerRetention()
         self._loop_monitor = LoopMonitor(self.router)
+        self._retry_reporter = RetryReporter(self.router.budgets, self.log)
         self._clients.loop_monitor = self._loop_monitor
         self._planned_stop = PlannedStop(
             self.router,
@@ -281,6 +283,7 @@
             *self._peering.children(),
             ChildSpec("upkeep", self._run_upkeep),
             ChildSpec("loop monitor", self._loop_monitor.run),
+            ChildSpec("retries", self._retry_reporter.run),
             ChildSpec("clients", self._clients.run),
             ChildSpec("readiness", self._readiness.run),
         ]
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -35,6 +35,7 @@
     "RateLimitChanged",
     "ReadinessChanged",
     "RequestEnded",
+    "RetriesCounted",
     "ServerBackoffChanged",
     "ServerCrashed",
     "SettingsReloaded",
@@ -448,6 +449,21 @@
     left_ms: float = 0.0
 
 
+class RetriesCounted(msgspec.Struct, frozen=True, tag="retries_counted"):
+    """Retries to one service since the last such line, at most a second ago.
+
+    :param refused: retries that the budget didn't allow.
+    :param slack: retries beyond a share of the first attempts that this entry may make
+        in each window.
+    """
+
+    service: str
+    first_attempts: int
+    retries: int
+    refused: int
+    slack: float
+
+
 class LinesDropped(msgspec.Struct, frozen=True, tag="lines_dropped"):
     """Lines were left out of the log.
 
@@ -489,6 +505,7 @@
     | RateLimitChanged
     | ServerBackoffChanged
     | RequestEnded
+    | RetriesCounted
     | LinesDropped
 )
 
