--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import os
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -114,6 +114,10 @@
     entry_count: int = 1
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     entries: list[ForwardingEntry] = field(default_factory=list)
+    _settings: list[ForwardingSettings] = field(default_factory=list)
+    _change: Callable[[ForwardingSettings], ForwardingSettings] = lambda settings: (
+        settings
+    )
 
     async def start(self) -> None:
         """Start everything and wait until all entries are ready."""
@@ -121,6 +125,25 @@
         for number in range(self.entry_count):
             await self.add_entry(number)
 
+    def change_settings(
+        self, change: Callable[[ForwardingSettings], ForwardingSettings]
+    ) -> None:
+        """Change the settings of entries that are started later."""
+        self._change = change
+        self._settings = [change(settings) for settings in self._settings]
+
+    async def restart_entries(self) -> None:
+        """Kill all entries at once, and start each of them again."""
+        trees, self._trees, self.entries = self._trees, [], []
+        for tree in trees:
+            tree.cancel()
+        await asyncio.gather(*trees, return_exceptions=True)
+        for number in range(self.entry_count):
+            self.run_entry(number=number)
+        await until(lambda: all(e.ready() for e in self.entries))
+        await until(lambda: all(self.all_known(e) for e in self.entries))
+        await until(lambda: all(e._fleet_limits.share > 0.0 for e in self.entries))
+
     async def add_entry(self, number: int = 0) -> None:
         """Start an entry, and wait until it is ready."""
         self.run_entry(number=number)
@@ -145,7 +168,9 @@
         self._log_out, self._log_in = os.pipe()
         self._trees: list[asyncio.Task[None]] = []
         self._adapter = MetadataStorePlatform(store, PARTITIONS)
-        self._settings = [self._entry_settings(n) for n in range(self.entry_count)]
+        self._settings = [
+            self._change(self._entry_settings(n)) for n in range(self.entry_count)
+        ]
 
     def _entry_settings(self, number: int) -> ForwardingSettings:
         return ForwardingSettings(
