Make the slack for retries available over the first window of a process

Cause: the limit belongs to all entries in a window, and was kept by what one process remembers. A process that starts may use a quarter of an entry's share at once, beside what its predecessor has used. That is reckoned for one restart of all entries in a window; each further one added the same again.

Why this works: a process knows its own retries, so that only the part of the window before its start is unknown to it. Its slack, and the rounding that is drawn for each process, grow in proportion to the part of the window since its start. Incarnations that follow each other then have, together, no more time than one that keeps running.

Two tests had relied on slack at the start. The deployment of the tests has a larger slack, which still never limits a test; the test of pauses is given the same six retries by an entry of a new installation, which has no predecessor.

--- a/src/railfold/_internal/decisions/retry_budget.py
+++ b/src/railfold/_internal/decisions/retry_budget.py
@@ -78,15 +78,27 @@
     any window their retries add up to no more than the sum of their limits. A token
     bucket that first attempts fill would allow the slack only once, not in each window.
 
+    A process that starts doesn't know what its predecessor has spent. The slack and the
+    rounding are therefore available in proportion to the part of the window that lies
+    after its start. However often a process is restarted, its incarnations then spend
+    no more slack in a window than one that keeps running.
+
     :param rounding: from 0 to below 1, added to the allowed number of retries. If many
         processes have small limits, rounding down loses half a retry on average for
         each of them. With a random value for each process, the expected sum of their
         retries is the sum of their limits.
+    :param started_s: when the process started; by default it has no predecessor.
     """
 
-    def __init__(self, limits: RetryLimits, rounding: float = 0.0) -> None:
+    def __init__(
+        self,
+        limits: RetryLimits,
+        rounding: float = 0.0,
+        started_s: float = float("-inf"),
+    ) -> None:
         self.limits = limits
         self._rounding = rounding
+        self._started_s = started_s
         self._first_attempts_s: deque[float] = deque()
         self._retries_s: deque[float] = deque()
         self.counts = RetryCounts()
@@ -106,10 +118,11 @@
         self._drop_expired(now_s)
         limits = self.limits
         slack = limits.slack * (1.0 - _RESERVED_SHARES[purpose])
-        allowed = slack + limits.share * len(self._first_attempts_s)
+        known_part = self._known_part(now_s)
+        allowed = known_part * slack + limits.share * len(self._first_attempts_s)
         if allowed <= 0.0:
             return False
-        return len(self._retries_s) + 1 <= allowed + self._rounding
+        return len(self._retries_s) + 1 <= allowed + known_part * self._rounding
 
     def spend(
         self, now_s: float, purpose: RetryPurpose = RetryPurpose.CONTINUE_ANSWER
@@ -122,6 +135,11 @@
         self.counts = replace(self.counts, retries=self.counts.retries + 1)
         return True
 
+    def _known_part(self, now_s: float) -> float:
+        """Return the part of the window that lies after the start of the process."""
+        running_s = now_s - self._started_s
+        return min(1.0, max(0.0, running_s / self.limits.window_s))
+
     def _drop_expired(self, now_s: float) -> None:
         since_s = now_s - self.limits.window_s
         for times_s in (self._first_attempts_s, self._retries_s):
@@ -130,11 +148,17 @@
 
 
 class RetryBudgets:
-    """Retry budgets by service, all with the same limits and rounding."""
-
-    def __init__(self, limits: RetryLimits, rounding: float = 0.0) -> None:
+    """Retry budgets by service, all with the same parameters."""
+
+    def __init__(
+        self,
+        limits: RetryLimits,
+        rounding: float = 0.0,
+        started_s: float = float("-inf"),
+    ) -> None:
         self._limits = limits
         self._rounding = rounding
+        self._started_s = started_s
         self._budgets: dict[str, RetryBudget] = {}
 
     @property
@@ -151,7 +175,7 @@
     def for_service(self, service: str) -> RetryBudget:
         """Return the budget of a service."""
         return self._budgets.setdefault(
-            service, RetryBudget(self._limits, self._rounding)
+            service, RetryBudget(self._limits, self._rounding, self._started_s)
         )
 
 
--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -142,8 +142,10 @@
         self._started_s = self._loop.time()
         self._store_reachable = asyncio.Event()
         initial_members_until_s = float("-inf")
+        retries_known_since_s = self._started_s
         if settings.first_start:
             initial_members_until_s = self._started_s + _FIRST_START_DURATION_S
+            retries_known_since_s = float("-inf")
         self.metrics = Metrics()
         self.log = DecisionLog(settings.name, log_fd)
         rng = random.Random()
@@ -152,7 +154,9 @@
             directory=EngineDirectory(),
             pool=ConnectionPool(),
             lease=FreshnessLease(settings.credential_lease_s),
-            budgets=RetryBudgets(RetryLimits(slack=0.0), rng.random()),
+            budgets=RetryBudgets(
+                RetryLimits(slack=0.0), rng.random(), retries_known_since_s
+            ),
             metrics=self.metrics,
             log=self.log,
             failure_domain=settings.failure_domain,
--- a/tests/forwarding/test_paused_servers.py
+++ b/tests/forwarding/test_paused_servers.py
@@ -8,7 +8,9 @@
 
 import asyncio
 from collections import defaultdict
+from collections.abc import AsyncIterator
 from dataclasses import replace
+from functools import partial
 
 import pytest
 
@@ -25,6 +27,7 @@
     read_reply,
     routes,
     run_count,
+    running,
     stream_body,
     until,
 )
@@ -172,16 +175,26 @@
             return by_engine[engine.server_id], engine
 
 
+@pytest.fixture
+async def first_deployment() -> AsyncIterator[Deployment]:
+    """An entry that has its whole share of the retries from its start."""
+    new_deployment = Deployment()
+    new_deployment.change_settings(partial(replace, first_start=True))
+    async for started in running(new_deployment):
+        yield started
+
+
 async def test_pause_leaves_retries_for_streams_whose_server_crashes(
-    deployment: Deployment,
+    first_deployment: Deployment,
 ) -> None:
+    deployment = first_deployment
     connections, first = await begin_streams_of_one_chain(deployment, 3)
     (zone,) = {engine.zone for engine in other_engines(deployment, first)}
     deployment.add_engine("i-another", zone, (0, 4))
     await until(deployment.all_known)
     entry = deployment.entry
-    # One entry's share of this right after its start is 6.
-    entry._on_settings(replace(entry._settings, retry_share=0.0, retry_slack=30.0))
+    # One entry's share of this is 6.
+    entry._on_settings(replace(entry._settings, retry_share=0.0, retry_slack=7.5))
     fill(other_engines(deployment, first))
     pause = asyncio.create_task(pause_chain(deployment, first))
     await asyncio.sleep(0.5)
--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -184,9 +184,9 @@
             grace_s=4.0,
             drain_notice_s=2.0,
             retry_share=0.2,
-            # Large enough that even a quarter of one of many shares, as an entry has
-            # right after its start, never limits a test.
-            retry_slack=4000.0,
+            # Large enough that even what one of many entries may use right after its
+            # start never limits a test.
+            retry_slack=4_000_000.0,
             retry_window_s=10.0,
             first_start=False,
             peer_address=Address("127.0.0.1", free_port()),
--- a/tests/unit/test_fleet_size.py
+++ b/tests/unit/test_fleet_size.py
@@ -230,6 +230,13 @@
     4,
     False,
 )
+# All entries restart twice within a window, and spend all that they may each time.
+@example(
+    [(20, "kill", {0, 1, 2, 3}, 0.5), (32, "kill", {0, 1, 2, 3}, 0.5)],
+    [(19, {0, 1, 2, 3}), (31, {0, 1, 2, 3}), (44, {0, 1, 2, 3})],
+    4,
+    True,
+)
 @examples(60)
 @given(EVENTS, SPENDERS, st.integers(4, 8), st.booleans())
 def test_spending_in_any_window_stays_within_the_limit(
@@ -277,7 +284,8 @@
     else:
         back_s = now_s + for_s
         fleet = FleetSize(WINDOW_S, MEMBER_LEASE_S)
-        members[name] = Member(fleet, next_renewal_s=back_s, down_until_s=back_s)
+        budget = RetryBudget(RetryLimits(0.0, 0.0, WINDOW_S), started_s=back_s)
+        members[name] = Member(fleet, budget, back_s, down_until_s=back_s)
 
 
 def spend_all(member: Member, now_s: float) -> int:
@@ -302,12 +310,31 @@
     assert 245 <= spent <= 267
 
 
+@pytest.mark.parametrize("life_s", [0.5, 1.0, 2.5, 7.0, 12.0])
+def test_incarnations_together_spend_no_more_slack_than_one(life_s: float) -> None:
+    rng = random.Random(7)
+    limits = RetryLimits(0.0, 226 / 24, WINDOW_S)
+    spent_at_s: list[float] = []
+    for _ in range(24):
+        started_s = rng.uniform(-life_s, 0.0)
+        while started_s < 30.0:
+            budget = RetryBudget(limits, rng.random(), started_s)
+            for step in range(int(life_s / STEP_S)):
+                now_s = started_s + step * STEP_S
+                spent_at_s += [now_s] * spend_until_refused(budget, now_s)
+            started_s += life_s
+    for end_s in spent_at_s:
+        in_window = [at_s for at_s in spent_at_s if end_s - WINDOW_S < at_s <= end_s]
+        # What a long life has saved up is spent within an instant before its end.
+        assert len(in_window) <= 226 * (1.0 + min(life_s, WINDOW_S) / WINDOW_S)
+
+
 def test_rounding_adds_nothing_to_an_empty_budget() -> None:
     assert spend_until_refused(RetryBudget(RetryLimits(0.0, 0.0, WINDOW_S), 0.99)) == 0
 
 
-def spend_until_refused(budget: RetryBudget) -> int:
+def spend_until_refused(budget: RetryBudget, now_s: float = 1.0) -> int:
     count = 0
-    while budget.spend(1.0):
+    while budget.spend(now_s):
         count += 1
     return count
