Limit what a backend server may send that is no answer

What callers saw: a server in trouble may send bytes that are no answer, without end. A safe request to such a server got 504 after its whole time limit, though another server would have answered at once. Streams were sent comments or the same event again and again. The entry took hundreds of megabytes meanwhile, and kept those of heads, trailers and error answers in memory.

Cause: the HTTP client and the attempts read an answer until it ended. Any bytes of a stream counted as its progress, ended the suspicion against their server, and cancelled the attempt beside it.

Change: limits on what is received beside the body, on answers to other requests, on error answers, on answers to the entry's own calls, on a stream without an event that continues it, and on plain answers that declare no length. An attempt over a limit is lost, so that the request goes on elsewhere if it may. A refusal is complete with its head. Only an event whose id rises continues a stream; others are dropped, and comments wait for the next event.

--- a/src/railfold/_internal/decisions/event_cursor.py
+++ b/src/railfold/_internal/decisions/event_cursor.py
@@ -8,24 +8,49 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
+from dataclasses import dataclass
 
-__all__ = ["EventCursor"]
+__all__ = ["EventCursor", "Progress"]
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
-_EVENT_ID = re.compile(rb"^id: ?(\d+)", re.MULTILINE)
+# Longer numbers, which no answer needs, would take long to parse.
+_EVENT_ID = re.compile(rb"^id: ?(\d{1,18})", re.MULTILINE)
+
+
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """What received bytes have completed.
+
+    :param events: what is forwarded to the client, which doesn't have it yet.
+    :param advanced: whether there was an event with a higher id than all before it in
+        this attempt. The client may have it from an earlier attempt.
+    """
+
+    events: bytes
+    advanced: bool
 
 
 class EventCursor:
     """Position of the client in one answer, over all attempts.
 
+    The ids of events rise. An event without a higher id than all before it doesn't
+    continue the answer and is dropped. Blocks without an id, such as comments, are
+    forwarded together with the event that follows them, or at the end of the answer.
+
     :param last_id: id of the last event that the client has received, if any.
     """
 
     def __init__(self, last_id: int | None = None) -> None:
         self._last_id = last_id
         self._partial = b""
-        self._dropping_repeated = False
+        # Complete blocks without an id since the last event.
+        self._pending = b""
+        self._highest_id = -1
         self.events = 0
+        # Bytes received since the last event with a higher id than all before it in
+        # this attempt.
+        self.bytes_without_event = 0
 
     @property
     def last_id(self) -> int | None:
@@ -36,7 +61,6 @@
         """Return a cursor for another attempt's answer, which may repeat events."""
         cursor = EventCursor(self._last_id)
         cursor.events = self.events
-        cursor._dropping_repeated = True
         return cursor
 
     @property
@@ -44,35 +68,44 @@
         """Whether an incomplete event has been received."""
         return bool(self._partial)
 
-    def feed(self, data: bytes) -> bytes:
-        """Add received bytes; return the complete events that weren't forwarded yet."""
+    def feed(self, data: bytes) -> Progress:
+        """Add received bytes; return what they complete."""
+        self.bytes_without_event += len(data)
         data = self._partial + data if self._partial else data
         end = _end_of_last_event(data)
         complete, self._partial = data[:end], data[end:]
-        if not complete:
-            return complete
-        if self._dropping_repeated:
-            complete = self._drop_repeated(complete)
-        ids = _EVENT_ID.findall(complete)
-        if ids:
-            self._last_id = int(ids[-1])
-            self.events += len(ids)
-        return complete
-
-    def _drop_repeated(self, complete: bytes) -> bytes:
-        """Drop the first events of an attempt that the client already has."""
-        start = 0
-        while start < len(complete):
-            match = _EVENT_END.search(complete, start)
-            end = match.end() if match else len(complete)
-            event_id = _EVENT_ID.search(complete, start, end)
-            if event_id is None or self._last_id is None:
-                break
-            if int(event_id.group(1)) > self._last_id:
-                self._dropping_repeated = False
-                break
-            start = end
-        return complete[start:]
+        forwarded = []
+        advanced = False
+        for block in _blocks(complete):
+            match = _EVENT_ID.search(block)
+            if match is None:
+                self._pending += block
+                continue
+            event_id = int(match[1])
+            if event_id > self._highest_id:
+                self._highest_id = event_id
+                advanced = True
+            if self._last_id is None or event_id > self._last_id:
+                self._last_id = event_id
+                self.events += 1
+                forwarded += [self._pending, block]
+            self._pending = b""
+        if advanced:
+            self.bytes_without_event = len(self._pending) + len(self._partial)
+        return Progress(b"".join(forwarded), advanced)
+
+    def take_trailing_blocks(self) -> bytes:
+        """Return the blocks after the last event of a complete answer."""
+        pending, self._pending = self._pending, b""
+        return pending
+
+
+def _blocks(complete: bytes) -> Iterator[bytes]:
+    """Split complete events and comments after each blank line."""
+    start = 0
+    for match in _EVENT_END.finditer(complete):
+        yield complete[start : match.end()]
+        start = match.end()
 
 
 def _end_of_last_event(data: bytes) -> int:
--- a/src/railfold/_internal/forwarding/requests/attempt.py
+++ b/src/railfold/_internal/forwarding/requests/attempt.py
@@ -11,7 +11,12 @@
 from railfold._internal.decisions.fleet_load import EntryLoad
 from railfold._internal.decisions.routing_table import RouteKind
 from railfold._internal.errors import RequestError
-from railfold._internal.forwarding.dialect import AnswerKind, SendPlan, ServedAnswer
+from railfold._internal.forwarding.dialect import (
+    AnswerKind,
+    NotExecuted,
+    SendPlan,
+    ServedAnswer,
+)
 from railfold._internal.forwarding.messages import ResponseHead
 from railfold._internal.forwarding.quarantine.crash_watch import RunDetails
 from railfold._internal.forwarding.requests.client_answer import (
@@ -34,6 +39,12 @@
 # if its answer is interrupted. A larger answer is forwarded as it arrives.
 _MAX_BUFFERED_BYTES = 256 * 1024
 
+# Limit on what a stream may contain without an event that continues it.
+_MAX_BYTES_WITHOUT_EVENT = 256 * 1024
+
+# Limit on a plain answer that doesn't declare its length.
+_MAX_UNDECLARED_BYTES = 64 * 1024 * 1024
+
 
 class AttemptListener(Protocol):
     """Receives the events of a request's attempts."""
@@ -53,8 +64,11 @@
     def stream_started(self, attempt: Attempt, head: ResponseHead) -> None:
         """Handle the head of a streamed answer."""
 
-    def bytes_received(self, attempt: Attempt) -> None:
-        """Handle any received bytes, before what they complete."""
+    def answer_continued(self, attempt: Attempt) -> None:
+        """Handle bytes of a plain answer, or events that continue a stream.
+
+        The client may have the events already.
+        """
 
     def events_received(self, attempt: Attempt, events: bytes) -> None:
         """Handle complete events of a stream that the client doesn't have yet."""
@@ -110,6 +124,8 @@
         self.suspicion = ""
         # Whether the attempt was recorded as a success of its content.
         self.success_recorded = False
+        # Bytes that a plain answer may still contain.
+        self._remaining_bytes = float("inf")
         self._routed = routed
         self._answer = answer
         self._router = router
@@ -190,7 +206,7 @@
 
     def _resume(self) -> None:
         self.paused = False
-        self.watch.bytes_received()
+        self.watch.progress_received()
         self._exchange.resume()
 
     def take_buffered(self) -> BufferedAnswer | None:
@@ -238,33 +254,62 @@
             self.is_stream = True
             self._listener.stream_started(self, head)
             return
+        if not head.get("Content-Length"):
+            self._remaining_bytes = _MAX_UNDECLARED_BYTES
         self.buffered = BufferedAnswer(head)
 
     def answer_body(self, data: bytes) -> None:
         """Buffer received bytes of the body, or report what they complete."""
-        self._listener.bytes_received(self)
+        if self.is_stream:
+            self._stream(data)
+            return
+        self._listener.answer_continued(self)
         if self.buffered is not None:
             self._buffer(self.buffered, data)
+        else:
+            self.watch.progress_received()
+            self._forward(data)
+
+    def _stream(self, data: bytes) -> None:
+        progress = self.cursor.feed(data)
+        if self.cursor.bytes_without_event > _MAX_BYTES_WITHOUT_EVENT:
+            self._listener.attempt_lost(self, "its stream contains no events")
             return
-        gap_s = self.watch.bytes_received()
-        if not self.is_stream:
-            self._listener.data_received(self, data)
+        if not progress.advanced:
             return
-        events = self.cursor.feed(data)
-        if events:
+        gap_s = self.watch.progress_received()
+        self._listener.answer_continued(self)
+        if progress.events:
             self.record_prompt_read()
             if not self.watch.has_events:
                 self._record_first_event()
             self.watch.events_received(gap_s)
-            self._listener.events_received(self, events)
+            self._listener.events_received(self, progress.events)
+
+    def _forward(self, data: bytes) -> None:
+        self._remaining_bytes -= len(data)
+        if self._remaining_bytes < 0:
+            self._listener.attempt_lost(self, "its answer doesn't end")
+            return
+        self._listener.data_received(self, data)
 
     def _buffer(self, buffered: BufferedAnswer, data: bytes) -> None:
         fits = self._answer.reserve_buffer(len(data))
         buffered.add(data)
-        is_large = buffered.size > _MAX_BUFFERED_BYTES or not fits
-        if is_large and isinstance(self.answer_kind, ServedAnswer):
-            self.buffered = None
-            self._listener.large_answer_received(self, buffered)
+        is_large = buffered.size > _MAX_BUFFERED_BYTES
+        match self.answer_kind:
+            case ServedAnswer():
+                if is_large or not fits:
+                    self.buffered = None
+                    self._remaining_bytes -= buffered.size
+                    self._listener.large_answer_received(self, buffered)
+            case NotExecuted():
+                if is_large:
+                    # Its head is proof enough.
+                    self._listener.answer_ended(self)
+            case _:
+                if is_large:
+                    self._listener.attempt_lost(self, "its error answer is too large")
 
     def answer_ended(self) -> None:
         """Report the end of a complete answer."""
--- a/src/railfold/_internal/forwarding/requests/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -363,7 +363,7 @@
             self._streaming = True
             self._answer.send_head(head, with_length=False)
 
-    def bytes_received(self, attempt: Attempt) -> None:
+    def answer_continued(self, attempt: Attempt) -> None:
         """End the suspicion against an attempt whose answer continues."""
         if attempt.suspicion and attempt.is_stream:
             self._continue_with(attempt)
@@ -436,6 +436,8 @@
         if buffered is not None:
             self._answer.send_buffered(buffered)
         else:
+            if trailing := attempt.cursor.take_trailing_blocks():
+                self._answer.send_body(trailing)
             self._answer.finish()
         self._feed(CallAnswered(attempt.server_id))
 
--- a/src/railfold/_internal/forwarding/requests/exchange.py
+++ b/src/railfold/_internal/forwarding/requests/exchange.py
@@ -213,3 +213,5 @@
                 self._listener.attempt_lost("the connection was closed")
             case ExchangeFailure.MALFORMED:
                 self._listener.attempt_lost("the answer isn't valid HTTP")
+            case ExchangeFailure.TOO_LARGE:
+                self._listener.attempt_lost("the answer's head or framing is too large")
--- a/src/railfold/_internal/forwarding/requests/stream_watch.py
+++ b/src/railfold/_internal/forwarding/requests/stream_watch.py
@@ -32,9 +32,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Silence:
-    """State of a stream that hasn't received any bytes for some time.
+    """State of a stream that hasn't continued for some time.
 
-    :param silent_s: time since the last bytes.
+    :param silent_s: time since the last event.
     :param suspects: hosts of its chain that no active stream runs through.
     :param stalled: whether a host of its chain has certainly stopped.
     """
@@ -115,12 +115,12 @@
 
     @property
     def last_progress_s(self) -> float:
-        """The time of the last bytes, or of the attempt's start if there are none."""
+        """The time of the last progress, or of the attempt's start without any."""
         return self._last_progress_s
 
     @property
     def silent_s(self) -> float:
-        """The time since the last bytes, or since the attempt's start."""
+        """The time since the last progress, or since the attempt's start."""
         return self._loop.time() - self._last_progress_s
 
     def attempt_started(self, chain: ChainKey | None, expected_pause_s: float) -> None:
@@ -148,8 +148,11 @@
             self._activity.stream_ended(self._chain)
         self._has_events = False
 
-    def bytes_received(self) -> float:
-        """Record that bytes were received; return the time since the previous ones."""
+    def progress_received(self) -> float:
+        """Record that the answer went on; return the time since it did so before.
+
+        Bytes that complete no event are no progress of a stream.
+        """
         now_s = self._loop.time()
         gap_s, self._last_progress_s = now_s - self._last_progress_s, now_s
         return gap_s
@@ -157,7 +160,7 @@
     def events_received(self, gap_s: float) -> None:
         """Record that complete events were received.
 
-        :param gap_s: time since the previous bytes.
+        :param gap_s: time since the previous progress.
         """
         now_s = self._loop.time()
         if self._times.first_event_s is None and self._chain is not None:
--- a/src/railfold/_internal/forwarding/servers/http_client.py
+++ b/src/railfold/_internal/forwarding/servers/http_client.py
@@ -3,6 +3,9 @@
 A connection carries one exchange of a request and its answer at a time. It never sends
 a request twice, and reports whether an answer was complete. A connection that receives
 bytes outside of an exchange is closed and not used again.
+
+A server may send bytes without end. What is received beside the body of the answer is
+limited here, the body by its :class:`ExchangeSink`.
 """
 
 from __future__ import annotations
@@ -33,6 +36,16 @@
 # Answers with a lower status are interim: the final answer follows.
 _FIRST_FINAL_STATUS = 200
 
+# Limit on what is received without a byte of the body: interim answers, the head, the
+# size and extensions of a chunk, or trailers.
+_MAX_BYTES_BESIDE_BODY = 64 * 1024
+
+# Limit on the bodies of answers that don't belong to the exchange.
+_MAX_SKIPPED_BYTES = 4 * 1024 * 1024
+
+# Default limit on the body that :func:`fetch` collects.
+_MAX_FETCHED_BYTES = 1024 * 1024
+
 # Bounds the time that an answer may take if it arrives a few bytes at a time.
 _MAX_TRANSFER_S = 10.0
 
@@ -45,6 +58,7 @@
 
     CLOSED = auto()  # The server closed or reset the connection.
     MALFORMED = auto()  # The bytes received aren't a valid HTTP answer.
+    TOO_LARGE = auto()  # More was received than an answer may contain.
 
 
 class ExchangeSink(Protocol):
@@ -87,6 +101,8 @@
         self._unusable = False
         self._keep_alive = True
         self._paused = False
+        self._bytes_beside_body = 0
+        self._skipped_bytes = 0
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
 
@@ -117,6 +133,7 @@
         self._sink = sink
         self._no_body = method == "HEAD"
         self._answer_complete = False
+        self._bytes_beside_body = self._skipped_bytes = 0
         lines = [f"{method} {target} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in headers]
         if body or method not in ("GET", "HEAD"):
@@ -155,6 +172,7 @@
         if self._sink is None:
             self.abort()  # No answer is expected.
             return
+        self._bytes_beside_body += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -165,6 +183,11 @@
             return
         if self._answer_complete:
             self._finish()
+        elif (
+            self._bytes_beside_body > _MAX_BYTES_BESIDE_BODY
+            or self._skipped_bytes > _MAX_SKIPPED_BYTES
+        ):
+            self._fail(ExchangeFailure.TOO_LARGE)
 
     def eof_received(self) -> bool:
         """End an answer without a length; return False to close the connection."""
@@ -229,11 +252,10 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass bytes of the body to the sink."""
-        if (
-            self._sink is not None
-            and not self._skipping_message
-            and not self._answer_complete
-        ):
+        self._bytes_beside_body = 0
+        if self._skipping_message:
+            self._skipped_bytes += len(body)
+        elif self._sink is not None and not self._answer_complete:
             self._sink.body(body)
 
     def on_message_complete(self) -> None:
@@ -309,9 +331,10 @@
 class _ResponseCollector:
     """Sink that sets a future to the complete answer, or to an error."""
 
-    def __init__(self, future: asyncio.Future[Response]) -> None:
+    def __init__(self, future: asyncio.Future[Response], max_body_bytes: int) -> None:
         self.received_bytes = 0
         self._future = future
+        self._max_body_bytes = max_body_bytes
         self._head: ResponseHead | None = None
         self._head_received_s = 0.0
         self._chunks: list[bytes] = []
@@ -323,7 +346,17 @@
 
     def body(self, data: bytes) -> None:
         self.received_bytes += len(data)
-        self._chunks.append(data)
+        if self.received_bytes <= self._max_body_bytes:
+            self._chunks.append(data)
+            return
+        self._chunks.clear()
+        if not self._future.done():
+            self._future.set_exception(
+                EngineUnavailableError(
+                    "an answer is too large",
+                    why=f"its body exceeds {self._max_body_bytes} bytes",
+                )
+            )
 
     def end(self) -> None:
         if self._head is not None and not self._future.done():
@@ -348,6 +381,7 @@
     body: bytes,
     timeout_s: float,
     stall_timeout_s: float | None = None,
+    max_body_bytes: int = _MAX_FETCHED_BYTES,
 ) -> Response:
     """Send a request and return its complete answer.
 
@@ -357,12 +391,13 @@
         ``stall_timeout_s`` is given, within which its first bytes have to arrive.
     :param stall_timeout_s: longest pause between later bytes of the answer. The total
         transfer time is bounded as well.
-    :raises EngineUnavailableError: no complete answer arrived in time. The server may
-        have executed the request nevertheless.
+    :param max_body_bytes: limit on the body of the answer.
+    :raises EngineUnavailableError: no complete answer arrived in time, or it is too
+        large. The server may have executed the request nevertheless.
     """
     loop = asyncio.get_running_loop()
     future: asyncio.Future[Response] = loop.create_future()
-    collector = _ResponseCollector(future)
+    collector = _ResponseCollector(future, max_body_bytes)
     started_s = loop.time()
     try:
         connection.send(method, target, headers, body, collector)
--- a/src/railfold/_internal/forwarding/servers/persistent_connection.py
+++ b/src/railfold/_internal/forwarding/servers/persistent_connection.py
@@ -31,8 +31,9 @@
     bytes on it would belong to that call.
     """
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, max_body_bytes: int) -> None:
         self.address = address
+        self._max_body_bytes = max_body_bytes
         self._connection: HttpConnection | None = None
 
     async def call(
@@ -52,7 +53,14 @@
         try:
             connection = await self._get_connection()
             response = await fetch(
-                connection, method, target, headers, body, timeout_s, stall_timeout_s
+                connection,
+                method,
+                target,
+                headers,
+                body,
+                timeout_s,
+                stall_timeout_s,
+                self._max_body_bytes,
             )
         except EngineUnavailableError:
             self._connection = None
--- a/src/railfold/_internal/platform/store.py
+++ b/src/railfold/_internal/platform/store.py
@@ -40,6 +40,10 @@
 # Limit on one read: a slow link of 10 Mbit/s transfers this within 0.1 s.
 _READ_KB = 128
 
+# Limit on an answer. One record, such as a configuration with thousands of routes, may
+# be larger than a read or a page.
+_MAX_ANSWER_BYTES = 32 * 1024 * 1024
+
 _OK = 200
 _GONE = 410
 _PRECONDITION_FAILED = 412
@@ -111,7 +115,7 @@
     """Makes calls to the store, one at a time, over its own connection."""
 
     def __init__(self, address: Address) -> None:
-        self._connection = PersistentConnection(address)
+        self._connection = PersistentConnection(address, _MAX_ANSWER_BYTES)
 
     async def call(
         self,
--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -24,6 +24,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
+from standins.endless_answers import send_endless
 from standins.metadata_store import MetadataStore
 
 SEAL = "3e1b.07.5a2"
@@ -74,7 +75,7 @@
         neither length nor chunks and end with their connection), ``"unframed cut"``
         or ``"unframed reset"`` (the same, but its next response is closed within an
         event, or reset after one, and all servers are in mode ``"unframed"`` from then
-        on).
+        on), ``"endless FORM"`` (sends bytes without end, see ``endless_answers``).
     :param run_counts: how often each request ran on this server.
     :param pace: the factor by which it reports that its steps are slower than usual.
     :param born: the start time that it reports, in Unix milliseconds; ``None`` if it
@@ -96,6 +97,9 @@
         connection, as if that had been idle for too long.
     :param rejects_health_checks: whether it rejects them as it does requests when full.
     :param refuses_reroutes: whether it refuses orders to move a running request.
+    :param endless_call_form: the form of its endless responses to reports, health
+        checks and orders; empty if it responds properly.
+    :param endless_bytes: the number of bytes that it sent in endless responses.
     :param repeats_call_answers: whether it sends its responses to report requests and
         health checks again, before the next response on the same connection.
     """
@@ -116,6 +120,8 @@
     rejects_health_checks: bool = False
     refuses_reroutes: bool = False
     repeats_call_answers: bool = False
+    endless_call_form: str = ""
+    endless_bytes: int = 0
     leaving: bool = False
     rate_limit: str | None = None
     retry_after: str | None = None
@@ -268,6 +274,10 @@
         first, end = self.layers
         return {"from": first, "target_version": end, "version": 1}
 
+    def count_endless(self, sent_bytes: int) -> None:
+        """Count bytes of an endless response that were sent."""
+        self.endless_bytes += sent_bytes
+
     def deregister(self) -> None:
         """Delete the registration from the store."""
         self.store.put("keyed.servers", self.server_id, None)
@@ -283,6 +293,12 @@
         if self.engine.mode == "dead":
             await asyncio.Event().wait()
 
+    async def send_endless(self, form: str, request_id: str = "") -> None:
+        """Send bytes without end in place of the response."""
+        stream = self.request.connection.detach()  # type: ignore[attr-defined]
+        self._finished = True
+        await send_endless(stream, form, request_id, SEAL, self.engine.count_endless)
+
     def set_leaving_header(self) -> None:
         """Set the header that a leaving server sends in all responses."""
         if self.engine.leaving:
@@ -313,6 +329,9 @@
 class _Report(_Handler):
     async def get(self) -> None:
         engine = self.engine
+        if engine.endless_call_form:
+            await self.send_endless(engine.endless_call_form)
+            return
         if engine.reports_to_drop > 0:
             engine.reports_to_drop -= 1
             self.request.connection.detach().close()
@@ -333,9 +352,12 @@
 
 
 class _Order(_Handler):
-    def post(self) -> None:
+    async def post(self) -> None:
         engine, order = self.engine, json.loads(self.request.body)
         engine.received_orders.append(order)
+        if engine.endless_call_form:
+            await self.send_endless(engine.endless_call_form)
+            return
         self.send_late_response()
         if order["operation"] == "repath":
             if engine.refuses_reroutes:
@@ -360,7 +382,10 @@
 
 
 class _Health(_Handler):
-    def get(self) -> None:
+    async def get(self) -> None:
+        if self.engine.endless_call_form:
+            await self.send_endless(self.engine.endless_call_form)
+            return
         if self.engine.mode == "shed" and self.engine.retry_after is not None:
             # An overloaded server refuses health checks like requests.
             self.set_header("Retry-After", self.engine.retry_after)
@@ -412,6 +437,9 @@
             return
         if engine.mode == "dead":
             await asyncio.Event().wait()
+        if engine.mode == "endless refusal":
+            await self.send_endless("refusal", request_id)
+            return
         engine.run_counts[request_id] += 1
         engine.run_received_at_s.append(self._received_at_s)
         if self._crashes_engine():
@@ -421,6 +449,9 @@
             self.request.connection.detach().close()
             self._finished = True
             return
+        if engine.mode.startswith("endless "):
+            await self.send_endless(engine.mode.removeprefix("endless "), request_id)
+            return
         self.set_header("Railfold-Response-Seal", SEAL)
         if engine.mode.startswith("unframed"):
             await self._respond_unframed(request_id)
--- a/tests/unit/test_stream_watch.py
+++ b/tests/unit/test_stream_watch.py
@@ -40,7 +40,7 @@
         self.silences.append((round(silence.silent_s, 2), silence.stalled))
 
     def receive_event(self) -> None:
-        self.watch.events_received(self.watch.bytes_received())
+        self.watch.events_received(self.watch.progress_received())
 
 
 async def send_events(streams: list[Stream], seconds: float) -> None:
