Limit the answers to calls of the product's own entry and agents

What operators saw: a backend or service of the log that sends a body without end filled the memory of an entry or agent until the call timed out.

Cause: curl collects a body of any size. It limits the head itself.

Change: bodies are limited to 32 MiB, above the largest frame and page.

--- a/src/railfold/_internal/store/http.py
+++ b/src/railfold/_internal/store/http.py
@@ -17,6 +17,9 @@
 
 _MAX_CLIENTS = 64
 
+# Limit on the body of an answer. curl itself limits the size of its head.
+_MAX_ANSWER_BYTES = 32 * 1024 * 1024
+
 
 def new_http_client() -> AsyncHTTPClient:
     """Return a new client, built on curl, with connections kept alive.
@@ -25,7 +28,11 @@
     of an answer, curl retries the request by itself, whatever the request's method.
     """
     AsyncHTTPClient.configure("tornado.curl_httpclient.CurlAsyncHTTPClient")
-    return AsyncHTTPClient(force_instance=True, max_clients=_MAX_CLIENTS)
+    return AsyncHTTPClient(
+        force_instance=True,
+        max_clients=_MAX_CLIENTS,
+        defaults={"prepare_curl_callback": _limit_answer},
+    )
 
 
 def new_single_use_client() -> AsyncHTTPClient:
@@ -42,7 +49,12 @@
     )
 
 
+def _limit_answer(curl: pycurl.Curl) -> None:
+    curl.setopt(pycurl.MAXFILESIZE, _MAX_ANSWER_BYTES)
+
+
 def _open_own_connection(curl: pycurl.Curl) -> None:
+    _limit_answer(curl)
     curl.setopt(pycurl.FRESH_CONNECT, 1)
     curl.setopt(pycurl.FORBID_REUSE, 1)
 
