--- a/soak/faults.py
+++ b/soak/faults.py
@@ -29,6 +29,7 @@
 )
 from soak.configuration_faults import SLOW_S, configure, large_configuration
 from soak.deployment import Deployment, EntryRun, InjectedFault
+from soak.endless_answers import ENDLESS_FAULTS
 from soak.pauses import PAUSE_FAULTS
 from standins.chaining_engine import Engine
 from tests.lib.crashing_fleet import POISON_BODY
@@ -171,6 +172,19 @@
         await asyncio.wait_for(run.exited.wait(), duration_s)
 
 
+async def entries_kill_series(deployment: Deployment, rng: random.Random) -> None:
+    """Kill all entries several times in a row while all backend servers fail."""
+    failing = [s for s in (*deployment.engines, *deployment.plain) if s.mode == "ok"]
+    for server in failing:
+        server.mode = "error"
+    for _ in range(rng.randint(2, 4)):
+        for entry in deployment.entries:
+            deployment.mark_disturbed(entry).signal(signal.SIGKILL)
+        await asyncio.sleep(rng.uniform(1.0, 2.5))
+    for server in failing:
+        server.mode = "ok"
+
+
 async def entry_pause(deployment: Deployment, rng: random.Random) -> None:
     """Suspend an entry with SIGSTOP and resume it."""
     entry = deployment.mark_disturbed(rng.choice(deployment.entries))
@@ -481,6 +495,7 @@
 FAULTS: dict[str, Fault] = {
     "all_servers_refuse": all_servers_refuse,
     "configure": configure,
+    "entries_kill_series": entries_kill_series,
     "entry_kill": entry_kill,
     "entry_long_pause": entry_long_pause,
     "entry_pause": entry_pause,
@@ -508,6 +523,7 @@
     "store_fault": store_fault,
     "store_forgets": store_forgets,
     "store_goes_back": store_goes_back,
+    **ENDLESS_FAULTS,
     **PAUSE_FAULTS,
 }
 
@@ -515,6 +531,7 @@
 # doesn't is restarted and reads the shared state of the others.
 CONNECTIVITY_PRESERVING_FAULTS = frozenset(
     {
+        *ENDLESS_FAULTS,
         *PAUSE_FAULTS,
         "all_servers_refuse",
         "configure",
