--- a/tests/forwarding/test_endless_answers.py
+++ b/tests/forwarding/test_endless_answers.py
@@ -7,9 +7,12 @@
 
 import pytest
 
-from railfold._internal.errors import EngineUnavailableError
+from railfold._internal.errors import EngineUnavailableError, LogUnavailableError
+from railfold._internal.platform.adapter import MetadataStorePlatform
 from standins.chaining_engine import Engine
 from standins.endless_answers import CALL_FORMS, PLAIN_FORMS, STREAM_FORMS
+from standins.metadata_store import PARTITIONS
+from tests.lib.endless import endless_server
 from tests.lib.forwarding import Deployment, run_count, stream_body
 
 # Half of the time that clients of these routes wait.
@@ -121,3 +124,12 @@
         received = data
     assert not received.endswith(b"0\r\n\r\n")
     assert taken_bytes(deployment) < 64 * 1024 * 1024 + MAX_TAKEN_BYTES
+
+
+@pytest.mark.parametrize("form", CALL_FORMS)
+async def test_read_of_the_store_fails_if_its_answer_never_ends(form: str) -> None:
+    async with endless_server(form) as server:
+        log = MetadataStorePlatform(server.address, PARTITIONS).new_log()
+        with pytest.raises(LogUnavailableError):
+            await log.read("keyed.op", -1, 0.0)
+    assert server.taken_bytes < 2 * MAX_TAKEN_BYTES
--- a/tests/unit/test_http_service.py
+++ b/tests/unit/test_http_service.py
@@ -7,18 +7,15 @@
 import socket
 import struct
 from collections.abc import AsyncIterator
-from typing import Any
 
 import pytest
-from tornado.iostream import IOStream
-from tornado.netutil import bind_sockets
-from tornado.tcpserver import TCPServer
 
 from railfold._internal.engines.http_engine import HttpEngine
 from railfold._internal.engines.http_service import HttpService, ServiceAnswer
 from railfold._internal.errors import EngineUnavailableError
 from railfold._internal.store.http import new_http_client, new_single_use_client
-from standins.endless_answers import CALL_FORMS, send_endless
+from standins.endless_answers import CALL_FORMS
+from tests.lib.endless import endless_server
 
 # A third of the memory that a daemon may use for control.
 MAX_CALL_BYTES = 40 * 1024 * 1024
@@ -94,28 +91,18 @@
 async def test_call_without_an_end_of_its_answer_fails_after_a_limited_size(
     form: str,
 ) -> None:
-    taken_bytes: list[int] = []
-
-    async def serve(stream: IOStream, address: Any) -> None:
-        await stream.read_until(b"\r\n\r\n")
-        await send_endless(stream, form, "r-1", "seal", taken_bytes.append)
-
-    server = TCPServer()
-    server.handle_stream = serve  # type: ignore[method-assign]
-    sockets = bind_sockets(0, "127.0.0.1")
-    server.add_sockets(sockets)
-    url = f"http://127.0.0.1:{sockets[0].getsockname()[1]}"
     http, single_use_http = new_http_client(), new_single_use_client()
-    http_service = HttpService(url, "/health", http, single_use_http)
-    with pytest.raises(EngineUnavailableError):
-        await call(http_service)
-    assert not await http_service.healthy()
-    engine = HttpEngine(url, http, single_use_http, step_timeout_s=2.0)
-    with pytest.raises(EngineUnavailableError):
-        await engine.status()
+    async with endless_server(form) as server:
+        url = f"http://{server.address}"
+        http_service = HttpService(url, "/health", http, single_use_http)
+        with pytest.raises(EngineUnavailableError):
+            await call(http_service)
+        assert not await http_service.healthy()
+        engine = HttpEngine(url, http, single_use_http, step_timeout_s=2.0)
+        with pytest.raises(EngineUnavailableError):
+            await engine.status()
     # Extensions of a chunk aren't kept.
     if form != "chunk extension":
-        assert sum(taken_bytes) < 3 * MAX_CALL_BYTES
-    server.stop()
+        assert server.taken_bytes < 3 * MAX_CALL_BYTES
     http.close()
     single_use_http.close()
