Soak: an answer that ends at its deadline isn't lost

The rule doesn't count an answer whose time limit or route's timeout was reached; the check didn't look at it. It now passes over an answer that has started and lasted for the deadline of 4 s, and over nothing shorter.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -31,7 +31,13 @@
     STREAM_PRESERVING_FAULTS,
 )
 from soak.pauses import PAUSE_FAULTS
-from soak.planned_stops import Unanswered, describe_loss, is_allowed_cut, is_late
+from soak.planned_stops import (
+    Unanswered,
+    describe_loss,
+    is_allowed_cut,
+    is_late,
+    is_past_deadline,
+)
 from standins.chaining_engine import BULK_BYTES, BULK_PATH, SEAL
 from tests.lib.backoffs import MAX_REQUESTS_DURING_BACKOFF, max_requests_during_backoff
 from tests.lib.forwarding import (
@@ -353,7 +359,7 @@
 
     def _check_truncation(self, request: Unanswered, started_s: float) -> None:
         """Record a violation if no fault can have cut the answer."""
-        if is_late(request) or is_allowed_cut(request):
+        if is_late(request) or is_allowed_cut(request) or is_past_deadline(request):
             return
         active = self._deployment.faults_active_since(started_s - _FAULT_AFTEREFFECT_S)
         preserving = STREAM_PRESERVING_FAULTS
--- a/soak/planned_stops.py
+++ b/soak/planned_stops.py
@@ -6,7 +6,16 @@
 
 from soak.deployment import GRACE_S, EntryRun
 
-__all__ = ["Unanswered", "describe_loss", "is_allowed_cut", "is_late"]
+__all__ = [
+    "Unanswered",
+    "describe_loss",
+    "is_allowed_cut",
+    "is_late",
+    "is_past_deadline",
+]
+
+# The deadline that clients send, which is also the timeout of their routes.
+_DEADLINE_S = 4.0
 
 # A request that is whole later than this after SIGTERM must end in a complete answer
 # if it reaches a server.
@@ -49,6 +58,11 @@
     return stopped_at_s is not None and request.sent_s > stopped_at_s + _MAX_CUT_SEND_S
 
 
+def is_past_deadline(request: Unanswered) -> bool:
+    """Return whether an answer that had started ran until the request's deadline."""
+    return request.has_started and request.ended_s >= request.sent_s + _DEADLINE_S
+
+
 def is_allowed_cut(request: Unanswered) -> bool:
     """Return whether an answer still ran when its process had to exit."""
     stopped_at_s = request.run.stopped_at_s
--- a/tests/unit/test_soak_planned_stops.py
+++ b/tests/unit/test_soak_planned_stops.py
@@ -7,7 +7,12 @@
 import pytest
 
 from soak.deployment import EntryRun
-from soak.planned_stops import Unanswered, describe_loss, is_allowed_cut
+from soak.planned_stops import (
+    Unanswered,
+    describe_loss,
+    is_allowed_cut,
+    is_past_deadline,
+)
 
 STOPPED_AT_S = 100.0
 
@@ -77,3 +82,17 @@
     run.record_signal(signal.SIGTERM)
     assert run.stopped_at_s == first_s
     assert not run.disturbed
+
+
+@pytest.mark.parametrize(
+    ("request_", "past_deadline"),
+    [
+        (unanswered(1.0, 5.0, stopped=False), True),
+        (unanswered(1.0, 4.9, stopped=False), False),
+        (unanswered(1.0, 5.0, has_started=False, stopped=False), False),
+    ],
+)
+def test_only_answers_that_last_until_their_deadline_may_be_cut_without_a_stop(
+    request_: Unanswered, past_deadline: bool
+) -> None:
+    assert is_past_deadline(request_) is past_deadline
