Stand-in: an endless answer has the limit that its server names; list what remains

The stand-in's heads contain the limit, as its documentation says. That an answer which is given up can end a limit is a fault of the entry, listed with a failing test.

--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -292,12 +292,18 @@
         self.set_leaving_header()
         if self.engine.mode == "dead":
             await asyncio.Event().wait()
+        if self.engine.endless_call_form:
+            await self.send_endless(self.engine.endless_call_form)
 
     async def send_endless(self, form: str, request_id: str = "") -> None:
         """Send bytes without end in place of the response."""
         stream = self.request.connection.detach()  # type: ignore[attr-defined]
         self._finished = True
-        await send_endless(stream, form, request_id, SEAL, self.engine.count_endless)
+        headers = {"Railfold-Response-Seal": SEAL}
+        for name in ("Server-Limit", "Server-Leaving"):
+            if name in self._headers:
+                headers[name] = self._headers[name]
+        await send_endless(stream, form, request_id, headers, self.engine.count_endless)
 
     def set_leaving_header(self) -> None:
         """Set the header that a leaving server sends in all responses."""
@@ -329,9 +335,6 @@
 class _Report(_Handler):
     async def get(self) -> None:
         engine = self.engine
-        if engine.endless_call_form:
-            await self.send_endless(engine.endless_call_form)
-            return
         if engine.reports_to_drop > 0:
             engine.reports_to_drop -= 1
             self.request.connection.detach().close()
@@ -352,12 +355,9 @@
 
 
 class _Order(_Handler):
-    async def post(self) -> None:
+    def post(self) -> None:
         engine, order = self.engine, json.loads(self.request.body)
         engine.received_orders.append(order)
-        if engine.endless_call_form:
-            await self.send_endless(engine.endless_call_form)
-            return
         self.send_late_response()
         if order["operation"] == "repath":
             if engine.refuses_reroutes:
@@ -382,10 +382,7 @@
 
 
 class _Health(_Handler):
-    async def get(self) -> None:
-        if self.engine.endless_call_form:
-            await self.send_endless(self.engine.endless_call_form)
-            return
+    def get(self) -> None:
         if self.engine.mode == "shed" and self.engine.retry_after is not None:
             # An overloaded server refuses health checks like requests.
             self.set_header("Retry-After", self.engine.retry_after)
--- a/standins/endless_answers.py
+++ b/standins/endless_answers.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -97,11 +97,12 @@
     stream: IOStream,
     form_name: str,
     request_id: str,
-    seal: str,
+    headers: Mapping[str, str],
     on_sent: Callable[[int], None],
 ) -> None:
     """Send an endless answer until the caller closes the connection.
 
+    :param headers: what the head contains besides, if it ends.
     :param on_sent: called with the number of bytes each time some have been sent.
     """
     form = ENDLESS_FORMS[form_name]
@@ -109,7 +110,8 @@
     if form.head is not None:
         if "Railfold-Attempt-Id" not in form.head:
             prefix += f"Railfold-Attempt-Id: {request_id}\r\n"
-        prefix += f"Railfold-Response-Seal: {seal}\r\n{form.head}\r\n"
+        prefix += "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        prefix += f"{form.head}\r\n"
     block = form.unit.encode("latin-1") * (_BLOCK_BYTES // len(form.unit))
     with contextlib.suppress(StreamClosedError):
         await stream.write((prefix + form.start).encode("latin-1"))
--- a/tests/forwarding/test_endless_answers.py
+++ b/tests/forwarding/test_endless_answers.py
@@ -133,3 +133,19 @@
         with pytest.raises(LogUnavailableError):
             await log.read("keyed.op", -1, 0.0)
     assert server.taken_bytes < 2 * MAX_TAKEN_BYTES
+
+
+async def test_answer_that_never_ends_does_not_end_a_rate_limit(
+    deployment: Deployment,
+) -> None:
+    server = deployment.plain[0]
+    limits = deployment.entry.router.limits
+    server.rate_limit = "50"
+    for number in range(20):
+        await deployment.ask("/tray/1", f"before-{number}", method="GET")
+    assert limits.limited_servers((server.server_id,))
+    server.rate_limit, server.mode = None, "endless error"
+    for number in range(20):
+        await deployment.ask("/tray/1", f"during-{number}", method="GET")
+    assert server.endless_bytes > 0
+    assert limits.limited_servers((server.server_id,))
--- a/tests/lib/endless.py
+++ b/tests/lib/endless.py
@@ -40,7 +40,7 @@
 
     async def serve(stream: IOStream, address: Any) -> None:
         await stream.read_until(b"\r\n\r\n")
-        await send_endless(stream, form, "r-1", "seal", running.count)
+        await send_endless(stream, form, "r-1", {}, running.count)
 
     server = TCPServer()
     server.handle_stream = serve  # type: ignore[method-assign]
