Count and log answers that were skipped, cut or surplus

New: the line answer_unmatched (skipped, surplus) with both requests, the counters answers.skipped, .surplus and .cut, and the position in the cause of an attempt whose connection was closed. No change of what is accepted.

--- a/src/railfold/_internal/forwarding/dialect.py
+++ b/src/railfold/_internal/forwarding/dialect.py
@@ -96,7 +96,12 @@
 
 @dataclass(frozen=True, slots=True)
 class MismatchedAnswer:
-    """The answer belongs to another request, or doesn't say to which one."""
+    """The answer belongs to another request, or doesn't say to which one.
+
+    :param named_id: the request that the answer names; empty if it names none.
+    """
+
+    named_id: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/railfold/_internal/forwarding/requests/attempt.py
+++ b/src/railfold/_internal/forwarding/requests/attempt.py
@@ -32,6 +32,7 @@
     StreamWatch,
 )
 from railfold._internal.forwarding.router import Router
+from railfold._internal.forwarding.servers.http_client import AnswerPart
 
 __all__ = ["Attempt", "AttemptListener"]
 
@@ -239,10 +240,18 @@
         """Report that the request wasn't sent."""
         self._listener.attempt_not_sent(self, reason, error)
 
-    def attempt_lost(self, reason: str) -> None:
+    def attempt_lost(self, reason: str, received: AnswerPart) -> None:
         """Report the loss of the answer."""
+        if received is not AnswerPart.NOTHING:
+            self._router.metrics.count("answers.cut")
         self._listener.attempt_lost(self, reason)
 
+    def answer_skipped(self, named_id: str, status: int) -> None:
+        """Report an answer to another request."""
+        self._router.unmatched_answers.skipped(
+            self.server_id, self._routed.request_id, named_id, status
+        )
+
     def answer_head(self, kind: AnswerKind, head: ResponseHead) -> None:
         """Handle the head of the answer."""
         self.answer_kind = kind
--- a/src/railfold/_internal/forwarding/requests/exchange.py
+++ b/src/railfold/_internal/forwarding/requests/exchange.py
@@ -6,8 +6,6 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from absl import logging
-
 from railfold._internal.core import parse_address
 from railfold._internal.errors import EngineUnavailableError, RequestError
 from railfold._internal.forwarding.dialect import (
@@ -18,6 +16,7 @@
 )
 from railfold._internal.forwarding.messages import ClientRequest, ResponseHead
 from railfold._internal.forwarding.servers.http_client import (
+    AnswerPart,
     ExchangeFailure,
     HttpConnection,
     connect,
@@ -35,12 +34,26 @@
 _UNREPEATABLE_MAX_IDLE_S = 1.5
 
 
+# Where a closed connection has left the answer.
+_POSITIONS = {
+    AnswerPart.NOTHING: "",
+    AnswerPart.HEAD: " within the head of the answer",
+    AnswerPart.BODY: " within the body of the answer",
+}
+
+
 class ExchangeListener(Protocol):
     """Receives the events of an attempt."""
 
     def answer_head(self, kind: AnswerKind, head: ResponseHead) -> None:
         """Handle the head of the answer."""
 
+    def answer_skipped(self, named_id: str, status: int) -> None:
+        """Handle an answer that doesn't belong to the request.
+
+        :param named_id: the request that it names; empty if it names none.
+        """
+
     def answer_body(self, data: bytes) -> None:
         """Handle received bytes of the answer's body."""
 
@@ -54,7 +67,7 @@
             failed.
         """
 
-    def attempt_lost(self, reason: str) -> None:
+    def attempt_lost(self, reason: str, received: AnswerPart) -> None:
         """Handle the loss of an answer before its end; the request may have run."""
 
 
@@ -171,6 +184,7 @@
             headers,
             self._request.body,
             self,
+            self._request.request_id,
         )
 
     # ExchangeSink
@@ -179,12 +193,7 @@
         """Report the head of an answer; return False unless it is this request's."""
         kind = self._dialect.classify_answer(head, self._request.request_id)
         if isinstance(kind, MismatchedAnswer):
-            logging.info(
-                "%s sent an answer (%d) that doesn't belong to request %s; skipped it",
-                self._plan.server_id,
-                head.status,
-                self._request.request_id,
-            )
+            self._listener.answer_skipped(kind.named_id, head.status)
             return False
         if not self._cancelled:
             self._listener.answer_head(kind, head)
@@ -205,13 +214,20 @@
 
     def failed(self, reason: ExchangeFailure) -> None:
         """Report that the answer was lost before its end."""
-        self._connection = None
+        connection, self._connection = self._connection, None
         if self._cancelled:
             return
-        match reason:
-            case ExchangeFailure.CLOSED:
-                self._listener.attempt_lost("the connection was closed")
-            case ExchangeFailure.MALFORMED:
-                self._listener.attempt_lost("the answer isn't valid HTTP")
-            case ExchangeFailure.TOO_LARGE:
-                self._listener.attempt_lost("the answer's head or framing is too large")
+        received = (
+            AnswerPart.NOTHING if connection is None else connection.received_part
+        )
+        self._listener.attempt_lost(_failure_text(reason, received), received)
+
+
+def _failure_text(reason: ExchangeFailure, received: AnswerPart) -> str:
+    match reason:
+        case ExchangeFailure.CLOSED:
+            return "the connection was closed" + _POSITIONS[received]
+        case ExchangeFailure.MALFORMED:
+            return "the answer isn't valid HTTP"
+        case ExchangeFailure.TOO_LARGE:
+            return "the answer's head or framing is too large"
--- a/src/railfold/_internal/forwarding/router.py
+++ b/src/railfold/_internal/forwarding/router.py
@@ -73,6 +73,9 @@
 from railfold._internal.forwarding.servers.backoffs import ServerBackoffs
 from railfold._internal.forwarding.servers.pool import ConnectionPool
 from railfold._internal.forwarding.servers.rate_limits import RateLimits
+from railfold._internal.forwarding.servers.unmatched_answers import (
+    UnmatchedAnswerReporter,
+)
 from railfold._internal.observability.decision_log import DecisionLog
 from railfold._internal.observability.events import PipeShareReduced
 from railfold._internal.observability.metrics import Metrics
@@ -164,6 +167,7 @@
     backoffs: ServerBackoffs = field(init=False)
     eligibility: ServerEligibility = field(init=False)
     answer_headers: AnswerHeaderReader = field(init=False)
+    unmatched_answers: UnmatchedAnswerReporter = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the members that depend on other members."""
@@ -177,6 +181,9 @@
             self.metrics,
             self.log,
         )
+        self.unmatched_answers = UnmatchedAnswerReporter(self.metrics, self.log)
+        for pool in (self.pool, self.call_pool):
+            pool.on_surplus = self.unmatched_answers.surplus
         self.eligibility = ServerEligibility(
             self.directory,
             self.avoidance,
--- a/src/railfold/_internal/forwarding/servers/http_client.py
+++ b/src/railfold/_internal/forwarding/servers/http_client.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum, auto
 from typing import Protocol
@@ -25,6 +25,7 @@
 from railfold._internal.waiting import answer_within
 
 __all__ = [
+    "AnswerPart",
     "ExchangeFailure",
     "ExchangeSink",
     "HttpConnection",
@@ -61,6 +62,14 @@
     TOO_LARGE = auto()  # More was received than an answer may contain.
 
 
+class AnswerPart(Enum):
+    """How much of the answer to an exchange was received."""
+
+    NOTHING = auto()
+    HEAD = auto()  # A part of the head, or answers that don't belong to the exchange.
+    BODY = auto()  # The head and maybe a part of the body.
+
+
 class ExchangeSink(Protocol):
     """Receives one answer while it arrives."""
 
@@ -103,6 +112,13 @@
         self._paused = False
         self._bytes_beside_body = 0
         self._skipped_bytes = 0
+        self._received_part = AnswerPart.NOTHING
+        # Whether bytes were received behind a complete answer.
+        self.has_surplus = False
+        # Called when bytes are received although no answer is expected.
+        self.on_surplus: Callable[[], None] = lambda: None
+        # Id of the last client's request; empty after a call of this process.
+        self.last_request_id = ""
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
 
@@ -111,6 +127,11 @@
         """Whether the connection can't be used any more."""
         return self._unusable or self._transport is None
 
+    @property
+    def received_part(self) -> AnswerPart:
+        """How much of the last exchange's answer was received."""
+        return self._received_part
+
     @property
     def busy(self) -> bool:
         """Whether an exchange is in progress."""
@@ -123,14 +144,18 @@
         headers: Sequence[Header],
         body: bytes,
         sink: ExchangeSink,
+        request_id: str = "",
     ) -> None:
         """Send one request and pass its answer to ``sink``.
 
+        :param request_id: the id of a client's request.
         :raises EngineUnavailableError: the connection is closed or busy.
         """
         if self._transport is None or self.busy:
             raise EngineUnavailableError("the connection can't take a request")
         self._sink = sink
+        self.last_request_id = request_id
+        self._received_part = AnswerPart.NOTHING
         self._no_body = method == "HEAD"
         self._answer_complete = False
         self._bytes_beside_body = self._skipped_bytes = 0
@@ -170,8 +195,12 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
         if self._sink is None:
+            if not self._unusable:
+                self.on_surplus()
             self.abort()  # No answer is expected.
             return
+        if self._received_part is AnswerPart.NOTHING:
+            self._received_part = AnswerPart.HEAD
         self._bytes_beside_body += len(data)
         try:
             self._parser.feed_data(data)
@@ -209,7 +238,7 @@
         A second answer in one exchange makes the connection unusable.
         """
         if self._answer_complete:
-            self._unusable = True
+            self._unusable = self.has_surplus = True
         self._message_incomplete = True
         self._headers = []
         self._status = b""
@@ -237,7 +266,9 @@
         self._skipping_message = not self._sink.head(head)
         if self._skipping_message:
             self._unusable = True
-        elif self._no_body:
+            return
+        self._received_part = AnswerPart.BODY
+        if self._no_body:
             self._answer_complete = True
             self._unusable = True
 
--- a/src/railfold/_internal/forwarding/servers/pool.py
+++ b/src/railfold/_internal/forwarding/servers/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 
 from railfold._internal.forwarding.servers.http_client import HttpConnection
 
@@ -24,6 +25,9 @@
 
     def __init__(self) -> None:
         self._idle: dict[str, deque[HttpConnection]] = {}
+        # Called with a server's id and the id of the last request on the connection
+        # when the server sends more than the answer to it.
+        self.on_surplus: Callable[[str, str], None] = lambda server_id, request_id: None
 
     def take(
         self, server_id: str, now_s: float, max_idle_s: float = _DEFAULT_MAX_IDLE_S
@@ -56,9 +60,14 @@
         self, server_id: str, connection: HttpConnection, now_s: float
     ) -> None:
         """Return a connection to the pool if it can be used again."""
+        if connection.has_surplus:
+            self.on_surplus(server_id, connection.last_request_id)
         if connection.closed or connection.busy:
             return
         connection.idle_since_s = now_s
+        connection.on_surplus = lambda: self.on_surplus(
+            server_id, connection.last_request_id
+        )
         self._idle.setdefault(server_id, deque()).append(connection)
 
     def drop(self, server_id: str) -> None:
--- a/src/railfold/_internal/observability/events.py
+++ b/src/railfold/_internal/observability/events.py
@@ -9,6 +9,7 @@
 import msgspec
 
 __all__ = [
+    "AnswerUnmatched",
     "AttemptEnded",
     "AttemptKept",
     "AttemptStarted",
@@ -287,6 +288,24 @@
     suspected: bool = False
 
 
+class AnswerUnmatched(msgspec.Struct, frozen=True, tag="answer_unmatched"):
+    """A backend server sent what belongs to no request in progress.
+
+    :param kind: ``skipped`` for an answer in the place of the expected one, ``surplus``
+        for bytes behind a complete answer or on an idle connection.
+    :param request_id: the request whose answer was expected, or the last one on the
+        connection; empty if that was a call of the entry.
+    :param named_id: the request that a skipped answer names, if it names one.
+    :param status: status of a skipped answer.
+    """
+
+    server_id: str
+    kind: str
+    request_id: str
+    named_id: str = ""
+    status: int = 0
+
+
 class AttemptKept(msgspec.Struct, frozen=True, tag="attempt_kept"):
     """An attempt stays in progress at suspected backend servers.
 
@@ -496,6 +515,7 @@
     | AttemptStarted
     | PipeShareReduced
     | AttemptEnded
+    | AnswerUnmatched
     | AttemptKept
     | ChainStalled
     | ChainProbed
--- a/src/railfold/_internal/platform/dialect.py
+++ b/src/railfold/_internal/platform/dialect.py
@@ -172,8 +172,9 @@
 
     def classify_answer(self, head: ResponseHead, request_id: str) -> AnswerKind:
         """Return what kind of answer to the request this is."""
-        if head.get(_REQUEST_ID) != request_id:
-            return MismatchedAnswer()
+        named_id = head.get(_REQUEST_ID)
+        if named_id != request_id:
+            return MismatchedAnswer(named_id)
         if head.get(_NOT_EXECUTED) or head.status == _MISDIRECTED:
             at_fault = head.get(_SERVER_AT_FAULT)
             where = f" because of {at_fault}" if at_fault else ""
