--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -12,8 +12,6 @@
 import contextlib
 import json
 import math
-import socket
-import struct
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -24,6 +22,12 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
+from standins.broken_answers import (
+    AnswerFaults,
+    encode_answer,
+    reset,
+    resumed_answer,
+)
 from standins.endless_answers import send_endless
 from standins.metadata_store import MetadataStore
 
@@ -75,7 +79,11 @@
         neither length nor chunks and end with their connection), ``"unframed cut"``
         or ``"unframed reset"`` (the same, but its next response is closed within an
         event, or reset after one, and all servers are in mode ``"unframed"`` from then
-        on), ``"endless FORM"`` (sends bytes without end, see ``endless_answers``).
+        on), ``"reset at end"`` (resets the connection of each stream in place of its
+        end), ``"endless FORM"`` (sends bytes without end, see ``endless_answers``).
+    :param answer_faults: answers that it sends twice or not whole, if it does so.
+    :param resumed_form: the form of its answers to requests that resume a stream, see
+        ``broken_answers``; empty if they are streams.
     :param run_counts: how often each request ran on this server.
     :param pace: the factor by which it reports that its steps are slower than usual.
     :param born: the start time that it reports, in Unix milliseconds; ``None`` if it
@@ -153,6 +161,8 @@
     advertised_address: str = ""
     received_orders: list[dict[str, Any]] = field(default_factory=list)
     late_responses: dict[IOStream, bytes] = field(default_factory=dict)
+    answer_faults: AnswerFaults | None = None
+    resumed_form: str = ""
     _server: HTTPServer | None = None
 
     @property
@@ -288,6 +298,7 @@
         self.engine = engine
 
     async def prepare(self) -> None:
+        await self.wait_for_copy()
         await self.engine.wait_while_paused()
         self.set_leaving_header()
         if self.engine.mode == "dead":
@@ -295,6 +306,25 @@
         if self.engine.endless_call_form:
             await self.send_endless(self.engine.endless_call_form)
 
+    @property
+    def stream(self) -> IOStream:
+        """The connection."""
+        return self.request.connection.stream  # type: ignore[attr-defined,no-any-return]
+
+    async def wait_for_copy(self) -> None:
+        """Wait until no part of another response is being sent."""
+        if self.engine.answer_faults is not None:
+            await self.engine.answer_faults.request_received(self.stream)
+
+    def on_finish(self) -> None:
+        """Allow copies of other responses."""
+        self._request_ended()
+
+    def _request_ended(self) -> None:
+        stream = self.stream
+        if self.engine.answer_faults is not None and stream is not None:
+            self.engine.answer_faults.request_ended(stream)
+
     async def send_endless(self, form: str, request_id: str = "") -> None:
         """Send bytes without end in place of the response."""
         stream = self.request.connection.detach()  # type: ignore[attr-defined]
@@ -398,6 +428,7 @@
         """Announce the rate limit; requests to a dead engine wait in the handler."""
         self._received_at_s = asyncio.get_running_loop().time()
         self.engine.arrivals.append(Arrival(self._request_id, self._received_at_s))
+        await self.wait_for_copy()
         await self.engine.wait_while_paused()
         self.set_leaving_header()
         self.set_header("Railfold-Attempt-Id", self._request_id)
@@ -406,6 +437,7 @@
 
     def on_connection_close(self) -> None:
         self.engine.cancelled.append(self.request.headers["Railfold-Attempt-Id"])
+        self._request_ended()
 
     async def get(self) -> None:
         await self._respond()
@@ -450,7 +482,16 @@
             await self.send_endless(engine.mode.removeprefix("endless "), request_id)
             return
         self.set_header("Railfold-Response-Seal", SEAL)
-        if engine.mode.startswith("unframed"):
+        if engine.answer_faults is not None and engine.answer_faults.draws_cut():
+            stream = self._detach()
+            await engine.answer_faults.send_part_of_head(
+                stream, encode_answer(request_id, b"cut")
+            )
+        elif engine.resumed_form and "Last-Event-Id" in headers:
+            stream = self._detach()
+            await stream.write(resumed_answer(request_id, engine.resumed_form))
+            stream.close()
+        elif engine.mode.startswith("unframed"):
             await self._respond_unframed(request_id)
         elif engine.mode == "error":
             self.set_status(500)
@@ -509,6 +550,19 @@
         await self.engine.wait_while_paused()
         self.send_late_response()
         self.finish(body)
+        self._schedule_copy(request_id, body)
+
+    def _schedule_copy(self, request_id: str, body: bytes) -> None:
+        """Send a response once more later, if that is asked."""
+        faults = self.engine.answer_faults
+        if faults is not None and self.stream is not None and not self.stream.closed():
+            faults.schedule_copy(self.stream, request_id, body)
+
+    def _detach(self) -> IOStream:
+        """Return the connection, on which this handler sends nothing by itself."""
+        stream: IOStream = self.request.connection.detach()  # type: ignore[attr-defined]
+        self._finished = True
+        return stream
 
     async def _refuse_unnamed(self) -> None:
         stream = self.request.connection.stream  # type: ignore[attr-defined]
@@ -544,14 +598,11 @@
                 body = body[: body.rindex("\n\n") + 2]
             for server in self.engine.fleet.values():
                 server.mode = "unframed"
-        stream = self.request.connection.detach()  # type: ignore[attr-defined]
-        self._finished = True
+        stream = self._detach()
         await stream.write(f"{head}\r\n{body}".encode())
         if mode == "unframed reset":
             await asyncio.sleep(0.05)  # The sent part arrives first.
-            stream.socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-            )
+            reset(stream)
         stream.close()
 
     async def _stream(self, chain: str) -> None:
@@ -566,6 +617,9 @@
             self._refuse(421)
             return
         self.set_header("Content-Type", "text/event-stream")
+        if self.engine.answer_faults is not None:
+            self.engine.answer_faults.stream_started(self.stream)
+        request_id, events = self._request_id, list[bytes]()
         first = int(self.request.headers.get("Last-Event-Id", "0")) + 1
         last = int(self.request.headers["Railfold-Token-Counts"].split(",")[1])
         try:
@@ -574,13 +628,17 @@
                 await self._wait_for(chain)
                 if self._is_abandoned():
                     return
-                self.write(f"id: {number}\ndata: token {number}\n\n")
+                events.append(f"id: {number}\ndata: token {number}\n\n".encode())
+                self.write(events[-1])
                 now_s = asyncio.get_running_loop().time()
-                self.engine.last_event_at_s[
-                    self.request.headers["Railfold-Attempt-Id"]
-                ] = now_s
+                self.engine.last_event_at_s[request_id] = now_s
                 await self.flush()
+            if self.engine.mode == "reset at end" and first <= last:
+                await asyncio.sleep(0.02)  # The last event arrives first.
+                reset(self._detach())
+                return
             self.finish()
+            self._schedule_copy(request_id, b"".join(events))
         except StreamClosedError:
             return
 
--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import re
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -32,6 +33,9 @@
 ZONES = ("hall-a", "hall-b")
 WAIT_S = 5.0
 
+_STATUS_LINE = re.compile(r"HTTP/1\.1 \d{3}( |$)")
+_CHUNK_SIZE = re.compile(rb"[0-9a-fA-F]+\r\n$")
+
 
 def routes() -> list[dict[str, Any]]:
     """Return one route of each kind."""
@@ -84,6 +88,10 @@
     }
 
 
+class MalformedAnswerError(Exception):
+    """A client received bytes that are no answer in HTTP."""
+
+
 @dataclass
 class Reply:
     """An answer as its client receives it.
@@ -376,6 +384,8 @@
         """Read status and headers."""
         head = (await self.reader.readuntil(b"\r\n\r\n")).decode()
         first, *lines = head.strip().split("\r\n")
+        if not _STATUS_LINE.match(first):
+            raise MalformedAnswerError(f"{first!r} in the place of a status line")
         headers = dict(line.split(": ", 1) for line in lines)
         return int(first.split()[1]), headers
 
@@ -391,13 +401,19 @@
             return Reply(status, headers, body, complete=True)
         parts: list[bytes] = []
         try:
-            while size := int(await self.reader.readline() or b"", 16):
+            while size := await self._read_chunk_size():
                 parts.append(await self.reader.readexactly(size))
                 await self.reader.readline()
-        except (ValueError, asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError):
             return Reply(status, headers, b"".join(parts), complete=False)
         return Reply(status, headers, b"".join(parts), complete=True)
 
+    async def _read_chunk_size(self) -> int:
+        line = await self.reader.readuntil(b"\n")
+        if not _CHUNK_SIZE.match(line):
+            raise MalformedAnswerError(f"{line[:60]!r} in the place of a chunk's size")
+        return int(line, 16)
+
     def close(self) -> None:
         """Close the connection."""
         self.writer.close()
