Continue a stream only with a stream, and send one head an answer

Clients saw a second status line and headers in the place of a chunk, or 400 KB of another answer, in the middle of their stream.

Cause: an answer over several attempts is one answer, but each attempt's answer was judged alone. Once the client had the head, an attempt that was sent to resume the stream could answer 204, 4xx or a plain 200, and that was sent like the answer to a first attempt, with a head of its own; a large one was forwarded as a part of the body.

Now an attempt's answer is judged by what the client has. After its head, only a stream of events continues a stream; 204 (no content) says that there are no more events, as an empty stream does, and ends the answer; any other answer counts as a lost attempt (streams.not_continued), so that another server is tried or the answer is cut visibly. Besides, the client's side sends one head an answer: a second one aborts it.

--- a/src/railfold/_internal/forwarding/requests/attempt.py
+++ b/src/railfold/_internal/forwarding/requests/attempt.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from railfold._internal.decisions.event_cursor import EventCursor
@@ -34,7 +34,7 @@
 from railfold._internal.forwarding.router import Router
 from railfold._internal.forwarding.servers.http_client import AnswerPart
 
-__all__ = ["Attempt", "AttemptListener"]
+__all__ = ["Attempt", "AttemptListener", "OtherAnswer"]
 
 # Answers of plain calls are buffered up to this size, so that the call can be repeated
 # if its answer is interrupted. A larger answer is forwarded as it arrives.
@@ -47,6 +47,17 @@
 _MAX_UNDECLARED_BYTES = 64 * 1024 * 1024
 
 
+_SUCCESSES = range(200, 300)
+_NO_CONTENT = 204
+
+
+@dataclass(frozen=True, slots=True)
+class OtherAnswer:
+    """The answer doesn't continue the stream of which the client has a part."""
+
+    status: int
+
+
 class AttemptListener(Protocol):
     """Receives the events of a request's attempts."""
 
@@ -114,7 +125,7 @@
         self.destination = destination
         self.plan = plan
         self.cursor = cursor
-        self.answer_kind: AnswerKind | None = None
+        self.answer_kind: AnswerKind | OtherAnswer | None = None
         self.buffered: BufferedAnswer | None = None
         self.is_stream = False
         # Whether the answer requests a backoff of its server.
@@ -254,19 +265,36 @@
 
     def answer_head(self, kind: AnswerKind, head: ResponseHead) -> None:
         """Handle the head of the answer."""
-        self.answer_kind = kind
         self.backoff_requested = self._router.answer_headers.record_answer(
             self.server_id, kind, head, self._routed.request_id, self.sent_s
         )
-        is_stream = self._routed.route.kind is RouteKind.STREAM and _holds_events(head)
-        if isinstance(kind, ServedAnswer) and is_stream:
-            self.is_stream = True
+        is_served = isinstance(kind, ServedAnswer)
+        self.is_stream = is_served and self._is_stream(head)
+        if is_served and self._answer.head_sent and not self._may_follow(head):
+            self.answer_kind = OtherAnswer(head.status)
+        else:
+            self.answer_kind = kind
+        if self.is_stream:
             self._listener.stream_started(self, head)
             return
         if not head.get("Content-Length"):
             self._remaining_bytes = _MAX_UNDECLARED_BYTES
         self.buffered = BufferedAnswer(head)
 
+    def _is_stream(self, head: ResponseHead) -> bool:
+        return (
+            self._routed.route.kind is RouteKind.STREAM
+            and head.status in _SUCCESSES
+            and head.get("Content-Type").startswith("text/event-stream")
+        )
+
+    def _may_follow(self, head: ResponseHead) -> bool:
+        """Return whether an answer may follow the part that the client has.
+
+        A server without further events may answer that there is no content.
+        """
+        return self.is_stream or head.status == _NO_CONTENT
+
     def answer_body(self, data: bytes) -> None:
         """Buffer received bytes of the body, or report what they complete."""
         if self.is_stream:
@@ -312,7 +340,7 @@
                     self.buffered = None
                     self._remaining_bytes -= buffered.size
                     self._listener.large_answer_received(self, buffered)
-            case NotExecuted():
+            case NotExecuted() | OtherAnswer():
                 if is_large:
                     # Its head is proof enough.
                     self._listener.answer_ended(self)
@@ -347,7 +375,3 @@
         else model.mean_state_tokens(size.prompt_tokens, size.answer_tokens)
     )
     return EntryLoad(max(1, tokens), 1, size.prompt_tokens)
-
-
-def _holds_events(head: ResponseHead) -> bool:
-    return head.get("Content-Type").startswith("text/event-stream")
--- a/src/railfold/_internal/forwarding/requests/client_answer.py
+++ b/src/railfold/_internal/forwarding/requests/client_answer.py
@@ -61,13 +61,12 @@
         return self._client.head_sent
 
     def send_head(self, head: ResponseHead, *, with_length: bool) -> None:
-        """Send the head unless one was sent: a resumed answer keeps its first head.
+        """Send the head of the answer. A resumed answer keeps its first head.
 
         :param with_length: whether to include the Content-Length header.
         """
-        if not self._client.head_sent:
-            headers = end_to_end_headers(head, with_length=with_length)
-            self._client.send_head(head.status, head.reason, headers)
+        headers = end_to_end_headers(head, with_length=with_length)
+        self._client.send_head(head.status, head.reason, headers)
 
     def send_body(self, data: bytes) -> None:
         """Send a part of the body."""
--- a/src/railfold/_internal/forwarding/requests/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -46,7 +46,7 @@
 from railfold._internal.forwarding.quarantine.request_quarantine import (
     RequestQuarantine,
 )
-from railfold._internal.forwarding.requests.attempt import Attempt
+from railfold._internal.forwarding.requests.attempt import Attempt, OtherAnswer
 from railfold._internal.forwarding.requests.capacity_queue import CapacityQueue
 from railfold._internal.forwarding.requests.client_answer import (
     BufferedAnswer,
@@ -416,6 +416,10 @@
             case UnusableAnswer(reason=reason):
                 self._prober.record_failure(server_id)
                 self._attempt_failed(attempt, reason)
+            case OtherAnswer(status=status):
+                self._router.metrics.count("streams.not_continued")
+                cause = f"its answer ({status}) doesn't continue the stream"
+                self._attempt_failed(attempt, cause)
             case _:
                 self._attempt_failed(attempt, "the answer has no head")
 
@@ -433,7 +437,7 @@
         self._quarantine.record_success(
             self._request, self._owner, wrote_answer=wrote_answer
         )
-        if buffered is not None:
+        if buffered is not None and not self._answer.head_sent:
             self._answer.send_buffered(buffered)
         else:
             if trailing := attempt.cursor.take_trailing_blocks():
--- a/src/railfold/_internal/forwarding/requests/front.py
+++ b/src/railfold/_internal/forwarding/requests/front.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any, Protocol
 
+from absl import logging
 from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
@@ -101,13 +102,17 @@
         self.head_sent = False
 
     def send_head(self, status: int, reason: str, headers: Sequence[Header]) -> None:
-        """Send status and headers.
+        """Send status and headers; abort the answer if a head was sent before.
 
         Without a Content-Length header the body is sent in chunks, so that the client
         can tell an aborted answer from a complete one.
         """
         if self._ended:
             return
+        if self.head_sent:
+            logging.error("a second head (%d) isn't sent within an answer", status)
+            self.abort()
+            return
         self.head_sent = True
         fields = HTTPHeaders()
         for name, value in headers:
