Add a failing test: an answer cut within its head counts as complete

An agent passes it on as 200 with an empty body, or as 103 if an interim answer was cut; a health check counts as passed, and an order to load layers or free caches as executed.

--- a/tests/unit/test_http_service.py
+++ b/tests/unit/test_http_service.py
@@ -1,4 +1,4 @@
-"""Answers of plain services that end with their connection."""
+"""Answers of plain services and engines that end with their connection."""
 
 from __future__ import annotations
 
@@ -10,9 +10,11 @@
 
 import pytest
 
+from railfold._internal.core import LayerRange
+from railfold._internal.decisions.orders import LoadOrder
 from railfold._internal.engines.http_engine import HttpEngine
 from railfold._internal.engines.http_service import HttpService, ServiceAnswer
-from railfold._internal.errors import EngineUnavailableError
+from railfold._internal.errors import EngineError, EngineUnavailableError
 from railfold._internal.store.http import new_http_client, new_single_use_client
 from standins.endless_answers import CALL_FORMS
 from tests.lib.endless import endless_server
@@ -47,6 +49,13 @@
     server.close()
 
 
+def engine_at(service: HttpService) -> HttpEngine:
+    """Return a client of the engine at the service's address."""
+    return HttpEngine(
+        service.url, service.http, service.single_use_http, step_timeout_s=2.0
+    )
+
+
 async def call(service: HttpService) -> ServiceAnswer:
     return await service.call("r-1", "GET", "slips", "", b"", 2.0)
 
@@ -106,3 +115,34 @@
         assert server.taken_bytes < 3 * MAX_CALL_BYTES
     http.close()
     single_use_http.close()
+
+
+async def accepted_calls(http_service: HttpService) -> list[str]:
+    """Make a call of each kind; return those whose answer counts as complete."""
+    engine = engine_at(http_service)
+    accepted = ["health"] if await http_service.healthy() else []
+    calls = {
+        "call": lambda: call(http_service),
+        "load": lambda: engine.load(LoadOrder("m", "v1", LayerRange(0, 3), 1)),
+        "close": lambda: engine.close(["s-1"]),
+        "status": lambda: engine.status(),
+    }
+    for name, make_call in calls.items():
+        with contextlib.suppress(EngineError):
+            await make_call()
+            accepted.append(name)
+    return accepted
+
+
+async def test_answer_cut_within_its_head_is_not_complete() -> None:
+    answer = (
+        b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+        + HEAD
+        + b"X-Long: folded\r\nContent-Length: 0\r\n\r\n"
+    )
+    accepted = {}
+    for size_bytes in range(0, len(answer)):
+        async with service(answer[:size_bytes]) as http_service:
+            if calls := await accepted_calls(http_service):
+                accepted[answer[:size_bytes][-12:]] = calls
+    assert not accepted
