Accept an answer only if its head arrived to its end, in the product's own clients

Clients of a plain service got 200 with an empty body, framed as whole, when the service closed its connection within the head of its answer; with an interim answer cut, status 103. In the same way a health check passed, an order to load layers or to free caches counted as executed, and an append whose refusal was cut counted as refused.

Cause: curl ends a transfer without an error if the connection is closed behind the status line; that the head has no end isn't reported.

Now all calls go through HttpClient, which watches the lines of the head and takes an answer only after the empty line that ends its final head. Otherwise the call fails like one whose connection broke: it may have run.

--- a/src/railfold/_internal/engines/http_engine.py
+++ b/src/railfold/_internal/engines/http_engine.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 import msgspec
-from tornado.httpclient import AsyncHTTPClient, HTTPError
+from tornado.httpclient import HTTPError
 
 from railfold._internal.core import LayerRange, Token
 from railfold._internal.decisions.orders import LoadOrder
@@ -24,7 +24,11 @@
     StepResult,
 )
 from railfold._internal.errors import EngineError, EngineUnavailableError
-from railfold._internal.store.http import CONNECT_TIMEOUT_S, was_never_connected
+from railfold._internal.store.http import (
+    CONNECT_TIMEOUT_S,
+    HttpClient,
+    was_never_connected,
+)
 
 __all__ = ["HttpEngine"]
 
@@ -74,8 +78,8 @@
     """
 
     url: str
-    http: AsyncHTTPClient
-    single_use_http: AsyncHTTPClient
+    http: HttpClient
+    single_use_http: HttpClient
     step_timeout_s: float
 
     async def status(self) -> EngineStatus:
--- a/src/railfold/_internal/engines/http_service.py
+++ b/src/railfold/_internal/engines/http_service.py
@@ -4,11 +4,13 @@
 
 from dataclasses import dataclass
 
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPError
+from absl import logging
+from tornado.httpclient import HTTPClientError, HTTPError
 
 from railfold._internal.errors import EngineError, EngineUnavailableError
 from railfold._internal.store.http import (
     CONNECT_TIMEOUT_S,
+    HttpClient,
     was_never_connected,
 )
 
@@ -40,8 +42,8 @@
 
     url: str
     health_path: str
-    http: AsyncHTTPClient
-    single_use_http: AsyncHTTPClient
+    http: HttpClient
+    single_use_http: HttpClient
 
     async def healthy(self) -> bool:
         """Return whether the health check of the service succeeds."""
@@ -51,7 +53,8 @@
                 connect_timeout=CONNECT_TIMEOUT_S,
                 request_timeout=_HEALTH_TIMEOUT_S,
             )
-        except (HTTPError, OSError):
+        except (HTTPError, OSError) as error:
+            logging.debug("the health check of %s failed: %s", self.url, error)
             return False
         return True
 
--- a/src/railfold/_internal/operations/processes.py
+++ b/src/railfold/_internal/operations/processes.py
@@ -7,9 +7,10 @@
 from urllib.parse import urlencode
 
 import msgspec
-from tornado.httpclient import AsyncHTTPClient, HTTPError
+from tornado.httpclient import HTTPError
 
 from railfold._internal.errors import ProcessUnreachableError, VersionNotInForceError
+from railfold._internal.store.http import HttpClient
 
 __all__ = ["drain", "explain", "fetch", "wait_until_in_force"]
 
@@ -17,7 +18,7 @@
 _POLL_S = 0.1
 
 
-async def fetch(http: AsyncHTTPClient, url: str, path: str) -> Any:
+async def fetch(http: HttpClient, url: str, path: str) -> Any:
     """Return the decoded JSON at a path of an operator port.
 
     :raises ProcessUnreachableError: the process doesn't answer.
@@ -33,7 +34,7 @@
     return msgspec.json.decode(response.body)
 
 
-async def drain(http: AsyncHTTPClient, url: str) -> None:
+async def drain(http: HttpClient, url: str) -> None:
     """Start the drain of a process.
 
     :raises ProcessUnreachableError: the process doesn't answer.
@@ -48,7 +49,7 @@
         ) from error
 
 
-async def explain(http: AsyncHTTPClient, url: str, pipeline: str) -> Any:
+async def explain(http: HttpClient, url: str, pipeline: str) -> Any:
     """Return where an entry would send a request of a pipeline, and why.
 
     :raises ProcessUnreachableError: the entry doesn't answer.
@@ -58,7 +59,7 @@
 
 
 async def wait_until_in_force(
-    http: AsyncHTTPClient, urls: list[str], version: int, timeout_s: float
+    http: HttpClient, urls: list[str], version: int, timeout_s: float
 ) -> None:
     """Wait until a configuration version is in force at all entries and their agents.
 
@@ -85,9 +86,7 @@
         await asyncio.sleep(_POLL_S)
 
 
-async def _describe_outdated(
-    http: AsyncHTTPClient, url: str, version: int
-) -> list[str]:
+async def _describe_outdated(http: HttpClient, url: str, version: int) -> list[str]:
     """Return a text for each process with an older or unknown version.
 
     Checks an entry and, if the entry has the version, its agents.
--- a/src/railfold/_internal/store/hosts.py
+++ b/src/railfold/_internal/store/hosts.py
@@ -10,13 +10,13 @@
 from collections.abc import Callable
 
 import msgspec
-from tornado.httpclient import AsyncHTTPClient, HTTPError
+from tornado.httpclient import HTTPError
 
 from railfold._internal.core import parse_address
 from railfold._internal.decisions.backoff import Backoff
 from railfold._internal.decisions.membership import ListedHost
 from railfold._internal.observability.metrics import Metrics
-from railfold._internal.store.http import CONNECT_TIMEOUT_S
+from railfold._internal.store.http import CONNECT_TIMEOUT_S, HttpClient
 
 __all__ = ["HostListPoller"]
 
@@ -37,7 +37,7 @@
     def __init__(
         self,
         url: str,
-        http: AsyncHTTPClient,
+        http: HttpClient,
         on_list: Callable[[tuple[ListedHost, ...]], None],
         metrics: Metrics,
         interval_s: float,
--- a/src/railfold/_internal/store/log.py
+++ b/src/railfold/_internal/store/log.py
@@ -12,7 +12,7 @@
 from urllib.parse import urlencode
 
 import msgspec
-from tornado.httpclient import AsyncHTTPClient, HTTPError
+from tornado.httpclient import HTTPError
 
 from railfold._internal.errors import (
     LogUnavailableError,
@@ -21,6 +21,7 @@
 )
 from railfold._internal.store.http import (
     CONNECT_TIMEOUT_S,
+    HttpClient,
     was_never_connected,
 )
 from railfold._internal.store.records import LogPage
@@ -45,8 +46,8 @@
     """
 
     url: str
-    http: AsyncHTTPClient
-    append_http: AsyncHTTPClient
+    http: HttpClient
+    append_http: HttpClient
     timeout_s: float
 
     async def append(self, stream: str, bodies: Sequence[Any]) -> list[int]:
--- a/tests/unit/test_http_service.py
+++ b/tests/unit/test_http_service.py
@@ -14,8 +14,13 @@
 from railfold._internal.decisions.orders import LoadOrder
 from railfold._internal.engines.http_engine import HttpEngine
 from railfold._internal.engines.http_service import HttpService, ServiceAnswer
-from railfold._internal.errors import EngineError, EngineUnavailableError
+from railfold._internal.errors import (
+    EngineError,
+    EngineUnavailableError,
+    WriteUnsettledError,
+)
 from railfold._internal.store.http import new_http_client, new_single_use_client
+from railfold._internal.store.log import LogClient
 from standins.endless_answers import CALL_FORMS
 from tests.lib.endless import endless_server
 
@@ -146,3 +151,19 @@
             if calls := await accepted_calls(http_service):
                 accepted[answer[:size_bytes][-12:]] = calls
     assert not accepted
+
+
+@pytest.mark.parametrize("end", [b"\r\n", b"\n"])
+async def test_answer_whose_lines_end_in_any_way_is_complete(end: bytes) -> None:
+    lines = [b"HTTP/1.1 200 OK", b"Content-Length: 6", b"", b"record"]
+    async with service(end.join(lines)) as http_service:
+        assert (await call(http_service)).body == b"record"
+
+
+async def test_error_cut_within_its_head_is_no_refusal() -> None:
+    async with service(b"HTTP/1.1 409 Conflict\r\nContent-Le") as http_service:
+        log = LogClient(
+            http_service.url, http_service.http, http_service.single_use_http, 2.0
+        )
+        with pytest.raises(WriteUnsettledError):
+            await log.append("s", [1])
