--- a/tests/unit/test_http_service.py
+++ b/tests/unit/test_http_service.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import contextlib
+import itertools
 import socket
 import struct
+from collections import Counter
 from collections.abc import AsyncIterator
 
 import pytest
@@ -167,3 +169,50 @@
         )
         with pytest.raises(WriteUnsettledError):
             await log.append("s", [1])
+
+
+@contextlib.asynccontextmanager
+async def numbering_server(copy_delay_s: float) -> AsyncIterator[str]:
+    """A server that numbers its answers, and sends each a second time.
+
+    Yields its URL.
+    """
+    numbers = itertools.count(1)
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writers.append(writer)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while await reader.readuntil(b"\r\n\r\n"):
+                number = next(numbers)
+                body = b'{"engine_id": "%d", "records": [], "next": %d}' % (
+                    number,
+                    number,
+                )
+                answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+                writer.write(answer + body)
+                await asyncio.sleep(copy_delay_s)
+                writer.write(answer + body)
+                await writer.drain()
+        writers.remove(writer)
+        writer.close()
+
+    writers = list[asyncio.StreamWriter]()
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    yield f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    server.close()
+    for open_writer in list(writers):
+        open_writer.close()
+    await asyncio.sleep(0.01)  # The handlers end.
+
+
+async def test_second_answer_to_one_call_is_never_taken_for_the_next_call_s() -> None:
+    foreign = Counter[float]()
+    for copy_delay_s in (0.0, 0.001, 0.005):
+        http = new_http_client()
+        async with numbering_server(copy_delay_s) as url:
+            engine = HttpEngine(url, http, new_single_use_client(), step_timeout_s=2.0)
+            for number in range(1, 21):
+                status = await engine.status()
+                foreign[copy_delay_s] += status.engine_id != str(number)
+        http.close()
+    assert not foreign.total(), foreign
