Soak: answers sent twice, cut within their head, and streams resumed elsewhere

New faults on real processes: servers_answer_twice (copies up to 0.5 s later, with a length, in chunks or closing, whole or in two parts, never within another answer), servers_cut_heads, both at once, and streams_lose_their_end (streams are reset in place of their end, and the server that resumes them has no more events, refuses, or answers something else). Clients report bytes that are no answer, also between answers; the end of a chunked answer is read to its last byte.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -44,6 +44,7 @@
     MODEL_SERVICE,
     PLAIN_SERVICE,
     Connection,
+    MalformedAnswerError,
     Reply,
     stream_body,
 )
@@ -191,6 +192,7 @@
             self._observations.non_idempotent_ids.add(request_id)
         try:
             connection = await self._connect()
+            self._check_unread(connection, request_id)
             self._observations.entry_by_request[request_id] = self._entry
             await self._send(connection, kind, request_id, count)
             self._observations.record_sent(
@@ -202,6 +204,10 @@
             if isinstance(self._habit, SlowReader) and kind == "bulk":
                 await self._wait_after_stop(self._habit.max_read_delay_s)
             reply = await _read_reply(connection)
+        except MalformedAnswerError as error:
+            self._observations.record_violation(MIXED, f"{request_id} got {error}")
+            self._disconnect()
+            return
         except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError) as e:
             was_closed = not isinstance(e, TimeoutError)
             self._record_unanswered(request_id, False, was_closed)
@@ -219,6 +225,13 @@
         if not reply.complete or (closes and heeds_close):
             self._disconnect()
 
+    def _check_unread(self, connection: Connection, request_id: str) -> None:
+        """Record a violation if there are bytes although no answer is expected."""
+        if unread := connection.unread():
+            self._observations.record_violation(
+                MIXED, f"{unread[:60]!r} was there before {request_id} was sent"
+            )
+
     def _record_unanswered(
         self, request_id: str, has_started: bool, was_closed: bool
     ) -> Unanswered | None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -27,6 +27,7 @@
     PEER_KEY_RECORD,
     decode_peer_key,
 )
+from soak.answer_faults import ANSWER_FAULTS
 from soak.configuration_faults import SLOW_S, configure, large_configuration
 from soak.deployment import Deployment, EntryRun, InjectedFault
 from soak.endless_answers import ENDLESS_FAULTS
@@ -523,6 +524,7 @@
     "store_fault": store_fault,
     "store_forgets": store_forgets,
     "store_goes_back": store_goes_back,
+    **ANSWER_FAULTS,
     **ENDLESS_FAULTS,
     **PAUSE_FAULTS,
 }
@@ -531,6 +533,7 @@
 # doesn't is restarted and reads the shared state of the others.
 CONNECTIVITY_PRESERVING_FAULTS = frozenset(
     {
+        *ANSWER_FAULTS,
         *ENDLESS_FAULTS,
         *PAUSE_FAULTS,
         "all_servers_refuse",
--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -403,11 +403,22 @@
         try:
             while size := await self._read_chunk_size():
                 parts.append(await self.reader.readexactly(size))
-                await self.reader.readline()
+                await self._read_end_of_line()
+            await self._read_end_of_line()
         except (asyncio.IncompleteReadError, ConnectionError):
             return Reply(status, headers, b"".join(parts), complete=False)
         return Reply(status, headers, b"".join(parts), complete=True)
 
+    def unread(self) -> bytes:
+        """Return the bytes that were received and not read."""
+        buffer: bytearray = self.reader._buffer  # type: ignore[attr-defined]
+        return bytes(buffer)
+
+    async def _read_end_of_line(self) -> None:
+        line = await self.reader.readexactly(2)
+        if line != b"\r\n":
+            raise MalformedAnswerError(f"{line!r} in the place of a line's end")
+
     async def _read_chunk_size(self) -> int:
         line = await self.reader.readuntil(b"\n")
         if not _CHUNK_SIZE.match(line):
