Keep a whole answer if what follows it isn't HTTP

Clients of unsafe routes got 502 although their server had answered: its answer was whole, with id and signature, and the bytes behind it in the same read were no HTTP, or came after Connection: close.

Cause: an error of the parser failed the exchange, whether its answer was complete by then or not.

Now such bytes only make the connection unusable, as a second answer does, and count as surplus.

--- a/src/railfold/_internal/forwarding/servers/http_client.py
+++ b/src/railfold/_internal/forwarding/servers/http_client.py
@@ -208,6 +208,10 @@
             if isinstance(error, httptools.HttpParserCallbackError):
                 # The sink failed, and not the server's answer.
                 logging.exception("the handler of an HTTP answer failed")
+            elif self._answer_complete:
+                self._unusable = self.has_surplus = True
+                self._finish()
+                return
             self._fail(ExchangeFailure.MALFORMED)
             return
         if self._answer_complete:
--- a/standins/broken_answers.py
+++ b/standins/broken_answers.py
@@ -161,7 +161,9 @@
 
 
 def reset(stream: IOStream) -> None:
-    """Reset a connection."""
+    """Reset a connection, unless it is closed."""
+    if stream.closed():
+        return
     stream.socket.setsockopt(
         socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
     )
