Read on behind another request's answer that announces the close

Clients of unsafe routes got 502 if a late second answer with Connection: close came before the answer to their request on the same connection.

Cause: the parser refuses all data behind a message that announces the end of the connection, although that message didn't belong to the exchange and the server did go on to answer.

Now the parser reads on. What belongs to the request is decided by its id, as before; the connection isn't used again.

Evidence: three cases of the test failed before.

--- a/src/railfold/_internal/forwarding/servers/http_client.py
+++ b/src/railfold/_internal/forwarding/servers/http_client.py
@@ -99,6 +99,8 @@
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
+        # An answer to another request may announce the close before this one's.
+        self._parser.set_dangerous_leniencies(lenient_keep_alive=True)
         self._sink: ExchangeSink | None = None
         self._status = b""
         self._headers: list[Header] = []
--- a/tests/unit/test_answer_framing.py
+++ b/tests/unit/test_answer_framing.py
@@ -115,7 +115,7 @@
 
 
 @pytest.mark.parametrize("step_bytes", [0, 1, 7])
-@pytest.mark.parametrize("other", [OTHER, OTHER_CHUNKED, INTERIM])
+@pytest.mark.parametrize("other", [OTHER, OTHER_CHUNKED, OTHER_CLOSING, INTERIM])
 async def test_answer_is_not_lost_behind_another_request_s(
     other: bytes, step_bytes: int
 ) -> None:
