--- a/tests/unit/test_answer_framing.py
+++ b/tests/unit/test_answer_framing.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from dataclasses import dataclass
 
 import pytest
 
@@ -10,7 +12,6 @@
 from railfold._internal.forwarding.messages import ResponseHead
 from railfold._internal.forwarding.servers.http_client import (
     ExchangeFailure,
-    HttpConnection,
     connect,
 )
 from standins.broken_answers import encode_answer
@@ -65,10 +66,20 @@
         self.outcome.set_result(reason)
 
 
-async def exchange(
-    data: bytes, *, closes: bool, step_bytes: int = 0
-) -> tuple[bytes | ExchangeFailure, HttpConnection]:
-    """Answer a request with ``data``; return its answer and the connection.
+@dataclass(frozen=True)
+class Exchange:
+    """The outcome of an exchange.
+
+    :param closed: whether the connection can't be used any more.
+    """
+
+    outcome: bytes | ExchangeFailure
+    closed: bool
+    has_surplus: bool
+
+
+async def exchange(data: bytes, *, closes: bool, step_bytes: int = 0) -> Exchange:
+    """Answer a request with ``data``; return its outcome.
 
     :param step_bytes: size of the pieces in which it arrives; 0 for one piece.
     """
@@ -79,17 +90,23 @@
             writer.write(data[start : start + (step_bytes or len(data))])
             await asyncio.sleep(0)
         if not closes:
-            await reader.read()
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
         writer.close()
+        served.set()
 
+    served = asyncio.Event()
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
     connection = await connect(address, 1.0)
     sink = Sink()
     connection.send("GET", "/", (("Host", "x"),), b"", sink, "own")
     outcome = await asyncio.wait_for(sink.outcome, 2.0)
+    was_closed = connection.closed
+    connection.abort()
+    await served.wait()
     server.close()
-    return outcome, connection
+    return Exchange(outcome, was_closed, connection.has_surplus)
 
 
 @pytest.mark.parametrize("step_bytes", [0, 1, 7])
@@ -98,20 +115,18 @@
 async def test_whole_answer_is_not_lost_by_what_follows_it(
     own: bytes, surplus: bytes, step_bytes: int
 ) -> None:
-    outcome, connection = await exchange(
-        own + surplus, closes=False, step_bytes=step_bytes
-    )
-    assert outcome == b"mine"
-    connection.abort()
+    result = await exchange(own + surplus, closes=False, step_bytes=step_bytes)
+    assert result.outcome == b"mine"
 
 
+@pytest.mark.parametrize("own", [OWN, OWN_EMPTY])
 @pytest.mark.parametrize("surplus", SURPLUS[1:])
-async def test_connection_with_surplus_bytes_is_not_used_again(surplus: bytes) -> None:
-    for own in (OWN, OWN_EMPTY):
-        outcome, connection = await exchange(own + surplus, closes=False)
-        assert isinstance(outcome, bytes)
-        assert connection.closed
-        assert connection.has_surplus
+async def test_connection_with_surplus_bytes_is_not_used_again(
+    own: bytes, surplus: bytes
+) -> None:
+    result = await exchange(own + surplus, closes=False)
+    assert isinstance(result.outcome, bytes)
+    assert (result.closed, result.has_surplus) == (True, True)
 
 
 @pytest.mark.parametrize("step_bytes", [0, 1, 7])
@@ -119,26 +134,22 @@
 async def test_answer_is_not_lost_behind_another_request_s(
     other: bytes, step_bytes: int
 ) -> None:
-    outcome, connection = await exchange(
-        other + OWN, closes=False, step_bytes=step_bytes
-    )
-    assert outcome == b"mine"
-    connection.abort()
+    result = await exchange(other + OWN, closes=False, step_bytes=step_bytes)
+    assert result.outcome == b"mine"
 
 
 @pytest.mark.parametrize("step_bytes", [0, 7])
 @pytest.mark.parametrize("data", NOT_WHOLE)
 async def test_answer_that_is_not_whole_fails(data: bytes, step_bytes: int) -> None:
-    outcome, connection = await exchange(data, closes=True, step_bytes=step_bytes)
-    assert isinstance(outcome, ExchangeFailure)
-    assert connection.closed
+    result = await exchange(data, closes=True, step_bytes=step_bytes)
+    assert isinstance(result.outcome, ExchangeFailure)
+    assert result.closed
 
 
 async def test_answer_cut_at_any_byte_fails() -> None:
-    for answer in (
-        OTHER_CHUNKED + INTERIM + OWN,
-        encode_answer("own", b"me", "chunks"),
-    ):
+    chunked = encode_answer("own", b"me", "chunks")
+    for answer in (OTHER_CHUNKED + INTERIM + OWN, chunked):
         for size_bytes in range(1, len(answer)):
-            outcome, _ = await exchange(answer[:size_bytes], closes=True)
-            assert isinstance(outcome, ExchangeFailure), answer[:size_bytes][-20:]
+            part = answer[:size_bytes]
+            result = await exchange(part, closes=True)
+            assert isinstance(result.outcome, ExchangeFailure), part[-20:]
