End streams of HTTP/1.0 clients with their connection, visibly if cut

To a client of HTTP/1.0 a stream that was cut off looked whole: an answer without a length ends with its connection there, and an aborted answer's connection was closed like a finished one's. If the client had asked to keep its connection, the stream had no end at all, and the next answer would have come as a part of it; the product's own interface did the same.

Cause: that an answer's end can be told is left to chunks, which only HTTP/1.1 has.

Now the connection of such a client ends with each answer and isn't said to be kept, and an answer without a length that is aborted ends in a reset.

Evidence: four tests of the forwarding entry and, for a kept connection, one of the product's own interface failed before. No rule of the platform speaks of HTTP/1.0.

--- a/src/railfold/_internal/entry/callers.py
+++ b/src/railfold/_internal/entry/callers.py
@@ -170,8 +170,15 @@
         self.finish(reply.body)
 
     def set_connection_header(self) -> None:
-        """Announce that the connection is closed after this answer, if it is."""
-        if self.services.closes_connections():
+        """Announce that the connection is closed after this answer, if it is.
+
+        HTTP/1.0 clients don't read chunks: a stream ends with their connection.
+        """
+        is_http_1_0 = self.request.version == "HTTP/1.0"
+        if is_http_1_0:
+            # tornado would announce that it keeps the connection, if asked to.
+            self.request.headers.pop("Connection", None)
+        if is_http_1_0 or self.services.closes_connections():
             self.set_header("Connection", "close")
 
     def finish(self, chunk: str | bytes | dict[str, Any] | None = None) -> Future[None]:
--- a/src/railfold/_internal/forwarding/requests/front.py
+++ b/src/railfold/_internal/forwarding/requests/front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Callable, Sequence
 from typing import Any, Protocol
 
@@ -40,6 +41,8 @@
 # of the loop monitor, which take 0.5 s unless the event loop is late.
 _MAX_AWAITED_TURNS = 10
 
+_HTTP_1_0 = "HTTP/1.0"
+
 _REASONS = {
     200: "OK",
     400: "Bad Request",
@@ -80,6 +83,8 @@
 
     :param reservation: the memory used by the request's body and unread answer.
     :param head_only: whether the client asked for the answer's head only.
+    :param reads_chunks: whether the client understands an answer in chunks, which those
+        of HTTP/1.0 don't. Without, the connection ends with the answer.
     """
 
     def __init__(
@@ -89,8 +94,12 @@
         reservation: MemoryReservation,
         *,
         head_only: bool = False,
+        reads_chunks: bool = True,
     ) -> None:
         self._head_only = head_only
+        self._reads_chunks = reads_chunks
+        # Whether the client takes the end of the connection for that of the answer.
+        self._ends_at_close = False
         self._connection = connection
         self._server = server
         self.reservation = reservation
@@ -117,7 +126,8 @@
         fields = HTTPHeaders()
         for name, value in headers:
             fields.add(name, value)
-        if self._server.closes_connections:
+        self._ends_at_close = not self._reads_chunks and "Content-Length" not in fields
+        if self._server.closes_connections or not self._reads_chunks:
             self._closing = True
             fields["Connection"] = "close"
         line = ResponseStartLine("HTTP/1.1", status, reason or _REASONS.get(status, ""))
@@ -181,6 +191,8 @@
             return
         self._ended = True
         self._release_body()
+        if self._ends_at_close:
+            _reset_at_close(self._connection.stream)
         self._connection.close()
 
     def _release_body(self) -> None:
@@ -217,6 +229,13 @@
         future.exception()
 
 
+def _reset_at_close(stream: IOStream | None) -> None:
+    """Make the close of a connection a reset."""
+    if stream is not None and not stream.closed():
+        no_linger = struct.pack("ii", 1, 0)
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+
+
 def _close_after_flush(stream: IOStream) -> None:
     """Close the connection once the kernel has accepted all written data."""
     if not stream.writing():
@@ -247,6 +266,9 @@
         self._server.mark_busy(self._connection.stream)
         self._start_line = start_line
         self._headers = list(headers.get_all())
+        if start_line.version == _HTTP_1_0:
+            # tornado would announce that it keeps the connection, if asked to.
+            headers.pop("Connection", None)
         workspace = self._server.handler.workspace_of(self._headers)
         self._reservation = MemoryReservation(self._server.quota, workspace)
 
@@ -269,6 +291,7 @@
             self._server,
             self._reservation,
             head_only=self._start_line.method == "HEAD",
+            reads_chunks=self._start_line.version != _HTTP_1_0,
         )
 
     def on_connection_close(self) -> None:
