State the server's length in answers that have no body

An answer to HEAD, or with status 304, told its client a length of 0 instead of the one that its server had named, and one with status 204 had a length, which HTTP doesn't allow: the head wasn't the server's.

Cause: the length of what was buffered is taken for that of the body, also where an answer never has one.

In all of them the next answer on the client's connection is its own.

--- a/src/railfold/_internal/forwarding/requests/client_answer.py
+++ b/src/railfold/_internal/forwarding/requests/client_answer.py
@@ -18,6 +18,7 @@
 __all__ = ["ABORTED", "BufferedAnswer", "ClientAnswer"]
 
 _OK = 200
+_NO_CONTENT = 204
 
 # Logged as the status of an answer that was aborted after its head had been sent.
 ABORTED = 0
@@ -98,8 +99,14 @@
     def send_buffered(self, answer: BufferedAnswer) -> None:
         """Send a complete answer that was buffered."""
         self.release_buffer(answer)
-        headers = end_to_end_headers(answer.head, with_length=False)
-        self._client.reply(answer.head.status, headers, answer.body, answer.head.reason)
+        head = answer.head
+        if self._client.has_no_body(head.status):
+            with_length = head.status != _NO_CONTENT
+            headers = end_to_end_headers(head, with_length=with_length)
+            self._client.reply_without_body(head.status, headers, head.reason)
+            return
+        headers = end_to_end_headers(head, with_length=False)
+        self._client.reply(head.status, headers, answer.body, head.reason)
 
     def release_buffer(self, answer: BufferedAnswer) -> None:
         """Release the memory reserved for a buffered answer."""
--- a/src/railfold/_internal/forwarding/requests/front.py
+++ b/src/railfold/_internal/forwarding/requests/front.py
@@ -41,6 +41,10 @@
 # of the loop monitor, which take 0.5 s unless the event loop is late.
 _MAX_AWAITED_TURNS = 10
 
+_NO_CONTENT = 204
+_NOT_MODIFIED = 304
+_STATUSES_WITHOUT_BODY = (_NO_CONTENT, _NOT_MODIFIED)
+
 _HTTP_1_0 = "HTTP/1.0"
 
 _REASONS = {
@@ -210,6 +214,17 @@
         self.reply_early(status, headers, body, reason)
         self.finish()
 
+    def has_no_body(self, status: int) -> bool:
+        """Return whether an answer with this status never has a body."""
+        return self._head_only or status in _STATUSES_WITHOUT_BODY
+
+    def reply_without_body(
+        self, status: int, headers: Sequence[Header], reason: str = ""
+    ) -> None:
+        """Send a complete answer that has no body, whatever length it states."""
+        self.send_head(status, reason, headers)
+        self.finish()
+
     def reply_early(
         self, status: int, headers: Sequence[Header], body: bytes, reason: str = ""
     ) -> None:
--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -82,6 +82,8 @@
         on), ``"reset at end"`` (resets the connection of each stream in place of its
         end), ``"endless FORM"`` (sends bytes without end, see ``endless_answers``).
     :param answer_faults: answers that it sends twice or not whole, if it does so.
+    :param raw_answer: an answer that it sends as it is to all requests, without its
+        first lines, which name the request and the seal; empty if it doesn't.
     :param resumed_form: the form of its answers to requests that resume a stream, see
         ``broken_answers``; empty if they are streams.
     :param run_counts: how often each request ran on this server.
@@ -163,6 +165,7 @@
     late_responses: dict[IOStream, bytes] = field(default_factory=dict)
     answer_faults: AnswerFaults | None = None
     resumed_form: str = ""
+    raw_answer: bytes = b""
     _server: HTTPServer | None = None
 
     @property
@@ -482,16 +485,9 @@
             await self.send_endless(engine.mode.removeprefix("endless "), request_id)
             return
         self.set_header("Railfold-Response-Seal", SEAL)
-        if engine.answer_faults is not None and engine.answer_faults.draws_cut():
-            stream = self._detach()
-            await engine.answer_faults.send_part_of_head(
-                stream, encode_answer(request_id, b"cut")
-            )
-        elif engine.resumed_form and "Last-Event-Id" in headers:
-            stream = self._detach()
-            await stream.write(resumed_answer(request_id, engine.resumed_form))
-            stream.close()
-        elif engine.mode.startswith("unframed"):
+        if await self._respond_otherwise(request_id):
+            return
+        if engine.mode.startswith("unframed"):
             await self._respond_unframed(request_id)
         elif engine.mode == "error":
             self.set_status(500)
@@ -501,6 +497,27 @@
         else:
             await self._plain(request_id)
 
+    async def _respond_otherwise(self, request_id: str) -> bool:
+        """Send another answer than the request's, if this is asked; return whether."""
+        engine = self.engine
+        if engine.answer_faults is not None and engine.answer_faults.draws_cut():
+            answer = encode_answer(request_id, b"cut")
+            await engine.answer_faults.send_part_of_head(self._detach(), answer)
+        elif engine.raw_answer:
+            status, _, rest = engine.raw_answer.partition(b"\r\n")
+            identity = f"Railfold-Attempt-Id: {request_id}\r\n".encode()
+            seal = f"Railfold-Response-Seal: {SEAL}\r\n".encode()
+            self._finished = True
+            await self.stream.write(status + b"\r\n" + identity + seal + rest)
+            self.request.connection.finish()  # type: ignore[union-attr]
+        elif engine.resumed_form and "Last-Event-Id" in self.request.headers:
+            stream = self._detach()
+            await stream.write(resumed_answer(request_id, engine.resumed_form))
+            stream.close()
+        else:
+            return False
+        return True
+
     def _crashes_engine(self) -> bool:
         engine = self.engine
         if engine.crash_body is not None and self.request.body == engine.crash_body:
--- a/tests/forwarding/test_answer_framing_for_clients.py
+++ b/tests/forwarding/test_answer_framing_for_clients.py
@@ -67,3 +67,32 @@
     running.crash()
     with pytest.raises(ConnectionResetError):
         await read_to_end(connection)
+
+
+@pytest.mark.parametrize(
+    ("method", "answer", "length"),
+    [
+        ("GET", b"HTTP/1.1 204 No Content\r\n\r\n", ""),
+        ("GET", b"HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", "9"),
+        ("GET", b"HTTP/1.1 304 Not Modified\r\n\r\n", ""),
+        ("HEAD", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", "9"),
+        ("HEAD", b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", ""),
+        ("HEAD", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nsurplus..", "9"),
+    ],
+)
+async def test_answer_without_a_body_has_the_length_that_its_server_names(
+    deployment: Deployment, method: str, answer: bytes, length: str
+) -> None:
+    for server in deployment.plain:
+        server.raw_answer = answer
+    connection = await deployment.connect()
+    for number in range(2):
+        # The second answer would be taken for a body that the first has not.
+        await connection.send("/tray/1", f"r-{number}", method=method, body=b"")
+        status, headers = await asyncio.wait_for(connection.read_head(), WAIT_S)
+        assert status == int(answer.split()[1])
+        assert headers["Railfold-Attempt-Id"] == f"r-{number}"
+        assert headers.get("Content-Length", "") == length
+        assert "Transfer-Encoding" not in headers
+    assert connection.unread() == b""
+    connection.close()
