Close the connections of clients at once when only this entry lacks proof

Clients on kept connections got 503 from an entry that alone couldn't prove its configuration, without Connection: close, so that they came back to it. The untraced failure of test_entry_that_falls_behind_closes_client_connections.

Cause: the closing began when the load balancer had time to notice (2.2 s), counted from and checked in turns of 0.25 s. Together that is up to 2.7 s behind the moment in which half of the lease has gone by; with a lease of 1.5 s and 0.3 s in the test, or of 5 s on the sites, the lease can end before. In the run that failed, only this entry lacked proof at 0.90 s of age; the upkeep saw it at 1.01 s, and would have closed at 1.51 s; the lease ended at 1.50 s.

Now an answer also ends its connection if the lease has lapsed and only this entry lacks proof, decided when it is sent.

--- a/src/railfold/_internal/forwarding/process.py
+++ b/src/railfold/_internal/forwarding/process.py
@@ -244,6 +244,7 @@
             self._memory_quota,
             listeners.clients if listeners else None,
         )
+        self._clients.others_would_serve = self._lacks_proof_alone
         self._readiness = HttpServerChild(
             SimpleServerDelegate(self._readiness_answer),
             settings.readiness_address,
@@ -374,6 +375,13 @@
             or self.router.admission.sheds(now_s)
         )
 
+    def _lacks_proof_alone(self) -> bool:
+        """Return whether only other entries can check credentials."""
+        now_s = self._loop.time()
+        return not self.router.lease.valid(now_s) and self._proofs.is_expiring_alone(
+            now_s
+        )
+
     @property
     def recognizes_requests(self) -> bool:
         """Whether repeated requests are recognized by their content."""
--- a/src/railfold/_internal/forwarding/requests/front.py
+++ b/src/railfold/_internal/forwarding/requests/front.py
@@ -131,7 +131,7 @@
         for name, value in headers:
             fields.add(name, value)
         self._ends_at_close = not self._reads_chunks and "Content-Length" not in fields
-        if self._server.closes_connections or not self._reads_chunks:
+        if self._server.ends_connections() or not self._reads_chunks:
             self._closing = True
             fields["Connection"] = "close"
         line = ResponseStartLine("HTTP/1.1", status, reason or _REASONS.get(status, ""))
@@ -376,6 +376,8 @@
         self.quota = quota
         # Whether answers ask clients to open a new connection for their next request.
         self.closes_connections = False
+        # Returns whether another entry would serve what this one refuses.
+        self.others_would_serve: Callable[[], bool] = lambda: False
         self.stopped = False
         # tornado reports closed connections only to its own server class, so open
         # connections are tracked here.
@@ -400,6 +402,10 @@
         )
         self._limits = ClientLimits()
 
+    def ends_connections(self) -> bool:
+        """Return whether an answer that is sent now is its connection's last one."""
+        return self.closes_connections or self.others_would_serve()
+
     @property
     def open_connections(self) -> int:
         """The number of open connections of clients."""
--- a/tests/forwarding/test_proofs_from_peers.py
+++ b/tests/forwarding/test_proofs_from_peers.py
@@ -169,6 +169,22 @@
     assert reply.headers["Connection"] == "close"
 
 
+async def test_refusals_of_an_entry_alone_without_proof_close_connections_at_once(
+    two_entries: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(process, "_BALANCER_PROBE_S", 10.0)
+    connection: Connection = await two_entries.connect(0)
+    await connection.ask("/tray/1", "before")
+    fail_store_reads(two_entries.entry)
+    two_entries.store.put("keyed.op", "config", configuration(2))
+    lease = two_entries.entry.router.lease
+    loop = asyncio.get_running_loop()
+    await until(lambda: not lease.valid(loop.time()))
+    reply = await connection.ask("/tray/1", "late")
+    connection.close()
+    assert (reply.status, reply.headers.get("Connection")) == (503, "close")
+
+
 async def test_all_entries_stay_ready_while_the_store_is_lost_for_all(
     two_entries: Deployment,
 ) -> None:
