Turn every failure to decode into the reader's typed error

Cause: the decoders raise RecursionError for such data, and readers expect only the decoder's own errors. The exception left the border and ended the part that was reading, again at each start.

Now all readers of what other processes write (the store, entries, servers, agents, the product's own log, commands, settings) decode through one module, in which errors that the input causes become DecodeError, which each reader turns into its typed error as before. Such a record is skipped with a line in the log.

What remains: in the product's own interface the log returns pages of records, and a page with such a record can't be read; it is reported as a log that can't be read.

--- a/src/railfold/_internal/configuration/replica.py
+++ b/src/railfold/_internal/configuration/replica.py
@@ -20,6 +20,7 @@
     ConfigurationRecord,
     state_digest,
 )
+from railfold._internal.decoding import decode, decode_json
 from railfold._internal.errors import ConfigurationRefusedError
 from railfold._internal.links.connection import Link
 from railfold._internal.links.messages import (
@@ -59,7 +60,7 @@
         """Fold the JSON record at ``offset`` of the log; skip it if it is invalid."""
         previous_version = self.version
         try:
-            record = _RECORD_DECODER.decode(data)
+            record = decode(_RECORD_DECODER, data)
         except msgspec.MsgspecError:
             # The record may be from another writer or a later release. All processes
             # skip it, so that their replicas stay equal.
@@ -131,7 +132,17 @@
                 "configuration snapshot of peer %s has a wrong digest", link.peer.name
             )
             return
-        self.restore_state(msgspec.json.decode(message.state), message.next_offset)
+        try:
+            state = decode_json(message.state, dict[str, object])
+        except msgspec.DecodeError as error:
+            self._metrics.count("configuration.snapshots_refused")
+            logging.error(
+                "configuration snapshot of peer %s can't be decoded: %s",
+                link.peer.name,
+                error,
+            )
+            return
+        self.restore_state(state, message.next_offset)
 
     def restore_state(self, state: dict[str, object], next_offset: int) -> None:
         """Restore the state of a peer or a checkpoint if it is newer."""
--- a/src/railfold/_internal/configuration/scanner.py
+++ b/src/railfold/_internal/configuration/scanner.py
@@ -7,6 +7,7 @@
 
 from railfold._internal.configuration.replica import ConfigurationReplica
 from railfold._internal.decisions.configuration import CheckpointRecord, state_digest
+from railfold._internal.decoding import decode_json
 from railfold._internal.observability.metrics import Metrics
 from railfold._internal.store.records import LogRecord
 
@@ -94,6 +95,6 @@
 
 def _decode_checkpoint(data: bytes) -> CheckpointRecord | None:
     try:
-        return msgspec.json.decode(data, type=CheckpointRecord)
+        return decode_json(data, CheckpointRecord)
     except msgspec.MsgspecError:
         return None
--- a/src/railfold/_internal/engines/http_engine.py
+++ b/src/railfold/_internal/engines/http_engine.py
@@ -13,6 +13,7 @@
 
 from railfold._internal.core import LayerRange, Token
 from railfold._internal.decisions.orders import LoadOrder
+from railfold._internal.decoding import decode, decode_json
 from railfold._internal.engines.interface import (
     ActivationInput,
     DecodeInput,
@@ -95,7 +96,7 @@
                 connect_timeout=CONNECT_TIMEOUT_S,
                 request_timeout=_STATUS_TIMEOUT_S,
             )
-            status = msgspec.json.decode(response.body, type=_WireStatus)
+            status = decode_json(response.body, _WireStatus)
         except (HTTPError, OSError, msgspec.DecodeError) as error:
             if was_never_connected(error):
                 raise EngineError(
@@ -160,7 +161,7 @@
                 connect_timeout=self.step_timeout_s,
                 request_timeout=self.step_timeout_s,
             )
-            results = _RESULT_DECODER.decode(response.body)
+            results = decode(_RESULT_DECODER, response.body)
         except (HTTPError, OSError, msgspec.DecodeError) as error:
             raise EngineUnavailableError(
                 "the engine didn't return the results of a step", why=str(error)
--- a/src/railfold/_internal/forwarding/peers/peer_messages.py
+++ b/src/railfold/_internal/forwarding/peers/peer_messages.py
@@ -15,6 +15,7 @@
 import msgspec
 from msgspec import Meta
 
+from railfold._internal.decoding import decode
 from railfold._internal.errors import PeerMessageError
 
 __all__ = [
@@ -378,7 +379,7 @@
         if not hmac.compare_digest(mac, self._mac(body)):
             raise PeerMessageError("the message has a wrong authentication code")
         try:
-            envelope = self._decoder.decode(body)
+            envelope = decode(self._decoder, body)
         except msgspec.DecodeError as error:
             raise PeerMessageError(
                 "the message is malformed", why=str(error)
--- a/src/railfold/_internal/forwarding/store/shared_records.py
+++ b/src/railfold/_internal/forwarding/store/shared_records.py
@@ -15,6 +15,7 @@
 from railfold._internal.core import parse_address
 from railfold._internal.decisions.peers import Peer
 from railfold._internal.decisions.quarantine import Crash, RequestContent
+from railfold._internal.decoding import decode_json
 from railfold._internal.errors import PeerMessageError
 
 __all__ = [
@@ -171,6 +172,6 @@
 
 def _decode(value: bytes, record_type: type[T]) -> T:
     try:
-        return msgspec.json.decode(value, type=record_type)
+        return decode_json(value, record_type)
     except msgspec.DecodeError as error:
         raise PeerMessageError("a record can't be decoded", why=str(error)) from error
--- a/src/railfold/_internal/links/messages.py
+++ b/src/railfold/_internal/links/messages.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from railfold._internal.core import Chain, Loaded, StageRun, Token
+from railfold._internal.decoding import decode
 from railfold._internal.errors import LinkProtocolError
 
 __all__ = [
@@ -320,7 +321,7 @@
     :raises LinkProtocolError: ``data`` isn't a valid frame.
     """
     try:
-        return _DECODER.decode(data)
+        return decode(_DECODER, data)
     except (msgspec.DecodeError, msgspec.ValidationError) as error:
         raise LinkProtocolError(
             "a peer sent a malformed frame",
--- a/src/railfold/_internal/operations/processes.py
+++ b/src/railfold/_internal/operations/processes.py
@@ -9,6 +9,7 @@
 import msgspec
 from tornado.httpclient import HTTPError
 
+from railfold._internal.decoding import decode_json
 from railfold._internal.errors import ProcessUnreachableError, VersionNotInForceError
 from railfold._internal.store.http import HttpClient
 
@@ -21,7 +22,7 @@
 async def fetch(http: HttpClient, url: str, path: str) -> Any:
     """Return the decoded JSON at a path of an operator port.
 
-    :raises ProcessUnreachableError: the process doesn't answer.
+    :raises ProcessUnreachableError: the process doesn't answer, or not in JSON.
     """
     try:
         response = await http.fetch(f"{url}{path}", request_timeout=_TIMEOUT_S)
@@ -31,7 +32,12 @@
             why=str(error),
             hint="check the address of its operator port",
         ) from error
-    return msgspec.json.decode(response.body)
+    try:
+        return decode_json(response.body, object)
+    except msgspec.DecodeError as error:
+        raise ProcessUnreachableError(
+            f"the answer of the process at {url} isn't JSON", why=str(error)
+        ) from error
 
 
 async def drain(http: HttpClient, url: str) -> None:
--- a/src/railfold/_internal/platform/configuration.py
+++ b/src/railfold/_internal/platform/configuration.py
@@ -15,6 +15,7 @@
     ServiceSpec,
     WeightedService,
 )
+from railfold._internal.decoding import decode
 from railfold._internal.errors import ConfigurationRefusedError
 
 __all__ = ["decode_configuration"]
@@ -163,7 +164,7 @@
     :raises ConfigurationRefusedError: the record is invalid.
     """
     try:
-        document = _DECODER.decode(value)
+        document = decode(_DECODER, value)
         return RoutingTable(
             version=document.version,
             routes=tuple(_route(route) for route in document.routes),
--- a/src/railfold/_internal/platform/engines.py
+++ b/src/railfold/_internal/platform/engines.py
@@ -10,6 +10,7 @@
 
 from railfold._internal.core import Chain, LayerRange, parse_address
 from railfold._internal.decisions.engine_directory import Registration
+from railfold._internal.decoding import decode
 from railfold._internal.errors import EngineError
 from railfold._internal.forwarding.dialect import EngineCall, EngineReport
 
@@ -147,7 +148,7 @@
     if len(value) > _MAX_REGISTRATION_BYTES:
         raise EngineError("a registration is too large", why=f"{len(value)} bytes")
     try:
-        record = _REGISTRATION_DECODER.decode(value)
+        record = decode(_REGISTRATION_DECODER, value)
         return _registration(key, record)
     except ValueError as error:  # Includes msgspec.DecodeError.
         raise EngineError("a registration can't be read", why=str(error)) from error
@@ -188,7 +189,7 @@
     :raises EngineError: the body is invalid.
     """
     try:
-        report = _REPORT_DECODER.decode(body)
+        report = decode(_REPORT_DECODER, body)
         layers = _layer_range(report.layers)
     except ValueError as error:  # Includes msgspec.DecodeError.
         raise EngineError("a report can't be read", why=str(error)) from error
@@ -208,7 +209,7 @@
     The time is a Unix time in milliseconds.
     """
     try:
-        return _started_at_ms(_INCARNATION_DECODER.decode(body).born)
+        return _started_at_ms(decode(_INCARNATION_DECODER, body).born)
     except msgspec.DecodeError:
         # The body of a plain service's health check may be any text.
         return None
--- a/src/railfold/_internal/platform/settings.py
+++ b/src/railfold/_internal/platform/settings.py
@@ -131,7 +131,7 @@
         data = tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as error:
         raise SettingsError(str(path), [f"can't be read: {error.strerror}"]) from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as error:
         raise SettingsError(str(path), [f"isn't valid TOML: {error}"]) from error
     return _SettingsDecoder(path, metrics_port).decode(data)
 
--- a/src/railfold/_internal/platform/store.py
+++ b/src/railfold/_internal/platform/store.py
@@ -14,6 +14,7 @@
 from railfold._internal.decisions.fleet_size import PartitionAssignment
 from railfold._internal.decisions.leadership import LeaseGrant
 from railfold._internal.decisions.log_epoch import fencing_token
+from railfold._internal.decoding import decode_json
 from railfold._internal.errors import (
     EngineError,
     LogUnavailableError,
@@ -309,7 +310,7 @@
 
 def _decode_json(body: bytes | str, type_: type[T]) -> T:
     try:
-        return msgspec.json.decode(body, type=type_)
+        return decode_json(body, type_)
     except msgspec.DecodeError as error:
         raise LogUnavailableError(
             "the store's answer is invalid", why=str(error)
--- a/src/railfold/_internal/settings/models.py
+++ b/src/railfold/_internal/settings/models.py
@@ -212,7 +212,7 @@
         data = tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as error:
         raise SettingsError(str(path), [f"can't be read: {error.strerror}"]) from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as error:
         raise SettingsError(str(path), [f"isn't valid TOML: {error}"]) from error
     model = _ROLES.get(str(data.get("role")))
     if model is None:
--- a/src/railfold/_internal/store/hosts.py
+++ b/src/railfold/_internal/store/hosts.py
@@ -15,6 +15,7 @@
 from railfold._internal.core import parse_address
 from railfold._internal.decisions.backoff import Backoff
 from railfold._internal.decisions.membership import ListedHost
+from railfold._internal.decoding import decode_json
 from railfold._internal.observability.metrics import Metrics
 from railfold._internal.store.http import CONNECT_TIMEOUT_S, HttpClient
 
@@ -71,7 +72,7 @@
             connect_timeout=CONNECT_TIMEOUT_S,
             request_timeout=self._timeout_s,
         )
-        hosts = msgspec.json.decode(response.body, type=_HostList).hosts
+        hosts = decode_json(response.body, _HostList).hosts
         return tuple(
             ListedHost(
                 record.host,
--- a/src/railfold/_internal/store/log.py
+++ b/src/railfold/_internal/store/log.py
@@ -14,6 +14,7 @@
 import msgspec
 from tornado.httpclient import HTTPError
 
+from railfold._internal.decoding import decode_json
 from railfold._internal.errors import (
     LogUnavailableError,
     RecordsExpiredError,
@@ -67,7 +68,7 @@
                 connect_timeout=CONNECT_TIMEOUT_S,
                 request_timeout=self.timeout_s,
             )
-            return msgspec.json.decode(response.body, type=_Appended).offsets
+            return decode_json(response.body, _Appended).offsets
         except HTTPError as error:
             raise _append_error(error) from error
         except (OSError, msgspec.DecodeError) as error:
@@ -89,7 +90,7 @@
                 connect_timeout=CONNECT_TIMEOUT_S,
                 request_timeout=wait_s + self.timeout_s,
             )
-            return msgspec.json.decode(response.body, type=LogPage)
+            return decode_json(response.body, LogPage)
         except HTTPError as error:
             if error.code == _GONE:
                 raise RecordsExpiredError(
--- a/tests/forwarding/test_starting.py
+++ b/tests/forwarding/test_starting.py
@@ -25,6 +25,13 @@
 from standins.cluster import free_port
 from tests.lib.forwarding import Deployment, stream_body, until
 
+READ_STREAMS = (
+    "keyed.op",
+    "keyed.servers",
+    "keyed.railfold-entries",
+    "keyed.railfold-quarantine",
+)
+
 READINESS_PROBE = b"GET /ready HTTP/1.1\r\nHost: entry\r\n\r\n"
 
 
@@ -153,3 +160,19 @@
         writer.close()
         run.cancel()
         await asyncio.gather(run, return_exceptions=True)
+
+
+async def test_entry_starts_beside_records_that_no_decoder_reads(
+    prepared: Deployment,
+) -> None:
+    streams = [prepared.store.topic(name) for name in READ_STREAMS]
+    for stream in streams:
+        stream.append("i-odd", b'{"service":' + b"[" * 12_000)
+    for server in (*prepared.engines, *prepared.plain):
+        server.register()
+    for stream in streams:
+        # An entry that starts reads the newest record of each key.
+        stream.forget()
+    await prepared.add_entry()
+    reply = await prepared.ask("/draft/1", "r-1", events=3)
+    assert (reply.status, reply.body) == (200, stream_body(3))
