Don't deny a request whose route moves while it runs or waits

After 404 they don't ask again; the requests had run, too.

Cause: a request keeps the route under which it was accepted, but its service is looked up in the newest configuration, and a missing one counts as a route that leads nowhere.

Now only a route of the newest configuration leads nowhere.

--- a/src/railfold/_internal/forwarding/requests/destinations.py
+++ b/src/railfold/_internal/forwarding/requests/destinations.py
@@ -234,19 +234,27 @@
     def _service(self, route: Route) -> ServiceSpec:
         """Return a service of a route, sampled by the weights of its services.
 
-        :raises NoCapacityError: there is no configuration yet.
+        :raises NoCapacityError: there is no configuration yet, or the route has moved
+            since the request was accepted, and its service is gone.
         :raises UnknownTargetError: the route leads to no configured service.
         """
-        if self._router.table is None:
+        table = self._router.table
+        if table is None:
             raise NoCapacityError("no configuration was read yet")
         weights = [choice.weight for choice in route.services]
         if not weights or sum(weights) <= 0:
             raise UnknownTargetError(f"route {route.name} leads to no service")
         choice = self._router.rng.choices(route.services, weights)[0]
-        spec = self._router.table.services.get(choice.service)
-        if spec is None:
+        spec = table.services.get(choice.service)
+        if spec is not None:
+            return spec
+        if route in table.routes:
             raise UnknownTargetError(f"there is no service {choice.service}")
-        return spec
+        raise NoCapacityError(
+            f"there is no service {choice.service} any more",
+            why=f"route {route.name} has changed since the request was accepted",
+            hint="send it again",
+        )
 
 
 def _capacity_error(error: NoCapacityError, terms: EligibilityTerms) -> NoCapacityError:
