Stop reading an answer while its client is a megabyte behind

Cause: the entry stopped reading from the server only when the memory that the client's workspace may use was taken, which is more than 8 MiB on all but small hosts. The limit that ends a connection lay below the one that slows the server down.

Now reading also stops at 1 MiB of unread data, so that flow control holds the server back, and goes on once the client has caught up. A client that doesn't read is ended at its deadline.

Not measured: the peak memory of many such clients at once.

--- a/src/railfold/_internal/forwarding/requests/front.py
+++ b/src/railfold/_internal/forwarding/requests/front.py
@@ -30,6 +30,9 @@
 
 __all__ = ["ClientExchange", "ClientServer", "RequestHandler"]
 
+# While a client leaves this much unread, no more of its answer is read from the server.
+_CONGESTED_BYTES = 1024 * 1024
+
 # The connection of a client that leaves more than this unread is closed.
 _MAX_UNREAD_BYTES = 8 * 1024 * 1024
 
@@ -155,6 +158,8 @@
         if not self.reservation.try_reserve(len(data)):
             self.reservation.reserve_unchecked(len(data))
             self.congested = True
+        if self._unread_bytes >= _CONGESTED_BYTES:
+            self.congested = True
         # This future is done once all data written before is sent, or the connection
         # is closed.
         barrier = stream.write(b"")
--- a/tests/forwarding/test_memory_held_for_clients.py
+++ b/tests/forwarding/test_memory_held_for_clients.py
@@ -137,3 +137,16 @@
     reply = await read_reply(connection)
     assert (reply.complete, len(reply.body)) == (True, ANSWER_BYTES)
     await until(lambda: held_bytes(small_host) == 0)
+
+
+async def test_large_answer_to_a_slow_client_is_not_cut_where_memory_is_free(
+    deployment: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(chaining_engine._Request, "_plain", write_long_answer)
+    connection = await deployment.connect()
+    await connection.send("/slip/1", "c-1")
+    await asyncio.sleep(0.5)
+    assert held_bytes(deployment) <= MAX_HELD_BYTES
+    reply = await read_reply(connection)
+    assert (reply.complete, len(reply.body)) == (True, ANSWER_BYTES)
+    await until(lambda: held_bytes(deployment) == 0)
