End a rate limit only by an answer that is known to be one

A server that named a rate limit and then sent bytes without end got the requests of all entries again: the head of an answer that was given up names no limit, and that ended the limit.

Cause: what a head doesn't say was taken for a statement as soon as the head had arrived.

Now a limit that a head names holds at once; that it names none counts once the answer is whole, or a stream has sent an event.

A new test guards the other side: whole answers and begun streams without a limit still end it.

--- a/src/railfold/_internal/forwarding/requests/attempt.py
+++ b/src/railfold/_internal/forwarding/requests/attempt.py
@@ -136,6 +136,8 @@
         self.suspicion = ""
         # Whether the attempt was recorded as a success of its content.
         self.success_recorded = False
+        # The head of an answer that isn't whole, or of a stream without events.
+        self._unproven_answer: tuple[AnswerKind, ResponseHead] | None = None
         # Bytes that a plain answer may still contain.
         self._remaining_bytes = float("inf")
         self._routed = routed
@@ -265,7 +267,8 @@
 
     def answer_head(self, kind: AnswerKind, head: ResponseHead) -> None:
         """Handle the head of the answer."""
-        self.backoff_requested = self._router.answer_headers.record_answer(
+        self._unproven_answer = (kind, head)
+        self.backoff_requested = self._router.answer_headers.record_head(
             self.server_id, kind, head, self._routed.request_id, self.sent_s
         )
         is_served = isinstance(kind, ServedAnswer)
@@ -317,6 +320,7 @@
         gap_s = self.watch.progress_received()
         self._listener.answer_continued(self)
         if progress.events:
+            self._record_proven_answer()
             self.record_prompt_read()
             if not self.watch.has_events:
                 self._record_first_event()
@@ -350,8 +354,19 @@
 
     def answer_ended(self) -> None:
         """Report the end of a complete answer."""
+        self._record_proven_answer()
         self._listener.answer_ended(self)
 
+    def _record_proven_answer(self) -> None:
+        """Process the head of an answer that is known to be one, once."""
+        if self._unproven_answer is None:
+            return
+        kind, head = self._unproven_answer
+        self._unproven_answer = None
+        self._router.answer_headers.record_answer(
+            self.server_id, kind, head, self.sent_s
+        )
+
     def _record_first_event(self) -> None:
         first_event_s = self._loop.time() - self.sent_s
         self._router.record_first_event(
--- a/src/railfold/_internal/forwarding/servers/answer_header_reader.py
+++ b/src/railfold/_internal/forwarding/servers/answer_header_reader.py
@@ -49,7 +49,7 @@
         """Set the channel over which other entries are notified of departures."""
         self._channel = channel
 
-    def record_answer(
+    def record_head(
         self,
         server_id: str,
         kind: AnswerKind,
@@ -62,7 +62,7 @@
         :param sent_s: when the request was sent.
         :returns: whether the answer requests a backoff.
         """
-        self._limits.record_answer(server_id, kind, head, sent_s)
+        self._limits.record_head(server_id, head, sent_s)
         backed_off = self._backoffs.record_answer(server_id, head, "a request")
         if not isinstance(kind, NotExecuted):
             self._backoffs.record_served(server_id, request_id)
@@ -72,6 +72,15 @@
         )
         return backed_off
 
+    def record_answer(
+        self, server_id: str, kind: AnswerKind, head: ResponseHead, sent_s: float
+    ) -> None:
+        """Process what an answer's head doesn't name, once the answer is proven.
+
+        :param head: of an answer that is whole, or of a stream that has begun.
+        """
+        self._limits.record_answer(server_id, kind, head, sent_s)
+
     def record_call_answer(self, server_id: str, head: ResponseHead) -> None:
         """Process the head of an answer to a call that this entry made for itself."""
         self._limits.record_call_answer(server_id, head)
--- a/src/railfold/_internal/forwarding/servers/rate_limits.py
+++ b/src/railfold/_internal/forwarding/servers/rate_limits.py
@@ -26,6 +26,7 @@
     PermitOutcome,
     PermitSharing,
     RateLimitAdvertised,
+    RateLimitHeader,
     UnreadableRateLimit,
 )
 from railfold._internal.errors import RateLimitedError
@@ -97,18 +98,33 @@
 
     # Limits that servers advertise
 
+    def record_head(self, server_id: str, head: ResponseHead, sent_s: float) -> None:
+        """Process the limit that an answer's head names, if it names one.
+
+        :param sent_s: when the request was sent.
+        """
+        header = self._dialect.rate_limit(head)
+        if not isinstance(header, NoRateLimit):
+            self._observe(server_id, header, sent_s)
+
     def record_answer(
         self, server_id: str, kind: AnswerKind, head: ResponseHead, sent_s: float
     ) -> None:
-        """Process the head of an answer to a request that was sent at ``sent_s``.
+        """End the limit of a server if a whole answer names none.
+
+        A head alone proves nothing: what a server in trouble sends may be no answer. A
+        refusal because the layers or the incarnation don't match may come from another
+        server.
 
-        A refusal because the layers or the incarnation don't match may come from
-        another server. Without a limit in it, it doesn't end the known limit.
+        :param sent_s: when the request was sent.
         """
         header = self._dialect.rate_limit(head)
         misplaced = isinstance(kind, NotExecuted) and kind.lacks_layers
-        if isinstance(header, NoRateLimit) and (misplaced or not self._limits):
-            return
+        if isinstance(header, NoRateLimit) and self._limits and not misplaced:
+            self._observe(server_id, header, sent_s)
+
+    def _observe(self, server_id: str, header: RateLimitHeader, sent_s: float) -> None:
+        """Process what an answer to a request says about the limit, and report it."""
         now_s = _now_s()
         change = self._limits.observe(server_id, header, sent_s, now_s)
         self._log_change(server_id, change, _SERVER_SOURCE)
--- a/tests/forwarding/test_rate_limits.py
+++ b/tests/forwarding/test_rate_limits.py
@@ -216,3 +216,20 @@
     metrics = deployment.entry.metrics
     assert metrics.gauges["rate_limits.in_force"] == 2
     assert metrics.counters["rate_limits.refused"] == len(refused)
+
+
+async def test_whole_answer_or_begun_stream_without_a_limit_ends_it(
+    deployment: Deployment,
+) -> None:
+    for server, path in (
+        (deployment.plain[0], SAFE),
+        (deployment.first_stage_engines[0], STREAM),
+    ):
+        server.rate_limit = "50"
+        for number in range(20):
+            await deployment.ask(path, f"{path[1]}-{number}")
+        assert known_limit_per_s(deployment, 0, server) == 50
+        server.rate_limit = None
+        for number in range(20):
+            await deployment.ask(path, f"{path[1]}-{number}-later")
+        assert known_limit_per_s(deployment, 0, server) is None
