--- a/src/railfold/_internal/forwarding/servers/http_client.py
+++ b/src/railfold/_internal/forwarding/servers/http_client.py
@@ -117,8 +117,9 @@
         self._received_part = AnswerPart.NOTHING
         # Whether bytes were received behind a complete answer.
         self.has_surplus = False
-        # Called when bytes are received although no answer is expected.
-        self.on_surplus: Callable[[], None] = lambda: None
+        # Called with the id of the last request when bytes are received although no
+        # answer is expected.
+        self.on_surplus: Callable[[str], None] = lambda request_id: None
         # Id of the last client's request; empty after a call of this process.
         self.last_request_id = ""
         self.idle_since_s = 0.0
@@ -198,7 +199,7 @@
         """Parse received bytes."""
         if self._sink is None:
             if not self._unusable:
-                self.on_surplus()
+                self.on_surplus(self.last_request_id)
             self.abort()  # No answer is expected.
             return
         if self._received_part is AnswerPart.NOTHING:
--- a/src/railfold/_internal/forwarding/servers/pool.py
+++ b/src/railfold/_internal/forwarding/servers/pool.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 
 from railfold._internal.forwarding.servers.http_client import HttpConnection
 
@@ -65,9 +66,7 @@
         if connection.closed or connection.busy:
             return
         connection.idle_since_s = now_s
-        connection.on_surplus = lambda: self.on_surplus(
-            server_id, connection.last_request_id
-        )
+        connection.on_surplus = partial(self.on_surplus, server_id)
         self._idle.setdefault(server_id, deque()).append(connection)
 
     def drop(self, server_id: str) -> None:
