--- a/tests/forwarding/test_resumed_streams.py
+++ b/tests/forwarding/test_resumed_streams.py
@@ -29,7 +29,9 @@
     for engine in deployment.engines:
         engine.resumed_form = form
     try:
-        reply = await deployment.ask("/draft/1", f"s-{form.replace(" ", "-")}", events=EVENTS)
+        reply = await deployment.ask(
+            "/draft/1", "s-" + form.replace(" ", "-"), events=EVENTS
+        )
     except (MalformedAnswerError, TimeoutError) as error:
         return f"{form}: {error!r}"
     if reply.body != stream_body(EVENTS):
