Let a response's head say what its status means

ResponseHead has these now, for the reader of servers' answers, the attempts, the answers to clients and the dialect; an answer without a body is sent by the same two calls as any other.

--- a/src/railfold/_internal/forwarding/messages.py
+++ b/src/railfold/_internal/forwarding/messages.py
@@ -8,6 +8,10 @@
 
 Header = tuple[str, str]
 
+_SUCCESSES = range(200, 300)
+_NO_CONTENT = 204
+_NOT_MODIFIED = 304
+
 
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
@@ -17,6 +21,21 @@
     reason: str
     headers: tuple[Header, ...]
 
+    @property
+    def is_success(self) -> bool:
+        """Whether the request succeeded."""
+        return self.status in _SUCCESSES
+
+    @property
+    def is_no_content(self) -> bool:
+        """Whether there is no content; such an answer states no length, either."""
+        return self.status == _NO_CONTENT
+
+    @property
+    def forbids_body(self) -> bool:
+        """Whether an answer with this status never has a body."""
+        return self.status in (_NO_CONTENT, _NOT_MODIFIED)
+
     def get(self, name: str, default: str = "") -> str:
         """Return the first header of that name, ignoring case."""
         name = name.lower()
--- a/src/railfold/_internal/forwarding/requests/attempt.py
+++ b/src/railfold/_internal/forwarding/requests/attempt.py
@@ -47,10 +47,6 @@
 _MAX_UNDECLARED_BYTES = 64 * 1024 * 1024
 
 
-_SUCCESSES = range(200, 300)
-_NO_CONTENT = 204
-
-
 @dataclass(frozen=True, slots=True)
 class OtherAnswer:
     """The answer doesn't continue the stream of which the client has a part."""
@@ -287,7 +283,7 @@
     def _is_stream(self, head: ResponseHead) -> bool:
         return (
             self._routed.route.kind is RouteKind.STREAM
-            and head.status in _SUCCESSES
+            and head.is_success
             and head.get("Content-Type").startswith("text/event-stream")
         )
 
@@ -296,7 +292,7 @@
 
         A server without further events may answer that there is no content.
         """
-        return self.is_stream or head.status == _NO_CONTENT
+        return self.is_stream or head.is_no_content
 
     def answer_body(self, data: bytes) -> None:
         """Buffer received bytes of the body, or report what they complete."""
--- a/src/railfold/_internal/forwarding/requests/client_answer.py
+++ b/src/railfold/_internal/forwarding/requests/client_answer.py
@@ -18,7 +18,6 @@
 __all__ = ["ABORTED", "BufferedAnswer", "ClientAnswer"]
 
 _OK = 200
-_NO_CONTENT = 204
 
 # Logged as the status of an answer that was aborted after its head had been sent.
 ABORTED = 0
@@ -100,10 +99,9 @@
         """Send a complete answer that was buffered."""
         self.release_buffer(answer)
         head = answer.head
-        if self._client.has_no_body(head.status):
-            with_length = head.status != _NO_CONTENT
-            headers = end_to_end_headers(head, with_length=with_length)
-            self._client.reply_without_body(head.status, headers, head.reason)
+        if self._client.head_only or head.forbids_body:
+            self.send_head(head, with_length=not head.is_no_content)
+            self.finish()
             return
         headers = end_to_end_headers(head, with_length=False)
         self._client.reply(head.status, headers, answer.body, head.reason)
--- a/src/railfold/_internal/forwarding/requests/driver.py
+++ b/src/railfold/_internal/forwarding/requests/driver.py
@@ -80,8 +80,6 @@
 # attempt are suspected. Each search plans chains in all failure domains.
 _SEARCH_INTERVAL_S = 0.1
 
-_SUCCESSES = range(200, 300)
-
 
 class RequestDriver:
     """Passes events to one request's lifecycle, and performs the resulting actions.
@@ -430,9 +428,7 @@
         buffered = attempt.take_buffered()
         self._prober.record_served(attempt.server_id)
         wrote_answer = (
-            attempt.watch.has_events
-            if buffered is None
-            else buffered.head.status in _SUCCESSES
+            attempt.watch.has_events if buffered is None else buffered.head.is_success
         )
         self._quarantine.record_success(
             self._request, self._owner, wrote_answer=wrote_answer
--- a/src/railfold/_internal/forwarding/requests/front.py
+++ b/src/railfold/_internal/forwarding/requests/front.py
@@ -44,10 +44,6 @@
 # of the loop monitor, which take 0.5 s unless the event loop is late.
 _MAX_AWAITED_TURNS = 10
 
-_NO_CONTENT = 204
-_NOT_MODIFIED = 304
-_STATUSES_WITHOUT_BODY = (_NO_CONTENT, _NOT_MODIFIED)
-
 _HTTP_1_0 = "HTTP/1.0"
 
 _REASONS = {
@@ -103,7 +99,7 @@
         head_only: bool = False,
         reads_chunks: bool = True,
     ) -> None:
-        self._head_only = head_only
+        self.head_only = head_only
         self._reads_chunks = reads_chunks
         # Whether the client takes the end of the connection for that of the answer.
         self._ends_at_close = False
@@ -142,7 +138,7 @@
 
     def send_body(self, data: bytes) -> None:
         """Send a part of the body, unless the client asked for the head only."""
-        if self._ended or self._head_only:
+        if self._ended or self.head_only:
             return
         stream = self._connection.stream
         if self._unread_bytes + len(data) > _MAX_UNREAD_BYTES:
@@ -219,17 +215,6 @@
         self.reply_early(status, headers, body, reason)
         self.finish()
 
-    def has_no_body(self, status: int) -> bool:
-        """Return whether an answer with this status never has a body."""
-        return self._head_only or status in _STATUSES_WITHOUT_BODY
-
-    def reply_without_body(
-        self, status: int, headers: Sequence[Header], reason: str = ""
-    ) -> None:
-        """Send a complete answer that has no body, whatever length it states."""
-        self.send_head(status, reason, headers)
-        self.finish()
-
     def reply_early(
         self, status: int, headers: Sequence[Header], body: bytes, reason: str = ""
     ) -> None:
--- a/src/railfold/_internal/forwarding/servers/http_client.py
+++ b/src/railfold/_internal/forwarding/servers/http_client.py
@@ -50,9 +50,6 @@
 # Bounds the time that an answer may take if it arrives a few bytes at a time.
 _MAX_TRANSFER_S = 10.0
 
-_NO_CONTENT = 204
-_NOT_MODIFIED = 304
-
 
 class ExchangeFailure(Enum):
     """Why an exchange ended without a complete answer."""
@@ -281,8 +278,7 @@
 
     def _record_framing(self, head: ResponseHead) -> None:
         has_framing = bool(head.get("Content-Length") or head.get("Transfer-Encoding"))
-        has_no_body = head.status in (_NO_CONTENT, _NOT_MODIFIED)
-        self._ends_at_eof = not has_framing and not has_no_body
+        self._ends_at_eof = not has_framing and not head.forbids_body
         self._keep_alive = self._parser.should_keep_alive()
         if "close" in head.get("Connection").lower():
             self._keep_alive = False
--- a/src/railfold/_internal/platform/dialect.py
+++ b/src/railfold/_internal/platform/dialect.py
@@ -107,7 +107,6 @@
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 _FIRST_SERVER_ERROR = 500
 _CLIENT_ERRORS = range(400, 500)
-_SUCCESSES = range(200, 300)
 _ACCEPTED = (200, 202)
 _FENCED = 412
 
@@ -180,7 +179,7 @@
             where = f" because of {at_fault}" if at_fault else ""
             reason = f"it answered {head.status}{where}"
             return NotExecuted(at_fault, reason, head.status == _MISDIRECTED)
-        if head.status in _SUCCESSES:
+        if head.is_success:
             if not head.get(_SEAL):
                 return UnusableAnswer("its answer has no signature")
             if head.get("Content-Encoding"):
