Read the rate limit of a whole answer only where one is known

Each answer's headers were searched for a rate limit twice, at its head and at its end, also while no server names a limit. The end only takes a known limit away, so it looks only while there is one.

Behaviour is unchanged: the tests of rate limits and endless answers pass, and both mechanisms still fail their tests when taken out.

--- a/src/railfold/_internal/forwarding/servers/rate_limits.py
+++ b/src/railfold/_internal/forwarding/servers/rate_limits.py
@@ -118,9 +118,11 @@
 
         :param sent_s: when the request was sent.
         """
-        header = self._dialect.rate_limit(head)
         misplaced = isinstance(kind, NotExecuted) and kind.lacks_layers
-        if isinstance(header, NoRateLimit) and self._limits and not misplaced:
+        if misplaced or not self._limits:
+            return
+        header = self._dialect.rate_limit(head)
+        if isinstance(header, NoRateLimit):
             self._observe(server_id, header, sent_s)
 
     def _observe(self, server_id: str, header: RateLimitHeader, sent_s: float) -> None:
