Decode JSON through the one place that turns a decoder's errors

decode_json repeated the errors that decode turns. The tests of undecodable data pass, and fail with the mechanism taken out.

--- a/src/railfold/_internal/decoding.py
+++ b/src/railfold/_internal/decoding.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Protocol, TypeVar
+from typing import Any, Protocol, TypeVar
 
 import msgspec
 
@@ -17,13 +17,13 @@
 
 
 class Decoder(Protocol[T_co]):
-    """A decoder of msgspec."""
+    """A decoder of msgspec; those of JSON take text, too."""
 
-    def decode(self, data: bytes) -> T_co:
+    def decode(self, data: Any, /) -> T_co:
         """Return the decoded value."""
 
 
-def decode(decoder: Decoder[T], data: bytes) -> T:
+def decode(decoder: Decoder[T], data: bytes | str) -> T:
     """Return the decoded value.
 
     :raises msgspec.DecodeError: the data can't be decoded, for any reason.
@@ -39,7 +39,4 @@
 
     :raises msgspec.DecodeError: the text can't be decoded, for any reason.
     """
-    try:
-        return msgspec.json.decode(data, type=type_)
-    except _INPUT_ERRORS as error:
-        raise msgspec.DecodeError(f"it can't be decoded: {error}") from error
+    return decode(msgspec.json.Decoder(type_), data)
