Stand-in and tests: one way to detach, to encode an answer, to await a version

Two test files waited for a version of the configuration in the same way; a type said tornado's client where the product's own is used.

--- a/standins/broken_answers.py
+++ b/standins/broken_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import http.client
 import random
 import socket
 import struct
@@ -13,12 +14,15 @@
 __all__ = [
     "COPY_FORMS",
     "RESUMED_FORMS",
+    "SEAL",
     "AnswerFaults",
     "encode_answer",
     "reset",
     "resumed_answer",
 ]
 
+SEAL = "3e1b.07.5a2"
+
 # How a copy of an answer is framed.
 COPY_FORMS = ("length", "chunks", "close")
 
@@ -53,8 +57,6 @@
     _streaming: set[IOStream] = field(default_factory=set)
     _copying: set[IOStream] = field(default_factory=set)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
-    copies: int = 0
-    cuts: int = 0
 
     async def request_received(self, stream: IOStream) -> None:
         """Wait until no part of a copy is sent on a request's connection."""
@@ -77,7 +79,6 @@
 
     async def send_part_of_head(self, stream: IOStream, answer: bytes) -> None:
         """Send a part of an answer's head, and close or reset the connection."""
-        self.cuts += 1
         head_bytes = answer.index(b"\r\n\r\n") + 4
         try:
             await stream.write(answer[: self.rng.randrange(1, head_bytes)])
@@ -103,7 +104,6 @@
             await asyncio.sleep(0.002)
         if stream.closed():
             return
-        self.copies += 1
         split = len(answer)
         if stream not in self._requested and self.rng.random() < 0.5:
             split = self.rng.randrange(1, len(answer))
@@ -127,15 +127,14 @@
     form: str = "length",
     *,
     status: int = 200,
-    seal: str = "3e1b.07.5a2",
 ) -> bytes:
     """Return an answer to a request as it is sent.
 
     :param form: one of ``COPY_FORMS``.
     """
     head = (
-        f"HTTP/1.1 {status} X\r\nRailfold-Attempt-Id: {request_id}\r\n"
-        f"Railfold-Response-Seal: {seal}\r\n"
+        f"HTTP/1.1 {status} {http.client.responses[status]}\r\n"
+        f"Railfold-Attempt-Id: {request_id}\r\nRailfold-Response-Seal: {SEAL}\r\n"
     )
     if status in _EMPTY_STATUSES:
         return f"{head}\r\n".encode()
--- a/standins/chaining_engine.py
+++ b/standins/chaining_engine.py
@@ -23,6 +23,7 @@
 from tornado.web import Application, RequestHandler
 
 from standins.broken_answers import (
+    SEAL,
     AnswerFaults,
     encode_answer,
     reset,
@@ -31,8 +32,6 @@
 from standins.endless_answers import send_endless
 from standins.metadata_store import MetadataStore
 
-SEAL = "3e1b.07.5a2"
-
 # Size of the answers of plain services to requests whose path ends with BULK_PATH.
 BULK_PATH = "/bulk"
 BULK_BYTES = 160_000
@@ -82,8 +81,8 @@
         on), ``"reset at end"`` (resets the connection of each stream in place of its
         end), ``"endless FORM"`` (sends bytes without end, see ``endless_answers``).
     :param answer_faults: answers that it sends twice or not whole, if it does so.
-    :param raw_answer: an answer that it sends as it is to all requests, without its
-        first lines, which name the request and the seal; empty if it doesn't.
+    :param raw_answer: an answer that it sends to all requests as it is, but with the
+        request's id and the seal behind its first line; empty if it doesn't.
     :param resumed_form: the form of its answers to requests that resume a stream, see
         ``broken_answers``; empty if they are streams.
     :param run_counts: how often each request ran on this server.
@@ -328,10 +327,15 @@
         if self.engine.answer_faults is not None and stream is not None:
             self.engine.answer_faults.request_ended(stream)
 
+    def _detach(self) -> IOStream:
+        """Return the connection, on which this handler sends nothing by itself."""
+        stream: IOStream = self.request.connection.detach()  # type: ignore[attr-defined]
+        self._finished = True
+        return stream
+
     async def send_endless(self, form: str, request_id: str = "") -> None:
         """Send bytes without end in place of the response."""
-        stream = self.request.connection.detach()  # type: ignore[attr-defined]
-        self._finished = True
+        stream = self._detach()
         headers = {"Railfold-Response-Seal": SEAL}
         for name in ("Server-Limit", "Server-Leaving"):
             if name in self._headers:
@@ -345,10 +349,9 @@
 
     def send_late_response(self) -> None:
         """Send the response that is to be sent again on this connection, if any."""
-        stream: IOStream = self.request.connection.stream  # type: ignore[attr-defined]
-        late = self.engine.late_responses.pop(stream, b"")
+        late = self.engine.late_responses.pop(self.stream, b"")
         if late:
-            stream.write(late)
+            self.stream.write(late)
 
     def finish_call(self, fields: dict[str, Any]) -> None:
         """Finish the response to a call, and send it again later if that is asked."""
@@ -360,8 +363,7 @@
             head = (
                 f"HTTP/1.1 {status} X\r\n{refused}Content-Length: {len(body)}\r\n\r\n"
             )
-            stream = self.request.connection.stream  # type: ignore[attr-defined]
-            self.engine.late_responses[stream] = head.encode() + body
+            self.engine.late_responses[self.stream] = head.encode() + body
         self.finish(fields)
 
 
@@ -370,8 +372,7 @@
         engine = self.engine
         if engine.reports_to_drop > 0:
             engine.reports_to_drop -= 1
-            self.request.connection.detach().close()
-            self._finished = True
+            self._detach().close()
             return
         await asyncio.sleep(engine.report_delay_s)
         await engine.wait_while_paused()
@@ -478,8 +479,7 @@
             await self._crash()
             return
         if engine.mode == "lose":
-            self.request.connection.detach().close()
-            self._finished = True
+            self._detach().close()
             return
         if engine.mode.startswith("endless "):
             await self.send_endless(engine.mode.removeprefix("endless "), request_id)
@@ -560,8 +560,7 @@
         if self.engine.mode.startswith("unnamed"):
             await self._refuse_unnamed()
             if self.engine.mode == "unnamed only":
-                self.request.connection.detach().close()
-                self._finished = True
+                self._detach().close()
                 return
         await asyncio.sleep(self.engine.event_interval_s)
         await self.engine.wait_while_paused()
@@ -575,26 +574,14 @@
         if faults is not None and self.stream is not None and not self.stream.closed():
             faults.schedule_copy(self.stream, request_id, body)
 
-    def _detach(self) -> IOStream:
-        """Return the connection, on which this handler sends nothing by itself."""
-        stream: IOStream = self.request.connection.detach()  # type: ignore[attr-defined]
-        self._finished = True
-        return stream
-
     async def _refuse_unnamed(self) -> None:
-        stream = self.request.connection.stream  # type: ignore[attr-defined]
-        await stream.write(
+        await self.stream.write(
             b"HTTP/1.1 503 Busy\r\n"
             b"Railfold-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
         )
 
     async def _raw(self, request_id: str, body: bytes) -> None:
-        head = (
-            f"HTTP/1.1 200 OK\r\nRailfold-Attempt-Id: {request_id}\r\n"
-            f"Railfold-Response-Seal: {SEAL}\r\nContent-Length: {len(body)}\r\n\r\n"
-        )
-        stream = self.request.connection.stream  # type: ignore[attr-defined]
-        await stream.write(head.encode() + body)
+        await self.stream.write(encode_answer(request_id, body))
 
     async def _respond_unframed(self, request_id: str) -> None:
         headers, mode = self.request.headers, self.engine.mode
@@ -661,8 +648,7 @@
 
     def _is_abandoned(self) -> bool:
         """Return whether the client has closed the connection."""
-        stream = self.request.connection.stream  # type: ignore[attr-defined]
-        return bool(stream.closed())
+        return bool(self.stream.closed())
 
     async def _wait_for(self, chain: str) -> None:
         """Wait while an engine of the chain is dead or paused."""
--- a/tests/forwarding/test_memory_held_for_clients.py
+++ b/tests/forwarding/test_memory_held_for_clients.py
@@ -21,6 +21,7 @@
     read_reply,
     running,
     until,
+    until_version,
 )
 
 # A fifth of the memory may be held for clients: 2 MiB.
@@ -42,15 +43,10 @@
         ]
         changed = configuration(2, tenants=tenants)
         deployment.store.put("keyed.op", "config", changed)
-        await wait_for_version(deployment, 2)
+        await until_version(deployment, 2)
         yield deployment
 
 
-async def wait_for_version(deployment: Deployment, version: int) -> None:
-    router = deployment.entry.router
-    await until(lambda: router.table is not None and router.table.version == version)
-
-
 def held_bytes(deployment: Deployment) -> int:
     return deployment.entry._memory_quota.total_bytes
 
--- a/tests/forwarding/test_routes_that_move.py
+++ b/tests/forwarding/test_routes_that_move.py
@@ -14,6 +14,7 @@
     routes,
     run_count,
     until,
+    until_version,
 )
 
 
@@ -32,8 +33,7 @@
 
 async def move_routes(deployment: Deployment) -> None:
     deployment.store.put("keyed.op", "config", moved_configuration())
-    router = deployment.entry.router
-    await until(lambda: router.table is not None and router.table.version == 2)
+    await until_version(deployment, 2)
 
 
 async def running_request(deployment: Deployment, path: str) -> Connection:
@@ -80,6 +80,5 @@
 ) -> None:
     lost = [{**route, "service": "nowhere"} for route in routes()]
     deployment.store.put("keyed.op", "config", configuration(version=2, routes=lost))
-    router = deployment.entry.router
-    await until(lambda: router.table is not None and router.table.version == 2)
+    await until_version(deployment, 2)
     assert (await deployment.ask("/tray/1", "r-1")).status == 404
--- a/tests/lib/forwarding.py
+++ b/tests/lib/forwarding.py
@@ -512,6 +512,12 @@
             await asyncio.sleep(0.01)
 
 
+async def until_version(deployment: Deployment, version: int) -> None:
+    """Wait until the first entry has this version of the configuration in force."""
+    router = deployment.entry.router
+    await until(lambda: router.table is not None and router.table.version == version)
+
+
 def stream_body(count: int, first: int = 1) -> bytes:
     """Return the body of a complete stream of events.
 
--- a/tests/unit/test_late_connections.py
+++ b/tests/unit/test_late_connections.py
@@ -12,19 +12,18 @@
 
 import msgspec
 import pytest
-from tornado.httpclient import AsyncHTTPClient
 
 from railfold._internal.engines.http_engine import HttpEngine
 from railfold._internal.engines.http_service import HttpService, ServiceAnswer
 from railfold._internal.engines.interface import HiddenState, PrefillInput, StepItem
-from railfold._internal.store.http import new_http_client
+from railfold._internal.store.http import HttpClient, new_http_client
 
 PAUSE_S = 1.3
 STEP = StepItem("r-1@1", 0, True, PrefillInput("unit 7", ()))
 
 
 @contextlib.asynccontextmanager
-async def server(body: bytes) -> AsyncIterator[tuple[str, AsyncHTTPClient]]:
+async def server(body: bytes) -> AsyncIterator[tuple[str, HttpClient]]:
     """A server that answers each request with ``body``, and a client for it."""
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
